Fix the contracts: core interfaces, wire protocol, process plumbing

The public headers of the decision library, the protocol between entry and sidecar, and the interfaces of the plumbing are laid down first, so that the parts can be built side by side against them.

--- /dev/null
+++ b/src/libtrefoilarch/ids.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace trefoilarch {
+
+/** Names one caller's request through the whole system; 128 random bits. */
+struct RequestId
+{
+  uint64_t mHigh = 0;
+  uint64_t mLow = 0;
+
+  auto operator<=>(const RequestId&) const = default;
+
+  /** 32 lower-case hexadecimal digits. */
+  std::string Text() const;
+
+  /** Reads what Text() wrote; all zero if it is anything else. */
+  static RequestId FromText(std::string_view aText);
+};
+
+/** One try of a request at one upstream. Attempts count from 1. */
+struct AttemptKey
+{
+  RequestId mRequest;
+  uint32_t mAttempt = 0;
+
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+/** An upstream's name, as the platform's host list gives it. */
+using UpstreamId = std::string;
+
+/** An entry process's name, made anew at each start of the process. */
+using EntryId = std::string;
+
+} // namespace trefoilarch
+
+template<>
+struct std::hash<trefoilarch::RequestId>
+{
+  size_t operator()(const trefoilarch::RequestId& aId) const noexcept
+  {
+    return static_cast<size_t>(aId.mHigh ^ (aId.mLow * 0x9e3779b97f4a7c15ULL));
+  }
+};
+
+template<>
+struct std::hash<trefoilarch::AttemptKey>
+{
+  size_t operator()(const trefoilarch::AttemptKey& aKey) const noexcept
+  {
+    return std::hash<trefoilarch::RequestId>()(aKey.mRequest) +
+           aKey.mAttempt * 0x9e3779b97f4a7c15ULL;
+  }
+};
--- /dev/null
+++ b/src/libtrefoilarch/servicelevel.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "millis.h"
+
+#include <cstdint>
+#include <string>
+
+namespace trefoilarch {
+
+/** Tier 0 is the highest; the lowest tier has the highest number. */
+using Tier = uint8_t;
+
+/** The number of tiers a policy may use. */
+constexpr Tier kTierCount = 4;
+
+/**
+ * What a request is owed, as its class gave it when it was classified. It
+ * travels with the request, so a sidecar schedules by the caller's policy
+ * version even while a change is spreading.
+ */
+struct ServiceLevel
+{
+  std::string mClass;
+  std::string mWorkspace;
+  Tier mTier = kTierCount - 1;
+  /** Share of starts that the class is sure of while it waits, 0 to 1. */
+  double mFloor = 0;
+  /** Weight of the workspace among those of its class. */
+  double mWeight = 1;
+  Millis mFirstTokenTarget{ 1000 };
+  Millis mBetweenTokenTarget{ 100 };
+
+  bool operator==(const ServiceLevel&) const = default;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilio/httpserver.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "httpmessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace trefoilio {
+
+/** Where and how much an HttpServer accepts. */
+struct HttpServerOptions
+{
+  std::string mAddress = "127.0.0.1";
+  uint16_t mPort = 0; /**< 0: any free port */
+  size_t mMostBody = 4 * 1024 * 1024;
+  size_t mMostHeaderBytes = 16 * 1024;
+  size_t mMostConnections = 1000;
+  /** A request that is not whole after this is given up; seconds. */
+  unsigned mReceiveSeconds = 10;
+};
+
+/** Why a request never reached the handler. */
+enum class BadInput
+{
+  BodyTooLarge,
+  HeaderTooLarge,
+  Malformed,
+};
+
+/** An HTTP server on ulfius; its threads live as long as the object. */
+class HttpServer
+{
+public:
+  using Handler = std::function<HttpReply(const HttpRequest&)>;
+  /** Makes the answer to bad input, and counts it. */
+  using BadInputHandler = std::function<HttpReply(BadInput)>;
+
+  /** Listens at once; throws std::runtime_error where it cannot. */
+  HttpServer(HttpServerOptions aOptions,
+             Handler aHandler,
+             BadInputHandler aBadInput);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  uint16_t Port() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace trefoilio
--- /dev/null
+++ b/src/trefoilarchd/main.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
