Write the daemon's shells, first part: codec, channels, callers' port

The codec, the two ends of a channel, the router's and the upstream's decision threads, the callers' and the operators' ports.

--- /dev/null
+++ b/src/trefoilarchd/callerservice.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "callerrequest.h"
+
+#include "libtrefoilarch/classifier.h"
+#include "libtrefoilio/httpserver.h"
+#include "libtrefoilio/metrics.h"
+#include "libtrefoilio/service.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+namespace trefoilarch {
+
+class RouterService;
+
+/** How a CallerService works. */
+struct CallerOptions
+{
+  trefoilio::HttpServerOptions mHttp;
+  std::string mDataCentre;
+  size_t mMostOpen = 1000;
+  /** Bytes of an answer that may wait for a caller that reads slowly. */
+  size_t mMostUnread = 8 * 1024 * 1024;
+  /** The policy in force; null where there is none yet. */
+  std::function<std::shared_ptr<const Classifier>()> mClassifier;
+};
+
+/** The callers' HTTP port: reads requests, and writes answers. */
+class CallerService final : public trefoilio::Service
+{
+public:
+  static constexpr const char* kName = "callers";
+
+  CallerService(CallerOptions aOptions, trefoilio::Metrics& aMetrics);
+  ~CallerService() override;
+
+  void Start(trefoilio::Kernel& aKernel) override;
+  void Stop() override;
+  std::string DumpState() const override;
+
+  uint16_t Port() const;
+
+  /** From here on new requests are refused with ShuttingDown. */
+  void Drain() { mDraining = true; }
+  size_t OpenRequests() const { return mOpen; }
+
+private:
+  class OpenCount;
+
+  trefoilio::HttpReply Handle(const trefoilio::HttpRequest& aHttp);
+  Result<trefoilio::HttpReply> Route(const trefoilio::HttpRequest& aHttp,
+                                     const RequestId& aId);
+  Result<trefoilio::HttpReply> Models(const trefoilio::HttpRequest& aHttp,
+                                      const RequestId& aId);
+  Result<trefoilio::HttpReply> Run(CallerRequest aRequest,
+                                   const trefoilio::HttpRequest& aHttp,
+                                   const RequestId& aId);
+  Result<std::shared_ptr<const Classifier>> PolicyInForce() const;
+  trefoilio::HttpReply Refuse(const Refusal& aRefusal, const RequestId& aId);
+  trefoilio::HttpReply RefuseBadInput(trefoilio::BadInput aInput);
+  RequestId DrawId();
+
+  CallerOptions mOptions;
+  trefoilio::Metrics& mMetrics;
+  RouterService* mRouter = nullptr;
+  std::atomic<bool> mDraining = false;
+  std::atomic<size_t> mOpen = 0;
+  std::mutex mRandomMutex;
+  std::mt19937_64 mRandom;
+  std::unique_ptr<trefoilio::HttpServer> mServer;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/routerservice.cpp
@@ -0,0 +1,366 @@
+#include "routerservice.h"
+
+#include "libtrefoilio/systemclock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+constexpr Millis kLongestWait{ 100 };
+constexpr std::chrono::seconds kDumpWait{ 2 };
+
+} // namespace
+
+RouterService::RouterService(RouterOptions aOptions,
+                             trefoilio::Metrics& aMetrics)
+  : mOptions(std::move(aOptions))
+  , mMetrics(aMetrics)
+  , mCore(mOptions.mCore)
+  , mRing(
+      std::make_shared<trefoilio::BoundedRing<Event>>(mOptions.mRingCapacity))
+  , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.mCore.mSeed))
+{
+}
+
+RouterService::~RouterService()
+{
+  Stop();
+}
+
+void
+RouterService::Start(trefoilio::Kernel&)
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+RouterService::Stop()
+{
+  mRing->Close();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  for (auto& [upstream, link] : mLinks) {
+    CloseChannel(link);
+  }
+}
+
+bool
+RouterService::Submit(EntryRequest aRequest,
+                      std::shared_ptr<AnswerMailbox> aAnswer)
+{
+  return mRing->TryPush(Submitted{ std::move(aRequest), std::move(aAnswer) });
+}
+
+void
+RouterService::CallerLeft(RequestId aId)
+{
+  mRing->Push(Left{ aId });
+}
+
+void
+RouterService::SetSidecars(std::vector<SidecarAddress> aSidecars)
+{
+  mRing->Push(NewSidecars{ std::move(aSidecars) });
+}
+
+void
+RouterService::SetClassifier(std::shared_ptr<const Classifier> aClassifier)
+{
+  mRing->Push(NewClassifier{ std::move(aClassifier) });
+}
+
+std::string
+RouterService::DumpState() const
+{
+  auto answer = std::make_shared<std::promise<std::string>>();
+  auto dump = answer->get_future();
+  if (!mRing->TryPush(DumpRequest{ answer }) ||
+      dump.wait_for(kDumpWait) != std::future_status::ready) {
+    return R"({"busy":true})";
+  }
+  return dump.get();
+}
+
+void
+RouterService::Run()
+{
+  while (true) {
+    auto event = mRing->PopFor(Wait(trefoilio::MonotonicNow()));
+    if (event) {
+      Handle(std::move(*event));
+    } else if (mRing->Closed()) {
+      return;
+    }
+    const Millis now = trefoilio::MonotonicNow();
+    if (mCore.NextWake() <= now) {
+      CarryOut(mCore.OnTick(now));
+    }
+    ReopenDue(now);
+    mOpen = mCore.OpenRequests();
+  }
+}
+
+Millis
+RouterService::Wait(Millis aNow) const
+{
+  const Millis wake = mCore.NextWake();
+  if (wake <= aNow) {
+    return Millis(0);
+  }
+  return std::min(wake - aNow, kLongestWait);
+}
+
+void
+RouterService::Handle(Event aEvent)
+{
+  std::visit([this](auto& aOne) { On(std::move(aOne)); }, aEvent);
+  while (!mGone.empty()) {
+    const RequestId id = mGone.back();
+    mGone.pop_back();
+    CarryOut(mCore.OnCallerLeft(id, trefoilio::MonotonicNow()));
+  }
+}
+
+void
+RouterService::On(Submitted aEvent)
+{
+  mMetrics.Count("requests_total",
+                 "class=\"" + aEvent.mRequest.mClassified.mLevel.mClass + "\"");
+  mAnswers[aEvent.mRequest.mId] = std::move(aEvent.mAnswer);
+  CarryOut(
+    mCore.OnRequest(std::move(aEvent.mRequest), trefoilio::MonotonicNow()));
+}
+
+void
+RouterService::On(const Left& aEvent)
+{
+  mAnswers.erase(aEvent.mId);
+  CarryOut(mCore.OnCallerLeft(aEvent.mId, trefoilio::MonotonicNow()));
+}
+
+void
+RouterService::On(FromSidecar aEvent)
+{
+  const auto found = mLinks.find(aEvent.mUpstream);
+  if (found == mLinks.end() ||
+      found->second.mGeneration != aEvent.mGeneration) {
+    mMetrics.Count("late_messages_total");
+    return;
+  }
+  found->second.mBackoff = mOptions.mFirstReconnect;
+  if (const auto* welcome = std::get_if<Welcome>(&aEvent.mMessage)) {
+    Learn(*welcome);
+  }
+  CarryOut(mCore.OnMessage(
+    aEvent.mUpstream, std::move(aEvent.mMessage), trefoilio::MonotonicNow()));
+}
+
+void
+RouterService::Learn(const Welcome& aWelcome)
+{
+  const auto model = aWelcome.mLabels.find("model");
+  const std::lock_guard lock(mModelsMutex);
+  if (model == aWelcome.mLabels.end()) {
+    mModels.erase(aWelcome.mUpstream);
+  } else {
+    mModels[aWelcome.mUpstream] = model->second;
+  }
+}
+
+std::vector<std::string>
+RouterService::Models() const
+{
+  std::set<std::string> models;
+  const std::lock_guard lock(mModelsMutex);
+  for (const auto& [upstream, model] : mModels) {
+    models.insert(model);
+  }
+  return { models.begin(), models.end() };
+}
+
+void
+RouterService::On(const ChannelDown& aEvent)
+{
+  const auto found = mLinks.find(aEvent.mUpstream);
+  if (found == mLinks.end() ||
+      found->second.mGeneration != aEvent.mGeneration) {
+    return;
+  }
+  const Millis now = trefoilio::MonotonicNow();
+  Link& link = found->second;
+  link.mChannel.reset();
+  const int64_t most = std::max<int64_t>(link.mBackoff.Count(), 2);
+  std::uniform_int_distribution<int64_t> jitter(most / 2, most);
+  link.mReopenAt = now + Millis(jitter(mRandom));
+  link.mBackoff = std::min(link.mBackoff * 2, mOptions.mMostReconnect);
+  CarryOut(mCore.OnChannelDown(aEvent.mUpstream, now));
+}
+
+void
+RouterService::On(NewSidecars aEvent)
+{
+  std::vector<UpstreamView> upstreams;
+  std::vector<UpstreamId> leaving;
+  std::map<UpstreamId, Link> kept;
+  for (const SidecarAddress& sidecar : aEvent.mSidecars) {
+    const UpstreamId& name = sidecar.mUpstream.mName;
+    upstreams.push_back(sidecar.mUpstream);
+    if (sidecar.mLeaving) {
+      leaving.push_back(name);
+    }
+    const auto found = mLinks.find(name);
+    if (found != mLinks.end() && found->second.mAddress == sidecar.mAddress) {
+      kept.insert(mLinks.extract(found));
+      continue;
+    }
+    kept[name] = Link{ .mAddress = sidecar.mAddress,
+                       .mReopenAt = Millis(0),
+                       .mBackoff = mOptions.mFirstReconnect };
+  }
+  std::swap(mLinks, kept);
+  const Millis now = trefoilio::MonotonicNow();
+  CarryOut(mCore.SetUpstreams(std::move(upstreams), leaving, now));
+  for (auto& [name, link] : kept) {
+    CloseChannel(link);
+    CarryOut(mCore.OnChannelDown(name, now));
+  }
+  ReopenDue(now);
+}
+
+void
+RouterService::On(NewClassifier aEvent)
+{
+  mCore.SetClassifier(std::move(aEvent.mClassifier));
+}
+
+void
+RouterService::On(const DumpRequest& aEvent)
+{
+  aEvent.mAnswer->set_value(mCore.DumpState(trefoilio::MonotonicNow()));
+}
+
+void
+RouterService::CarryOut(EntryActions aActions)
+{
+  for (EntryAction& action : aActions) {
+    std::visit([this](auto& aOne) { Do(std::move(aOne)); }, action);
+  }
+}
+
+void
+RouterService::Do(SendToSidecar aAction)
+{
+  const auto found = mLinks.find(aAction.mUpstream);
+  if (found != mLinks.end() && found->second.mChannel) {
+    found->second.mChannel->Send(aAction.mMessage);
+  }
+}
+
+void
+RouterService::Do(const ReopenChannel& aAction)
+{
+  const auto found = mLinks.find(aAction.mUpstream);
+  if (found == mLinks.end()) {
+    return;
+  }
+  mMetrics.Count("channels_replaced_total");
+  CloseChannel(found->second);
+  OpenChannel(aAction.mUpstream, found->second);
+}
+
+void
+RouterService::Do(AnswerHead aAction)
+{
+  const RequestId id = aAction.mId;
+  Deliver(id, std::move(aAction), false);
+}
+
+void
+RouterService::Do(AnswerData aAction)
+{
+  const RequestId id = aAction.mId;
+  Deliver(id, std::move(aAction), false);
+}
+
+void
+RouterService::Do(AnswerEnd aAction)
+{
+  mMetrics.Count("answers_whole_total");
+  Deliver(aAction.mId, aAction, true);
+}
+
+void
+RouterService::Do(AnswerError aAction)
+{
+  const RequestId id = aAction.mId;
+  mMetrics.Count("answers_refused_total",
+                 "kind=\"" + std::string(Name(aAction.mRefusal.mKind)) +
+                   "\",ran=\"" + std::string(Name(aAction.mRefusal.mRan)) +
+                   "\"");
+  Deliver(id, std::move(aAction), true);
+}
+
+void
+RouterService::Deliver(RequestId aId, AnswerEvent aEvent, bool aLast)
+{
+  const auto found = mAnswers.find(aId);
+  if (found == mAnswers.end()) {
+    return;
+  }
+  const bool taken = found->second->Push(std::move(aEvent));
+  if (aLast) {
+    mAnswers.erase(found);
+  } else if (!taken) {
+    mMetrics.Count("callers_too_slow_total");
+    found->second->Abandon();
+    mAnswers.erase(found);
+    mGone.push_back(aId);
+  }
+}
+
+void
+RouterService::OpenChannel(const UpstreamId& aUpstream, Link& aLink)
+{
+  const uint64_t generation = mNextGeneration++;
+  aLink.mGeneration = generation;
+  aLink.mReopenAt = Millis::Never();
+  aLink.mChannel = EntryChannel::Open(
+    aLink.mAddress,
+    EntryChannelHooks{
+      .mOnMessage =
+        [ring = mRing, aUpstream, generation](SidecarMessage aMessage) {
+          ring->Push(FromSidecar{ aUpstream, generation, std::move(aMessage) });
+        },
+      .mOnDown =
+        [ring = mRing, aUpstream, generation] {
+          ring->Push(ChannelDown{ aUpstream, generation });
+        } });
+  CarryOut(mCore.OnChannelUp(aUpstream, trefoilio::MonotonicNow()));
+}
+
+void
+RouterService::CloseChannel(Link& aLink)
+{
+  aLink.mGeneration = 0;
+  if (const auto channel = std::exchange(aLink.mChannel, nullptr)) {
+    channel->Close();
+  }
+}
+
+void
+RouterService::ReopenDue(Millis aNow)
+{
+  for (auto& [name, link] : mLinks) {
+    if (link.mReopenAt <= aNow) {
+      OpenChannel(name, link);
+    }
+  }
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/routerservice.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "answermailbox.h"
+#include "entrychannel.h"
+
+#include "libtrefoilarch/entrycore.h"
+#include "libtrefoilio/boundedring.h"
+#include "libtrefoilio/metrics.h"
+#include "libtrefoilio/service.h"
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace trefoilarch {
+
+/** A sidecar that this entry is to have a channel to. */
+struct SidecarAddress
+{
+  UpstreamView mUpstream;
+  std::string mAddress; /**< `ADDRESS:PORT` */
+  bool mLeaving = false;
+
+  bool operator==(const SidecarAddress& aOther) const
+  {
+    return mUpstream.mName == aOther.mUpstream.mName &&
+           mAddress == aOther.mAddress && mLeaving == aOther.mLeaving;
+  }
+};
+
+/** How a RouterService works. */
+struct RouterOptions
+{
+  EntryOptions mCore;
+  size_t mRingCapacity = 65536;
+  Millis mFirstReconnect{ 100 };
+  Millis mMostReconnect{ 2000 };
+};
+
+/**
+ * The entry's decision thread: feeds the EntryCore with callers' requests and
+ * sidecars' messages, and carries out what it says.
+ */
+class RouterService final : public trefoilio::Service
+{
+public:
+  static constexpr const char* kName = "router";
+
+  RouterService(RouterOptions aOptions, trefoilio::Metrics& aMetrics);
+  ~RouterService() override;
+
+  void Start(trefoilio::Kernel& aKernel) override;
+  void Stop() override;
+  std::string DumpState() const override;
+
+  /** Takes a request in; false where the ring is full. */
+  bool Submit(EntryRequest aRequest, std::shared_ptr<AnswerMailbox> aAnswer);
+  void CallerLeft(RequestId aId);
+
+  void SetSidecars(std::vector<SidecarAddress> aSidecars);
+  void SetClassifier(std::shared_ptr<const Classifier> aClassifier);
+
+  size_t OpenRequests() const { return mOpen; }
+  /** Names of the models that some sidecar has told of, sorted. */
+  std::vector<std::string> Models() const;
+
+private:
+  struct Submitted
+  {
+    EntryRequest mRequest;
+    std::shared_ptr<AnswerMailbox> mAnswer;
+  };
+  struct Left
+  {
+    RequestId mId;
+  };
+  struct FromSidecar
+  {
+    UpstreamId mUpstream;
+    uint64_t mGeneration = 0;
+    SidecarMessage mMessage;
+  };
+  struct ChannelDown
+  {
+    UpstreamId mUpstream;
+    uint64_t mGeneration = 0;
+  };
+  struct NewSidecars
+  {
+    std::vector<SidecarAddress> mSidecars;
+  };
+  struct NewClassifier
+  {
+    std::shared_ptr<const Classifier> mClassifier;
+  };
+  struct DumpRequest
+  {
+    std::shared_ptr<std::promise<std::string>> mAnswer;
+  };
+  using Event = std::variant<Submitted,
+                             Left,
+                             FromSidecar,
+                             ChannelDown,
+                             NewSidecars,
+                             NewClassifier,
+                             DumpRequest>;
+
+  /** One upstream's channel as the decision thread sees it. */
+  struct Link
+  {
+    std::string mAddress;
+    std::shared_ptr<EntryChannel> mChannel;
+    uint64_t mGeneration = 0;
+    Millis mReopenAt = Millis::Never();
+    Millis mBackoff;
+  };
+
+  void Run();
+  void Handle(Event aEvent);
+  void On(Submitted aEvent);
+  void On(const Left& aEvent);
+  void On(FromSidecar aEvent);
+  void Learn(const Welcome& aWelcome);
+  void On(const ChannelDown& aEvent);
+  void On(NewSidecars aEvent);
+  void On(NewClassifier aEvent);
+  void On(const DumpRequest& aEvent);
+  void CarryOut(EntryActions aActions);
+  void Do(SendToSidecar aAction);
+  void Do(const ReopenChannel& aAction);
+  void Do(AnswerHead aAction);
+  void Do(AnswerData aAction);
+  void Do(AnswerEnd aAction);
+  void Do(AnswerError aAction);
+  void Deliver(RequestId aId, AnswerEvent aEvent, bool aLast);
+  void OpenChannel(const UpstreamId& aUpstream, Link& aLink);
+  void CloseChannel(Link& aLink);
+  void ReopenDue(Millis aNow);
+  Millis Wait(Millis aNow) const;
+
+  RouterOptions mOptions;
+  trefoilio::Metrics& mMetrics;
+  EntryCore mCore;
+  /** Shared with channels that outlive their link for a moment. */
+  std::shared_ptr<trefoilio::BoundedRing<Event>> mRing;
+  std::map<UpstreamId, Link> mLinks;
+  std::map<RequestId, std::shared_ptr<AnswerMailbox>> mAnswers;
+  std::vector<RequestId> mGone;
+  uint64_t mNextGeneration = 1;
+  std::minstd_rand mRandom;
+  std::atomic<size_t> mOpen = 0;
+  mutable std::mutex mModelsMutex;
+  std::map<UpstreamId, std::string> mModels;
+  std::thread mThread;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/sidecarprocess.cpp
@@ -0,0 +1,141 @@
+#include "endpoint.h"
+#include "grpcserverservice.h"
+#include "operatorservice.h"
+#include "process.h"
+#include "upstreamservice.h"
+
+#include "libtrefoilio/kernel.h"
+#include "libtrefoilio/metrics.h"
+
+#include <random>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+using trefoilio::HttpReply;
+using trefoilio::HttpRequest;
+using trefoilio::Settings;
+
+/** Another one at each start, so that a restart shows. */
+uint64_t
+DrawIncarnation()
+{
+  std::random_device random;
+  return (static_cast<uint64_t>(random()) << 32) | random();
+}
+
+std::string
+UpstreamName(const Settings& aSettings)
+{
+  const std::string name = aSettings.Text("upstream-name");
+  return name.empty() ? aSettings.Text("name") : name;
+}
+
+UpstreamOptions
+OptionsFrom(const Settings& aSettings)
+{
+  UpstreamOptions options;
+  options.mUrl = aSettings.Text("upstream-url");
+  options.mKey = aSettings.Text("upstream-key");
+  SidecarOptions& core = options.mCore;
+  core.mUpstream = UpstreamName(aSettings);
+  core.mDataCentre = aSettings.Text("data-centre");
+  core.mLabels = aSettings.LabelMap("labels");
+  core.mIncarnation = DrawIncarnation();
+  core.mSeed = core.mIncarnation;
+  core.mTokenStream = aSettings.Text("upstream-kind") == "engine";
+  core.mQueueLimit = aSettings.Integer("queue-limit");
+  core.mMostRunning = aSettings.Integer("most-running");
+  core.mFirstTokenRoom = aSettings.Integer("first-token-room");
+  core.mMostTokenRoom = aSettings.Integer("most-token-room");
+  core.mOrphanSpan = Millis(aSettings.Integer("orphan-ms"));
+  options.mCalls.mMostConnections = core.mMostRunning;
+  return options;
+}
+
+/** The daemon beside an upstream. */
+class SidecarProcess final : public Process
+{
+public:
+  explicit SidecarProcess(const Settings& aSettings)
+    : mName(aSettings.Text("name"))
+  {
+    auto upstream =
+      std::make_unique<UpstreamService>(OptionsFrom(aSettings), mMetrics);
+    mUpstream = upstream.get();
+    auto grpc = std::make_unique<GrpcServerService>(
+      aSettings.Text("listen"),
+      std::vector<grpc::Service*>{ &mUpstream->WireService() });
+    mGrpc = grpc.get();
+    auto operators = std::make_unique<OperatorService>(
+      OperatorOptionsFrom(aSettings), mMetrics);
+    mOperators = operators.get();
+    mKernel.Register(OperatorService::kName, std::move(operators));
+    mKernel.Register(UpstreamService::kName, std::move(upstream));
+    mKernel.Register(GrpcServerService::kName, std::move(grpc));
+  }
+
+  void Start() override { mKernel.StartAll(); }
+
+  std::vector<std::string> Listening() const override
+  {
+    return { "sidecar " + mName + " " + mGrpc->Address(),
+             "operator " + mName + " " +
+               Endpoint{ "127.0.0.1", mOperators->Port() }.Text() };
+  }
+
+  std::string NotReady() const override { return mDraining ? "draining" : ""; }
+
+  void Drain() override
+  {
+    mDraining = true;
+    mUpstream->Drain();
+  }
+
+  bool Drained() const override { return mUpstream->Idle(); }
+
+  void Stop() override { mKernel.StopAll(); }
+
+private:
+  OperatorOptions OperatorOptionsFrom(const Settings& aSettings)
+  {
+    const Endpoint listen =
+      Endpoint::FromText(aSettings.Text("operator-listen"));
+    OperatorOptions options{ .mAddress = listen.mAddress,
+                             .mPort = listen.mPort,
+                             .mRole = "sidecar",
+                             .mName = mName,
+                             .mNotReady = [this] { return NotReady(); } };
+    options.mPaths["/drain"] = [this](const HttpRequest&) {
+      mDraining = true;
+      mUpstream->Drain();
+      return HttpReply{ .mBody = "draining\n" };
+    };
+    options.mPaths["/undrain"] = [this](const HttpRequest&) {
+      mDraining = false;
+      mUpstream->Undrain();
+      return HttpReply{ .mBody = "undrained\n" };
+    };
+    return options;
+  }
+
+  std::string mName;
+  trefoilio::Metrics mMetrics;
+  trefoilio::Kernel mKernel;
+  UpstreamService* mUpstream = nullptr;
+  GrpcServerService* mGrpc = nullptr;
+  OperatorService* mOperators = nullptr;
+  std::atomic<bool> mDraining = false;
+};
+
+} // namespace
+
+std::unique_ptr<Process>
+MakeSidecarProcess(const Settings& aSettings)
+{
+  return std::make_unique<SidecarProcess>(aSettings);
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/sidecarserver.cpp
@@ -0,0 +1,250 @@
+#include "sidecarserver.h"
+
+#include "outbox.h"
+#include "wirecodec.h"
+
+#include "trefoilarch.grpc.pb.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+/** One channel's server side. Owned by itself until gRPC is done with it. */
+class ServerChannel final
+  : public grpc::ServerBidiReactor<wire::EntryEnvelope, wire::SidecarEnvelope>
+  , public std::enable_shared_from_this<ServerChannel>
+{
+public:
+  using MessageHook =
+    std::function<void(const std::shared_ptr<ServerChannel>&, EntryMessage)>;
+  using DownHook = std::function<void(const std::shared_ptr<ServerChannel>&)>;
+
+  static std::shared_ptr<ServerChannel> Open(MessageHook aOnMessage,
+                                             DownHook aOnDown)
+  {
+    std::shared_ptr<ServerChannel> channel(
+      new ServerChannel(std::move(aOnMessage), std::move(aOnDown)));
+    channel->mSelf = channel;
+    channel->StartRead(&channel->mIncoming);
+    return channel;
+  }
+
+  void Send(const SidecarMessage& aMessage)
+  {
+    const std::lock_guard lock(mMutex);
+    if (mFinished) {
+      return;
+    }
+    if (const auto* next = mOutbox.Add(Encode(aMessage))) {
+      StartWrite(next);
+    }
+    if (mOutbox.Overfull()) {
+      FinishLocked();
+    }
+  }
+
+  void Close()
+  {
+    const std::lock_guard lock(mMutex);
+    FinishLocked();
+  }
+
+private:
+  ServerChannel(MessageHook aOnMessage, DownHook aOnDown)
+    : mOnMessage(std::move(aOnMessage))
+    , mOnDown(std::move(aOnDown))
+  {
+  }
+
+  void FinishLocked()
+  {
+    if (!mFinished) {
+      mFinished = true;
+      Finish(grpc::Status::OK);
+    }
+  }
+
+  void OnReadDone(bool aOk) override
+  {
+    if (!aOk) {
+      Close();
+      return;
+    }
+    if (auto message = Decode(std::move(mIncoming))) {
+      mOnMessage(mSelf, std::move(*message));
+    }
+    mIncoming.Clear();
+    const std::lock_guard lock(mMutex);
+    if (!mFinished) {
+      StartRead(&mIncoming);
+    }
+  }
+
+  void OnWriteDone(bool aOk) override
+  {
+    const std::lock_guard lock(mMutex);
+    const auto* next = mOutbox.Next();
+    if (!aOk) {
+      FinishLocked();
+    } else if (next && !mFinished) {
+      StartWrite(next);
+    }
+  }
+
+  void OnCancel() override { Close(); }
+
+  void OnDone() override
+  {
+    const auto self = std::move(mSelf);
+    mOnDown(self);
+    mOnMessage = nullptr;
+    mOnDown = nullptr;
+  }
+
+  MessageHook mOnMessage;
+  DownHook mOnDown;
+  wire::EntryEnvelope mIncoming;
+  std::shared_ptr<ServerChannel> mSelf;
+
+  std::mutex mMutex;
+  Outbox<wire::SidecarEnvelope> mOutbox;
+  bool mFinished = false;
+};
+
+} // namespace
+
+class SidecarServer::Impl final : public wire::Sidecar::CallbackService
+{
+public:
+  explicit Impl(SidecarServerHooks aHooks)
+    : mHooks(std::move(aHooks))
+  {
+  }
+
+  grpc::ServerBidiReactor<wire::EntryEnvelope, wire::SidecarEnvelope>* Channel(
+    grpc::CallbackServerContext*) override
+  {
+    const auto channel = ServerChannel::Open(
+      [this](const auto& aChannel, EntryMessage aMessage) {
+        OnMessage(aChannel, std::move(aMessage));
+      },
+      [this](const auto& aChannel) { OnDown(aChannel); });
+    return channel.get();
+  }
+
+  void Send(const EntryId& aEntry, const SidecarMessage& aMessage)
+  {
+    if (const auto channel = NewestOf(aEntry)) {
+      channel->Send(aMessage);
+    }
+  }
+
+  void CloseAll()
+  {
+    std::map<EntryId, std::shared_ptr<ServerChannel>> channels;
+    {
+      const std::lock_guard lock(mMutex);
+      channels = mNewest;
+    }
+    for (const auto& [entry, channel] : channels) {
+      channel->Close();
+    }
+  }
+
+private:
+  void OnMessage(const std::shared_ptr<ServerChannel>& aChannel,
+                 EntryMessage aMessage)
+  {
+    if (const auto* hello = std::get_if<Hello>(&aMessage)) {
+      Bind(aChannel, hello->mEntry);
+    }
+    EntryId entry;
+    {
+      const std::lock_guard lock(mMutex);
+      const auto found = mEntryOf.find(aChannel.get());
+      if (found == mEntryOf.end() || mNewest[found->second] != aChannel) {
+        return;
+      }
+      entry = found->second;
+    }
+    mHooks.mOnMessage(std::move(entry), std::move(aMessage));
+  }
+
+  /** The channel becomes the entry's newest; the one before it is closed. */
+  void Bind(const std::shared_ptr<ServerChannel>& aChannel,
+            const EntryId& aEntry)
+  {
+    std::shared_ptr<ServerChannel> superseded;
+    {
+      const std::lock_guard lock(mMutex);
+      mEntryOf[aChannel.get()] = aEntry;
+      superseded = std::exchange(mNewest[aEntry], aChannel);
+    }
+    if (superseded && superseded != aChannel) {
+      superseded->Close();
+    }
+  }
+
+  void OnDown(const std::shared_ptr<ServerChannel>& aChannel)
+  {
+    EntryId entry;
+    {
+      const std::lock_guard lock(mMutex);
+      const auto found = mEntryOf.find(aChannel.get());
+      if (found == mEntryOf.end()) {
+        return;
+      }
+      entry = std::move(found->second);
+      mEntryOf.erase(found);
+      const auto newest = mNewest.find(entry);
+      if (newest == mNewest.end() || newest->second != aChannel) {
+        return;
+      }
+      mNewest.erase(newest);
+    }
+    mHooks.mOnDown(std::move(entry));
+  }
+
+  std::shared_ptr<ServerChannel> NewestOf(const EntryId& aEntry)
+  {
+    const std::lock_guard lock(mMutex);
+    const auto found = mNewest.find(aEntry);
+    return found == mNewest.end() ? nullptr : found->second;
+  }
+
+  SidecarServerHooks mHooks;
+  std::mutex mMutex;
+  std::map<const ServerChannel*, EntryId> mEntryOf;
+  std::map<EntryId, std::shared_ptr<ServerChannel>> mNewest;
+};
+
+SidecarServer::SidecarServer(SidecarServerHooks aHooks)
+  : mImpl(std::make_unique<Impl>(std::move(aHooks)))
+{
+}
+
+SidecarServer::~SidecarServer() = default;
+
+grpc::Service&
+SidecarServer::WireService()
+{
+  return *mImpl;
+}
+
+void
+SidecarServer::Send(const EntryId& aEntry, const SidecarMessage& aMessage)
+{
+  mImpl->Send(aEntry, aMessage);
+}
+
+void
+SidecarServer::CloseAll()
+{
+  mImpl->CloseAll();
+}
+
+} // namespace trefoilarch
