--- a/src/libtrefoilio/callrunner.h
+++ b/src/libtrefoilio/callrunner.h
@@ -20,9 +20,9 @@
 /** Callbacks of one call; all on the runner's own thread. */
 struct CallHooks
 {
-  std::function<void(int aStatus, HttpHeaders aHeaders)> mOnHead;
-  std::function<void(std::string aData)> mOnData;
-  std::function<void(CallEnd aEnd)> mOnEnd;
+  std::function<void(int aStatus, HttpHeaders aHeaders)> mOnHead{};
+  std::function<void(std::string aData)> mOnData{};
+  std::function<void(CallEnd aEnd)> mOnEnd{};
 };
 
 /** Limits of a CallRunner. */
--- a/src/libtrefoilio/httpmessage.h
+++ b/src/libtrefoilio/httpmessage.h
@@ -16,14 +16,27 @@
 std::string_view
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
 
+/** Whether two header names are the same but for case. */
+bool
+SameHeaderName(std::string_view aLeft, std::string_view aRight);
+
+/** False where a header could smuggle in a line of its own; never sent. */
+bool
+SafeHeader(std::string_view aName, std::string_view aValue);
+
 /** A request as the server received it, or as a client is to send it. */
 struct HttpRequest
 {
-  std::string mMethod;
+  std::string mMethod{};
   /** Path with the query string, as sent; for a client the whole URL. */
-  std::string mTarget;
-  HttpHeaders mHeaders;
-  std::string mBody;
+  std::string mTarget{};
+  HttpHeaders mHeaders{};
+  std::string mBody{};
+  /**
+   * Set by the server: true once the caller has closed its connection. A
+   * handler that waits asks now and then; valid until the answer is over.
+   */
+  std::function<bool()> mCallerLeft{};
 };
 
 /** What one step of a streamed body did. */
@@ -45,12 +58,12 @@
 struct HttpReply
 {
   int mStatus = 200;
-  HttpHeaders mHeaders;
-  std::string mBody;
+  HttpHeaders mHeaders{};
+  std::string mBody{};
   /** Where set, the body is streamed from it and mBody is ignored. */
-  StreamSource mStream;
+  StreamSource mStream{};
   /** Called once when a streamed answer is over, whole or not. */
-  std::function<void()> mOnClosed;
+  std::function<void()> mOnClosed{};
 };
 
 } // namespace trefoilio
--- a/src/libtrefoilio/httpserver.h
+++ b/src/libtrefoilio/httpserver.h
@@ -19,6 +19,10 @@
   size_t mMostConnections = 1000;
   /** A request that is not whole after this is given up; seconds. */
   unsigned mReceiveSeconds = 10;
+  /** A connection without a request for so long is closed; seconds. */
+  unsigned mIdleSeconds = 60;
+  /** A caller that takes no byte of its answer for so long is given up. */
+  unsigned mUnacknowledgedMillis = 10000;
 };
 
 /** Why a request never reached the handler. */
@@ -26,7 +30,9 @@
 {
   BodyTooLarge,
   HeaderTooLarge,
-  Malformed,
+  Malformed,          /**< not HTTP, or cut off before it was whole */
+  SlowSender,         /**< not whole within mReceiveSeconds */
+  TooManyConnections, /**< above mMostConnections */
 };
 
 /** An HTTP server on ulfius; its threads live as long as the object. */
@@ -34,7 +40,10 @@
 {
 public:
   using Handler = std::function<HttpReply(const HttpRequest&)>;
-  /** Makes the answer to bad input, and counts it. */
+  /**
+   * Makes the answer to bad input, and counts it. Called once for each, also
+   * where no answer can be sent any more.
+   */
   using BadInputHandler = std::function<HttpReply(BadInput)>;
 
   /** Listens at once; throws std::runtime_error where it cannot. */
