Add the stand-ins: platform, engine, plain service and fault proxy

The platform speaks etcd's JSON gateway, path-style S3 and Prometheus' HTTP service discovery; the engine batches continuously with a prefix cache and priorities; answers are a function of the request, so that they can be checked byte for byte. They run on Boost.Beast and not on ulfius: a stand-in must see at once that its client has left, stay silent for as long as a test wants, and cut at a chosen byte, which ulfius hides.

--- /dev/null
+++ b/tests/standins/common/executionlog.cpp
@@ -0,0 +1,74 @@
+#include "executionlog.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace standin {
+
+int64_t
+MonotonicMillis()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+size_t
+ExecutionLog::Begin(Execution aExecution)
+{
+  const std::lock_guard lock(mMutex);
+  aExecution.mStarted = MonotonicMillis();
+  mExecutions.push_back(std::move(aExecution));
+  return mExecutions.size() - 1;
+}
+
+void
+ExecutionLog::CountToken(size_t aNumber)
+{
+  const std::lock_guard lock(mMutex);
+  ++mExecutions[aNumber].mTokens;
+}
+
+void
+ExecutionLog::Finish(size_t aNumber)
+{
+  const std::lock_guard lock(mMutex);
+  mExecutions[aNumber].mFinished = true;
+  mExecutions[aNumber].mEnded = MonotonicMillis();
+}
+
+void
+ExecutionLog::Cancel(size_t aNumber)
+{
+  const std::lock_guard lock(mMutex);
+  mExecutions[aNumber].mCancelled = true;
+  mExecutions[aNumber].mEnded = MonotonicMillis();
+}
+
+void
+ExecutionLog::Crash(size_t aNumber)
+{
+  const std::lock_guard lock(mMutex);
+  mExecutions[aNumber].mCrashed = true;
+  mExecutions[aNumber].mEnded = MonotonicMillis();
+}
+
+nlohmann::json
+ExecutionLog::Dump() const
+{
+  const std::lock_guard lock(mMutex);
+  nlohmann::json list = nlohmann::json::array();
+  for (const Execution& execution : mExecutions) {
+    list.push_back({ { "id", execution.mId },
+                     { "started_ms", execution.mStarted },
+                     { "ended_ms", execution.mEnded },
+                     { "tokens", execution.mTokens },
+                     { "finished", execution.mFinished },
+                     { "cancelled", execution.mCancelled },
+                     { "crashed", execution.mCrashed },
+                     { "body_hash", std::to_string(execution.mBodyHash) },
+                     { "mark", execution.mMark } });
+  }
+  return list;
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standins/common/executionlog.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace standin {
+
+/** One run of a request by an upstream stand-in. */
+struct Execution
+{
+  std::string mId;      /**< the X-Request-Id it came with */
+  int64_t mStarted = 0; /**< monotonic milliseconds of the machine */
+  int64_t mEnded = 0;   /**< 0 while it runs */
+  uint64_t mTokens = 0; /**< generated, whether received or not */
+  bool mFinished = false;
+  bool mCancelled = false;
+  bool mCrashed = false;
+  uint64_t mBodyHash = 0;
+  std::string mMark; /**< `[[mark=...]]` of the prompt, or the path */
+};
+
+/** Every execution of an upstream, so that a test can count them. */
+class ExecutionLog
+{
+public:
+  /** A number to refer to the execution by. */
+  size_t Begin(Execution aExecution);
+  void CountToken(size_t aNumber);
+  void Finish(size_t aNumber);
+  void Cancel(size_t aNumber);
+  void Crash(size_t aNumber);
+  nlohmann::json Dump() const;
+
+private:
+  mutable std::mutex mMutex;
+  std::deque<Execution> mExecutions;
+};
+
+/** The machine's monotonic clock in milliseconds. */
+int64_t
+MonotonicMillis();
+
+} // namespace standin
--- /dev/null
+++ b/tests/standins/engine/engine.cpp
@@ -0,0 +1,366 @@
+#include "engine.h"
+
+#include "common/servicetext.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace standin {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** How often a waiting request looks whether its client has left. */
+constexpr milliseconds kLookInterval(20);
+
+/** A completion carries no time of day: its bytes depend on its body alone. */
+constexpr int64_t kCreated = 1700000000;
+
+json
+ErrorBody(const std::string& aMessage, const std::string& aType)
+{
+  return { { "error",
+             { { "message", aMessage },
+               { "type", aType },
+               { "code", nullptr },
+               { "param", nullptr } } } };
+}
+
+json
+Usage(const AnswerText& aAnswer)
+{
+  return { { "prompt_tokens", aAnswer.mPromptTokens },
+           { "completion_tokens", aAnswer.mTokens.size() },
+           { "total_tokens", aAnswer.mPromptTokens + aAnswer.mTokens.size() } };
+}
+
+std::string
+Event(const json& aData)
+{
+  return "data: " + aData.dump() + "\n\n";
+}
+
+/** The text between `[[name=` and `]]` in a prompt; else empty. */
+std::string
+Marker(const std::string& aPrompt, const std::string& aName)
+{
+  const std::string opening = "[[" + aName + "=";
+  const size_t start = aPrompt.find(opening);
+  if (start == std::string::npos) {
+    return "";
+  }
+  const size_t end = aPrompt.find("]]", start);
+  return aPrompt.substr(start + opening.size(), end - start - opening.size());
+}
+
+} // namespace
+
+/** One completion while it is being answered. */
+struct Engine::Completion
+{
+  Exchange& mExchange;
+  AnswerText mAnswer;
+  std::string mModel;
+  bool mStream = false;
+  bool mWithUsage = false;
+  uint64_t mId = 0;
+  size_t mExecution = 0;
+  size_t mSent = 0;
+
+  json Chunk(json aChoices) const
+  {
+    return { { "id", mAnswer.CompletionId() },
+             { "object", "chat.completion.chunk" },
+             { "created", kCreated },
+             { "model", mModel },
+             { "choices", std::move(aChoices) } };
+  }
+
+  bool WriteToken(size_t aPlace) const
+  {
+    json delta = { { "content", mAnswer.mTokens[aPlace] } };
+    if (aPlace == 0) {
+      delta["role"] = "assistant";
+    }
+    return mExchange.Write(Event(Chunk({ { { "index", 0 },
+                                           { "delta", delta },
+                                           { "finish_reason", nullptr } } })));
+  }
+
+  void WriteEnd() const
+  {
+    std::string end =
+      Event(Chunk({ { { "index", 0 },
+                      { "delta", json::object() },
+                      { "finish_reason", mAnswer.FinishReason() } } }));
+    if (mWithUsage) {
+      json usage = Chunk(json::array());
+      usage["usage"] = Usage(mAnswer);
+      end += Event(usage);
+    }
+    mExchange.Write(end + "data: [DONE]\n\n");
+    mExchange.EndStream();
+  }
+
+  void SendWhole() const
+  {
+    const json whole = {
+      { "id", mAnswer.CompletionId() },
+      { "object", "chat.completion" },
+      { "created", kCreated },
+      { "model", mModel },
+      { "choices",
+        { { { "index", 0 },
+            { "message",
+              { { "role", "assistant" }, { "content", mAnswer.Content() } } },
+            { "finish_reason", mAnswer.FinishReason() } } } },
+      { "usage", Usage(mAnswer) }
+    };
+    mExchange.Send(200, whole.dump());
+  }
+};
+
+Engine::Engine(EngineOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mOrders(mOptions.mModel, mOptions.mRefusesOldFencing)
+  , mBatch(mOptions.mBatch)
+{
+  mReports.SetLag(mOptions.mReportLag);
+  std::thread(&Engine::RunBatch, this).detach();
+}
+
+void
+Engine::RunBatch()
+{
+  auto due = std::chrono::steady_clock::now();
+  std::unique_lock lock(mMutex);
+  while (true) {
+    if (mStalled || mBatch.Idle()) {
+      mChanged.wait_for(lock, kLookInterval);
+      due = std::chrono::steady_clock::now();
+      continue;
+    }
+    const BatchStep step = mBatch.Step();
+    due += std::chrono::microseconds(
+      static_cast<int64_t>(step.mMillis * mSlow * 1000));
+    lock.unlock();
+    std::this_thread::sleep_until(due);
+    lock.lock();
+    Deliver(step);
+  }
+}
+
+void
+Engine::Deliver(const BatchStep& aStep)
+{
+  for (const uint64_t id : aStep.mTokens) {
+    const auto pending = mPending.find(id);
+    if (pending != mPending.end()) {
+      ++pending->second.mReady;
+      mExecutions.CountToken(pending->second.mExecution);
+    }
+  }
+  mReports.Add({ .mAt = MonotonicMillis(),
+                 .mRunning = mBatch.Running(),
+                 .mWaiting = mBatch.Waiting(),
+                 .mCacheUsage = mBatch.MemoryUsage() });
+  mChanged.notify_all();
+}
+
+void
+Engine::Handle(Exchange& aExchange)
+{
+  const std::string path = aExchange.Path();
+  const bool post = aExchange.Method() == "POST";
+  if (post && path == "/v1/chat/completions") {
+    HandleCompletion(aExchange);
+  } else if (path == "/v1/models") {
+    aExchange.Send(200, mOrders.Models().dump());
+  } else if (path == "/metrics") {
+    aExchange.Send(200, mReports.Text(MonotonicMillis()), "text/plain");
+  } else if (path == "/health") {
+    aExchange.Send(200, "");
+  } else if (path == "/executions") {
+    aExchange.Send(200, mExecutions.Dump().dump());
+  } else if (path == "/orders") {
+    aExchange.Send(200, mOrders.Dump().dump());
+  } else if (post && path == "/control") {
+    HandleControl(aExchange);
+  } else if (post && path.starts_with("/v1/")) {
+    HandleOrder(aExchange, path.substr(4));
+  } else {
+    aExchange.Send(404, ErrorBody("no such path", "NotFoundError").dump());
+  }
+}
+
+void
+Engine::HandleCompletion(Exchange& aExchange)
+{
+  if (const int status = mRefuse; status != 0) {
+    aExchange.Send(status,
+                   ErrorBody("told to refuse", "ServiceUnavailable").dump());
+    return;
+  }
+  const json body = json::parse(aExchange.Body(), nullptr, false);
+  if (!body.is_object() || !body.contains("messages") ||
+      !body["messages"].is_array()) {
+    aExchange.Send(400, ErrorBody("no messages", "BadRequestError").dump());
+    return;
+  }
+  if (!mOrders.Serves(body.value("model", mOptions.mModel))) {
+    aExchange.Send(404, ErrorBody("no such model", "NotFoundError").dump());
+    return;
+  }
+  Generate(aExchange, body);
+}
+
+void
+Engine::Generate(Exchange& aExchange, const json& aBody)
+{
+  const std::string prompt = PromptText(aBody);
+  Completion completion{ .mExchange = aExchange,
+                         .mAnswer = AnswerTo(aBody),
+                         .mModel = aBody.value("model", mOptions.mModel),
+                         .mStream = aBody.value("stream", false) };
+  completion.mWithUsage =
+    aBody.value("stream_options", json::object()).value("include_usage", false);
+  completion.mExecution =
+    mExecutions.Begin({ .mId = aExchange.Header("X-Request-Id"),
+                        .mBodyHash = HashOf(aExchange.Body()),
+                        .mMark = Marker(prompt, "mark") });
+  {
+    const std::lock_guard lock(mMutex);
+    completion.mId = mNextId++;
+    mPending[completion.mId] = { .mExecution = completion.mExecution };
+    mBatch.Add({ .mId = completion.mId,
+                 .mPriority = aBody.value("priority", 0),
+                 .mBlocks = PrefixBlocks(prompt),
+                 .mPromptTokens = completion.mAnswer.mPromptTokens,
+                 .mOutputTokens = completion.mAnswer.mTokens.size() });
+  }
+  mChanged.notify_all();
+  const bool whole = SendTokens(completion);
+  Forget(completion.mId);
+  if (!whole) {
+    return;
+  }
+  mExecutions.Finish(completion.mExecution);
+  if (completion.mStream) {
+    completion.WriteEnd();
+  } else {
+    completion.SendWhole();
+  }
+}
+
+bool
+Engine::SendTokens(Completion& aCompletion)
+{
+  if (aCompletion.mStream) {
+    aCompletion.mExchange.StartStream(200, "text/event-stream");
+  }
+  while (aCompletion.mSent < aCompletion.mAnswer.mTokens.size()) {
+    const size_t ready = AwaitTokens(aCompletion.mId, aCompletion.mSent);
+    if (aCompletion.mExchange.ClientLeft() || !SendReady(aCompletion, ready)) {
+      mExecutions.Cancel(aCompletion.mExecution);
+      return false;
+    }
+    if (TakeCrash(aCompletion.mSent)) {
+      mExecutions.Crash(aCompletion.mExecution);
+      aCompletion.mExchange.Cut();
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+Engine::SendReady(Completion& aCompletion, size_t aReady)
+{
+  while (aCompletion.mSent < aReady) {
+    if (aCompletion.mStream && !aCompletion.WriteToken(aCompletion.mSent)) {
+      return false;
+    }
+    ++aCompletion.mSent;
+  }
+  return true;
+}
+
+size_t
+Engine::AwaitTokens(uint64_t aId, size_t aSeen)
+{
+  std::unique_lock lock(mMutex);
+  const Pending& pending = mPending[aId];
+  mChanged.wait_for(
+    lock, kLookInterval, [&] { return pending.mReady > aSeen; });
+  return pending.mReady;
+}
+
+bool
+Engine::TakeCrash(size_t aTokens)
+{
+  const std::lock_guard lock(mMutex);
+  if (mCrashAfter == 0 || aTokens < mCrashAfter) {
+    return false;
+  }
+  mCrashAfter = 0;
+  return true;
+}
+
+void
+Engine::Forget(uint64_t aId)
+{
+  const std::lock_guard lock(mMutex);
+  mBatch.Remove(aId);
+  mPending.erase(aId);
+}
+
+void
+Engine::HandleOrder(Exchange& aExchange, const std::string& aOrder)
+{
+  const json body = json::parse(aExchange.Body(), nullptr, false);
+  if (!body.is_object()) {
+    aExchange.Send(400, ErrorBody("not JSON", "BadRequestError").dump());
+    return;
+  }
+  const std::string subject =
+    body.value("lora_name", body.value("model", body.value("role", "")));
+  const uint64_t fencing =
+    std::strtoull(aExchange.Header("X-Fencing-Number").c_str(), nullptr, 10);
+  std::this_thread::sleep_for(milliseconds(mOptions.mOrderMillis));
+  if (mOrders.Obey(aOrder, subject, fencing) == OrderOutcome::Refused) {
+    aExchange.Send(409, ErrorBody("old fencing number", "Conflict").dump());
+    return;
+  }
+  aExchange.Send(200, json({ { "status", "ok" } }).dump());
+}
+
+void
+Engine::HandleControl(Exchange& aExchange)
+{
+  const json order = json::parse(aExchange.Body(), nullptr, false);
+  if (!order.is_object()) {
+    aExchange.Send(400, ErrorBody("not JSON", "BadRequestError").dump());
+    return;
+  }
+  if (order.value("exit", false)) {
+    std::_Exit(1);
+  }
+  mRefuse = order.value("refuse", mRefuse.load());
+  if (order.contains("lag_ms")) {
+    mReports.SetLag(order["lag_ms"].get<int64_t>());
+  }
+  {
+    const std::lock_guard lock(mMutex);
+    mSlow = order.value("slow", mSlow);
+    mStalled = order.value("stall", mStalled);
+    mCrashAfter = order.value("crash_after_tokens", mCrashAfter);
+  }
+  mChanged.notify_all();
+  aExchange.Send(200, "{}");
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standins/engine/loadreports.cpp
@@ -0,0 +1,44 @@
+#include "loadreports.h"
+
+#include <sstream>
+
+namespace standin {
+
+void
+LoadReports::SetLag(int64_t aMillis)
+{
+  const std::lock_guard lock(mMutex);
+  mLag = aMillis;
+}
+
+void
+LoadReports::Add(LoadReport aReport)
+{
+  const std::lock_guard lock(mMutex);
+  mReports.push_back(aReport);
+  while (mReports.size() > 1 && mReports[1].mAt + mLag <= aReport.mAt) {
+    mReports.pop_front();
+  }
+}
+
+std::string
+LoadReports::Text(int64_t aNow)
+{
+  const std::lock_guard lock(mMutex);
+  LoadReport shown;
+  for (const LoadReport& report : mReports) {
+    if (report.mAt + mLag <= aNow) {
+      shown = report;
+    }
+  }
+  std::ostringstream text;
+  text << "# TYPE vllm:num_requests_running gauge\n"
+       << "vllm:num_requests_running " << shown.mRunning << '\n'
+       << "# TYPE vllm:num_requests_waiting gauge\n"
+       << "vllm:num_requests_waiting " << shown.mWaiting << '\n'
+       << "# TYPE vllm:gpu_cache_usage_perc gauge\n"
+       << "vllm:gpu_cache_usage_perc " << shown.mCacheUsage << '\n';
+  return text.str();
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standins/faultproxy/relay.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "link.h"
+#include "linkfaults.h"
+#include "uniquefd.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+
+namespace standin {
+
+/** A TCP relay to one target that makes faults on order. */
+class Relay
+{
+public:
+  /** Listens at once; throws std::system_error where it cannot. */
+  Relay(const std::string& aListen, const std::string& aTarget);
+
+  std::string Endpoint() const;
+  /** Relays until the process ends. */
+  void Run();
+
+  /** Changes the faults that all connections are under. */
+  void SetFaults(const std::function<void(LinkFaults&)>& aChange);
+  /** Does something to each connection that is open now. */
+  void ForEachLink(const std::function<void(Link&)>& aAction);
+  LinkCounts Counts() const;
+
+private:
+  void Accept();
+  void Wake() const;
+  int WaitMillis(int64_t aNow) const;
+  void MoveAll();
+
+  std::string mTarget;
+  UniqueFd mListener;
+  UniqueFd mWakeRead;
+  UniqueFd mWakeWrite;
+  mutable std::mutex mMutex;
+  LinkFaults mFaults;
+  LinkCounts mCounts;
+  std::list<Link> mLinks;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/standins/service/plainservice.cpp
@@ -0,0 +1,88 @@
+#include "plainservice.h"
+
+#include "common/servicetext.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace standin {
+
+using nlohmann::json;
+
+PlainService::PlainService(int64_t aDelayMillis)
+  : mDelay(aDelayMillis)
+{
+}
+
+void
+PlainService::Handle(Exchange& aExchange)
+{
+  const std::string path = aExchange.Path();
+  if (path == "/_control/executions") {
+    aExchange.Send(200, mExecutions.Dump().dump());
+  } else if (path == "/_control/set") {
+    SetControls(aExchange);
+  } else {
+    Execute(aExchange);
+  }
+}
+
+void
+PlainService::SetControls(Exchange& aExchange)
+{
+  const json order = json::parse(aExchange.Body(), nullptr, false);
+  if (!order.is_object()) {
+    aExchange.Send(400, R"({"error":"not JSON"})");
+    return;
+  }
+  mDelay = order.value("delay_ms", mDelay.load());
+  mFail = order.value("fail", mFail.load());
+  mCut = order.value("cut", mCut.load());
+  aExchange.Send(200, "{}");
+}
+
+bool
+PlainService::Work(const Exchange& aExchange) const
+{
+  constexpr int64_t kLookInterval = 20;
+  const int64_t end = MonotonicMillis() + mDelay;
+  while (MonotonicMillis() < end) {
+    if (aExchange.ClientLeft()) {
+      return false;
+    }
+    const int64_t left = end - MonotonicMillis();
+    std::this_thread::sleep_for(
+      std::chrono::milliseconds(std::min(left, kLookInterval)));
+  }
+  return true;
+}
+
+void
+PlainService::Execute(Exchange& aExchange)
+{
+  const std::string& body = aExchange.Body();
+  const std::string id = aExchange.Header("X-Request-Id");
+  const size_t number = mExecutions.Begin({ .mId = id,
+                                            .mTokens = 1,
+                                            .mBodyHash = HashOf(body),
+                                            .mMark = aExchange.Path() });
+  if (!Work(aExchange)) {
+    mExecutions.Cancel(number);
+    return;
+  }
+  if (mCut) {
+    mExecutions.Crash(number);
+    aExchange.Cut();
+    return;
+  }
+  mExecutions.Finish(number);
+  if (const int status = mFail; status != 0) {
+    aExchange.Send(status, R"({"error":"told to fail"})");
+    return;
+  }
+  aExchange.Send(
+    200, ServiceAnswer(aExchange.Method(), aExchange.Path(), body, id).dump());
+}
+
+} // namespace standin
