--- a/src/trefoilarchd/callerservice.cpp
+++ b/src/trefoilarchd/callerservice.cpp
@@ -28,6 +28,25 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+Refusal
+RefusalFor(trefoilio::BadInput aInput)
+{
+  switch (aInput) {
+    case trefoilio::BadInput::BodyTooLarge:
+      return Refusal{ .mKind = ErrorKind::BodyTooLarge };
+    case trefoilio::BadInput::HeaderTooLarge:
+      return Refusal{ .mKind = ErrorKind::HeaderTooLarge };
+    case trefoilio::BadInput::SlowSender:
+      return Refusal{ .mKind = ErrorKind::SlowSender };
+    case trefoilio::BadInput::TooManyConnections:
+      return Refusal{ .mKind = ErrorKind::TooManyOpen,
+                      .mRetryAfter = kComeBackSoon };
+    case trefoilio::BadInput::Malformed:
+      break;
+  }
+  return Refusal{ .mKind = ErrorKind::InvalidRequest };
+}
+
 } // namespace
 
 /** Counts a request as open as long as any part of its answer lives. */
@@ -114,15 +133,7 @@
 HttpReply
 CallerService::RefuseBadInput(trefoilio::BadInput aInput)
 {
-  switch (aInput) {
-    case trefoilio::BadInput::BodyTooLarge:
-      return Refuse(Refusal{ .mKind = ErrorKind::BodyTooLarge }, DrawId());
-    case trefoilio::BadInput::HeaderTooLarge:
-      return Refuse(Refusal{ .mKind = ErrorKind::HeaderTooLarge }, DrawId());
-    case trefoilio::BadInput::Malformed:
-      break;
-  }
-  return Refuse(Refusal{ .mKind = ErrorKind::InvalidRequest }, DrawId());
+  return Refuse(RefusalFor(aInput), DrawId());
 }
 
 HttpReply
