Carry the sidecar core along the whole path

Aim: offers, grants, starts, chunks, acknowledgements, resume, withdrawal, VoidOrReport, entry loss, drain and the dump, thin but whole, so that the daemons can be joined up.

Weighed: a separate record for each state against one attempt plus a ledger of ends; the second keeps one place for each fact. An unknown key is called voided only while the incarnation has forgotten no start, since it may otherwise be a start that was forgotten; a Start needs a live grant.

The schedule (tier, then deadline) and the room (fixed limit) are still plain; they follow.

--- /dev/null
+++ b/src/libtrefoilarch/attempt.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "answerbuffer.h"
+#include "ids.h"
+#include "ledger.h"
+#include "messages.h"
+#include "millis.h"
+
+#include <cstdint>
+
+namespace trefoilarch {
+
+/** All that a sidecar keeps of an attempt that is not over. */
+struct Attempt
+{
+  EntryId mEntry;
+  Offer mOffer;
+  AttemptState mState = AttemptState::Waiting;
+  Millis mArrived;
+  Millis mDeadlineAt;
+  Millis mGrantedAt{};
+  Millis mStartedAt{};
+  /** Room taken, in tokens; grows when the answer outruns its estimate. */
+  uint64_t mTokens = 0;
+  /** Whether chunks go out as they come; after a new channel, not until
+   * Resume says where to go on. */
+  bool mFlowing = true;
+  /** The upstream's head has come and waits for the first data. */
+  bool mHeadWaits = false;
+  int32_t mStatus = 0;
+  Headers mHeaders{};
+  AnswerBuffer mAnswer{};
+  /** Once the attempt has ended. */
+  FinalWord mFinalWord{};
+
+  bool HasEnded() const
+  {
+    return mState == AttemptState::Finished || mState == AttemptState::Failed;
+  }
+  bool HoldsRoom() const
+  {
+    return mState == AttemptState::Granted || mState == AttemptState::Running;
+  }
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/sidecarcore.h
+++ b/src/libtrefoilarch/sidecarcore.h
@@ -16,9 +16,9 @@
 /** How a sidecar decides; times in milliseconds. */
 struct SidecarOptions
 {
-  UpstreamId mUpstream;
-  std::string mDataCentre;
-  std::map<std::string, std::string> mLabels;
+  UpstreamId mUpstream{};
+  std::string mDataCentre{};
+  std::map<std::string, std::string> mLabels{};
   uint64_t mIncarnation = 0;
   /** Requests that may wait here; the lowest tier is shed beyond it. */
   size_t mQueueLimit = 2000;
@@ -30,7 +30,7 @@
   Millis mLedgerSpan{ 300000 };
   size_t mLedgerLimit = 100000;
   /** Bytes of unacknowledged answer kept for one attempt. */
-  size_t mAnswerLimit = 4 * 1024 * 1024;
+  size_t mAnswerLimit = 4194304;
   Millis mHeartbeat{ 500 };
   /** A plain service has no tokens: its room is a number of calls. */
   bool mTokenStream = true;
--- /dev/null
+++ b/src/libtrefoilarch/sidecardump.cpp
@@ -0,0 +1,116 @@
+#include "sidecarimpl.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace trefoilarch {
+
+namespace {
+
+/** A dump lists so many attempts at most; the counts cover all. */
+constexpr size_t kMostListed = 200;
+
+const char*
+Name(AttemptState aState)
+{
+  switch (aState) {
+    case AttemptState::Waiting:
+      return "waiting";
+    case AttemptState::Granted:
+      return "granted";
+    case AttemptState::Running:
+      return "running";
+    case AttemptState::Finished:
+      return "finished";
+    case AttemptState::Failed:
+      return "failed";
+    case AttemptState::Voided:
+      return "voided";
+    default:
+      return "unknown";
+  }
+}
+
+nlohmann::json
+Dump(const Attempt& aAttempt, Millis aNow)
+{
+  const AttemptKey& key = aAttempt.mOffer.mKey;
+  return { { "request", key.mRequest.Text() },
+           { "attempt", key.mAttempt },
+           { "entry", aAttempt.mEntry },
+           { "state", Name(aAttempt.mState) },
+           { "class", aAttempt.mOffer.mLevel.mClass },
+           { "tier", aAttempt.mOffer.mLevel.mTier },
+           { "age_ms", (aNow - aAttempt.mArrived).Count() },
+           { "deadline_in_ms", (aAttempt.mDeadlineAt - aNow).Count() },
+           { "tokens", aAttempt.mTokens },
+           { "chunks", aAttempt.mAnswer.Count() },
+           { "unacknowledged_bytes", aAttempt.mAnswer.Bytes() } };
+}
+
+nlohmann::json
+Dump(const SidecarCounters& aCounters)
+{
+  return { { "offered", aCounters.mOffered },
+           { "granted", aCounters.mGranted },
+           { "started", aCounters.mStarted },
+           { "finished", aCounters.mFinished },
+           { "failed", aCounters.mFailed },
+           { "voided", aCounters.mVoided },
+           { "declined", aCounters.mDeclined },
+           { "late_starts", aCounters.mLateStarts },
+           { "stray_events", aCounters.mStrayEvents },
+           { "foreign_messages", aCounters.mForeign } };
+}
+
+nlohmann::json
+Dump(const Load& aLoad)
+{
+  return { { "running", aLoad.mRunning },
+           { "waiting", aLoad.mWaiting },
+           { "tokens_in_flight", aLoad.mTokensInFlight },
+           { "token_room", aLoad.mTokenRoom },
+           { "tokens_waiting", aLoad.mTokensWaiting },
+           { "draining", aLoad.mDraining } };
+}
+
+} // namespace
+
+Load
+SidecarCore::Impl::CurrentLoad() const
+{
+  return { .mRunning = static_cast<uint32_t>(mRoom.Running()),
+           .mWaiting = static_cast<uint32_t>(mSchedule.Size()),
+           .mTokensInFlight = mRoom.InFlight(),
+           .mTokenRoom = mRoom.Limit(),
+           .mTokensWaiting = mSchedule.Tokens(),
+           .mDraining = mDraining };
+}
+
+std::string
+SidecarCore::Impl::DumpState(Millis aNow) const
+{
+  nlohmann::json attempts = nlohmann::json::array();
+  for (const auto& [key, attempt] : mAttempts) {
+    if (attempts.size() == kMostListed)
+      break;
+    attempts.push_back(Dump(attempt, aNow));
+  }
+  const nlohmann::json state = {
+    { "upstream", mOptions.mUpstream },
+    { "incarnation", mOptions.mIncarnation },
+    { "policy_version", mPolicyVersion },
+    { "entries", mEntries.size() },
+    { "load", Dump(CurrentLoad()) },
+    { "counters", Dump(mCounters) },
+    { "ledger",
+      { { "size", mLedger.Size() },
+        { "forgotten_starts", mLedger.ForgottenStarts() } } },
+    { "attempt_count", mAttempts.size() },
+    { "attempts", std::move(attempts) },
+  };
+  return state.dump(2);
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/tests/unit/sidecarcoretest.cpp
@@ -0,0 +1,306 @@
+#include "libtrefoilarch/sidecarcore.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr uint64_t kIncarnation = 7;
+
+AttemptKey
+KeyOf(uint64_t aNumber)
+{
+  return { .mRequest = { .mHigh = 1, .mLow = aNumber }, .mAttempt = 1 };
+}
+
+Offer
+OfferOf(uint64_t aNumber, Tier aTier = 0)
+{
+  return { .mKey = KeyOf(aNumber),
+           .mLevel = { .mClass = std::string(1, static_cast<char>('a' + aTier)),
+                       .mWorkspace = "w",
+                       .mTier = aTier },
+           .mDeadline = Millis(60000),
+           .mFirstTokenDue = Millis(1000),
+           .mPromptTokens = 100,
+           .mOutputTokens = 100,
+           .mIdempotent = true };
+}
+
+/** A core with one entry, and a short way to look at its actions. */
+class Bench
+{
+public:
+  explicit Bench(SidecarOptions aOptions = {})
+    : mCore(WithIncarnation(std::move(aOptions)))
+  {
+    Message(Hello{ .mEntry = "e", .mDataCentre = "d" });
+  }
+
+  void Message(EntryMessage aMessage, const EntryId& aEntry = "e")
+  {
+    mLast = mCore.OnMessage(aEntry, std::move(aMessage), mNow);
+  }
+
+  void Event(CallEvent aEvent)
+  {
+    mLast = mCore.OnCall(std::move(aEvent), mNow);
+  }
+
+  void Pass(int64_t aMillis)
+  {
+    mNow += Millis(aMillis);
+    mLast = mCore.OnTick(mNow);
+  }
+
+  void StartOne(uint64_t aNumber)
+  {
+    Message(OfferOf(aNumber));
+    cr_assert_not_null(Sent<Grant>());
+    Message(Start{ .mKey = KeyOf(aNumber), .mCall = {} });
+    cr_assert_eq(Count<StartCall>(), 1);
+  }
+
+  /** The first message of that type among the last actions. */
+  template<typename Message>
+  const Message* Sent() const
+  {
+    for (const SidecarAction& action : mLast)
+      if (const auto* send = std::get_if<SendToEntry>(&action))
+        if (const auto* found = std::get_if<Message>(&send->mMessage))
+          return found;
+    return nullptr;
+  }
+
+  template<typename Action>
+  int Count() const
+  {
+    int count = 0;
+    for (const SidecarAction& action : mLast)
+      count += std::holds_alternative<Action>(action) ? 1 : 0;
+    return count;
+  }
+
+  /** Numbers of the chunks among the last actions. */
+  std::vector<uint64_t> Chunks() const
+  {
+    std::vector<uint64_t> numbers;
+    for (const SidecarAction& action : mLast)
+      if (const auto* send = std::get_if<SendToEntry>(&action))
+        if (const auto* chunk = std::get_if<Chunk>(&send->mMessage))
+          numbers.push_back(chunk->mNumber);
+    return numbers;
+  }
+
+  static SidecarOptions WithIncarnation(SidecarOptions aOptions)
+  {
+    aOptions.mIncarnation = kIncarnation;
+    return aOptions;
+  }
+
+  SidecarCore mCore;
+  Millis mNow{ 1000 };
+  SidecarActions mLast;
+};
+
+} // namespace
+
+Test(sidecarcore, answer_goes_whole_and_numbered)
+{
+  Bench bench;
+  bench.StartOne(1);
+  bench.Event(
+    CallHead{ .mKey = KeyOf(1), .mStatus = 200, .mHeaders = { { "a", "b" } } });
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  const Chunk first = *bench.Sent<Chunk>();
+  cr_assert_eq(first.mNumber, 0);
+  cr_assert_eq(first.mData, "x");
+  cr_assert_eq(first.mStatus, 200);
+  cr_assert(first.mHeaders == Headers({ { "a", "b" } }));
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "y", .mTokens = 1 });
+  cr_assert_eq(bench.Sent<Chunk>()->mNumber, 1);
+  bench.Event(CallDone{ .mKey = KeyOf(1), .mOutputTokens = 2 });
+  cr_assert_eq(bench.Sent<Finished>()->mChunks, 2);
+  bench.mCore.Drain(bench.mNow);
+  cr_assert_not(bench.mCore.Idle());
+  bench.Message(Ack{ .mKey = KeyOf(1), .mNextChunk = 2 });
+  cr_assert(bench.mCore.Idle());
+}
+
+Test(sidecarcore, empty_answer_still_has_its_head)
+{
+  Bench bench;
+  bench.StartOne(1);
+  bench.Event(CallHead{ .mKey = KeyOf(1), .mStatus = 204, .mHeaders = {} });
+  bench.Event(CallDone{ .mKey = KeyOf(1) });
+  cr_assert_eq(bench.Sent<Chunk>()->mStatus, 204);
+  cr_assert_eq(bench.Sent<Finished>()->mChunks, 1);
+}
+
+Test(sidecarcore, repeated_offer_and_start_change_nothing)
+{
+  Bench bench({ .mFirstTokenRoom = 200 });
+  bench.StartOne(1);
+  bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
+  cr_assert(bench.mLast.empty());
+  bench.Message(OfferOf(2));
+  bench.Message(OfferOf(2));
+  cr_assert(bench.mLast.empty());
+  cr_assert_eq(bench.mCore.CurrentLoad().mWaiting, 1);
+}
+
+Test(sidecarcore, lapsed_grant_is_voided_for_good)
+{
+  Bench bench({ .mGrantSpan = Millis(100) });
+  bench.Message(OfferOf(1));
+  bench.Pass(100);
+  cr_assert_eq(bench.Sent<Voided>()->mIncarnation, kIncarnation);
+  bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
+  cr_assert_not_null(bench.Sent<Voided>());
+  cr_assert_eq(bench.Count<StartCall>(), 0);
+  cr_assert_eq(bench.mCore.CurrentLoad().mRunning, 0);
+}
+
+Test(sidecarcore, start_late_by_the_clock_is_voided_before_any_tick)
+{
+  Bench bench({ .mGrantSpan = Millis(100) });
+  bench.Message(OfferOf(1));
+  bench.mNow += Millis(100);
+  bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
+  cr_assert_not_null(bench.Sent<Voided>());
+  cr_assert_eq(bench.Count<StartCall>(), 0);
+}
+
+Test(sidecarcore, withdraw_voids_before_the_start_and_cancels_after_it)
+{
+  Bench bench;
+  bench.Message(OfferOf(1));
+  bench.Message(Withdraw{ .mKey = KeyOf(1) });
+  cr_assert_not_null(bench.Sent<Voided>());
+  bench.StartOne(2);
+  bench.Message(Withdraw{ .mKey = KeyOf(2) });
+  cr_assert_eq(bench.Count<CancelCall>(), 1);
+  cr_assert_null(bench.Sent<Voided>());
+  bench.Event(CallData{ .mKey = KeyOf(2), .mData = "late" });
+  cr_assert(bench.mLast.empty());
+}
+
+Test(sidecarcore, void_or_report_tells_what_became_of_it)
+{
+  Bench bench;
+  bench.StartOne(1);
+  bench.Message(VoidOrReport{ .mKey = KeyOf(1) });
+  cr_assert(bench.Sent<LedgerEntry>()->mState == AttemptState::Running);
+  bench.Event(CallDone{ .mKey = KeyOf(1) });
+  bench.Message(Ack{ .mKey = KeyOf(1), .mNextChunk = 0 });
+  bench.Message(VoidOrReport{ .mKey = KeyOf(1) });
+  cr_assert(bench.Sent<LedgerEntry>()->mState == AttemptState::Finished);
+  bench.Message(VoidOrReport{ .mKey = KeyOf(2) });
+  cr_assert_not_null(bench.Sent<Voided>());
+  bench.Message(OfferOf(2));
+  cr_assert_null(bench.Sent<Grant>());
+  cr_assert_not_null(bench.Sent<Voided>());
+}
+
+Test(sidecarcore, forgotten_attempt_is_never_said_not_to_have_run)
+{
+  Bench bench({ .mLedgerSpan = Millis(1000) });
+  bench.StartOne(1);
+  bench.Event(CallFailed{ .mKey = KeyOf(1) });
+  bench.Pass(1001);
+  bench.Message(VoidOrReport{ .mKey = KeyOf(1) });
+  cr_assert_null(bench.Sent<Voided>());
+  cr_assert(bench.Sent<LedgerEntry>()->mState == AttemptState::Unknown);
+  bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
+  cr_assert_eq(bench.Count<StartCall>(), 0);
+  cr_assert_null(bench.Sent<Voided>());
+}
+
+Test(sidecarcore, resume_sends_again_from_the_chunk_asked_for)
+{
+  Bench bench;
+  bench.StartOne(1);
+  for (int i = 0; i < 4; ++i)
+    bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  bench.Message(Ack{ .mKey = KeyOf(1), .mNextChunk = 1 });
+  bench.mCore.OnEntryDown("e", bench.mNow);
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  cr_assert(bench.mLast.empty());
+  bench.Message(Hello{ .mEntry = "e", .mDataCentre = "d" });
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  cr_assert(bench.mLast.empty(), "nothing flows before Resume");
+  bench.Message(Resume{ .mKey = KeyOf(1), .mNextChunk = 2 });
+  cr_assert(bench.Chunks() == std::vector<uint64_t>({ 2, 3, 4, 5 }));
+  bench.Event(CallDone{ .mKey = KeyOf(1) });
+  cr_assert_eq(bench.Sent<Finished>()->mChunks, 6);
+  bench.Message(Hello{ .mEntry = "e", .mDataCentre = "d" });
+  bench.Message(Resume{ .mKey = KeyOf(1), .mNextChunk = 5 });
+  cr_assert(bench.Chunks() == std::vector<uint64_t>({ 5 }));
+  cr_assert_eq(bench.Sent<Finished>()->mChunks, 6);
+}
+
+Test(sidecarcore, lost_entry_voids_what_waits_and_orphans_what_runs)
+{
+  Bench bench({ .mOrphanSpan = Millis(5000), .mFirstTokenRoom = 200 });
+  bench.StartOne(1);
+  bench.Message(OfferOf(2));
+  bench.mLast = bench.mCore.OnEntryDown("e", bench.mNow);
+  cr_assert_eq(bench.mCore.CurrentLoad().mWaiting, 0);
+  bench.Pass(4999);
+  cr_assert_eq(bench.Count<CancelCall>(), 0);
+  bench.Pass(1);
+  cr_assert_eq(bench.Count<CancelCall>(), 1);
+  cr_assert_eq(bench.mCore.CurrentLoad().mRunning, 0);
+}
+
+Test(sidecarcore, drain_declines_what_waits_and_finishes_what_runs)
+{
+  Bench bench({ .mFirstTokenRoom = 200 });
+  bench.StartOne(1);
+  bench.Message(OfferOf(2));
+  bench.mLast = bench.mCore.Drain(bench.mNow);
+  cr_assert(bench.Sent<Decline>()->mKind == ErrorKind::ShuttingDown);
+  cr_assert(bench.Sent<SidecarHeartbeat>()->mLoad.mDraining);
+  cr_assert_not(bench.mCore.Idle());
+  bench.Message(OfferOf(3));
+  cr_assert(bench.Sent<Decline>()->mKind == ErrorKind::ShuttingDown);
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  bench.Event(CallDone{ .mKey = KeyOf(1) });
+  bench.Message(Ack{ .mKey = KeyOf(1), .mNextChunk = 1 });
+  cr_assert(bench.mCore.Idle());
+  bench.mCore.Undrain(bench.mNow);
+  bench.Message(OfferOf(4));
+  cr_assert_not_null(bench.Sent<Grant>());
+}
+
+Test(sidecarcore, passed_deadline_frees_its_place_at_once)
+{
+  Bench bench({ .mFirstTokenRoom = 200 });
+  bench.StartOne(1);
+  Offer late = OfferOf(2);
+  late.mDeadline = Millis(2000);
+  bench.Message(late);
+  bench.Pass(2000);
+  cr_assert(bench.Sent<Decline>()->mKind == ErrorKind::DeadlineExceeded);
+  cr_assert_gt(bench.Sent<Decline>()->mRetryAfter.Count(), 0);
+  bench.Pass(58000);
+  cr_assert_eq(bench.Count<CancelCall>(), 1);
+  cr_assert(bench.Sent<Failed>()->mKind == ErrorKind::DeadlineExceeded);
+  cr_assert(bench.Sent<Failed>()->mRan == Ran::Maybe);
+}
+
+Test(sidecarcore, another_entry_cannot_touch_an_attempt)
+{
+  Bench bench;
+  bench.StartOne(1);
+  bench.Message(Hello{ .mEntry = "f", .mDataCentre = "d" }, "f");
+  bench.Message(Withdraw{ .mKey = KeyOf(1) }, "f");
+  cr_assert(bench.mLast.empty());
+  bench.Message(Resume{ .mKey = KeyOf(1), .mNextChunk = 0 }, "f");
+  cr_assert(bench.mLast.empty());
+  bench.Message(VoidOrReport{ .mKey = KeyOf(1) }, "f");
+  cr_assert(bench.Sent<LedgerEntry>()->mState == AttemptState::Running);
+}
