Add the entry's core: offer, grant, start, answer

Aim: the whole path through EntryCore, so that requests run end to end.

An entry offers each request to two sidecars, starts at the first grant and withdraws the other offer; chunks become the caller's answer in order, and the end is told only when all have come. Declines go to other upstreams, then to the caller with the soonest time to return. Retries have a budget for each class.

--- /dev/null
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -0,0 +1,323 @@
+#include "entryimpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+/** Chunks, and bytes, that arrive before they are acknowledged. */
+constexpr uint64_t kAckChunks = 16;
+constexpr size_t kAckBytes = 64 * 1024;
+
+/** Sets of offers made for one request before its declines are final. */
+constexpr uint32_t kMostRounds = 3;
+
+} // namespace
+
+void
+EntryCore::Impl::OnMessage(const UpstreamId& aUpstream,
+                           SidecarMessage aMessage,
+                           Millis aNow)
+{
+  UpstreamLink* link = LinkOf(aUpstream);
+  const bool greeting = std::holds_alternative<Welcome>(aMessage);
+  if (!link || link->mHealth.State() == ChannelState::Down ||
+      (!link->Ready() && !greeting)) {
+    mCounters.mDropped++;
+    return;
+  }
+  link->mHealth.OnHeard(aNow);
+  std::visit([&](auto&& aKnown) { On(*link, std::move(aKnown), aNow); },
+             std::move(aMessage));
+  Watch(*link, aNow);
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink, const Grant& aMessage, Millis aNow)
+{
+  OpenRequest* request = RequestOf(aMessage.mKey);
+  const auto offer =
+    request ? TakeOffer(aLink, *request, aMessage.mKey) : std::nullopt;
+  if (!offer) {
+    OnStray(aLink, aMessage.mKey, aNow);
+    return;
+  }
+  if (aLink.TakesWork() && MayGo(*request, aLink)) {
+    StartAt(aLink, *request, *offer, aNow);
+    return;
+  }
+  CloseAttempt(*offer, false, aNow);
+  if (!HasReadyOffer(*request)) {
+    PlaceOrConclude(*request, aNow);
+  }
+}
+
+void
+EntryCore::Impl::StartAt(UpstreamLink& aLink,
+                         OpenRequest& aRequest,
+                         Attempt aOffer,
+                         Millis aNow)
+{
+  aOffer.mStarted = aNow;
+  aRequest.mStarted = aOffer;
+  aRequest.mRetryAt = Millis::Never();
+  aRequest.mHoldUntil.reset();
+  mParked.erase(aRequest.mRequest.mId);
+  mCounters.mStarts++;
+  Send(aLink, Start{ aOffer.mKey, aRequest.mRequest.mCall }, aNow);
+  DropOffers(aRequest, aNow);
+  Watch(aRequest);
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink, const Decline& aMessage, Millis aNow)
+{
+  OpenRequest* request = RequestOf(aMessage.mKey);
+  if (!request || !TakeOffer(aLink, *request, aMessage.mKey)) {
+    Confirm(aLink, aMessage.mKey);
+    return;
+  }
+  aLink.mOpen.erase(aMessage.mKey);
+  request->mDeclinedBy.push_back(aLink.mView.mName);
+  const bool sooner =
+    !request->mRefusal || aMessage.mRetryAfter < request->mRefusal->mRetryAfter;
+  if (sooner) {
+    request->mRefusal = { aMessage.mKind,
+                          Ran::No,
+                          aMessage.mRetryAfter,
+                          "declined by every upstream that was asked" };
+  }
+  if (HasReadyOffer(*request)) {
+    return;
+  }
+  if (++request->mRounds < kMostRounds) {
+    PlaceOrConclude(*request, aNow);
+  } else {
+    ConcludeWithError(*request, *request->mRefusal, aNow);
+  }
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink, const Voided& aMessage, Millis aNow)
+{
+  OpenRequest* request = RequestOf(aMessage.mKey);
+  if (!request || aMessage.mIncarnation != aLink.mIncarnation) {
+    Confirm(aLink, aMessage.mKey);
+    return;
+  }
+  if (StartedAt(aLink, aMessage.mKey)) {
+    request->mStarted.reset();
+  } else if (!TakeOffer(aLink, *request, aMessage.mKey)) {
+    Confirm(aLink, aMessage.mKey);
+    return;
+  }
+  aLink.mOpen.erase(aMessage.mKey);
+  if (!HasReadyOffer(*request)) {
+    PlaceOrConclude(*request, aNow);
+  }
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink, Chunk aMessage, Millis aNow)
+{
+  OpenRequest* request = StartedAt(aLink, aMessage.mKey);
+  if (!request) {
+    OnStray(aLink, aMessage.mKey, aNow);
+    return;
+  }
+  if (aMessage.mNumber != request->mNextChunk) {
+    mCounters.mDropped++;
+    if (aMessage.mNumber > request->mNextChunk) {
+      AskForMissing(aLink, *request, aNow);
+    }
+    return;
+  }
+  Deliver(*request, std::move(aMessage));
+  if (request->mWholeAt == request->mNextChunk) {
+    ConcludeWhole(*request, aNow);
+  } else {
+    AckIfDue(aLink, *request, aNow);
+  }
+}
+
+void
+EntryCore::Impl::Deliver(OpenRequest& aRequest, Chunk aChunk)
+{
+  const RequestId id = aRequest.mRequest.mId;
+  if (!aRequest.mHeadSent) {
+    aRequest.mHeadSent = true;
+    aRequest.mRequest.mCall = {};
+    mActions.emplace_back(
+      AnswerHead{ id, aChunk.mStatus, std::move(aChunk.mHeaders) });
+  }
+  aRequest.mNextChunk++;
+  aRequest.mAskedForMissing = false;
+  aRequest.mUnackedBytes += aChunk.mData.size();
+  if (!aChunk.mData.empty()) {
+    mActions.emplace_back(AnswerData{ id, std::move(aChunk.mData) });
+  }
+}
+
+void
+EntryCore::Impl::AckIfDue(UpstreamLink& aLink,
+                          OpenRequest& aRequest,
+                          Millis aNow)
+{
+  if (aRequest.mNextChunk - aRequest.mAckedChunk < kAckChunks &&
+      aRequest.mUnackedBytes < kAckBytes) {
+    return;
+  }
+  aRequest.mAckedChunk = aRequest.mNextChunk;
+  aRequest.mUnackedBytes = 0;
+  Send(aLink, Ack{ aRequest.mStarted->mKey, aRequest.mNextChunk }, aNow);
+}
+
+void
+EntryCore::Impl::AskForMissing(UpstreamLink& aLink,
+                               OpenRequest& aRequest,
+                               Millis aNow)
+{
+  if (std::exchange(aRequest.mAskedForMissing, true)) {
+    return;
+  }
+  Send(aLink, Resume{ aRequest.mStarted->mKey, aRequest.mNextChunk }, aNow);
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink, const Finished& aMessage, Millis aNow)
+{
+  OpenRequest* request = StartedAt(aLink, aMessage.mKey);
+  if (!request) {
+    OnStray(aLink, aMessage.mKey, aNow);
+    return;
+  }
+  const bool broken =
+    aMessage.mChunks == 0 || aMessage.mChunks < request->mNextChunk;
+  if (broken) {
+    request->mMayHaveRun = true;
+    ConcludeWithError(*request,
+                      { ErrorKind::UpstreamFailed,
+                        Ran::Maybe,
+                        Millis(),
+                        "the end of the answer does not fit its parts" },
+                      aNow);
+    return;
+  }
+  request->mWholeAt = aMessage.mChunks;
+  if (request->mNextChunk == aMessage.mChunks) {
+    ConcludeWhole(*request, aNow);
+  } else {
+    AskForMissing(aLink, *request, aNow);
+  }
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink, const Failed& aMessage, Millis aNow)
+{
+  OpenRequest* request = StartedAt(aLink, aMessage.mKey);
+  if (!request) {
+    Confirm(aLink, aMessage.mKey);
+    return;
+  }
+  request->mMayHaveRun |= aMessage.mRan == Ran::Maybe || request->mHeadSent;
+  request->mStarted.reset();
+  aLink.mOpen.erase(aMessage.mKey);
+  RetryOrConclude(*request,
+                  { aMessage.mKind,
+                    aMessage.mRan,
+                    Millis(),
+                    "the upstream did not complete the answer" },
+                  aNow);
+}
+
+void
+EntryCore::Impl::On(UpstreamLink& aLink,
+                    const LedgerEntry& aMessage,
+                    Millis aNow)
+{
+  if (aMessage.mIncarnation != aLink.mIncarnation) {
+    mCounters.mDropped++;
+    return;
+  }
+  if (aMessage.mState == AttemptState::Voided) {
+    On(aLink, Voided{ aMessage.mKey, aMessage.mIncarnation }, aNow);
+    return;
+  }
+  OpenRequest* request = StartedAt(aLink, aMessage.mKey);
+  if (!request) {
+    const bool runs = aMessage.mState == AttemptState::Running;
+    if (runs && aLink.mWithdrawn.contains(aMessage.mKey)) {
+      Send(aLink, trefoilarch::Withdraw{ aMessage.mKey }, aNow);
+    } else {
+      Confirm(aLink, aMessage.mKey);
+    }
+    return;
+  }
+  if (aMessage.mState == AttemptState::Unknown) {
+    LoseStarted(*request, aNow);
+  } else {
+    Send(aLink, Resume{ aMessage.mKey, request->mNextChunk }, aNow);
+  }
+}
+
+void
+EntryCore::Impl::OnStray(UpstreamLink& aLink,
+                         const AttemptKey& aKey,
+                         Millis aNow)
+{
+  mCounters.mDropped++;
+  const auto whole = aLink.mWhole.find(aKey);
+  if (whole != aLink.mWhole.end()) {
+    return;
+  }
+  if (!aLink.mWithdrawn.contains(aKey)) {
+    Withdraw(aLink, aKey, true, aNow);
+  }
+}
+
+void
+EntryCore::Impl::Confirm(UpstreamLink& aLink, const AttemptKey& aKey)
+{
+  mCounters.mDropped += aLink.mWithdrawn.erase(aKey) ? 0 : 1;
+}
+
+OpenRequest*
+EntryCore::Impl::RequestOf(const AttemptKey& aKey)
+{
+  const auto place = mRequests.find(aKey.mRequest);
+  return place == mRequests.end() ? nullptr : &place->second;
+}
+
+OpenRequest*
+EntryCore::Impl::StartedAt(const UpstreamLink& aLink, const AttemptKey& aKey)
+{
+  OpenRequest* request = RequestOf(aKey);
+  const bool current = request && request->mStarted &&
+                       request->mStarted->mKey == aKey &&
+                       request->mStarted->mUpstream == aLink.mView.mName &&
+                       request->mStarted->mIncarnation == aLink.mIncarnation;
+  return current ? request : nullptr;
+}
+
+std::optional<Attempt>
+EntryCore::Impl::TakeOffer(const UpstreamLink& aLink,
+                           OpenRequest& aRequest,
+                           const AttemptKey& aKey)
+{
+  const auto place = std::find_if(
+    aRequest.mOffers.begin(),
+    aRequest.mOffers.end(),
+    [&](const Attempt& aOffer) {
+      return aOffer.mKey == aKey && aOffer.mUpstream == aLink.mView.mName;
+    });
+  if (place == aRequest.mOffers.end()) {
+    return std::nullopt;
+  }
+  Attempt offer = std::move(*place);
+  aRequest.mOffers.erase(place);
+  return offer;
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/entryimpl.cpp
@@ -0,0 +1,108 @@
+#include "entryimpl.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilarch {
+
+EntryCore::Impl::Impl(EntryOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
+  , mRetryBudget(mOptions.mRetryPercent)
+{
+}
+
+void
+EntryCore::Impl::OnRequest(EntryRequest aRequest, Millis aNow)
+{
+  const RequestId id = aRequest.mId;
+  if (mRequests.contains(id)) {
+    mCounters.mDropped++;
+    return;
+  }
+  mCounters.mRequests++;
+  if (!mClassifier) {
+    Refuse(id, { ErrorKind::NotReady, Ran::No, ComeBack(), "no policy yet" });
+    return;
+  }
+  if (mRequests.size() >= mOptions.mMostOpen) {
+    Refuse(id,
+           { ErrorKind::TooManyOpen,
+             Ran::No,
+             ComeBack(),
+             "too many open requests at this entry" });
+    return;
+  }
+  const Millis deadline = aNow + aRequest.mClassified.mDeadline;
+  OpenRequest& request =
+    mRequests
+      .emplace(id,
+               OpenRequest{ .mRequest = std::move(aRequest),
+                            .mArrived = aNow,
+                            .mDeadline = deadline })
+      .first->second;
+  mRetryBudget.OnFirstAttempt(request.mRequest.mClassified.mLevel.mClass);
+  PlaceOrConclude(request, aNow);
+}
+
+void
+EntryCore::Impl::OnCallerLeft(RequestId aId, Millis aNow)
+{
+  const auto place = mRequests.find(aId);
+  if (place == mRequests.end()) {
+    return;
+  }
+  mCounters.mCallersLeft++;
+  Conclude(place->second, aNow);
+}
+
+void
+EntryCore::Impl::OnTick(Millis aNow)
+{
+  while (const auto id = mRequestTimers.TakeDue(aNow)) {
+    const auto place = mRequests.find(*id);
+    if (place != mRequests.end()) {
+      OnRequestDue(place->second, aNow);
+    }
+  }
+  while (const auto upstream = mLinkTimers.TakeDue(aNow)) {
+    if (UpstreamLink* link = LinkOf(*upstream)) {
+      OnLinkDue(*link, aNow);
+    }
+  }
+}
+
+void
+EntryCore::Impl::SetClassifier(std::shared_ptr<const Classifier> aClassifier)
+{
+  mClassifier = std::move(aClassifier);
+}
+
+EntryActions
+EntryCore::Impl::TakeActions()
+{
+  return std::exchange(mActions, {});
+}
+
+Millis
+EntryCore::Impl::NextWake() const
+{
+  return std::min(mRequestTimers.Next(), mLinkTimers.Next());
+}
+
+uint64_t
+EntryCore::Impl::PolicyVersion() const
+{
+  return mClassifier ? mClassifier->CurrentPolicy().mVersion : 0;
+}
+
+void
+EntryCore::Impl::Refuse(RequestId aId, Refusal aRefusal)
+{
+  mCounters.mRefusals[aRefusal.mKind]++;
+  mActions.emplace_back(AnswerError{ aId, std::move(aRefusal) });
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/entryimpl.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "entrycore.h"
+#include "openrequest.h"
+#include "retrybudget.h"
+#include "timerset.h"
+#include "upstreamlink.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace trefoilarch {
+
+/** What an entry has counted since it started. */
+struct EntryCounters
+{
+  uint64_t mRequests = 0;
+  uint64_t mWholeAnswers = 0;
+  uint64_t mCallersLeft = 0;
+  uint64_t mOffers = 0;
+  uint64_t mStarts = 0;
+  uint64_t mRetries = 0;
+  uint64_t mReopened = 0;
+  /** Late, crossed or duplicate messages that were dropped. */
+  uint64_t mDropped = 0;
+  std::map<ErrorKind, uint64_t> mRefusals;
+};
+
+/**
+ * The state behind EntryCore. Each event appends to the actions, which the
+ * caller takes at the end of it. A method whose name begins with Conclude
+ * destroys the request that it is given.
+ */
+class EntryCore::Impl
+{
+public:
+  explicit Impl(EntryOptions aOptions);
+
+  void OnRequest(EntryRequest aRequest, Millis aNow);
+  void OnCallerLeft(RequestId aId, Millis aNow);
+  void OnMessage(const UpstreamId& aUpstream,
+                 SidecarMessage aMessage,
+                 Millis aNow);
+  void OnChannelUp(const UpstreamId& aUpstream, Millis aNow);
+  void OnChannelDown(const UpstreamId& aUpstream, Millis aNow);
+  void OnTick(Millis aNow);
+  void SetUpstreams(std::vector<UpstreamView> aUpstreams,
+                    const std::vector<UpstreamId>& aLeaving,
+                    Millis aNow);
+  void SetClassifier(std::shared_ptr<const Classifier> aClassifier);
+
+  EntryActions TakeActions();
+  size_t OpenRequests() const { return mRequests.size(); }
+  Millis NextWake() const;
+  std::string DumpState(Millis aNow) const;
+
+private:
+  /** Where one request may go at present. */
+  struct Candidates
+  {
+    std::vector<UpstreamLink*> mUsable;
+    /** Some that it may go to are being reconnected, or are not known yet. */
+    bool mMoreLater = false;
+    bool mAnyEligible = false;
+  };
+
+  // Placing and concluding requests.
+  void Place(OpenRequest& aRequest, Millis aNow);
+  void PlaceOrConclude(OpenRequest& aRequest, Millis aNow);
+  Candidates FindCandidates(const OpenRequest& aRequest);
+  bool MayGo(const OpenRequest& aRequest, const UpstreamLink& aLink) const;
+  bool HasReadyOffer(const OpenRequest& aRequest) const;
+  void SendOffer(OpenRequest& aRequest, UpstreamLink& aLink, Millis aNow);
+  Offer OfferFor(const OpenRequest& aRequest,
+                 const AttemptKey& aKey,
+                 Millis aNow) const;
+  void DropOffers(OpenRequest& aRequest, Millis aNow);
+  void RetryOrConclude(OpenRequest& aRequest, Refusal aRefusal, Millis aNow);
+  void LoseStarted(OpenRequest& aRequest, Millis aNow);
+  void OnRequestDue(OpenRequest& aRequest, Millis aNow);
+  void ConcludeWithError(OpenRequest& aRequest, Refusal aRefusal, Millis aNow);
+  void ConcludeWhole(OpenRequest& aRequest, Millis aNow);
+  void Conclude(OpenRequest& aRequest, Millis aNow);
+  void Refuse(RequestId aId, Refusal aRefusal);
+  Refusal NothingUsable(const OpenRequest& aRequest,
+                        const Candidates& aCandidates);
+  bool LabelIsKnown(const OpenRequest& aRequest, const char* aKey) const;
+  Millis Backoff(uint32_t aRetries);
+  Millis ComeBack();
+  void Watch(const OpenRequest& aRequest);
+
+  // What a sidecar says of an attempt.
+  void On(UpstreamLink& aLink, Welcome aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const Grant& aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const Decline& aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const Voided& aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, Chunk aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const Finished& aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const Failed& aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const LedgerEntry& aMessage, Millis aNow);
+  void On(UpstreamLink& aLink, const SidecarHeartbeat& aMessage, Millis aNow);
+  OpenRequest* RequestOf(const AttemptKey& aKey);
+  OpenRequest* StartedAt(const UpstreamLink& aLink, const AttemptKey& aKey);
+  static std::optional<Attempt> TakeOffer(const UpstreamLink& aLink,
+                                          OpenRequest& aRequest,
+                                          const AttemptKey& aKey);
+  void StartAt(UpstreamLink& aLink,
+               OpenRequest& aRequest,
+               Attempt aOffer,
+               Millis aNow);
+  void Deliver(OpenRequest& aRequest, Chunk aChunk);
+  void AckIfDue(UpstreamLink& aLink, OpenRequest& aRequest, Millis aNow);
+  /** A message for an attempt that is not open any more. */
+  void OnStray(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
+  void AskForMissing(UpstreamLink& aLink, OpenRequest& aRequest, Millis aNow);
+
+  // Channels.
+  void Send(UpstreamLink& aLink, EntryMessage aMessage, Millis aNow);
+  void Withdraw(UpstreamLink& aLink,
+                const AttemptKey& aKey,
+                bool aStarted,
+                Millis aNow);
+  void CloseAttempt(const Attempt& aAttempt, bool aStarted, Millis aNow);
+  void Remember(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
+  void Confirm(UpstreamLink& aLink, const AttemptKey& aKey);
+  void Recover(UpstreamLink& aLink, Millis aNow);
+  void RecoverAttempt(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
+  void LoseChannel(UpstreamLink& aLink, Millis aNow);
+  void MoveOffersAway(UpstreamLink& aLink, Millis aNow);
+  void PlaceParked(Millis aNow);
+  void OnLinkDue(UpstreamLink& aLink, Millis aNow);
+  void Watch(UpstreamLink& aLink, Millis aNow);
+  UpstreamLink* LinkOf(const UpstreamId& aUpstream);
+  uint64_t PolicyVersion() const;
+
+  EntryOptions mOptions;
+  std::mt19937_64 mRandom;
+  std::shared_ptr<const Classifier> mClassifier;
+  std::unordered_map<RequestId, OpenRequest> mRequests;
+  std::map<UpstreamId, UpstreamLink> mLinks;
+  /** Requests that wait for a channel to come up. */
+  std::set<RequestId> mParked;
+  TimerSet<RequestId> mRequestTimers;
+  TimerSet<UpstreamId> mLinkTimers;
+  RetryBudget mRetryBudget;
+  EntryCounters mCounters;
+  EntryActions mActions;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -0,0 +1,372 @@
+#include "entryimpl.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+/** How long a request waits for a channel that is being opened again. */
+constexpr Millis kHoldSpan{ 2000 };
+
+/** Reruns of one request. */
+constexpr uint32_t kMostRetries = 3;
+
+/** The least time to come back where no sidecar gave one. */
+constexpr Millis kComeBack{ 1000 };
+
+constexpr std::array kRetryableKinds = { ErrorKind::UpstreamUnreachable,
+                                         ErrorKind::UpstreamFailed,
+                                         ErrorKind::AnswerCut,
+                                         ErrorKind::OutcomeUnknown,
+                                         ErrorKind::Shed,
+                                         ErrorKind::ShuttingDown };
+
+bool
+Contains(const auto& aAll, const auto& aOne)
+{
+  return std::find(aAll.begin(), aAll.end(), aOne) != aAll.end();
+}
+
+/** What a caller is told once a part of the answer is out. */
+ErrorKind
+KindAfterHead(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::UpstreamUnreachable:
+    case ErrorKind::UpstreamFailed:
+    case ErrorKind::OutcomeUnknown:
+      return ErrorKind::AnswerCut;
+    default:
+      return aKind;
+  }
+}
+
+} // namespace
+
+void
+EntryCore::Impl::PlaceOrConclude(OpenRequest& aRequest, Millis aNow)
+{
+  Place(aRequest, aNow);
+  if (HasReadyOffer(aRequest)) {
+    aRequest.mHoldUntil.reset();
+    aRequest.mRetryAt = Millis::Never();
+    mParked.erase(aRequest.mRequest.mId);
+    Watch(aRequest);
+    return;
+  }
+  const Candidates candidates = FindCandidates(aRequest);
+  const Millis holdUntil = aRequest.mHoldUntil.value_or(aNow + kHoldSpan);
+  if (!candidates.mMoreLater || aNow >= holdUntil) {
+    ConcludeWithError(aRequest, NothingUsable(aRequest, candidates), aNow);
+    return;
+  }
+  aRequest.mHoldUntil = holdUntil;
+  aRequest.mRetryAt = holdUntil;
+  mParked.insert(aRequest.mRequest.mId);
+  Watch(aRequest);
+}
+
+void
+EntryCore::Impl::Place(OpenRequest& aRequest, Millis aNow)
+{
+  Candidates candidates = FindCandidates(aRequest);
+  std::vector<UpstreamLink*>& usable = candidates.mUsable;
+  const auto busyness = [](const UpstreamLink* aLink) {
+    return aLink->mLoad.mRunning + aLink->mLoad.mWaiting + aLink->mOpen.size();
+  };
+  std::sort(usable.begin(), usable.end(), [&](auto* aLeft, auto* aRight) {
+    return busyness(aLeft) < busyness(aRight);
+  });
+  size_t ready = 0;
+  for (const Attempt& offer : aRequest.mOffers) {
+    ready += LinkOf(offer.mUpstream)->Ready() ? 1 : 0;
+  }
+  for (UpstreamLink* link : usable) {
+    if (ready >= mOptions.mOfferWidth) {
+      break;
+    }
+    SendOffer(aRequest, *link, aNow);
+    ready++;
+  }
+}
+
+EntryCore::Impl::Candidates
+EntryCore::Impl::FindCandidates(const OpenRequest& aRequest)
+{
+  Candidates candidates;
+  for (auto& [name, link] : mLinks) {
+    if (!link.mWelcomed) {
+      candidates.mMoreLater |= link.mListed;
+      continue;
+    }
+    if (!link.TakesWork() || !MayGo(aRequest, link)) {
+      continue;
+    }
+    candidates.mAnyEligible = true;
+    if (Contains(aRequest.mDeclinedBy, name)) {
+      continue;
+    }
+    const bool offered = std::any_of(
+      aRequest.mOffers.begin(),
+      aRequest.mOffers.end(),
+      [&](const Attempt& aOffer) { return aOffer.mUpstream == name; });
+    if (!link.Ready()) {
+      candidates.mMoreLater = true;
+    } else if (!offered) {
+      candidates.mUsable.push_back(&link);
+    }
+  }
+  return candidates;
+}
+
+bool
+EntryCore::Impl::MayGo(const OpenRequest& aRequest,
+                       const UpstreamLink& aLink) const
+{
+  const Labels& traffic = aRequest.mRequest.mClassified.mTraffic;
+  for (const char* key : { "model", "service" }) {
+    const auto wanted = traffic.find(key);
+    if (wanted == traffic.end()) {
+      continue;
+    }
+    const auto has = aLink.mView.mLabels.find(key);
+    if (has == aLink.mView.mLabels.end() || has->second != wanted->second) {
+      return false;
+    }
+  }
+  return mClassifier && mClassifier->MayGo(traffic, aLink.mView);
+}
+
+bool
+EntryCore::Impl::HasReadyOffer(const OpenRequest& aRequest) const
+{
+  return std::any_of(aRequest.mOffers.begin(),
+                     aRequest.mOffers.end(),
+                     [this](const Attempt& aOffer) {
+                       const auto place = mLinks.find(aOffer.mUpstream);
+                       return place != mLinks.end() && place->second.Ready();
+                     });
+}
+
+void
+EntryCore::Impl::SendOffer(OpenRequest& aRequest,
+                           UpstreamLink& aLink,
+                           Millis aNow)
+{
+  const AttemptKey key{ aRequest.mRequest.mId, ++aRequest.mLastAttempt };
+  aRequest.mOffers.push_back({ .mKey = key,
+                               .mUpstream = aLink.mView.mName,
+                               .mIncarnation = aLink.mIncarnation });
+  aLink.mOpen.insert(key);
+  mCounters.mOffers++;
+  Send(aLink, OfferFor(aRequest, key, aNow), aNow);
+}
+
+Offer
+EntryCore::Impl::OfferFor(const OpenRequest& aRequest,
+                          const AttemptKey& aKey,
+                          Millis aNow) const
+{
+  const Classified& classified = aRequest.mRequest.mClassified;
+  const Millis due = aRequest.mArrived + classified.mLevel.mFirstTokenTarget;
+  return { .mKey = aKey,
+           .mLevel = classified.mLevel,
+           .mDeadline = std::max(aRequest.mDeadline - aNow, Millis()),
+           .mFirstTokenDue = std::max(due - aNow, Millis()),
+           .mPromptTokens = aRequest.mRequest.mPromptTokens,
+           .mOutputTokens = 0,
+           .mPrefixHash = aRequest.mRequest.mPrefixHash,
+           .mIdempotent = classified.mIdempotent };
+}
+
+void
+EntryCore::Impl::DropOffers(OpenRequest& aRequest, Millis aNow)
+{
+  for (const Attempt& offer : std::exchange(aRequest.mOffers, {})) {
+    CloseAttempt(offer, false, aNow);
+  }
+}
+
+void
+EntryCore::Impl::RetryOrConclude(OpenRequest& aRequest,
+                                 Refusal aRefusal,
+                                 Millis aNow)
+{
+  const Classified& classified = aRequest.mRequest.mClassified;
+  const bool safe =
+    !aRequest.mHeadSent && (classified.mIdempotent || !aRequest.mMayHaveRun);
+  const Millis retryAt = aNow + Backoff(aRequest.mRetries);
+  if (!safe || !Contains(kRetryableKinds, aRefusal.mKind) ||
+      aRequest.mRetries >= kMostRetries || retryAt >= aRequest.mDeadline ||
+      !mRetryBudget.TakeRetry(classified.mLevel.mClass)) {
+    ConcludeWithError(aRequest, std::move(aRefusal), aNow);
+    return;
+  }
+  mCounters.mRetries++;
+  aRequest.mRetries++;
+  aRequest.mRefusal = std::move(aRefusal);
+  aRequest.mRetryAt = retryAt;
+  Watch(aRequest);
+}
+
+void
+EntryCore::Impl::LoseStarted(OpenRequest& aRequest, Millis aNow)
+{
+  const Attempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
+  aRequest.mMayHaveRun = true;
+  CloseAttempt(attempt, true, aNow);
+  RetryOrConclude(aRequest,
+                  { ErrorKind::OutcomeUnknown,
+                    Ran::Maybe,
+                    Millis(),
+                    "the upstream's host was lost after the start" },
+                  aNow);
+}
+
+void
+EntryCore::Impl::OnRequestDue(OpenRequest& aRequest, Millis aNow)
+{
+  if (aNow >= aRequest.mDeadline) {
+    ConcludeWithError(aRequest,
+                      { ErrorKind::DeadlineExceeded,
+                        Ran::No,
+                        ComeBack(),
+                        "the deadline passed" },
+                      aNow);
+    return;
+  }
+  if (aNow < aRequest.mRetryAt) {
+    Watch(aRequest);
+    return;
+  }
+  aRequest.mRetryAt = Millis::Never();
+  if (aRequest.mStarted) {
+    LoseStarted(aRequest, aNow);
+  } else {
+    PlaceOrConclude(aRequest, aNow);
+  }
+}
+
+void
+EntryCore::Impl::ConcludeWithError(OpenRequest& aRequest,
+                                   Refusal aRefusal,
+                                   Millis aNow)
+{
+  const bool mayHaveRun = aRequest.mMayHaveRun || aRequest.mStarted;
+  aRefusal.mRan = mayHaveRun ? Ran::Maybe : Ran::No;
+  if (aRequest.mHeadSent) {
+    aRefusal.mKind = KindAfterHead(aRefusal.mKind);
+  }
+  const bool worth = AnswerFor(aRefusal.mKind).mWorthRetrying;
+  if (worth && aRefusal.mRetryAfter <= Millis()) {
+    aRefusal.mRetryAfter = ComeBack();
+  } else if (!worth) {
+    aRefusal.mRetryAfter = Millis();
+  }
+  Refuse(aRequest.mRequest.mId, std::move(aRefusal));
+  Conclude(aRequest, aNow);
+}
+
+void
+EntryCore::Impl::ConcludeWhole(OpenRequest& aRequest, Millis aNow)
+{
+  const Attempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
+  const uint64_t chunks = aRequest.mNextChunk;
+  mCounters.mWholeAnswers++;
+  mActions.emplace_back(AnswerEnd{ aRequest.mRequest.mId });
+  if (UpstreamLink* link = LinkOf(attempt.mUpstream)) {
+    link->mOpen.erase(attempt.mKey);
+    Remember(*link, attempt.mKey, aNow);
+    link->mWhole[attempt.mKey] = chunks;
+    Send(*link, Ack{ attempt.mKey, chunks }, aNow);
+  }
+  Conclude(aRequest, aNow);
+}
+
+void
+EntryCore::Impl::Conclude(OpenRequest& aRequest, Millis aNow)
+{
+  DropOffers(aRequest, aNow);
+  if (aRequest.mStarted) {
+    CloseAttempt(*aRequest.mStarted, true, aNow);
+  }
+  const RequestId id = aRequest.mRequest.mId;
+  mRequestTimers.Clear(id);
+  mParked.erase(id);
+  mRequests.erase(id);
+}
+
+Refusal
+EntryCore::Impl::NothingUsable(const OpenRequest& aRequest,
+                               const Candidates& aCandidates)
+{
+  if (aRequest.mRefusal) {
+    return *aRequest.mRefusal;
+  }
+  if (aCandidates.mAnyEligible) {
+    return { ErrorKind::UpstreamUnreachable,
+             Ran::No,
+             ComeBack(),
+             "no upstream for this request can be reached" };
+  }
+  if (aCandidates.mMoreLater) {
+    return { ErrorKind::NotReady,
+             Ran::No,
+             ComeBack(),
+             "this entry does not know its upstreams yet" };
+  }
+  if (!LabelIsKnown(aRequest, "model")) {
+    return { ErrorKind::UnknownModel, Ran::No, Millis(), "unknown model" };
+  }
+  if (!LabelIsKnown(aRequest, "service")) {
+    return { ErrorKind::UnknownService, Ran::No, Millis(), "unknown service" };
+  }
+  return { ErrorKind::NoEligibleUpstream,
+           Ran::No,
+           ComeBack(),
+           "no selector lets this request go to an upstream that is in use" };
+}
+
+bool
+EntryCore::Impl::LabelIsKnown(const OpenRequest& aRequest,
+                              const char* aKey) const
+{
+  const Labels& traffic = aRequest.mRequest.mClassified.mTraffic;
+  const auto wanted = traffic.find(aKey);
+  return wanted == traffic.end() ||
+         std::any_of(mLinks.begin(), mLinks.end(), [&](const auto& aLink) {
+           const Labels& labels = aLink.second.mView.mLabels;
+           const auto has = labels.find(aKey);
+           return has != labels.end() && has->second == wanted->second;
+         });
+}
+
+Millis
+EntryCore::Impl::Backoff(uint32_t aRetries)
+{
+  const Millis most = std::min(
+    mOptions.mFirstBackoff * (int64_t{ 1 } << aRetries), mOptions.mMostBackoff);
+  std::uniform_int_distribution<int64_t> spread(most.Count() / 2, most.Count());
+  return Millis(spread(mRandom));
+}
+
+Millis
+EntryCore::Impl::ComeBack()
+{
+  std::uniform_int_distribution<int64_t> spread(kComeBack.Count(),
+                                                2 * kComeBack.Count());
+  return Millis(spread(mRandom));
+}
+
+void
+EntryCore::Impl::Watch(const OpenRequest& aRequest)
+{
+  mRequestTimers.Set(aRequest.mRequest.mId,
+                     std::min(aRequest.mDeadline, aRequest.mRetryAt));
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/openrequest.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "entrycore.h"
+#include "errors.h"
+#include "ids.h"
+#include "millis.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace trefoilarch {
+
+/** One try of a request, as the entry sees it. */
+struct Attempt
+{
+  AttemptKey mKey;
+  UpstreamId mUpstream;
+  /** The sidecar's incarnation that was offered or sent the attempt. */
+  uint64_t mIncarnation = 0;
+  /** When Start was sent; meaningless before. */
+  Millis mStarted{};
+};
+
+/** A caller's request that has no final answer yet. */
+struct OpenRequest
+{
+  EntryRequest mRequest;
+  Millis mArrived;
+  Millis mDeadline;
+  /** When placing it is tried again, or its lost attempt is given up. */
+  Millis mRetryAt = Millis::Never();
+  /** While no offer can reach a sidecar: when waiting for one ends. */
+  std::optional<Millis> mHoldUntil{};
+
+  uint32_t mLastAttempt = 0;
+  std::vector<Attempt> mOffers{};
+  /** The attempt that was sent its Start. At most one at a time. */
+  std::optional<Attempt> mStarted{};
+  /** A Start was sent that was never proved void, now or earlier. */
+  bool mMayHaveRun = false;
+
+  uint64_t mNextChunk = 0;
+  uint64_t mAckedChunk = 0;
+  size_t mUnackedBytes = 0;
+  bool mHeadSent = false;
+  /** Resume was sent for a gap, and nothing has come since. */
+  bool mAskedForMissing = false;
+  /** The last chunk's successor, once Finished has come. */
+  std::optional<uint64_t> mWholeAt{};
+
+  /** Upstreams that declined it. */
+  std::vector<UpstreamId> mDeclinedBy{};
+  uint32_t mRounds = 0;
+  uint32_t mRetries = 0;
+  /** What will be said if nothing better comes. */
+  std::optional<Refusal> mRefusal{};
+};
+
+} // namespace trefoilarch
