Evaluate the event splitter's check with short circuit

The assertion macro takes an expression apart and evaluates both sides, so the empty batch was asked for its last bytes. Parentheses keep it whole.

--- a/tests/daemon/eventstreamtest.cpp
+++ b/tests/daemon/eventstreamtest.cpp
@@ -51,8 +51,7 @@
     uint32_t tokens = 0;
     for (const std::string& piece : Pieces(stream)) {
       const EventBatch batch = splitter.Add(piece);
-      RC_ASSERT(batch.mData.empty() ||
-                batch.mData.substr(batch.mData.size() - 2) == "\n\n");
+      RC_ASSERT((batch.mData.empty() || batch.mData.ends_with("\n\n")));
       passed += batch.mData;
       tokens += batch.mTokens;
     }
