--- a/src/libtrefoilio/connectionwatch.cpp
+++ b/src/libtrefoilio/connectionwatch.cpp
@@ -56,10 +56,10 @@
 ConnectionWatch::Opened(int aSocket)
 {
   std::lock_guard lock(mMutex);
-  mConnections[aSocket] = Connection{ .mSince = Clock::now() };
-  if (mConnections.size() > mOptions.mMostConnections) {
+  if (mConnections.size() >= mOptions.mMostConnections) {
     CloseOldestIdle();
   }
+  mConnections[aSocket] = Connection{ .mSince = Clock::now() };
 }
 
 void
--- a/src/libtrefoilio/httpclient.cpp
+++ b/src/libtrefoilio/httpclient.cpp
@@ -80,8 +80,8 @@
   reply.mStatus = static_cast<int>(aResponse.status);
   const _u_map& headers = *aResponse.map_header;
   for (int i = 0; i < headers.nb_values; ++i) {
-    reply.mHeaders.emplace_back(
-      headers.keys[i], std::string(headers.values[i], headers.lengths[i]));
+    reply.mHeaders.emplace_back(headers.keys[i],
+                                headers.values[i] ? headers.values[i] : "");
   }
   if (aResponse.binary_body_length > 0) {
     reply.mBody.assign(static_cast<const char*>(aResponse.binary_body),
--- a/src/libtrefoilio/httpserver.cpp
+++ b/src/libtrefoilio/httpserver.cpp
@@ -69,8 +69,8 @@
   request.mTarget = aRequest.http_url ? aRequest.http_url : "";
   const _u_map& headers = *aRequest.map_header;
   for (int i = 0; i < headers.nb_values; ++i) {
-    request.mHeaders.emplace_back(
-      headers.keys[i], std::string(headers.values[i], headers.lengths[i]));
+    request.mHeaders.emplace_back(headers.keys[i],
+                                  headers.values[i] ? headers.values[i] : "");
   }
   if (aRequest.binary_body_length > 0) {
     request.mBody.assign(static_cast<const char*>(aRequest.binary_body),
--- /dev/null
+++ b/src/libtrefoilio/metrics.cpp
@@ -0,0 +1,205 @@
+#include "metrics.h"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <map>
+#include <mutex>
+#include <type_traits>
+
+namespace trefoilio {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+/** Upper bounds; in milliseconds from a network turn to a long answer. */
+constexpr std::array kBounds{ 0.1,    0.2,    0.5,   1.0,   2.0,   5.0,   10.0,
+                              20.0,   50.0,   100.0, 200.0, 320.0, 500.0, 1000.,
+                              2000.0, 5000.0, 10e3,  30e3,  60e3,  300e3 };
+
+/** Numbers from here on are written with an exponent. */
+constexpr double kLongestPlain = 1e15;
+
+using Axis = bh::axis::variable<double>;
+using Buckets = bh::histogram<std::tuple<Axis>, bh::dense_storage<uint64_t>>;
+
+/** A Boost.Histogram with the sum that Prometheus asks for. */
+struct Series
+{
+  Buckets mBuckets{ std::make_tuple(Axis(kBounds.begin(), kBounds.end())) };
+  double mSum = 0;
+};
+
+template<typename T>
+using ByLabel = std::map<std::string, T, std::less<>>;
+template<typename T>
+using ByName = std::map<std::string, ByLabel<T>, std::less<>>;
+
+template<typename T>
+T&
+Place(ByName<T>& aAll, std::string_view aName, std::string_view aLabel)
+{
+  auto named = aAll.find(aName);
+  if (named == aAll.end()) {
+    named = aAll.emplace(aName, ByLabel<T>()).first;
+  }
+  auto labelled = named->second.find(aLabel);
+  if (labelled == named->second.end()) {
+    labelled = named->second.try_emplace(std::string(aLabel)).first;
+  }
+  return labelled->second;
+}
+
+std::string
+Number(double aValue)
+{
+  if (!std::isfinite(aValue)) {
+    return std::isnan(aValue) ? "NaN" : (aValue > 0 ? "+Inf" : "-Inf");
+  }
+  std::array<char, 32> text{};
+  char* const last = text.data() + text.size();
+  const bool longer = std::abs(aValue) >= kLongestPlain;
+  const auto form =
+    longer ? std::chars_format::general : std::chars_format::fixed;
+  const auto end = std::to_chars(text.data(), last, aValue, form).ptr;
+  return { text.data(), end };
+}
+
+std::string
+Braced(std::string_view aLabel, std::string_view aMore = "")
+{
+  if (aLabel.empty() && aMore.empty()) {
+    return "";
+  }
+  std::string text = "{";
+  text.append(aLabel);
+  text.append(aLabel.empty() || aMore.empty() ? "" : ",");
+  return text.append(aMore).append("}");
+}
+
+void
+AppendType(std::string& aText, std::string_view aName, std::string_view aType)
+{
+  aText.append("# TYPE ").append(aName).append(" ");
+  aText.append(aType).append("\n");
+}
+
+template<typename T>
+void
+AppendPlain(std::string& aText, const ByName<T>& aAll, std::string_view aType)
+{
+  for (const auto& [name, labels] : aAll) {
+    AppendType(aText, name, aType);
+    for (const auto& [label, value] : labels) {
+      aText.append(name).append(Braced(label)).append(" ");
+      if constexpr (std::is_integral_v<T>) {
+        aText.append(std::to_string(value)).append("\n");
+      } else {
+        aText.append(Number(value)).append("\n");
+      }
+    }
+  }
+}
+
+void
+AppendSeries(std::string& aText,
+             const std::string& aName,
+             const std::string& aLabel,
+             const Series& aSeries)
+{
+  uint64_t total = 0;
+  const auto line = [&](const std::string& aBound) {
+    aText.append(aName).append("_bucket");
+    aText.append(Braced(aLabel, "le=\"" + aBound + "\""));
+    aText.append(" ").append(std::to_string(total)).append("\n");
+  };
+  for (int i = -1; i < static_cast<int>(kBounds.size()) - 1; ++i) {
+    total += aSeries.mBuckets.at(i);
+    line(Number(kBounds[static_cast<size_t>(i + 1)]));
+  }
+  total += aSeries.mBuckets.at(static_cast<int>(kBounds.size()) - 1);
+  line("+Inf");
+  aText.append(aName).append("_sum").append(Braced(aLabel)).append(" ");
+  aText.append(Number(aSeries.mSum)).append("\n");
+  aText.append(aName).append("_count").append(Braced(aLabel)).append(" ");
+  aText.append(std::to_string(total)).append("\n");
+}
+
+} // namespace
+
+class Metrics::Impl
+{
+public:
+  mutable std::mutex mMutex;
+  ByName<uint64_t> mCounters;
+  ByName<double> mGauges;
+  ByName<Series> mSeries;
+};
+
+Metrics::Metrics()
+  : mImpl(std::make_unique<Impl>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void
+Metrics::Count(std::string_view aName, std::string_view aLabel, uint64_t aBy)
+{
+  std::lock_guard lock(mImpl->mMutex);
+  Place(mImpl->mCounters, aName, aLabel) += aBy;
+}
+
+void
+Metrics::SetGauge(std::string_view aName,
+                  double aValue,
+                  std::string_view aLabel)
+{
+  std::lock_guard lock(mImpl->mMutex);
+  Place(mImpl->mGauges, aName, aLabel) = aValue;
+}
+
+void
+Metrics::Observe(std::string_view aName, double aValue, std::string_view aLabel)
+{
+  constexpr double lowest = -std::numeric_limits<double>::infinity();
+  std::lock_guard lock(mImpl->mMutex);
+  Series& series = Place(mImpl->mSeries, aName, aLabel);
+  series.mBuckets(std::nextafter(aValue, lowest));
+  series.mSum += aValue;
+}
+
+uint64_t
+Metrics::CounterValue(std::string_view aName, std::string_view aLabel) const
+{
+  std::lock_guard lock(mImpl->mMutex);
+  const auto named = mImpl->mCounters.find(aName);
+  if (named == mImpl->mCounters.end()) {
+    return 0;
+  }
+  const auto labelled = named->second.find(aLabel);
+  return labelled == named->second.end() ? 0 : labelled->second;
+}
+
+std::string
+Metrics::Text() const
+{
+  std::lock_guard lock(mImpl->mMutex);
+  std::string text;
+  AppendPlain(text, mImpl->mCounters, "counter");
+  AppendPlain(text, mImpl->mGauges, "gauge");
+  for (const auto& [name, labels] : mImpl->mSeries) {
+    AppendType(text, name, "histogram");
+    for (const auto& [label, series] : labels) {
+      AppendSeries(text, name, label, series);
+    }
+  }
+  return text;
+}
+
+} // namespace trefoilio
--- /dev/null
+++ b/src/libtrefoilio/settings.cpp
@@ -0,0 +1,358 @@
+#include "settings.h"
+
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+
+namespace trefoilio {
+
+namespace {
+
+constexpr std::string_view kVersion = "0.1.0";
+
+std::string
+VariableName(const std::string& aFlag)
+{
+  std::string name = "TREFOILARCH_";
+  for (const char letter : aFlag) {
+    const bool lower = letter >= 'a' && letter <= 'z';
+    name += letter == '-' ? '_'
+            : lower       ? static_cast<char>(letter - 'a' + 'A')
+                          : letter;
+  }
+  return name;
+}
+
+std::string
+HelpText(const std::string& aProgram,
+         const std::string& aAbout,
+         const std::vector<SettingSpec>& aSpecs)
+{
+  std::ostringstream text;
+  text << aProgram << ": " << aAbout << "\n\n"
+       << "Each setting is a flag or a variable; the flag wins.\n\n";
+  for (const SettingSpec& spec : aSpecs) {
+    text << "  --" << spec.mName << " VALUE   (" << VariableName(spec.mName)
+         << ")\n      " << spec.mHelp;
+    if (spec.mRequired) {
+      text << " (required)";
+    } else if (!spec.mDefault.empty()) {
+      text << " (default " << spec.mDefault << ")";
+    }
+    text << "\n";
+  }
+  text << "  --check\n      validate the settings and exit\n"
+       << "  --version\n      print the version and exit\n"
+       << "  --help\n      print this and exit\n";
+  return text.str();
+}
+
+/** `--flag=value` as the two arguments that TCLAP expects. */
+std::vector<std::string>
+Separated(int aCount, const char* const* aArguments)
+{
+  std::vector<std::string> separated;
+  for (int i = 0; i < aCount; ++i) {
+    const std::string text = aArguments[i];
+    const size_t equals = text.find('=');
+    if (i > 0 && text.starts_with("--") && equals != std::string::npos) {
+      separated.push_back(text.substr(0, equals));
+      separated.push_back(text.substr(equals + 1));
+    } else {
+      separated.push_back(text);
+    }
+  }
+  return separated;
+}
+
+/** The flags of one process as TCLAP reads them. */
+class FlagReader
+{
+public:
+  FlagReader(const std::string& aAbout, const std::vector<SettingSpec>& aSpecs)
+    : mLine(aAbout, ' ', std::string(kVersion), false)
+  {
+    mLine.setExceptionHandling(false);
+    for (const SettingSpec& spec : aSpecs) {
+      mFlags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
+        "", spec.mName, spec.mHelp, false, "", "value", mLine));
+    }
+    mLine.add(mRest);
+  }
+
+  /** Adds a fault where a flag stands twice, lacks a value or is unknown. */
+  void Read(int aCount,
+            const char* const* aArguments,
+            std::vector<std::string>& aFaults)
+  {
+    std::vector<std::string> arguments = Separated(aCount, aArguments);
+    try {
+      mLine.parse(arguments);
+    } catch (const TCLAP::ArgException& fault) {
+      aFaults.push_back(fault.argId() + " " + fault.error());
+      mBroken = true;
+    }
+    for (const std::string& text : mRest.getValue()) {
+      aFaults.push_back("unknown argument " + text + "; see --help");
+    }
+  }
+
+  std::optional<std::string> Value(size_t aIndex) const
+  {
+    const auto& flag = *mFlags[aIndex];
+    return flag.isSet() ? std::optional(flag.getValue()) : std::nullopt;
+  }
+
+  bool Check() const { return mCheck.getValue(); }
+  bool Version() const { return mVersion.getValue(); }
+  bool Help() const { return mHelp.getValue(); }
+  /** Reading ended early, so that a flag may seem missing which is not. */
+  bool Broken() const { return mBroken; }
+
+private:
+  TCLAP::CmdLine mLine;
+  TCLAP::SwitchArg mCheck{ "", "check", "validate and exit", mLine };
+  TCLAP::SwitchArg mVersion{ "", "version", "print the version", mLine };
+  TCLAP::SwitchArg mHelp{ "h", "help", "print this", mLine };
+  std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> mFlags;
+  TCLAP::UnlabeledMultiArg<std::string> mRest{ "rest",
+                                               "unknown ones",
+                                               false,
+                                               "text" };
+  bool mBroken = false;
+};
+
+bool
+IsInteger(const std::string& aText, int64_t& aValue)
+{
+  const char* end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, aValue);
+  return error == std::errc() && stop == end;
+}
+
+bool
+IsNumericAddress(std::string_view aText)
+{
+  constexpr std::string_view digits = "0123456789";
+  constexpr std::string_view hexadecimal = "0123456789abcdefABCDEF:.";
+  if (aText.starts_with('[') && aText.ends_with(']')) {
+    const std::string_view inner = aText.substr(1, aText.size() - 2);
+    return inner.find(':') != std::string_view::npos &&
+           inner.find_first_not_of(hexadecimal) == std::string_view::npos;
+  }
+  int parts = 0;
+  while (true) {
+    const size_t dot = aText.find('.');
+    const std::string part(aText.substr(0, dot));
+    int64_t value = -1;
+    if (part.find_first_not_of(digits) != std::string::npos ||
+        !IsInteger(part, value) || value > 255) {
+      return false;
+    }
+    ++parts;
+    if (dot == std::string_view::npos) {
+      return parts == 4;
+    }
+    aText.remove_prefix(dot + 1);
+  }
+}
+
+bool
+IsNumericEndpoint(std::string_view aText)
+{
+  const size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  int64_t port = -1;
+  return IsNumericAddress(aText.substr(0, colon)) &&
+         IsInteger(std::string(aText.substr(colon + 1)), port) && port >= 0 &&
+         port <= 65535;
+}
+
+bool
+IsLabelList(std::string_view aText)
+{
+  while (!aText.empty()) {
+    const size_t comma = aText.find(',');
+    const std::string_view pair = aText.substr(0, comma);
+    const size_t equals = pair.find('=');
+    if (equals == 0 || equals == std::string_view::npos) {
+      return false;
+    }
+    if (comma == std::string_view::npos) {
+      return true;
+    }
+    aText.remove_prefix(comma + 1);
+    if (aText.empty()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+std::function<std::string(const std::string&)>
+IntegerBetween(int64_t aLeast, int64_t aMost)
+{
+  return [=](const std::string& aText) -> std::string {
+    int64_t value = 0;
+    if (IsInteger(aText, value) && value >= aLeast && value <= aMost) {
+      return "";
+    }
+    return "an integer from " + std::to_string(aLeast) + " to " +
+           std::to_string(aMost);
+  };
+}
+
+std::function<std::string(const std::string&)>
+OneOf(std::vector<std::string> aChoices)
+{
+  return [choices = std::move(aChoices)](const std::string& aText) {
+    if (std::ranges::find(choices, aText) != choices.end()) {
+      return std::string();
+    }
+    std::string text = "one of";
+    for (const std::string& choice : choices) {
+      text += " " + choice;
+    }
+    return text;
+  };
+}
+
+std::function<std::string(const std::string&)>
+NumericEndpoint()
+{
+  return [](const std::string& aText) -> std::string {
+    return IsNumericEndpoint(aText)
+             ? ""
+             : "ADDRESS:PORT with a numeric IP and a port from 0 to 65535";
+  };
+}
+
+std::function<std::string(const std::string&)>
+HttpUrl()
+{
+  return [](const std::string& aText) -> std::string {
+    constexpr std::string_view scheme = "http://";
+    if (aText.starts_with(scheme)) {
+      std::string place = aText.substr(scheme.size());
+      place = place.substr(0, place.find('/'));
+      if (IsNumericEndpoint(place)) {
+        return "";
+      }
+    }
+    return "http://ADDRESS:PORT with a numeric IP, perhaps with a path";
+  };
+}
+
+std::function<std::string(const std::string&)>
+LabelList()
+{
+  return [](const std::string& aText) -> std::string {
+    return IsLabelList(aText) ? "" : "key=value,... or nothing";
+  };
+}
+
+std::function<std::string(const std::string&)>
+NotEmpty()
+{
+  return [](const std::string& aText) -> std::string {
+    return aText.empty() ? "any text but none" : "";
+  };
+}
+
+std::string
+Settings::Text(const std::string& aName) const
+{
+  return mValues.at(aName);
+}
+
+int64_t
+Settings::Integer(const std::string& aName) const
+{
+  int64_t value = 0;
+  if (!IsInteger(mValues.at(aName), value)) {
+    throw std::logic_error(aName + " is not checked to be an integer");
+  }
+  return value;
+}
+
+std::map<std::string, std::string>
+Settings::LabelMap(const std::string& aName) const
+{
+  std::map<std::string, std::string> labels;
+  std::istringstream text(mValues.at(aName));
+  std::string pair;
+  while (std::getline(text, pair, ',')) {
+    const size_t equals = pair.find('=');
+    labels[pair.substr(0, equals)] = pair.substr(equals + 1);
+  }
+  return labels;
+}
+
+SettingsReader::SettingsReader(std::string aProgram,
+                               std::string aAbout,
+                               std::vector<SettingSpec> aSpecs)
+  : mProgram(std::move(aProgram))
+  , mAbout(std::move(aAbout))
+  , mSpecs(std::move(aSpecs))
+{
+}
+
+SettingsOutcome
+SettingsReader::Read(
+  int aCount,
+  const char* const* aArguments,
+  const std::function<const char*(const char*)>& aEnvironment) const
+{
+  SettingsOutcome outcome;
+  FlagReader flags(mAbout, mSpecs);
+  flags.Read(aCount, aArguments, outcome.mFaults);
+  if (flags.Help()) {
+    outcome.mText = HelpText(mProgram, mAbout, mSpecs);
+    return outcome;
+  }
+  if (flags.Version()) {
+    outcome.mText = mProgram + " " + std::string(kVersion) + "\n";
+    return outcome;
+  }
+  Settings settings;
+  settings.mCheckOnly = flags.Check();
+  for (size_t i = 0; i < mSpecs.size(); ++i) {
+    const SettingSpec& spec = mSpecs[i];
+    const std::string variable = VariableName(spec.mName);
+    const char* fromEnvironment = aEnvironment(variable.c_str());
+    const std::optional<std::string> flag = flags.Value(i);
+    const bool given = flag || fromEnvironment;
+    const std::string value = flag              ? *flag
+                              : fromEnvironment ? fromEnvironment
+                                                : spec.mDefault;
+    const std::string name =
+      "--" + spec.mName + (given && !flag ? " (" + variable + ")" : "");
+    if (spec.mRequired && !given) {
+      if (!flags.Broken()) {
+        outcome.mFaults.push_back(name + " must be given: " + spec.mHelp);
+      }
+      continue;
+    }
+    const std::string range = spec.mCheck ? spec.mCheck(value) : "";
+    if (!range.empty()) {
+      outcome.mFaults.push_back(name + " must be " + range + ", not \"" +
+                                value + "\"");
+    }
+    settings.mValues[spec.mName] = value;
+  }
+  if (outcome.mFaults.empty()) {
+    outcome.mSettings = std::move(settings);
+  }
+  return outcome;
+}
+
+} // namespace trefoilio
--- a/src/libtrefoilio/settings.h
+++ b/src/libtrefoilio/settings.h
@@ -12,12 +12,12 @@
 /** One setting: a flag `--name` and a variable `TREFOILARCH_NAME`. */
 struct SettingSpec
 {
-  std::string mName;    /**< with dashes, without the leading ones */
-  std::string mHelp;    /**< one line, with the unit */
-  std::string mDefault; /**< empty and mRequired: must be given */
+  std::string mName;      /**< with dashes, without the leading ones */
+  std::string mHelp;      /**< one line, with the unit */
+  std::string mDefault{}; /**< empty and mRequired: must be given */
   bool mRequired = false;
   /** Empty where the text is accepted, else the accepted range in words. */
-  std::function<std::string(const std::string&)> mCheck;
+  std::function<std::string(const std::string&)> mCheck{};
 };
 
 /** Ready checks for SettingSpec::mCheck. */
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -234,10 +234,8 @@
   RawSocket socket(static_cast<uint16_t>(std::stoi(port)));
   cr_assert(socket.Send("GET /cut HTTP/1.0\r\n\r\n"));
   socket.ReadAll();
-  char byte = 0;
   cr_assert(fixture.mClosed.Reaches(1));
   cr_assert(!socket.Send("x") || !socket.Send(std::string(1 << 20, 'x')));
-  (void)byte;
 }
 
 Test(httpserver, caller_that_leaves_is_noticed)
--- /dev/null
+++ b/tests/unit/metricstest.cpp
@@ -0,0 +1,66 @@
+#include "libtrefoilio/metrics.h"
+
+#include <criterion/criterion.h>
+
+#include <thread>
+#include <vector>
+
+using namespace trefoilio;
+
+namespace {
+
+bool
+Has(const std::string& aText, const std::string& aLine)
+{
+  return ("\n" + aText).find("\n" + aLine + "\n") != std::string::npos;
+}
+
+} // namespace
+
+Test(metrics, text_is_as_prometheus_reads_it)
+{
+  Metrics metrics;
+  metrics.Count("requests_total", "class=\"a\"", 2);
+  metrics.Count("requests_total", "class=\"a\"");
+  metrics.Count("requests_total");
+  metrics.SetGauge("open", 1.5);
+  metrics.SetGauge("open", 0.25);
+  for (const double value : { 0.0, 1.0, 1.5, 5.0, 1e9 }) {
+    metrics.Observe("turn_ms", value, "hop=\"x\"");
+  }
+  const std::string text = metrics.Text();
+  cr_assert(Has(text, "# TYPE requests_total counter"));
+  cr_assert(Has(text, "requests_total{class=\"a\"} 3"));
+  cr_assert(Has(text, "requests_total 1"));
+  cr_assert(Has(text, "# TYPE open gauge\nopen 0.25"));
+  cr_assert(Has(text, "# TYPE turn_ms histogram"));
+  cr_assert(Has(text, "turn_ms_bucket{hop=\"x\",le=\"0.1\"} 1"));
+  cr_assert(Has(text, "turn_ms_bucket{hop=\"x\",le=\"1\"} 2"));
+  cr_assert(Has(text, "turn_ms_bucket{hop=\"x\",le=\"2\"} 3"));
+  cr_assert(Has(text, "turn_ms_bucket{hop=\"x\",le=\"5\"} 4"));
+  cr_assert(Has(text, "turn_ms_bucket{hop=\"x\",le=\"300000\"} 4"));
+  cr_assert(Has(text, "turn_ms_bucket{hop=\"x\",le=\"+Inf\"} 5"));
+  cr_assert(Has(text, "turn_ms_sum{hop=\"x\"} 1000000007.5"));
+  cr_assert(Has(text, "turn_ms_count{hop=\"x\"} 5"));
+  cr_assert(metrics.CounterValue("requests_total", "class=\"a\"") == 3);
+  cr_assert(metrics.CounterValue("requests_total", "class=\"b\"") == 0);
+}
+
+Test(metrics, no_count_is_lost_between_threads)
+{
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&] {
+      for (int j = 0; j < 10000; ++j) {
+        metrics.Count("steps_total");
+        metrics.Observe("span_ms", 1);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  cr_assert(metrics.CounterValue("steps_total") == 40000);
+  cr_assert(Has(metrics.Text(), "span_ms_count 40000"));
+}
