Add classification, the policy log and the platform client, thin

Aim: the whole path needs a policy and a membership.

The log's row is the arbiter: row n+1 is inserted if absent and only after row n, so a process that slept through a compaction cannot write into its gap; an unsettled write is repeated in its own place, never in another; a question about an unseen change rules it out first (void_change), since its write may still be under way.

Not run yet against the platform stand-in; tests follow.

--- /dev/null
+++ b/src/libtrefoilarch/policycodec.cpp
@@ -0,0 +1,527 @@
+#include "policycodec.h"
+
+#include "jsonfields.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace trefoilarch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int64_t kLongestSpan = 86'400'000;
+constexpr double kMostWeight = 1000;
+constexpr double kLeastWeight = 0.001;
+
+constexpr std::array<std::string_view, 6> kOperatorNames = {
+  "equals", "not_equals", "in", "not_in", "exists", "not_exists",
+};
+
+Json
+ToJson(const Requirement& aValue)
+{
+  return { { "key", aValue.mKey },
+           { "op", kOperatorNames.at(static_cast<size_t>(aValue.mOperator)) },
+           { "values", aValue.mValues } };
+}
+
+template<typename T>
+Json
+ListToJson(const std::vector<T>& aValues)
+{
+  Json list = Json::array();
+  for (const T& value : aValues) {
+    list.push_back(ToJson(value));
+  }
+  return list;
+}
+
+Json
+ToJson(const RequestClass& aValue)
+{
+  return { { "name", aValue.mName },
+           { "tier", aValue.mTier },
+           { "floor", aValue.mFloor },
+           { "first_token_ms", aValue.mFirstTokenTarget.Count() },
+           { "between_token_ms", aValue.mBetweenTokenTarget.Count() },
+           { "deadline_ms", aValue.mDeadline.Count() },
+           { "idempotent", aValue.mIdempotent },
+           { "callers", ListToJson(aValue.mCallers) } };
+}
+
+Json
+ToJson(const Workspace& aValue)
+{
+  return { { "name", aValue.mName },
+           { "token_sha256", aValue.mTokenHash },
+           { "weight", aValue.mWeight },
+           { "default_class", aValue.mDefaultClass },
+           { "labels", aValue.mLabels } };
+}
+
+Json
+ToJson(const Selector& aValue)
+{
+  return { { "name", aValue.mName },
+           { "traffic", ListToJson(aValue.mTraffic) },
+           { "upstreams", ListToJson(aValue.mUpstreams) } };
+}
+
+Json
+ToJson(const UpstreamSettings& aValue)
+{
+  return { { "name", aValue.mName },
+           { "labels", aValue.mLabels },
+           { "drained", aValue.mDrained } };
+}
+
+template<typename T>
+Json
+MapToJson(const std::map<std::string, T>& aValues)
+{
+  Json list = Json::array();
+  for (const auto& [name, value] : aValues) {
+    list.push_back(ToJson(value));
+  }
+  return list;
+}
+
+Json
+ToJson(const Policy& aPolicy)
+{
+  return { { "version", aPolicy.mVersion },
+           { "classes", MapToJson(aPolicy.mClasses) },
+           { "workspaces", MapToJson(aPolicy.mWorkspaces) },
+           { "selectors", MapToJson(aPolicy.mSelectors) },
+           { "upstreams", MapToJson(aPolicy.mUpstreams) } };
+}
+
+Json
+LabelsToJson(const std::map<std::string, std::optional<std::string>>& aLabels)
+{
+  Json labels = Json::object();
+  for (const auto& [key, value] : aLabels) {
+    labels[key] = value ? Json(*value) : Json();
+  }
+  return labels;
+}
+
+/** Writes each kind of operation. */
+struct OperationWriter
+{
+  Json operator()(const SetClass& aOne) const
+  {
+    return { { "op", "set_class" }, { "class", ToJson(aOne.mClass) } };
+  }
+  Json operator()(const RemoveClass& aOne) const
+  {
+    return { { "op", "remove_class" }, { "name", aOne.mName } };
+  }
+  Json operator()(const SetWorkspace& aOne) const
+  {
+    return { { "op", "set_workspace" },
+             { "workspace", ToJson(aOne.mWorkspace) } };
+  }
+  Json operator()(const RemoveWorkspace& aOne) const
+  {
+    return { { "op", "remove_workspace" }, { "name", aOne.mName } };
+  }
+  Json operator()(const SetSelector& aOne) const
+  {
+    return { { "op", "set_selector" }, { "selector", ToJson(aOne.mSelector) } };
+  }
+  Json operator()(const RemoveSelector& aOne) const
+  {
+    return { { "op", "remove_selector" }, { "name", aOne.mName } };
+  }
+  Json operator()(const SetUpstreamLabels& aOne) const
+  {
+    return { { "op", "set_upstream_labels" },
+             { "upstream", aOne.mUpstream },
+             { "labels", LabelsToJson(aOne.mLabels) } };
+  }
+  Json operator()(const SetDrained& aOne) const
+  {
+    return { { "op", aOne.mDrained ? "drain" : "undrain" },
+             { "upstream", aOne.mUpstream } };
+  }
+  Json operator()(const ReplacePolicy& aOne) const
+  {
+    return { { "op", "replace_policy" }, { "policy", ToJson(aOne.mPolicy) } };
+  }
+  Json operator()(const VoidChange& aOne) const
+  {
+    return { { "op", "void_change" }, { "id", aOne.mId } };
+  }
+};
+
+Requirement
+ReadRequirement(const Json& aJson,
+                const std::string& aPath,
+                PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  Requirement value;
+  value.mKey = fields.Text("key");
+  const std::string name = fields.Text("op");
+  const auto place =
+    std::find(kOperatorNames.begin(), kOperatorNames.end(), name);
+  if (place == kOperatorNames.end()) {
+    fields.Fault(
+      "op", "must be equals, not_equals, in, not_in, exists or not_exists");
+  } else {
+    value.mOperator = static_cast<Operator>(place - kOperatorNames.begin());
+  }
+  fields.Each("values", [&](const Json& aValue, const std::string& aPlace) {
+    if (aValue.is_string()) {
+      value.mValues.push_back(aValue.get<std::string>());
+    } else {
+      aFaults.push_back({ aPlace, "must be a string" });
+    }
+  });
+  fields.Finish();
+  return value;
+}
+
+std::vector<Requirement>
+ReadRequirements(JsonFields& aFields,
+                 const std::string& aName,
+                 PolicyFaults& aFaults)
+{
+  std::vector<Requirement> values;
+  aFields.Each(aName, [&](const Json& aValue, const std::string& aPath) {
+    values.push_back(ReadRequirement(aValue, aPath, aFaults));
+  });
+  return values;
+}
+
+Labels
+ReadLabels(JsonFields& aFields, const std::string& aName)
+{
+  Labels labels;
+  const Json& member = aFields.Member(aName);
+  if (!member.is_null() && !member.is_object()) {
+    aFields.Fault(aName, "must be an object");
+    return labels;
+  }
+  for (const auto& [key, value] : member.items()) {
+    if (value.is_string()) {
+      labels[key] = value.get<std::string>();
+    } else {
+      aFields.Fault(aName + "." + key, "must be a string");
+    }
+  }
+  return labels;
+}
+
+Millis
+ReadSpan(JsonFields& aFields, const std::string& aName, Millis aDefault)
+{
+  return Millis(aFields.Integer(aName, 1, kLongestSpan, aDefault.Count()));
+}
+
+RequestClass
+ReadClass(const Json& aJson, const std::string& aPath, PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  RequestClass value;
+  value.mName = fields.Text("name");
+  value.mTier =
+    static_cast<Tier>(fields.Integer("tier", 0, kTierCount - 1, value.mTier));
+  value.mFloor = fields.Number("floor", 0, 1, value.mFloor);
+  value.mFirstTokenTarget =
+    ReadSpan(fields, "first_token_ms", value.mFirstTokenTarget);
+  value.mBetweenTokenTarget =
+    ReadSpan(fields, "between_token_ms", value.mBetweenTokenTarget);
+  value.mDeadline = ReadSpan(fields, "deadline_ms", value.mDeadline);
+  value.mIdempotent = fields.Flag("idempotent", value.mIdempotent);
+  value.mCallers = ReadRequirements(fields, "callers", aFaults);
+  fields.Finish();
+  return value;
+}
+
+Workspace
+ReadWorkspace(const Json& aJson,
+              const std::string& aPath,
+              PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  Workspace value;
+  value.mName = fields.Text("name");
+  value.mTokenHash = fields.Text("token_sha256", "");
+  value.mWeight =
+    fields.Number("weight", kLeastWeight, kMostWeight, value.mWeight);
+  value.mDefaultClass = fields.Text("default_class", "");
+  value.mLabels = ReadLabels(fields, "labels");
+  fields.Finish();
+  return value;
+}
+
+Selector
+ReadSelector(const Json& aJson, const std::string& aPath, PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  Selector value;
+  value.mName = fields.Text("name");
+  value.mTraffic = ReadRequirements(fields, "traffic", aFaults);
+  value.mUpstreams = ReadRequirements(fields, "upstreams", aFaults);
+  fields.Finish();
+  return value;
+}
+
+UpstreamSettings
+ReadUpstream(const Json& aJson, const std::string& aPath, PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  UpstreamSettings value;
+  value.mName = fields.Text("name");
+  value.mLabels = ReadLabels(fields, "labels");
+  value.mDrained = fields.Flag("drained", false);
+  fields.Finish();
+  return value;
+}
+
+template<typename T>
+std::map<std::string, T>
+ReadNamed(JsonFields& aFields,
+          const std::string& aName,
+          PolicyFaults& aFaults,
+          T (*aRead)(const Json&, const std::string&, PolicyFaults&))
+{
+  std::map<std::string, T> values;
+  aFields.Each(aName, [&](const Json& aValue, const std::string& aPath) {
+    T value = aRead(aValue, aPath, aFaults);
+    std::string name = value.mName;
+    if (!values.try_emplace(name, std::move(value)).second) {
+      aFaults.push_back({ aPath + ".name", "stands twice: " + name });
+    }
+  });
+  return values;
+}
+
+uint64_t
+ReadVersion(JsonFields& aFields)
+{
+  return static_cast<uint64_t>(aFields.Integer("version", 0, INT64_MAX, 0));
+}
+
+Policy
+ReadPolicy(const Json& aJson, const std::string& aPath, PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  Policy policy;
+  policy.mVersion = ReadVersion(fields);
+  policy.mClasses = ReadNamed(fields, "classes", aFaults, ReadClass);
+  policy.mWorkspaces = ReadNamed(fields, "workspaces", aFaults, ReadWorkspace);
+  policy.mSelectors = ReadNamed(fields, "selectors", aFaults, ReadSelector);
+  policy.mUpstreams = ReadNamed(fields, "upstreams", aFaults, ReadUpstream);
+  fields.Finish();
+  return policy;
+}
+
+SetUpstreamLabels
+ReadUpstreamLabels(JsonFields& aFields)
+{
+  SetUpstreamLabels value{ aFields.Text("upstream"), {} };
+  const Json& labels = aFields.Member("labels");
+  if (!labels.is_object()) {
+    aFields.Fault("labels", "must be an object");
+    return value;
+  }
+  for (const auto& [key, label] : labels.items()) {
+    if (label.is_string()) {
+      value.mLabels[key] = label.get<std::string>();
+    } else if (label.is_null()) {
+      value.mLabels[key] = std::nullopt;
+    } else {
+      aFields.Fault("labels." + key, "must be a string or null");
+    }
+  }
+  return value;
+}
+
+std::optional<PolicyOperation>
+ReadSetOperation(JsonFields& aFields,
+                 const std::string& aName,
+                 PolicyFaults& aFaults)
+{
+  if (aName == "set_class") {
+    return SetClass{ ReadClass(
+      aFields.Member("class"), aFields.PathOf("class"), aFaults) };
+  }
+  if (aName == "set_workspace") {
+    return SetWorkspace{ ReadWorkspace(
+      aFields.Member("workspace"), aFields.PathOf("workspace"), aFaults) };
+  }
+  if (aName == "set_selector") {
+    return SetSelector{ ReadSelector(
+      aFields.Member("selector"), aFields.PathOf("selector"), aFaults) };
+  }
+  if (aName == "replace_policy") {
+    return ReplacePolicy{ ReadPolicy(
+      aFields.Member("policy"), aFields.PathOf("policy"), aFaults) };
+  }
+  return std::nullopt;
+}
+
+std::optional<PolicyOperation>
+ReadNamedOperation(JsonFields& aFields, const std::string& aName)
+{
+  if (aName == "remove_class") {
+    return RemoveClass{ aFields.Text("name") };
+  }
+  if (aName == "remove_workspace") {
+    return RemoveWorkspace{ aFields.Text("name") };
+  }
+  if (aName == "remove_selector") {
+    return RemoveSelector{ aFields.Text("name") };
+  }
+  if (aName == "set_upstream_labels") {
+    return ReadUpstreamLabels(aFields);
+  }
+  if (aName == "drain" || aName == "undrain") {
+    return SetDrained{ aFields.Text("upstream"), aName == "drain" };
+  }
+  if (aName == "void_change") {
+    return VoidChange{ aFields.Text("id") };
+  }
+  return std::nullopt;
+}
+
+void
+ReadOperation(const Json& aJson,
+              const std::string& aPath,
+              PolicyChange& aChange,
+              PolicyFaults& aFaults)
+{
+  JsonFields fields(aJson, aPath, aFaults);
+  const std::string name = fields.Text("op");
+  std::optional<PolicyOperation> operation =
+    ReadSetOperation(fields, name, aFaults);
+  if (!operation) {
+    operation = ReadNamedOperation(fields, name);
+  }
+  if (!operation) {
+    fields.Fault("op", "is not a known operation: " + name);
+    return;
+  }
+  aChange.mOperations.push_back(std::move(*operation));
+  fields.Finish();
+}
+
+/** Parses text; notes a fault and gives null where it is not JSON. */
+Json
+Parse(const std::string& aText, PolicyFaults& aFaults)
+{
+  Json json = Json::parse(aText, nullptr, false);
+  if (json.is_discarded()) {
+    aFaults.push_back({ "body", "is not JSON" });
+    return Json::object();
+  }
+  return json;
+}
+
+} // namespace
+
+std::string
+PolicyToJson(const Policy& aPolicy)
+{
+  return ToJson(aPolicy).dump();
+}
+
+Reading<Policy>
+PolicyFromJson(const std::string& aText)
+{
+  Reading<Policy> reading;
+  const Json json = Parse(aText, reading.mFaults);
+  reading.mValue = ReadPolicy(json, "", reading.mFaults);
+  return reading;
+}
+
+std::string
+ChangeToJson(const PolicyChange& aChange)
+{
+  Json operations = Json::array();
+  for (const PolicyOperation& operation : aChange.mOperations) {
+    operations.push_back(std::visit(OperationWriter(), operation));
+  }
+  Json json = { { "id", aChange.mId },
+                { "author", aChange.mAuthor },
+                { "unix_seconds", aChange.mUnixSeconds },
+                { "operations", std::move(operations) } };
+  if (aChange.mBaseVersion) {
+    json["base_version"] = *aChange.mBaseVersion;
+  }
+  return json.dump();
+}
+
+Reading<PolicyChange>
+ChangeFromJson(const std::string& aText)
+{
+  Reading<PolicyChange> reading;
+  PolicyFaults& faults = reading.mFaults;
+  PolicyChange& change = reading.mValue;
+  const Json json = Parse(aText, faults);
+  JsonFields fields(json, "", faults);
+  change.mId = fields.Text("id");
+  change.mAuthor = fields.Text("author", "");
+  change.mUnixSeconds = fields.Integer("unix_seconds", 0, INT64_MAX, 0);
+  if (!fields.Member("base_version").is_null()) {
+    change.mBaseVersion =
+      static_cast<uint64_t>(fields.Integer("base_version", 0, INT64_MAX, 0));
+  }
+  if (!fields.Has("operations")) {
+    fields.Fault("operations", "is missing");
+  }
+  fields.Each("operations", [&](const Json& aOne, const std::string& aPath) {
+    ReadOperation(aOne, aPath, change, faults);
+  });
+  fields.Finish();
+  return reading;
+}
+
+std::string
+StateToJson(const PolicyState& aState)
+{
+  Json marks = Json::object();
+  for (const auto& [object, mark] : aState.mMarks) {
+    marks[object] = { { "version", mark.mVersion },
+                      { "author", mark.mAuthor } };
+  }
+  Json ids = Json::object();
+  for (const auto& [id, mark] : aState.mIds) {
+    ids[id] = { { "version", mark.mVersion }, { "voided", mark.mVoided } };
+  }
+  return Json{
+    { "policy", ToJson(*aState.mPolicy) },
+    { "marks", std::move(marks) },
+    { "ids", std::move(ids) }
+  }.dump();
+}
+
+Reading<PolicyState>
+StateFromJson(const std::string& aText)
+{
+  Reading<PolicyState> reading;
+  PolicyFaults& faults = reading.mFaults;
+  const Json json = Parse(aText, faults);
+  JsonFields fields(json, "", faults);
+  reading.mValue.mPolicy = std::make_shared<Policy>(
+    ReadPolicy(fields.Member("policy"), "policy", faults));
+  for (const auto& [object, value] : fields.Member("marks").items()) {
+    JsonFields mark(value, "marks." + object, faults);
+    reading.mValue.mMarks[object] = { ReadVersion(mark), mark.Text("author") };
+  }
+  for (const auto& [id, value] : fields.Member("ids").items()) {
+    JsonFields mark(value, "ids." + id, faults);
+    reading.mValue.mIds[id] = { ReadVersion(mark), mark.Flag("voided", false) };
+  }
+  return reading;
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/base64.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trefoilarch {
+
+/** Standard base64 with padding (RFC 4648), by OpenSSL. */
+std::string
+ToBase64(std::string_view aBytes);
+
+/** Empty where the text is not base64. */
+std::optional<std::string>
+FromBase64(std::string_view aText);
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/membershipservice.cpp
@@ -0,0 +1,133 @@
+#include "membershipservice.h"
+
+#include "libtrefoilio/logs.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace trefoilarch {
+
+namespace {
+
+constexpr unsigned kMostDoublings = 10;
+
+} // namespace
+
+MembershipService::MembershipService(MembershipServiceOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.mSeed))
+{
+}
+
+MembershipService::~MembershipService()
+{
+  Stop();
+}
+
+void
+MembershipService::Start(trefoilio::Kernel& /*aKernel*/)
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+MembershipService::Stop()
+{
+  mStop.Close();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+std::string
+MembershipService::DumpState() const
+{
+  std::lock_guard lock(mMutex);
+  const auto leaving =
+    std::count_if(mCurrent.mSidecars.begin(),
+                  mCurrent.mSidecars.end(),
+                  [](const SidecarMember& aOne) { return aOne.mLeaving; });
+  return nlohmann::json{
+    { "known", mKnown },
+    { "sidecars", mCurrent.mSidecars.size() },
+    { "sidecars_leaving", leaving },
+    { "entries", mCurrent.mEntries.size() },
+    { "failed_polls_in_a_row", mFailures },
+  }
+    .dump();
+}
+
+Membership
+MembershipService::Current() const
+{
+  std::lock_guard lock(mMutex);
+  return mCurrent;
+}
+
+bool
+MembershipService::Known() const
+{
+  std::lock_guard lock(mMutex);
+  return mKnown;
+}
+
+void
+MembershipService::Run()
+{
+  if (!mOptions.mPlatform) {
+    Tell(mOptions.mFixed);
+    return;
+  }
+  while (!mStop.Closed()) {
+    Poll();
+    mStop.PopFor(NextSpan());
+  }
+}
+
+void
+MembershipService::Poll()
+{
+  const std::optional<Membership> found = mOptions.mPlatform->ReadHosts();
+  bool changed = false;
+  {
+    std::lock_guard lock(mMutex);
+    mFailures = found ? 0 : mFailures + 1;
+    changed = found && (!mKnown || *found != mCurrent);
+  }
+  if (changed) {
+    Tell(*found);
+  }
+}
+
+void
+MembershipService::Tell(const Membership& aMembership)
+{
+  {
+    std::lock_guard lock(mMutex);
+    mCurrent = aMembership;
+    mKnown = true;
+  }
+  trefoilio::LogState(
+    trefoilio::LogLevel::Info,
+    "membership_changed",
+    { { "sidecars", std::to_string(aMembership.mSidecars.size()) },
+      { "entries", std::to_string(aMembership.mEntries.size()) } });
+  for (const OnMembership& hook : mHooks) {
+    hook(aMembership);
+  }
+}
+
+/** Between three and five quarters of the mean; longer in an outage. */
+Millis
+MembershipService::NextSpan()
+{
+  const int64_t factor = int64_t{ 1 } << std::min(mFailures, kMostDoublings);
+  const Millis mean =
+    std::min(mOptions.mPollSpan * factor, mOptions.mMostPollSpan);
+  std::uniform_int_distribution<int64_t> draw(mean.Count() * 3 / 4,
+                                              mean.Count() * 5 / 4);
+  return Millis(draw(mRandom));
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/membershipservice.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "platformclient.h"
+
+#include "libtrefoilarch/membership.h"
+#include "libtrefoilio/boundedring.h"
+#include "libtrefoilio/service.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace trefoilarch {
+
+struct MembershipServiceOptions
+{
+  /** Empty: mFixed is all there is. */
+  std::shared_ptr<const PlatformClient> mPlatform;
+  Membership mFixed;
+  Millis mPollSpan{ 1000 };
+  Millis mMostPollSpan{ 8000 }; /**< between polls in an outage */
+  uint64_t mSeed = 1;
+};
+
+/** Follows the platform's host list on a thread of its own. */
+class MembershipService final : public trefoilio::Service
+{
+public:
+  using OnMembership = std::function<void(const Membership&)>;
+
+  explicit MembershipService(MembershipServiceOptions aOptions);
+  ~MembershipService() override;
+
+  void Start(trefoilio::Kernel& aKernel) override;
+  void Stop() override;
+  std::string DumpState() const override;
+
+  /** Called at once at Start with the first list, and at each change, on the
+   * membership thread; set before Start. */
+  void Subscribe(OnMembership aHook) { mHooks.push_back(std::move(aHook)); }
+  Membership Current() const;
+  /** A list was read, or it is fixed. */
+  bool Known() const;
+
+private:
+  void Run();
+  void Poll();
+  void Tell(const Membership& aMembership);
+  Millis NextSpan();
+
+  MembershipServiceOptions mOptions;
+  std::vector<OnMembership> mHooks;
+  std::minstd_rand mRandom;
+  mutable std::mutex mMutex;
+  Membership mCurrent;
+  bool mKnown = false;
+  unsigned mFailures = 0;
+  /** Never filled: closing it ends the wait between two polls. */
+  trefoilio::BoundedRing<bool> mStop{ 1 };
+  std::thread mThread;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/policyhttp.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "libtrefoilio/httpmessage.h"
+
+namespace trefoilarch {
+
+class PolicyService;
+
+/** Answers the operator paths under /v1/policy for a PolicyService. */
+trefoilio::HttpReply
+HandlePolicyHttp(PolicyService& aService,
+                 const trefoilio::HttpRequest& aRequest);
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/policystore.cpp
@@ -0,0 +1,125 @@
+#include "policystore.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace trefoilarch {
+
+namespace {
+
+const std::string kLogPrefix = "policy/log/";
+/** The key after every row of the log: '0' follows '/'. */
+const std::string kLogEnd = "policy/log0";
+const std::string kSnapshotPrefix = "policy/snapshot/";
+constexpr size_t kDigits = 20;
+
+std::string
+Digits(uint64_t aVersion)
+{
+  std::string text = std::to_string(aVersion);
+  return std::string(kDigits - text.size(), '0') + text;
+}
+
+std::string
+RowKey(uint64_t aVersion)
+{
+  return kLogPrefix + Digits(aVersion);
+}
+
+/** The version in a key of the given prefix; 0 where there is none. */
+uint64_t
+VersionOf(const std::string& aKey, const std::string& aPrefix)
+{
+  const bool good =
+    aKey.size() == aPrefix.size() + kDigits && aKey.starts_with(aPrefix) &&
+    aKey.find_first_not_of("0123456789", aPrefix.size()) == std::string::npos;
+  return good ? std::stoull(aKey.substr(aPrefix.size())) : 0;
+}
+
+} // namespace
+
+PolicyStore::PolicyStore(std::shared_ptr<const PlatformClient> aPlatform)
+  : mPlatform(std::move(aPlatform))
+{
+}
+
+std::optional<std::vector<LogRow>>
+PolicyStore::Read(const ReadLog& aAction) const
+{
+  const auto found =
+    mPlatform->ReadRange(RowKey(aAction.mAfter + 1), kLogEnd, aAction.mLimit);
+  if (!found) {
+    return std::nullopt;
+  }
+  std::vector<LogRow> rows;
+  for (const TableRow& row : *found) {
+    rows.push_back({ VersionOf(row.mKey, kLogPrefix), row.mValue });
+  }
+  return rows;
+}
+
+InsertEnd
+PolicyStore::Insert(const InsertLogRow& aAction) const
+{
+  const uint64_t version = aAction.mRow.mVersion;
+  const bool first = version == 1;
+  TableTransaction transaction;
+  transaction.mConditions = {
+    { .mKey = RowKey(version) },
+    { .mKey = RowKey(version - 1),
+      .mRelation = first ? TableCondition::Relation::Equal
+                         : TableCondition::Relation::Greater },
+  };
+  transaction.mPuts = { { RowKey(version), aAction.mRow.mText } };
+  if (first) {
+    transaction.mPuts.emplace_back(RowKey(0), "{}");
+  }
+  switch (mPlatform->Commit(transaction)) {
+    case WriteEnd::Done:
+      return InsertEnd::Inserted;
+    case WriteEnd::Refused:
+      return InsertEnd::Refused;
+    case WriteEnd::NotDone:
+      return InsertEnd::NotSent;
+    case WriteEnd::Unknown:
+      break;
+  }
+  return InsertEnd::Unknown;
+}
+
+SnapshotFound
+PolicyStore::NewestSnapshot() const
+{
+  const auto keys = mPlatform->ListObjects(kSnapshotPrefix);
+  if (!keys) {
+    return {};
+  }
+  if (keys->empty()) {
+    return { true, "" };
+  }
+  const std::string newest = *std::max_element(keys->begin(), keys->end());
+  ObjectFound found = mPlatform->ReadObject(newest);
+  return { found.mBody.has_value(), found.mBody.value_or("") };
+}
+
+bool
+PolicyStore::Write(const WriteSnapshot& aAction) const
+{
+  const std::string key = kSnapshotPrefix + Digits(aAction.mVersion);
+  return mPlatform->WriteObject(key, aAction.mText) == WriteEnd::Done;
+}
+
+void
+PolicyStore::Compact(const CompactLog& aAction) const
+{
+  mPlatform->DeleteRange(RowKey(1), RowKey(aAction.mRowsBelow));
+  const auto keys = mPlatform->ListObjects(kSnapshotPrefix);
+  for (const std::string& key : keys.value_or(std::vector<std::string>())) {
+    const uint64_t version = VersionOf(key, kSnapshotPrefix);
+    if (version != 0 && version < aAction.mSnapshotsBelow) {
+      mPlatform->DeleteObject(key);
+    }
+  }
+}
+
+} // namespace trefoilarch
