--- /dev/null
+++ b/src/trefoilload/answerchecker.cpp
@@ -0,0 +1,160 @@
+#include "answerchecker.h"
+
+#include "requestbuilder.h"
+
+#include "common/servicetext.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace trefoilload {
+
+using nlohmann::json;
+using trefoilio::CallEnd;
+
+std::string
+Name(CallOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case CallOutcome::Open:
+      return "open";
+    case CallOutcome::Whole:
+      return "whole";
+    case CallOutcome::Refused:
+      return "refused";
+    case CallOutcome::Failed:
+      return "failed";
+    case CallOutcome::Wrong:
+      return "wrong";
+    case CallOutcome::Unanswered:
+      return "unanswered";
+  }
+  return "";
+}
+
+AnswerChecker::AnswerChecker(const TraceRequest& aRequest,
+                             const trefoilio::HttpRequest& aSent)
+  : mRequest(aRequest)
+  , mSent(aSent)
+{
+  if (mRequest.mService.empty()) {
+    mExpected = standin::AnswerTo(json::parse(mSent.mBody));
+  }
+}
+
+bool
+AnswerChecker::IsStream() const
+{
+  return mRequest.mStream && mRecord.mStatus == 200;
+}
+
+void
+AnswerChecker::TakeHead(int aStatus, const trefoilio::HttpHeaders& aHeaders)
+{
+  mRecord.mStatus = aStatus;
+  mRecord.mRequestId =
+    std::string(trefoilio::FindHeader(aHeaders, "X-Trefoilarch-Request-Id"));
+}
+
+void
+AnswerChecker::TakeData(const std::string& aData, int64_t aNow)
+{
+  if (!IsStream()) {
+    mBody += aData;
+    return;
+  }
+  if (mStreamed.Feed(aData) == 0) {
+    return;
+  }
+  if (mRecord.mFirst == 0) {
+    mRecord.mFirst = aNow;
+  } else {
+    mRecord.mLongestGap = std::max(mRecord.mLongestGap, aNow - mLastToken);
+  }
+  mLastToken = aNow;
+}
+
+void
+AnswerChecker::TakeEnd(CallEnd aEnd, int64_t aNow)
+{
+  mRecord.mEnded = aNow;
+  mRecord.mFirst = mRecord.mFirst == 0 ? aNow : mRecord.mFirst;
+  mRecord.mOutcome = Judge(aEnd == CallEnd::Whole);
+}
+
+CallOutcome
+AnswerChecker::Judge(bool aComplete)
+{
+  if (mRecord.mStatus == 0) {
+    return CallOutcome::Unanswered;
+  }
+  if (IsStream()) {
+    return JudgeStream(aComplete);
+  }
+  if (!aComplete) {
+    return CallOutcome::Unanswered;
+  }
+  if (mRecord.mStatus != 200) {
+    return JudgeError();
+  }
+  mRecord.mTokens = mRequest.mService.empty() ? mExpected.mTokens.size() : 1;
+  return IsRightBody() ? CallOutcome::Whole : CallOutcome::Wrong;
+}
+
+CallOutcome
+AnswerChecker::JudgeStream(bool aComplete)
+{
+  mRecord.mTokens = mStreamed.Tokens();
+  mRecord.mKind = mStreamed.ErrorKind();
+  mRecord.mRan = mStreamed.ErrorRan();
+  if (!mStreamed.IsPrefix(mExpected)) {
+    return CallOutcome::Wrong;
+  }
+  if (aComplete && mStreamed.IsWhole(mExpected)) {
+    return CallOutcome::Whole;
+  }
+  if (mStreamed.Done()) {
+    return CallOutcome::Wrong;
+  }
+  return mRecord.mKind.empty() ? CallOutcome::Unanswered : CallOutcome::Failed;
+}
+
+CallOutcome
+AnswerChecker::JudgeError()
+{
+  const json body = json::parse(mBody, nullptr, false);
+  if (!body.is_object() || !body.contains("error") ||
+      !body["error"].is_object()) {
+    return CallOutcome::Wrong;
+  }
+  const json& error = body["error"];
+  mRecord.mKind = error.value("kind", "");
+  mRecord.mRan = error.value("ran", "");
+  mRecord.mRetryAfter = error.value("retry_after_ms", int64_t(0));
+  if (mRecord.mKind.empty()) {
+    return CallOutcome::Wrong;
+  }
+  return mRecord.mRan == "no" ? CallOutcome::Refused : CallOutcome::Failed;
+}
+
+bool
+AnswerChecker::IsRightBody() const
+{
+  json body = json::parse(mBody, nullptr, false);
+  if (!body.is_object()) {
+    return false;
+  }
+  if (!mRequest.mService.empty()) {
+    return body.value("body_hash", "") ==
+             std::to_string(standin::HashOf(mSent.mBody)) &&
+           body.value("request_id", "").starts_with(mRecord.mRequestId);
+  }
+  const json choices = body.value("choices", json::array());
+  return choices.size() == 1 &&
+         body.value("id", "") == mExpected.CompletionId() &&
+         choices[0].value("finish_reason", "") == mExpected.FinishReason() &&
+         choices[0].value("message", json::object()).value("content", "") ==
+           mExpected.Content();
+}
+
+} // namespace trefoilload
