--- a/src/trefoilload/callrecord.h
+++ b/src/trefoilload/callrecord.h
@@ -24,6 +24,7 @@
 struct CallRecord
 {
   CallOutcome mOutcome = CallOutcome::Open;
+  std::string mMark; /**< names the request's executions */
   int mStatus = 0;
   std::string mRequestId; /**< as the entry gave it */
   std::string mKind;      /**< of an error */
--- a/src/trefoilload/executions.cpp
+++ b/src/trefoilload/executions.cpp
@@ -14,11 +14,12 @@
 
 constexpr trefoilarch::Millis kFetchTimeout(10000);
 
-/** `<request id>-<attempt>` without the attempt. */
+/** The mark of an execution: of a service, the end of its path. */
 std::string
-RequestOf(const std::string& aExecutionId)
+MarkOf(const json& aExecution)
 {
-  return aExecutionId.substr(0, aExecutionId.find('-'));
+  const std::string mark = aExecution.value("mark", "");
+  return mark.substr(mark.rfind('/') + 1);
 }
 
 } // namespace
@@ -40,7 +41,7 @@
       if (item.value("started_ms", int64_t(0)) < aSince) {
         continue;
       }
-      RequestExecutions& runs = executions[RequestOf(item.value("id", ""))];
+      RequestExecutions& runs = executions[MarkOf(item)];
       ++runs.mRuns;
       runs.mTokens += item.value("tokens", uint64_t(0));
     }
@@ -60,8 +61,8 @@
   }
   for (size_t i = 0; i < aRecords.size(); ++i) {
     const CallRecord& record = aRecords[i];
-    const auto found = aExecutions.find(record.mRequestId);
-    if (record.mRequestId.empty() || found == aExecutions.end()) {
+    const auto found = aExecutions.find(record.mMark);
+    if (found == aExecutions.end()) {
       continue;
     }
     if (record.mOutcome == CallOutcome::Whole) {
--- a/src/trefoilload/executions.h
+++ b/src/trefoilload/executions.h
@@ -17,7 +17,7 @@
   uint64_t mTokens = 0;
 };
 
-/** By the request's id as the entry gave it. */
+/** By the request's mark, which the router does not know of. */
 using Executions = std::map<std::string, RequestExecutions>;
 
 /** A stand-in's list of executions: its whole URL. */
--- a/src/trefoilload/replayer.cpp
+++ b/src/trefoilload/replayer.cpp
@@ -71,10 +71,11 @@
   {
     const std::string& entry =
       mOptions.mEntries[aNumber % mOptions.mEntries.size()];
+    const std::string mark = mOptions.mRun + "-" + std::to_string(aNumber);
     const std::lock_guard lock(mMutex);
     Flight& flight = mFlights.emplace_back(
-      aRequest,
-      BuildRequest(aRequest, aNumber, mOptions.mRun, entry, mOptions.mTokens));
+      aRequest, BuildRequest(aRequest, mark, entry, mOptions.mTokens));
+    flight.mChecker.Record().mMark = mark;
     flight.mChecker.Record().mSent = Now();
     ++mOpen;
     flight.mCall = aRunner.Start(flight.mSent, HooksOf(flight.mChecker));
--- a/src/trefoilload/requestbuilder.cpp
+++ b/src/trefoilload/requestbuilder.cpp
@@ -42,27 +42,25 @@
     .dump();
 }
 
-} // namespace
-
 std::string
-PathOf(const TraceRequest& aRequest)
+PathOf(const TraceRequest& aRequest, const std::string& aMark)
 {
   return aRequest.mService.empty()
            ? "/v1/chat/completions"
-           : "/v1/services/" + aRequest.mService + "/calls";
+           : "/v1/services/" + aRequest.mService + "/calls/" + aMark;
 }
 
+} // namespace
+
 trefoilio::HttpRequest
 BuildRequest(const TraceRequest& aRequest,
-             size_t aNumber,
-             const std::string& aRun,
+             const std::string& aMark,
              const std::string& aEntry,
              const Tokens& aTokens)
 {
-  const std::string mark = aRun + "-" + std::to_string(aNumber);
   trefoilio::HttpRequest request;
   request.mMethod = "POST";
-  request.mTarget = aEntry + PathOf(aRequest);
+  request.mTarget = aEntry + PathOf(aRequest, aMark);
   request.mHeaders = {
     { "Content-Type", "application/json" },
     { "X-Trefoilarch-Workspace", aRequest.mWorkspace },
@@ -73,15 +71,15 @@
     request.mHeaders.emplace_back("X-Trefoilarch-Labels", aRequest.mLabels);
   }
   if (!aRequest.mIdempotent) {
-    request.mHeaders.emplace_back("Idempotency-Key", mark);
+    request.mHeaders.emplace_back("Idempotency-Key", aMark);
   }
   if (const auto token = aTokens.find(aRequest.mWorkspace);
       token != aTokens.end()) {
     request.mHeaders.emplace_back("Authorization", "Bearer " + token->second);
   }
   request.mBody = aRequest.mService.empty()
-                    ? ChatBody(aRequest, mark)
-                    : Filler(mark, aRequest.mPromptTokens);
+                    ? ChatBody(aRequest, aMark)
+                    : Filler(aMark, aRequest.mPromptTokens);
   return request;
 }
 
