--- a/src/trefoilarchd/callerservice.cpp
+++ b/src/trefoilarchd/callerservice.cpp
@@ -2,6 +2,7 @@
 
 #include "answerreader.h"
 #include "answerwriter.h"
+#include "endpoint.h"
 #include "refusalreply.h"
 #include "routerservice.h"
 
@@ -109,10 +110,10 @@
   }.dump();
 }
 
-uint16_t
-CallerService::Port() const
+std::string
+CallerService::Address() const
 {
-  return mServer->Port();
+  return Endpoint{ mOptions.mHttp.mAddress, mServer->Port() }.Text();
 }
 
 RequestId
@@ -173,7 +174,7 @@
 CallerService::PolicyInForce() const
 {
   auto classifier = mOptions.mClassifier();
-  if (!classifier) {
+  if (!classifier || classifier->CurrentPolicy().mVersion == 0) {
     return Fail(Refusal{ .mKind = ErrorKind::PolicyUnknown,
                          .mRetryAfter = kComeBackSoon });
   }
--- a/src/trefoilarchd/callerservice.h
+++ b/src/trefoilarchd/callerservice.h
@@ -43,7 +43,8 @@
   void Stop() override;
   std::string DumpState() const override;
 
-  uint16_t Port() const;
+  /** `ADDRESS:PORT` as bound. */
+  std::string Address() const;
 
   /** From here on new requests are refused with ShuttingDown. */
   void Drain() { mDraining = true; }
--- a/src/trefoilarchd/operatorservice.cpp
+++ b/src/trefoilarchd/operatorservice.cpp
@@ -1,5 +1,7 @@
 #include "operatorservice.h"
 
+#include "endpoint.h"
+
 #include "libtrefoilio/kernel.h"
 
 #include <nlohmann/json.hpp>
@@ -64,10 +66,10 @@
   }.dump();
 }
 
-uint16_t
-OperatorService::Port() const
+std::string
+OperatorService::Address() const
 {
-  return mServer->Port();
+  return Endpoint{ mOptions.mAddress, mServer->Port() }.Text();
 }
 
 HttpReply
--- a/src/trefoilarchd/operatorservice.h
+++ b/src/trefoilarchd/operatorservice.h
@@ -41,7 +41,8 @@
   void Stop() override;
   std::string DumpState() const override;
 
-  uint16_t Port() const;
+  /** `ADDRESS:PORT` as bound. */
+  std::string Address() const;
 
 private:
   trefoilio::HttpReply Handle(const trefoilio::HttpRequest& aHttp);
--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -75,6 +75,12 @@
   mRing->Push(NewClassifier{ std::move(aClassifier) });
 }
 
+void
+RouterService::SetVersionHook(std::function<void(uint64_t)> aHook)
+{
+  mVersionHook = std::move(aHook);
+}
+
 std::string
 RouterService::DumpState() const
 {
@@ -154,32 +160,49 @@
     return;
   }
   found->second.mBackoff = mOptions.mFirstReconnect;
-  if (const auto* welcome = std::get_if<Welcome>(&aEvent.mMessage)) {
-    Learn(*welcome);
-  }
+  Learn(aEvent.mMessage);
   CarryOut(mCore.OnMessage(
     aEvent.mUpstream, std::move(aEvent.mMessage), trefoilio::MonotonicNow()));
 }
 
 void
-RouterService::Learn(const Welcome& aWelcome)
-{
-  const auto model = aWelcome.mLabels.find("model");
-  const std::lock_guard lock(mModelsMutex);
-  if (model == aWelcome.mLabels.end()) {
-    mModels.erase(aWelcome.mUpstream);
-  } else {
-    mModels[aWelcome.mUpstream] = model->second;
+RouterService::Learn(const SidecarMessage& aMessage)
+{
+  if (const auto* heartbeat = std::get_if<SidecarHeartbeat>(&aMessage)) {
+    mVersionHook(heartbeat->mPolicyVersion);
+  }
+  const auto* welcome = std::get_if<Welcome>(&aMessage);
+  if (!welcome) {
+    return;
   }
+  mVersionHook(welcome->mPolicyVersion);
+  const std::lock_guard lock(mKnownMutex);
+  mKnown[welcome->mUpstream] =
+    UpstreamView{ .mName = welcome->mUpstream,
+                  .mDataCentre = welcome->mDataCentre,
+                  .mLabels = welcome->mLabels };
+}
+
+std::vector<UpstreamView>
+RouterService::Upstreams() const
+{
+  std::vector<UpstreamView> upstreams;
+  const std::lock_guard lock(mKnownMutex);
+  for (const auto& [name, view] : mKnown) {
+    upstreams.push_back(view);
+  }
+  return upstreams;
 }
 
 std::vector<std::string>
 RouterService::Models() const
 {
   std::set<std::string> models;
-  const std::lock_guard lock(mModelsMutex);
-  for (const auto& [upstream, model] : mModels) {
-    models.insert(model);
+  for (const UpstreamView& upstream : Upstreams()) {
+    const auto model = upstream.mLabels.find("model");
+    if (model != upstream.mLabels.end()) {
+      models.insert(model->second);
+    }
   }
   return { models.begin(), models.end() };
 }
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -9,6 +9,7 @@
 #include "libtrefoilio/service.h"
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
@@ -66,10 +67,15 @@
 
   void SetSidecars(std::vector<SidecarAddress> aSidecars);
   void SetClassifier(std::shared_ptr<const Classifier> aClassifier);
+  /** Called with each policy version that a sidecar's message carries; set
+   * before Start. */
+  void SetVersionHook(std::function<void(uint64_t)> aHook);
 
   size_t OpenRequests() const { return mOpen; }
   /** Names of the models that some sidecar has told of, sorted. */
   std::vector<std::string> Models() const;
+  /** Upstreams as their sidecars have told of them. */
+  std::vector<UpstreamView> Upstreams() const;
 
 private:
   struct Submitted
@@ -127,7 +133,7 @@
   void On(Submitted aEvent);
   void On(const Left& aEvent);
   void On(FromSidecar aEvent);
-  void Learn(const Welcome& aWelcome);
+  void Learn(const SidecarMessage& aMessage);
   void On(const ChannelDown& aEvent);
   void On(NewSidecars aEvent);
   void On(NewClassifier aEvent);
@@ -156,8 +162,9 @@
   uint64_t mNextGeneration = 1;
   std::minstd_rand mRandom;
   std::atomic<size_t> mOpen = 0;
-  mutable std::mutex mModelsMutex;
-  std::map<UpstreamId, std::string> mModels;
+  std::function<void(uint64_t)> mVersionHook = [](uint64_t) {};
+  mutable std::mutex mKnownMutex;
+  std::map<UpstreamId, UpstreamView> mKnown;
   std::thread mThread;
 };
 
--- a/src/trefoilarchd/sidecarprocess.cpp
+++ b/src/trefoilarchd/sidecarprocess.cpp
@@ -1,5 +1,6 @@
 #include "endpoint.h"
 #include "grpcserverservice.h"
+#include "incarnation.h"
 #include "operatorservice.h"
 #include "process.h"
 #include "upstreamservice.h"
@@ -7,7 +8,7 @@
 #include "libtrefoilio/kernel.h"
 #include "libtrefoilio/metrics.h"
 
-#include <random>
+#include <atomic>
 #include <utility>
 
 namespace trefoilarch {
@@ -18,14 +19,6 @@
 using trefoilio::HttpRequest;
 using trefoilio::Settings;
 
-/** Another one at each start, so that a restart shows. */
-uint64_t
-DrawIncarnation()
-{
-  std::random_device random;
-  return (static_cast<uint64_t>(random()) << 32) | random();
-}
-
 std::string
 UpstreamName(const Settings& aSettings)
 {
@@ -82,8 +75,7 @@
   std::vector<std::string> Listening() const override
   {
     return { "sidecar " + mName + " " + mGrpc->Address(),
-             "operator " + mName + " " +
-               Endpoint{ "127.0.0.1", mOperators->Port() }.Text() };
+             "operator " + mName + " " + mOperators->Address() };
   }
 
   std::string NotReady() const override { return mDraining ? "draining" : ""; }
--- a/src/trefoilarchd/upstreamservice.cpp
+++ b/src/trefoilarchd/upstreamservice.cpp
@@ -90,12 +90,6 @@
   mRing.Push(SetDraining{ false });
 }
 
-void
-UpstreamService::SetPolicyVersion(uint64_t aVersion)
-{
-  mRing.Push(NewPolicyVersion{ aVersion });
-}
-
 void
 UpstreamService::Run()
 {
@@ -128,6 +122,11 @@
 void
 UpstreamService::On(FromEntry aEvent)
 {
+  if (const auto* hello = std::get_if<Hello>(&aEvent.mMessage)) {
+    PassOnVersion(hello->mPolicyVersion);
+  } else if (const auto* beat = std::get_if<EntryHeartbeat>(&aEvent.mMessage)) {
+    PassOnVersion(beat->mPolicyVersion);
+  }
   CarryOut(mCore.OnMessage(
     aEvent.mEntry, std::move(aEvent.mMessage), trefoilio::MonotonicNow()));
 }
@@ -231,9 +230,12 @@
 }
 
 void
-UpstreamService::On(const NewPolicyVersion& aEvent)
+UpstreamService::PassOnVersion(uint64_t aVersion)
 {
-  mCore.SetPolicyVersion(aEvent.mVersion);
+  if (aVersion > mPolicyVersion) {
+    mPolicyVersion = aVersion;
+    mCore.SetPolicyVersion(aVersion);
+  }
 }
 
 void
--- a/src/trefoilarchd/upstreamservice.h
+++ b/src/trefoilarchd/upstreamservice.h
@@ -51,7 +51,6 @@
   void Undrain();
   /** After Drain(): everything that ran is over and delivered. */
   bool Idle() const { return mIdle; }
-  void SetPolicyVersion(uint64_t aVersion);
 
 private:
   struct FromEntry
@@ -83,22 +82,12 @@
   {
     bool mDraining = false;
   };
-  struct NewPolicyVersion
-  {
-    uint64_t mVersion = 0;
-  };
   struct DumpRequest
   {
     std::shared_ptr<std::promise<std::string>> mAnswer;
   };
-  using Event = std::variant<FromEntry,
-                             EntryDown,
-                             Head,
-                             Data,
-                             End,
-                             SetDraining,
-                             NewPolicyVersion,
-                             DumpRequest>;
+  using Event = std::
+    variant<FromEntry, EntryDown, Head, Data, End, SetDraining, DumpRequest>;
 
   /** One call that the upstream is running. */
   struct Running
@@ -116,7 +105,8 @@
   void On(Data aEvent);
   void On(const End& aEvent);
   void On(const SetDraining& aEvent);
-  void On(const NewPolicyVersion& aEvent);
+  /** A sidecar keeps no policy; it lets entries hear of each other's. */
+  void PassOnVersion(uint64_t aVersion);
   void On(const DumpRequest& aEvent);
   CallEvent Conclude(const AttemptKey& aKey,
                      const Running& aRunning,
@@ -135,6 +125,7 @@
   mutable trefoilio::BoundedRing<Event> mRing;
   SidecarServer mServer;
   std::unordered_map<AttemptKey, Running> mRunning;
+  uint64_t mPolicyVersion = 0;
   std::atomic<bool> mIdle = false;
   std::unique_ptr<trefoilio::CallRunner> mCalls;
   std::thread mThread;
