--- /dev/null
+++ b/tests/integration/childprocess.cpp
@@ -0,0 +1,152 @@
+#include "childprocess.h"
+
+#include "await.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace integration {
+
+namespace {
+
+int
+OpenLog(const std::string& aProgram)
+{
+  const char* folder = std::getenv("TREFOILARCH_TEST_LOGS");
+  const std::string path = folder == nullptr
+                             ? std::string("/dev/null")
+                             : std::string(folder) + "/" + aProgram + "-" +
+                                 std::to_string(getpid()) + ".log";
+  return open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
+
+[[noreturn]] void
+Become(const std::vector<char*>& aArguments, int aOutput, int aLog)
+{
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  dup2(aOutput, STDOUT_FILENO);
+  dup2(aLog, STDERR_FILENO);
+  execv(aArguments[0], aArguments.data());
+  _exit(127);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(std::string aProgram,
+                           std::vector<std::string> aArguments)
+  : mProgram(std::move(aProgram))
+{
+  std::array<int, 2> ends{};
+  if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+    throw std::system_error(errno, std::generic_category(), "pipe");
+  }
+  aArguments.insert(aArguments.begin(),
+                    std::string(TREFOILARCH_BIN) + "/" + mProgram);
+  std::vector<char*> arguments;
+  for (std::string& argument : aArguments) {
+    arguments.push_back(argument.data());
+  }
+  arguments.push_back(nullptr);
+  const int log = OpenLog(mProgram);
+  mId = fork();
+  if (mId == 0) {
+    Become(arguments, ends[1], log);
+  }
+  close(ends[1]);
+  close(log);
+  mReader = std::thread(&ChildProcess::ReadOutput, this, ends[0]);
+}
+
+ChildProcess::~ChildProcess()
+{
+  Kill();
+  mReader.join();
+}
+
+void
+ChildProcess::ReadOutput(int aFd)
+{
+  std::array<char, 4096> bytes;
+  std::string text;
+  ssize_t got = 0;
+  while ((got = read(aFd, bytes.data(), bytes.size())) > 0) {
+    text.append(bytes.data(), static_cast<size_t>(got));
+    size_t end = 0;
+    while ((end = text.find('\n')) != std::string::npos) {
+      const std::lock_guard lock(mMutex);
+      mLines.push_back(text.substr(0, end));
+      text.erase(0, end + 1);
+    }
+  }
+  close(aFd);
+}
+
+bool
+ChildProcess::HasSaid(const std::string& aStart) const
+{
+  const std::lock_guard lock(mMutex);
+  for (const std::string& line : mLines) {
+    if (line.starts_with(aStart)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string
+ChildProcess::Address(const std::string& aRole)
+{
+  const std::string start = "listening " + aRole + " ";
+  const bool said =
+    Await([&] { return HasSaid(start) || HasEnded(); }) && HasSaid(start);
+  if (!said) {
+    throw std::runtime_error(mProgram + " does not listen as " + aRole);
+  }
+  const std::lock_guard lock(mMutex);
+  for (const std::string& line : mLines) {
+    if (line.starts_with(start)) {
+      return line.substr(line.rfind(' ') + 1);
+    }
+  }
+  return "";
+}
+
+void
+ChildProcess::Signal(int aSignal) const
+{
+  if (!mReaped) {
+    kill(mId, aSignal);
+  }
+}
+
+void
+ChildProcess::Kill()
+{
+  if (!mReaped) {
+    kill(mId, SIGKILL);
+    waitpid(mId, &mStatus, 0);
+    mReaped = true;
+  }
+}
+
+bool
+ChildProcess::HasEnded()
+{
+  if (!mReaped && waitpid(mId, &mStatus, WNOHANG) == mId) {
+    mReaped = true;
+  }
+  return mReaped;
+}
+
+} // namespace integration
