--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -48,7 +48,7 @@
     StartAt(aLink, *request, *offer, aNow);
     return;
   }
-  CloseAttempt(*offer, false, aNow);
+  CloseAttempt(*offer, aNow);
   if (!HasReadyOffer(*request)) {
     PlaceOrConclude(*request, aNow);
   }
@@ -57,7 +57,7 @@
 void
 EntryCore::Impl::StartAt(UpstreamLink& aLink,
                          OpenRequest& aRequest,
-                         Attempt aOffer,
+                         EntryAttempt aOffer,
                          Millis aNow)
 {
   aOffer.mStarted = aNow;
@@ -190,7 +190,7 @@
 {
   OpenRequest* request = StartedAt(aLink, aMessage.mKey);
   if (!request) {
-    OnStray(aLink, aMessage.mKey, aNow);
+    Confirm(aLink, aMessage.mKey);
     return;
   }
   const bool broken =
@@ -247,21 +247,36 @@
   }
   OpenRequest* request = StartedAt(aLink, aMessage.mKey);
   if (!request) {
-    const bool runs = aMessage.mState == AttemptState::Running;
-    if (runs && aLink.mWithdrawn.contains(aMessage.mKey)) {
-      Send(aLink, trefoilarch::Withdraw{ aMessage.mKey }, aNow);
-    } else {
-      Confirm(aLink, aMessage.mKey);
-    }
+    OnLedgerEntryOfStray(aLink, aMessage, aNow);
     return;
   }
-  if (aMessage.mState == AttemptState::Unknown) {
+  const bool askedBefore = std::exchange(request->mAskedForMissing, true);
+  const bool runs = aMessage.mState == AttemptState::Running;
+  if (aMessage.mState == AttemptState::Unknown || (askedBefore && !runs)) {
     LoseStarted(*request, aNow);
-  } else {
+  } else if (!askedBefore) {
     Send(aLink, Resume{ aMessage.mKey, request->mNextChunk }, aNow);
   }
 }
 
+void
+EntryCore::Impl::OnLedgerEntryOfStray(UpstreamLink& aLink,
+                                      const LedgerEntry& aMessage,
+                                      Millis aNow)
+{
+  const bool withdrawn = aLink.mWithdrawn.contains(aMessage.mKey);
+  if (!withdrawn) {
+    mCounters.mDropped++;
+    return;
+  }
+  if (aMessage.mState != AttemptState::Running) {
+    Confirm(aLink, aMessage.mKey);
+  }
+  if (aMessage.mState != AttemptState::Unknown) {
+    Send(aLink, trefoilarch::Withdraw{ aMessage.mKey }, aNow);
+  }
+}
+
 void
 EntryCore::Impl::OnStray(UpstreamLink& aLink,
                          const AttemptKey& aKey,
@@ -273,7 +288,7 @@
     return;
   }
   if (!aLink.mWithdrawn.contains(aKey)) {
-    Withdraw(aLink, aKey, true, aNow);
+    Withdraw(aLink, aKey, aNow);
   }
 }
 
@@ -301,7 +316,7 @@
   return current ? request : nullptr;
 }
 
-std::optional<Attempt>
+std::optional<EntryAttempt>
 EntryCore::Impl::TakeOffer(const UpstreamLink& aLink,
                            OpenRequest& aRequest,
                            const AttemptKey& aKey)
@@ -309,13 +324,13 @@
   const auto place = std::find_if(
     aRequest.mOffers.begin(),
     aRequest.mOffers.end(),
-    [&](const Attempt& aOffer) {
+    [&](const EntryAttempt& aOffer) {
       return aOffer.mKey == aKey && aOffer.mUpstream == aLink.mView.mName;
     });
   if (place == aRequest.mOffers.end()) {
     return std::nullopt;
   }
-  Attempt offer = std::move(*place);
+  EntryAttempt offer = std::move(*place);
   aRequest.mOffers.erase(place);
   return offer;
 }
--- a/src/libtrefoilarch/entrychannels.cpp
+++ b/src/libtrefoilarch/entrychannels.cpp
@@ -114,12 +114,8 @@
 void
 EntryCore::Impl::Recover(UpstreamLink& aLink, Millis aNow)
 {
-  for (const auto& [key, started] : aLink.mWithdrawn) {
-    if (started) {
-      Send(aLink, trefoilarch::Withdraw{ key }, aNow);
-    } else {
-      Send(aLink, VoidOrReport{ key }, aNow);
-    }
+  for (const AttemptKey& key : aLink.mWithdrawn) {
+    Send(aLink, VoidOrReport{ key }, aNow);
   }
   for (const auto& [key, chunks] : aLink.mWhole) {
     Send(aLink, Ack{ key, chunks }, aNow);
@@ -146,14 +142,15 @@
     }
     request->mRetryAt = Millis::Never();
     Watch(*request);
-    if (request->mNextChunk > 0) {
+    request->mAskedForMissing = request->mNextChunk > 0;
+    if (request->mAskedForMissing) {
       Send(aLink, Resume{ aKey, request->mNextChunk }, aNow);
     } else {
       Send(aLink, VoidOrReport{ aKey }, aNow);
     }
     return;
   }
-  for (Attempt& offer : request->mOffers) {
+  for (EntryAttempt& offer : request->mOffers) {
     if (offer.mKey == aKey) {
       offer.mIncarnation = aLink.mIncarnation;
       Send(aLink, OfferFor(*request, aKey, aNow), aNow);
@@ -192,7 +189,7 @@
       continue;
     }
     aLink.mOpen.erase(key);
-    Withdraw(aLink, key, false, aNow);
+    Withdraw(aLink, key, aNow);
     if (!HasReadyOffer(*request)) {
       PlaceOrConclude(*request, aNow);
     }
@@ -244,10 +241,9 @@
 void
 EntryCore::Impl::Withdraw(UpstreamLink& aLink,
                           const AttemptKey& aKey,
-                          bool aStarted,
                           Millis aNow)
 {
-  aLink.mWithdrawn[aKey] = aStarted;
+  aLink.mWithdrawn.insert(aKey);
   Remember(aLink, aKey, aNow);
   if (aLink.Ready()) {
     Send(aLink, trefoilarch::Withdraw{ aKey }, aNow);
@@ -255,9 +251,7 @@
 }
 
 void
-EntryCore::Impl::CloseAttempt(const Attempt& aAttempt,
-                              bool aStarted,
-                              Millis aNow)
+EntryCore::Impl::CloseAttempt(const EntryAttempt& aAttempt, Millis aNow)
 {
   UpstreamLink* link = LinkOf(aAttempt.mUpstream);
   if (!link) {
@@ -265,7 +259,7 @@
   }
   link->mOpen.erase(aAttempt.mKey);
   if (aAttempt.mIncarnation == link->mIncarnation) {
-    Withdraw(*link, aAttempt.mKey, aStarted, aNow);
+    Withdraw(*link, aAttempt.mKey, aNow);
   }
   Watch(*link, aNow);
 }
@@ -292,6 +286,13 @@
   }
 }
 
+bool
+EntryCore::Impl::NeedsChannel(const UpstreamId& aUpstream) const
+{
+  const auto place = mLinks.find(aUpstream);
+  return place != mLinks.end() && !place->second.mOpen.empty();
+}
+
 UpstreamLink*
 EntryCore::Impl::LinkOf(const UpstreamId& aUpstream)
 {
--- a/src/libtrefoilarch/entrycore.cpp
+++ b/src/libtrefoilarch/entrycore.cpp
@@ -72,6 +72,12 @@
   mImpl->SetClassifier(std::move(aClassifier));
 }
 
+bool
+EntryCore::NeedsChannel(const UpstreamId& aUpstream) const
+{
+  return mImpl->NeedsChannel(aUpstream);
+}
+
 size_t
 EntryCore::OpenRequests() const
 {
--- a/src/libtrefoilarch/entrycore.h
+++ b/src/libtrefoilarch/entrycore.h
@@ -122,6 +122,11 @@
                             Millis aNow);
   void SetClassifier(std::shared_ptr<const Classifier> aClassifier);
 
+  /**
+   * Whether requests still run at the upstream. The caller keeps the channel
+   * of an upstream that is off the list for as long.
+   */
+  bool NeedsChannel(const UpstreamId& aUpstream) const;
   /** Requests that have no final answer yet. */
   size_t OpenRequests() const;
   Millis NextWake() const;
--- a/src/libtrefoilarch/entryimpl.h
+++ b/src/libtrefoilarch/entryimpl.h
@@ -52,6 +52,7 @@
   void SetClassifier(std::shared_ptr<const Classifier> aClassifier);
 
   EntryActions TakeActions();
+  bool NeedsChannel(const UpstreamId& aUpstream) const;
   size_t OpenRequests() const { return mRequests.size(); }
   Millis NextWake() const;
   std::string DumpState(Millis aNow) const;
@@ -69,7 +70,8 @@
   // Placing and concluding requests.
   void Place(OpenRequest& aRequest, Millis aNow);
   void PlaceOrConclude(OpenRequest& aRequest, Millis aNow);
-  Candidates FindCandidates(const OpenRequest& aRequest);
+  Candidates FindCandidates(const OpenRequest& aRequest, Millis aNow);
+  static bool MayComeBack(const UpstreamLink& aLink, Millis aNow);
   bool MayGo(const OpenRequest& aRequest, const UpstreamLink& aLink) const;
   bool HasReadyOffer(const OpenRequest& aRequest) const;
   void SendOffer(OpenRequest& aRequest, UpstreamLink& aLink, Millis aNow);
@@ -103,26 +105,26 @@
   void On(UpstreamLink& aLink, const SidecarHeartbeat& aMessage, Millis aNow);
   OpenRequest* RequestOf(const AttemptKey& aKey);
   OpenRequest* StartedAt(const UpstreamLink& aLink, const AttemptKey& aKey);
-  static std::optional<Attempt> TakeOffer(const UpstreamLink& aLink,
-                                          OpenRequest& aRequest,
-                                          const AttemptKey& aKey);
+  static std::optional<EntryAttempt> TakeOffer(const UpstreamLink& aLink,
+                                               OpenRequest& aRequest,
+                                               const AttemptKey& aKey);
   void StartAt(UpstreamLink& aLink,
                OpenRequest& aRequest,
-               Attempt aOffer,
+               EntryAttempt aOffer,
                Millis aNow);
   void Deliver(OpenRequest& aRequest, Chunk aChunk);
   void AckIfDue(UpstreamLink& aLink, OpenRequest& aRequest, Millis aNow);
   /** A message for an attempt that is not open any more. */
+  void OnLedgerEntryOfStray(UpstreamLink& aLink,
+                            const LedgerEntry& aMessage,
+                            Millis aNow);
   void OnStray(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
   void AskForMissing(UpstreamLink& aLink, OpenRequest& aRequest, Millis aNow);
 
   // Channels.
   void Send(UpstreamLink& aLink, EntryMessage aMessage, Millis aNow);
-  void Withdraw(UpstreamLink& aLink,
-                const AttemptKey& aKey,
-                bool aStarted,
-                Millis aNow);
-  void CloseAttempt(const Attempt& aAttempt, bool aStarted, Millis aNow);
+  void Withdraw(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
+  void CloseAttempt(const EntryAttempt& aAttempt, Millis aNow);
   void Remember(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
   void Confirm(UpstreamLink& aLink, const AttemptKey& aKey);
   void Recover(UpstreamLink& aLink, Millis aNow);
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -12,6 +12,9 @@
 /** How long a request waits for a channel that is being opened again. */
 constexpr Millis kHoldSpan{ 2000 };
 
+/** An upstream that was not reached for this long is not waited for. */
+constexpr Millis kReconnectSpan{ 3000 };
+
 /** Reruns of one request. */
 constexpr uint32_t kMostRetries = 3;
 
@@ -58,7 +61,7 @@
     Watch(aRequest);
     return;
   }
-  const Candidates candidates = FindCandidates(aRequest);
+  const Candidates candidates = FindCandidates(aRequest, aNow);
   const Millis holdUntil = aRequest.mHoldUntil.value_or(aNow + kHoldSpan);
   if (!candidates.mMoreLater || aNow >= holdUntil) {
     ConcludeWithError(aRequest, NothingUsable(aRequest, candidates), aNow);
@@ -73,7 +76,7 @@
 void
 EntryCore::Impl::Place(OpenRequest& aRequest, Millis aNow)
 {
-  Candidates candidates = FindCandidates(aRequest);
+  Candidates candidates = FindCandidates(aRequest, aNow);
   std::vector<UpstreamLink*>& usable = candidates.mUsable;
   const auto busyness = [](const UpstreamLink* aLink) {
     return aLink->mLoad.mRunning + aLink->mLoad.mWaiting + aLink->mOpen.size();
@@ -82,7 +85,7 @@
     return busyness(aLeft) < busyness(aRight);
   });
   size_t ready = 0;
-  for (const Attempt& offer : aRequest.mOffers) {
+  for (const EntryAttempt& offer : aRequest.mOffers) {
     ready += LinkOf(offer.mUpstream)->Ready() ? 1 : 0;
   }
   for (UpstreamLink* link : usable) {
@@ -95,12 +98,12 @@
 }
 
 EntryCore::Impl::Candidates
-EntryCore::Impl::FindCandidates(const OpenRequest& aRequest)
+EntryCore::Impl::FindCandidates(const OpenRequest& aRequest, Millis aNow)
 {
   Candidates candidates;
   for (auto& [name, link] : mLinks) {
     if (!link.mWelcomed) {
-      candidates.mMoreLater |= link.mListed;
+      candidates.mMoreLater |= link.mListed && MayComeBack(link, aNow);
       continue;
     }
     if (!link.TakesWork() || !MayGo(aRequest, link)) {
@@ -113,9 +116,9 @@
     const bool offered = std::any_of(
       aRequest.mOffers.begin(),
       aRequest.mOffers.end(),
-      [&](const Attempt& aOffer) { return aOffer.mUpstream == name; });
+      [&](const EntryAttempt& aOffer) { return aOffer.mUpstream == name; });
     if (!link.Ready()) {
-      candidates.mMoreLater = true;
+      candidates.mMoreLater |= MayComeBack(link, aNow);
     } else if (!offered) {
       candidates.mUsable.push_back(&link);
     }
@@ -123,6 +126,13 @@
   return candidates;
 }
 
+bool
+EntryCore::Impl::MayComeBack(const UpstreamLink& aLink, Millis aNow)
+{
+  return aNow < std::max(aLink.mListedSince, aLink.mHealth.DownSince()) +
+                  kReconnectSpan;
+}
+
 bool
 EntryCore::Impl::MayGo(const OpenRequest& aRequest,
                        const UpstreamLink& aLink) const
@@ -146,7 +156,7 @@
 {
   return std::any_of(aRequest.mOffers.begin(),
                      aRequest.mOffers.end(),
-                     [this](const Attempt& aOffer) {
+                     [this](const EntryAttempt& aOffer) {
                        const auto place = mLinks.find(aOffer.mUpstream);
                        return place != mLinks.end() && place->second.Ready();
                      });
@@ -186,8 +196,8 @@
 void
 EntryCore::Impl::DropOffers(OpenRequest& aRequest, Millis aNow)
 {
-  for (const Attempt& offer : std::exchange(aRequest.mOffers, {})) {
-    CloseAttempt(offer, false, aNow);
+  for (const EntryAttempt& offer : std::exchange(aRequest.mOffers, {})) {
+    CloseAttempt(offer, aNow);
   }
 }
 
@@ -216,9 +226,9 @@
 void
 EntryCore::Impl::LoseStarted(OpenRequest& aRequest, Millis aNow)
 {
-  const Attempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
+  const EntryAttempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
   aRequest.mMayHaveRun = true;
-  CloseAttempt(attempt, true, aNow);
+  CloseAttempt(attempt, aNow);
   RetryOrConclude(aRequest,
                   { ErrorKind::OutcomeUnknown,
                     Ran::Maybe,
@@ -274,7 +284,7 @@
 void
 EntryCore::Impl::ConcludeWhole(OpenRequest& aRequest, Millis aNow)
 {
-  const Attempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
+  const EntryAttempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
   const uint64_t chunks = aRequest.mNextChunk;
   mCounters.mWholeAnswers++;
   mActions.emplace_back(AnswerEnd{ aRequest.mRequest.mId });
@@ -292,7 +302,7 @@
 {
   DropOffers(aRequest, aNow);
   if (aRequest.mStarted) {
-    CloseAttempt(*aRequest.mStarted, true, aNow);
+    CloseAttempt(*aRequest.mStarted, aNow);
   }
   const RequestId id = aRequest.mRequest.mId;
   mRequestTimers.Clear(id);
--- a/src/libtrefoilarch/openrequest.h
+++ b/src/libtrefoilarch/openrequest.h
@@ -12,7 +12,7 @@
 namespace trefoilarch {
 
 /** One try of a request, as the entry sees it. */
-struct Attempt
+struct EntryAttempt
 {
   AttemptKey mKey;
   UpstreamId mUpstream;
@@ -34,9 +34,9 @@
   std::optional<Millis> mHoldUntil{};
 
   uint32_t mLastAttempt = 0;
-  std::vector<Attempt> mOffers{};
+  std::vector<EntryAttempt> mOffers{};
   /** The attempt that was sent its Start. At most one at a time. */
-  std::optional<Attempt> mStarted{};
+  std::optional<EntryAttempt> mStarted{};
   /** A Start was sent that was never proved void, now or earlier. */
   bool mMayHaveRun = false;
 
--- a/src/libtrefoilarch/upstreamlink.h
+++ b/src/libtrefoilarch/upstreamlink.h
@@ -26,14 +26,15 @@
   ChannelHealth mHealth;
   bool mListed = true;   /**< in the last SetUpstreams() */
   bool mLeaving = false; /**< by the host list's word */
+  Millis mListedSince;
   bool mWelcomed = false;
   uint64_t mIncarnation = 0;
   Load mLoad;
 
   /** Offers that wait there and attempts that were started there. */
   std::set<AttemptKey> mOpen;
-  /** Withdrawn, not confirmed by the sidecar; true: Start had been sent. */
-  std::map<AttemptKey, bool> mWithdrawn;
+  /** Withdrawn, and not confirmed by the sidecar. */
+  std::set<AttemptKey> mWithdrawn;
   /** Answered as a whole, with the chunk count of the last Ack. */
   std::map<AttemptKey, uint64_t> mWhole;
   /** When to forget members of mWithdrawn and mWhole, in order of time. */
--- /dev/null
+++ b/tests/unit/entryfaultstest.cpp
@@ -0,0 +1,160 @@
+#include "virtualfleet.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <iostream>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr Millis kFaultsEnd{ 16000 };
+constexpr Millis kLongestDeadline{ 20000 };
+/** Longer than every deadline and span together. */
+constexpr Millis kQuiet{ 60000 };
+
+std::shared_ptr<const Classifier>
+AnyUpstream()
+{
+  auto policy = std::make_shared<Policy>();
+  policy->mVersion = 1;
+  policy->mSelectors["all"] = { .mName = "all",
+                                .mTraffic = {},
+                                .mUpstreams = {} };
+  return std::make_shared<const Classifier>(std::move(policy));
+}
+
+/** Requests and faults drawn from one seed, and the checks on what came. */
+class Storm
+{
+public:
+  Storm(uint64_t aSeed, size_t aFaults, VirtualEngines aEngines)
+    : mRandom(aSeed)
+    , mFleet(aSeed, kSidecars, aEngines, AnyUpstream())
+  {
+    for (size_t i = 0; i < kRequests; i++) {
+      mFleet.At(Draw(kFaultsEnd), [this] { Ask(); });
+    }
+    for (size_t i = 0; i < aFaults; i++) {
+      mFleet.At(Draw(kFaultsEnd), [this] { Fault(); });
+    }
+  }
+
+  VirtualFleet& Run()
+  {
+    mFleet.Run(kQuiet);
+    return mFleet;
+  }
+
+private:
+  static constexpr size_t kSidecars = 3;
+  static constexpr size_t kRequests = 40;
+
+  Millis Draw(Millis aMost)
+  {
+    return Millis(
+      std::uniform_int_distribution<int64_t>(0, aMost.Count())(mRandom));
+  }
+
+  void Ask()
+  {
+    const RequestId id =
+      mFleet.Ask(mRandom() % 2 == 0, Millis(500) + Draw(kLongestDeadline));
+    if (mRandom() % 8 == 0) {
+      mFleet.At(mFleet.Now() + Draw(Millis(800)),
+                [this, id] { mFleet.Leave(id); });
+    }
+  }
+
+  void Fault()
+  {
+    const UpstreamId name = "engine-" + std::to_string(mRandom() % kSidecars);
+    const Millis until = mFleet.Now() + Draw(Millis(8000));
+    switch (mRandom() % 7) {
+      case 0:
+        return mFleet.Silence(name, true, false);
+      case 1:
+        return mFleet.Silence(name, false, true);
+      case 2:
+        return mFleet.Silence(name, true, true);
+      case 3:
+        return mFleet.Restart(name);
+      case 4:
+        return mFleet.Isolate(name, until);
+      case 5:
+        return mFleet.Freeze(name, until);
+      default:
+        return mFleet.Cut(name);
+    }
+  }
+
+  std::mt19937_64 mRandom;
+  VirtualFleet mFleet;
+};
+
+void
+CheckCaller(RequestId aId, const VirtualCaller& aCaller)
+{
+  const std::string truth = VirtualFleet::TrueAnswer(aId);
+  RC_ASSERT(aCaller.Ended() != aCaller.mLeft);
+  RC_ASSERT(truth.starts_with(aCaller.mData));
+  if (aCaller.mWhole) {
+    RC_ASSERT(aCaller.mData == truth);
+  }
+  if (!aCaller.mIdempotent) {
+    RC_ASSERT(aCaller.mRuns <= 1);
+  }
+  if (!aCaller.mLeft) {
+    RC_ASSERT(aCaller.mEnded <= aCaller.mDeadline);
+  }
+  if (aCaller.mRefusal && aCaller.mRefusal->mRan == Ran::No) {
+    RC_ASSERT(aCaller.mRuns == 0);
+    RC_ASSERT(!aCaller.mHead);
+  }
+  if (aCaller.mRefusal && AnswerFor(aCaller.mRefusal->mKind).mWorthRetrying) {
+    RC_ASSERT(aCaller.mRefusal->mRetryAfter > Millis());
+  }
+}
+
+} // namespace
+
+Test(entryfaults, answers_are_whole_once_and_honest_under_faults)
+{
+  std::map<std::string, int> endings;
+  const bool holds = rc::check(
+    "answers are whole, once and honest under faults", [&](uint64_t aSeed) {
+      const size_t faults = aSeed % 25;
+      Storm storm(aSeed, faults, { .mCrash = 0.02, .mRefuse = 0.05 });
+      VirtualFleet& fleet = storm.Run();
+      RC_ASSERT(fleet.Entry().OpenRequests() == 0U);
+      for (const auto& [id, caller] : fleet.Callers()) {
+        CheckCaller(id, caller);
+        endings[caller.mWhole ? "whole"
+                : caller.mLeft
+                  ? "left"
+                  : std::string(Name(caller.mRefusal->mKind)) + " " +
+                      std::string(Name(caller.mRefusal->mRan))]++;
+      }
+    });
+  for (const auto& [ending, count] : endings) {
+    std::cout << ending << ": " << count << "\n";
+  }
+  cr_assert(holds);
+}
+
+Test(entryfaults, without_faults_every_answer_is_whole_at_the_first_try)
+{
+  const bool holds =
+    rc::check("without faults every answer is whole at the first try",
+              [](uint64_t aSeed) {
+                Storm storm(aSeed, 0, {});
+                VirtualFleet& fleet = storm.Run();
+                RC_ASSERT(fleet.Reopened().empty());
+                for (const auto& [id, caller] : fleet.Callers()) {
+                  RC_ASSERT(caller.mWhole || caller.mLeft);
+                  RC_ASSERT(caller.mRuns <= 1);
+                }
+              });
+  cr_assert(holds);
+}
--- /dev/null
+++ b/tests/unit/virtualfleet.h
@@ -0,0 +1,480 @@
+#pragma once
+
+#include "libtrefoilarch/entrycore.h"
+#include "libtrefoilarch/sidecarcore.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+namespace trefoilarch {
+
+/** What one caller of a VirtualFleet asked for and got. */
+struct VirtualCaller
+{
+  bool mIdempotent = true;
+  Millis mArrived;
+  Millis mDeadline;
+  bool mHead = false;
+  std::string mData;
+  bool mWhole = false;
+  bool mLeft = false;
+  std::optional<Refusal> mRefusal;
+  Millis mEnded;
+  /** Times that an upstream began to work on it. */
+  int mRuns = 0;
+
+  bool Ended() const { return mWhole || mRefusal; }
+};
+
+/** How the upstreams of a VirtualFleet behave; chances from 0 to 1. */
+struct VirtualEngines
+{
+  double mCrash = 0;
+  double mRefuse = 0;
+  Millis mMostPause{ 100 };
+};
+
+/**
+ * One EntryCore and several SidecarCores with small fakes of upstreams, joined
+ * by a fake network in virtual time. Throws where a rule of the interface is
+ * broken. All chance comes from the seed.
+ */
+class VirtualFleet
+{
+public:
+  VirtualFleet(uint64_t aSeed,
+               size_t aSidecars,
+               VirtualEngines aEngines,
+               std::shared_ptr<const Classifier> aClassifier)
+    : mRandom(aSeed)
+    , mEngines(aEngines)
+    , mEntry(std::make_unique<EntryCore>(EntryOptions{ .mEntry = kEntry,
+                                                       .mDataCentre = "riga-1",
+                                                       .mSeed = aSeed }))
+  {
+    mEntry->SetClassifier(std::move(aClassifier));
+    std::vector<UpstreamView> views;
+    for (size_t i = 0; i < aSidecars; i++) {
+      const UpstreamId name = "engine-" + std::to_string(i);
+      views.push_back({ .mName = name, .mDataCentre = "", .mLabels = {} });
+      mHosts[name].mName = name;
+      Boot(mHosts[name]);
+    }
+    CarryOut(mEntry->SetUpstreams(views, {}, mNow));
+    for (auto& [name, host] : mHosts) {
+      Open(host);
+    }
+  }
+
+  /** The answer that every upstream gives to the request. */
+  static std::string TrueAnswer(RequestId aId)
+  {
+    std::string answer;
+    for (uint64_t i = 0; i < Parts(aId); i++) {
+      answer += Part(aId, i);
+    }
+    return answer;
+  }
+
+  void At(Millis aWhen, std::function<void()> aWhat)
+  {
+    mEvents.emplace(std::pair(std::max(aWhen, mNow), mNextEvent++),
+                    std::move(aWhat));
+  }
+
+  void Run(Millis aUntil)
+  {
+    size_t still = 0;
+    while (true) {
+      const Millis next = std::max(NextDue(), mNow);
+      if (next > aUntil) {
+        mNow = aUntil;
+        return;
+      }
+      still = next == mNow ? still + 1 : 0;
+      Demand(still < kMostAtOnce, "time stands still");
+      mNow = next;
+      Step();
+    }
+  }
+
+  RequestId Ask(bool aIdempotent, Millis aDeadline)
+  {
+    const RequestId id{ mRandom(), mRandom() };
+    mCallers[id] = { .mIdempotent = aIdempotent,
+                     .mArrived = mNow,
+                     .mDeadline = mNow + aDeadline };
+    EntryRequest request;
+    request.mId = id;
+    request.mClassified.mLevel.mClass = "agents";
+    request.mClassified.mDeadline = aDeadline;
+    request.mClassified.mIdempotent = aIdempotent;
+    request.mClassified.mTraffic = { { "model", "base" } };
+    request.mCall.mBody = id.Text();
+    request.mCall.mTokenStream = true;
+    request.mPromptTokens = 100;
+    request.mPrefixHash = id.mLow;
+    CarryOut(mEntry->OnRequest(std::move(request), mNow));
+    return id;
+  }
+
+  void Leave(RequestId aId)
+  {
+    VirtualCaller& caller = mCallers.at(aId);
+    if (!caller.Ended()) {
+      caller.mLeft = true;
+      CarryOut(mEntry->OnCallerLeft(aId, mNow));
+    }
+  }
+
+  /** Both ends see the connection break, each after a while. */
+  void Cut(const UpstreamId& aName)
+  {
+    Host& host = mHosts.at(aName);
+    if (host.mChannel == 0) {
+      return;
+    }
+    host.mChannel = 0;
+    At(mNow + Chance(50), [this, &host] { TellEntryOfCut(host); });
+    At(mNow + Chance(50), [this, &host] {
+      if (host.mHeard == 0 || host.mHeard != host.mChannel) {
+        host.mHeard = 0;
+        CarryOut(host, host.mCore->OnEntryDown(kEntry, mNow));
+      }
+    });
+  }
+
+  /** The present connection swallows bytes; nobody is told. */
+  void Silence(const UpstreamId& aName, bool aUp, bool aDown)
+  {
+    Host& host = mHosts.at(aName);
+    host.mSilentUp |= aUp;
+    host.mSilentDown |= aDown;
+  }
+
+  /** The sidecar's process is replaced; what it knew is gone. */
+  void Restart(const UpstreamId& aName)
+  {
+    Host& host = mHosts.at(aName);
+    Cut(aName);
+    host.mCalls.clear();
+    Boot(host);
+  }
+
+  /** No new connection to the host works until then. */
+  void Isolate(const UpstreamId& aName, Millis aUntil)
+  {
+    mHosts.at(aName).mUnreachableUntil = aUntil;
+    Cut(aName);
+  }
+
+  /** The sidecar's process stands still until then. */
+  void Freeze(const UpstreamId& aName, Millis aUntil)
+  {
+    mHosts.at(aName).mFrozenUntil = aUntil;
+  }
+
+  void Drain(const UpstreamId& aName)
+  {
+    Host& host = mHosts.at(aName);
+    CarryOut(host, host.mCore->Drain(mNow));
+  }
+
+  EntryCore& Entry() { return *mEntry; }
+  Millis Now() const { return mNow; }
+  const std::map<RequestId, VirtualCaller>& Callers() const { return mCallers; }
+  const std::set<UpstreamId>& Reopened() const { return mReopened; }
+  /** Executions begun at each upstream. */
+  const std::map<UpstreamId, int>& Runs() const { return mRuns; }
+
+private:
+  struct Host
+  {
+    UpstreamId mName;
+    std::unique_ptr<SidecarCore> mCore;
+    std::set<AttemptKey> mCalls;
+    uint64_t mBoots = 0;
+    /** The newest connection's number, 0 for none; and the sidecar's. */
+    uint64_t mChannel = 0;
+    uint64_t mHeard = 0;
+    bool mSilentUp = false;
+    bool mSilentDown = false;
+    Millis mLastUp;
+    Millis mLastDown;
+    Millis mUnreachableUntil;
+    Millis mFrozenUntil;
+  };
+
+  static constexpr const char* kEntry = "entry-1";
+  static constexpr size_t kMostAtOnce = 5000;
+
+  static uint64_t Parts(RequestId aId) { return 1 + aId.mLow % 8; }
+  static std::string Part(RequestId aId, uint64_t aNumber)
+  {
+    return aId.Text() + ":" + std::to_string(aNumber) + ";";
+  }
+  static void Demand(bool aTrue, const char* aWhat)
+  {
+    if (!aTrue) {
+      throw std::logic_error(aWhat);
+    }
+  }
+
+  Millis Chance(int64_t aMost)
+  {
+    return Millis(std::uniform_int_distribution<int64_t>(0, aMost)(mRandom));
+  }
+  bool Happens(double aChance)
+  {
+    return std::bernoulli_distribution(aChance)(mRandom);
+  }
+
+  Millis NextDue() const
+  {
+    Millis next =
+      mEvents.empty() ? Millis::Never() : mEvents.begin()->first.first;
+    next = std::min(next, mEntry->NextWake());
+    for (const auto& [name, host] : mHosts) {
+      next =
+        std::min(next, std::max(host.mCore->NextWake(), host.mFrozenUntil));
+    }
+    return next;
+  }
+
+  void Step()
+  {
+    if (!mEvents.empty() && mEvents.begin()->first.first <= mNow) {
+      const auto event = std::move(mEvents.begin()->second);
+      mEvents.erase(mEvents.begin());
+      event();
+      return;
+    }
+    if (mEntry->NextWake() <= mNow) {
+      CarryOut(mEntry->OnTick(mNow));
+    }
+    for (auto& [name, host] : mHosts) {
+      if (host.mCore->NextWake() <= mNow && host.mFrozenUntil <= mNow) {
+        CarryOut(host, host.mCore->OnTick(mNow));
+      }
+    }
+  }
+
+  void Boot(Host& aHost)
+  {
+    aHost.mBoots++;
+    aHost.mHeard = 0;
+    aHost.mCore = std::make_unique<SidecarCore>(
+      SidecarOptions{ .mUpstream = aHost.mName,
+                      .mDataCentre = "riga-1",
+                      .mLabels = { { "model", "base" } },
+                      .mIncarnation = mRandom() | 1,
+                      .mSeed = mRandom() });
+  }
+
+  void Open(Host& aHost)
+  {
+    if (aHost.mChannel != 0) {
+      return;
+    }
+    if (mNow < aHost.mUnreachableUntil) {
+      At(aHost.mUnreachableUntil, [this, &aHost] { Open(aHost); });
+      return;
+    }
+    aHost.mChannel = mNextChannel++;
+    aHost.mSilentUp = false;
+    aHost.mSilentDown = false;
+    CarryOut(mEntry->OnChannelUp(aHost.mName, mNow));
+  }
+
+  void TellEntryOfCut(Host& aHost)
+  {
+    if (aHost.mChannel != 0) {
+      return;
+    }
+    CarryOut(mEntry->OnChannelDown(aHost.mName, mNow));
+    At(mNow + Chance(300), [this, &aHost] { Open(aHost); });
+  }
+
+  void CarryOut(EntryActions aActions)
+  {
+    for (EntryAction& action : aActions) {
+      std::visit([this](auto& aKnown) { Do(aKnown); }, action);
+    }
+  }
+
+  void Do(SendToSidecar& aAction)
+  {
+    Host& host = mHosts.at(aAction.mUpstream);
+    if (host.mChannel != 0) {
+      host.mLastUp = std::max(host.mLastUp, mNow + Chance(5));
+      At(host.mLastUp,
+         [this, &host, channel = host.mChannel, message = aAction.mMessage] {
+           ToSidecar(host, channel, message);
+         });
+    }
+  }
+
+  void ToSidecar(Host& aHost, uint64_t aChannel, EntryMessage aMessage)
+  {
+    if (aHost.mChannel != aChannel || aHost.mSilentUp) {
+      return;
+    }
+    if (mNow < aHost.mFrozenUntil) {
+      At(aHost.mFrozenUntil, [this, &aHost, aChannel, aMessage] {
+        ToSidecar(aHost, aChannel, aMessage);
+      });
+      return;
+    }
+    aHost.mHeard = aChannel;
+    CarryOut(aHost, aHost.mCore->OnMessage(kEntry, std::move(aMessage), mNow));
+  }
+
+  void Do(ReopenChannel& aAction)
+  {
+    Host& host = mHosts.at(aAction.mUpstream);
+    mReopened.insert(aAction.mUpstream);
+    host.mChannel = 0;
+    At(mNow + Chance(20), [this, &host] { Open(host); });
+  }
+
+  VirtualCaller& CallerOf(RequestId aId)
+  {
+    VirtualCaller& caller = mCallers.at(aId);
+    Demand(!caller.Ended(), "something after the final answer");
+    Demand(!caller.mLeft, "something for a caller that left");
+    return caller;
+  }
+
+  void Do(AnswerHead& aAction)
+  {
+    VirtualCaller& caller = CallerOf(aAction.mId);
+    Demand(!caller.mHead, "a second head");
+    Demand(aAction.mStatus == 200, "another status");
+    caller.mHead = true;
+  }
+
+  void Do(AnswerData& aAction)
+  {
+    VirtualCaller& caller = CallerOf(aAction.mId);
+    Demand(caller.mHead, "data before the head");
+    caller.mData += aAction.mData;
+  }
+
+  void Do(AnswerEnd& aAction)
+  {
+    VirtualCaller& caller = CallerOf(aAction.mId);
+    caller.mWhole = true;
+    caller.mEnded = mNow;
+  }
+
+  void Do(AnswerError& aAction)
+  {
+    VirtualCaller& caller = CallerOf(aAction.mId);
+    caller.mRefusal = aAction.mRefusal;
+    caller.mEnded = mNow;
+  }
+
+  void CarryOut(Host& aHost, SidecarActions aActions)
+  {
+    for (SidecarAction& action : aActions) {
+      std::visit([&](auto& aKnown) { Do(aHost, aKnown); }, action);
+    }
+  }
+
+  void Do(Host& aHost, SendToEntry& aAction)
+  {
+    if (aHost.mHeard == 0) {
+      return;
+    }
+    aHost.mLastDown = std::max(aHost.mLastDown, mNow + Chance(5));
+    At(aHost.mLastDown,
+       [this, &aHost, channel = aHost.mHeard, message = aAction.mMessage] {
+         if (aHost.mChannel == channel && !aHost.mSilentDown) {
+           CarryOut(mEntry->OnMessage(aHost.mName, message, mNow));
+         }
+       });
+  }
+
+  void Do(Host& aHost, StartCall& aAction)
+  {
+    const RequestId id = aAction.mKey.mRequest;
+    Demand(aAction.mCall.mBody == id.Text(), "another request's call");
+    if (Happens(mEngines.mRefuse)) {
+      Later(
+        aHost,
+        CallFailed{ aAction.mKey, ErrorKind::UpstreamUnreachable, Ran::No });
+      return;
+    }
+    mCallers.at(id).mRuns++;
+    mRuns[aHost.mName]++;
+    aHost.mCalls.insert(aAction.mKey);
+    Later(aHost, CallHead{ aAction.mKey, 200, {} });
+    Produce(aHost, aAction.mKey, 0);
+  }
+
+  void Do(Host& aHost, CancelCall& aAction)
+  {
+    aHost.mCalls.erase(aAction.mKey);
+  }
+
+  void Produce(Host& aHost, AttemptKey aKey, uint64_t aPart)
+  {
+    const Millis when = mNow + Chance(mEngines.mMostPause.Count());
+    At(when, [this, &aHost, aKey, aPart, boots = aHost.mBoots] {
+      if (aHost.mBoots != boots || !aHost.mCalls.contains(aKey)) {
+        return;
+      }
+      if (Happens(mEngines.mCrash)) {
+        aHost.mCalls.erase(aKey);
+        Later(aHost, CallFailed{ aKey, ErrorKind::UpstreamFailed, Ran::Maybe });
+      } else if (aPart < Parts(aKey.mRequest)) {
+        Later(aHost, CallData{ aKey, Part(aKey.mRequest, aPart), 1 });
+        Produce(aHost, aKey, aPart + 1);
+      } else {
+        aHost.mCalls.erase(aKey);
+        Later(
+          aHost,
+          CallDone{ aKey, 100, static_cast<uint32_t>(Parts(aKey.mRequest)) });
+      }
+    });
+  }
+
+  /** Tells the sidecar, as soon as its process moves. */
+  void Later(Host& aHost, CallEvent aEvent)
+  {
+    At(std::max(mNow, aHost.mFrozenUntil),
+       [this, &aHost, aEvent, boots = aHost.mBoots] {
+         if (aHost.mBoots != boots) {
+           return;
+         }
+         if (mNow < aHost.mFrozenUntil) {
+           Later(aHost, aEvent);
+           return;
+         }
+         CarryOut(aHost, aHost.mCore->OnCall(aEvent, mNow));
+       });
+  }
+
+  std::mt19937_64 mRandom;
+  VirtualEngines mEngines;
+  Millis mNow{ 1000 };
+  std::map<std::pair<Millis, uint64_t>, std::function<void()>> mEvents;
+  uint64_t mNextEvent = 0;
+  uint64_t mNextChannel = 1;
+  std::map<UpstreamId, Host> mHosts;
+  std::unique_ptr<EntryCore> mEntry;
+  std::map<RequestId, VirtualCaller> mCallers;
+  std::set<UpstreamId> mReopened;
+  std::map<UpstreamId, int> mRuns;
+};
+
+} // namespace trefoilarch
