Call an entry ready only when its sidecars have answered

Cause: the end-to-end test was refused with unknown_model: the entry had read an empty host list, taken "all of none have answered" for settled, and called itself ready before the platform listed a single sidecar. Ruled out: the model's label and the policy (a second later the same request was answered). Change: settled needs a listed sidecar, and each one's first word or two seconds.

--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -154,7 +154,10 @@
     if (!mPolicy->Known()) {
       return "no policy is known yet";
     }
-    return mMembership->Known() ? "" : "no host list is known yet";
+    if (!mMembership->Known()) {
+      return "no host list is known yet";
+    }
+    return mRouter->Settled() ? "" : "the sidecars have not answered yet";
   }
 
   void Drain() override
--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -109,6 +109,7 @@
     }
     ReopenDue(now);
     mOpen = mCore.OpenRequests();
+    LookWhetherSettled(now);
   }
 }
 
@@ -160,6 +161,7 @@
     return;
   }
   found->second.mBackoff = mOptions.mFirstReconnect;
+  found->second.mHeard = true;
   Learn(aEvent.mMessage);
   CarryOut(mCore.OnMessage(
     aEvent.mUpstream, std::move(aEvent.mMessage), trefoilio::MonotonicNow()));
@@ -248,6 +250,9 @@
   }
   std::swap(mLinks, kept);
   const Millis now = trefoilio::MonotonicNow();
+  if (!mLinks.empty()) {
+    mFirstList = mFirstList.value_or(now);
+  }
   CarryOut(mCore.SetUpstreams(std::move(upstreams), leaving, now));
   for (auto& [name, link] : kept) {
     CloseChannel(link);
@@ -376,6 +381,19 @@
   }
 }
 
+void
+RouterService::LookWhetherSettled(Millis aNow)
+{
+  if (mSettled || !mFirstList) {
+    return;
+  }
+  const bool heardAll =
+    std::all_of(mLinks.begin(), mLinks.end(), [](const auto& aOne) {
+      return aOne.second.mHeard;
+    });
+  mSettled = heardAll || aNow - *mFirstList >= mOptions.mSettleSpan;
+}
+
 void
 RouterService::ReopenDue(Millis aNow)
 {
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -43,6 +44,8 @@
   size_t mRingCapacity = 65536;
   Millis mFirstReconnect{ 100 };
   Millis mMostReconnect{ 2000 };
+  /** How long the first channels may take before the entry is ready. */
+  Millis mSettleSpan{ 2000 };
 };
 
 /**
@@ -72,6 +75,11 @@
   void SetVersionHook(std::function<void(uint64_t)> aHook);
 
   size_t OpenRequests() const { return mOpen; }
+  /**
+   * Some sidecar is listed, and each has been heard or has had its time to
+   * answer.
+   */
+  bool Settled() const { return mSettled; }
   /** Names of the models that some sidecar has told of, sorted. */
   std::vector<std::string> Models() const;
   /** Upstreams as their sidecars have told of them. */
@@ -126,6 +134,7 @@
     uint64_t mGeneration = 0;
     Millis mReopenAt = Millis::Never();
     Millis mBackoff;
+    bool mHeard = false;
   };
 
   void Run();
@@ -149,6 +158,7 @@
   void OpenChannel(const UpstreamId& aUpstream, Link& aLink);
   void CloseChannel(Link& aLink);
   void ReopenDue(Millis aNow);
+  void LookWhetherSettled(Millis aNow);
   Millis Wait(Millis aNow) const;
 
   RouterOptions mOptions;
@@ -162,6 +172,8 @@
   uint64_t mNextGeneration = 1;
   std::minstd_rand mRandom;
   std::atomic<size_t> mOpen = 0;
+  std::optional<Millis> mFirstList;
+  std::atomic<bool> mSettled = false;
   std::function<void(uint64_t)> mVersionHook = [](uint64_t) {};
   mutable std::mutex mKnownMutex;
   std::map<UpstreamId, UpstreamView> mKnown;
