--- /dev/null
+++ b/src/libtrefoilarch/admission.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "messages.h"
+#include "millis.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace trefoilarch {
+
+class Room;
+class Schedule;
+class ServiceRate;
+
+/** A request as Admission looks at it. */
+struct Prospect
+{
+  ServiceLevel mLevel;
+  uint64_t mTokens = 0;
+  /** From start to end, at the least. */
+  Millis mLeastTime;
+  /** Until the start is too late for the first-token target. */
+  Millis mStartDue;
+  Millis mDeadline;
+};
+
+/**
+ * Says which requests can't meet their deadline, from the measured drain rate
+ * and the tokens that start before them, and when to come back.
+ *
+ * Only requests of its own and higher tiers count against a request; a class
+ * that lives on its floor is judged by the floor. An upstream with nothing
+ * running is always tried, so a bad measurement can't shut it for good.
+ */
+class Admission
+{
+public:
+  Admission(const Schedule& aSchedule,
+            const Room& aRoom,
+            const ServiceRate& aRate,
+            uint64_t aSeed);
+
+  /** When to come back, if a new request can't meet its deadline. */
+  std::optional<Millis> Refuse(const Prospect& aProspect, Millis aNow);
+  /** The same for one that waits and can't be on time any more. */
+  std::optional<Millis> GiveUp(const Prospect& aProspect, Millis aNow);
+  /** When a place is likely, jittered so that callers don't return at once. */
+  Millis RetryAfter(const ServiceLevel& aLevel, Millis aNow);
+
+private:
+  double Wait(const Prospect& aProspect, bool aLate, Millis aNow) const;
+  double FloorWait(const ServiceLevel& aLevel) const;
+  /** Tokens in flight at the most, whichever bound is reached first. */
+  uint64_t Limit() const;
+  Millis Jittered(double aSpan);
+
+  const Schedule& mSchedule;
+  const Room& mRoom;
+  const ServiceRate& mRate;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/scheduleclass.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "millis.h"
+#include "waitingrequest.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+namespace trefoilarch {
+
+/**
+ * The waiting requests of one class at one upstream, with fair shares by
+ * tokens between its workspaces: start-time fair queueing (Goyal, Vin and
+ * Cheng, 1996), whose cost is logarithmic in the workspaces that wait.
+ */
+class ScheduleClass
+{
+public:
+  void Add(const WaitingRequest& aRequest);
+  void Remove(const WaitingRequest& aRequest);
+  /** Moves a request behind those that can still be on time. */
+  void MarkLate(WaitingRequest& aRequest);
+
+  /** The class's next request, on time or late; null if there is none. */
+  const WaitingRequest* Next(bool aLate) const;
+  /** The next request, those on time first. */
+  const WaitingRequest* Next() const;
+  /** Who arrived last. */
+  const WaitingRequest& LastArrival() const;
+
+  /** Counts tokens for a workspace, or gives some back. */
+  void Charge(const std::string& aWorkspace, int64_t aTokens);
+
+  /** Tokens that start before a new request of the workspace does. */
+  uint64_t TokensAhead(const std::string& aWorkspace,
+                       double aWeight,
+                       bool aLate) const;
+
+  size_t Waiting() const { return mByArrival.size(); }
+  uint64_t Tokens(bool aLate) const { return mTokens[aLate ? 1 : 0]; }
+
+  double mFloor = 0;
+  size_t mRunning = 0;
+  /** The count of regular starts at which a floor turn falls due. */
+  uint64_t mFloorStart = 0;
+  /** Since when it has waited without a start. */
+  Millis mSince;
+
+private:
+  struct Workspace
+  {
+    const std::string* mName = nullptr;
+    uint64_t mOrder = 0; /**< breaks ties the same way in every run */
+    double mWeight = 1;
+    /** Tokens had for the weight, on the class's virtual clock. */
+    double mServed = 0;
+    std::array<uint64_t, 2> mTokens{};
+    std::array<UrgencyQueue, 2> mLanes{}; /**< on time, late */
+
+    bool IsIdle() const { return mLanes[0].empty() && mLanes[1].empty(); }
+  };
+
+  struct ByShare
+  {
+    bool operator()(const Workspace* aLeft, const Workspace* aRight) const
+    {
+      return std::tie(aLeft->mServed, aLeft->mOrder) <
+             std::tie(aRight->mServed, aRight->mOrder);
+    }
+  };
+  using ShareQueue = std::set<Workspace*, ByShare>;
+
+  Workspace& WorkspaceOf(const ServiceLevel& aLevel);
+  void Enter(Workspace& aWorkspace, const WaitingRequest& aRequest);
+  void Leave(Workspace& aWorkspace, const WaitingRequest& aRequest);
+  /** Takes the workspace out of, or puts it into, each queue it belongs to. */
+  void Unlist(Workspace& aWorkspace);
+  void List(Workspace& aWorkspace);
+  void ForgetIdle();
+
+  std::unordered_map<std::string, Workspace> mWorkspaces;
+  /** Workspaces with requests in the lane, the one owed most first. */
+  std::array<ShareQueue, 2> mShares;
+  /** Workspaces without requests that have had more than their share. */
+  ShareQueue mIdle;
+  std::map<uint64_t, const WaitingRequest*> mByArrival;
+  double mClock = 0;
+  double mWaitingWeight = 0;
+  std::array<uint64_t, 2> mTokens{};
+  uint64_t mWorkspacesSeen = 0;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/attempt.h
+++ b/src/libtrefoilarch/sidecarattempt.h
@@ -5,13 +5,14 @@
 #include "ledger.h"
 #include "messages.h"
 #include "millis.h"
+#include "room.h"
 
 #include <cstdint>
 
 namespace trefoilarch {
 
 /** All that a sidecar keeps of an attempt that is not over. */
-struct Attempt
+struct SidecarAttempt
 {
   EntryId mEntry;
   Offer mOffer;
@@ -20,8 +21,11 @@
   Millis mDeadlineAt;
   Millis mGrantedAt{};
   Millis mStartedAt{};
-  /** Room taken, in tokens; grows when the answer outruns its estimate. */
-  uint64_t mTokens = 0;
+  Millis mLastTokenAt{};
+  /** Output tokens so far. */
+  uint64_t mOutput = 0;
+  /** Room taken; it grows when the answer outruns its estimate. */
+  RoomShare mShare{};
   /** Whether chunks go out as they come; after a new channel, not until
    * Resume says where to go on. */
   bool mFlowing = true;
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -13,6 +13,19 @@
 /** Heartbeats are this many times rarer where nothing is open. */
 constexpr int64_t kIdleFactor = 10;
 
+/** Allowed times are these parts of the targets, since a target holds for
+ * nearly all tokens and the limit follows the mean. */
+constexpr int64_t kFirstPart = 6;
+constexpr int64_t kBetweenPart = 8;
+constexpr int64_t kWholeParts = 10;
+/** A long prompt may take this many times what it took at best. */
+constexpr int64_t kOwnFactor = 2;
+
+/** An answer that outruns its estimate is taken to go on for this part of
+ * what it has. */
+constexpr uint64_t kOutrunPart = 2;
+constexpr uint64_t kLeastGrowth = 16;
+
 /** Such an attempt is remembered as voided: it did not run and will not. */
 bool
 NeverRan(const FinalWord& aWord)
@@ -32,7 +45,7 @@
 void
 SidecarCore::Impl::Handle(CallHead& aHead)
 {
-  Attempt* attempt = FindRunning(aHead.mKey);
+  SidecarAttempt* attempt = FindRunning(aHead.mKey);
   if (!attempt)
     return;
   attempt->mHeadWaits = true;
@@ -43,17 +56,77 @@
 void
 SidecarCore::Impl::Handle(CallData& aData)
 {
-  Attempt* attempt = FindRunning(aData.mKey);
+  SidecarAttempt* attempt = FindRunning(aData.mKey);
   if (!attempt)
     return;
   const size_t bytes = attempt->mAnswer.Bytes() + aData.mData.size();
   if (bytes > mOptions.mAnswerLimit)
     return Cancel(*attempt, ErrorKind::AnswerCut);
+  mRoom.OnReached();
+  mPreemption.Remove(aData.mKey);
+  Measure(*attempt, aData.mTokens);
   AppendChunk(*attempt, std::move(aData.mData), aData.mTokens);
 }
 
 void
-SidecarCore::Impl::AppendChunk(Attempt& aAttempt,
+SidecarCore::Impl::Measure(SidecarAttempt& aAttempt, uint32_t aTokens)
+{
+  if (mOptions.mTokenStream && aTokens == 0)
+    return;
+  if (aAttempt.mLastTokenAt == Millis())
+    MeasureFirstToken(aAttempt, mNow - aAttempt.mStartedAt);
+  else if (mOptions.mTokenStream)
+    MeasureBetween(aAttempt, aTokens);
+  aAttempt.mLastTokenAt = mNow;
+  aAttempt.mOutput += aTokens;
+  GrowIfOutrun(aAttempt);
+  mRoom.Adapt(mNow);
+}
+
+void
+SidecarCore::Impl::MeasureFirstToken(const SidecarAttempt& aAttempt,
+                                     Millis aSpan)
+{
+  const uint32_t prompt = aAttempt.mOffer.mPromptTokens;
+  const Millis target = mStrictFirst.Value() * kFirstPart / kWholeParts;
+  const Millis own = mRate.BestFirstTokenTime(prompt) * kOwnFactor;
+  const Millis allowed = std::max({ target, own, Millis(1) });
+  mRate.OnFirstToken(prompt, aSpan);
+  mRoom.OnMeasured(static_cast<double>(aSpan.Count()) /
+                     static_cast<double>(allowed.Count()),
+                   1);
+}
+
+void
+SidecarCore::Impl::MeasureBetween(const SidecarAttempt& aAttempt,
+                                  uint32_t aTokens)
+{
+  const Millis span = mNow - aAttempt.mLastTokenAt;
+  const Millis target = mStrictBetween.Value() * kBetweenPart / kWholeParts;
+  const Millis allowed = std::max(target, Millis(1)) * aTokens;
+  mRate.OnTokens(aTokens, span);
+  mRoom.OnMeasured(static_cast<double>(span.Count()) /
+                     static_cast<double>(allowed.Count()),
+                   aTokens);
+}
+
+void
+SidecarCore::Impl::GrowIfOutrun(SidecarAttempt& aAttempt)
+{
+  const uint64_t used = aAttempt.mOffer.mPromptTokens + aAttempt.mOutput;
+  if (!mOptions.mTokenStream || used <= aAttempt.mShare.mTokens)
+    return;
+  const uint64_t more = std::max(aAttempt.mOutput / kOutrunPart, kLeastGrowth);
+  const uint64_t before = aAttempt.mShare.mTokens;
+  mRoom.Release(aAttempt.mShare);
+  aAttempt.mShare.mTokens = used + more;
+  mRoom.Take(aAttempt.mShare);
+  mSchedule.Adjust(aAttempt.mOffer.mLevel,
+                   static_cast<int64_t>(used + more - before));
+}
+
+void
+SidecarCore::Impl::AppendChunk(SidecarAttempt& aAttempt,
                                std::string aData,
                                uint32_t aTokens)
 {
@@ -74,7 +147,7 @@
 void
 SidecarCore::Impl::Handle(const CallDone& aDone)
 {
-  Attempt* attempt = FindRunning(aDone.mKey);
+  SidecarAttempt* attempt = FindRunning(aDone.mKey);
   if (!attempt)
     return;
   if (attempt->mHeadWaits)
@@ -91,19 +164,25 @@
 void
 SidecarCore::Impl::Handle(const CallFailed& aFailed)
 {
-  if (Attempt* attempt = FindRunning(aFailed.mKey))
-    FailRunning(*attempt, aFailed.mKind, aFailed.mRan);
+  SidecarAttempt* attempt = FindRunning(aFailed.mKey);
+  if (!attempt)
+    return;
+  if (aFailed.mKind == ErrorKind::UpstreamUnreachable)
+    mRoom.OnUnreachable(mNow);
+  FailRunning(*attempt, aFailed.mKind, aFailed.mRan);
 }
 
 void
-SidecarCore::Impl::Cancel(Attempt& aAttempt, ErrorKind aKind)
+SidecarCore::Impl::Cancel(SidecarAttempt& aAttempt, ErrorKind aKind)
 {
   mActions.emplace_back(CancelCall{ .mKey = aAttempt.mOffer.mKey });
   FailRunning(aAttempt, aKind, Ran::Maybe);
 }
 
 void
-SidecarCore::Impl::FailRunning(Attempt& aAttempt, ErrorKind aKind, Ran aRan)
+SidecarCore::Impl::FailRunning(SidecarAttempt& aAttempt,
+                               ErrorKind aKind,
+                               Ran aRan)
 {
   ++mCounters.mFailed;
   aAttempt.mState = AttemptState::Failed;
@@ -115,9 +194,14 @@
 }
 
 void
-SidecarCore::Impl::EndRunning(Attempt& aAttempt, const FinalWord& aWord)
+SidecarCore::Impl::EndRunning(SidecarAttempt& aAttempt, const FinalWord& aWord)
 {
-  mRoom.Release(aAttempt.mTokens);
+  const uint64_t used = mOptions.mTokenStream
+                          ? aAttempt.mOffer.mPromptTokens + aAttempt.mOutput
+                          : 1;
+  if (aAttempt.mState == AttemptState::Finished)
+    mRate.OnEnded(used, mNow - aAttempt.mStartedAt);
+  ReleaseRoom(aAttempt, used);
   aAttempt.mFinalWord = aWord;
   const AttemptKey key = aAttempt.mOffer.mKey;
   mLedger.Close(key, NeverRan(aWord) ? FinalWord() : aWord, mNow);
@@ -139,7 +223,7 @@
 }
 
 void
-SidecarCore::Impl::ArmRunning(const Attempt& aAttempt)
+SidecarCore::Impl::ArmRunning(const SidecarAttempt& aAttempt)
 {
   const Millis orphaned =
     aAttempt.mFlowing ? Millis::Never() : mNow + mOptions.mOrphanSpan;
@@ -147,7 +231,7 @@
 }
 
 void
-SidecarCore::Impl::ArmEnded(const Attempt& aAttempt)
+SidecarCore::Impl::ArmEnded(const SidecarAttempt& aAttempt)
 {
   const Millis span = aAttempt.mFlowing ? kAckSpan : mOptions.mOrphanSpan;
   mTimers.Arm(aAttempt.mOffer.mKey, mNow + span);
@@ -160,16 +244,16 @@
     OnTimer(mAttempts.at(*key));
   SendHeartbeats();
   mLedger.Expire(mNow);
+  mRoom.Adapt(mNow);
 }
 
 void
-SidecarCore::Impl::OnTimer(Attempt& aAttempt)
+SidecarCore::Impl::OnTimer(SidecarAttempt& aAttempt)
 {
   const AttemptKey key = aAttempt.mOffer.mKey;
   switch (aAttempt.mState) {
     case AttemptState::Waiting:
-      return DeclineWaiting(
-        key, ErrorKind::DeadlineExceeded, mOptions.mGrantSpan);
+      return GiveUpIfHopeless(key);
     case AttemptState::Granted:
       return Void(aAttempt);
     case AttemptState::Running:
@@ -232,7 +316,13 @@
 Millis
 SidecarCore::Impl::NextWake() const
 {
-  return std::min(mTimers.Next(), mHeartbeats.Next());
+  Millis next = std::min(mTimers.Next(), mHeartbeats.Next());
+  if (mDraining)
+    return next;
+  next = std::min({ next, mSchedule.NextWake(), mPreemptAt });
+  if (mRoom.IsPaused(mNow))
+    next = std::min(next, mRoom.PauseEnd());
+  return next;
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/sidecarcore.h
+++ b/src/libtrefoilarch/sidecarcore.h
@@ -22,6 +22,8 @@
   uint64_t mIncarnation = 0;
   /** Requests that may wait here; the lowest tier is shed beyond it. */
   size_t mQueueLimit = 2000;
+  /** A waiting class of which nothing runs gets a floor start after this. */
+  Millis mFloorSpan{ 2000 };
   /** A grant that no Start answers within this span is voided. */
   Millis mGrantSpan{ 1000 };
   /** A running attempt whose entry is gone is cancelled after this span. */
--- a/src/libtrefoilarch/sidecardump.cpp
+++ b/src/libtrefoilarch/sidecardump.cpp
@@ -33,7 +33,7 @@
 }
 
 nlohmann::json
-Dump(const Attempt& aAttempt, Millis aNow)
+Dump(const SidecarAttempt& aAttempt, Millis aNow)
 {
   const AttemptKey& key = aAttempt.mOffer.mKey;
   return { { "request", key.mRequest.Text() },
@@ -44,7 +44,8 @@
            { "tier", aAttempt.mOffer.mLevel.mTier },
            { "age_ms", (aNow - aAttempt.mArrived).Count() },
            { "deadline_in_ms", (aAttempt.mDeadlineAt - aNow).Count() },
-           { "tokens", aAttempt.mTokens },
+           { "tokens", aAttempt.mShare.mTokens },
+           { "floor_start", aAttempt.mShare.mBeside },
            { "chunks", aAttempt.mAnswer.Count() },
            { "unacknowledged_bytes", aAttempt.mAnswer.Bytes() } };
 }
@@ -59,6 +60,10 @@
            { "failed", aCounters.mFailed },
            { "voided", aCounters.mVoided },
            { "declined", aCounters.mDeclined },
+           { "shed", aCounters.mShed },
+           { "given_up", aCounters.mGivenUp },
+           { "floor_starts", aCounters.mFloorStarts },
+           { "preempted", aCounters.mPreempted },
            { "late_starts", aCounters.mLateStarts },
            { "stray_events", aCounters.mStrayEvents },
            { "foreign_messages", aCounters.mForeign } };
--- a/src/libtrefoilarch/sidecarimpl.cpp
+++ b/src/libtrefoilarch/sidecarimpl.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-uint64_t
-TokensOf(const Offer& aOffer, const SidecarOptions& aOptions)
+RoomOptions
+RoomOptionsFrom(const SidecarOptions& aOptions)
 {
-  if (!aOptions.mTokenStream)
-    return 0;
-  return uint64_t{ aOffer.mPromptTokens } + aOffer.mOutputTokens;
+  const size_t calls = aOptions.mMostRunning;
+  const bool tokens = aOptions.mTokenStream;
+  return { .mFirstLimit = tokens ? aOptions.mFirstTokenRoom : calls,
+           .mMostLimit = tokens ? aOptions.mMostTokenRoom : calls,
+           .mMostRunning = calls };
 }
 
 } // namespace
@@ -20,9 +22,9 @@
 SidecarCore::Impl::Impl(SidecarOptions aOptions)
   : mOptions(std::move(aOptions))
   , mLedger({ .mSpan = mOptions.mLedgerSpan, .mLimit = mOptions.mLedgerLimit })
-  , mRoom({ .mFirstLimit = mOptions.mFirstTokenRoom,
-            .mMostLimit = mOptions.mMostTokenRoom,
-            .mMostRunning = mOptions.mMostRunning })
+  , mSchedule({ .mFloorSpan = mOptions.mFloorSpan })
+  , mRoom(RoomOptionsFrom(mOptions))
+  , mAdmission(mSchedule, mRoom, mRate, mOptions.mSeed)
 {
 }
 
@@ -35,6 +37,7 @@
 SidecarActions
 SidecarCore::Impl::Finish()
 {
+  GiveUpLate();
   GrantWhatFits();
   return std::exchange(mActions, {});
 }
@@ -58,7 +61,7 @@
 {
   if constexpr (std::is_same_v<Message, VoidOrReport>)
     return true;
-  const Attempt* attempt = Find(aMessage.mKey);
+  const SidecarAttempt* attempt = Find(aMessage.mKey);
   if (!attempt || attempt->mEntry == aEntry)
     return true;
   ++mCounters.mForeign;
@@ -90,7 +93,7 @@
   mHeartbeats.Disarm(aEntry);
   const auto keys = found->second.mAttempts;
   for (const AttemptKey& key : keys) {
-    Attempt& attempt = mAttempts.at(key);
+    SidecarAttempt& attempt = mAttempts.at(key);
     attempt.mFlowing = false;
     if (attempt.mState == AttemptState::Running)
       ArmRunning(attempt);
@@ -112,127 +115,10 @@
     mEntries.erase(found);
 }
 
-void
-SidecarCore::Impl::Handle(const EntryId& aEntry, const Offer& aOffer)
-{
-  if (Attempt* known = Find(aOffer.mKey))
-    return RepeatOffer(*known);
-  if (mLedger.Find(aOffer.mKey))
-    return AnswerFromLedger(aEntry, aOffer.mKey);
-  ++mCounters.mOffered;
-  if (mDraining)
-    return DeclineOffer(aEntry, aOffer.mKey, ErrorKind::ShuttingDown, Millis());
-  if (mSchedule.Size() >= mOptions.mQueueLimit)
-    return DeclineOffer(
-      aEntry, aOffer.mKey, ErrorKind::Shed, mOptions.mGrantSpan);
-  Attempt attempt{ .mEntry = aEntry,
-                   .mOffer = aOffer,
-                   .mArrived = mNow,
-                   .mDeadlineAt = mNow + aOffer.mDeadline,
-                   .mTokens = TokensOf(aOffer, mOptions) };
-  mSchedule.Add({ .mKey = aOffer.mKey,
-                  .mLevel = aOffer.mLevel,
-                  .mTokens = attempt.mTokens,
-                  .mStartBy = mNow + aOffer.mFirstTokenDue });
-  mTimers.Arm(aOffer.mKey, attempt.mDeadlineAt);
-  mEntries[aEntry].mConnected = true;
-  mEntries[aEntry].mAttempts.insert(aOffer.mKey);
-  mAttempts.emplace(aOffer.mKey, std::move(attempt));
-}
-
-void
-SidecarCore::Impl::RepeatOffer(Attempt& aAttempt)
-{
-  if (aAttempt.mState == AttemptState::Granted)
-    return SendGrant(aAttempt);
-  if (aAttempt.mState == AttemptState::Waiting)
-    return;
-  Send(aAttempt.mEntry,
-       LedgerEntry{ .mKey = aAttempt.mOffer.mKey,
-                    .mState = aAttempt.mState,
-                    .mIncarnation = mOptions.mIncarnation });
-}
-
-void
-SidecarCore::Impl::DeclineOffer(const EntryId& aEntry,
-                                const AttemptKey& aKey,
-                                ErrorKind aKind,
-                                Millis aRetryAfter)
-{
-  ++mCounters.mDeclined;
-  mLedger.Close(aKey, {}, mNow);
-  Send(aEntry,
-       Decline{ .mKey = aKey, .mKind = aKind, .mRetryAfter = aRetryAfter });
-}
-
-void
-SidecarCore::Impl::DeclineWaiting(const AttemptKey& aKey,
-                                  ErrorKind aKind,
-                                  Millis aRetryAfter)
-{
-  mSchedule.Remove(aKey);
-  DeclineOffer(mAttempts.at(aKey).mEntry, aKey, aKind, aRetryAfter);
-  Erase(aKey);
-}
-
-void
-SidecarCore::Impl::GrantWhatFits()
-{
-  while (!mDraining) {
-    const auto next = mSchedule.Next();
-    if (!next || !mRoom.Fits(mAttempts.at(*next).mTokens))
-      return;
-    mSchedule.Remove(*next);
-    GrantNow(mAttempts.at(*next));
-  }
-}
-
-void
-SidecarCore::Impl::GrantNow(Attempt& aAttempt)
-{
-  ++mCounters.mGranted;
-  aAttempt.mState = AttemptState::Granted;
-  aAttempt.mGrantedAt = mNow;
-  mRoom.Take(aAttempt.mTokens);
-  mTimers.Arm(aAttempt.mOffer.mKey, mNow + mOptions.mGrantSpan);
-  SendGrant(aAttempt);
-}
-
-void
-SidecarCore::Impl::SendGrant(const Attempt& aAttempt)
-{
-  const Millis left = aAttempt.mGrantedAt + mOptions.mGrantSpan - mNow;
-  Send(aAttempt.mEntry,
-       Grant{ .mKey = aAttempt.mOffer.mKey, .mValidFor = left });
-}
-
-void
-SidecarCore::Impl::Handle(const EntryId& aEntry, Start& aStart)
-{
-  Attempt* attempt = Find(aStart.mKey);
-  if (!attempt) {
-    ++mCounters.mLateStarts;
-    return AnswerFromLedger(aEntry, aStart.mKey);
-  }
-  if (attempt->mState == AttemptState::Waiting)
-    return Void(*attempt);
-  if (attempt->mState != AttemptState::Granted)
-    return;
-  if (mNow >= attempt->mGrantedAt + mOptions.mGrantSpan)
-    return Void(*attempt);
-  ++mCounters.mStarted;
-  attempt->mState = AttemptState::Running;
-  attempt->mStartedAt = mNow;
-  ArmRunning(*attempt);
-  mActions.emplace_back(StartCall{ .mKey = aStart.mKey,
-                                   .mCall = std::move(aStart.mCall),
-                                   .mTier = attempt->mOffer.mLevel.mTier });
-}
-
 void
 SidecarCore::Impl::Handle(const EntryId& aEntry, const Withdraw& aWithdraw)
 {
-  Attempt* attempt = Find(aWithdraw.mKey);
+  SidecarAttempt* attempt = Find(aWithdraw.mKey);
   if (!attempt)
     return AnswerFromLedger(aEntry, aWithdraw.mKey);
   if (attempt->mState == AttemptState::Running)
@@ -245,7 +131,7 @@
 void
 SidecarCore::Impl::Handle(const EntryId& aEntry, const VoidOrReport& aAsk)
 {
-  Attempt* attempt = Find(aAsk.mKey);
+  SidecarAttempt* attempt = Find(aAsk.mKey);
   if (!attempt)
     return AnswerFromLedger(aEntry, aAsk.mKey);
   if (attempt->mState == AttemptState::Running || attempt->HasEnded())
@@ -262,7 +148,7 @@
 void
 SidecarCore::Impl::Handle(const EntryId&, const Ack& aAck)
 {
-  Attempt* attempt = Find(aAck.mKey);
+  SidecarAttempt* attempt = Find(aAck.mKey);
   if (!attempt)
     return;
   attempt->mAnswer.Acknowledge(aAck.mNextChunk);
@@ -273,7 +159,7 @@
 void
 SidecarCore::Impl::Handle(const EntryId& aEntry, const Resume& aResume)
 {
-  Attempt* attempt = Find(aResume.mKey);
+  SidecarAttempt* attempt = Find(aResume.mKey);
   if (!attempt)
     return ResumeFromLedger(aEntry, aResume);
   if (attempt->mState == AttemptState::Waiting ||
@@ -347,22 +233,27 @@
 }
 
 void
-SidecarCore::Impl::Void(Attempt& aAttempt)
+SidecarCore::Impl::Void(SidecarAttempt& aAttempt)
 {
   const AttemptKey key = aAttempt.mOffer.mKey;
   const EntryId entry = aAttempt.mEntry;
   mSchedule.Remove(key);
-  ReleaseRoom(aAttempt);
+  if (aAttempt.HoldsRoom())
+    ReleaseRoom(aAttempt, 0);
   mLedger.Close(key, {}, mNow);
   Erase(key);
   AnswerFromLedger(entry, key);
 }
 
 void
-SidecarCore::Impl::ReleaseRoom(Attempt& aAttempt)
+SidecarCore::Impl::ReleaseRoom(SidecarAttempt& aAttempt, uint64_t aUsed)
 {
-  if (aAttempt.HoldsRoom())
-    mRoom.Release(aAttempt.mTokens);
+  const ServiceLevel& level = aAttempt.mOffer.mLevel;
+  const auto used = static_cast<int64_t>(aUsed);
+  mRoom.Release(aAttempt.mShare);
+  mSchedule.Adjust(level, used - static_cast<int64_t>(aAttempt.mShare.mTokens));
+  mSchedule.OnEnded(level, mNow);
+  mPreemption.Remove(aAttempt.mOffer.mKey);
 }
 
 void
@@ -378,17 +269,17 @@
   ForgetIfGone(entry);
 }
 
-Attempt*
+SidecarAttempt*
 SidecarCore::Impl::Find(const AttemptKey& aKey)
 {
   const auto found = mAttempts.find(aKey);
   return found == mAttempts.end() ? nullptr : &found->second;
 }
 
-Attempt*
+SidecarAttempt*
 SidecarCore::Impl::FindRunning(const AttemptKey& aKey)
 {
-  Attempt* attempt = Find(aKey);
+  SidecarAttempt* attempt = Find(aKey);
   if (attempt && attempt->mState == AttemptState::Running)
     return attempt;
   ++mCounters.mStrayEvents;
--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -1,10 +1,14 @@
 #pragma once
 
-#include "attempt.h"
+#include "admission.h"
 #include "ledger.h"
+#include "preemptionorder.h"
 #include "room.h"
 #include "schedule.h"
+#include "servicerate.h"
+#include "sidecarattempt.h"
 #include "sidecarcore.h"
+#include "strictesttarget.h"
 #include "timers.h"
 
 #include <cstdint>
@@ -23,6 +27,10 @@
   uint64_t mFailed = 0;
   uint64_t mVoided = 0;
   uint64_t mDeclined = 0;
+  uint64_t mShed = 0;        /**< declined, for others found the queue full */
+  uint64_t mGivenUp = 0;     /**< declined, for their deadline can't be met */
+  uint64_t mFloorStarts = 0; /**< granted beside the room */
+  uint64_t mPreempted = 0;
   uint64_t mLateStarts = 0;  /**< Starts that came after the grant's end */
   uint64_t mStrayEvents = 0; /**< call events of attempts that are over */
   uint64_t mForeign = 0;     /**< messages on another entry's attempt */
@@ -76,13 +84,13 @@
   void Handle(const CallDone& aDone);
   void Handle(const CallFailed& aFailed);
 
-  Attempt* Find(const AttemptKey& aKey);
+  SidecarAttempt* Find(const AttemptKey& aKey);
   /** Whether the message's attempt is the entry's own, or nobody's. */
   template<typename Message>
   bool MayTouch(const EntryId& aEntry, const Message& aMessage);
-  Attempt* FindRunning(const AttemptKey& aKey);
+  SidecarAttempt* FindRunning(const AttemptKey& aKey);
 
-  void RepeatOffer(Attempt& aAttempt);
+  void RepeatOffer(SidecarAttempt& aAttempt);
   void DeclineOffer(const EntryId& aEntry,
                     const AttemptKey& aKey,
                     ErrorKind aKind,
@@ -91,29 +99,48 @@
   void DeclineWaiting(const AttemptKey& aKey,
                       ErrorKind aKind,
                       Millis aRetryAfter);
+  Prospect ProspectOf(const Offer& aOffer) const;
+  void Enqueue(const EntryId& aEntry, const Offer& aOffer);
+  /** Finds the offer a place in the queue; false if it has been declined. */
+  bool MakePlace(const EntryId& aEntry, const Offer& aOffer);
+  /** Declines what has become late and can't meet its deadline either. */
+  void GiveUpLate();
+  /** Declines the waiting attempt if its deadline can't be met any more. */
+  void GiveUpIfHopeless(const AttemptKey& aKey);
   void GrantWhatFits();
-  void GrantNow(Attempt& aAttempt);
-  void SendGrant(const Attempt& aAttempt);
+  void GrantRegularTurns();
+  void GrantFloorTurns();
+  void GrantNow(const Turn& aTurn);
+  /** Stops lower tiers' work if that saves the turn's first-token target. */
+  bool PreemptFor(const Turn& aTurn);
+  void SendGrant(const SidecarAttempt& aAttempt);
 
   /** Rules out that the attempt starts; it must not have started. */
-  void Void(Attempt& aAttempt);
-  void Cancel(Attempt& aAttempt, ErrorKind aKind);
-  void EndRunning(Attempt& aAttempt, const FinalWord& aWord);
-  void FailRunning(Attempt& aAttempt, ErrorKind aKind, Ran aRan);
-  void ReleaseRoom(Attempt& aAttempt);
+  void Void(SidecarAttempt& aAttempt);
+  void Cancel(SidecarAttempt& aAttempt, ErrorKind aKind);
+  void EndRunning(SidecarAttempt& aAttempt, const FinalWord& aWord);
+  void FailRunning(SidecarAttempt& aAttempt, ErrorKind aKind, Ran aRan);
+  /** aUsed: the tokens that it really took. */
+  void ReleaseRoom(SidecarAttempt& aAttempt, uint64_t aUsed);
+  void Measure(SidecarAttempt& aAttempt, uint32_t aTokens);
+  void MeasureFirstToken(const SidecarAttempt& aAttempt, Millis aSpan);
+  void MeasureBetween(const SidecarAttempt& aAttempt, uint32_t aTokens);
+  void GrowIfOutrun(SidecarAttempt& aAttempt);
   void Erase(const AttemptKey& aKey);
   void ForgetIfGone(const EntryId& aEntry);
 
   /** Answers on a key that has no live attempt. */
   void AnswerFromLedger(const EntryId& aEntry, const AttemptKey& aKey);
   void ResumeFromLedger(const EntryId& aEntry, const Resume& aResume);
-  void AppendChunk(Attempt& aAttempt, std::string aData, uint32_t aTokens);
+  void AppendChunk(SidecarAttempt& aAttempt,
+                   std::string aData,
+                   uint32_t aTokens);
   void SendFinalWord(const EntryId& aEntry, const FinalWord& aWord);
   void Send(const EntryId& aEntry, SidecarMessage aMessage);
 
-  void OnTimer(Attempt& aAttempt);
-  void ArmRunning(const Attempt& aAttempt);
-  void ArmEnded(const Attempt& aAttempt);
+  void OnTimer(SidecarAttempt& aAttempt);
+  void ArmRunning(const SidecarAttempt& aAttempt);
+  void ArmEnded(const SidecarAttempt& aAttempt);
   void SendHeartbeats();
   /** Tells every entry at once, where waiting for a heartbeat is too late. */
   void TellLoad();
@@ -122,11 +149,18 @@
   SidecarOptions mOptions;
   Millis mNow;
   bool mDraining = false;
-  std::unordered_map<AttemptKey, Attempt> mAttempts;
+  std::unordered_map<AttemptKey, SidecarAttempt> mAttempts;
   std::unordered_map<EntryId, Entry> mEntries;
   Ledger mLedger;
   Schedule mSchedule;
   Room mRoom;
+  ServiceRate mRate;
+  Admission mAdmission;
+  PreemptionOrder mPreemption;
+  StrictestTarget mStrictFirst;
+  StrictestTarget mStrictBetween;
+  /** When a blocked turn will be worth a preemption. */
+  Millis mPreemptAt = Millis::Never();
   Timers<AttemptKey> mTimers;
   Timers<EntryId> mHeartbeats;
   SidecarCounters mCounters;
--- /dev/null
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -0,0 +1,271 @@
+#include "sidecarimpl.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace trefoilarch {
+
+namespace {
+
+/** A late request is looked at again after this. */
+constexpr Millis kLatePause{ 500 };
+
+/** A preemption comes when this part of the first-token target is left. */
+constexpr int64_t kPreemptPart = 4;
+
+uint64_t
+TokensOf(const Offer& aOffer, const SidecarOptions& aOptions)
+{
+  if (!aOptions.mTokenStream)
+    return 1;
+  return uint64_t{ aOffer.mPromptTokens } + aOffer.mOutputTokens;
+}
+
+} // namespace
+
+void
+SidecarCore::Impl::Handle(const EntryId& aEntry, const Offer& aOffer)
+{
+  if (SidecarAttempt* known = Find(aOffer.mKey))
+    return RepeatOffer(*known);
+  if (mLedger.Find(aOffer.mKey))
+    return AnswerFromLedger(aEntry, aOffer.mKey);
+  ++mCounters.mOffered;
+  if (mDraining)
+    return DeclineOffer(aEntry, aOffer.mKey, ErrorKind::ShuttingDown, Millis());
+  mStrictFirst.See(aOffer.mLevel.mFirstTokenTarget, mNow);
+  mStrictBetween.See(aOffer.mLevel.mBetweenTokenTarget, mNow);
+  if (const auto retryAfter = mAdmission.Refuse(ProspectOf(aOffer), mNow)) {
+    ++mCounters.mGivenUp;
+    return DeclineOffer(
+      aEntry, aOffer.mKey, ErrorKind::DeadlineUnmeetable, *retryAfter);
+  }
+  if (MakePlace(aEntry, aOffer))
+    Enqueue(aEntry, aOffer);
+}
+
+Prospect
+SidecarCore::Impl::ProspectOf(const Offer& aOffer) const
+{
+  return { .mLevel = aOffer.mLevel,
+           .mTokens = TokensOf(aOffer, mOptions),
+           .mLeastTime =
+             mRate.LeastTime(aOffer.mPromptTokens, aOffer.mOutputTokens),
+           .mStartDue =
+             aOffer.mFirstTokenDue - mRate.FirstTokenTime(aOffer.mPromptTokens),
+           .mDeadline = aOffer.mDeadline };
+}
+
+bool
+SidecarCore::Impl::MakePlace(const EntryId& aEntry, const Offer& aOffer)
+{
+  const ServiceLevel& level = aOffer.mLevel;
+  if (mSchedule.Size() < mOptions.mQueueLimit || mSchedule.HasKeptPlace(level))
+    return true;
+  ++mCounters.mShed;
+  const auto victim = mSchedule.ToShedFor(level);
+  if (!victim) {
+    const Millis retryAfter = mAdmission.RetryAfter(level, mNow);
+    DeclineOffer(aEntry, aOffer.mKey, ErrorKind::Shed, retryAfter);
+    return false;
+  }
+  const ServiceLevel shed = mAttempts.at(*victim).mOffer.mLevel;
+  DeclineWaiting(*victim, ErrorKind::Shed, mAdmission.RetryAfter(shed, mNow));
+  return true;
+}
+
+void
+SidecarCore::Impl::Enqueue(const EntryId& aEntry, const Offer& aOffer)
+{
+  const Prospect prospect = ProspectOf(aOffer);
+  const Millis startBy = mNow + prospect.mStartDue;
+  mSchedule.Add({ .mKey = aOffer.mKey,
+                  .mLevel = aOffer.mLevel,
+                  .mTokens = prospect.mTokens,
+                  .mStartBy = startBy },
+                mNow);
+  SidecarAttempt attempt{ .mEntry = aEntry,
+                          .mOffer = aOffer,
+                          .mArrived = mNow,
+                          .mDeadlineAt = mNow + aOffer.mDeadline,
+                          .mShare = { .mTokens = prospect.mTokens } };
+  const Millis last = attempt.mDeadlineAt - prospect.mLeastTime;
+  const bool late = startBy < mNow;
+  mTimers.Arm(aOffer.mKey, late ? std::min(last, mNow + kLatePause) : last);
+  Entry& entry = mEntries[aEntry];
+  entry.mConnected = true;
+  entry.mAttempts.insert(aOffer.mKey);
+  mAttempts.emplace(aOffer.mKey, std::move(attempt));
+}
+
+void
+SidecarCore::Impl::GiveUpLate()
+{
+  for (const AttemptKey& key : mSchedule.TakeLate(mNow))
+    GiveUpIfHopeless(key);
+}
+
+void
+SidecarCore::Impl::GiveUpIfHopeless(const AttemptKey& aKey)
+{
+  const SidecarAttempt& attempt = mAttempts.at(aKey);
+  Prospect prospect = ProspectOf(attempt.mOffer);
+  prospect.mTokens = 0;
+  prospect.mDeadline = attempt.mDeadlineAt - mNow;
+  const Millis last = attempt.mDeadlineAt - prospect.mLeastTime;
+  auto retryAfter = mAdmission.GiveUp(prospect, mNow);
+  if (!retryAfter && mNow < last)
+    return mTimers.Arm(aKey, std::min(last, mNow + kLatePause));
+  if (!retryAfter)
+    retryAfter = mAdmission.RetryAfter(attempt.mOffer.mLevel, mNow);
+  ++mCounters.mGivenUp;
+  const bool passed = mNow >= attempt.mDeadlineAt;
+  DeclineWaiting(aKey,
+                 passed ? ErrorKind::DeadlineExceeded
+                        : ErrorKind::DeadlineUnmeetable,
+                 *retryAfter);
+}
+
+void
+SidecarCore::Impl::RepeatOffer(SidecarAttempt& aAttempt)
+{
+  if (aAttempt.mState == AttemptState::Granted)
+    return SendGrant(aAttempt);
+  if (aAttempt.mState == AttemptState::Waiting)
+    return;
+  Send(aAttempt.mEntry,
+       LedgerEntry{ .mKey = aAttempt.mOffer.mKey,
+                    .mState = aAttempt.mState,
+                    .mIncarnation = mOptions.mIncarnation });
+}
+
+void
+SidecarCore::Impl::DeclineOffer(const EntryId& aEntry,
+                                const AttemptKey& aKey,
+                                ErrorKind aKind,
+                                Millis aRetryAfter)
+{
+  ++mCounters.mDeclined;
+  mLedger.Close(aKey, {}, mNow);
+  Send(aEntry,
+       Decline{ .mKey = aKey, .mKind = aKind, .mRetryAfter = aRetryAfter });
+}
+
+void
+SidecarCore::Impl::DeclineWaiting(const AttemptKey& aKey,
+                                  ErrorKind aKind,
+                                  Millis aRetryAfter)
+{
+  mSchedule.Remove(aKey);
+  DeclineOffer(mAttempts.at(aKey).mEntry, aKey, aKind, aRetryAfter);
+  Erase(aKey);
+}
+
+void
+SidecarCore::Impl::GrantWhatFits()
+{
+  mPreemptAt = Millis::Never();
+  if (mDraining || mRoom.IsPaused(mNow))
+    return;
+  GrantRegularTurns();
+  GrantFloorTurns();
+}
+
+void
+SidecarCore::Impl::GrantRegularTurns()
+{
+  while (const auto turn = mSchedule.NextRegular()) {
+    const uint64_t tokens = mSchedule.Find(turn->mKey)->mTokens;
+    if (!mRoom.Fits(tokens)) {
+      mRoom.OnWanted();
+      if (!PreemptFor(*turn))
+        return;
+    }
+    GrantNow(*turn);
+  }
+}
+
+void
+SidecarCore::Impl::GrantFloorTurns()
+{
+  while (const auto turn = mSchedule.NextFloor(mNow))
+    GrantNow(*turn);
+}
+
+void
+SidecarCore::Impl::GrantNow(const Turn& aTurn)
+{
+  SidecarAttempt& attempt = mAttempts.at(aTurn.mKey);
+  const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
+  mRate.OnTurn(request.mLevel.mTier, request.mLate, request.mTokens, mNow);
+  mSchedule.Take(aTurn, mNow);
+  ++mCounters.mGranted;
+  mCounters.mFloorStarts += aTurn.mFloor ? 1 : 0;
+  attempt.mState = AttemptState::Granted;
+  attempt.mGrantedAt = mNow;
+  attempt.mShare.mBeside = aTurn.mFloor;
+  mRoom.Take(attempt.mShare);
+  mTimers.Arm(aTurn.mKey, mNow + mOptions.mGrantSpan);
+  SendGrant(attempt);
+}
+
+bool
+SidecarCore::Impl::PreemptFor(const Turn& aTurn)
+{
+  const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
+  if (request.mLate)
+    return false;
+  const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
+  const auto victims =
+    mPreemption.Choose(request.mLevel.mTier, mRoom.Shortfall(request.mTokens));
+  if (victims.empty())
+    return false;
+  if (mNow < request.mStartBy - part) {
+    mPreemptAt = request.mStartBy - part;
+    return false;
+  }
+  for (const AttemptKey& key : victims) {
+    ++mCounters.mPreempted;
+    Cancel(mAttempts.at(key), ErrorKind::Shed);
+  }
+  return mRoom.Fits(request.mTokens);
+}
+
+void
+SidecarCore::Impl::SendGrant(const SidecarAttempt& aAttempt)
+{
+  const Millis left = aAttempt.mGrantedAt + mOptions.mGrantSpan - mNow;
+  Send(aAttempt.mEntry,
+       Grant{ .mKey = aAttempt.mOffer.mKey, .mValidFor = left });
+}
+
+void
+SidecarCore::Impl::Handle(const EntryId& aEntry, Start& aStart)
+{
+  SidecarAttempt* attempt = Find(aStart.mKey);
+  if (!attempt) {
+    ++mCounters.mLateStarts;
+    return AnswerFromLedger(aEntry, aStart.mKey);
+  }
+  if (attempt->mState == AttemptState::Waiting)
+    return Void(*attempt);
+  if (attempt->mState != AttemptState::Granted)
+    return;
+  if (mNow >= attempt->mGrantedAt + mOptions.mGrantSpan)
+    return Void(*attempt);
+  ++mCounters.mStarted;
+  attempt->mState = AttemptState::Running;
+  attempt->mStartedAt = mNow;
+  ArmRunning(*attempt);
+  if (attempt->mOffer.mIdempotent && !attempt->mShare.mBeside)
+    mPreemption.Add({ .mKey = aStart.mKey,
+                      .mTier = attempt->mOffer.mLevel.mTier,
+                      .mStartedAt = mNow,
+                      .mTokens = attempt->mShare.mTokens });
+  mActions.emplace_back(StartCall{ .mKey = aStart.mKey,
+                                   .mCall = std::move(aStart.mCall),
+                                   .mTier = attempt->mOffer.mLevel.mTier });
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/tests/unit/scheduletest.cpp
@@ -0,0 +1,321 @@
+#include "libtrefoilarch/schedule.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr Millis kFloorSpan{ 2000 };
+constexpr size_t kKept = 4;
+
+AttemptKey
+KeyOf(uint64_t aNumber)
+{
+  return { .mRequest = { .mHigh = 0, .mLow = aNumber }, .mAttempt = 1 };
+}
+
+/** Class number n has tier n / 2, so each tier has two classes. */
+ServiceLevel
+LevelOf(int aClass, int aWorkspace)
+{
+  return { .mClass = std::string(1, static_cast<char>('a' + aClass)),
+           .mWorkspace = std::string(1, static_cast<char>('A' + aWorkspace)),
+           .mTier = static_cast<Tier>(aClass / 2),
+           .mFloor = aClass % 2 == 0 ? 0.1 : 0.25,
+           .mWeight = 1.0 + aWorkspace };
+}
+
+/** A schedule beside a naive record of what it must hold. */
+class Model
+{
+public:
+  void Add(int aClass, int aWorkspace, uint64_t aTokens, Millis aStartBy)
+  {
+    const WaitingRequest request{ .mKey = KeyOf(mNextKey++),
+                                  .mLevel = LevelOf(aClass, aWorkspace),
+                                  .mTokens = aTokens,
+                                  .mStartBy = aStartBy };
+    mSchedule.Add(request, mNow);
+    mWaiting.push_back(request);
+    ClassRecord& record = mClasses[request.mLevel.mClass];
+    if (CountOf(request.mLevel.mClass) == 1)
+      Restart(record);
+  }
+
+  void RemoveOne(size_t aPick)
+  {
+    if (mWaiting.empty())
+      return;
+    const AttemptKey key = mWaiting[aPick % mWaiting.size()].mKey;
+    mSchedule.Remove(key);
+    Forget(key);
+  }
+
+  void TakeRegular()
+  {
+    mSchedule.TakeLate(mNow);
+    const auto turn = mSchedule.NextRegular();
+    RC_ASSERT(turn.has_value() == !mWaiting.empty());
+    if (!turn)
+      return;
+    const WaitingRequest request = Find(turn->mKey);
+    for (const WaitingRequest& other : mWaiting) {
+      RC_ASSERT(other.mLevel.mTier >= request.mLevel.mTier);
+      if (other.mLevel.mTier == request.mLevel.mTier && !IsLate(other))
+        RC_ASSERT(!IsLate(request));
+    }
+    for (auto& [name, record] : mClasses)
+      if (name != request.mLevel.mClass)
+        ++record.mOthersStarts;
+    Start(*turn);
+    TakeFloors();
+  }
+
+  /** As the sidecar does after regular turns and at each wake. */
+  void TakeFloors()
+  {
+    while (const auto turn = mSchedule.NextFloor(mNow))
+      Start(*turn);
+    for (const auto& [name, record] : mClasses) {
+      if (CountOf(name) == 0)
+        continue;
+      const double floor = LevelOf(name[0] - 'a', 0).mFloor;
+      RC_ASSERT(record.mOthersStarts < std::ceil(1 / floor));
+      if (record.mRunning.empty())
+        RC_ASSERT(mNow - record.mSince < kFloorSpan);
+    }
+  }
+
+  void EndOne(int aClass)
+  {
+    ClassRecord& record = mClasses[LevelOf(aClass, 0).mClass];
+    if (record.mRunning.empty())
+      return;
+    mSchedule.OnEnded(record.mRunning.back(), mNow);
+    record.mRunning.pop_back();
+    if (record.mRunning.empty())
+      record.mSince = mNow;
+  }
+
+  void Pass(Millis aSpan)
+  {
+    const Millis until = mNow + aSpan;
+    while (mSchedule.NextWake() <= until) {
+      mNow = std::max(mNow, mSchedule.NextWake());
+      mSchedule.TakeLate(mNow);
+      TakeFloors();
+    }
+    mNow = until;
+    TakeFloors();
+  }
+
+  void CheckShed(int aClass) const
+  {
+    const ServiceLevel level = LevelOf(aClass, 0);
+    const auto victim = mSchedule.ToShedFor(level);
+    Tier lowest = 0;
+    for (const WaitingRequest& request : mWaiting)
+      if (CountOf(request.mLevel.mClass) > kKept)
+        lowest = std::max(lowest, request.mLevel.mTier);
+    RC_ASSERT(victim.has_value() == (lowest > level.mTier));
+    if (!victim)
+      return;
+    const WaitingRequest& shed = Find(*victim);
+    RC_ASSERT(shed.mLevel.mTier == lowest);
+    for (const WaitingRequest& request : mWaiting)
+      if (request.mLevel.mClass == shed.mLevel.mClass)
+        RC_ASSERT(request.mKey.mRequest <= shed.mKey.mRequest);
+  }
+
+  void CheckAhead(int aClass) const
+  {
+    const ServiceLevel level = LevelOf(aClass, 0);
+    uint64_t higher = 0;
+    uint64_t own = 0;
+    for (const WaitingRequest& request : mWaiting) {
+      higher += request.mLevel.mTier < level.mTier ? request.mTokens : 0;
+      own += request.mLevel.mTier == level.mTier ? request.mTokens : 0;
+    }
+    const uint64_t ahead = mSchedule.TokensAhead(level, true);
+    RC_ASSERT(ahead >= higher);
+    RC_ASSERT(ahead <= higher + own);
+  }
+
+  void CheckSums() const
+  {
+    uint64_t tokens = 0;
+    for (const WaitingRequest& request : mWaiting)
+      tokens += request.mTokens;
+    RC_ASSERT(mSchedule.Size() == mWaiting.size());
+    RC_ASSERT(mSchedule.Tokens() == tokens);
+  }
+
+private:
+  struct ClassRecord
+  {
+    std::vector<ServiceLevel> mRunning{};
+    uint64_t mOthersStarts = 0;
+    Millis mSince{};
+  };
+
+  void Restart(ClassRecord& aRecord) const
+  {
+    aRecord.mOthersStarts = 0;
+    aRecord.mSince = mNow;
+  }
+
+  void Start(const Turn& aTurn)
+  {
+    const ServiceLevel level = Find(aTurn.mKey).mLevel;
+    mSchedule.Take(aTurn, mNow);
+    Forget(aTurn.mKey);
+    ClassRecord& record = mClasses[level.mClass];
+    Restart(record);
+    record.mRunning.push_back(level);
+  }
+
+  bool IsLate(const WaitingRequest& aRequest) const
+  {
+    return aRequest.mStartBy < mNow;
+  }
+
+  size_t CountOf(const std::string& aClass) const
+  {
+    return static_cast<size_t>(std::count_if(
+      mWaiting.begin(), mWaiting.end(), [&](const WaitingRequest& aRequest) {
+        return aRequest.mLevel.mClass == aClass;
+      }));
+  }
+
+  std::vector<WaitingRequest>::const_iterator Place(
+    const AttemptKey& aKey) const
+  {
+    const auto found = std::find_if(
+      mWaiting.begin(), mWaiting.end(), [&](const WaitingRequest& aRequest) {
+        return aRequest.mKey == aKey;
+      });
+    RC_ASSERT(found != mWaiting.end());
+    return found;
+  }
+
+  const WaitingRequest& Find(const AttemptKey& aKey) const
+  {
+    return *Place(aKey);
+  }
+
+  void Forget(const AttemptKey& aKey) { mWaiting.erase(Place(aKey)); }
+
+  Schedule mSchedule{ { .mFloorSpan = kFloorSpan, .mKeptPlaces = kKept } };
+  Millis mNow{ 1 };
+  uint64_t mNextKey = 1;
+  std::vector<WaitingRequest> mWaiting;
+  std::map<std::string, ClassRecord> mClasses;
+};
+
+} // namespace
+
+/**
+ * Over random arrivals, turns, ends, removals and pauses: tiers are strict in
+ * regular turns, nothing is lost or taken twice, each class that waits starts
+ * within its stated bound, and whom to shed is of the lowest tier.
+ */
+Test(schedule, keeps_its_promises)
+{
+  const bool holds = rc::check([] {
+    Model model;
+    const int steps = *rc::gen::inRange(1, 400);
+    for (int i = 0; i < steps; ++i) {
+      const int kind = *rc::gen::inRange(0, 10);
+      const int ofClass = *rc::gen::inRange(0, 8);
+      if (kind < 4)
+        model.Add(ofClass,
+                  *rc::gen::inRange(0, 3),
+                  *rc::gen::inRange<uint64_t>(1, 2000),
+                  Millis(*rc::gen::inRange(0, 20000)));
+      else if (kind < 6)
+        model.TakeRegular();
+      else if (kind == 6)
+        model.EndOne(ofClass);
+      else if (kind == 7)
+        model.RemoveOne(*rc::gen::inRange<size_t>(0, 1000));
+      else if (kind == 8)
+        model.Pass(Millis(*rc::gen::inRange(0, 3000)));
+      model.CheckShed(ofClass);
+      model.CheckAhead(ofClass);
+      model.CheckSums();
+    }
+  });
+  cr_assert(holds);
+}
+
+/**
+ * Two workspaces of a class that always wait get tokens in proportion to
+ * their weights, whatever the sizes of their requests, up to one request of
+ * each.
+ */
+Test(schedule, shares_are_fair_by_tokens)
+{
+  constexpr double kMostTokens = 1000;
+  const bool holds = rc::check([] {
+    Schedule schedule;
+    uint64_t number = 1;
+    double served[2] = {};
+    const auto add = [&](int aWorkspace) {
+      schedule.Add({ .mKey = KeyOf(number++),
+                     .mLevel = LevelOf(0, aWorkspace),
+                     .mTokens = *rc::gen::inRange<uint64_t>(1, 1000),
+                     .mStartBy = Millis(1000000) },
+                   Millis());
+    };
+    for (const int workspace : { 0, 1, 0, 1 })
+      add(workspace);
+    for (int i = 0; i < 300; ++i) {
+      const Turn turn = *schedule.NextRegular();
+      const WaitingRequest request = *schedule.Find(turn.mKey);
+      const int workspace = request.mLevel.mWorkspace == "A" ? 0 : 1;
+      schedule.Take(turn, Millis());
+      served[workspace] += static_cast<double>(request.mTokens);
+      add(workspace);
+      const double first = served[0] / LevelOf(0, 0).mWeight;
+      const double second = served[1] / LevelOf(0, 1).mWeight;
+      RC_ASSERT(std::abs(first - second) <= 2 * kMostTokens);
+    }
+  });
+  cr_assert(holds);
+}
+
+/** A workspace that was away can't claim what it did not use meanwhile. */
+Test(schedule, absence_earns_no_credit)
+{
+  Schedule schedule;
+  uint64_t number = 1;
+  const auto add = [&](int aWorkspace) {
+    schedule.Add({ .mKey = KeyOf(number++),
+                   .mLevel = LevelOf(0, aWorkspace),
+                   .mTokens = 100,
+                   .mStartBy = Millis(1000000) },
+                 Millis());
+  };
+  for (int i = 0; i < 200; ++i)
+    add(0);
+  for (int i = 0; i < 100; ++i)
+    schedule.Take(*schedule.NextRegular(), Millis());
+  for (int i = 0; i < 50; ++i)
+    add(1);
+  int ofFirst = 0;
+  for (int i = 0; i < 30; ++i) {
+    const Turn turn = *schedule.NextRegular();
+    ofFirst += schedule.Find(turn.mKey)->mLevel.mWorkspace == "A" ? 1 : 0;
+    schedule.Take(turn, Millis());
+  }
+  cr_assert_geq(ofFirst, 9);
+  cr_assert_leq(ofFirst, 11);
+}
