--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -9,10 +9,12 @@
 #include "libtrefoilio/service.h"
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -42,6 +44,8 @@
   size_t mRingCapacity = 65536;
   Millis mFirstReconnect{ 100 };
   Millis mMostReconnect{ 2000 };
+  /** How long the first channels may take before the entry is ready. */
+  Millis mSettleSpan{ 2000 };
 };
 
 /**
@@ -66,10 +70,20 @@
 
   void SetSidecars(std::vector<SidecarAddress> aSidecars);
   void SetClassifier(std::shared_ptr<const Classifier> aClassifier);
+  /** Called with each policy version that a sidecar's message carries; set
+   * before Start. */
+  void SetVersionHook(std::function<void(uint64_t)> aHook);
 
   size_t OpenRequests() const { return mOpen; }
+  /**
+   * Some sidecar is listed, and each has been heard or has had its time to
+   * answer.
+   */
+  bool Settled() const { return mSettled; }
   /** Names of the models that some sidecar has told of, sorted. */
   std::vector<std::string> Models() const;
+  /** Upstreams as their sidecars have told of them. */
+  std::vector<UpstreamView> Upstreams() const;
 
 private:
   struct Submitted
@@ -120,6 +134,7 @@
     uint64_t mGeneration = 0;
     Millis mReopenAt = Millis::Never();
     Millis mBackoff;
+    bool mHeard = false;
   };
 
   void Run();
@@ -127,7 +142,7 @@
   void On(Submitted aEvent);
   void On(const Left& aEvent);
   void On(FromSidecar aEvent);
-  void Learn(const Welcome& aWelcome);
+  void Learn(const SidecarMessage& aMessage);
   void On(const ChannelDown& aEvent);
   void On(NewSidecars aEvent);
   void On(NewClassifier aEvent);
@@ -143,6 +158,7 @@
   void OpenChannel(const UpstreamId& aUpstream, Link& aLink);
   void CloseChannel(Link& aLink);
   void ReopenDue(Millis aNow);
+  void LookWhetherSettled(Millis aNow);
   Millis Wait(Millis aNow) const;
 
   RouterOptions mOptions;
@@ -156,8 +172,11 @@
   uint64_t mNextGeneration = 1;
   std::minstd_rand mRandom;
   std::atomic<size_t> mOpen = 0;
-  mutable std::mutex mModelsMutex;
-  std::map<UpstreamId, std::string> mModels;
+  std::optional<Millis> mFirstList;
+  std::atomic<bool> mSettled = false;
+  std::function<void(uint64_t)> mVersionHook = [](uint64_t) {};
+  mutable std::mutex mKnownMutex;
+  std::map<UpstreamId, UpstreamView> mKnown;
   std::thread mThread;
 };
 
