--- a/tests/unit/scheduletest.cpp
+++ b/tests/unit/scheduletest.cpp
@@ -114,6 +114,9 @@
       TakeFloors();
     }
     mNow = until;
+    for (const auto& [name, record] : mClasses)
+      if (CountOf(name) > 0 && record.mRunning.empty())
+        RC_ASSERT(mNow - record.mSince <= kFloorSpan);
     TakeFloors();
   }
 
