--- /dev/null
+++ b/tests/replay/design.cpp
@@ -0,0 +1,329 @@
+#include "router.h"
+
+#include "libtrefoilarch/entrycore.h"
+#include "libtrefoilarch/sidecarcore.h"
+
+#include <map>
+#include <set>
+#include <type_traits>
+#include <utility>
+
+namespace replay {
+
+using namespace trefoilarch;
+
+namespace {
+
+/** One way between an entry and a sidecar. */
+constexpr Millis kNetwork{ 1 };
+constexpr Millis kConnect{ 3 };
+constexpr const char* kModel = "base";
+
+CallerRequest
+CallerOf(const RequestId& aId)
+{
+  return { .mIndex = aId.mLow, .mRepeat = aId.mHigh };
+}
+
+std::shared_ptr<const Classifier>
+ClassifierFor(const Trace& aTrace)
+{
+  auto policy = std::make_shared<Policy>();
+  policy->mVersion = 1;
+  for (const RequestClass& requestClass : aTrace.mClasses)
+    policy->mClasses[requestClass.mName] = requestClass;
+  for (const TraceRequest& request : aTrace.mRequests)
+    policy->mWorkspaces[request.mWorkspace].mName = request.mWorkspace;
+  policy->mSelectors["all"] = { .mName = "all",
+                                .mTraffic = {},
+                                .mUpstreams = {} };
+  return std::make_shared<Classifier>(policy);
+}
+
+/** The daemons' part: carries out the actions of the library's cores. */
+class Design : public Router
+{
+public:
+  Design(VirtualTime& aTime, const Trace& aTrace, CallerHooks aHooks)
+    : mTime(aTime)
+    , mTrace(aTrace)
+    , mHooks(std::move(aHooks))
+    , mClassifier(ClassifierFor(aTrace))
+  {
+    for (size_t i = 0; i < aTrace.mEngines; ++i)
+      AddSidecar("engine-" + std::to_string(i));
+    for (size_t i = 0; i < aTrace.mEntries; ++i)
+      AddEntry("entry-" + std::to_string(i));
+  }
+
+  void Submit(CallerRequest aRequest) override
+  {
+    const TraceRequest& asked = mTrace.mRequests[aRequest.mIndex];
+    EntryRequest request;
+    request.mId = { .mHigh = aRequest.mRepeat, .mLow = aRequest.mIndex };
+    request.mClassified =
+      *mClassifier->Classify(CallerClaims{ .mWorkspace = asked.mWorkspace,
+                                           .mTokenHash = {},
+                                           .mWantedClass = asked.mClass,
+                                           .mLabels = {},
+                                           .mModel = kModel,
+                                           .mService = {},
+                                           .mDataCentre = {},
+                                           .mDeadline = {},
+                                           .mIdempotent = asked.mIdempotent });
+    request.mCall.mTokenStream = true;
+    request.mPromptTokens = asked.mPromptTokens;
+    request.mPrefixHash = asked.mPrefix + 1;
+    Entry& entry = EntryOf(aRequest);
+    Do(entry, entry.mCore->OnRequest(std::move(request), mTime.Now()));
+  }
+
+  void Leave(CallerRequest aRequest) override
+  {
+    Entry& entry = EntryOf(aRequest);
+    const RequestId id{ .mHigh = aRequest.mRepeat, .mLow = aRequest.mIndex };
+    Do(entry, entry.mCore->OnCallerLeft(id, mTime.Now()));
+  }
+
+  void Apply(const TraceFault& aFault) override
+  {
+    Sidecar& sidecar =
+      *mSidecars.at("engine-" + std::to_string(aFault.mEngine));
+    if (aFault.mSlow > 0)
+      return sidecar.mEngine->SetSlow(aFault.mSlow);
+    sidecar.mUp = false;
+    sidecar.mEngine->Crash();
+    for (auto& [name, entry] : mEntries)
+      mTime.After(kNetwork, [this, &entry = *entry, upstream = sidecar.mName] {
+        Do(entry, entry.mCore->OnChannelDown(upstream, mTime.Now()));
+      });
+  }
+
+  std::vector<Spent> Executions() const override
+  {
+    std::vector<Spent> spent;
+    for (const auto& [name, sidecar] : mSidecars)
+      for (const Execution& execution : sidecar->mEngine->Executions()) {
+        const AttemptKey& key = mCalls.at(execution.mId);
+        spent.push_back({ .mRequest = CallerOf(key.mRequest),
+                          .mCost = LeastCost(execution.mPromptTokens,
+                                             execution.mOutputTokens),
+                          .mWhole = mWhole.count(execution.mId) > 0 });
+      }
+    return spent;
+  }
+
+  std::string Dump() const override
+  {
+    std::string dump;
+    for (const auto& [name, sidecar] : mSidecars)
+      dump += sidecar->mCore->DumpState(mTime.Now()) + "\n";
+    return dump;
+  }
+
+private:
+  struct Sidecar
+  {
+    UpstreamId mName;
+    std::unique_ptr<SidecarCore> mCore;
+    std::unique_ptr<VirtualEngine> mEngine;
+    std::map<AttemptKey, uint64_t> mRunning;
+    bool mUp = true;
+    Millis mWake = Millis::Never();
+  };
+
+  struct Entry
+  {
+    EntryId mName;
+    std::unique_ptr<EntryCore> mCore;
+    Millis mWake = Millis::Never();
+  };
+
+  void AddSidecar(const UpstreamId& aName)
+  {
+    auto sidecar = std::make_unique<Sidecar>();
+    sidecar->mName = aName;
+    sidecar->mCore = std::make_unique<SidecarCore>(
+      SidecarOptions{ .mUpstream = aName,
+                      .mLabels = { { "model", kModel } },
+                      .mIncarnation = 1,
+                      .mSeed = mTrace.mSeed });
+    sidecar->mEngine = std::make_unique<VirtualEngine>(
+      mTime,
+      mTrace.mBatch,
+      [this, &owner = *sidecar](uint64_t aId, bool aLast) {
+        OnToken(owner, aId, aLast);
+      });
+    mSidecars[aName] = std::move(sidecar);
+  }
+
+  void AddEntry(const EntryId& aName)
+  {
+    auto owned = std::make_unique<Entry>();
+    Entry& entry = *owned;
+    entry.mName = aName;
+    entry.mCore = std::make_unique<EntryCore>(
+      EntryOptions{ .mEntry = aName, .mSeed = mTrace.mSeed });
+    mEntries[aName] = std::move(owned);
+    entry.mCore->SetClassifier(mClassifier);
+    std::vector<UpstreamView> views;
+    for (const auto& [name, sidecar] : mSidecars)
+      views.push_back({ .mName = name,
+                        .mDataCentre = {},
+                        .mLabels = { { "model", kModel } } });
+    Do(entry, entry.mCore->SetUpstreams(views, {}, mTime.Now()));
+    for (const auto& [name, sidecar] : mSidecars)
+      Do(entry, entry.mCore->OnChannelUp(name, mTime.Now()));
+  }
+
+  Entry& EntryOf(CallerRequest aRequest)
+  {
+    const size_t place = aRequest.mIndex % mEntries.size();
+    return *std::next(mEntries.begin(), static_cast<ptrdiff_t>(place))->second;
+  }
+
+  void Do(Entry& aEntry, EntryActions aActions)
+  {
+    for (EntryAction& action : aActions)
+      std::visit([&](auto& aOne) { Carry(aEntry, aOne); }, action);
+    PlanWake(aEntry);
+  }
+
+  void Do(Sidecar& aSidecar, SidecarActions aActions)
+  {
+    for (SidecarAction& action : aActions)
+      std::visit([&](auto& aOne) { Carry(aSidecar, aOne); }, action);
+    PlanWake(aSidecar);
+  }
+
+  template<typename Party>
+  void PlanWake(Party& aParty)
+  {
+    const Millis wake = std::max(aParty.mCore->NextWake(), mTime.Now());
+    if (wake >= aParty.mWake || wake >= Millis::Never())
+      return;
+    aParty.mWake = wake;
+    mTime.At(wake, [this, &aParty, wake] {
+      if (aParty.mWake != wake)
+        return;
+      aParty.mWake = Millis::Never();
+      if constexpr (std::is_same_v<Party, Sidecar>)
+        if (!aParty.mUp)
+          return;
+      Do(aParty, aParty.mCore->OnTick(mTime.Now()));
+    });
+  }
+
+  void Carry(Entry& aEntry, SendToSidecar& aSend)
+  {
+    Sidecar& sidecar = *mSidecars.at(aSend.mUpstream);
+    mTime.After(
+      kNetwork,
+      [this,
+       &sidecar,
+       name = aEntry.mName,
+       message = std::move(aSend.mMessage)]() mutable {
+        if (sidecar.mUp)
+          Do(sidecar,
+             sidecar.mCore->OnMessage(name, std::move(message), mTime.Now()));
+      });
+  }
+
+  void Carry(Entry& aEntry, ReopenChannel& aReopen)
+  {
+    Sidecar& sidecar = *mSidecars.at(aReopen.mUpstream);
+    mTime.After(kConnect, [this, &aEntry, &sidecar] {
+      if (sidecar.mUp)
+        Do(aEntry, aEntry.mCore->OnChannelUp(sidecar.mName, mTime.Now()));
+      else
+        Do(aEntry, aEntry.mCore->OnChannelDown(sidecar.mName, mTime.Now()));
+    });
+  }
+
+  void Carry(Entry&, AnswerHead&) {}
+
+  void Carry(Entry&, AnswerData& aData)
+  {
+    for (size_t i = 0; i < aData.mData.size(); ++i)
+      mHooks.mOnToken(CallerOf(aData.mId));
+  }
+
+  void Carry(Entry&, AnswerEnd& aEnd) { mHooks.mOnWhole(CallerOf(aEnd.mId)); }
+
+  void Carry(Entry&, AnswerError& aError)
+  {
+    mHooks.mOnRefused(CallerOf(aError.mId), aError.mRefusal);
+  }
+
+  void Carry(Sidecar& aSidecar, SendToEntry& aSend)
+  {
+    Entry& entry = *mEntries.at(aSend.mEntry);
+    mTime.After(
+      kNetwork,
+      [this, &aSidecar, &entry, message = std::move(aSend.mMessage)]() mutable {
+        if (aSidecar.mUp)
+          Do(entry,
+             entry.mCore->OnMessage(
+               aSidecar.mName, std::move(message), mTime.Now()));
+      });
+  }
+
+  void Carry(Sidecar& aSidecar, StartCall& aStart)
+  {
+    const TraceRequest& request =
+      mTrace.mRequests[CallerOf(aStart.mKey.mRequest).mIndex];
+    const uint64_t id = mNextId++;
+    mCalls[id] = aStart.mKey;
+    aSidecar.mRunning[aStart.mKey] = id;
+    aSidecar.mEngine->Start({ .mId = id,
+                              .mPriority = aStart.mTier,
+                              .mPrefix = request.mPrefix,
+                              .mPrefixTokens = request.mPrefixTokens,
+                              .mPromptTokens = request.mPromptTokens,
+                              .mOutputTokens = request.mOutputTokens });
+  }
+
+  void Carry(Sidecar& aSidecar, CancelCall& aCancel)
+  {
+    const auto found = aSidecar.mRunning.find(aCancel.mKey);
+    if (found == aSidecar.mRunning.end())
+      return;
+    aSidecar.mEngine->Cancel(found->second);
+    aSidecar.mRunning.erase(found);
+  }
+
+  void OnToken(Sidecar& aSidecar, uint64_t aId, bool aLast)
+  {
+    const AttemptKey key = mCalls.at(aId);
+    if (aLast) {
+      mWhole.insert(aId);
+      aSidecar.mRunning.erase(key);
+    }
+    Do(aSidecar,
+       aSidecar.mCore->OnCall(
+         CallData{ .mKey = key, .mData = "t", .mTokens = 1 }, mTime.Now()));
+    if (aLast)
+      Do(aSidecar,
+         aSidecar.mCore->OnCall(CallDone{ .mKey = key }, mTime.Now()));
+  }
+
+  VirtualTime& mTime;
+  const Trace& mTrace;
+  CallerHooks mHooks;
+  std::shared_ptr<const Classifier> mClassifier;
+  std::map<UpstreamId, std::unique_ptr<Sidecar>> mSidecars;
+  std::map<EntryId, std::unique_ptr<Entry>> mEntries;
+  std::map<uint64_t, AttemptKey> mCalls;
+  std::set<uint64_t> mWhole;
+  uint64_t mNextId = 1;
+};
+
+} // namespace
+
+std::unique_ptr<Router>
+MakeDesign(VirtualTime& aTime, const Trace& aTrace, CallerHooks aHooks)
+{
+  return std::make_unique<Design>(aTime, aTrace, std::move(aHooks));
+}
+
+} // namespace replay
--- /dev/null
+++ b/tests/replay/virtualengine.cpp
@@ -0,0 +1,100 @@
+#include "virtualengine.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace replay {
+
+VirtualEngine::VirtualEngine(VirtualTime& aTime,
+                             standin::BatchOptions aOptions,
+                             OnToken aOnToken)
+  : mTime(aTime)
+  , mOptions(aOptions)
+  , mBatch(aOptions)
+  , mOnToken(std::move(aOnToken))
+{
+}
+
+void
+VirtualEngine::Start(const EngineCall& aCall)
+{
+  std::vector<uint64_t> blocks;
+  for (uint32_t i = 0; i < aCall.mPrefixTokens / standin::kBlockTokens; ++i)
+    blocks.push_back(aCall.mPrefix * 1000003 + i);
+  mCalls[aCall.mId] = { .mPrompt = aCall.mPromptTokens,
+                        .mOutput = aCall.mOutputTokens };
+  mBatch.Add({ .mId = aCall.mId,
+               .mPriority = aCall.mPriority,
+               .mBlocks = std::move(blocks),
+               .mPromptTokens = aCall.mPromptTokens,
+               .mOutputTokens = aCall.mOutputTokens });
+  if (!mStepping) {
+    mClock = static_cast<double>(mTime.Now().Count());
+    Step();
+  }
+}
+
+void
+VirtualEngine::Cancel(uint64_t aId)
+{
+  Close(aId);
+  mBatch.Remove(aId);
+}
+
+void
+VirtualEngine::Crash()
+{
+  while (!mCalls.empty())
+    Close(mCalls.begin()->first);
+  mBatch = standin::BatchModel(mOptions);
+  mStepping = false;
+  ++mLife;
+}
+
+void
+VirtualEngine::Close(uint64_t aId)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end())
+    return;
+  const Call& call = found->second;
+  const bool prefilled = call.mDone > 0 || mBatch.Waiting() == 0;
+  mExecutions.push_back({ .mId = aId,
+                          .mPromptTokens = prefilled ? call.mPrompt : 0,
+                          .mOutputTokens = call.mDone });
+  mCalls.erase(found);
+}
+
+void
+VirtualEngine::Step()
+{
+  mStepping = !mBatch.Idle();
+  if (!mStepping)
+    return;
+  const standin::BatchStep step = mBatch.Step();
+  mClock += step.mMillis * mSlow;
+  const Millis end(static_cast<int64_t>(std::ceil(mClock)));
+  mTime.At(end, [this, step, life = mLife] {
+    if (life != mLife)
+      return;
+    Deliver(step);
+    Step();
+  });
+}
+
+void
+VirtualEngine::Deliver(const standin::BatchStep& aStep)
+{
+  for (const uint64_t id : aStep.mTokens) {
+    const auto found = mCalls.find(id);
+    if (found == mCalls.end())
+      continue;
+    const bool last = ++found->second.mDone >= found->second.mOutput;
+    if (last)
+      Close(id);
+    mOnToken(id, last);
+  }
+}
+
+} // namespace replay
