--- a/src/libtrefoilarch/channelhealth.cpp
+++ b/src/libtrefoilarch/channelhealth.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** Idle heartbeats that may be missed before a channel counts as silent. */
+/** Idle probes that may go unanswered before a channel counts as silent. */
 constexpr int64_t kIdleMisses = 2;
 
 } // namespace
@@ -20,8 +20,9 @@
 ChannelHealth::OnUp(Millis aNow)
 {
   mState = ChannelState::Greeting;
-  mLastHeard = aNow;
   mLastSent = aNow;
+  mProven = aNow;
+  mProbe.reset();
 }
 
 void
@@ -37,13 +38,28 @@
 ChannelHealth::OnWelcome(Millis aNow)
 {
   mState = ChannelState::Ready;
-  mLastHeard = aNow;
+  mProven = aNow;
 }
 
 void
-ChannelHealth::OnHeard(Millis aNow)
+ChannelHealth::OnProbeSent(Millis aNow)
 {
-  mLastHeard = aNow;
+  mProbe = aNow;
+}
+
+void
+ChannelHealth::OnProbeAnswered()
+{
+  if (mProbe) {
+    OnProven(*mProbe);
+    mProbe.reset();
+  }
+}
+
+void
+ChannelHealth::OnProven(Millis aSentAt)
+{
+  mProven = std::max(mProven, aSentAt);
 }
 
 void
@@ -64,7 +80,7 @@
 Millis
 ChannelHealth::NextWake() const
 {
-  return std::min(SilentAt(), HeartbeatAt());
+  return std::min({ SilentAt(), HeartbeatAt(), ProbeAt() });
 }
 
 Millis
@@ -74,21 +90,34 @@
     return Millis::Never();
   }
   if (mState == ChannelState::Greeting) {
-    return mLastHeard + mSpans.mSilence;
+    return mProven + mSpans.mSilence;
   }
   if (mStake) {
-    return std::max(mLastHeard, mStakeSince) + mSpans.mSilence;
+    return std::max(mProven, mStakeSince) + mSpans.mSilence;
   }
-  return mLastHeard + mSpans.mIdleHeartbeat * kIdleMisses + mSpans.mSilence;
+  return mProven + mSpans.mIdleHeartbeat * kIdleMisses + mSpans.mSilence;
 }
 
 Millis
 ChannelHealth::HeartbeatAt() const
 {
-  if (mState != ChannelState::Ready) {
+  return mState == ChannelState::Ready ? mLastSent + Interval()
+                                       : Millis::Never();
+}
+
+Millis
+ChannelHealth::ProbeAt() const
+{
+  if (mState != ChannelState::Ready || mProbe) {
     return Millis::Never();
   }
-  return mLastSent + (mStake ? mSpans.mHeartbeat : mSpans.mIdleHeartbeat);
+  return mProven + Interval();
+}
+
+Millis
+ChannelHealth::Interval() const
+{
+  return mStake ? mSpans.mHeartbeat : mSpans.mIdleHeartbeat;
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/channelhealth.h
+++ b/src/libtrefoilarch/channelhealth.h
@@ -3,6 +3,7 @@
 #include "millis.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace trefoilarch {
 
@@ -25,10 +26,12 @@
 };
 
 /**
- * Judges one channel by what is heard on it, since a connection that
- * something between its ends has forgotten stays open for TCP. Silence
- * counts from when something came to be at stake, as an idle peer is allowed
- * to be quiet for longer.
+ * Judges one channel by what the peer is known to have received, since a
+ * connection that something between its ends has forgotten stays open for
+ * TCP, and may be silent in one direction alone. An answer proves the
+ * message that it answers; where nothing else did so for a heartbeat, a
+ * probe is due. Silence counts from when something came to be at stake, as
+ * an idle channel is probed more rarely.
  */
 class ChannelHealth
 {
@@ -38,28 +41,38 @@
   void OnUp(Millis aNow);
   void OnDown(Millis aNow);
   void OnWelcome(Millis aNow);
-  void OnHeard(Millis aNow);
   void OnSent(Millis aNow);
+  void OnProbeSent(Millis aNow);
+  /** The peer answered a probe. */
+  void OnProbeAnswered();
+  /** The peer answered a message that was sent then. */
+  void OnProven(Millis aSentAt);
   /** Whether anything waits for this channel's peer. */
   void SetStake(bool aStake, Millis aNow);
 
   ChannelState State() const { return mState; }
   /** When the state last became Down. */
   Millis DownSince() const { return mDownSince; }
-  /** The channel is open, yet nothing comes that should have come. */
+  /** The channel is open, yet answers that should have come did not. */
   bool Silent(Millis aNow) const { return aNow >= SilentAt(); }
   bool HeartbeatDue(Millis aNow) const { return aNow >= HeartbeatAt(); }
+  bool ProbeDue(Millis aNow) const { return aNow >= ProbeAt(); }
   Millis NextWake() const;
 
 private:
   Millis SilentAt() const;
   Millis HeartbeatAt() const;
+  Millis ProbeAt() const;
+  Millis Interval() const;
 
   ChannelSpans mSpans;
   ChannelState mState = ChannelState::Down;
   Millis mDownSince;
-  Millis mLastHeard;
   Millis mLastSent;
+  /** The newest message that the peer is known to have received. */
+  Millis mProven;
+  /** The probe under way, if one is. */
+  std::optional<Millis> mProbe;
   bool mStake = false;
   Millis mStakeSince;
 };
--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -28,7 +28,6 @@
     mCounters.mDropped++;
     return;
   }
-  link->mHealth.OnHeard(aNow);
   std::visit([&](auto&& aKnown) { On(*link, std::move(aKnown), aNow); },
              std::move(aMessage));
   Watch(*link, aNow);
@@ -44,6 +43,7 @@
     OnStray(aLink, aMessage.mKey, aNow);
     return;
   }
+  aLink.mHealth.OnProven(offer->mOffered);
   if (aLink.TakesWork() && MayGo(*request, aLink)) {
     StartAt(aLink, *request, *offer, aNow);
     return;
@@ -75,10 +75,13 @@
 EntryCore::Impl::On(UpstreamLink& aLink, const Decline& aMessage, Millis aNow)
 {
   OpenRequest* request = RequestOf(aMessage.mKey);
-  if (!request || !TakeOffer(aLink, *request, aMessage.mKey)) {
+  const auto offer =
+    request ? TakeOffer(aLink, *request, aMessage.mKey) : std::nullopt;
+  if (!offer) {
     Confirm(aLink, aMessage.mKey);
     return;
   }
+  aLink.mHealth.OnProven(offer->mOffered);
   aLink.mOpen.erase(aMessage.mKey);
   request->mDeclinedBy.push_back(aLink.mView.mName);
   const bool sooner =
@@ -102,6 +105,10 @@
 void
 EntryCore::Impl::On(UpstreamLink& aLink, const Voided& aMessage, Millis aNow)
 {
+  if (aMessage.mKey == kProbe) {
+    aLink.mHealth.OnProbeAnswered();
+    return;
+  }
   OpenRequest* request = RequestOf(aMessage.mKey);
   if (!request || aMessage.mIncarnation != aLink.mIncarnation) {
     Confirm(aLink, aMessage.mKey);
@@ -224,8 +231,10 @@
   request->mMayHaveRun |= aMessage.mRan == Ran::Maybe || request->mHeadSent;
   request->mStarted.reset();
   aLink.mOpen.erase(aMessage.mKey);
+  // A sidecar that lost sight of this entry ends what it ran for it.
+  const bool orphaned = aMessage.mKind == ErrorKind::CallerLeft;
   RetryOrConclude(*request,
-                  { aMessage.mKind,
+                  { orphaned ? ErrorKind::OutcomeUnknown : aMessage.mKind,
                     aMessage.mRan,
                     Millis(),
                     "the upstream did not complete the answer" },
@@ -237,6 +246,10 @@
                     const LedgerEntry& aMessage,
                     Millis aNow)
 {
+  if (aMessage.mKey == kProbe) {
+    aLink.mHealth.OnProbeAnswered();
+    return;
+  }
   if (aMessage.mIncarnation != aLink.mIncarnation) {
     mCounters.mDropped++;
     return;
--- a/src/libtrefoilarch/entrychannels.cpp
+++ b/src/libtrefoilarch/entrychannels.cpp
@@ -74,7 +74,7 @@
   std::erase_if(mLinks, [this](const auto& aLink) {
     const bool gone = !aLink.second.mListed && aLink.second.mOpen.empty();
     if (gone) {
-      mLinkTimers.Clear(aLink.first);
+      mLinkTimers.Disarm(aLink.first);
     }
     return gone;
   });
@@ -153,6 +153,7 @@
   for (EntryAttempt& offer : request->mOffers) {
     if (offer.mKey == aKey) {
       offer.mIncarnation = aLink.mIncarnation;
+      offer.mOffered = aNow;
       Send(aLink, OfferFor(*request, aKey, aNow), aNow);
     }
   }
@@ -223,9 +224,16 @@
     mCounters.mReopened++;
     mActions.emplace_back(ReopenChannel{ aLink.mView.mName });
     LoseChannel(aLink, aNow);
-  } else if (aLink.mHealth.HeartbeatDue(aNow)) {
+    Watch(aLink, aNow);
+    return;
+  }
+  if (aLink.mHealth.HeartbeatDue(aNow)) {
     Send(aLink, EntryHeartbeat{ PolicyVersion() }, aNow);
   }
+  if (aLink.mHealth.ProbeDue(aNow)) {
+    aLink.mHealth.OnProbeSent(aNow);
+    Send(aLink, VoidOrReport{ kProbe }, aNow);
+  }
   Watch(aLink, aNow);
 }
 
@@ -282,7 +290,7 @@
   }
   if (wake < aLink.mWakeAt) {
     aLink.mWakeAt = wake;
-    mLinkTimers.Set(aLink.mView.mName, wake);
+    mLinkTimers.Arm(aLink.mView.mName, wake);
   }
 }
 
--- a/src/libtrefoilarch/entryimpl.h
+++ b/src/libtrefoilarch/entryimpl.h
@@ -3,7 +3,7 @@
 #include "entrycore.h"
 #include "openrequest.h"
 #include "retrybudget.h"
-#include "timerset.h"
+#include "timers.h"
 #include "upstreamlink.h"
 
 #include <map>
@@ -144,8 +144,8 @@
   std::map<UpstreamId, UpstreamLink> mLinks;
   /** Requests that wait for a channel to come up. */
   std::set<RequestId> mParked;
-  TimerSet<RequestId> mRequestTimers;
-  TimerSet<UpstreamId> mLinkTimers;
+  Timers<RequestId> mRequestTimers;
+  Timers<UpstreamId> mLinkTimers;
   RetryBudget mRetryBudget;
   EntryCounters mCounters;
   EntryActions mActions;
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -170,7 +170,8 @@
   const AttemptKey key{ aRequest.mRequest.mId, ++aRequest.mLastAttempt };
   aRequest.mOffers.push_back({ .mKey = key,
                                .mUpstream = aLink.mView.mName,
-                               .mIncarnation = aLink.mIncarnation });
+                               .mIncarnation = aLink.mIncarnation,
+                               .mOffered = aNow });
   aLink.mOpen.insert(key);
   mCounters.mOffers++;
   Send(aLink, OfferFor(aRequest, key, aNow), aNow);
@@ -305,7 +306,7 @@
     CloseAttempt(*aRequest.mStarted, aNow);
   }
   const RequestId id = aRequest.mRequest.mId;
-  mRequestTimers.Clear(id);
+  mRequestTimers.Disarm(id);
   mParked.erase(id);
   mRequests.erase(id);
 }
@@ -375,7 +376,7 @@
 void
 EntryCore::Impl::Watch(const OpenRequest& aRequest)
 {
-  mRequestTimers.Set(aRequest.mRequest.mId,
+  mRequestTimers.Arm(aRequest.mRequest.mId,
                      std::min(aRequest.mDeadline, aRequest.mRetryAt));
 }
 
--- a/src/libtrefoilarch/openrequest.h
+++ b/src/libtrefoilarch/openrequest.h
@@ -18,7 +18,8 @@
   UpstreamId mUpstream;
   /** The sidecar's incarnation that was offered or sent the attempt. */
   uint64_t mIncarnation = 0;
-  /** When Start was sent; meaningless before. */
+  /** When the offer was last sent, and the Start. */
+  Millis mOffered{};
   Millis mStarted{};
 };
 
--- a/src/libtrefoilarch/upstreamlink.h
+++ b/src/libtrefoilarch/upstreamlink.h
@@ -14,6 +14,12 @@
 
 namespace trefoilarch {
 
+/**
+ * No attempt has this key, as attempts count from 1. Asking what became of
+ * it is how a channel is probed: every sidecar has to answer.
+ */
+constexpr AttemptKey kProbe{};
+
 /** What an entry knows of one upstream, and what it has there. */
 struct UpstreamLink
 {
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -4,22 +4,6 @@
 
 using namespace trefoilarch;
 
-// Until the policy's own classifier is in main: every upstream is allowed.
-namespace trefoilarch {
-
-Classifier::Classifier(std::shared_ptr<const Policy> aPolicy)
-  : mPolicy(std::move(aPolicy))
-{
-}
-
-bool
-Classifier::MayGo(const Labels&, const UpstreamView&) const
-{
-  return true;
-}
-
-} // namespace trefoilarch
-
 namespace {
 
 const RequestId kRequest{ 1, 2 };
@@ -31,8 +15,12 @@
   Scene()
     : mCore({ .mEntry = "entry-1", .mDataCentre = "riga-1" })
   {
-    mCore.SetClassifier(
-      std::make_shared<const Classifier>(std::make_shared<const Policy>()));
+    auto policy = std::make_shared<Policy>();
+    policy->mVersion = 1;
+    policy->mSelectors["all"] = { .mName = "all",
+                                  .mTraffic = {},
+                                  .mUpstreams = {} };
+    mCore.SetClassifier(std::make_shared<const Classifier>(std::move(policy)));
     std::vector<UpstreamView> views;
     for (const char* name : { "a", "b", "c" }) {
       views.push_back({ .mName = name, .mDataCentre = "", .mLabels = {} });
@@ -181,3 +169,42 @@
   scene.mDone = scene.mCore.OnTick(Millis(1510));
   cr_assert_eq(scene.Given<ReopenChannel>().size(), 2);
 }
+
+Test(entrycore, late_crossed_and_duplicate_chunks_are_dropped)
+{
+  Scene scene;
+  scene.Request();
+  const auto offers = scene.Sent<Offer>();
+  const auto& [upstream, offer] = offers[0];
+  const AttemptKey key = offer.mKey;
+  scene.Hear(upstream, Grant{ key, Millis(1000) });
+  scene.Hear(upstream, Chunk{ key, 0, "one", 1, 200, {} });
+  scene.Hear(upstream, Chunk{ key, 0, "one", 1, 200, {} });
+  cr_assert(scene.mDone.empty(), "a duplicate");
+  scene.Hear(offers[1].first, Chunk{ key, 1, "two", 1, 0, {} });
+  cr_assert(scene.Given<AnswerData>().empty(), "from another upstream");
+  scene.Hear(offers[1].first,
+             Chunk{ offers[1].second.mKey, 1, "two", 1, 0, {} });
+  cr_assert(scene.Given<AnswerData>().empty(), "of another attempt");
+  scene.Hear(upstream, Chunk{ key, 2, "three", 1, 0, {} });
+  cr_assert(scene.Given<AnswerData>().empty(), "after a gap");
+  cr_assert_eq(scene.Sent<Resume>().at(0).second.mNextChunk, 1);
+  cr_assert(scene.mCore.DumpState(scene.mNow).find("\"messages_dropped\":4") !=
+            std::string::npos);
+}
+
+Test(entrycore, a_start_is_safe_again_once_the_same_incarnation_voids_it)
+{
+  for (const uint64_t incarnation : { 1, 2 }) {
+    Scene scene;
+    scene.Request(false);
+    const auto [upstream, offer] = scene.Sent<Offer>().front();
+    scene.Hear(upstream, Grant{ offer.mKey, Millis(1000) });
+    scene.Hear(upstream, Voided{ offer.mKey, incarnation });
+    cr_assert_eq(scene.Sent<Offer>().empty(), incarnation != 1);
+    scene.mDone = scene.mCore.OnTick(Millis(60010));
+    const Refusal refusal = scene.Given<AnswerError>().at(0).mRefusal;
+    cr_assert(refusal.mKind == ErrorKind::DeadlineExceeded);
+    cr_assert(refusal.mRan == (incarnation == 1 ? Ran::No : Ran::Maybe));
+  }
+}
--- a/tests/unit/entryfaultstest.cpp
+++ b/tests/unit/entryfaultstest.cpp
@@ -11,6 +11,11 @@
 
 constexpr Millis kFaultsEnd{ 16000 };
 constexpr Millis kLongestDeadline{ 20000 };
+/** Too short for some answers, and more than any answer takes unhindered. */
+constexpr Millis kScant{ 500 };
+constexpr Millis kEnough{ 2000 };
+/** By now every channel has been found silent and replaced. */
+constexpr Millis kCalm{ 40000 };
 /** Longer than every deadline and span together. */
 constexpr Millis kQuiet{ 60000 };
 
@@ -32,6 +37,7 @@
   Storm(uint64_t aSeed, size_t aFaults, VirtualEngines aEngines)
     : mRandom(aSeed)
     , mFleet(aSeed, kSidecars, aEngines, AnyUpstream())
+    , mShortestDeadline(aFaults == 0 ? kEnough : kScant)
   {
     for (size_t i = 0; i < kRequests; i++) {
       mFleet.At(Draw(kFaultsEnd), [this] { Ask(); });
@@ -39,6 +45,7 @@
     for (size_t i = 0; i < aFaults; i++) {
       mFleet.At(Draw(kFaultsEnd), [this] { Fault(); });
     }
+    mFleet.At(kCalm, [this] { AskInCalm(); });
   }
 
   VirtualFleet& Run()
@@ -47,6 +54,9 @@
     return mFleet;
   }
 
+  /** Asked when all faults were over. */
+  const std::vector<RequestId>& InCalm() const { return mInCalm; }
+
 private:
   static constexpr size_t kSidecars = 3;
   static constexpr size_t kRequests = 40;
@@ -59,14 +69,22 @@
 
   void Ask()
   {
-    const RequestId id =
-      mFleet.Ask(mRandom() % 2 == 0, Millis(500) + Draw(kLongestDeadline));
+    const RequestId id = mFleet.Ask(mRandom() % 2 == 0,
+                                    mShortestDeadline + Draw(kLongestDeadline));
     if (mRandom() % 8 == 0) {
       mFleet.At(mFleet.Now() + Draw(Millis(800)),
                 [this, id] { mFleet.Leave(id); });
     }
   }
 
+  void AskInCalm()
+  {
+    mFleet.SetEngines({});
+    for (size_t i = 0; i < kRequests; i++) {
+      mInCalm.push_back(mFleet.Ask(i % 2 == 0, kEnough * 2));
+    }
+  }
+
   void Fault()
   {
     const UpstreamId name = "engine-" + std::to_string(mRandom() % kSidecars);
@@ -91,12 +109,15 @@
 
   std::mt19937_64 mRandom;
   VirtualFleet mFleet;
+  Millis mShortestDeadline;
+  std::vector<RequestId> mInCalm;
 };
 
 void
 CheckCaller(RequestId aId, const VirtualCaller& aCaller)
 {
   const std::string truth = VirtualFleet::TrueAnswer(aId);
+  RC_LOG() << aId.Text() << " got " << aCaller.mData << "\n";
   RC_ASSERT(aCaller.Ended() != aCaller.mLeft);
   RC_ASSERT(truth.starts_with(aCaller.mData));
   if (aCaller.mWhole) {
@@ -105,6 +126,9 @@
   if (!aCaller.mIdempotent) {
     RC_ASSERT(aCaller.mRuns <= 1);
   }
+  if (aCaller.mRefusal) {
+    RC_ASSERT(aCaller.mRefusal->mKind != ErrorKind::CallerLeft);
+  }
   if (!aCaller.mLeft) {
     RC_ASSERT(aCaller.mEnded <= aCaller.mDeadline);
   }
@@ -128,6 +152,9 @@
       Storm storm(aSeed, faults, { .mCrash = 0.02, .mRefuse = 0.05 });
       VirtualFleet& fleet = storm.Run();
       RC_ASSERT(fleet.Entry().OpenRequests() == 0U);
+      for (const RequestId& id : storm.InCalm()) {
+        RC_ASSERT(fleet.Callers().at(id).mWhole);
+      }
       for (const auto& [id, caller] : fleet.Callers()) {
         CheckCaller(id, caller);
         endings[caller.mWhole ? "whole"
@@ -158,3 +185,69 @@
               });
   cr_assert(holds);
 }
+
+Test(entryfaults, silence_alone_costs_no_answer)
+{
+  const bool holds =
+    rc::check("silence alone costs no answer", [](uint64_t aSeed) {
+      std::mt19937_64 random(aSeed);
+      VirtualFleet fleet(aSeed, 2, {}, AnyUpstream());
+      for (int i = 0; i < 20; i++) {
+        const Millis when(1000 + random() % 10000);
+        fleet.At(when, [&] { fleet.Ask(random() % 2 == 0, Millis(20000)); });
+        fleet.At(when + Millis(random() % 400), [&] {
+          fleet.Silence(random() % 2 == 0 ? "engine-0" : "engine-1",
+                        random() % 3 != 0,
+                        random() % 3 != 0);
+        });
+      }
+      fleet.Run(kQuiet);
+      for (const auto& [id, caller] : fleet.Callers()) {
+        CheckCaller(id, caller);
+        RC_ASSERT(caller.mWhole);
+      }
+    });
+  cr_assert(holds);
+}
+
+Test(entryfaults, what_a_restart_lost_is_told_or_rerun_at_once)
+{
+  VirtualFleet fleet(3, 1, { .mMostPause = Millis(1000) }, AnyUpstream());
+  fleet.Run(Millis(2000));
+  for (int i = 0; i < 40; i++) {
+    fleet.Ask(i % 2 == 0, Millis(60000));
+  }
+  fleet.Run(Millis(2500));
+  fleet.Restart("engine-0");
+  fleet.Run(Millis(4000));
+  int refused = 0;
+  for (const auto& [id, caller] : fleet.Callers()) {
+    if (caller.mRefusal) {
+      refused++;
+      cr_assert(caller.mRefusal->mRan == Ran::Maybe);
+      cr_assert(
+        caller.mRefusal->mKind ==
+        (caller.mHead ? ErrorKind::AnswerCut : ErrorKind::OutcomeUnknown));
+    } else if (!caller.mIdempotent) {
+      cr_assert(caller.mWhole);
+    }
+  }
+  cr_assert_gt(refused, 20);
+  fleet.Run(kQuiet);
+  for (const auto& [id, caller] : fleet.Callers()) {
+    cr_assert(caller.mWhole || (caller.mRefusal && caller.mRuns == 1));
+  }
+}
+
+Test(entryfaults, a_busy_upstream_is_not_taken_for_a_silent_channel)
+{
+  VirtualFleet fleet(1, 1, { .mMostPause = Millis(6000) }, AnyUpstream());
+  for (int i = 1; i <= 20; i++) {
+    fleet.At(Millis(20000) * i, [&fleet] { fleet.Ask(true, Millis(120000)); });
+  }
+  fleet.Run(Millis(600000));
+  cr_assert(fleet.Reopened().empty());
+  for (const auto& [id, caller] : fleet.Callers()) {
+    cr_assert(caller.mWhole);
+  }
+}
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -4,6 +4,7 @@
 #include "libtrefoilarch/sidecarcore.h"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,11 +25,11 @@
   Millis mArrived;
   Millis mDeadline;
   bool mHead = false;
-  std::string mData;
+  std::string mData{};
   bool mWhole = false;
   bool mLeft = false;
-  std::optional<Refusal> mRefusal;
-  Millis mEnded;
+  std::optional<Refusal> mRefusal{};
+  Millis mEnded{};
   /** Times that an upstream began to work on it. */
   int mRuns = 0;
 
@@ -180,9 +181,13 @@
   /** The sidecar's process stands still until then. */
   void Freeze(const UpstreamId& aName, Millis aUntil)
   {
-    mHosts.at(aName).mFrozenUntil = aUntil;
+    Host& host = mHosts.at(aName);
+    host.mFrozenUntil = std::max(host.mFrozenUntil, aUntil);
+    At(host.mFrozenUntil, [this, &host] { Thaw(host); });
   }
 
+  void SetEngines(VirtualEngines aEngines) { mEngines = aEngines; }
+
   void Drain(const UpstreamId& aName)
   {
     Host& host = mHosts.at(aName);
@@ -212,6 +217,7 @@
     Millis mLastDown;
     Millis mUnreachableUntil;
     Millis mFrozenUntil;
+    std::deque<std::function<void()>> mInbox;
   };
 
   static constexpr const char* kEntry = "entry-1";
@@ -318,7 +324,9 @@
       host.mLastUp = std::max(host.mLastUp, mNow + Chance(5));
       At(host.mLastUp,
          [this, &host, channel = host.mChannel, message = aAction.mMessage] {
-           ToSidecar(host, channel, message);
+           InTurn(host, [this, &host, channel, message] {
+             ToSidecar(host, channel, message);
+           });
          });
     }
   }
@@ -328,16 +336,29 @@
     if (aHost.mChannel != aChannel || aHost.mSilentUp) {
       return;
     }
-    if (mNow < aHost.mFrozenUntil) {
-      At(aHost.mFrozenUntil, [this, &aHost, aChannel, aMessage] {
-        ToSidecar(aHost, aChannel, aMessage);
-      });
-      return;
-    }
     aHost.mHeard = aChannel;
     CarryOut(aHost, aHost.mCore->OnMessage(kEntry, std::move(aMessage), mNow));
   }
 
+  /** Does it at once, or in its turn when the host's process moves again. */
+  void InTurn(Host& aHost, std::function<void()> aWhat)
+  {
+    if (mNow < aHost.mFrozenUntil || !aHost.mInbox.empty()) {
+      aHost.mInbox.push_back(std::move(aWhat));
+    } else {
+      aWhat();
+    }
+  }
+
+  void Thaw(Host& aHost)
+  {
+    while (mNow >= aHost.mFrozenUntil && !aHost.mInbox.empty()) {
+      const auto next = std::move(aHost.mInbox.front());
+      aHost.mInbox.pop_front();
+      next();
+    }
+  }
+
   void Do(ReopenChannel& aAction)
   {
     Host& host = mHosts.at(aAction.mUpstream);
@@ -451,17 +472,11 @@
   /** Tells the sidecar, as soon as its process moves. */
   void Later(Host& aHost, CallEvent aEvent)
   {
-    At(std::max(mNow, aHost.mFrozenUntil),
-       [this, &aHost, aEvent, boots = aHost.mBoots] {
-         if (aHost.mBoots != boots) {
-           return;
-         }
-         if (mNow < aHost.mFrozenUntil) {
-           Later(aHost, aEvent);
-           return;
-         }
-         CarryOut(aHost, aHost.mCore->OnCall(aEvent, mNow));
-       });
+    InTurn(aHost, [this, &aHost, aEvent, boots = aHost.mBoots] {
+      if (aHost.mBoots == boots) {
+        CarryOut(aHost, aHost.mCore->OnCall(aEvent, mNow));
+      }
+    });
   }
 
   std::mt19937_64 mRandom;
