Place by prefix, load and results

The preferred upstream is the prefix's by rendezvous hash with a bound on load; the other is the least busy of a few drawn by chance, by the last report plus what this entry has sent since. Upstreams that fail or are slow are ejected, with a cap, and return on trial.

--- a/src/libtrefoilarch/channelhealth.cpp
+++ b/src/libtrefoilarch/channelhealth.cpp
@@ -1,6 +1,7 @@
 #include "channelhealth.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trefoilarch {
 
@@ -47,13 +48,15 @@
   mProbe = aNow;
 }
 
-void
-ChannelHealth::OnProbeAnswered()
+std::optional<Millis>
+ChannelHealth::OnProbeAnswered(Millis aNow)
 {
-  if (mProbe) {
-    OnProven(*mProbe);
-    mProbe.reset();
+  const std::optional<Millis> sentAt = std::exchange(mProbe, std::nullopt);
+  if (!sentAt) {
+    return std::nullopt;
   }
+  OnProven(*sentAt);
+  return aNow - *sentAt;
 }
 
 void
--- a/src/libtrefoilarch/channelhealth.h
+++ b/src/libtrefoilarch/channelhealth.h
@@ -43,8 +43,8 @@
   void OnWelcome(Millis aNow);
   void OnSent(Millis aNow);
   void OnProbeSent(Millis aNow);
-  /** The peer answered a probe. */
-  void OnProbeAnswered();
+  /** The peer answered a probe; gives the round trip. */
+  std::optional<Millis> OnProbeAnswered(Millis aNow);
   /** The peer answered a message that was sent then. */
   void OnProven(Millis aSentAt);
   /** Whether anything waits for this channel's peer. */
--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -11,9 +11,22 @@
 constexpr uint64_t kAckChunks = 16;
 constexpr size_t kAckBytes = 64 * 1024;
 
+/** The newest round trip counts for one in this many. */
+constexpr int64_t kRoundTripSmoothing = 4;
+
+/** First tokens are compared as if each prompt had this many tokens more. */
+constexpr int64_t kTypicalPrompt = 2000;
+
 /** Sets of offers made for one request before its declines are final. */
 constexpr uint32_t kMostRounds = 3;
 
+bool
+IsUpstreamsFault(ErrorKind aKind)
+{
+  return aKind == ErrorKind::UpstreamUnreachable ||
+         aKind == ErrorKind::UpstreamFailed || aKind == ErrorKind::AnswerCut;
+}
+
 } // namespace
 
 void
@@ -82,7 +95,7 @@
     return;
   }
   aLink.mHealth.OnProven(offer->mOffered);
-  aLink.mOpen.erase(aMessage.mKey);
+  Release(aLink, *offer);
   request->mDeclinedBy.push_back(aLink.mView.mName);
   const bool sooner =
     !request->mRefusal || aMessage.mRetryAfter < request->mRefusal->mRetryAfter;
@@ -106,7 +119,7 @@
 EntryCore::Impl::On(UpstreamLink& aLink, const Voided& aMessage, Millis aNow)
 {
   if (aMessage.mKey == kProbe) {
-    aLink.mHealth.OnProbeAnswered();
+    OnProbeAnswered(aLink, aNow);
     return;
   }
   OpenRequest* request = RequestOf(aMessage.mKey);
@@ -114,13 +127,15 @@
     Confirm(aLink, aMessage.mKey);
     return;
   }
-  if (StartedAt(aLink, aMessage.mKey)) {
-    request->mStarted.reset();
-  } else if (!TakeOffer(aLink, *request, aMessage.mKey)) {
+  auto attempt = TakeOffer(aLink, *request, aMessage.mKey);
+  if (!attempt && StartedAt(aLink, aMessage.mKey)) {
+    attempt = std::exchange(request->mStarted, std::nullopt);
+  }
+  if (!attempt) {
     Confirm(aLink, aMessage.mKey);
     return;
   }
-  aLink.mOpen.erase(aMessage.mKey);
+  Release(aLink, *attempt);
   if (!HasReadyOffer(*request)) {
     PlaceOrConclude(*request, aNow);
   }
@@ -141,7 +156,7 @@
     }
     return;
   }
-  Deliver(*request, std::move(aMessage));
+  Deliver(*request, std::move(aMessage), aNow);
   if (request->mWholeAt == request->mNextChunk) {
     ConcludeWhole(*request, aNow);
   } else {
@@ -150,10 +165,11 @@
 }
 
 void
-EntryCore::Impl::Deliver(OpenRequest& aRequest, Chunk aChunk)
+EntryCore::Impl::Deliver(OpenRequest& aRequest, Chunk aChunk, Millis aNow)
 {
   const RequestId id = aRequest.mRequest.mId;
   if (!aRequest.mHeadSent) {
+    ReportFirstToken(aRequest, aNow);
     aRequest.mHeadSent = true;
     aRequest.mRequest.mCall = {};
     mActions.emplace_back(
@@ -229,8 +245,12 @@
     return;
   }
   request->mMayHaveRun |= aMessage.mRan == Ran::Maybe || request->mHeadSent;
+  Release(aLink, *request->mStarted);
   request->mStarted.reset();
-  aLink.mOpen.erase(aMessage.mKey);
+  request->mFailedAt.push_back(aLink.mView.mName);
+  if (IsUpstreamsFault(aMessage.mKind)) {
+    mOutliers.OnFailure(aLink.mView.mName, aNow);
+  }
   // A sidecar that lost sight of this entry ends what it ran for it.
   const bool orphaned = aMessage.mKind == ErrorKind::CallerLeft;
   RetryOrConclude(*request,
@@ -247,7 +267,7 @@
                     Millis aNow)
 {
   if (aMessage.mKey == kProbe) {
-    aLink.mHealth.OnProbeAnswered();
+    OnProbeAnswered(aLink, aNow);
     return;
   }
   if (aMessage.mIncarnation != aLink.mIncarnation) {
@@ -290,6 +310,26 @@
   }
 }
 
+void
+EntryCore::Impl::OnProbeAnswered(UpstreamLink& aLink, Millis aNow)
+{
+  const auto took = aLink.mHealth.OnProbeAnswered(aNow);
+  if (took) {
+    const Millis step = (*took - aLink.mRoundTrip) / kRoundTripSmoothing;
+    aLink.mRoundTrip += step;
+  }
+}
+
+void
+EntryCore::Impl::ReportFirstToken(const OpenRequest& aRequest, Millis aNow)
+{
+  const Millis took = aNow - aRequest.mStarted->mStarted;
+  const int64_t tokens = aRequest.mRequest.mPromptTokens;
+  mOutliers.OnFirstToken(aRequest.mStarted->mUpstream,
+                         took * kTypicalPrompt / (kTypicalPrompt + tokens),
+                         aNow);
+}
+
 void
 EntryCore::Impl::OnStray(UpstreamLink& aLink,
                          const AttemptKey& aKey,
--- a/src/libtrefoilarch/entrychannels.cpp
+++ b/src/libtrefoilarch/entrychannels.cpp
@@ -71,28 +71,37 @@
       MoveOffersAway(link, aNow);
     }
   }
-  std::erase_if(mLinks, [this](const auto& aLink) {
-    const bool gone = !aLink.second.mListed && aLink.second.mOpen.empty();
-    if (gone) {
-      mLinkTimers.Disarm(aLink.first);
-    }
-    return gone;
-  });
+  EraseUnlisted();
   PlaceParked(aNow);
 }
 
+void
+EntryCore::Impl::EraseUnlisted()
+{
+  for (auto place = mLinks.begin(); place != mLinks.end();) {
+    const auto& [name, link] = *place;
+    if (link.mListed || !link.mOpen.empty()) {
+      ++place;
+      continue;
+    }
+    mPlacement.Forget();
+    mOutliers.Remove(name);
+    mLinkTimers.Disarm(name);
+    place = mLinks.erase(place);
+  }
+}
+
 void
 EntryCore::Impl::On(UpstreamLink& aLink, Welcome aMessage, Millis aNow)
 {
   const bool forgotten =
     aLink.mWelcomed && aLink.mIncarnation != aMessage.mIncarnation;
   aLink.mHealth.OnWelcome(aNow);
-  aLink.mWelcomed = true;
   aLink.mIncarnation = aMessage.mIncarnation;
-  aLink.mLoad = aMessage.mLoad;
-  aLink.mView.mDataCentre = std::move(aMessage.mDataCentre);
-  aLink.mView.mLabels = std::move(aMessage.mLabels);
+  aLink.SetLoad(aMessage.mLoad);
+  LearnLabels(aLink, std::move(aMessage));
   if (forgotten) {
+    mOutliers.Reset(aLink.mView.mName);
     aLink.mWithdrawn.clear();
     aLink.mWhole.clear();
   }
@@ -100,12 +109,34 @@
   PlaceParked(aNow);
 }
 
+void
+EntryCore::Impl::LearnLabels(UpstreamLink& aLink, Welcome aMessage)
+{
+  const bool same = aLink.mWelcomed &&
+                    aLink.mView.mLabels == aMessage.mLabels &&
+                    aLink.mView.mDataCentre == aMessage.mDataCentre;
+  if (same) {
+    return;
+  }
+  aLink.mWelcomed = true;
+  aLink.mView.mDataCentre = std::move(aMessage.mDataCentre);
+  aLink.mView.mLabels = std::move(aMessage.mLabels);
+  mPlacement.Forget();
+  const Labels& labels = aLink.mView.mLabels;
+  const auto model = labels.find("model");
+  const auto service = labels.find("service");
+  mOutliers.Add(aLink.mView.mName,
+                model != labels.end()     ? "model=" + model->second
+                : service != labels.end() ? "service=" + service->second
+                                          : "");
+}
+
 void
 EntryCore::Impl::On(UpstreamLink& aLink,
                     const SidecarHeartbeat& aMessage,
                     Millis aNow)
 {
-  aLink.mLoad = aMessage.mLoad;
+  aLink.SetLoad(aMessage.mLoad);
   if (!aLink.TakesWork()) {
     MoveOffersAway(aLink, aNow);
   }
@@ -154,6 +185,7 @@
     if (offer.mKey == aKey) {
       offer.mIncarnation = aLink.mIncarnation;
       offer.mOffered = aNow;
+      aLink.Count(1, offer.mTokens);
       Send(aLink, OfferFor(*request, aKey, aNow), aNow);
     }
   }
@@ -186,10 +218,11 @@
   const std::vector<AttemptKey> open(aLink.mOpen.begin(), aLink.mOpen.end());
   for (const AttemptKey& key : open) {
     OpenRequest* request = RequestOf(key);
-    if (!request || !TakeOffer(aLink, *request, key)) {
+    const auto offer = request ? TakeOffer(aLink, *request, key) : std::nullopt;
+    if (!offer) {
       continue;
     }
-    aLink.mOpen.erase(key);
+    Release(aLink, *offer);
     Withdraw(aLink, key, aNow);
     if (!HasReadyOffer(*request)) {
       PlaceOrConclude(*request, aNow);
@@ -258,6 +291,14 @@
   }
 }
 
+void
+EntryCore::Impl::Release(UpstreamLink& aLink, const EntryAttempt& aAttempt)
+{
+  if (aLink.mOpen.erase(aAttempt.mKey) > 0) {
+    aLink.Count(-1, aAttempt.mTokens);
+  }
+}
+
 void
 EntryCore::Impl::CloseAttempt(const EntryAttempt& aAttempt, Millis aNow)
 {
@@ -265,7 +306,7 @@
   if (!link) {
     return;
   }
-  link->mOpen.erase(aAttempt.mKey);
+  Release(*link, aAttempt);
   if (aAttempt.mIncarnation == link->mIncarnation) {
     Withdraw(*link, aAttempt.mKey, aNow);
   }
--- a/src/libtrefoilarch/entryimpl.cpp
+++ b/src/libtrefoilarch/entryimpl.cpp
@@ -10,6 +10,8 @@
 EntryCore::Impl::Impl(EntryOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
+  , mPlacement({ .mDataCentre = mOptions.mDataCentre, .mSeed = mOptions.mSeed })
+  , mOutliers({})
   , mRetryBudget(mOptions.mRetryPercent)
 {
 }
@@ -78,6 +80,7 @@
 EntryCore::Impl::SetClassifier(std::shared_ptr<const Classifier> aClassifier)
 {
   mClassifier = std::move(aClassifier);
+  mPlacement.Forget();
 }
 
 EntryActions
--- a/src/libtrefoilarch/entryimpl.h
+++ b/src/libtrefoilarch/entryimpl.h
@@ -2,6 +2,8 @@
 
 #include "entrycore.h"
 #include "openrequest.h"
+#include "outlierdetector.h"
+#include "placement.h"
 #include "retrybudget.h"
 #include "timers.h"
 #include "upstreamlink.h"
@@ -58,10 +60,9 @@
   std::string DumpState(Millis aNow) const;
 
 private:
-  /** Where one request may go at present. */
-  struct Candidates
+  /** Why a request cannot be offered to anybody just now. */
+  struct Outlook
   {
-    std::vector<UpstreamLink*> mUsable;
     /** Some that it may go to are being reconnected, or are not known yet. */
     bool mMoreLater = false;
     bool mAnyEligible = false;
@@ -70,10 +71,22 @@
   // Placing and concluding requests.
   void Place(OpenRequest& aRequest, Millis aNow);
   void PlaceOrConclude(OpenRequest& aRequest, Millis aNow);
-  Candidates FindCandidates(const OpenRequest& aRequest, Millis aNow);
+  size_t ReadyOffers(const OpenRequest& aRequest) const;
+  std::vector<UpstreamLink*> Choose(const OpenRequest& aRequest,
+                                    size_t aCount,
+                                    Millis aNow);
+  bool IsCandidate(const OpenRequest& aRequest,
+                   const UpstreamLink& aLink) const;
+  bool IsSound(const OpenRequest& aRequest,
+               const UpstreamLink& aLink,
+               Millis aNow) const;
+  Outlook LookAhead(const OpenRequest& aRequest, Millis aNow) const;
   static bool MayComeBack(const UpstreamLink& aLink, Millis aNow);
   bool MayGo(const OpenRequest& aRequest, const UpstreamLink& aLink) const;
-  bool HasReadyOffer(const OpenRequest& aRequest) const;
+  bool HasReadyOffer(const OpenRequest& aRequest) const
+  {
+    return ReadyOffers(aRequest) > 0;
+  }
   void SendOffer(OpenRequest& aRequest, UpstreamLink& aLink, Millis aNow);
   Offer OfferFor(const OpenRequest& aRequest,
                  const AttemptKey& aKey,
@@ -86,8 +99,7 @@
   void ConcludeWhole(OpenRequest& aRequest, Millis aNow);
   void Conclude(OpenRequest& aRequest, Millis aNow);
   void Refuse(RequestId aId, Refusal aRefusal);
-  Refusal NothingUsable(const OpenRequest& aRequest,
-                        const Candidates& aCandidates);
+  Refusal NothingUsable(const OpenRequest& aRequest, const Outlook& aOutlook);
   bool LabelIsKnown(const OpenRequest& aRequest, const char* aKey) const;
   Millis Backoff(uint32_t aRetries);
   Millis ComeBack();
@@ -112,7 +124,9 @@
                OpenRequest& aRequest,
                EntryAttempt aOffer,
                Millis aNow);
-  void Deliver(OpenRequest& aRequest, Chunk aChunk);
+  void OnProbeAnswered(UpstreamLink& aLink, Millis aNow);
+  void ReportFirstToken(const OpenRequest& aRequest, Millis aNow);
+  void Deliver(OpenRequest& aRequest, Chunk aChunk, Millis aNow);
   void AckIfDue(UpstreamLink& aLink, OpenRequest& aRequest, Millis aNow);
   /** A message for an attempt that is not open any more. */
   void OnLedgerEntryOfStray(UpstreamLink& aLink,
@@ -124,12 +138,16 @@
   // Channels.
   void Send(UpstreamLink& aLink, EntryMessage aMessage, Millis aNow);
   void Withdraw(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
+  /** Takes the attempt off the upstream's open ones. */
+  static void Release(UpstreamLink& aLink, const EntryAttempt& aAttempt);
   void CloseAttempt(const EntryAttempt& aAttempt, Millis aNow);
   void Remember(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
   void Confirm(UpstreamLink& aLink, const AttemptKey& aKey);
   void Recover(UpstreamLink& aLink, Millis aNow);
   void RecoverAttempt(UpstreamLink& aLink, const AttemptKey& aKey, Millis aNow);
   void LoseChannel(UpstreamLink& aLink, Millis aNow);
+  void LearnLabels(UpstreamLink& aLink, Welcome aMessage);
+  void EraseUnlisted();
   void MoveOffersAway(UpstreamLink& aLink, Millis aNow);
   void PlaceParked(Millis aNow);
   void OnLinkDue(UpstreamLink& aLink, Millis aNow);
@@ -146,6 +164,8 @@
   std::set<RequestId> mParked;
   Timers<RequestId> mRequestTimers;
   Timers<UpstreamId> mLinkTimers;
+  Placement mPlacement;
+  OutlierDetector mOutliers;
   RetryBudget mRetryBudget;
   EntryCounters mCounters;
   EntryActions mActions;
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -61,10 +61,10 @@
     Watch(aRequest);
     return;
   }
-  const Candidates candidates = FindCandidates(aRequest, aNow);
+  const Outlook outlook = LookAhead(aRequest, aNow);
   const Millis holdUntil = aRequest.mHoldUntil.value_or(aNow + kHoldSpan);
-  if (!candidates.mMoreLater || aNow >= holdUntil) {
-    ConcludeWithError(aRequest, NothingUsable(aRequest, candidates), aNow);
+  if (!outlook.mMoreLater || aNow >= holdUntil) {
+    ConcludeWithError(aRequest, NothingUsable(aRequest, outlook), aNow);
     return;
   }
   aRequest.mHoldUntil = holdUntil;
@@ -76,54 +76,87 @@
 void
 EntryCore::Impl::Place(OpenRequest& aRequest, Millis aNow)
 {
-  Candidates candidates = FindCandidates(aRequest, aNow);
-  std::vector<UpstreamLink*>& usable = candidates.mUsable;
-  const auto busyness = [](const UpstreamLink* aLink) {
-    return aLink->mLoad.mRunning + aLink->mLoad.mWaiting + aLink->mOpen.size();
-  };
-  std::sort(usable.begin(), usable.end(), [&](auto* aLeft, auto* aRight) {
-    return busyness(aLeft) < busyness(aRight);
-  });
-  size_t ready = 0;
-  for (const EntryAttempt& offer : aRequest.mOffers) {
-    ready += LinkOf(offer.mUpstream)->Ready() ? 1 : 0;
+  const size_t ready = ReadyOffers(aRequest);
+  if (ready >= mOptions.mOfferWidth) {
+    return;
   }
-  for (UpstreamLink* link : usable) {
-    if (ready >= mOptions.mOfferWidth) {
-      break;
-    }
+  for (UpstreamLink* link :
+       Choose(aRequest, mOptions.mOfferWidth - ready, aNow)) {
     SendOffer(aRequest, *link, aNow);
-    ready++;
   }
 }
 
-EntryCore::Impl::Candidates
-EntryCore::Impl::FindCandidates(const OpenRequest& aRequest, Millis aNow)
+std::vector<UpstreamLink*>
+EntryCore::Impl::Choose(const OpenRequest& aRequest, size_t aCount, Millis aNow)
+{
+  const EntryRequest& request = aRequest.mRequest;
+  EligibleSet& eligible = mPlacement.Eligible(
+    request.mClassified.mTraffic, mLinks, [&](const UpstreamLink& aLink) {
+      return aLink.mWelcomed && MayGo(aRequest, aLink);
+    });
+  auto chosen = mPlacement.Choose(
+    eligible,
+    request.mPrefixHash,
+    aCount,
+    [&](const UpstreamLink& aLink) {
+      return IsCandidate(aRequest, aLink) && IsSound(aRequest, aLink, aNow);
+    },
+    aNow);
+  if (!chosen.empty() || HasReadyOffer(aRequest)) {
+    return chosen;
+  }
+  return mPlacement.Choose(
+    eligible,
+    request.mPrefixHash,
+    aCount,
+    [&](const UpstreamLink& aLink) { return IsCandidate(aRequest, aLink); },
+    aNow);
+}
+
+bool
+EntryCore::Impl::IsCandidate(const OpenRequest& aRequest,
+                             const UpstreamLink& aLink) const
+{
+  const UpstreamId& name = aLink.mView.mName;
+  return aLink.Ready() && aLink.TakesWork() &&
+         !Contains(aRequest.mDeclinedBy, name) &&
+         std::none_of(aRequest.mOffers.begin(),
+                      aRequest.mOffers.end(),
+                      [&](const EntryAttempt& aOffer) {
+                        return aOffer.mUpstream == name;
+                      });
+}
+
+bool
+EntryCore::Impl::IsSound(const OpenRequest& aRequest,
+                         const UpstreamLink& aLink,
+                         Millis aNow) const
+{
+  if (Contains(aRequest.mFailedAt, aLink.mView.mName)) {
+    return false;
+  }
+  const OutlierState state = mOutliers.State(aLink.mView.mName, aNow);
+  return state == OutlierState::Healthy ||
+         (state == OutlierState::Trial && aLink.mOpen.empty());
+}
+
+EntryCore::Impl::Outlook
+EntryCore::Impl::LookAhead(const OpenRequest& aRequest, Millis aNow) const
 {
-  Candidates candidates;
-  for (auto& [name, link] : mLinks) {
+  Outlook outlook;
+  for (const auto& [name, link] : mLinks) {
     if (!link.mWelcomed) {
-      candidates.mMoreLater |= link.mListed && MayComeBack(link, aNow);
+      outlook.mMoreLater |= link.mListed && MayComeBack(link, aNow);
       continue;
     }
     if (!link.TakesWork() || !MayGo(aRequest, link)) {
       continue;
     }
-    candidates.mAnyEligible = true;
-    if (Contains(aRequest.mDeclinedBy, name)) {
-      continue;
-    }
-    const bool offered = std::any_of(
-      aRequest.mOffers.begin(),
-      aRequest.mOffers.end(),
-      [&](const EntryAttempt& aOffer) { return aOffer.mUpstream == name; });
-    if (!link.Ready()) {
-      candidates.mMoreLater |= MayComeBack(link, aNow);
-    } else if (!offered) {
-      candidates.mUsable.push_back(&link);
-    }
+    outlook.mAnyEligible = true;
+    outlook.mMoreLater |= !link.Ready() && MayComeBack(link, aNow) &&
+                          !Contains(aRequest.mDeclinedBy, name);
   }
-  return candidates;
+  return outlook;
 }
 
 bool
@@ -151,15 +184,16 @@
   return mClassifier && mClassifier->MayGo(traffic, aLink.mView);
 }
 
-bool
-EntryCore::Impl::HasReadyOffer(const OpenRequest& aRequest) const
+size_t
+EntryCore::Impl::ReadyOffers(const OpenRequest& aRequest) const
 {
-  return std::any_of(aRequest.mOffers.begin(),
-                     aRequest.mOffers.end(),
-                     [this](const EntryAttempt& aOffer) {
-                       const auto place = mLinks.find(aOffer.mUpstream);
-                       return place != mLinks.end() && place->second.Ready();
-                     });
+  return static_cast<size_t>(
+    std::count_if(aRequest.mOffers.begin(),
+                  aRequest.mOffers.end(),
+                  [this](const EntryAttempt& aOffer) {
+                    const auto place = mLinks.find(aOffer.mUpstream);
+                    return place != mLinks.end() && place->second.Ready();
+                  }));
 }
 
 void
@@ -168,13 +202,17 @@
                            Millis aNow)
 {
   const AttemptKey key{ aRequest.mRequest.mId, ++aRequest.mLastAttempt };
+  const Offer offer = OfferFor(aRequest, key, aNow);
+  const uint32_t tokens = offer.mPromptTokens + offer.mOutputTokens;
   aRequest.mOffers.push_back({ .mKey = key,
                                .mUpstream = aLink.mView.mName,
                                .mIncarnation = aLink.mIncarnation,
+                               .mTokens = tokens,
                                .mOffered = aNow });
   aLink.mOpen.insert(key);
+  aLink.Count(1, tokens);
   mCounters.mOffers++;
-  Send(aLink, OfferFor(aRequest, key, aNow), aNow);
+  Send(aLink, offer, aNow);
 }
 
 Offer
@@ -229,6 +267,8 @@
 {
   const EntryAttempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
   aRequest.mMayHaveRun = true;
+  aRequest.mFailedAt.push_back(attempt.mUpstream);
+  mOutliers.OnFailure(attempt.mUpstream, aNow);
   CloseAttempt(attempt, aNow);
   RetryOrConclude(aRequest,
                   { ErrorKind::OutcomeUnknown,
@@ -242,6 +282,9 @@
 EntryCore::Impl::OnRequestDue(OpenRequest& aRequest, Millis aNow)
 {
   if (aNow >= aRequest.mDeadline) {
+    if (aRequest.mStarted && !aRequest.mHeadSent) {
+      ReportFirstToken(aRequest, aNow);
+    }
     ConcludeWithError(aRequest,
                       { ErrorKind::DeadlineExceeded,
                         Ran::No,
@@ -290,7 +333,7 @@
   mCounters.mWholeAnswers++;
   mActions.emplace_back(AnswerEnd{ aRequest.mRequest.mId });
   if (UpstreamLink* link = LinkOf(attempt.mUpstream)) {
-    link->mOpen.erase(attempt.mKey);
+    Release(*link, attempt);
     Remember(*link, attempt.mKey, aNow);
     link->mWhole[attempt.mKey] = chunks;
     Send(*link, Ack{ attempt.mKey, chunks }, aNow);
@@ -313,18 +356,18 @@
 
 Refusal
 EntryCore::Impl::NothingUsable(const OpenRequest& aRequest,
-                               const Candidates& aCandidates)
+                               const Outlook& aOutlook)
 {
   if (aRequest.mRefusal) {
     return *aRequest.mRefusal;
   }
-  if (aCandidates.mAnyEligible) {
+  if (aOutlook.mAnyEligible) {
     return { ErrorKind::UpstreamUnreachable,
              Ran::No,
              ComeBack(),
              "no upstream for this request can be reached" };
   }
-  if (aCandidates.mMoreLater) {
+  if (aOutlook.mMoreLater) {
     return { ErrorKind::NotReady,
              Ran::No,
              ComeBack(),
--- a/src/libtrefoilarch/openrequest.h
+++ b/src/libtrefoilarch/openrequest.h
@@ -18,6 +18,8 @@
   UpstreamId mUpstream;
   /** The sidecar's incarnation that was offered or sent the attempt. */
   uint64_t mIncarnation = 0;
+  /** What it was counted as in the upstream's load. */
+  uint32_t mTokens = 0;
   /** When the offer was last sent, and the Start. */
   Millis mOffered{};
   Millis mStarted{};
@@ -50,8 +52,10 @@
   /** The last chunk's successor, once Finished has come. */
   std::optional<uint64_t> mWholeAt{};
 
-  /** Upstreams that declined it. */
+  /** Upstreams that declined it; they are not asked again. */
   std::vector<UpstreamId> mDeclinedBy{};
+  /** Upstreams that failed it; they are asked when no other can be. */
+  std::vector<UpstreamId> mFailedAt{};
   uint32_t mRounds = 0;
   uint32_t mRetries = 0;
   /** What will be said if nothing better comes. */
--- a/src/libtrefoilarch/upstreamlink.h
+++ b/src/libtrefoilarch/upstreamlink.h
@@ -35,7 +35,12 @@
   Millis mListedSince;
   bool mWelcomed = false;
   uint64_t mIncarnation = 0;
+  /** As last reported, and what this entry has added or ended since. */
   Load mLoad;
+  int64_t mTokensSince = 0;
+  int32_t mCallsSince = 0;
+  /** Smoothed time of a probe and its answer. */
+  Millis mRoundTrip;
 
   /** Offers that wait there and attempts that were started there. */
   std::set<AttemptKey> mOpen;
@@ -52,6 +57,18 @@
   bool Ready() const { return mHealth.State() == ChannelState::Ready; }
   /** Whether new work may go there at all. */
   bool TakesWork() const { return mListed && !mLeaving && !mLoad.mDraining; }
+  void SetLoad(const Load& aLoad)
+  {
+    mLoad = aLoad;
+    mTokensSince = 0;
+    mCallsSince = 0;
+  }
+  /** Counts an attempt in, or out with -1. */
+  void Count(int32_t aCalls, uint32_t aTokens)
+  {
+    mCallsSince += aCalls;
+    mTokensSince += int64_t{ aCalls } * aTokens;
+  }
   /** Whether the sidecar owes this entry a word. */
   bool AtStake() const { return !mOpen.empty() || !mWithdrawn.empty(); }
 };
