Settle a late write before its proposal's deadline is judged

Cause: the deadline was looked at before the answer just in was weighed. Now proposals are settled first and nothing new is begun after the deadline.

--- a/src/libtrefoilarch/policylog.cpp
+++ b/src/libtrefoilarch/policylog.cpp
@@ -231,8 +231,8 @@
 {
   PolicyLogActions out;
   Announce(out);
+  DriveProposals(out, aNow);
   DropLate(out, aNow);
-  DriveProposals(out);
   DriveReading(out, aNow);
   DriveSnapshot(out, aNow);
   return out;
@@ -266,12 +266,15 @@
 }
 
 void
-PolicyLog::DriveProposals(PolicyLogActions& aOut)
+PolicyLog::DriveProposals(PolicyLogActions& aOut, Millis aNow)
 {
   while (!mProposals.empty() && !mInserting && mProposals.front().mFresh) {
     if (Settle(aOut) || JudgeQuestion(aOut) || Judge(aOut)) {
       continue;
     }
+    if (mProposals.front().mDeadline <= aNow) {
+      return;
+    }
     Insert(aOut);
   }
 }
@@ -341,14 +344,15 @@
   return true;
 }
 
-/** An unsettled write is repeated in its own place, never in another one. */
+/**
+ * An unsettled write is thereby repeated in its own place, never in another
+ * one: while that place is free, it is the one after the tail.
+ */
 void
 PolicyLog::Insert(PolicyLogActions& aOut)
 {
-  Proposal& head = mProposals.front();
-  const uint64_t version =
-    head.mUnsettledAt != 0 ? head.mUnsettledAt : mState.Version() + 1;
-  mInserting = LogRow{ version, ChangeToJson(head.mChange) };
+  const Proposal& head = mProposals.front();
+  mInserting = LogRow{ mState.Version() + 1, ChangeToJson(head.mChange) };
   mInsertingFor = head.mNumber;
   aOut.push_back(InsertLogRow{ *mInserting });
 }
--- a/src/libtrefoilarch/policylog.h
+++ b/src/libtrefoilarch/policylog.h
@@ -107,7 +107,7 @@
   PolicyLogActions Drive(Millis aNow);
   void Announce(PolicyLogActions& aOut);
   void DropLate(PolicyLogActions& aOut, Millis aNow);
-  void DriveProposals(PolicyLogActions& aOut);
+  void DriveProposals(PolicyLogActions& aOut, Millis aNow);
   bool Settle(PolicyLogActions& aOut);
   bool JudgeQuestion(PolicyLogActions& aOut);
   bool Judge(PolicyLogActions& aOut);
