Compare each streamed event byte for byte; test the stand-ins and the checker

A property test changed one byte of a right stream and the checker still called it whole (a choice's index): it compared contents only. The checker now knows each event's bytes, which the engine stand-in and the load tool share.

--- a/src/trefoilload/answerchecker.cpp
+++ b/src/trefoilload/answerchecker.cpp
@@ -12,6 +12,18 @@
 using nlohmann::json;
 using trefoilio::CallEnd;
 
+namespace {
+
+standin::CompletionText
+ExpectedOf(const TraceRequest& aRequest, const trefoilio::HttpRequest& aSent)
+{
+  const bool chat = aRequest.mService.empty();
+  const json body = chat ? json::parse(aSent.mBody) : json::object();
+  return standin::CompletionText(standin::AnswerTo(body), aRequest.mModel);
+}
+
+} // namespace
+
 std::string
 Name(CallOutcome aOutcome)
 {
@@ -36,10 +48,9 @@
                              const trefoilio::HttpRequest& aSent)
   : mRequest(aRequest)
   , mSent(aSent)
+  , mExpected(ExpectedOf(aRequest, aSent))
+  , mStreamed(mExpected)
 {
-  if (mRequest.mService.empty()) {
-    mExpected = standin::AnswerTo(json::parse(mSent.mBody));
-  }
 }
 
 bool
@@ -97,7 +108,7 @@
   if (mRecord.mStatus != 200) {
     return JudgeError();
   }
-  mRecord.mTokens = mRequest.mService.empty() ? mExpected.mTokens.size() : 1;
+  mRecord.mTokens = mRequest.mService.empty() ? mExpected.Tokens() : 1;
   return IsRightBody() ? CallOutcome::Whole : CallOutcome::Wrong;
 }
 
@@ -107,10 +118,10 @@
   mRecord.mTokens = mStreamed.Tokens();
   mRecord.mKind = mStreamed.ErrorKind();
   mRecord.mRan = mStreamed.ErrorRan();
-  if (!mStreamed.IsPrefix(mExpected)) {
+  if (mStreamed.Wrong()) {
     return CallOutcome::Wrong;
   }
-  if (aComplete && mStreamed.IsWhole(mExpected)) {
+  if (aComplete && mStreamed.IsWhole()) {
     return CallOutcome::Whole;
   }
   if (mStreamed.Done()) {
@@ -140,21 +151,14 @@
 bool
 AnswerChecker::IsRightBody() const
 {
-  json body = json::parse(mBody, nullptr, false);
-  if (!body.is_object()) {
-    return false;
-  }
-  if (!mRequest.mService.empty()) {
-    return body.value("body_hash", "") ==
-             std::to_string(standin::HashOf(mSent.mBody)) &&
-           body.value("request_id", "").starts_with(mRecord.mRequestId);
+  if (mRequest.mService.empty()) {
+    return mBody == mExpected.WholeBody();
   }
-  const json choices = body.value("choices", json::array());
-  return choices.size() == 1 &&
-         body.value("id", "") == mExpected.CompletionId() &&
-         choices[0].value("finish_reason", "") == mExpected.FinishReason() &&
-         choices[0].value("message", json::object()).value("content", "") ==
-           mExpected.Content();
+  const json body = json::parse(mBody, nullptr, false);
+  return body.is_object() &&
+         body.value("body_hash", "") ==
+           std::to_string(standin::HashOf(mSent.mBody)) &&
+         body.value("request_id", "").starts_with(mRecord.mRequestId);
 }
 
 } // namespace trefoilload
--- a/src/trefoilload/answerchecker.h
+++ b/src/trefoilload/answerchecker.h
@@ -6,7 +6,7 @@
 #include "../libtrefoilio/callrunner.h"
 #include "../libtrefoilio/httpmessage.h"
 
-#include "common/answertext.h"
+#include "common/completiontext.h"
 #include "common/streamedanswer.h"
 
 namespace trefoilload {
@@ -33,7 +33,7 @@
 
   const TraceRequest& mRequest;
   const trefoilio::HttpRequest& mSent;
-  standin::AnswerText mExpected;
+  standin::CompletionText mExpected;
   standin::StreamedAnswer mStreamed;
   std::string mBody;
   CallRecord mRecord;
--- a/tests/standins/common/streamedanswer.cpp
+++ b/tests/standins/common/streamedanswer.cpp
@@ -7,6 +7,11 @@
 
 using nlohmann::json;
 
+StreamedAnswer::StreamedAnswer(CompletionText aExpected)
+  : mExpected(std::move(aExpected))
+{
+}
+
 size_t
 StreamedAnswer::Feed(std::string_view aBytes)
 {
@@ -36,7 +41,7 @@
     } else if (line.starts_with("event: ")) {
       name = line.substr(7);
     } else if (!line.empty() && !line.starts_with(':')) {
-      mMalformed = true;
+      mWrong = true;
     }
     start = end + 1;
   }
@@ -54,30 +59,17 @@
 StreamedAnswer::TakeData(const std::string& aData)
 {
   if (mDone || !mErrorKind.empty()) {
-    mMalformed = true;
-    return;
-  }
-  if (aData == "[DONE]") {
+    mWrong = true;
+  } else if (mTokens < mExpected.Tokens()) {
+    mWrong = mWrong || aData != mExpected.TokenData(mTokens);
+    ++mTokens;
+  } else if (!mEnded) {
+    mWrong = mWrong || aData != mExpected.EndData();
+    mEnded = true;
+  } else if (aData == kDoneData) {
     mDone = true;
-    return;
-  }
-  const json event = json::parse(aData, nullptr, false);
-  const std::string id = event.is_object() ? event.value("id", "") : "";
-  if (id.empty() || (!mId.empty() && id != mId)) {
-    mMalformed = true;
-    return;
-  }
-  mId = id;
-  for (const json& choice : event.value("choices", json::array())) {
-    const json delta = choice.value("delta", json::object());
-    if (delta.contains("content") && delta["content"].is_string()) {
-      mContent += delta["content"].get<std::string>();
-      ++mTokens;
-    }
-    if (choice.contains("finish_reason") &&
-        choice["finish_reason"].is_string()) {
-      mFinishReason = choice["finish_reason"].get<std::string>();
-    }
+  } else {
+    mWrong = mWrong || aData != mExpected.UsageData();
   }
 }
 
@@ -86,7 +78,7 @@
 {
   const json event = json::parse(aData, nullptr, false);
   if (mDone || !event.is_object() || !event.contains("error")) {
-    mMalformed = true;
+    mWrong = true;
     return;
   }
   mErrorKind = event["error"].value("kind", "unnamed");
@@ -94,19 +86,9 @@
 }
 
 bool
-StreamedAnswer::IsWhole(const AnswerText& aExpected) const
-{
-  return mDone && !mMalformed && mErrorKind.empty() && mBuffer.empty() &&
-         mId == aExpected.CompletionId() &&
-         mFinishReason == aExpected.FinishReason() &&
-         mTokens == aExpected.mTokens.size() && mContent == aExpected.Content();
-}
-
-bool
-StreamedAnswer::IsPrefix(const AnswerText& aExpected) const
+StreamedAnswer::IsWhole() const
 {
-  return !mMalformed && (mId.empty() || mId == aExpected.CompletionId()) &&
-         aExpected.Content().starts_with(mContent);
+  return mDone && !mWrong && mErrorKind.empty() && mBuffer.empty();
 }
 
 } // namespace standin
--- a/tests/standins/common/streamedanswer.h
+++ b/tests/standins/common/streamedanswer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "answertext.h"
+#include "completiontext.h"
 
 #include <cstddef>
 #include <string>
@@ -9,43 +9,41 @@
 namespace standin {
 
 /**
- * Reads a streamed chat completion as a strict client would: server-sent
- * events, comments skipped, one id throughout, `[DONE]` last.
+ * Reads a streamed chat completion and compares each event with the expected
+ * one, byte for byte; comments are skipped, a usage event may or may not come.
  */
 class StreamedAnswer
 {
 public:
+  explicit StreamedAnswer(CompletionText aExpected);
+
   /** Takes the next bytes; how many tokens were whole in them. */
   size_t Feed(std::string_view aBytes);
 
-  const std::string& Content() const { return mContent; }
   size_t Tokens() const { return mTokens; }
+  /** Whether the client was told that the answer is over. */
   bool Done() const { return mDone; }
   /** Kind and `ran` of the terminal error event, if one came. */
   const std::string& ErrorKind() const { return mErrorKind; }
   const std::string& ErrorRan() const { return mErrorRan; }
-  /** Whether anything came that no client should be sent. */
-  bool Malformed() const { return mMalformed; }
-
+  /** Whether anything came that is not the next part of the answer. */
+  bool Wrong() const { return mWrong; }
   /** Whether it is all of the expected answer and nothing else. */
-  bool IsWhole(const AnswerText& aExpected) const;
-  /** Whether what has come so far is the beginning of the expected answer. */
-  bool IsPrefix(const AnswerText& aExpected) const;
+  bool IsWhole() const;
 
 private:
   void TakeEvent(std::string_view aEvent);
   void TakeData(const std::string& aData);
   void TakeError(const std::string& aData);
 
+  CompletionText mExpected;
   std::string mBuffer;
-  std::string mContent;
-  std::string mId;
-  std::string mFinishReason;
   std::string mErrorKind;
   std::string mErrorRan;
   size_t mTokens = 0;
+  bool mEnded = false; /**< the finish reason has come */
   bool mDone = false;
-  bool mMalformed = false;
+  bool mWrong = false;
 };
 
 } // namespace standin
--- a/tests/standins/engine/engine.cpp
+++ b/tests/standins/engine/engine.cpp
@@ -17,9 +17,6 @@
 /** How often a waiting request looks whether its client has left. */
 constexpr milliseconds kLookInterval(20);
 
-/** A completion carries no time of day: its bytes depend on its body alone. */
-constexpr int64_t kCreated = 1700000000;
-
 json
 ErrorBody(const std::string& aMessage, const std::string& aType)
 {
@@ -30,20 +27,6 @@
                { "param", nullptr } } } };
 }
 
-json
-Usage(const AnswerText& aAnswer)
-{
-  return { { "prompt_tokens", aAnswer.mPromptTokens },
-           { "completion_tokens", aAnswer.mTokens.size() },
-           { "total_tokens", aAnswer.mPromptTokens + aAnswer.mTokens.size() } };
-}
-
-std::string
-Event(const json& aData)
-{
-  return "data: " + aData.dump() + "\n\n";
-}
-
 /** The text between `[[name=` and `]]` in a prompt; else empty. */
 std::string
 Marker(const std::string& aPrompt, const std::string& aName)
@@ -63,65 +46,27 @@
 struct Engine::Completion
 {
   Exchange& mExchange;
-  AnswerText mAnswer;
-  std::string mModel;
+  CompletionText mText;
   bool mStream = false;
   bool mWithUsage = false;
   uint64_t mId = 0;
   size_t mExecution = 0;
   size_t mSent = 0;
 
-  json Chunk(json aChoices) const
-  {
-    return { { "id", mAnswer.CompletionId() },
-             { "object", "chat.completion.chunk" },
-             { "created", kCreated },
-             { "model", mModel },
-             { "choices", std::move(aChoices) } };
-  }
-
   bool WriteToken(size_t aPlace) const
   {
-    json delta = { { "content", mAnswer.mTokens[aPlace] } };
-    if (aPlace == 0) {
-      delta["role"] = "assistant";
-    }
-    return mExchange.Write(Event(Chunk({ { { "index", 0 },
-                                           { "delta", delta },
-                                           { "finish_reason", nullptr } } })));
+    return mExchange.Write(EventOf(mText.TokenData(aPlace)));
   }
 
   void WriteEnd() const
   {
-    std::string end =
-      Event(Chunk({ { { "index", 0 },
-                      { "delta", json::object() },
-                      { "finish_reason", mAnswer.FinishReason() } } }));
+    std::string end = EventOf(mText.EndData());
     if (mWithUsage) {
-      json usage = Chunk(json::array());
-      usage["usage"] = Usage(mAnswer);
-      end += Event(usage);
+      end += EventOf(mText.UsageData());
     }
-    mExchange.Write(end + "data: [DONE]\n\n");
+    mExchange.Write(end + EventOf(kDoneData));
     mExchange.EndStream();
   }
-
-  void SendWhole() const
-  {
-    const json whole = {
-      { "id", mAnswer.CompletionId() },
-      { "object", "chat.completion" },
-      { "created", kCreated },
-      { "model", mModel },
-      { "choices",
-        { { { "index", 0 },
-            { "message",
-              { { "role", "assistant" }, { "content", mAnswer.Content() } } },
-            { "finish_reason", mAnswer.FinishReason() } } } },
-      { "usage", Usage(mAnswer) }
-    };
-    mExchange.Send(200, whole.dump());
-  }
 };
 
 Engine::Engine(EngineOptions aOptions)
@@ -222,9 +167,9 @@
 Engine::Generate(Exchange& aExchange, const json& aBody)
 {
   const std::string prompt = PromptText(aBody);
+  const std::string model = aBody.value("model", mOptions.mModel);
   Completion completion{ .mExchange = aExchange,
-                         .mAnswer = AnswerTo(aBody),
-                         .mModel = aBody.value("model", mOptions.mModel),
+                         .mText = CompletionText(AnswerTo(aBody), model),
                          .mStream = aBody.value("stream", false) };
   completion.mWithUsage =
     aBody.value("stream_options", json::object()).value("include_usage", false);
@@ -239,8 +184,8 @@
     mBatch.Add({ .mId = completion.mId,
                  .mPriority = aBody.value("priority", 0),
                  .mBlocks = PrefixBlocks(prompt),
-                 .mPromptTokens = completion.mAnswer.mPromptTokens,
-                 .mOutputTokens = completion.mAnswer.mTokens.size() });
+                 .mPromptTokens = completion.mText.Answer().mPromptTokens,
+                 .mOutputTokens = completion.mText.Tokens() });
   }
   mChanged.notify_all();
   const bool whole = SendTokens(completion);
@@ -252,7 +197,7 @@
   if (completion.mStream) {
     completion.WriteEnd();
   } else {
-    completion.SendWhole();
+    aExchange.Send(200, completion.mText.WholeBody());
   }
 }
 
@@ -262,7 +207,7 @@
   if (aCompletion.mStream) {
     aCompletion.mExchange.StartStream(200, "text/event-stream");
   }
-  while (aCompletion.mSent < aCompletion.mAnswer.mTokens.size()) {
+  while (aCompletion.mSent < aCompletion.mText.Tokens()) {
     const size_t ready = AwaitTokens(aCompletion.mId, aCompletion.mSent);
     if (aCompletion.mExchange.ClientLeft() || !SendReady(aCompletion, ready)) {
       mExecutions.Cancel(aCompletion.mExecution);
--- a/tests/standins/engine/engine.h
+++ b/tests/standins/engine/engine.h
@@ -4,7 +4,7 @@
 #include "loadreports.h"
 #include "orders.h"
 
-#include "common/answertext.h"
+#include "common/completiontext.h"
 #include "common/executionlog.h"
 #include "common/standinserver.h"
 
--- /dev/null
+++ b/tests/unit/answercheckertest.cpp
@@ -0,0 +1,112 @@
+#include "trefoilload/answerchecker.h"
+#include "trefoilload/requestbuilder.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace trefoilload;
+using nlohmann::json;
+using trefoilio::CallEnd;
+
+namespace {
+
+TraceRequest
+StreamedRequest(size_t aTokens)
+{
+  TraceRequest request;
+  request.mWorkspace = "riga-agents";
+  request.mClass = "mid-call";
+  request.mModel = "base";
+  request.mOutputTokens = aTokens;
+  request.mStream = true;
+  return request;
+}
+
+trefoilio::HttpRequest
+Sent(const TraceRequest& aRequest, const std::string& aMark)
+{
+  return BuildRequest(aRequest, aMark, "http://127.0.0.1:1", {});
+}
+
+/** The streamed body that an engine gives to the request. */
+std::string
+StreamOf(const trefoilio::HttpRequest& aSent)
+{
+  const standin::CompletionText text(
+    standin::AnswerTo(json::parse(aSent.mBody)), "base");
+  std::string body;
+  for (size_t place = 0; place < text.Tokens(); ++place) {
+    body += standin::EventOf(text.TokenData(place));
+  }
+  return body + standin::EventOf(text.EndData()) +
+         standin::EventOf(standin::kDoneData);
+}
+
+CallOutcome
+Judge(const TraceRequest& aRequest,
+      const trefoilio::HttpRequest& aSent,
+      const std::string& aBody,
+      CallEnd aEnd = CallEnd::Whole)
+{
+  AnswerChecker checker(aRequest, aSent);
+  checker.TakeHead(200, {});
+  const size_t half = aBody.size() / 2;
+  checker.TakeData(aBody.substr(0, half), 1);
+  checker.TakeData(aBody.substr(half), 2);
+  checker.TakeEnd(aEnd, 3);
+  return checker.Record().mOutcome;
+}
+
+} // namespace
+
+Test(answerchecker, only_the_whole_answer_is_whole)
+{
+  const bool holds = rc::check([] {
+    const TraceRequest request =
+      StreamedRequest(*rc::gen::inRange<size_t>(1, 30));
+    const auto sent = Sent(request, "a");
+    const std::string body = StreamOf(sent);
+    RC_ASSERT(Judge(request, sent, body) == CallOutcome::Whole);
+    const auto cut = *rc::gen::inRange<size_t>(0, body.size());
+    RC_ASSERT(Judge(request, sent, body.substr(0, cut)) != CallOutcome::Whole);
+    std::string changed = body;
+    const auto place = *rc::gen::inRange<size_t>(0, body.size());
+    changed[place] = static_cast<char>(changed[place] + 1);
+    RC_ASSERT(Judge(request, sent, changed) != CallOutcome::Whole);
+  });
+  cr_assert(holds);
+}
+
+Test(answerchecker, another_requests_answer_is_wrong)
+{
+  const TraceRequest request = StreamedRequest(5);
+  const auto sent = Sent(request, "a");
+  const std::string crossed = StreamOf(Sent(request, "b"));
+  cr_assert(Judge(request, sent, crossed) == CallOutcome::Wrong);
+  cr_assert(Judge(request, sent, StreamOf(sent) + crossed) ==
+            CallOutcome::Wrong);
+}
+
+Test(answerchecker, comments_are_skipped_and_a_broken_end_is_seen)
+{
+  const TraceRequest request = StreamedRequest(5);
+  const auto sent = Sent(request, "a");
+  const std::string body = ": keep-alive\n\n" + StreamOf(sent);
+  cr_assert(Judge(request, sent, body) == CallOutcome::Whole);
+  cr_assert(Judge(request, sent, body, CallEnd::Broken) != CallOutcome::Whole);
+}
+
+Test(answerchecker, an_error_event_is_an_honest_failure)
+{
+  const TraceRequest request = StreamedRequest(50);
+  const auto sent = Sent(request, "a");
+  const std::string whole = StreamOf(sent);
+  const std::string start = whole.substr(0, whole.find("\n\n") + 2);
+  const std::string error = "event: error\ndata: {\"error\":{\"kind\":"
+                            "\"upstream_failed\",\"ran\":\"maybe\"}}\n\n";
+  cr_assert(Judge(request, sent, start + error, CallEnd::Broken) ==
+            CallOutcome::Failed);
+  cr_assert(Judge(request, sent, start, CallEnd::Broken) ==
+            CallOutcome::Unanswered);
+}
