--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -75,6 +75,12 @@
   mRing->Push(NewClassifier{ std::move(aClassifier) });
 }
 
+void
+RouterService::SetVersionHook(std::function<void(uint64_t)> aHook)
+{
+  mVersionHook = std::move(aHook);
+}
+
 std::string
 RouterService::DumpState() const
 {
@@ -103,6 +109,7 @@
     }
     ReopenDue(now);
     mOpen = mCore.OpenRequests();
+    LookWhetherSettled(now);
   }
 }
 
@@ -154,32 +161,50 @@
     return;
   }
   found->second.mBackoff = mOptions.mFirstReconnect;
-  if (const auto* welcome = std::get_if<Welcome>(&aEvent.mMessage)) {
-    Learn(*welcome);
-  }
+  found->second.mHeard = true;
+  Learn(aEvent.mMessage);
   CarryOut(mCore.OnMessage(
     aEvent.mUpstream, std::move(aEvent.mMessage), trefoilio::MonotonicNow()));
 }
 
 void
-RouterService::Learn(const Welcome& aWelcome)
-{
-  const auto model = aWelcome.mLabels.find("model");
-  const std::lock_guard lock(mModelsMutex);
-  if (model == aWelcome.mLabels.end()) {
-    mModels.erase(aWelcome.mUpstream);
-  } else {
-    mModels[aWelcome.mUpstream] = model->second;
+RouterService::Learn(const SidecarMessage& aMessage)
+{
+  if (const auto* heartbeat = std::get_if<SidecarHeartbeat>(&aMessage)) {
+    mVersionHook(heartbeat->mPolicyVersion);
   }
+  const auto* welcome = std::get_if<Welcome>(&aMessage);
+  if (!welcome) {
+    return;
+  }
+  mVersionHook(welcome->mPolicyVersion);
+  const std::lock_guard lock(mKnownMutex);
+  mKnown[welcome->mUpstream] =
+    UpstreamView{ .mName = welcome->mUpstream,
+                  .mDataCentre = welcome->mDataCentre,
+                  .mLabels = welcome->mLabels };
+}
+
+std::vector<UpstreamView>
+RouterService::Upstreams() const
+{
+  std::vector<UpstreamView> upstreams;
+  const std::lock_guard lock(mKnownMutex);
+  for (const auto& [name, view] : mKnown) {
+    upstreams.push_back(view);
+  }
+  return upstreams;
 }
 
 std::vector<std::string>
 RouterService::Models() const
 {
   std::set<std::string> models;
-  const std::lock_guard lock(mModelsMutex);
-  for (const auto& [upstream, model] : mModels) {
-    models.insert(model);
+  for (const UpstreamView& upstream : Upstreams()) {
+    const auto model = upstream.mLabels.find("model");
+    if (model != upstream.mLabels.end()) {
+      models.insert(model->second);
+    }
   }
   return { models.begin(), models.end() };
 }
@@ -225,6 +250,9 @@
   }
   std::swap(mLinks, kept);
   const Millis now = trefoilio::MonotonicNow();
+  if (!mLinks.empty()) {
+    mFirstList = mFirstList.value_or(now);
+  }
   CarryOut(mCore.SetUpstreams(std::move(upstreams), leaving, now));
   for (auto& [name, link] : kept) {
     CloseChannel(link);
@@ -353,6 +381,19 @@
   }
 }
 
+void
+RouterService::LookWhetherSettled(Millis aNow)
+{
+  if (mSettled || !mFirstList) {
+    return;
+  }
+  const bool heardAll =
+    std::all_of(mLinks.begin(), mLinks.end(), [](const auto& aOne) {
+      return aOne.second.mHeard;
+    });
+  mSettled = heardAll || aNow - *mFirstList >= mOptions.mSettleSpan;
+}
+
 void
 RouterService::ReopenDue(Millis aNow)
 {
