--- a/src/trefoilload/answerchecker.cpp
+++ b/src/trefoilload/answerchecker.cpp
@@ -151,10 +151,10 @@
 bool
 AnswerChecker::IsRightBody() const
 {
+  const json body = json::parse(mBody, nullptr, false);
   if (mRequest.mService.empty()) {
-    return mBody == mExpected.WholeBody();
+    return body == json::parse(mExpected.WholeBody());
   }
-  const json body = json::parse(mBody, nullptr, false);
   return body.is_object() &&
          body.value("body_hash", "") ==
            std::to_string(standin::HashOf(mSent.mBody)) &&
