--- a/src/trefoilarchd/answerwriter.cpp
+++ b/src/trefoilarchd/answerwriter.cpp
@@ -7,7 +7,6 @@
 #include "libtrefoilio/systemclock.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace trefoilarch {
@@ -15,6 +14,7 @@
 namespace {
 
 using trefoilio::HttpReply;
+using trefoilio::SameHeaderName;
 using trefoilio::StreamStep;
 
 /** Past the deadline the router has long answered; this guards the thread. */
@@ -27,18 +27,6 @@
 constexpr const char* kEventStream = "text/event-stream";
 constexpr const char* kKeepAliveComment = ": keep-alive\n\n";
 
-bool
-SameName(std::string_view aLeft, std::string_view aRight)
-{
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](unsigned char a, unsigned char b) {
-                      return std::tolower(a) == std::tolower(b);
-                    });
-}
-
 /** The upstream's headers that may go on to the caller. */
 Headers
 PassedOn(const Headers& aHeaders)
@@ -46,9 +34,10 @@
   Headers passed;
   for (const auto& header : aHeaders) {
     const auto& name = header.first;
-    if (!SameName(name, "connection") && !SameName(name, "content-length") &&
-        !SameName(name, "transfer-encoding") && !SameName(name, "keep-alive") &&
-        !SameName(name, "date")) {
+    if (!SameHeaderName(name, "connection") &&
+        !SameHeaderName(name, "content-length") &&
+        !SameHeaderName(name, "transfer-encoding") &&
+        !SameHeaderName(name, "keep-alive") && !SameHeaderName(name, "date")) {
       passed.push_back(header);
     }
   }
--- a/src/trefoilarchd/callerrequest.cpp
+++ b/src/trefoilarchd/callerrequest.cpp
@@ -52,8 +52,8 @@
 {
   std::string lower(aText);
   std::transform(
-    lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
-      return static_cast<char>(std::tolower(c));
+    lower.begin(), lower.end(), lower.begin(), [](unsigned char aOne) {
+      return static_cast<char>(std::tolower(aOne));
     });
   return lower;
 }
--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -262,9 +262,9 @@
 }
 
 void
-RouterService::On(NewClassifier aEvent)
+RouterService::On(const NewClassifier& aEvent)
 {
-  mCore.SetClassifier(std::move(aEvent.mClassifier));
+  mCore.SetClassifier(aEvent.mClassifier);
 }
 
 void
@@ -282,7 +282,7 @@
 }
 
 void
-RouterService::Do(SendToSidecar aAction)
+RouterService::Do(const SendToSidecar& aAction)
 {
   const auto found = mLinks.find(aAction.mUpstream);
   if (found != mLinks.end() && found->second.mChannel) {
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -145,10 +145,10 @@
   void Learn(const SidecarMessage& aMessage);
   void On(const ChannelDown& aEvent);
   void On(NewSidecars aEvent);
-  void On(NewClassifier aEvent);
+  void On(const NewClassifier& aEvent);
   void On(const DumpRequest& aEvent);
   void CarryOut(EntryActions aActions);
-  void Do(SendToSidecar aAction);
+  void Do(const SendToSidecar& aAction);
   void Do(const ReopenChannel& aAction);
   void Do(AnswerHead aAction);
   void Do(AnswerData aAction);
--- a/src/trefoilarchd/upstreamservice.cpp
+++ b/src/trefoilarchd/upstreamservice.cpp
@@ -253,7 +253,7 @@
 }
 
 void
-UpstreamService::Do(SendToEntry aAction)
+UpstreamService::Do(const SendToEntry& aAction)
 {
   mServer.Send(aAction.mEntry, aAction.mMessage);
 }
--- a/src/trefoilarchd/upstreamservice.h
+++ b/src/trefoilarchd/upstreamservice.h
@@ -112,7 +112,7 @@
                      const Running& aRunning,
                      trefoilio::CallEnd aEnd) const;
   void CarryOut(SidecarActions aActions);
-  void Do(SendToEntry aAction);
+  void Do(const SendToEntry& aAction);
   void Do(StartCall aAction);
   void Do(const CancelCall& aAction);
   trefoilio::HttpRequest ToHttp(StartCall& aAction) const;
