--- /dev/null
+++ b/src/libtrefoilarch/adaptivelimit.cpp
@@ -0,0 +1,81 @@
+#include "adaptivelimit.h"
+
+#include <algorithm>
+
+namespace trefoilarch {
+
+namespace {
+
+constexpr Millis kWindow{ 200 };
+/** Measurements that make a window. */
+constexpr double kLeastWeight = 4;
+/** The limit may rise below this multiple of the allowed time. */
+constexpr double kInside = 0.9;
+/** Below this it rises by a part of itself. */
+constexpr double kFarInside = 0.6;
+constexpr uint64_t kFastPart = 8;
+/** Otherwise it rises by this part of its first value. */
+constexpr uint64_t kStepPart = 16;
+/** The most that one window takes off. */
+constexpr double kLeastFactor = 0.6;
+/** The use may exceed the limit by this when it decreases again. */
+constexpr double kSettled = 1.05;
+
+} // namespace
+
+AdaptiveLimit::AdaptiveLimit(AdaptiveLimitOptions aOptions)
+  : mOptions(aOptions)
+  , mValue(aOptions.mFirst)
+{
+}
+
+void
+AdaptiveLimit::OnMeasured(size_t aCause, double aRatio, double aWeight)
+{
+  mRatioSum[aCause] += aRatio * aWeight;
+  mWeightSum[aCause] += aWeight;
+}
+
+void
+AdaptiveLimit::Adapt(uint64_t aUsed, Millis aNow)
+{
+  double weight = 0;
+  double ratio = 0;
+  for (size_t cause = 0; cause < kCauses; ++cause) {
+    weight += mWeightSum[cause];
+    if (mWeightSum[cause] > 0)
+      ratio = std::max(ratio, mRatioSum[cause] / mWeightSum[cause]);
+  }
+  if (aNow < mWindowStart + kWindow || weight < kLeastWeight)
+    return;
+  if (ratio > 1)
+    Decrease(ratio, aUsed);
+  else if (ratio < kInside && mWanted)
+    Increase(ratio);
+  mWindowStart = aNow;
+  mRatioSum.fill(0);
+  mWeightSum.fill(0);
+  mWanted = false;
+}
+
+void
+AdaptiveLimit::Decrease(double aRatio, uint64_t aUsed)
+{
+  const auto value = static_cast<double>(mValue);
+  const auto used = static_cast<double>(aUsed);
+  if (used > value * kSettled)
+    return;
+  const double next =
+    std::min(value, used) * std::max(kLeastFactor, 1 / aRatio);
+  mValue = std::max(static_cast<uint64_t>(next), mOptions.mLeast);
+}
+
+void
+AdaptiveLimit::Increase(double aRatio)
+{
+  const uint64_t step =
+    aRatio < kFarInside ? mValue / kFastPart : mOptions.mFirst / kStepPart;
+  mValue = std::min(mValue + std::max<uint64_t>(step, 1), mOptions.mMost);
+}
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/room.cpp
+++ b/src/libtrefoilarch/room.cpp
@@ -1,22 +1,26 @@
 #include "room.h"
 
 #include <algorithm>
+#include <array>
 
 namespace trefoilarch {
 
 namespace {
 
-constexpr Millis kWindow{ 200 };
-/** Measurements that make a window. */
-constexpr double kLeastWeight = 4;
-/** The limit may rise below this multiple of the allowed time. */
-constexpr double kWellInside = 0.9;
-/** The most that one window takes off the limit. */
-constexpr double kLeastFactor = 0.5;
-/** Tokens in flight may exceed the limit by this when it shrinks again. */
-constexpr double kSettled = 1.05;
-/** A rise is this part of the first limit. */
-constexpr uint64_t kStepPart = 16;
+/** Hundredths of the room that a tier leaves to each higher tier present. */
+constexpr uint64_t kLeftPercent = 8;
+/** A tier is present for so long after its last request came. */
+constexpr Millis kPresence{ 10000 };
+constexpr uint64_t kWhole = 100;
+
+/** Prompts in prefill hold up only who comes after, so a higher tier may go
+ * beyond their limit: it is there to protect it. */
+constexpr std::array<uint64_t, kTierCount> kPrefillPercent = { 150, 100, 100, 100 };
+
+/** Prompt tokens in prefill: to begin with, at least and at most. */
+constexpr uint64_t kFirstPrefill = 4096;
+constexpr uint64_t kLeastPrefill = 1024;
+constexpr uint64_t kMostPrefill = 65536;
 
 constexpr Millis kFirstPause{ 100 };
 constexpr uint32_t kMostDoublings = 4;
@@ -25,82 +29,130 @@
 
 Room::Room(RoomOptions aOptions)
   : mOptions(aOptions)
-  , mLimit(aOptions.mFirstLimit)
+  , mTokenLimit({ .mFirst = aOptions.mFirstLimit,
+                  .mLeast = 1,
+                  .mMost = aOptions.mMostLimit })
+  , mPrefillLimit({ .mFirst = kFirstPrefill,
+                    .mLeast = kLeastPrefill,
+                    .mMost = kMostPrefill })
+{
+}
+
+Room::Use
+Room::UseFor(Tier aTier) const
+{
+  Use use = mWithin;
+  const size_t last = std::min<size_t>(aTier, kTierCount - 1);
+  for (size_t tier = 0; tier <= last; ++tier) {
+    use.mTokens += mBeside[tier].mTokens;
+    use.mPrefill += mBeside[tier].mPrefill;
+    use.mCalls += mBeside[tier].mCalls;
+  }
+  return use;
+}
+
+Room::Use&
+Room::UseOf(const RoomShare& aShare)
+{
+  const size_t tier = std::min<size_t>(aShare.mTier, kTierCount - 1);
+  return aShare.mBeside ? mBeside[tier] : mWithin;
+}
+
+uint64_t
+Room::PartFor(Tier aTier, uint64_t aLimit) const
+{
+  uint64_t percent = kWhole;
+  for (size_t tier = 0; tier < std::min<size_t>(aTier, kTierCount); ++tier)
+    if (mSeen[tier] > Millis() && mNow <= mSeen[tier] + kPresence)
+      percent -= kLeftPercent;
+  return std::max<uint64_t>(aLimit * percent / kWhole, 1);
+}
+
+void
+Room::OnSeen(Tier aTier, Millis aNow)
 {
+  mNow = std::max(mNow, aNow);
+  mSeen[std::min<size_t>(aTier, kTierCount - 1)] = aNow;
 }
 
 bool
-Room::Fits(uint64_t aTokens) const
+Room::Fits(const RoomShare& aShare) const
 {
-  return Shortfall(aTokens) == 0;
+  return Shortfall(aShare) == 0 && !LacksPrefill(aShare);
 }
 
 uint64_t
-Room::Shortfall(uint64_t aTokens) const
+Room::Shortfall(const RoomShare& aShare) const
 {
-  if (mRunning == 0)
+  const Use use = UseFor(aShare.mTier);
+  if (use.mCalls == 0)
     return 0;
   if (mUnreached > 0)
-    return mInFlight + 1;
-  if (mInFlight + aTokens > mLimit)
-    return mInFlight + aTokens - mLimit;
-  return mRunning < mOptions.mMostRunning ? 0 : 1;
+    return use.mTokens + 1;
+  const uint64_t limit = PartFor(aShare.mTier, Limit());
+  const uint64_t wanted = use.mTokens + aShare.mTokens;
+  if (wanted > limit)
+    return wanted - limit;
+  return use.mCalls < PartFor(aShare.mTier, mOptions.mMostRunning) ? 0 : 1;
+}
+
+bool
+Room::LacksPrefill(const RoomShare& aShare) const
+{
+  const uint64_t used = UseFor(aShare.mTier).mPrefill;
+  const size_t tier = std::min<size_t>(aShare.mTier, kTierCount - 1);
+  const uint64_t limit = PrefillLimit() * kPrefillPercent[tier] / kWhole;
+  return used > 0 && used + aShare.mPrefill > limit;
 }
 
 void
-Room::Take(RoomShare aShare)
+Room::Take(const RoomShare& aShare)
 {
-  (aShare.mBeside ? mRunningBeside : mRunning) += 1;
-  (aShare.mBeside ? mInFlightBeside : mInFlight) += aShare.mTokens;
+  Use& use = UseOf(aShare);
+  use.mTokens += aShare.mTokens;
+  use.mPrefill += aShare.mPrefill;
+  ++use.mCalls;
 }
 
 void
-Room::Release(RoomShare aShare)
+Room::Release(const RoomShare& aShare)
 {
-  (aShare.mBeside ? mRunningBeside : mRunning) -= 1;
-  (aShare.mBeside ? mInFlightBeside : mInFlight) -= aShare.mTokens;
+  Use& use = UseOf(aShare);
+  use.mTokens -= aShare.mTokens;
+  use.mPrefill -= aShare.mPrefill;
+  --use.mCalls;
 }
 
 void
-Room::OnMeasured(double aRatio, double aWeight)
+Room::OnBetweenTokens(double aRatio, double aWeight)
 {
-  mRatioSum += aRatio * aWeight;
-  mWeightSum += aWeight;
+  mTokenLimit.OnMeasured(0, aRatio, aWeight);
 }
 
 void
-Room::Adapt(Millis aNow)
+Room::OnFirstToken(double aPrefill, double aQueue)
 {
-  if (aNow < mWindowStart + kWindow || mWeightSum < kLeastWeight)
-    return;
-  const double ratio = mRatioSum / mWeightSum;
-  if (ratio > 1)
-    Shrink(ratio);
-  else if (ratio < kWellInside && mWanted)
-    Widen();
-  mWindowStart = aNow;
-  mRatioSum = 0;
-  mWeightSum = 0;
-  mWanted = false;
+  mTokenLimit.OnMeasured(1, aQueue, 1);
+  if (aQueue <= 1)
+    mPrefillLimit.OnMeasured(0, aPrefill, 1);
 }
 
 void
-Room::Shrink(double aRatio)
+Room::OnWanted(const RoomShare& aShare)
 {
-  const auto limit = static_cast<double>(mLimit);
-  const auto inFlight = static_cast<double>(mInFlight);
-  if (inFlight > limit * kSettled)
-    return;
-  const double factor = std::max(kLeastFactor, 1 / aRatio);
-  const double next = std::min(limit, inFlight) * factor;
-  mLimit = std::max<uint64_t>(static_cast<uint64_t>(next), 1);
+  if (LacksPrefill(aShare))
+    mPrefillLimit.OnWanted();
+  else
+    mTokenLimit.OnWanted();
 }
 
 void
-Room::Widen()
+Room::Adapt(Millis aNow)
 {
-  const uint64_t step = std::max<uint64_t>(mOptions.mFirstLimit / kStepPart, 1);
-  mLimit = std::min(mLimit + step, mOptions.mMostLimit);
+  mNow = std::max(mNow, aNow);
+  const Use use = UseFor(kTierCount - 1);
+  mTokenLimit.Adapt(use.mTokens, aNow);
+  mPrefillLimit.Adapt(use.mPrefill, aNow);
 }
 
 void
--- a/src/libtrefoilarch/room.h
+++ b/src/libtrefoilarch/room.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "adaptivelimit.h"
 #include "millis.h"
+#include "servicelevel.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
@@ -11,44 +14,60 @@
 struct RoomOptions
 {
   uint64_t mFirstLimit = 16384;
+  /** What the upstream itself can hold at a time, in tokens and in calls. */
   uint64_t mMostLimit = 1048576;
   size_t mMostRunning = 256;
 };
 
-/** What one running attempt takes of a Room. */
+/** What one attempt takes of a Room, or would take. */
 struct RoomShare
 {
   uint64_t mTokens = 0;
-  /** Beside the room: a floor start, which takes nobody's place. */
+  /** Prompt tokens whose prefill has not been seen to end. */
+  uint64_t mPrefill = 0;
+  /** Beside the room: a floor start, which takes no place from tiers above
+   * its own. */
   bool mBeside = false;
+  Tier mTier = 0;
 };
 
 /**
- * How much the upstream may be given at a time, in tokens and in calls.
+ * How much the upstream may be given at a time.
  *
- * The limit on tokens follows the measured times: it falls in proportion when
- * they exceed the strictest targets present, once for each time that the
- * tokens in flight have come down to it, and rises by a fixed step while more
- * is wanted and the times are well inside. It never closes: a request of any
- * size fits where nothing runs. Plain services are counted in calls.
+ * Two limits follow the measured times, for two causes. Tokens in flight make
+ * each step longer, so their limit follows the time between tokens. Prompts in
+ * prefill hold up whoever starts after them, so the limit on their tokens
+ * follows the time to the first token. Plain services are counted in calls,
+ * and have no prefill.
+ *
+ * A tier leaves a part of the tokens and the calls free for each higher tier
+ * that was seen lately, so that their bursts find room at once and don't wait
+ * in the upstream's own queue. The room never closes: a request of any size
+ * fits where nothing runs. What runs beside the room counts for its own tier
+ * and those below, never for a tier above.
  */
 class Room
 {
 public:
   explicit Room(RoomOptions aOptions);
 
-  bool Fits(uint64_t aTokens) const;
-  /** Tokens that must be released before that many fit; 1 for a mere place. */
-  uint64_t Shortfall(uint64_t aTokens) const;
+  bool Fits(const RoomShare& aShare) const;
+  /** Tokens that must be released before it fits; 1 for a mere place. */
+  uint64_t Shortfall(const RoomShare& aShare) const;
+
+  /** A request of the tier is here, running or waiting. */
+  void OnSeen(Tier aTier, Millis aNow);
 
-  void Take(RoomShare aShare);
-  void Release(RoomShare aShare);
+  void Take(const RoomShare& aShare);
+  void Release(const RoomShare& aShare);
 
-  /** A measured time as a multiple of what it may be at the most. */
-  void OnMeasured(double aRatio, double aWeight);
-  /** Somebody waits for more room. */
-  void OnWanted() { mWanted = true; }
-  /** Moves the limit if a window of measurements is complete. */
+  /** Measured times as multiples of what they may be at the most. */
+  void OnBetweenTokens(double aRatio, double aWeight);
+  /** aPrefill: by the target; aQueue: by what the prompts in prefill explain,
+   * beyond which the upstream must have kept the request waiting. */
+  void OnFirstToken(double aPrefill, double aQueue);
+  /** Somebody with that share was kept out. */
+  void OnWanted(const RoomShare& aShare);
   void Adapt(Millis aNow);
 
   /** The upstream could not be reached: pauses, longer each time. */
@@ -58,26 +77,36 @@
   bool IsPaused(Millis aNow) const { return aNow < mPauseEnd; }
   Millis PauseEnd() const { return mPauseEnd; }
 
-  uint64_t Limit() const { return mLimit; }
+  uint64_t Limit() const { return mTokenLimit.Value(); }
+  uint64_t PrefillLimit() const { return mPrefillLimit.Value(); }
   size_t MostRunning() const { return mOptions.mMostRunning; }
   /** Tokens in flight, those beside the room with them. */
-  uint64_t InFlight() const { return mInFlight + mInFlightBeside; }
-  size_t Running() const { return mRunning + mRunningBeside; }
+  uint64_t InFlight() const { return UseFor(kTierCount - 1).mTokens; }
+  uint64_t InPrefill() const { return UseFor(kTierCount - 1).mPrefill; }
+  size_t Running() const { return UseFor(kTierCount - 1).mCalls; }
 
 private:
-  void Shrink(double aRatio);
-  void Widen();
+  struct Use
+  {
+    uint64_t mTokens = 0;
+    uint64_t mPrefill = 0;
+    size_t mCalls = 0;
+  };
+
+  /** What counts for a request of that tier. */
+  Use UseFor(Tier aTier) const;
+  Use& UseOf(const RoomShare& aShare);
+  /** The part of a limit that the tier may fill. */
+  uint64_t PartFor(Tier aTier, uint64_t aLimit) const;
+  bool LacksPrefill(const RoomShare& aShare) const;
 
   RoomOptions mOptions;
-  uint64_t mLimit;
-  uint64_t mInFlight = 0;
-  uint64_t mInFlightBeside = 0;
-  size_t mRunning = 0;
-  size_t mRunningBeside = 0;
-  double mRatioSum = 0;
-  double mWeightSum = 0;
-  bool mWanted = false;
-  Millis mWindowStart;
+  AdaptiveLimit mTokenLimit;
+  AdaptiveLimit mPrefillLimit;
+  Use mWithin;
+  std::array<Use, kTierCount> mBeside{};
+  std::array<Millis, kTierCount> mSeen{};
+  Millis mNow;
   uint32_t mUnreached = 0;
   Millis mPauseEnd;
 };
--- a/src/libtrefoilarch/servicerate.cpp
+++ b/src/libtrefoilarch/servicerate.cpp
@@ -42,14 +42,16 @@
 }
 
 void
-ServiceRate::OnFirstToken(uint32_t aPromptTokens, Millis aSpan)
+ServiceRate::OnFirstToken(uint32_t aPromptTokens, uint64_t aAhead, Millis aSpan)
 {
   const auto span = static_cast<double>(aSpan.Count());
+  if (aAhead >= kLongPrompt) {
+    const double whole = span / static_cast<double>(aAhead);
+    mBestSlope = mBestSlope > 0 ? std::min(whole, mBestSlope * kForget) : whole;
+  }
   if (aPromptTokens >= kLongPrompt) {
     const double slope = std::max(0.0, span - mFirstTokenBase) / aPromptTokens;
     mFirstTokenSlope = Blend(mFirstTokenSlope, slope);
-    const double whole = span / aPromptTokens;
-    mBestSlope = mBestSlope > 0 ? std::min(whole, mBestSlope * kForget) : whole;
     return;
   }
   mFirstTokenBase = mFirstTokenSeen ? Blend(mFirstTokenBase, span) : span;
@@ -66,7 +68,7 @@
 }
 
 void
-ServiceRate::OnEnded(uint64_t aTokens, Millis aSpan)
+ServiceRate::OnEnded(uint64_t aTokens, uint64_t aOutput, Millis aSpan)
 {
   const auto tokens = static_cast<double>(std::max<uint64_t>(aTokens, 1));
   const auto span = static_cast<double>(std::max(aSpan, Millis(1)).Count());
@@ -74,6 +76,7 @@
   mTokenTime = mTokenTime * keep + tokens * span;
   mTokens = mTokens * keep + tokens;
   mRequests = mRequests * keep + 1;
+  mOutput = Blend(mOutput, static_cast<double>(aOutput));
 }
 
 void
@@ -117,11 +120,9 @@
 }
 
 Millis
-ServiceRate::BestFirstTokenTime(uint32_t aPromptTokens) const
+ServiceRate::BestPrefillTime(uint64_t aTokens) const
 {
-  if (aPromptTokens < kLongPrompt)
-    return Millis();
-  return Millis(static_cast<int64_t>(mBestSlope * aPromptTokens));
+  return Millis(std::llround(mBestSlope * static_cast<double>(aTokens)));
 }
 
 Millis
--- a/src/libtrefoilarch/servicerate.h
+++ b/src/libtrefoilarch/servicerate.h
@@ -19,11 +19,13 @@
 class ServiceRate
 {
 public:
-  void OnFirstToken(uint32_t aPromptTokens, Millis aSpan);
+  /** aAhead: prompt tokens in prefill at its start, its own with them. */
+  void OnFirstToken(uint32_t aPromptTokens, uint64_t aAhead, Millis aSpan);
   /** aTokens came aSpan after the ones before. */
   void OnTokens(uint32_t aTokens, Millis aSpan);
-  /** A request that held aTokens has ended, aSpan after its start. */
-  void OnEnded(uint64_t aTokens, Millis aSpan);
+  /** A request that held aTokens, aOutput of them generated, has ended,
+   * aSpan after its start. */
+  void OnEnded(uint64_t aTokens, uint64_t aOutput, Millis aSpan);
   /** A request got its turn. */
   void OnTurn(Tier aTier, bool aLate, uint64_t aTokens, Millis aNow);
 
@@ -36,11 +38,13 @@
   double Drain(Tier aTier, bool aLate, uint64_t aLimit, Millis aNow) const;
   /** Mean tokens of a request; 0 while nothing has been measured. */
   double MeanTokens() const;
+  /** Mean length of an answer, for those that come without an estimate. */
+  uint64_t MeanOutput() const { return static_cast<uint64_t>(mOutput); }
 
   /** From start to first token; 0 while nothing has been measured. */
   Millis FirstTokenTime(uint32_t aPromptTokens) const;
-  /** The same for a long prompt where it went best; 0 for a short one. */
-  Millis BestFirstTokenTime(uint32_t aPromptTokens) const;
+  /** For the prefill of that many tokens, where it went best. */
+  Millis BestPrefillTime(uint64_t aTokens) const;
   /** From start to end, taking the estimate of the output as twice too long,
    * since a request is refused by it. */
   Millis LeastTime(uint32_t aPromptTokens, uint32_t aOutputTokens) const;
@@ -61,12 +65,13 @@
   double mFirstTokenBase = 0;
   double mFirstTokenSlope = 0;
   bool mFirstTokenSeen = false;
-  /** The least time for each token of a long prompt, slowly forgotten. */
+  /** The least time for each token of a long prefill, slowly forgotten. */
   double mBestSlope = 0;
   double mBetween = 0;
   double mTokenTime = 0;
   double mTokens = 0;
   double mRequests = 0;
+  double mOutput = 0;
   std::array<std::array<Flow, 2>, kTierCount> mFlows;
 };
 
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -1,6 +1,7 @@
 #include "sidecarimpl.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace trefoilarch {
@@ -16,10 +17,13 @@
 /** Allowed times are these parts of the targets, since a target holds for
  * nearly all tokens and the limit follows the mean. */
 constexpr int64_t kFirstPart = 6;
-constexpr int64_t kBetweenPart = 8;
+constexpr int64_t kBetweenPart = 9;
 constexpr int64_t kWholeParts = 10;
 /** A long prompt may take this many times what it took at best. */
 constexpr int64_t kOwnFactor = 2;
+/** Beyond this many times what the prefill explains, the upstream must have
+ * kept the request in a queue of its own. */
+constexpr int64_t kQueueFactor = 2;
 
 /** An answer that outruns its estimate is taken to go on for this part of
  * what it has. */
@@ -73,9 +77,12 @@
 {
   if (mOptions.mTokenStream && aTokens == 0)
     return;
-  if (aAttempt.mLastTokenAt == Millis())
+  if (aAttempt.mLastTokenAt == Millis()) {
     MeasureFirstToken(aAttempt, mNow - aAttempt.mStartedAt);
-  else if (mOptions.mTokenStream)
+    RoomShare prefilled = aAttempt.mShare;
+    prefilled.mPrefill = 0;
+    ChangeShare(aAttempt, prefilled);
+  } else if (mOptions.mTokenStream)
     MeasureBetween(aAttempt, aTokens);
   aAttempt.mLastTokenAt = mNow;
   aAttempt.mOutput += aTokens;
@@ -88,13 +95,17 @@
                                      Millis aSpan)
 {
   const uint32_t prompt = aAttempt.mOffer.mPromptTokens;
+  const auto span = static_cast<double>(aSpan.Count());
   const Millis target = mStrictFirst.Value() * kFirstPart / kWholeParts;
-  const Millis own = mRate.BestFirstTokenTime(prompt) * kOwnFactor;
-  const Millis allowed = std::max({ target, own, Millis(1) });
-  mRate.OnFirstToken(prompt, aSpan);
-  mRoom.OnMeasured(static_cast<double>(aSpan.Count()) /
-                     static_cast<double>(allowed.Count()),
-                   1);
+  const Millis own = mRate.BestPrefillTime(prompt) * kOwnFactor;
+  const auto allowed =
+    static_cast<double>(std::max({ target, own, Millis(1) }).Count());
+  const Millis explained = mRate.BestPrefillTime(aAttempt.mPrefillAhead) +
+                           Millis(std::llround(mRate.BetweenTokens()));
+  const Millis bearable = std::max(explained * kQueueFactor, target);
+  mRate.OnFirstToken(prompt, aAttempt.mPrefillAhead, aSpan);
+  mRoom.OnFirstToken(span / allowed,
+                     span / static_cast<double>(bearable.Count()));
 }
 
 void
@@ -105,9 +116,9 @@
   const Millis target = mStrictBetween.Value() * kBetweenPart / kWholeParts;
   const Millis allowed = std::max(target, Millis(1)) * aTokens;
   mRate.OnTokens(aTokens, span);
-  mRoom.OnMeasured(static_cast<double>(span.Count()) /
-                     static_cast<double>(allowed.Count()),
-                   aTokens);
+  mRoom.OnBetweenTokens(static_cast<double>(span.Count()) /
+                          static_cast<double>(allowed.Count()),
+                        aTokens);
 }
 
 void
@@ -117,12 +128,21 @@
   if (!mOptions.mTokenStream || used <= aAttempt.mShare.mTokens)
     return;
   const uint64_t more = std::max(aAttempt.mOutput / kOutrunPart, kLeastGrowth);
-  const uint64_t before = aAttempt.mShare.mTokens;
+  RoomShare grown = aAttempt.mShare;
+  grown.mTokens = used + more;
+  mSchedule.Adjust(
+    aAttempt.mOffer.mLevel,
+    static_cast<int64_t>(grown.mTokens - aAttempt.mShare.mTokens));
+  ChangeShare(aAttempt, grown);
+}
+
+void
+SidecarCore::Impl::ChangeShare(SidecarAttempt& aAttempt,
+                               const RoomShare& aShare)
+{
   mRoom.Release(aAttempt.mShare);
-  aAttempt.mShare.mTokens = used + more;
-  mRoom.Take(aAttempt.mShare);
-  mSchedule.Adjust(aAttempt.mOffer.mLevel,
-                   static_cast<int64_t>(used + more - before));
+  aAttempt.mShare = aShare;
+  mRoom.Take(aShare);
 }
 
 void
@@ -200,7 +220,7 @@
                           ? aAttempt.mOffer.mPromptTokens + aAttempt.mOutput
                           : 1;
   if (aAttempt.mState == AttemptState::Finished)
-    mRate.OnEnded(used, mNow - aAttempt.mStartedAt);
+    mRate.OnEnded(used, aAttempt.mOutput, mNow - aAttempt.mStartedAt);
   ReleaseRoom(aAttempt, used);
   aAttempt.mFinalWord = aWord;
   const AttemptKey key = aAttempt.mOffer.mKey;
--- a/src/libtrefoilarch/sidecarcore.h
+++ b/src/libtrefoilarch/sidecarcore.h
@@ -37,7 +37,9 @@
   /** A plain service has no tokens: its room is a number of calls. */
   bool mTokenStream = true;
   uint64_t mFirstTokenRoom = 16384; /**< tokens in flight to begin with */
+  /** What the upstream can hold at a time (an engine's key-value memory). */
   uint64_t mMostTokenRoom = 1048576;
+  /** Calls that the upstream runs at a time (an engine's batch). */
   size_t mMostRunning = 256;
   uint64_t mSeed = 1;
 };
--- a/src/libtrefoilarch/sidecardump.cpp
+++ b/src/libtrefoilarch/sidecardump.cpp
@@ -108,6 +108,8 @@
     { "policy_version", mPolicyVersion },
     { "entries", mEntries.size() },
     { "load", Dump(CurrentLoad()) },
+    { "prefill",
+      { { "tokens", mRoom.InPrefill() }, { "limit", mRoom.PrefillLimit() } } },
     { "counters", Dump(mCounters) },
     { "ledger",
       { { "size", mLedger.Size() },
--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -100,6 +100,7 @@
                       ErrorKind aKind,
                       Millis aRetryAfter);
   Prospect ProspectOf(const Offer& aOffer) const;
+  RoomShare ShareOf(const Offer& aOffer) const;
   void Enqueue(const EntryId& aEntry, const Offer& aOffer);
   /** Finds the offer a place in the queue; false if it has been declined. */
   bool MakePlace(const EntryId& aEntry, const Offer& aOffer);
@@ -126,6 +127,8 @@
   void MeasureFirstToken(const SidecarAttempt& aAttempt, Millis aSpan);
   void MeasureBetween(const SidecarAttempt& aAttempt, uint32_t aTokens);
   void GrowIfOutrun(SidecarAttempt& aAttempt);
+  /** Takes another share of the room in place of the present one. */
+  void ChangeShare(SidecarAttempt& aAttempt, const RoomShare& aShare);
   void Erase(const AttemptKey& aKey);
   void ForgetIfGone(const EntryId& aEntry);
 
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -14,14 +14,6 @@
 /** A preemption comes when this part of the first-token target is left. */
 constexpr int64_t kPreemptPart = 4;
 
-uint64_t
-TokensOf(const Offer& aOffer, const SidecarOptions& aOptions)
-{
-  if (!aOptions.mTokenStream)
-    return 1;
-  return uint64_t{ aOffer.mPromptTokens } + aOffer.mOutputTokens;
-}
-
 } // namespace
 
 void
@@ -34,6 +26,7 @@
   ++mCounters.mOffered;
   if (mDraining)
     return DeclineOffer(aEntry, aOffer.mKey, ErrorKind::ShuttingDown, Millis());
+  mRoom.OnSeen(aOffer.mLevel.mTier, mNow);
   mStrictFirst.See(aOffer.mLevel.mFirstTokenTarget, mNow);
   mStrictBetween.See(aOffer.mLevel.mBetweenTokenTarget, mNow);
   if (const auto retryAfter = mAdmission.Refuse(ProspectOf(aOffer), mNow)) {
@@ -49,7 +42,7 @@
 SidecarCore::Impl::ProspectOf(const Offer& aOffer) const
 {
   return { .mLevel = aOffer.mLevel,
-           .mTokens = TokensOf(aOffer, mOptions),
+           .mTokens = ShareOf(aOffer).mTokens,
            .mLeastTime =
              mRate.LeastTime(aOffer.mPromptTokens, aOffer.mOutputTokens),
            .mStartDue =
@@ -57,6 +50,18 @@
            .mDeadline = aOffer.mDeadline };
 }
 
+RoomShare
+SidecarCore::Impl::ShareOf(const Offer& aOffer) const
+{
+  if (!mOptions.mTokenStream)
+    return { .mTokens = 1, .mTier = aOffer.mLevel.mTier };
+  const uint64_t output =
+    aOffer.mOutputTokens > 0 ? aOffer.mOutputTokens : mRate.MeanOutput();
+  return { .mTokens = aOffer.mPromptTokens + output,
+           .mPrefill = aOffer.mPromptTokens,
+           .mTier = aOffer.mLevel.mTier };
+}
+
 bool
 SidecarCore::Impl::MakePlace(const EntryId& aEntry, const Offer& aOffer)
 {
@@ -89,7 +94,7 @@
                           .mOffer = aOffer,
                           .mArrived = mNow,
                           .mDeadlineAt = mNow + aOffer.mDeadline,
-                          .mShare = { .mTokens = prospect.mTokens } };
+                          .mShare = ShareOf(aOffer) };
   const Millis last = attempt.mDeadlineAt - prospect.mLeastTime;
   const bool late = startBy < mNow;
   mTimers.Arm(aOffer.mKey, late ? std::min(last, mNow + kLatePause) : last);
@@ -176,9 +181,9 @@
 SidecarCore::Impl::GrantRegularTurns()
 {
   while (const auto turn = mSchedule.NextRegular()) {
-    const uint64_t tokens = mSchedule.Find(turn->mKey)->mTokens;
-    if (!mRoom.Fits(tokens)) {
-      mRoom.OnWanted();
+    const SidecarAttempt& attempt = mAttempts.at(turn->mKey);
+    if (!mRoom.Fits(attempt.mShare)) {
+      mRoom.OnWanted(attempt.mShare);
       if (!PreemptFor(*turn))
         return;
     }
@@ -206,6 +211,7 @@
   attempt.mGrantedAt = mNow;
   attempt.mShare.mBeside = aTurn.mFloor;
   mRoom.Take(attempt.mShare);
+  attempt.mPrefillAhead = mRoom.InPrefill();
   mTimers.Arm(aTurn.mKey, mNow + mOptions.mGrantSpan);
   SendGrant(attempt);
 }
@@ -214,13 +220,14 @@
 SidecarCore::Impl::PreemptFor(const Turn& aTurn)
 {
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
-  if (request.mLate)
+  const RoomShare& share = mAttempts.at(aTurn.mKey).mShare;
+  const uint64_t shortfall = mRoom.Shortfall(share);
+  if (request.mLate || shortfall == 0)
     return false;
-  const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
-  const auto victims =
-    mPreemption.Choose(request.mLevel.mTier, mRoom.Shortfall(request.mTokens));
+  const auto victims = mPreemption.Choose(request.mLevel.mTier, shortfall);
   if (victims.empty())
     return false;
+  const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
   if (mNow < request.mStartBy - part) {
     mPreemptAt = request.mStartBy - part;
     return false;
@@ -229,7 +236,7 @@
     ++mCounters.mPreempted;
     Cancel(mAttempts.at(key), ErrorKind::Shed);
   }
-  return mRoom.Fits(request.mTokens);
+  return mRoom.Fits(share);
 }
 
 void
--- a/tests/replay/replayrun.cpp
+++ b/tests/replay/replayrun.cpp
@@ -1,6 +1,7 @@
 #include "replayrun.h"
 
 #include <algorithm>
+#include <numeric>
 #include <optional>
 #include <sstream>
 
@@ -25,6 +26,7 @@
   bool mWhole = false;
   bool mEnded = false;
   bool mLeft = false;
+  bool mAttained = false;
   Millis mEndedAt{};
   std::optional<Refusal> mRefusal{};
 };
@@ -157,9 +159,9 @@
     return score;
   }
 
-  void JudgeOne(size_t aIndex, Score& aScore) const
+  void JudgeOne(size_t aIndex, Score& aScore)
   {
-    const Caller& caller = mCallers[aIndex];
+    Caller& caller = mCallers[aIndex];
     const TraceRequest& request = mTrace.mRequests[aIndex];
     const RequestClass& requestClass = mTrace.ClassOf(request);
     ClassScore& ofClass = aScore.mClasses[request.mClass];
@@ -184,13 +186,15 @@
       span > requestClass.mBetweenTokenTarget * (int64_t{ caller.mTokens } - 1);
     ofClass.mLateFirst += lateFirst ? 1 : 0;
     ofClass.mSlowTokens += slow ? 1 : 0;
-    ofClass.mAttained += lateFirst || slow ? 0 : 1;
+    caller.mAttained = !lateFirst && !slow;
+    ofClass.mAttained += caller.mAttained ? 1 : 0;
   }
 
   void JudgeWork(Score& aScore) const
   {
     double all = 0;
     double useful = 0;
+    double inTime = 0;
     std::map<CallerRequest, size_t> runs;
     for (const Spent& spent : mRouter->Executions()) {
       all += spent.mCost;
@@ -198,6 +202,7 @@
       const bool received = caller.mWhole && spent.mWhole &&
                             caller.mRepeat == spent.mRequest.mRepeat;
       useful += received ? spent.mCost : 0;
+      inTime += received && caller.mAttained ? spent.mCost : 0;
       ++runs[spent.mRequest];
     }
     for (const auto& [who, count] : runs)
@@ -206,30 +211,63 @@
     for (const CallerRequest& who : mSaidNo)
       aScore.mFalseNo += runs.count(who);
     aScore.mWaste = all > 0 ? 1 - useful / all : 0;
-    aScore.mGoodput = useful / Best();
+    aScore.mGoodput = inTime / Best();
   }
 
+  /**
+   * An upper bound on the work that any router could have in time: all engines
+   * as one, perfectly divisible, always the answer that is due first, with
+   * everything known beforehand about its length.
+   */
   double Best() const
   {
-    double asked = 0;
-    Millis end;
-    for (size_t i = 0; i < mCallers.size(); ++i) {
-      const TraceRequest& request = mTrace.mRequests[i];
-      asked += LeastCost(request.mPromptTokens, request.mOutputTokens);
-      end = std::max(end, DeadlineOf(i));
+    constexpr int64_t kBin = 100;
+    std::multimap<Millis, double> due;
+    double done = 0;
+    size_t next = 0;
+    for (Millis now; next < mCallers.size() || !due.empty();
+         now += Millis(kBin)) {
+      for (; next < mCallers.size() && mTrace.mRequests[next].mAt < now; ++next)
+        due.emplace(InTime(mTrace.mRequests[next]),
+                    CostOf(mTrace.mRequests[next]));
+      double left = SpeedAt(now) * static_cast<double>(kBin);
+      while (!due.empty() && (left > 0 || due.begin()->first < now)) {
+        const auto first = due.begin();
+        const double part =
+          first->first < now ? 0 : std::min(first->second, left);
+        done += part;
+        left -= part;
+        first->second -= part;
+        if (first->second <= 0 || first->first < now)
+          due.erase(first);
+      }
     }
-    double could = 0;
-    for (size_t engine = 0; engine < mTrace.mEngines; ++engine)
-      could += static_cast<double>(LifeOf(engine, end).Count());
-    return std::min(asked, could);
+    return done;
+  }
+
+  /** The last moment at which the whole answer meets its targets. */
+  Millis InTime(const TraceRequest& aRequest) const
+  {
+    const RequestClass& requestClass = mTrace.ClassOf(aRequest);
+    const Millis last = requestClass.mFirstTokenTarget +
+                        requestClass.mBetweenTokenTarget *
+                          (int64_t{ aRequest.mOutputTokens } - 1);
+    return aRequest.mAt + std::min(last, requestClass.mDeadline);
+  }
+
+  static double CostOf(const TraceRequest& aRequest)
+  {
+    return LeastCost(aRequest.mPromptTokens, aRequest.mOutputTokens);
   }
 
-  Millis LifeOf(size_t aEngine, Millis aEnd) const
+  /** How many engines' worth of work is done, faults taken into account. */
+  double SpeedAt(Millis aNow) const
   {
+    std::vector<double> speed(mTrace.mEngines, 1);
     for (const TraceFault& fault : mTrace.mFaults)
-      if (fault.mEngine == aEngine && fault.mSlow <= 0)
-        return fault.mAt;
-    return aEnd;
+      if (fault.mAt <= aNow)
+        speed[fault.mEngine] = fault.mSlow > 0 ? 1 / fault.mSlow : 0;
+    return std::accumulate(speed.begin(), speed.end(), 0.0);
   }
 
   const Trace& mTrace;
--- a/tests/replay/replayrun.h
+++ b/tests/replay/replayrun.h
@@ -36,9 +36,8 @@
 struct Score
 {
   std::map<std::string, ClassScore> mClasses;
-  /** Work of answers whole within their deadlines, of the best that the
-   * engines could have done: the lesser of all that was asked and all that
-   * they could do until the last deadline. */
+  /** Work of answers that met all their targets, as a part of an upper bound
+   * on what any router could have reached. */
   double mGoodput = 0;
   /** Work for answers that nobody got whole in time, of all work. */
   double mWaste = 0;
