--- a/src/libtrefoilarch/adaptivelimit.cpp
+++ b/src/libtrefoilarch/adaptivelimit.cpp
@@ -17,7 +17,7 @@
 /** Otherwise it rises by this part of its first value. */
 constexpr uint64_t kStepPart = 16;
 /** The most that one window takes off. */
-constexpr double kLeastFactor = 0.6;
+constexpr double kLeastFactor = 0.8;
 /** The use may exceed the limit by this when it decreases again. */
 constexpr double kSettled = 1.05;
 
--- a/src/libtrefoilarch/room.cpp
+++ b/src/libtrefoilarch/room.cpp
@@ -2,20 +2,30 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace trefoilarch {
 
 namespace {
 
-/** Hundredths of the room that a tier leaves to each higher tier present. */
-constexpr uint64_t kLeftPercent = 8;
+/** Room left for a burst, as a multiple of the root of the calls that run. */
+constexpr double kBurst = 1;
 /** A tier is present for so long after its last request came. */
 constexpr Millis kPresence{ 10000 };
+
+/** How far each tier may go, in hundredths of the limit on tokens. */
+constexpr std::array<uint64_t, kTierCount> kTokenPercent = { 150,
+                                                             120,
+                                                             100,
+                                                             100 };
 constexpr uint64_t kWhole = 100;
 
 /** Prompts in prefill hold up only who comes after, so a higher tier may go
  * beyond their limit: it is there to protect it. */
-constexpr std::array<uint64_t, kTierCount> kPrefillPercent = { 150, 100, 100, 100 };
+constexpr std::array<uint64_t, kTierCount> kPrefillPercent = { 150,
+                                                               100,
+                                                               100,
+                                                               100 };
 
 /** Prompt tokens in prefill: to begin with, at least and at most. */
 constexpr uint64_t kFirstPrefill = 4096;
@@ -38,15 +48,24 @@
 {
 }
 
+Room::Use&
+Room::Use::operator+=(const Use& aOther)
+{
+  mTokens += aOther.mTokens;
+  mPrefill += aOther.mPrefill;
+  mCalls += aOther.mCalls;
+  return *this;
+}
+
 Room::Use
 Room::UseFor(Tier aTier) const
 {
-  Use use = mWithin;
-  const size_t last = std::min<size_t>(aTier, kTierCount - 1);
-  for (size_t tier = 0; tier <= last; ++tier) {
-    use.mTokens += mBeside[tier].mTokens;
-    use.mPrefill += mBeside[tier].mPrefill;
-    use.mCalls += mBeside[tier].mCalls;
+  Use use;
+  const size_t own = std::min<size_t>(aTier, kTierCount - 1);
+  for (size_t tier = 0; tier < kTierCount; ++tier) {
+    use += mWithin[tier];
+    if (tier <= own)
+      use += mBeside[tier];
   }
   return use;
 }
@@ -55,17 +74,28 @@
 Room::UseOf(const RoomShare& aShare)
 {
   const size_t tier = std::min<size_t>(aShare.mTier, kTierCount - 1);
-  return aShare.mBeside ? mBeside[tier] : mWithin;
+  return aShare.mBeside ? mBeside[tier] : mWithin[tier];
 }
 
-uint64_t
-Room::PartFor(Tier aTier, uint64_t aLimit) const
+Room::Use
+Room::LeftBy(Tier aTier) const
 {
-  uint64_t percent = kWhole;
-  for (size_t tier = 0; tier < std::min<size_t>(aTier, kTierCount); ++tier)
-    if (mSeen[tier] > Millis() && mNow <= mSeen[tier] + kPresence)
-      percent -= kLeftPercent;
-  return std::max<uint64_t>(aLimit * percent / kWhole, 1);
+  Use higher;
+  bool present = false;
+  const size_t own = std::min<size_t>(aTier, kTierCount - 1);
+  for (size_t tier = 0; tier < own; ++tier) {
+    higher += mWithin[tier];
+    present |= mSeen[tier] > Millis() && mNow <= mSeen[tier] + kPresence;
+  }
+  if (!present)
+    return {};
+  const double running =
+    static_cast<double>(std::max<size_t>(higher.mCalls, 1));
+  const double calls = kBurst * std::sqrt(running);
+  const double tokens = calls * static_cast<double>(higher.mTokens) / running;
+  return { .mTokens = static_cast<uint64_t>(tokens),
+           .mPrefill = 0,
+           .mCalls = static_cast<size_t>(std::lround(calls)) };
 }
 
 void
@@ -89,11 +119,14 @@
     return 0;
   if (mUnreached > 0)
     return use.mTokens + 1;
-  const uint64_t limit = PartFor(aShare.mTier, Limit());
-  const uint64_t wanted = use.mTokens + aShare.mTokens;
+  const size_t tier = std::min<size_t>(aShare.mTier, kTierCount - 1);
+  const Use left = LeftBy(aShare.mTier);
+  const uint64_t limit =
+    std::min(Limit() * kTokenPercent[tier] / kWhole, mOptions.mMostLimit);
+  const uint64_t wanted = use.mTokens + left.mTokens + aShare.mTokens;
   if (wanted > limit)
     return wanted - limit;
-  return use.mCalls < PartFor(aShare.mTier, mOptions.mMostRunning) ? 0 : 1;
+  return use.mCalls + left.mCalls < mOptions.mMostRunning ? 0 : 1;
 }
 
 bool
@@ -130,11 +163,12 @@
 }
 
 void
-Room::OnFirstToken(double aPrefill, double aQueue)
+Room::OnFirstToken(double aRatio, bool aByPrefill)
 {
-  mTokenLimit.OnMeasured(1, aQueue, 1);
-  if (aQueue <= 1)
-    mPrefillLimit.OnMeasured(0, aPrefill, 1);
+  if (aRatio <= 1 || aByPrefill)
+    mPrefillLimit.OnMeasured(0, aRatio, 1);
+  if (aRatio <= 1 || !aByPrefill)
+    mTokenLimit.OnMeasured(1, aRatio, 1);
 }
 
 void
--- a/src/libtrefoilarch/room.h
+++ b/src/libtrefoilarch/room.h
@@ -40,11 +40,13 @@
  * follows the time to the first token. Plain services are counted in calls,
  * and have no prefill.
  *
- * A tier leaves a part of the tokens and the calls free for each higher tier
- * that was seen lately, so that their bursts find room at once and don't wait
- * in the upstream's own queue. The room never closes: a request of any size
- * fits where nothing runs. What runs beside the room counts for its own tier
- * and those below, never for a tier above.
+ * A tier leaves room for a burst of the higher tiers that were seen lately, in
+ * proportion to the root of what runs of them, as Poisson arrivals vary; so
+ * they need not wait in the upstream's own queue. The highest tiers may go
+ * beyond the limit on tokens, which is an estimate, but no regular start goes
+ * beyond what the upstream can hold. The room never closes: a request of any
+ * size fits where nothing runs. What runs beside the room counts for its own
+ * tier and those below, never for a tier above.
  */
 class Room
 {
@@ -63,9 +65,9 @@
 
   /** Measured times as multiples of what they may be at the most. */
   void OnBetweenTokens(double aRatio, double aWeight);
-  /** aPrefill: by the target; aQueue: by what the prompts in prefill explain,
-   * beyond which the upstream must have kept the request waiting. */
-  void OnFirstToken(double aPrefill, double aQueue);
+  /** aByPrefill: the prompts in prefill explain the time; otherwise the
+   * upstream must have kept the request in a queue of its own. */
+  void OnFirstToken(double aRatio, bool aByPrefill);
   /** Somebody with that share was kept out. */
   void OnWanted(const RoomShare& aShare);
   void Adapt(Millis aNow);
@@ -91,19 +93,21 @@
     uint64_t mTokens = 0;
     uint64_t mPrefill = 0;
     size_t mCalls = 0;
+
+    Use& operator+=(const Use& aOther);
   };
 
   /** What counts for a request of that tier. */
   Use UseFor(Tier aTier) const;
   Use& UseOf(const RoomShare& aShare);
-  /** The part of a limit that the tier may fill. */
-  uint64_t PartFor(Tier aTier, uint64_t aLimit) const;
+  /** What the tier leaves for bursts of higher tiers. */
+  Use LeftBy(Tier aTier) const;
   bool LacksPrefill(const RoomShare& aShare) const;
 
   RoomOptions mOptions;
   AdaptiveLimit mTokenLimit;
   AdaptiveLimit mPrefillLimit;
-  Use mWithin;
+  std::array<Use, kTierCount> mWithin{};
   std::array<Use, kTierCount> mBeside{};
   std::array<Millis, kTierCount> mSeen{};
   Millis mNow;
--- a/src/libtrefoilarch/schedule.cpp
+++ b/src/libtrefoilarch/schedule.cpp
@@ -81,11 +81,11 @@
 }
 
 std::optional<Turn>
-Schedule::NextFloor(Millis aNow) const
+Schedule::NextFloor(uint64_t aRoom, Millis aNow) const
 {
   for (const ClassMap& tier : mTiers)
     for (const auto& [name, owner] : tier)
-      if (IsOwed(owner, aNow))
+      if (IsOwed(owner, aNow) && HasFloorRoom(owner, aRoom))
         return Turn{ .mKey = owner.Next()->mKey, .mFloor = true };
   return std::nullopt;
 }
@@ -116,7 +116,9 @@
   const auto tokens = static_cast<int64_t>(request.mTokens);
   ScheduleClass& owner = ClassOf(level);
   owner.Charge(level.mWorkspace, std::max<int64_t>(tokens, 1));
-  if (!aTurn.mFloor)
+  if (aTurn.mFloor)
+    owner.mFloorTokens += request.mTokens;
+  else
     ++mRegularStarts;
   owner.mFloorStart = mRegularStarts + FloorInterval(owner);
   owner.mSince = aNow;
@@ -125,9 +127,12 @@
 }
 
 void
-Schedule::OnEnded(const ServiceLevel& aLevel, Millis aNow)
+Schedule::OnEnded(const ServiceLevel& aLevel,
+                  uint64_t aFloorTokens,
+                  Millis aNow)
 {
   ScheduleClass& owner = ClassOf(aLevel);
+  owner.mFloorTokens -= aFloorTokens;
   --owner.mRunning;
   if (owner.mRunning == 0)
     owner.mSince = aNow;
@@ -250,6 +255,14 @@
   return aClass.mRunning == 0 && aNow >= aClass.mSince + mOptions.mFloorSpan;
 }
 
+bool
+Schedule::HasFloorRoom(const ScheduleClass& aClass, uint64_t aRoom)
+{
+  const double part = aClass.mFloor * static_cast<double>(aRoom);
+  const uint64_t tokens = aClass.mFloorTokens + aClass.Next()->mTokens;
+  return aClass.mFloorTokens == 0 || static_cast<double>(tokens) <= part;
+}
+
 void
 Schedule::ForgetIfUnused(const ServiceLevel& aLevel)
 {
--- a/src/libtrefoilarch/schedule.h
+++ b/src/libtrefoilarch/schedule.h
@@ -49,13 +49,14 @@
  * the most urgent.
  *
  * Floor turns: a class that waits is owed one after 1/floor regular starts of
- * others, and after mFloorSpan if nothing of it runs. It is made beside the
- * room and never moves, delays beyond the engine's own sharing, sheds or
- * preempts a request of another class: the regular turns are the same as if
- * it had not been made. So a floor may slow the rest down, and never costs a
- * request of a higher tier its place. Bound: a class that waits starts
- * something within ceil(1/floor) regular starts, and within mFloorSpan if
- * nothing of it runs, whichever is first.
+ * others, and after mFloorSpan if nothing of it runs, unless its floor starts
+ * in flight fill its floor's part of the room already. It is made beside the
+ * room: the regular turns of higher tiers are the same as if it had not been
+ * made, so it never sheds or preempts a request of a higher tier or takes its
+ * place; it can only slow the engine that they share. Bound: a class that
+ * waits and has no floor start in flight starts something within ceil(1/floor)
+ * regular starts, and within mFloorSpan if nothing of it runs, whichever is
+ * first.
  *
  * Shedding: the lowest tier first, and of it whoever arrived last; the last
  * mKeptPlaces requests of a class are not shed, or a class crowded out of the
@@ -78,15 +79,16 @@
   /** The request that waits under that key, or null. */
   const WaitingRequest* Find(const AttemptKey& aKey) const;
 
-  /** The floor turn that is due, if any. */
-  std::optional<Turn> NextFloor(Millis aNow) const;
+  /** The floor turn that is due, if any, in a room of that many tokens. */
+  std::optional<Turn> NextFloor(uint64_t aRoom, Millis aNow) const;
   /** The regular turn; nothing if nobody waits. */
   std::optional<Turn> NextRegular() const;
   /** Takes the request of that turn out, and counts it as a start. */
   void Take(const Turn& aTurn, Millis aNow);
 
-  /** A request that had its turn has ended. */
-  void OnEnded(const ServiceLevel& aLevel, Millis aNow);
+  /** A request that had its turn has ended; aFloorTokens: if it was a floor
+   * turn, the tokens that it was counted with then. */
+  void OnEnded(const ServiceLevel& aLevel, uint64_t aFloorTokens, Millis aNow);
   /** Corrects the tokens that a request was counted with at its turn. */
   void Adjust(const ServiceLevel& aLevel, int64_t aTokens);
 
@@ -123,6 +125,7 @@
   /** Regular starts between two floor turns of the class. */
   static uint64_t FloorInterval(const ScheduleClass& aClass);
   bool IsOwed(const ScheduleClass& aClass, Millis aNow) const;
+  static bool HasFloorRoom(const ScheduleClass& aClass, uint64_t aRoom);
   void ForgetIfUnused(const ServiceLevel& aLevel);
 
   ScheduleOptions mOptions;
--- a/src/libtrefoilarch/scheduleclass.h
+++ b/src/libtrefoilarch/scheduleclass.h
@@ -47,6 +47,8 @@
 
   double mFloor = 0;
   size_t mRunning = 0;
+  /** Tokens of its floor starts in flight. */
+  uint64_t mFloorTokens = 0;
   /** The count of regular starts at which a floor turn falls due. */
   uint64_t mFloorStart = 0;
   /** Since when it has waited without a start. */
--- a/src/libtrefoilarch/sidecarattempt.h
+++ b/src/libtrefoilarch/sidecarattempt.h
@@ -26,6 +26,8 @@
   uint64_t mOutput = 0;
   /** Room taken; it grows when the answer outruns its estimate. */
   RoomShare mShare{};
+  /** Of a floor start: what the Schedule counted it with. */
+  uint64_t mFloorTokens = 0;
   /** Prompt tokens in prefill when it started, its own with them. */
   uint64_t mPrefillAhead = 0;
   /** Whether chunks go out as they come; after a new channel, not until
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -21,9 +21,9 @@
 constexpr int64_t kWholeParts = 10;
 /** A long prompt may take this many times what it took at best. */
 constexpr int64_t kOwnFactor = 2;
-/** Beyond this many times what the prefill explains, the upstream must have
- * kept the request in a queue of its own. */
-constexpr int64_t kQueueFactor = 2;
+/** Only classes within this multiple of the strictest target have a say in
+ * how long a first token may take. */
+constexpr int64_t kNearlyStrict = 2;
 
 /** An answer that outruns its estimate is taken to go on for this part of
  * what it has. */
@@ -94,18 +94,19 @@
 SidecarCore::Impl::MeasureFirstToken(const SidecarAttempt& aAttempt,
                                      Millis aSpan)
 {
-  const uint32_t prompt = aAttempt.mOffer.mPromptTokens;
-  const auto span = static_cast<double>(aSpan.Count());
-  const Millis target = mStrictFirst.Value() * kFirstPart / kWholeParts;
-  const Millis own = mRate.BestPrefillTime(prompt) * kOwnFactor;
-  const auto allowed =
-    static_cast<double>(std::max({ target, own, Millis(1) }).Count());
-  const Millis explained = mRate.BestPrefillTime(aAttempt.mPrefillAhead) +
-                           Millis(std::llround(mRate.BetweenTokens()));
-  const Millis bearable = std::max(explained * kQueueFactor, target);
-  mRate.OnFirstToken(prompt, aAttempt.mPrefillAhead, aSpan);
-  mRoom.OnFirstToken(span / allowed,
-                     span / static_cast<double>(bearable.Count()));
+  const Offer& offer = aAttempt.mOffer;
+  mRate.OnFirstToken(offer.mPromptTokens, aAttempt.mPrefillAhead, aSpan);
+  const Millis strictest = mStrictFirst.Value();
+  if (offer.mLevel.mFirstTokenTarget > strictest * kNearlyStrict)
+    return;
+  const Millis target = strictest * kFirstPart / kWholeParts;
+  const Millis own = mRate.BestPrefillTime(offer.mPromptTokens) * kOwnFactor;
+  const Millis allowed = std::max({ target, own, Millis(1) });
+  const Millis prefill = mRate.BestPrefillTime(aAttempt.mPrefillAhead);
+  const Millis step(std::llround(mRate.BetweenTokens()));
+  mRoom.OnFirstToken(static_cast<double>(aSpan.Count()) /
+                       static_cast<double>(allowed.Count()),
+                     aSpan <= prefill * kOwnFactor + step);
 }
 
 void
--- a/src/libtrefoilarch/sidecarimpl.cpp
+++ b/src/libtrefoilarch/sidecarimpl.cpp
@@ -252,7 +252,7 @@
   const auto used = static_cast<int64_t>(aUsed);
   mRoom.Release(aAttempt.mShare);
   mSchedule.Adjust(level, used - static_cast<int64_t>(aAttempt.mShare.mTokens));
-  mSchedule.OnEnded(level, mNow);
+  mSchedule.OnEnded(level, aAttempt.mFloorTokens, mNow);
   mPreemption.Remove(aAttempt.mOffer.mKey);
 }
 
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -194,7 +194,7 @@
 void
 SidecarCore::Impl::GrantFloorTurns()
 {
-  while (const auto turn = mSchedule.NextFloor(mNow))
+  while (const auto turn = mSchedule.NextFloor(mRoom.Limit(), mNow))
     GrantNow(*turn);
 }
 
@@ -204,12 +204,13 @@
   SidecarAttempt& attempt = mAttempts.at(aTurn.mKey);
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
   mRate.OnTurn(request.mLevel.mTier, request.mLate, request.mTokens, mNow);
-  mSchedule.Take(aTurn, mNow);
   ++mCounters.mGranted;
   mCounters.mFloorStarts += aTurn.mFloor ? 1 : 0;
   attempt.mState = AttemptState::Granted;
   attempt.mGrantedAt = mNow;
   attempt.mShare.mBeside = aTurn.mFloor;
+  attempt.mFloorTokens = aTurn.mFloor ? request.mTokens : 0;
+  mSchedule.Take(aTurn, mNow);
   mRoom.Take(attempt.mShare);
   attempt.mPrefillAhead = mRoom.InPrefill();
   mTimers.Arm(aTurn.mKey, mNow + mOptions.mGrantSpan);
--- a/tests/replay/design.cpp
+++ b/tests/replay/design.cpp
@@ -302,6 +302,8 @@
     const uint64_t id = mNextId++;
     mCalls[id] = aStart.mKey;
     mDbg[id] = mTime.Now();
+    if (getenv("TL2")) { auto d = aSidecar.mCore->DumpState(mTime.Now()); auto i = d.find("prefill"); auto t = d.find("tokens", i);
+      mDbg2[id] = aSidecar.mName + " run " + std::to_string(aSidecar.mEngine->Running()) + "+" + std::to_string(aSidecar.mEngine->Waiting()) + " pre " + d.substr(t + 8, 8); }
     aSidecar.mRunning[aStart.mKey] = id;
     aSidecar.mEngine->Start({ .mId = id,
                               .mPriority = aStart.mTier,
@@ -356,6 +358,7 @@
   std::map<uint64_t, AttemptKey> mCalls;
   std::set<uint64_t> mWhole;
   std::map<uint64_t, Millis> mDbg;
+  std::map<uint64_t, std::string> mDbg2;
   uint64_t mNextId = 1;
 };
 
