--- a/src/libtrefoilarch/servicerate.cpp
+++ b/src/libtrefoilarch/servicerate.cpp
@@ -16,6 +16,9 @@
 /** Prompts of this many tokens and more cost time by their length. */
 constexpr uint32_t kLongPrompt = 512;
 
+/** A time between tokens that is older says nothing of now. */
+constexpr Millis kBetweenSpan{ 2000 };
+
 /** The best time grows by this with each sample, until it is met again. */
 constexpr double kForget = 1.01;
 
@@ -59,12 +62,19 @@
 }
 
 void
-ServiceRate::OnTokens(uint32_t aTokens, Millis aSpan)
+ServiceRate::OnTokens(uint32_t aTokens, Millis aSpan, Millis aNow)
 {
   if (aTokens == 0)
     return;
   const double sample = static_cast<double>(aSpan.Count()) / aTokens;
   mBetween = mBetween > 0 ? Blend(mBetween, sample) : sample;
+  mBetweenAt = aNow;
+}
+
+double
+ServiceRate::BetweenTokens(Millis aNow) const
+{
+  return aNow <= mBetweenAt + kBetweenSpan ? mBetween : 0;
 }
 
 void
--- a/src/libtrefoilarch/servicerate.h
+++ b/src/libtrefoilarch/servicerate.h
@@ -22,7 +22,7 @@
   /** aAhead: prompt tokens in prefill at its start, its own with them. */
   void OnFirstToken(uint32_t aPromptTokens, uint64_t aAhead, Millis aSpan);
   /** aTokens came aSpan after the ones before. */
-  void OnTokens(uint32_t aTokens, Millis aSpan);
+  void OnTokens(uint32_t aTokens, Millis aSpan, Millis aNow);
   /** A request that held aTokens, aOutput of them generated, has ended,
    * aSpan after its start. */
   void OnEnded(uint64_t aTokens, uint64_t aOutput, Millis aSpan);
@@ -48,8 +48,9 @@
   /** From start to end, taking the estimate of the output as twice too long,
    * since a request is refused by it. */
   Millis LeastTime(uint32_t aPromptTokens, uint32_t aOutputTokens) const;
-  /** Mean time between tokens in milliseconds. */
-  double BetweenTokens() const { return mBetween; }
+  /** Mean time between tokens in milliseconds, if it was measured lately;
+   * otherwise 0, so that a slow upstream is tried again. */
+  double BetweenTokens(Millis aNow) const;
 
 private:
   /** A sum that decays with a fixed time constant. */
@@ -68,6 +69,7 @@
   /** The least time for each token of a long prefill, slowly forgotten. */
   double mBestSlope = 0;
   double mBetween = 0;
+  Millis mBetweenAt;
   double mTokenTime = 0;
   double mTokens = 0;
   double mRequests = 0;
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -16,7 +16,7 @@
 
 /** Allowed times are these parts of the targets, since a target holds for
  * nearly all tokens and the limit follows the mean. */
-constexpr int64_t kFirstPart = 6;
+constexpr int64_t kFirstPart = 4;
 constexpr int64_t kBetweenPart = 9;
 constexpr int64_t kWholeParts = 10;
 /** A long prompt may take this many times what it took at best. */
@@ -103,7 +103,7 @@
   const Millis own = mRate.BestPrefillTime(offer.mPromptTokens) * kOwnFactor;
   const Millis allowed = std::max({ target, own, Millis(1) });
   const Millis prefill = mRate.BestPrefillTime(aAttempt.mPrefillAhead);
-  const Millis step(std::llround(mRate.BetweenTokens()));
+  const Millis step(std::llround(mRate.BetweenTokens(mNow)));
   mRoom.OnFirstToken(static_cast<double>(aSpan.Count()) /
                        static_cast<double>(allowed.Count()),
                      aSpan <= prefill * kOwnFactor + step);
@@ -116,7 +116,7 @@
   const Millis span = mNow - aAttempt.mLastTokenAt;
   const Millis target = mStrictBetween.Value() * kBetweenPart / kWholeParts;
   const Millis allowed = std::max(target, Millis(1)) * aTokens;
-  mRate.OnTokens(aTokens, span);
+  mRate.OnTokens(aTokens, span, mNow);
   mRoom.OnBetweenTokens(static_cast<double>(span.Count()) /
                           static_cast<double>(allowed.Count()),
                         aTokens);
@@ -340,7 +340,7 @@
   Millis next = std::min(mTimers.Next(), mHeartbeats.Next());
   if (mDraining)
     return next;
-  next = std::min({ next, mSchedule.NextWake(), mPreemptAt });
+  next = std::min({ next, mSchedule.NextWake(), mTurnDue });
   if (mRoom.IsPaused(mNow))
     next = std::min(next, mRoom.PauseEnd());
   return next;
--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -112,6 +112,9 @@
   void GrantRegularTurns();
   void GrantFloorTurns();
   void GrantNow(const Turn& aTurn);
+  /** Holds back a turn whose targets this upstream is too slow for, so that
+   * another sidecar that it is offered to grants it, until it gets late. */
+  bool HoldsBack(const Turn& aTurn);
   /** Stops lower tiers' work if that saves the turn's first-token target. */
   bool PreemptFor(const Turn& aTurn);
   void SendGrant(const SidecarAttempt& aAttempt);
@@ -162,8 +165,8 @@
   PreemptionOrder mPreemption;
   StrictestTarget mStrictFirst;
   StrictestTarget mStrictBetween;
-  /** When a blocked turn will be worth a preemption. */
-  Millis mPreemptAt = Millis::Never();
+  /** When the turn that was held back is to be looked at again. */
+  Millis mTurnDue = Millis::Never();
   Timers<AttemptKey> mTimers;
   Timers<EntryId> mHeartbeats;
   SidecarCounters mCounters;
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -170,7 +170,7 @@
 void
 SidecarCore::Impl::GrantWhatFits()
 {
-  mPreemptAt = Millis::Never();
+  mTurnDue = Millis::Never();
   if (mDraining || mRoom.IsPaused(mNow))
     return;
   GrantRegularTurns();
@@ -181,6 +181,8 @@
 SidecarCore::Impl::GrantRegularTurns()
 {
   while (const auto turn = mSchedule.NextRegular()) {
+    if (HoldsBack(*turn))
+      return;
     const SidecarAttempt& attempt = mAttempts.at(turn->mKey);
     if (!mRoom.Fits(attempt.mShare)) {
       mRoom.OnWanted(attempt.mShare);
@@ -217,6 +219,18 @@
   SendGrant(attempt);
 }
 
+bool
+SidecarCore::Impl::HoldsBack(const Turn& aTurn)
+{
+  const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
+  const auto target =
+    static_cast<double>(request.mLevel.mBetweenTokenTarget.Count());
+  if (request.mLate || mRate.BetweenTokens(mNow) <= target)
+    return false;
+  mTurnDue = request.mStartBy + Millis(1);
+  return true;
+}
+
 bool
 SidecarCore::Impl::PreemptFor(const Turn& aTurn)
 {
@@ -230,7 +244,7 @@
     return false;
   const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
   if (mNow < request.mStartBy - part) {
-    mPreemptAt = request.mStartBy - part;
+    mTurnDue = request.mStartBy - part;
     return false;
   }
   for (const AttemptKey& key : victims) {
