--- a/src/libtrefoilarch/adaptivelimit.cpp
+++ b/src/libtrefoilarch/adaptivelimit.cpp
@@ -14,8 +14,8 @@
 /** Below this it rises by a part of itself. */
 constexpr double kFarInside = 0.6;
 constexpr uint64_t kFastPart = 8;
-/** Otherwise it rises by this part of its first value. */
-constexpr uint64_t kStepPart = 16;
+/** Otherwise by this part, of its first value at the least. */
+constexpr uint64_t kStepPart = 24;
 /** The most that one window takes off. */
 constexpr double kLeastFactor = 0.8;
 /** The use may exceed the limit by this when it decreases again. */
--- a/src/libtrefoilarch/adaptivelimit.h
+++ b/src/libtrefoilarch/adaptivelimit.h
@@ -17,8 +17,8 @@
 };
 
 /**
- * A limit that follows measured times. Additive increase, faster while the
- * times are far inside what is allowed, and multiplicative decrease in
+ * A limit that follows measured times. Increase in small steps, faster while
+ * the times are far inside what is allowed, and multiplicative decrease in
  * proportion to the excess; a decrease waits until the use has come down to
  * the one before, or a few slow answers would close the limit altogether.
  */
--- a/src/libtrefoilarch/admission.cpp
+++ b/src/libtrefoilarch/admission.cpp
@@ -51,7 +51,7 @@
   if (mRoom.Running() == 0)
     return std::nullopt;
   const double wait =
-    std::min(Wait(aProspect, true, aNow), FloorWait(aProspect.mLevel));
+    std::min(Wait(aProspect, true, aNow), FloorWait(aProspect.mLevel, aNow));
   const auto last =
     static_cast<double>((aProspect.mDeadline - aProspect.mLeastTime).Count());
   if (wait <= last)
@@ -67,7 +67,7 @@
                        .mLeastTime = {},
                        .mStartDue = {},
                        .mDeadline = {} };
-  if (mRate.Capacity(Limit()) <= 0)
+  if (mRate.Capacity(Limit(), aNow) <= 0)
     return Jittered(kUnmeasuredRetry);
   return Jittered(Wait(next, false, aNow));
 }
@@ -80,16 +80,16 @@
     static_cast<double>(mSchedule.TokensAhead(aProspect.mLevel, aLate)) +
     static_cast<double>(mRoom.InFlight() + aProspect.mTokens) -
     static_cast<double>(Limit());
-  if (due <= 0 || mRate.Capacity(Limit()) <= 0)
+  if (due <= 0 || mRate.Capacity(Limit(), aNow) <= 0)
     return 0;
   const double drain = mRate.Drain(tier, aLate, Limit(), aNow);
   return drain > 0 ? due / drain : kHopeless;
 }
 
 double
-Admission::FloorWait(const ServiceLevel& aLevel) const
+Admission::FloorWait(const ServiceLevel& aLevel, Millis aNow) const
 {
-  const double capacity = mRate.Capacity(Limit());
+  const double capacity = mRate.Capacity(Limit(), aNow);
   if (capacity <= 0)
     return 0;
   const double startSpan = mRate.MeanTokens() / capacity;
--- a/src/libtrefoilarch/admission.h
+++ b/src/libtrefoilarch/admission.h
@@ -50,7 +50,7 @@
 
 private:
   double Wait(const Prospect& aProspect, bool aLate, Millis aNow) const;
-  double FloorWait(const ServiceLevel& aLevel) const;
+  double FloorWait(const ServiceLevel& aLevel, Millis aNow) const;
   /** Tokens in flight at the most, whichever bound is reached first. */
   uint64_t Limit() const;
   Millis Jittered(double aSpan);
--- a/src/libtrefoilarch/room.cpp
+++ b/src/libtrefoilarch/room.cpp
@@ -20,13 +20,6 @@
                                                              100 };
 constexpr uint64_t kWhole = 100;
 
-/** Prompts in prefill hold up only who comes after, so a higher tier may go
- * beyond their limit: it is there to protect it. */
-constexpr std::array<uint64_t, kTierCount> kPrefillPercent = { 150,
-                                                               100,
-                                                               100,
-                                                               100 };
-
 /** Prompt tokens in prefill: to begin with, at least and at most. */
 constexpr uint64_t kFirstPrefill = 4096;
 constexpr uint64_t kLeastPrefill = 1024;
@@ -133,9 +126,7 @@
 Room::LacksPrefill(const RoomShare& aShare) const
 {
   const uint64_t used = UseFor(aShare.mTier).mPrefill;
-  const size_t tier = std::min<size_t>(aShare.mTier, kTierCount - 1);
-  const uint64_t limit = PrefillLimit() * kPrefillPercent[tier] / kWhole;
-  return used > 0 && used + aShare.mPrefill > limit;
+  return used > 0 && used + aShare.mPrefill > PrefillLimit();
 }
 
 void
--- a/src/libtrefoilarch/servicerate.cpp
+++ b/src/libtrefoilarch/servicerate.cpp
@@ -16,6 +16,11 @@
 /** Prompts of this many tokens and more cost time by their length. */
 constexpr uint32_t kLongPrompt = 512;
 
+/** Requests have waited without a break if they were seen to this often, and
+ * for this long before the rate of starts is taken for the capacity. */
+constexpr Millis kBlockedGap{ 300 };
+constexpr Millis kBlockedSpan{ 1500 };
+
 /** A time between tokens that is older says nothing of now. */
 constexpr Millis kBetweenSpan{ 2000 };
 
@@ -96,19 +101,34 @@
   mFlows[tier][aLate ? 1 : 0].Add(static_cast<double>(aTokens), aNow);
 }
 
+void
+ServiceRate::OnBlocked(Millis aNow)
+{
+  if (aNow > mBlockedAt + kBlockedGap)
+    mBlockedSince = aNow;
+  mBlockedAt = aNow;
+}
+
 double
-ServiceRate::Capacity(uint64_t aLimit) const
+ServiceRate::Capacity(uint64_t aLimit, Millis aNow) const
 {
+  const bool blocked = aNow <= mBlockedAt + kBlockedGap &&
+                       mBlockedAt >= mBlockedSince + kBlockedSpan;
   if (mTokenTime <= 0)
     return 0;
-  return static_cast<double>(aLimit) * mTokens / mTokenTime;
+  if (!blocked)
+    return static_cast<double>(aLimit) * mTokens / mTokenTime;
+  double rate = 0;
+  for (const auto& [onTime, late] : mFlows)
+    rate += onTime.Rate(aNow) + late.Rate(aNow);
+  return rate;
 }
 
 double
 ServiceRate::Drain(Tier aTier, bool aLate, uint64_t aLimit, Millis aNow) const
 {
   const Tier own = std::min<Tier>(aTier, kTierCount - 1);
-  double left = Capacity(aLimit);
+  double left = Capacity(aLimit, aNow);
   for (Tier tier = 0; tier < own; ++tier)
     left -= mFlows[tier][0].Rate(aNow) + mFlows[tier][1].Rate(aNow);
   if (aLate)
--- a/src/libtrefoilarch/servicerate.h
+++ b/src/libtrefoilarch/servicerate.h
@@ -12,9 +12,9 @@
  * What an upstream has been measured to do: how long a request takes, how many
  * tokens it gets through, and how many of them each tier takes.
  *
- * The capacity follows from Little's law, limit / mean time in flight, so it
- * holds also for an upstream that is not busy all the time, and changes at
- * once with the limit.
+ * While requests have to wait, the capacity is the measured rate of starts.
+ * Otherwise that rate says only what was asked for, and the capacity follows
+ * from Little's law: limit / mean time in flight.
  */
 class ServiceRate
 {
@@ -29,8 +29,11 @@
   /** A request got its turn. */
   void OnTurn(Tier aTier, bool aLate, uint64_t aTokens, Millis aNow);
 
+  /** A request that had its turn found no room. */
+  void OnBlocked(Millis aNow);
+
   /** Tokens per millisecond; 0 while nothing has been measured. */
-  double Capacity(uint64_t aLimit) const;
+  double Capacity(uint64_t aLimit, Millis aNow) const;
   /**
    * Tokens per millisecond that are left for the tier's requests, of which
    * those on time go first; 0 while nothing has been measured.
@@ -75,6 +78,8 @@
   double mRequests = 0;
   double mOutput = 0;
   std::array<std::array<Flow, 2>, kTierCount> mFlows;
+  Millis mBlockedSince;
+  Millis mBlockedAt;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -16,7 +16,7 @@
 
 /** Allowed times are these parts of the targets, since a target holds for
  * nearly all tokens and the limit follows the mean. */
-constexpr int64_t kFirstPart = 4;
+constexpr int64_t kFirstPart = 3;
 constexpr int64_t kBetweenPart = 9;
 constexpr int64_t kWholeParts = 10;
 /** A long prompt may take this many times what it took at best. */
@@ -99,13 +99,12 @@
   const Millis strictest = mStrictFirst.Value();
   if (offer.mLevel.mFirstTokenTarget > strictest * kNearlyStrict)
     return;
-  const Millis target = strictest * kFirstPart / kWholeParts;
   const Millis own = mRate.BestPrefillTime(offer.mPromptTokens) * kOwnFactor;
-  const Millis allowed = std::max({ target, own, Millis(1) });
+  const auto allowed = static_cast<double>(
+    std::max({ strictest * kFirstPart / kWholeParts, own, Millis(1) }).Count());
   const Millis prefill = mRate.BestPrefillTime(aAttempt.mPrefillAhead);
   const Millis step(std::llround(mRate.BetweenTokens(mNow)));
-  mRoom.OnFirstToken(static_cast<double>(aSpan.Count()) /
-                       static_cast<double>(allowed.Count()),
+  mRoom.OnFirstToken(static_cast<double>(aSpan.Count()) / allowed,
                      aSpan <= prefill * kOwnFactor + step);
 }
 
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -186,6 +186,7 @@
     const SidecarAttempt& attempt = mAttempts.at(turn->mKey);
     if (!mRoom.Fits(attempt.mShare)) {
       mRoom.OnWanted(attempt.mShare);
+      mRate.OnBlocked(mNow);
       if (!PreemptFor(*turn))
         return;
     }
