--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -228,7 +228,7 @@
 }
 
 void
-RouterService::On(NewSidecars aEvent)
+RouterService::On(const NewSidecars& aEvent)
 {
   std::vector<UpstreamView> upstreams;
   std::vector<UpstreamId> leaving;
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -144,7 +144,7 @@
   void On(FromSidecar aEvent);
   void Learn(const SidecarMessage& aMessage);
   void On(const ChannelDown& aEvent);
-  void On(NewSidecars aEvent);
+  void On(const NewSidecars& aEvent);
   void On(const NewClassifier& aEvent);
   void On(const DumpRequest& aEvent);
   void CarryOut(EntryActions aActions);
--- a/src/trefoilarchd/sidecarserver.cpp
+++ b/src/trefoilarchd/sidecarserver.cpp
@@ -129,7 +129,7 @@
     grpc::CallbackServerContext*) override
   {
     const auto channel = ServerChannel::Open(
-      [this](const auto& aChannel, EntryMessage aMessage) {
+      [this](const auto& aChannel, EntryMessage&& aMessage) {
         OnMessage(aChannel, std::move(aMessage));
       },
       [this](const auto& aChannel) { OnDown(aChannel); });
