--- a/src/libtrefoilarch/classifier.cpp
+++ b/src/libtrefoilarch/classifier.cpp
@@ -1,5 +1,7 @@
 #include "classifier.h"
 
+#include "upstreamlabels.h"
+
 #include <algorithm>
 
 namespace trefoilarch {
@@ -12,27 +14,6 @@
   return std::find(aValues.begin(), aValues.end(), aValue) != aValues.end();
 }
 
-bool
-MeetsOne(const Labels& aLabels, const Requirement& aOne)
-{
-  const auto place = aLabels.find(aOne.mKey);
-  const bool exists = place != aLabels.end();
-  const bool listed = exists && Contains(aOne.mValues, place->second);
-  switch (aOne.mOperator) {
-    case Operator::Equals:
-    case Operator::In:
-      return listed;
-    case Operator::NotEquals:
-    case Operator::NotIn:
-      return !listed;
-    case Operator::Exists:
-      return exists;
-    case Operator::NotExists:
-      return !exists;
-  }
-  return false;
-}
-
 void
 SetUnlessEmpty(Labels& aLabels, const char* aKey, const std::string& aValue)
 {
@@ -58,18 +39,6 @@
   return labels;
 }
 
-/** Whether an upstream serves the model or service that is asked for. */
-bool
-Serves(const Labels& aUpstream, const Labels& aTraffic, const char* aKey)
-{
-  const auto wanted = aTraffic.find(aKey);
-  if (wanted == aTraffic.end()) {
-    return true;
-  }
-  const auto served = aUpstream.find(aKey);
-  return served != aUpstream.end() && served->second == wanted->second;
-}
-
 boost::leaf::error_id
 Refuse(ErrorKind aKind, std::string aMessage)
 {
@@ -81,11 +50,30 @@
 
 } // namespace
 
+bool
+MeetsOne(const std::string* aValue, const Requirement& aOne)
+{
+  switch (aOne.mOperator) {
+    case Operator::Equals:
+    case Operator::In:
+      return aValue != nullptr && Contains(aOne.mValues, *aValue);
+    case Operator::NotEquals:
+    case Operator::NotIn:
+      return aValue == nullptr || !Contains(aOne.mValues, *aValue);
+    case Operator::Exists:
+      return aValue != nullptr;
+    case Operator::NotExists:
+      return aValue == nullptr;
+  }
+  return false;
+}
+
 bool
 Meets(const Labels& aLabels, const std::vector<Requirement>& aAll)
 {
   return std::all_of(aAll.begin(), aAll.end(), [&](const Requirement& aOne) {
-    return MeetsOne(aLabels, aOne);
+    const auto place = aLabels.find(aOne.mKey);
+    return MeetsOne(place == aLabels.end() ? nullptr : &place->second, aOne);
   });
 }
 
@@ -140,27 +128,15 @@
 bool
 Classifier::MayGo(const Labels& aTraffic, const UpstreamView& aUpstream) const
 {
-  Labels labels = aUpstream.mLabels;
-  const auto settings = mPolicy->mUpstreams.find(aUpstream.mName);
-  if (settings != mPolicy->mUpstreams.end()) {
-    if (settings->second.mDrained) {
-      return false;
-    }
-    for (const auto& [key, value] : settings->second.mLabels) {
-      labels[key] = value;
-    }
-  }
-  labels["upstream"] = aUpstream.mName;
-  labels["data_centre"] = aUpstream.mDataCentre;
-  if (!Serves(labels, aTraffic, "model") ||
-      !Serves(labels, aTraffic, "service")) {
+  const UpstreamLabels labels(*mPolicy, aUpstream);
+  if (labels.Drained() || !labels.Serves(aTraffic)) {
     return false;
   }
   const auto& selectors = mPolicy->mSelectors;
   return std::any_of(
     selectors.begin(), selectors.end(), [&](const auto& aEntry) {
       return Meets(aTraffic, aEntry.second.mTraffic) &&
-             Meets(labels, aEntry.second.mUpstreams);
+             labels.Meet(aEntry.second.mUpstreams);
     });
 }
 
--- a/src/libtrefoilarch/classifier.h
+++ b/src/libtrefoilarch/classifier.h
@@ -56,7 +56,11 @@
    */
   Result<Classified> Classify(const CallerClaims& aClaims) const;
 
-  /** Whether the traffic may go to the upstream (drained ones: never). */
+  /**
+   * Whether the traffic may go to the upstream (drained ones: never). Traffic
+   * with a `model` or `service` goes only where the upstream's label of that
+   * name is the same. For many upstreams, EligibleSets is cheaper.
+   */
   bool MayGo(const Labels& aTraffic, const UpstreamView& aUpstream) const;
 
   const Policy& CurrentPolicy() const { return *mPolicy; }
@@ -65,6 +69,13 @@
   std::shared_ptr<const Policy> mPolicy;
 };
 
+/**
+ * Whether a label's value, or its absence (null), meets a requirement. An
+ * absent label is not equal to, and not in, anything.
+ */
+bool
+MeetsOne(const std::string* aValue, const Requirement& aOne);
+
 /** Whether the labels meet every requirement. */
 bool
 Meets(const Labels& aLabels, const std::vector<Requirement>& aAll);
--- a/src/libtrefoilarch/policychange.cpp
+++ b/src/libtrefoilarch/policychange.cpp
@@ -145,6 +145,12 @@
   std::string mPath;
 };
 
+void
+Append(PolicyFaults& aAll, const PolicyFaults& aMore)
+{
+  aAll.insert(aAll.end(), aMore.begin(), aMore.end());
+}
+
 void
 ForgetOld(PolicyState& aState)
 {
@@ -196,8 +202,8 @@
   policy.mVersion = aState.Version() + 1;
   if (aJudge) {
     outcome.mFaults = std::move(applier.Faults());
-    const PolicyFaults faults = ValidatePolicy(policy);
-    outcome.mFaults.insert(outcome.mFaults.end(), faults.begin(), faults.end());
+    Append(outcome.mFaults, ValidateChange(aChange));
+    Append(outcome.mFaults, ValidatePolicy(policy));
     if (aChange.mBaseVersion) {
       outcome.mConflicts =
         FindConflicts(aState, applier.Touched(), *aChange.mBaseVersion);
--- a/src/libtrefoilarch/policylog.cpp
+++ b/src/libtrefoilarch/policylog.cpp
@@ -10,9 +10,17 @@
 namespace {
 
 constexpr unsigned kMostDoublings = 10;
+constexpr size_t kLongestVoided = 90;
 /** Spans are drawn between three and five quarters of their mean. */
 constexpr int64_t kJitterParts = 4;
 
+/** The same in every process, and short enough for any id. */
+std::string
+VoidId(const std::string& aId)
+{
+  return "void-" + aId.substr(0, kLongestVoided);
+}
+
 PolicyConflict
 VoidedConflict(const PolicyState& aState, const std::string& aId)
 {
@@ -62,7 +70,7 @@
   }
   Proposal proposal;
   proposal.mNumber = aProposal;
-  proposal.mChange.mId = "void-" + aId;
+  proposal.mChange.mId = VoidId(aId);
   proposal.mChange.mOperations = { VoidChange{ aId } };
   proposal.mDeadline = aDeadline;
   proposal.mAsksFor = std::move(aId);
--- a/src/libtrefoilarch/policyvalidation.cpp
+++ b/src/libtrefoilarch/policyvalidation.cpp
@@ -10,6 +10,7 @@
 
 constexpr size_t kLongestName = 128;
 constexpr size_t kLongestValue = 256;
+constexpr size_t kLongestChangeId = 100;
 constexpr size_t kHashDigits = 64;
 /** Rounding of the sum of shares that are given as decimals. */
 constexpr double kFloorSlack = 1e-9;
@@ -192,20 +193,22 @@
   return PolicyValidator(aPolicy).Run();
 }
 
-std::vector<std::string>
-PolicyWarnings(const Policy& aPolicy,
-               const std::vector<UpstreamView>& aUpstreams)
+PolicyFaults
+ValidateChange(const PolicyChange& aChange)
 {
-  std::vector<std::string> warnings;
-  if (aPolicy.mSelectors.empty() && !aPolicy.mClasses.empty()) {
-    warnings.emplace_back("there is no selector: no request may go anywhere");
+  PolicyFaults faults;
+  if (!GoodName(aChange.mId) || aChange.mId.size() > kLongestChangeId) {
+    faults.push_back(
+      { "id", "must be 1 to 100 letters, digits or any of -_.:/@+" });
+  }
+  if (!GoodValue(aChange.mAuthor)) {
+    faults.push_back(
+      { "author", "must be at most 256 characters without a comma" });
   }
-  for (const auto& [name, selector] : aPolicy.mSelectors) {
-    Policy alone = aPolicy;
-    alone.mSelectors = { { name, selector } };
-    (void)aUpstreams;
+  if (aChange.mOperations.empty()) {
+    faults.push_back({ "operations", "must have at least one operation" });
   }
-  return warnings;
+  return faults;
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/policyvalidation.h
+++ b/src/libtrefoilarch/policyvalidation.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "classifier.h"
+#include "policy.h"
 #include "policyfault.h"
-
-#include <string>
-#include <vector>
+#include "policyoperation.h"
 
 namespace trefoilarch {
 
@@ -12,13 +10,8 @@
 PolicyFaults
 ValidatePolicy(const Policy& aPolicy);
 
-/**
- * What a policy lets happen that its author may not want: selectors that
- * match none of the upstreams, and classes whose traffic may go to none of
- * them. Sentences for people.
- */
-std::vector<std::string>
-PolicyWarnings(const Policy& aPolicy,
-               const std::vector<UpstreamView>& aUpstreams);
+/** Faults of a change's own fields: its id, its author, no operations. */
+PolicyFaults
+ValidateChange(const PolicyChange& aChange);
 
 } // namespace trefoilarch
--- a/src/trefoilarchd/policyservice.cpp
+++ b/src/trefoilarchd/policyservice.cpp
@@ -3,7 +3,7 @@
 #include "policyhttp.h"
 
 #include "libtrefoilarch/policycodec.h"
-#include "libtrefoilarch/policyvalidation.h"
+#include "libtrefoilarch/policywarnings.h"
 #include "libtrefoilio/logs.h"
 #include "libtrefoilio/metrics.h"
 #include "libtrefoilio/systemclock.h"
--- /dev/null
+++ b/tests/unit/policycodectest.cpp
@@ -0,0 +1,134 @@
+#include "libtrefoilarch/policycodec.h"
+
+#include "libtrefoilarch/policychange.h"
+
+#include "policygen.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace trefoilarch;
+using policygen::Generator;
+
+namespace {
+
+std::vector<PolicyOperation>
+OneOfEach(Generator& aDraw)
+{
+  const Policy policy = aDraw.Policy();
+  return { SetClass{ policy.mClasses.at("call") },
+           RemoveClass{ "page" },
+           SetWorkspace{ policy.mWorkspaces.at("north") },
+           RemoveWorkspace{ "south" },
+           SetSelector{ policy.mSelectors.at("s1") },
+           RemoveSelector{ "s2" },
+           SetUpstreamLabels{ "a", { { "k", "v" }, { "gone", {} } } },
+           SetDrained{ "a", aDraw.Chance(50) },
+           ReplacePolicy{ policy },
+           VoidChange{ "some" } };
+}
+
+PolicyFaults
+FaultsOf(const std::string& aOperation)
+{
+  const std::string text = R"({"id":"x","operations":[)" + aOperation + "]}";
+  const Reading<PolicyChange> reading = ChangeFromJson(text);
+  if (!reading.Good()) {
+    return reading.mFaults;
+  }
+  return ApplyChange(PolicyState(), reading.mValue).mFaults;
+}
+
+void
+CheckFault(const std::string& aOperation, const std::string& aField)
+{
+  const PolicyFaults faults = FaultsOf(aOperation);
+  cr_assert(
+    faults.size() == 1, "%zu faults for %s", faults.size(), aOperation.c_str());
+  cr_assert(faults[0].mField == aField,
+            "%s instead of %s",
+            faults[0].mField.c_str(),
+            aField.c_str());
+  cr_assert(!faults[0].mReason.empty());
+}
+
+} // namespace
+
+Test(policycodec, text_round_trips)
+{
+  const bool holds = rc::check([](uint32_t aSeed) {
+    Generator draw(aSeed);
+    const Policy policy = draw.Policy();
+    RC_ASSERT(PolicyFromJson(PolicyToJson(policy)).Good());
+    RC_ASSERT(PolicyFromJson(PolicyToJson(policy)).mValue == policy);
+    PolicyChange change;
+    change.mId = "id";
+    change.mAuthor = "someone";
+    change.mUnixSeconds = draw.Draw(1000);
+    if (draw.Chance(50)) {
+      change.mBaseVersion = draw.Draw(1000);
+    }
+    change.mOperations = OneOfEach(draw);
+    RC_ASSERT(ChangeFromJson(ChangeToJson(change)).Good());
+    RC_ASSERT(ChangeFromJson(ChangeToJson(change)).mValue == change);
+    PolicyState state;
+    state.mPolicy = std::make_shared<Policy>(policy);
+    state.mMarks["class/call"] = { 3, "someone" };
+    state.mIds["x"] = { 3, draw.Chance(50) };
+    const auto reading = StateFromJson(StateToJson(state));
+    RC_ASSERT(reading.Good());
+    RC_ASSERT(*reading.mValue.mPolicy == policy);
+    RC_ASSERT(reading.mValue.mMarks == state.mMarks);
+    RC_ASSERT(reading.mValue.mIds == state.mIds);
+  });
+  cr_assert(holds);
+}
+
+Test(policycodec, a_fault_names_its_field)
+{
+  CheckFault(R"({"op":"set_class","class":{"name":"c","tier":4}})",
+             "operations[0].class.tier");
+  CheckFault(R"({"op":"set_class","class":{"name":"c","teir":1}})",
+             "operations[0].class.teir");
+  CheckFault(R"({"op":"set_class","class":{"name":"c","floor":1.5}})",
+             "operations[0].class.floor");
+  CheckFault(R"({"op":"set_class","class":{"name":"c","deadline_ms":"9"}})",
+             "operations[0].class.deadline_ms");
+  CheckFault(R"({"op":"set_class","class":{"name":"c"},"extra":1})",
+             "operations[0].extra");
+  CheckFault(R"({"op":"set_class","class":{"name":"a b"}})",
+             "classes[a b].name");
+  CheckFault(R"({"op":"set_clas"})", "operations[0].op");
+  CheckFault(R"({"op":"set_selector","selector":{"name":"s",
+    "upstreams":[{"key":"k","op":"like","values":["v"]}]}})",
+             "operations[0].selector.upstreams[0].op");
+  CheckFault(R"({"op":"set_selector","selector":{"name":"s",
+    "upstreams":[{"key":"k","op":"in","values":[]}]}})",
+             "selectors[s].upstreams[0].values");
+  CheckFault(R"({"op":"set_workspace","workspace":{"name":"w",
+    "default_class":"none"}})",
+             "workspaces[w].default_class");
+  CheckFault(R"({"op":"set_workspace","workspace":{"name":"w",
+    "labels":{"workspace":"other"}}})",
+             "workspaces[w].labels.workspace");
+  CheckFault(R"({"op":"set_workspace","workspace":{"name":"w",
+    "token_sha256":"secret"}})",
+             "workspaces[w].token_sha256");
+  CheckFault(R"({"op":"remove_selector","name":"s"})", "operations[0].name");
+  CheckFault(R"({"op":"set_class","class":{"name":"c","floor":0.6}},
+    {"op":"set_class","class":{"name":"d","floor":0.6}})",
+             "classes[d].floor");
+}
+
+Test(policycodec, text_that_is_no_change_is_refused)
+{
+  for (const char* text : { "", "{", "[]", "7", "null", "{\"id\":\"x\"}" }) {
+    cr_assert(!ChangeFromJson(text).Good(), "%s", text);
+  }
+  cr_assert(!ChangeFromJson(R"({"id":"x","operations":[7]})").Good());
+  cr_assert(!ChangeFromJson(R"({"id":"x","operations":{}})").Good());
+  cr_assert(!FaultsOf("").empty());
+  PolicyChange nameless;
+  nameless.mOperations = { SetDrained{ "a", true } };
+  cr_assert(!ApplyChange(PolicyState(), nameless).Good());
+}
