--- a/tests/integration/endtoendtest.cpp
+++ b/tests/integration/endtoendtest.cpp
@@ -41,3 +41,49 @@
     }
   }
 }
+
+Test(endtoend, models_are_listed)
+{
+  Fleet fleet(Small());
+  const auto reply = CallHttp("GET",
+                              fleet.EntryUrl() + "/v1/models",
+                              "",
+                              { { "X-Trefoilarch-Workspace", "public" } });
+  const auto body = nlohmann::json::parse(reply.mBody, nullptr, false);
+  cr_assert(reply.mStatus == 200, "%s", reply.mBody.c_str());
+  cr_assert(body["data"].size() == 1 && body["data"][0]["id"] == "base");
+}
+
+Test(endtoend, a_service_is_called_with_any_method)
+{
+  Fleet fleet(Small());
+  for (const char* method : { "GET", "PUT", "DELETE", "PATCH" }) {
+    const auto reply =
+      CallHttp(method,
+               fleet.EntryUrl() + "/v1/services/booking/seats/7?side=left",
+               std::string(method) == "GET" ? "" : "body",
+               { { "X-Trefoilarch-Workspace", "agents" },
+                 { "Authorization", "Bearer secret-of-agents" },
+                 { "X-Trefoilarch-Class", "booking" } });
+    const auto body = nlohmann::json::parse(reply.mBody, nullptr, false);
+    cr_assert(reply.mStatus == 200, "%s", reply.mBody.c_str());
+    cr_assert(body["method"] == method && body["path"] == "/seats/7");
+  }
+}
+
+Test(endtoend, many_at_once_each_get_their_own_answer)
+{
+  Fleet fleet(Small());
+  std::vector<std::unique_ptr<OpenCall>> calls;
+  for (size_t i = 0; i < 60; ++i) {
+    const char* name = i % 3 == 0 ? "public-page" : "mid-call";
+    calls.push_back(fleet.Send(ChatRequest(name, 5 + i, i % 4 != 0), i % 2));
+  }
+  for (const auto& call : calls) {
+    const CallRecord record = call->AwaitEnd();
+    cr_assert(record.mOutcome == CallOutcome::Whole,
+              "%s: %s",
+              Name(record.mOutcome).c_str(),
+              call->Body().c_str());
+  }
+}
--- /dev/null
+++ b/tests/integration/rawcaller.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+
+namespace integration {
+
+/** A plain TCP connection, for what no HTTP client would send. */
+class RawCaller
+{
+public:
+  /** Connects to `ADDRESS:PORT`, with or without `http://` before it. */
+  explicit RawCaller(const std::string& aAddress);
+  ~RawCaller();
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  bool Send(const std::string& aText) const;
+  /** Reads until the peer closes or has been quiet for that long. */
+  std::string ReadAll(int aQuietMillis = 15000) const;
+
+private:
+  int mSocket;
+};
+
+} // namespace integration
