Keep a caller's X-Request-Id and X-Fencing-Number from services

Cause: ReadServiceCall passed every header on but the hop's own, and the sidecar's X-Request-Id came second. Ruled out: a fault of the sidecar, which does send its id.

--- a/src/trefoilarchd/callerrequest.cpp
+++ b/src/trefoilarchd/callerrequest.cpp
@@ -38,6 +38,8 @@
   std::string_view("upgrade"),
   std::string_view("expect"),
   std::string_view("proxy-authorization"),
+  std::string_view("x-request-id"),
+  std::string_view("x-fencing-number"),
 };
 
 boost::leaf::error_id
