Reset a cut answer that has no chunks, and sharpen the tests

Cause: an HTTP/1.0 caller learns of the end of an answer by the close alone. SO_LINGER with no time did not help, since libmicrohttpd first shuts its end down, so that a cut answer looked whole. Now the socket is disconnected, which sends the reset at once. The old test could not fail; the new one reads how the connection ended and failed before the change.

Tests were checked by breaking the code: a second sending by libcurl, the check for a caller that left, header lines smuggled in, and the watch over requests that still arrive each turn a test red.

--- a/src/libtrefoilio/curlcall.cpp
+++ b/src/libtrefoilio/curlcall.cpp
@@ -140,7 +140,9 @@
     if (!SafeHeader(name, value) || OfConnection(name)) {
       continue;
     }
-    AppendHeader(value.empty() ? name + ";" : name + ": " + value);
+    std::string line = name;
+    line += value.empty() ? ";" : ": ";
+    AppendHeader(line.append(value));
   }
   curl_easy_setopt(mHandle.get(), CURLOPT_HTTPHEADER, mList.get());
 }
--- a/src/libtrefoilio/httpserver.cpp
+++ b/src/libtrefoilio/httpserver.cpp
@@ -17,12 +17,12 @@
 
 namespace {
 
-constexpr size_t kStreamBlock = 16 * 1024;
-constexpr size_t kThreadStack = 1024 * 1024;
+constexpr size_t kStreamBlock = size_t{ 16 } * 1024;
+constexpr size_t kThreadStack = size_t{ 1024 } * 1024;
 /** What libmicrohttpd needs besides the header bytes themselves. */
-constexpr size_t kPoolSpare = 16 * 1024;
+constexpr size_t kPoolSpare = size_t{ 16 } * 1024;
 /** Chunked bodies arrive with lengths between their bytes. */
-constexpr size_t kFramingSpare = 64 * 1024;
+constexpr size_t kFramingSpare = size_t{ 64 } * 1024;
 
 /** One connection; its requests come one after another. */
 struct Connection
--- a/src/libtrefoilio/httpserver.h
+++ b/src/libtrefoilio/httpserver.h
@@ -14,8 +14,8 @@
 {
   std::string mAddress = "127.0.0.1";
   uint16_t mPort = 0; /**< 0: any free port */
-  size_t mMostBody = 4 * 1024 * 1024;
-  size_t mMostHeaderBytes = 16 * 1024;
+  size_t mMostBody = size_t{ 4 } * 1024 * 1024;
+  size_t mMostHeaderBytes = size_t{ 16 } * 1024;
   size_t mMostConnections = 1000;
   /** A request that is not whole after this is given up; seconds. */
   unsigned mReceiveSeconds = 10;
--- a/src/libtrefoilio/kernel.cpp
+++ b/src/libtrefoilio/kernel.cpp
@@ -2,7 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <ranges>
 #include <stdexcept>
 
 namespace trefoilio {
@@ -57,7 +56,8 @@
 void
 Kernel::StopAll()
 {
-  for (Entry& entry : std::views::reverse(mEntries)) {
+  for (size_t left = mEntries.size(); left > 0; --left) {
+    Entry& entry = mEntries[left - 1];
     if (entry.mStarted) {
       entry.mStarted = false;
       entry.mService->Stop();
--- a/src/libtrefoilio/metrics.cpp
+++ b/src/libtrefoilio/metrics.cpp
@@ -118,11 +118,12 @@
     aText.append(Braced(aLabel, "le=\"" + aBound + "\""));
     aText.append(" ").append(std::to_string(total)).append("\n");
   };
-  for (int i = -1; i < static_cast<int>(kBounds.size()) - 1; ++i) {
-    total += aSeries.mBuckets.at(i);
-    line(Number(kBounds[static_cast<size_t>(i + 1)]));
+  int bucket = -1;
+  for (const double bound : kBounds) {
+    total += aSeries.mBuckets.at(bucket++);
+    line(Number(bound));
   }
-  total += aSeries.mBuckets.at(static_cast<int>(kBounds.size()) - 1);
+  total += aSeries.mBuckets.at(bucket);
   line("+Inf");
   aText.append(aName).append("_sum").append(Braced(aLabel)).append(" ");
   aText.append(Number(aSeries.mSum)).append("\n");
--- a/src/libtrefoilio/settings.cpp
+++ b/src/libtrefoilio/settings.cpp
@@ -196,6 +196,46 @@
   return true;
 }
 
+/** A setting as it was given, if it was. */
+struct Given
+{
+  std::string mSource; /**< the flag, and the variable where it was that */
+  std::optional<std::string> mValue{};
+};
+
+Given
+Find(const SettingSpec& aSpec,
+     const std::optional<std::string>& aFlag,
+     const std::function<const char*(const char*)>& aEnvironment)
+{
+  const std::string flag = "--" + aSpec.mName;
+  if (aFlag) {
+    return { .mSource = flag, .mValue = aFlag };
+  }
+  const std::string variable = VariableName(aSpec.mName);
+  if (const char* value = aEnvironment(variable.c_str())) {
+    return { .mSource = flag + " (" + variable + ")", .mValue = value };
+  }
+  return { .mSource = flag };
+}
+
+/** What is wrong with a setting; empty where nothing is. */
+std::string
+Fault(const SettingSpec& aSpec, const Given& aGiven)
+{
+  if (aSpec.mRequired && !aGiven.mValue) {
+    return aGiven.mSource + " must be given: " + aSpec.mHelp;
+  }
+  const std::string value = aGiven.mValue.value_or(aSpec.mDefault);
+  const std::string range = aSpec.mCheck ? aSpec.mCheck(value) : "";
+  if (range.empty()) {
+    return "";
+  }
+  std::ostringstream text;
+  text << aGiven.mSource << " must be " << range << ", not \"" << value << '"';
+  return text.str();
+}
+
 } // namespace
 
 std::function<std::string(const std::string&)>
@@ -326,28 +366,14 @@
   Settings settings;
   settings.mCheckOnly = flags.Check();
   for (size_t i = 0; i < mSpecs.size(); ++i) {
-    const SettingSpec& spec = mSpecs[i];
-    const std::string variable = VariableName(spec.mName);
-    const char* fromEnvironment = aEnvironment(variable.c_str());
-    const std::optional<std::string> flag = flags.Value(i);
-    const bool given = flag || fromEnvironment;
-    const std::string value = flag              ? *flag
-                              : fromEnvironment ? fromEnvironment
-                                                : spec.mDefault;
-    const std::string name =
-      "--" + spec.mName + (given && !flag ? " (" + variable + ")" : "");
-    if (spec.mRequired && !given) {
-      if (!flags.Broken()) {
-        outcome.mFaults.push_back(name + " must be given: " + spec.mHelp);
-      }
-      continue;
-    }
-    const std::string range = spec.mCheck ? spec.mCheck(value) : "";
-    if (!range.empty()) {
-      outcome.mFaults.push_back(name + " must be " + range + ", not \"" +
-                                value + "\"");
+    const Given given = Find(mSpecs[i], flags.Value(i), aEnvironment);
+    const bool unread = !given.mValue && flags.Broken();
+    const std::string fault = unread ? "" : Fault(mSpecs[i], given);
+    if (!fault.empty()) {
+      outcome.mFaults.push_back(fault);
     }
-    settings.mValues[spec.mName] = value;
+    settings.mValues[mSpecs[i].mName] =
+      given.mValue.value_or(mSpecs[i].mDefault);
   }
   if (outcome.mFaults.empty()) {
     outcome.mSettings = std::move(settings);
--- a/src/libtrefoilio/streamstate.cpp
+++ b/src/libtrefoilio/streamstate.cpp
@@ -11,6 +11,21 @@
 
 namespace trefoilio {
 
+namespace {
+
+/**
+ * Ends a connection by a TCP reset at once. Lingering for no time would not
+ * do: libmicrohttpd shuts its end down first, and the caller would see that.
+ */
+void
+Reset(int aSocket)
+{
+  const sockaddr nowhere{ .sa_family = AF_UNSPEC, .sa_data = {} };
+  (void)connect(aSocket, &nowhere, sizeof nowhere);
+}
+
+} // namespace
+
 StreamState::StreamState(StreamSource aSource,
                          std::function<void()> aOnClosed,
                          int aSocket,
@@ -58,8 +73,7 @@
 StreamState::Cut()
 {
   if (mEndsByClosing) {
-    const linger reset{ .l_onoff = 1, .l_linger = 0 };
-    setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    Reset(mSocket);
   }
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
--- a/tests/unit/callrunnertest.cpp
+++ b/tests/unit/callrunnertest.cpp
@@ -7,7 +7,9 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <chrono>
 #include <future>
+#include <optional>
 #include <thread>
 
 using namespace trefoilio;
@@ -78,6 +80,16 @@
   return future;
 }
 
+/** How the call ended; a call that hangs counts as no end at all. */
+std::optional<CallEnd>
+End(std::future<CallEnd>& aEnded)
+{
+  if (aEnded.wait_for(std::chrono::seconds(20)) != std::future_status::ready) {
+    return std::nullopt;
+  }
+  return aEnded.get();
+}
+
 } // namespace
 
 Test(callrunner, refused_connection_is_never_sent)
@@ -88,7 +100,8 @@
     url = gone.Url();
   }
   CallRunner runner({});
-  cr_assert(Begin(runner, "POST", url).get() == CallEnd::NeverSent);
+  auto ended = Begin(runner, "POST", url);
+  cr_assert(End(ended) == CallEnd::NeverSent);
 }
 
 Test(callrunner, connection_is_used_again_but_nothing_is_sent_twice)
@@ -104,12 +117,12 @@
     cr_assert(request.find("X-Good: 1\r\n") != std::string::npos);
     cr_assert(request.find("Y: 2") == std::string::npos);
     Write(socket, "HTTP/1.1 204 None\r\n\r\n");
-    cr_assert(first.get() == CallEnd::Whole);
+    cr_assert(End(first) == CallEnd::Whole);
 
     auto second = Begin(runner, method, upstream.Url());
     cr_assert(ReadRequest(socket, end) == request);
     close(socket);
-    cr_assert(second.get() == CallEnd::Broken);
+    cr_assert(End(second) == CallEnd::Broken);
     const int again = upstream.Accept(300);
     cr_assert(again == -1 || ReadRequest(again, end).empty());
   }
@@ -147,6 +160,6 @@
     ReadRequest(socket, "{end}");
     Write(socket, answer);
     close(socket);
-    cr_assert(ended.get() == CallEnd::Broken);
+    cr_assert(End(ended) == CallEnd::Broken);
   }
 }
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -4,6 +4,7 @@
 
 #include "libtrefoilio/callrunner.h"
 #include "libtrefoilio/httpclient.h"
+#include "libtrefoilio/streamstate.h"
 
 #include <criterion/criterion.h>
 
@@ -66,7 +67,7 @@
                  mHeaders = std::move(aHeaders);
                },
              .mOnData =
-               [this](std::string aData) {
+               [this](const std::string& aData) {
                  {
                    std::lock_guard lock(mMutex);
                    mBody += aData;
@@ -127,7 +128,7 @@
 public:
   explicit Fixture(HttpServerOptions aOptions = {})
     : mServer(
-        aOptions,
+        std::move(aOptions),
         [this](const HttpRequest& aRequest) { return Answer(aRequest); },
         [this](BadInput aKind) {
           mBad[static_cast<size_t>(aKind)].Add();
@@ -234,8 +235,11 @@
   RawSocket socket(static_cast<uint16_t>(std::stoi(port)));
   cr_assert(socket.Send("GET /cut HTTP/1.0\r\n\r\n"));
   socket.ReadAll();
-  cr_assert(fixture.mClosed.Reaches(1));
-  cr_assert(!socket.Send("x") || !socket.Send(std::string(1 << 20, 'x')));
+  cr_assert(socket.Reset());
+  RawSocket whole(static_cast<uint16_t>(std::stoi(port)));
+  cr_assert(whole.Send("GET /lines HTTP/1.0\r\n\r\n"));
+  cr_assert(whole.ReadAll().ends_with("line 9\n"));
+  cr_assert(!whole.Reset());
 }
 
 Test(httpserver, caller_that_leaves_is_noticed)
@@ -259,6 +263,36 @@
   cr_assert(wait.mEnds.Value() == 0);
 }
 
+Test(httpserver, stream_ends_at_the_first_step_after_the_caller_left)
+{
+  int ends[2];
+  cr_assert(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+  int steps = 0;
+  int closed = 0;
+  {
+    StreamState state(
+      [&](std::string& aOut) {
+        if (++steps == 2) {
+          close(ends[1]);
+        }
+        aOut = "abc";
+        return StreamStep::Data;
+      },
+      [&] { ++closed; },
+      ends[0],
+      false);
+    char out[2];
+    cr_assert(state.Read(out, 2) == 2);
+    cr_assert(state.Read(out, 2) == 1);
+    cr_assert(state.Read(out, 2) < 0);
+    cr_assert(state.Read(out, 2) < 0);
+    cr_assert(steps == 2);
+    state.Close();
+  }
+  cr_assert(closed == 1);
+  close(ends[0]);
+}
+
 Test(httpserver, limits_get_an_answer_and_are_counted)
 {
   Fixture fixture({ .mMostBody = 1000, .mMostHeaderBytes = 2000 });
@@ -290,7 +324,7 @@
   RawSocket socket(static_cast<uint16_t>(std::stoi(port)));
   cr_assert(socket.Send("POST / HTTP/1.1\r\nHost: a\r\n"
                         "Content-Length: 100000000000\r\n\r\n"));
-  const std::string block(64 * 1024, 'x');
+  const std::string block(size_t{ 64 } * 1024, 'x');
   std::thread sender([&] {
     while (socket.Send(block)) {
     }
--- a/tests/unit/metricstest.cpp
+++ b/tests/unit/metricstest.cpp
@@ -49,9 +49,9 @@
 Test(metrics, no_count_is_lost_between_threads)
 {
   Metrics metrics;
-  std::vector<std::thread> threads;
-  for (int i = 0; i < 4; ++i) {
-    threads.emplace_back([&] {
+  std::vector<std::thread> threads(4);
+  for (std::thread& thread : threads) {
+    thread = std::thread([&] {
       for (int j = 0; j < 10000; ++j) {
         metrics.Count("steps_total");
         metrics.Observe("span_ms", 1);
--- a/tests/unit/rawsocket.h
+++ b/tests/unit/rawsocket.h
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -45,7 +46,7 @@
   }
 
   /** Reads until the text is seen, the peer closes or time is over. */
-  std::string ReadUntil(std::string_view aText, int aMillis = 10000) const
+  std::string ReadUntil(std::string_view aText, int aMillis = 10000)
   {
     std::string read;
     char block[4096];
@@ -54,6 +55,7 @@
            poll(&entry, 1, aMillis) > 0) {
       const ssize_t count = recv(mSocket, block, sizeof block, 0);
       if (count <= 0) {
+        mReset = count < 0 && errno == ECONNRESET;
         break;
       }
       read.append(block, static_cast<size_t>(count));
@@ -61,10 +63,14 @@
     return read;
   }
 
+  /** Whether the last read ended by a reset and not by a close. */
+  bool Reset() const { return mReset; }
+
   /** All until the peer closes; no text has this form. */
-  std::string ReadAll() const { return ReadUntil(std::string(1, '\x01')); }
+  std::string ReadAll() { return ReadUntil(std::string(1, '\x01')); }
 
 private:
   int mSocket = -1;
   bool mOpen = false;
+  bool mReset = false;
 };
