--- /dev/null
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -0,0 +1,426 @@
+#include "entryimpl.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+/** How long a request waits for a channel that is being opened again. */
+constexpr Millis kHoldSpan{ 2000 };
+
+/** An upstream that was not reached for this long is not waited for. */
+constexpr Millis kReconnectSpan{ 3000 };
+
+/** Reruns of one request. */
+constexpr uint32_t kMostRetries = 3;
+
+/** The least time to come back where no sidecar gave one. */
+constexpr Millis kComeBack{ 1000 };
+
+constexpr std::array kRetryableKinds = { ErrorKind::UpstreamUnreachable,
+                                         ErrorKind::UpstreamFailed,
+                                         ErrorKind::AnswerCut,
+                                         ErrorKind::OutcomeUnknown,
+                                         ErrorKind::Shed,
+                                         ErrorKind::ShuttingDown };
+
+bool
+Contains(const auto& aAll, const auto& aOne)
+{
+  return std::find(aAll.begin(), aAll.end(), aOne) != aAll.end();
+}
+
+/** What a caller is told once a part of the answer is out. */
+ErrorKind
+KindAfterHead(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::UpstreamUnreachable:
+    case ErrorKind::UpstreamFailed:
+    case ErrorKind::OutcomeUnknown:
+      return ErrorKind::AnswerCut;
+    default:
+      return aKind;
+  }
+}
+
+} // namespace
+
+void
+EntryCore::Impl::PlaceOrConclude(OpenRequest& aRequest, Millis aNow)
+{
+  Place(aRequest, aNow);
+  if (HasReadyOffer(aRequest)) {
+    aRequest.mHoldUntil.reset();
+    aRequest.mRetryAt = Millis::Never();
+    mParked.erase(aRequest.mRequest.mId);
+    Watch(aRequest);
+    return;
+  }
+  const Outlook outlook = LookAhead(aRequest, aNow);
+  const Millis holdUntil = aRequest.mHoldUntil.value_or(aNow + kHoldSpan);
+  if (!outlook.mMoreLater || aNow >= holdUntil) {
+    ConcludeWithError(aRequest, NothingUsable(aRequest, outlook), aNow);
+    return;
+  }
+  aRequest.mHoldUntil = holdUntil;
+  aRequest.mRetryAt = holdUntil;
+  mParked.insert(aRequest.mRequest.mId);
+  Watch(aRequest);
+}
+
+void
+EntryCore::Impl::Place(OpenRequest& aRequest, Millis aNow)
+{
+  const size_t ready = ReadyOffers(aRequest);
+  if (ready >= mOptions.mOfferWidth) {
+    return;
+  }
+  for (UpstreamLink* link :
+       Choose(aRequest, mOptions.mOfferWidth - ready, aNow)) {
+    SendOffer(aRequest, *link, aNow);
+  }
+}
+
+std::vector<UpstreamLink*>
+EntryCore::Impl::Choose(const OpenRequest& aRequest, size_t aCount, Millis aNow)
+{
+  const EntryRequest& request = aRequest.mRequest;
+  EligibleSet& eligible = mPlacement.Eligible(
+    request.mClassified.mTraffic, mLinks, [&](const UpstreamLink& aLink) {
+      return aLink.mWelcomed && MayGo(aRequest, aLink);
+    });
+  auto chosen = mPlacement.Choose(
+    eligible,
+    request.mPrefixHash,
+    aCount,
+    [&](const UpstreamLink& aLink) {
+      return IsCandidate(aRequest, aLink) && IsSound(aRequest, aLink, aNow);
+    },
+    aNow);
+  if (!chosen.empty() || HasReadyOffer(aRequest)) {
+    return chosen;
+  }
+  return mPlacement.Choose(
+    eligible,
+    request.mPrefixHash,
+    aCount,
+    [&](const UpstreamLink& aLink) { return IsCandidate(aRequest, aLink); },
+    aNow);
+}
+
+bool
+EntryCore::Impl::IsCandidate(const OpenRequest& aRequest,
+                             const UpstreamLink& aLink) const
+{
+  const UpstreamId& name = aLink.mView.mName;
+  return aLink.Ready() && aLink.TakesWork() &&
+         !Contains(aRequest.mDeclinedBy, name) &&
+         std::none_of(aRequest.mOffers.begin(),
+                      aRequest.mOffers.end(),
+                      [&](const EntryAttempt& aOffer) {
+                        return aOffer.mUpstream == name;
+                      });
+}
+
+bool
+EntryCore::Impl::IsSound(const OpenRequest& aRequest,
+                         const UpstreamLink& aLink,
+                         Millis aNow) const
+{
+  if (Contains(aRequest.mFailedAt, aLink.mView.mName)) {
+    return false;
+  }
+  const OutlierState state = mOutliers.State(aLink.mView.mName, aNow);
+  return state == OutlierState::Healthy ||
+         (state == OutlierState::Trial && aLink.mOpen.empty());
+}
+
+EntryCore::Impl::Outlook
+EntryCore::Impl::LookAhead(const OpenRequest& aRequest, Millis aNow) const
+{
+  Outlook outlook;
+  for (const auto& [name, link] : mLinks) {
+    if (!link.mWelcomed) {
+      outlook.mMoreLater |= link.mListed && MayComeBack(link, aNow);
+      continue;
+    }
+    if (!link.TakesWork() || !MayGo(aRequest, link)) {
+      continue;
+    }
+    outlook.mAnyEligible = true;
+    outlook.mMoreLater |= !link.Ready() && MayComeBack(link, aNow) &&
+                          !Contains(aRequest.mDeclinedBy, name);
+  }
+  return outlook;
+}
+
+bool
+EntryCore::Impl::MayComeBack(const UpstreamLink& aLink, Millis aNow)
+{
+  return aNow < std::max(aLink.mListedSince, aLink.mHealth.DownSince()) +
+                  kReconnectSpan;
+}
+
+bool
+EntryCore::Impl::MayGo(const OpenRequest& aRequest,
+                       const UpstreamLink& aLink) const
+{
+  const Labels& traffic = aRequest.mRequest.mClassified.mTraffic;
+  for (const char* key : { "model", "service" }) {
+    const auto wanted = traffic.find(key);
+    if (wanted == traffic.end()) {
+      continue;
+    }
+    const auto has = aLink.mView.mLabels.find(key);
+    if (has == aLink.mView.mLabels.end() || has->second != wanted->second) {
+      return false;
+    }
+  }
+  return mClassifier && mClassifier->MayGo(traffic, aLink.mView);
+}
+
+size_t
+EntryCore::Impl::ReadyOffers(const OpenRequest& aRequest) const
+{
+  return static_cast<size_t>(
+    std::count_if(aRequest.mOffers.begin(),
+                  aRequest.mOffers.end(),
+                  [this](const EntryAttempt& aOffer) {
+                    const auto place = mLinks.find(aOffer.mUpstream);
+                    return place != mLinks.end() && place->second.Ready();
+                  }));
+}
+
+void
+EntryCore::Impl::SendOffer(OpenRequest& aRequest,
+                           UpstreamLink& aLink,
+                           Millis aNow)
+{
+  const AttemptKey key{ aRequest.mRequest.mId, ++aRequest.mLastAttempt };
+  const Offer offer = OfferFor(aRequest, key, aNow);
+  const uint32_t tokens = offer.mPromptTokens + offer.mOutputTokens;
+  aRequest.mOffers.push_back({ .mKey = key,
+                               .mUpstream = aLink.mView.mName,
+                               .mIncarnation = aLink.mIncarnation,
+                               .mTokens = tokens,
+                               .mOffered = aNow });
+  aLink.mOpen.insert(key);
+  aLink.Count(1, tokens);
+  mCounters.mOffers++;
+  Send(aLink, offer, aNow);
+}
+
+Offer
+EntryCore::Impl::OfferFor(const OpenRequest& aRequest,
+                          const AttemptKey& aKey,
+                          Millis aNow) const
+{
+  const Classified& classified = aRequest.mRequest.mClassified;
+  const Millis due = aRequest.mArrived + classified.mLevel.mFirstTokenTarget;
+  return { .mKey = aKey,
+           .mLevel = classified.mLevel,
+           .mDeadline = std::max(aRequest.mDeadline - aNow, Millis()),
+           .mFirstTokenDue = std::max(due - aNow, Millis()),
+           .mPromptTokens = aRequest.mRequest.mPromptTokens,
+           .mOutputTokens = 0,
+           .mPrefixHash = aRequest.mRequest.mPrefixHash,
+           .mIdempotent = classified.mIdempotent };
+}
+
+void
+EntryCore::Impl::DropOffers(OpenRequest& aRequest, Millis aNow)
+{
+  for (const EntryAttempt& offer : std::exchange(aRequest.mOffers, {})) {
+    CloseAttempt(offer, aNow);
+  }
+}
+
+void
+EntryCore::Impl::RetryOrConclude(OpenRequest& aRequest,
+                                 Refusal aRefusal,
+                                 Millis aNow)
+{
+  const Classified& classified = aRequest.mRequest.mClassified;
+  const bool safe =
+    !aRequest.mHeadSent && (classified.mIdempotent || !aRequest.mMayHaveRun);
+  const Millis retryAt = aNow + Backoff(aRequest.mRetries);
+  if (!safe || !Contains(kRetryableKinds, aRefusal.mKind) ||
+      aRequest.mRetries >= kMostRetries || retryAt >= aRequest.mDeadline ||
+      !mRetryBudget.TakeRetry(classified.mLevel.mClass)) {
+    ConcludeWithError(aRequest, std::move(aRefusal), aNow);
+    return;
+  }
+  mCounters.mRetries++;
+  aRequest.mRetries++;
+  aRequest.mRefusal = std::move(aRefusal);
+  aRequest.mRetryAt = retryAt;
+  Watch(aRequest);
+}
+
+void
+EntryCore::Impl::LoseStarted(OpenRequest& aRequest, Millis aNow)
+{
+  const EntryAttempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
+  aRequest.mMayHaveRun = true;
+  aRequest.mFailedAt.push_back(attempt.mUpstream);
+  mOutliers.OnFailure(attempt.mUpstream, aNow);
+  CloseAttempt(attempt, aNow);
+  RetryOrConclude(aRequest,
+                  { ErrorKind::OutcomeUnknown,
+                    Ran::Maybe,
+                    Millis(),
+                    "the upstream's host was lost after the start" },
+                  aNow);
+}
+
+void
+EntryCore::Impl::OnRequestDue(OpenRequest& aRequest, Millis aNow)
+{
+  if (aNow >= aRequest.mDeadline) {
+    if (aRequest.mStarted && !aRequest.mHeadSent) {
+      ReportFirstToken(aRequest, aNow);
+    }
+    ConcludeWithError(aRequest,
+                      { ErrorKind::DeadlineExceeded,
+                        Ran::No,
+                        ComeBack(),
+                        "the deadline passed" },
+                      aNow);
+    return;
+  }
+  if (aNow < aRequest.mRetryAt) {
+    Watch(aRequest);
+    return;
+  }
+  aRequest.mRetryAt = Millis::Never();
+  if (aRequest.mStarted) {
+    LoseStarted(aRequest, aNow);
+  } else {
+    PlaceOrConclude(aRequest, aNow);
+  }
+}
+
+void
+EntryCore::Impl::ConcludeWithError(OpenRequest& aRequest,
+                                   Refusal aRefusal,
+                                   Millis aNow)
+{
+  const bool mayHaveRun = aRequest.mMayHaveRun || aRequest.mStarted;
+  aRefusal.mRan = mayHaveRun ? Ran::Maybe : Ran::No;
+  if (aRequest.mHeadSent) {
+    aRefusal.mKind = KindAfterHead(aRefusal.mKind);
+  }
+  const bool worth = AnswerFor(aRefusal.mKind).mWorthRetrying;
+  if (worth && aRefusal.mRetryAfter <= Millis()) {
+    aRefusal.mRetryAfter = ComeBack();
+  } else if (!worth) {
+    aRefusal.mRetryAfter = Millis();
+  }
+  Refuse(aRequest.mRequest.mId, std::move(aRefusal));
+  Conclude(aRequest, aNow);
+}
+
+void
+EntryCore::Impl::ConcludeWhole(OpenRequest& aRequest, Millis aNow)
+{
+  const EntryAttempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
+  const uint64_t chunks = aRequest.mNextChunk;
+  mCounters.mWholeAnswers++;
+  mActions.emplace_back(AnswerEnd{ aRequest.mRequest.mId });
+  if (UpstreamLink* link = LinkOf(attempt.mUpstream)) {
+    Release(*link, attempt);
+    Remember(*link, attempt.mKey, aNow);
+    link->mWhole[attempt.mKey] = chunks;
+    Send(*link, Ack{ attempt.mKey, chunks }, aNow);
+  }
+  Conclude(aRequest, aNow);
+}
+
+void
+EntryCore::Impl::Conclude(OpenRequest& aRequest, Millis aNow)
+{
+  DropOffers(aRequest, aNow);
+  if (aRequest.mStarted) {
+    CloseAttempt(*aRequest.mStarted, aNow);
+  }
+  const RequestId id = aRequest.mRequest.mId;
+  mRequestTimers.Disarm(id);
+  mParked.erase(id);
+  mRequests.erase(id);
+}
+
+Refusal
+EntryCore::Impl::NothingUsable(const OpenRequest& aRequest,
+                               const Outlook& aOutlook)
+{
+  if (aRequest.mRefusal) {
+    return *aRequest.mRefusal;
+  }
+  if (aOutlook.mAnyEligible) {
+    return { ErrorKind::UpstreamUnreachable,
+             Ran::No,
+             ComeBack(),
+             "no upstream for this request can be reached" };
+  }
+  if (aOutlook.mMoreLater) {
+    return { ErrorKind::NotReady,
+             Ran::No,
+             ComeBack(),
+             "this entry does not know its upstreams yet" };
+  }
+  if (!LabelIsKnown(aRequest, "model")) {
+    return { ErrorKind::UnknownModel, Ran::No, Millis(), "unknown model" };
+  }
+  if (!LabelIsKnown(aRequest, "service")) {
+    return { ErrorKind::UnknownService, Ran::No, Millis(), "unknown service" };
+  }
+  return { ErrorKind::NoEligibleUpstream,
+           Ran::No,
+           ComeBack(),
+           "no selector lets this request go to an upstream that is in use" };
+}
+
+bool
+EntryCore::Impl::LabelIsKnown(const OpenRequest& aRequest,
+                              const char* aKey) const
+{
+  const Labels& traffic = aRequest.mRequest.mClassified.mTraffic;
+  const auto wanted = traffic.find(aKey);
+  return wanted == traffic.end() ||
+         std::any_of(mLinks.begin(), mLinks.end(), [&](const auto& aLink) {
+           const Labels& labels = aLink.second.mView.mLabels;
+           const auto has = labels.find(aKey);
+           return has != labels.end() && has->second == wanted->second;
+         });
+}
+
+Millis
+EntryCore::Impl::Backoff(uint32_t aRetries)
+{
+  const Millis most = std::min(
+    mOptions.mFirstBackoff * (int64_t{ 1 } << aRetries), mOptions.mMostBackoff);
+  std::uniform_int_distribution<int64_t> spread(most.Count() / 2, most.Count());
+  return Millis(spread(mRandom));
+}
+
+Millis
+EntryCore::Impl::ComeBack()
+{
+  std::uniform_int_distribution<int64_t> spread(kComeBack.Count(),
+                                                2 * kComeBack.Count());
+  return Millis(spread(mRandom));
+}
+
+void
+EntryCore::Impl::Watch(const OpenRequest& aRequest)
+{
+  mRequestTimers.Arm(aRequest.mRequest.mId,
+                     std::min(aRequest.mDeadline, aRequest.mRetryAt));
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -0,0 +1,328 @@
+#include "sidecarimpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+/** How long a whole answer waits for its last Ack from a connected entry. */
+constexpr Millis kAckSpan{ 30000 };
+
+/** Heartbeats are this many times rarer where nothing is open. */
+constexpr int64_t kIdleFactor = 10;
+
+/** Allowed times are these parts of the targets, since a target holds for
+ * nearly all tokens and the limit follows the mean. */
+constexpr int64_t kFirstPart = 6;
+constexpr int64_t kBetweenPart = 8;
+constexpr int64_t kWholeParts = 10;
+/** A long prompt may take this many times what it took at best. */
+constexpr int64_t kOwnFactor = 2;
+
+/** An answer that outruns its estimate is taken to go on for this part of
+ * what it has. */
+constexpr uint64_t kOutrunPart = 2;
+constexpr uint64_t kLeastGrowth = 16;
+
+/** Such an attempt is remembered as voided: it did not run and will not. */
+bool
+NeverRan(const FinalWord& aWord)
+{
+  const auto* failed = std::get_if<Failed>(&aWord);
+  return failed && failed->mRan == Ran::No;
+}
+
+} // namespace
+
+void
+SidecarCore::Impl::OnCall(CallEvent aEvent)
+{
+  std::visit([&](auto& aAny) { Handle(aAny); }, aEvent);
+}
+
+void
+SidecarCore::Impl::Handle(CallHead& aHead)
+{
+  SidecarAttempt* attempt = FindRunning(aHead.mKey);
+  if (!attempt)
+    return;
+  attempt->mHeadWaits = true;
+  attempt->mStatus = aHead.mStatus;
+  attempt->mHeaders = std::move(aHead.mHeaders);
+}
+
+void
+SidecarCore::Impl::Handle(CallData& aData)
+{
+  SidecarAttempt* attempt = FindRunning(aData.mKey);
+  if (!attempt)
+    return;
+  const size_t bytes = attempt->mAnswer.Bytes() + aData.mData.size();
+  if (bytes > mOptions.mAnswerLimit)
+    return Cancel(*attempt, ErrorKind::AnswerCut);
+  mRoom.OnReached();
+  mPreemption.Remove(aData.mKey);
+  Measure(*attempt, aData.mTokens);
+  AppendChunk(*attempt, std::move(aData.mData), aData.mTokens);
+}
+
+void
+SidecarCore::Impl::Measure(SidecarAttempt& aAttempt, uint32_t aTokens)
+{
+  if (mOptions.mTokenStream && aTokens == 0)
+    return;
+  if (aAttempt.mLastTokenAt == Millis())
+    MeasureFirstToken(aAttempt, mNow - aAttempt.mStartedAt);
+  else if (mOptions.mTokenStream)
+    MeasureBetween(aAttempt, aTokens);
+  aAttempt.mLastTokenAt = mNow;
+  aAttempt.mOutput += aTokens;
+  GrowIfOutrun(aAttempt);
+  mRoom.Adapt(mNow);
+}
+
+void
+SidecarCore::Impl::MeasureFirstToken(const SidecarAttempt& aAttempt,
+                                     Millis aSpan)
+{
+  const uint32_t prompt = aAttempt.mOffer.mPromptTokens;
+  const Millis target = mStrictFirst.Value() * kFirstPart / kWholeParts;
+  const Millis own = mRate.BestFirstTokenTime(prompt) * kOwnFactor;
+  const Millis allowed = std::max({ target, own, Millis(1) });
+  mRate.OnFirstToken(prompt, aSpan);
+  mRoom.OnMeasured(static_cast<double>(aSpan.Count()) /
+                     static_cast<double>(allowed.Count()),
+                   1);
+}
+
+void
+SidecarCore::Impl::MeasureBetween(const SidecarAttempt& aAttempt,
+                                  uint32_t aTokens)
+{
+  const Millis span = mNow - aAttempt.mLastTokenAt;
+  const Millis target = mStrictBetween.Value() * kBetweenPart / kWholeParts;
+  const Millis allowed = std::max(target, Millis(1)) * aTokens;
+  mRate.OnTokens(aTokens, span);
+  mRoom.OnMeasured(static_cast<double>(span.Count()) /
+                     static_cast<double>(allowed.Count()),
+                   aTokens);
+}
+
+void
+SidecarCore::Impl::GrowIfOutrun(SidecarAttempt& aAttempt)
+{
+  const uint64_t used = aAttempt.mOffer.mPromptTokens + aAttempt.mOutput;
+  if (!mOptions.mTokenStream || used <= aAttempt.mShare.mTokens)
+    return;
+  const uint64_t more = std::max(aAttempt.mOutput / kOutrunPart, kLeastGrowth);
+  const uint64_t before = aAttempt.mShare.mTokens;
+  mRoom.Release(aAttempt.mShare);
+  aAttempt.mShare.mTokens = used + more;
+  mRoom.Take(aAttempt.mShare);
+  mSchedule.Adjust(aAttempt.mOffer.mLevel,
+                   static_cast<int64_t>(used + more - before));
+}
+
+void
+SidecarCore::Impl::AppendChunk(SidecarAttempt& aAttempt,
+                               std::string aData,
+                               uint32_t aTokens)
+{
+  Chunk chunk{ .mKey = aAttempt.mOffer.mKey,
+               .mData = std::move(aData),
+               .mTokens = aTokens,
+               .mHeaders = {} };
+  if (aAttempt.mAnswer.Count() == 0) {
+    chunk.mStatus = aAttempt.mStatus;
+    chunk.mHeaders = std::move(aAttempt.mHeaders);
+    aAttempt.mHeadWaits = false;
+  }
+  const Chunk& kept = aAttempt.mAnswer.Append(std::move(chunk));
+  if (aAttempt.mFlowing)
+    Send(aAttempt.mEntry, kept);
+}
+
+void
+SidecarCore::Impl::Handle(const CallDone& aDone)
+{
+  SidecarAttempt* attempt = FindRunning(aDone.mKey);
+  if (!attempt)
+    return;
+  if (attempt->mHeadWaits)
+    AppendChunk(*attempt, {}, 0);
+  ++mCounters.mFinished;
+  attempt->mState = AttemptState::Finished;
+  EndRunning(*attempt,
+             Finished{ .mKey = aDone.mKey,
+                       .mChunks = attempt->mAnswer.Count(),
+                       .mPromptTokens = aDone.mPromptTokens,
+                       .mOutputTokens = aDone.mOutputTokens });
+}
+
+void
+SidecarCore::Impl::Handle(const CallFailed& aFailed)
+{
+  SidecarAttempt* attempt = FindRunning(aFailed.mKey);
+  if (!attempt)
+    return;
+  if (aFailed.mKind == ErrorKind::UpstreamUnreachable)
+    mRoom.OnUnreachable(mNow);
+  FailRunning(*attempt, aFailed.mKind, aFailed.mRan);
+}
+
+void
+SidecarCore::Impl::Cancel(SidecarAttempt& aAttempt, ErrorKind aKind)
+{
+  mActions.emplace_back(CancelCall{ .mKey = aAttempt.mOffer.mKey });
+  FailRunning(aAttempt, aKind, Ran::Maybe);
+}
+
+void
+SidecarCore::Impl::FailRunning(SidecarAttempt& aAttempt,
+                               ErrorKind aKind,
+                               Ran aRan)
+{
+  ++mCounters.mFailed;
+  aAttempt.mState = AttemptState::Failed;
+  EndRunning(aAttempt,
+             Failed{ .mKey = aAttempt.mOffer.mKey,
+                     .mKind = aKind,
+                     .mRan = aRan,
+                     .mChunks = aAttempt.mAnswer.Count() });
+}
+
+void
+SidecarCore::Impl::EndRunning(SidecarAttempt& aAttempt, const FinalWord& aWord)
+{
+  const uint64_t used = mOptions.mTokenStream
+                          ? aAttempt.mOffer.mPromptTokens + aAttempt.mOutput
+                          : 1;
+  if (aAttempt.mState == AttemptState::Finished)
+    mRate.OnEnded(used, mNow - aAttempt.mStartedAt);
+  ReleaseRoom(aAttempt, used);
+  aAttempt.mFinalWord = aWord;
+  const AttemptKey key = aAttempt.mOffer.mKey;
+  mLedger.Close(key, NeverRan(aWord) ? FinalWord() : aWord, mNow);
+  if (aAttempt.mFlowing)
+    SendFinalWord(aAttempt.mEntry, aAttempt.mFinalWord);
+  const bool failed = aAttempt.mState == AttemptState::Failed;
+  if (failed && aAttempt.mAnswer.Empty())
+    return Erase(key);
+  ArmEnded(aAttempt);
+}
+
+void
+SidecarCore::Impl::SendFinalWord(const EntryId& aEntry, const FinalWord& aWord)
+{
+  if (const auto* finished = std::get_if<Finished>(&aWord))
+    Send(aEntry, *finished);
+  if (const auto* failed = std::get_if<Failed>(&aWord))
+    Send(aEntry, *failed);
+}
+
+void
+SidecarCore::Impl::ArmRunning(const SidecarAttempt& aAttempt)
+{
+  const Millis orphaned =
+    aAttempt.mFlowing ? Millis::Never() : mNow + mOptions.mOrphanSpan;
+  mTimers.Arm(aAttempt.mOffer.mKey, std::min(aAttempt.mDeadlineAt, orphaned));
+}
+
+void
+SidecarCore::Impl::ArmEnded(const SidecarAttempt& aAttempt)
+{
+  const Millis span = aAttempt.mFlowing ? kAckSpan : mOptions.mOrphanSpan;
+  mTimers.Arm(aAttempt.mOffer.mKey, mNow + span);
+}
+
+void
+SidecarCore::Impl::OnTick()
+{
+  while (const auto key = mTimers.TakeDue(mNow))
+    OnTimer(mAttempts.at(*key));
+  SendHeartbeats();
+  mLedger.Expire(mNow);
+  mRoom.Adapt(mNow);
+}
+
+void
+SidecarCore::Impl::OnTimer(SidecarAttempt& aAttempt)
+{
+  const AttemptKey key = aAttempt.mOffer.mKey;
+  switch (aAttempt.mState) {
+    case AttemptState::Waiting:
+      return GiveUpIfHopeless(key);
+    case AttemptState::Granted:
+      return Void(aAttempt);
+    case AttemptState::Running:
+      return Cancel(aAttempt,
+                    mNow >= aAttempt.mDeadlineAt ? ErrorKind::DeadlineExceeded
+                                                 : ErrorKind::CallerLeft);
+    default:
+      return Erase(key);
+  }
+}
+
+void
+SidecarCore::Impl::SendHeartbeats()
+{
+  while (const auto entry = mHeartbeats.TakeDue(mNow)) {
+    const bool open = !mEntries[*entry].mAttempts.empty();
+    const Millis pause = mOptions.mHeartbeat * (open ? 1 : kIdleFactor);
+    Send(*entry,
+         SidecarHeartbeat{ .mLoad = CurrentLoad(),
+                           .mPolicyVersion = mPolicyVersion });
+    mHeartbeats.Arm(*entry, mNow + pause);
+  }
+}
+
+void
+SidecarCore::Impl::Drain()
+{
+  mDraining = true;
+  std::vector<AttemptKey> waiting;
+  for (const auto& [key, attempt] : mAttempts)
+    if (attempt.mState == AttemptState::Waiting)
+      waiting.push_back(key);
+  for (const AttemptKey& key : waiting)
+    DeclineWaiting(key, ErrorKind::ShuttingDown, Millis());
+  TellLoad();
+}
+
+void
+SidecarCore::Impl::Undrain()
+{
+  mDraining = false;
+  TellLoad();
+}
+
+void
+SidecarCore::Impl::TellLoad()
+{
+  for (const auto& [entry, channel] : mEntries)
+    Send(entry,
+         SidecarHeartbeat{ .mLoad = CurrentLoad(),
+                           .mPolicyVersion = mPolicyVersion });
+}
+
+bool
+SidecarCore::Impl::Idle() const
+{
+  return mDraining && mAttempts.empty();
+}
+
+Millis
+SidecarCore::Impl::NextWake() const
+{
+  Millis next = std::min(mTimers.Next(), mHeartbeats.Next());
+  if (mDraining)
+    return next;
+  next = std::min({ next, mSchedule.NextWake(), mPreemptAt });
+  if (mRoom.IsPaused(mNow))
+    next = std::min(next, mRoom.PauseEnd());
+  return next;
+}
+
+} // namespace trefoilarch
