--- /dev/null
+++ b/tests/unit/outlierdetectortest.cpp
@@ -0,0 +1,147 @@
+#include "libtrefoilarch/outlierdetector.h"
+
+#include "virtualfleet.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr Millis kUsual{ 100 };
+
+UpstreamId
+NameOf(size_t aNumber)
+{
+  return "engine-" + std::to_string(aNumber);
+}
+
+/** A detector that knows upstreams of one group with sound pasts. */
+class Group
+{
+public:
+  explicit Group(size_t aSize)
+    : mSize(aSize)
+  {
+    for (size_t i = 0; i < aSize; i++) {
+      mDetector.Add(NameOf(i), "base");
+    }
+    for (int i = 0; i < 20; i++) {
+      AllTake(kUsual);
+    }
+  }
+
+  void AllTake(Millis aTook)
+  {
+    for (size_t i = 0; i < mSize; i++) {
+      mDetector.OnFirstToken(NameOf(i), aTook, mNow);
+    }
+    mNow += Millis(1000);
+  }
+
+  void Fail(size_t aNumber, int aTimes = 1)
+  {
+    for (int i = 0; i < aTimes; i++) {
+      mDetector.OnFailure(NameOf(aNumber), mNow);
+    }
+  }
+
+  OutlierState State(size_t aNumber) const
+  {
+    return mDetector.State(NameOf(aNumber), mNow);
+  }
+
+  size_t Ejected() const
+  {
+    size_t ejected = 0;
+    for (size_t i = 0; i < mSize; i++) {
+      ejected += State(i) == OutlierState::Ejected ? 1 : 0;
+    }
+    return ejected;
+  }
+
+  size_t mSize;
+  OutlierDetector mDetector{ {} };
+  Millis mNow{ 1000 };
+};
+
+} // namespace
+
+Test(outlierdetector, failures_eject_and_trials_bring_back)
+{
+  Group group(6);
+  group.Fail(2, 4);
+  cr_assert(group.State(2) == OutlierState::Healthy);
+  group.Fail(2);
+  cr_assert(group.State(2) == OutlierState::Ejected);
+  group.mNow += Millis(5000);
+  cr_assert(group.State(2) == OutlierState::Trial);
+  group.Fail(2);
+  group.mNow += Millis(9999);
+  cr_assert(group.State(2) == OutlierState::Ejected, "twice as long");
+  group.mNow += Millis(1);
+  group.mDetector.OnFirstToken(NameOf(2), kUsual, group.mNow);
+  cr_assert(group.State(2) == OutlierState::Healthy);
+}
+
+Test(outlierdetector, one_that_is_far_slower_goes_and_a_slow_group_stays)
+{
+  Group group(6);
+  for (int i = 0; i < 20; i++) {
+    group.mDetector.OnFirstToken(NameOf(1), kUsual * 10, group.mNow);
+  }
+  cr_assert(group.State(1) == OutlierState::Ejected);
+  cr_assert_eq(group.Ejected(), 1);
+
+  Group slow(6);
+  for (int i = 0; i < 100; i++) {
+    slow.AllTake(kUsual * 10);
+  }
+  cr_assert_eq(slow.Ejected(), 0);
+}
+
+Test(outlierdetector, no_more_than_a_share_is_out_at_a_time)
+{
+  const bool holds =
+    rc::check("no more than a share is out at a time",
+              [](std::vector<std::pair<uint8_t, uint16_t>> aResults) {
+                Group group(12);
+                for (const auto& [number, took] : aResults) {
+                  group.Fail(number % 12, 5);
+                  group.mDetector.OnFirstToken(
+                    NameOf(took % 12), Millis(took), group.mNow);
+                  group.mNow += Millis(took % 3000);
+                  RC_ASSERT(group.Ejected() <= 4U);
+                }
+              });
+  cr_assert(holds);
+  Group all(12);
+  for (size_t i = 0; i < 12; i++) {
+    all.Fail(i, 20);
+  }
+  cr_assert_eq(all.Ejected(), 4);
+}
+
+Test(outlierdetector, an_upstream_that_refuses_all_gets_little)
+{
+  auto policy = std::make_shared<Policy>();
+  policy->mVersion = 1;
+  policy->mSelectors["all"] = { .mName = "all",
+                                .mTraffic = {},
+                                .mUpstreams = {} };
+  VirtualFleet fleet(
+    1, 3, {}, std::make_shared<const Classifier>(std::move(policy)));
+  fleet.SetEngine(NameOf(0), { .mRefuse = 1 });
+  for (int i = 0; i < 600; i++) {
+    fleet.At(Millis(2000 + i * 100),
+             [&fleet] { fleet.Ask(true, Millis(20000)); });
+  }
+  fleet.Run(Millis(90000));
+  cr_assert_leq(fleet.Calls().at(NameOf(0)), 20);
+  int whole = 0;
+  for (const auto& [id, caller] : fleet.Callers()) {
+    whole += caller.mWhole ? 1 : 0;
+  }
+  cr_assert_geq(whole, 599);
+}
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -187,6 +187,11 @@
   }
 
   void SetEngines(VirtualEngines aEngines) { mEngines = aEngines; }
+  /** One upstream that is not like the others. */
+  void SetEngine(const UpstreamId& aName, VirtualEngines aEngine)
+  {
+    mOdd[aName] = aEngine;
+  }
 
   void Drain(const UpstreamId& aName)
   {
@@ -198,8 +203,8 @@
   Millis Now() const { return mNow; }
   const std::map<RequestId, VirtualCaller>& Callers() const { return mCallers; }
   const std::set<UpstreamId>& Reopened() const { return mReopened; }
-  /** Executions begun at each upstream. */
-  const std::map<UpstreamId, int>& Runs() const { return mRuns; }
+  /** Calls sent to each upstream, refused ones too. */
+  const std::map<UpstreamId, int>& Calls() const { return mCalls; }
 
 private:
   struct Host
@@ -244,6 +249,12 @@
     return std::bernoulli_distribution(aChance)(mRandom);
   }
 
+  const VirtualEngines& EngineOf(const Host& aHost) const
+  {
+    const auto odd = mOdd.find(aHost.mName);
+    return odd == mOdd.end() ? mEngines : odd->second;
+  }
+
   Millis NextDue() const
   {
     Millis next =
@@ -429,14 +440,14 @@
   {
     const RequestId id = aAction.mKey.mRequest;
     Demand(aAction.mCall.mBody == id.Text(), "another request's call");
-    if (Happens(mEngines.mRefuse)) {
+    mCalls[aHost.mName]++;
+    if (Happens(EngineOf(aHost).mRefuse)) {
       Later(
         aHost,
         CallFailed{ aAction.mKey, ErrorKind::UpstreamUnreachable, Ran::No });
       return;
     }
     mCallers.at(id).mRuns++;
-    mRuns[aHost.mName]++;
     aHost.mCalls.insert(aAction.mKey);
     Later(aHost, CallHead{ aAction.mKey, 200, {} });
     Produce(aHost, aAction.mKey, 0);
@@ -449,12 +460,12 @@
 
   void Produce(Host& aHost, AttemptKey aKey, uint64_t aPart)
   {
-    const Millis when = mNow + Chance(mEngines.mMostPause.Count());
+    const Millis when = mNow + Chance(EngineOf(aHost).mMostPause.Count());
     At(when, [this, &aHost, aKey, aPart, boots = aHost.mBoots] {
       if (aHost.mBoots != boots || !aHost.mCalls.contains(aKey)) {
         return;
       }
-      if (Happens(mEngines.mCrash)) {
+      if (Happens(EngineOf(aHost).mCrash)) {
         aHost.mCalls.erase(aKey);
         Later(aHost, CallFailed{ aKey, ErrorKind::UpstreamFailed, Ran::Maybe });
       } else if (aPart < Parts(aKey.mRequest)) {
@@ -489,7 +500,8 @@
   std::unique_ptr<EntryCore> mEntry;
   std::map<RequestId, VirtualCaller> mCallers;
   std::set<UpstreamId> mReopened;
-  std::map<UpstreamId, int> mRuns;
+  std::map<UpstreamId, int> mCalls;
+  std::map<UpstreamId, VirtualEngines> mOdd;
 };
 
 } // namespace trefoilarch
