--- /dev/null
+++ b/tests/bench/entrybench.cpp
@@ -0,0 +1,206 @@
+// What the entry's decisions cost, in nanoseconds and allocated bytes.
+
+#include "libtrefoilarch/entrycore.h"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <new>
+#include <random>
+
+namespace {
+
+uint64_t sAllocated = 0;
+
+} // namespace
+
+// A replacement of the global operators has to come down to malloc and free.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+void*
+operator new(size_t aSize)
+{
+  sAllocated += aSize;
+  if (void* memory = std::malloc(aSize)) {
+    return memory;
+  }
+  throw std::bad_alloc();
+}
+
+void
+operator delete(void* aMemory) noexcept
+{
+  std::free(aMemory);
+}
+
+void
+operator delete(void* aMemory, size_t) noexcept
+{
+  std::free(aMemory);
+}
+
+namespace trefoilarch {
+
+namespace {
+
+constexpr int kWarmUp = 20000;
+constexpr int kMeasured = 50000;
+
+/** Sums up the cost of one kind of event. */
+class Cost
+{
+public:
+  template<typename Event>
+  auto Add(Event aEvent)
+  {
+    const uint64_t bytes = sAllocated;
+    const auto begin = std::chrono::steady_clock::now();
+    auto actions = aEvent();
+    const auto took = std::chrono::steady_clock::now() - begin;
+    mNanoseconds += std::chrono::nanoseconds(took).count();
+    mBytes += sAllocated - bytes;
+    mEvents++;
+    return actions;
+  }
+
+  void Print(const char* aName) const
+  {
+    std::printf("  %-10s %7lld ns %7llu bytes\n",
+                aName,
+                static_cast<long long>(mNanoseconds / mEvents),
+                static_cast<unsigned long long>(mBytes / mEvents));
+  }
+
+private:
+  int64_t mNanoseconds = 0;
+  uint64_t mBytes = 0;
+  int64_t mEvents = 1;
+};
+
+/** One entry before a fleet, fed with requests that end at once. */
+class Bench
+{
+public:
+  Bench(int aUpstreams, int aWorkspaces, int aOpen)
+    : mWorkspaces(aWorkspaces)
+    , mCore({ .mEntry = "entry-1",
+              .mDataCentre = "riga-1",
+              .mMostOpen = 1000000,
+              .mRetryPercent = 10 })
+  {
+    auto policy = std::make_shared<Policy>();
+    policy->mVersion = 1;
+    policy->mSelectors["agents"] = {
+      .mName = "agents",
+      .mTraffic = { { "class", Operator::In, { "agents", "staff" } } },
+      .mUpstreams = { { "data_centre", Operator::Exists, {} } }
+    };
+    mCore.SetClassifier(std::make_shared<const Classifier>(std::move(policy)));
+    std::vector<UpstreamView> views;
+    for (int i = 0; i < aUpstreams; i++) {
+      views.push_back({ .mName = "engine-" + std::to_string(i),
+                        .mDataCentre = "riga-1",
+                        .mLabels = {} });
+    }
+    mCore.SetUpstreams(views, {}, mNow);
+    for (const UpstreamView& view : views) {
+      mCore.OnChannelUp(view.mName, mNow);
+      mCore.OnMessage(view.mName,
+                      Welcome{ .mUpstream = view.mName,
+                               .mIncarnation = 1,
+                               .mDataCentre = "riga-1",
+                               .mLabels = { { "model", "base" } },
+                               .mPolicyVersion = 1,
+                               .mLoad = { .mTokenRoom = 16384 } },
+                      mNow);
+    }
+    for (int i = 0; i < aOpen; i++) {
+      mCore.OnRequest(NextRequest(), mNow);
+    }
+  }
+
+  void Run()
+  {
+    for (int i = 0; i < kWarmUp; i++) {
+      One();
+    }
+    mRequest = mGrant = mAnswer = Cost();
+    for (int i = 0; i < kMeasured; i++) {
+      One();
+    }
+    mRequest.Print("request");
+    mGrant.Print("grant");
+    mAnswer.Print("answer");
+  }
+
+private:
+  EntryRequest NextRequest()
+  {
+    mNumber++;
+    EntryRequest request;
+    request.mId = { mRandom(), mRandom() };
+    Classified& classified = request.mClassified;
+    classified.mLevel.mClass = "agents";
+    classified.mLevel.mWorkspace =
+      "workspace-" + std::to_string(mNumber % mWorkspaces);
+    classified.mDeadline = Millis(60000);
+    classified.mIdempotent = true;
+    classified.mTraffic = { { "model", "base" },
+                            { "class", "agents" },
+                            { "workspace", classified.mLevel.mWorkspace } };
+    request.mPromptTokens = 500;
+    request.mPrefixHash = mNumber % 5000 + 1;
+    return request;
+  }
+
+  void One()
+  {
+    mNow += Millis(mNumber % 2 == 0 ? 1 : 0);
+    EntryRequest request = NextRequest();
+    const EntryActions asked =
+      mRequest.Add([&] { return mCore.OnRequest(std::move(request), mNow); });
+    const auto& send = std::get<SendToSidecar>(asked.at(0));
+    const AttemptKey key = std::get<Offer>(send.mMessage).mKey;
+    const UpstreamId& upstream = send.mUpstream;
+    mGrant.Add([&] {
+      return mCore.OnMessage(upstream, Grant{ key, Millis(1000) }, mNow);
+    });
+    mAnswer.Add([&] {
+      mCore.OnMessage(upstream, Chunk{ key, 0, "x", 1, 200, {} }, mNow);
+      return mCore.OnMessage(upstream, Finished{ key, 1, 500, 1 }, mNow);
+    });
+    if (mCore.NextWake() <= mNow) {
+      mCore.OnTick(mNow);
+    }
+  }
+
+  uint64_t mWorkspaces;
+  uint64_t mNumber = 0;
+  std::mt19937_64 mRandom{ 1 };
+  Millis mNow{ 1000 };
+  EntryCore mCore;
+  Cost mRequest;
+  Cost mGrant;
+  Cost mAnswer;
+};
+
+} // namespace
+
+} // namespace trefoilarch
+
+int
+main()
+{
+  for (const int upstreams : { 12, 910 }) {
+    for (const int workspaces : { 10, 2400 }) {
+      for (const int open : { 100, 10000 }) {
+        std::printf("%d upstreams, %d workspaces, %d open requests\n",
+                    upstreams,
+                    workspaces,
+                    open);
+        trefoilarch::Bench(upstreams, workspaces, open).Run();
+      }
+    }
+  }
+  return 0;
+}
