--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -100,6 +100,7 @@
                       ErrorKind aKind,
                       Millis aRetryAfter);
   Prospect ProspectOf(const Offer& aOffer) const;
+  RoomShare ShareOf(const Offer& aOffer) const;
   void Enqueue(const EntryId& aEntry, const Offer& aOffer);
   /** Finds the offer a place in the queue; false if it has been declined. */
   bool MakePlace(const EntryId& aEntry, const Offer& aOffer);
@@ -111,6 +112,9 @@
   void GrantRegularTurns();
   void GrantFloorTurns();
   void GrantNow(const Turn& aTurn);
+  /** Holds back a turn whose targets this upstream is too slow for, so that
+   * another sidecar that it is offered to grants it, until it gets late. */
+  bool HoldsBack(const Turn& aTurn);
   /** Stops lower tiers' work if that saves the turn's first-token target. */
   bool PreemptFor(const Turn& aTurn);
   void SendGrant(const SidecarAttempt& aAttempt);
@@ -126,6 +130,8 @@
   void MeasureFirstToken(const SidecarAttempt& aAttempt, Millis aSpan);
   void MeasureBetween(const SidecarAttempt& aAttempt, uint32_t aTokens);
   void GrowIfOutrun(SidecarAttempt& aAttempt);
+  /** Takes another share of the room in place of the present one. */
+  void ChangeShare(SidecarAttempt& aAttempt, const RoomShare& aShare);
   void Erase(const AttemptKey& aKey);
   void ForgetIfGone(const EntryId& aEntry);
 
@@ -159,8 +165,8 @@
   PreemptionOrder mPreemption;
   StrictestTarget mStrictFirst;
   StrictestTarget mStrictBetween;
-  /** When a blocked turn will be worth a preemption. */
-  Millis mPreemptAt = Millis::Never();
+  /** When the turn that was held back is to be looked at again. */
+  Millis mTurnDue = Millis::Never();
   Timers<AttemptKey> mTimers;
   Timers<EntryId> mHeartbeats;
   SidecarCounters mCounters;
