Give up calls to an engine whose connection has gone silent for good

Cause: between sidecar and engine only the caller's deadline ended a call whose connection had died without a word; its tokens stayed in flight, and its caller heard keep-alives for up to a minute. Weighed: TCP keep-alive (does not see a relay that lost track of one end, whose own kernel goes on answering); a fixed limit (cuts calls of a slow engine, or is of no use); probing /health (an engine in a long prefill answers it as well as one that has lost the call).

--- a/src/trefoilarchd/upstreamservice.cpp
+++ b/src/trefoilarchd/upstreamservice.cpp
@@ -30,6 +30,7 @@
   : mOptions(std::move(aOptions))
   , mMetrics(aMetrics)
   , mCore(mOptions.mCore)
+  , mWatch(mOptions.mWatch)
   , mRing(mOptions.mRingCapacity)
   , mServer(SidecarServerHooks{
       .mOnMessage =
@@ -104,6 +105,7 @@
     if (mCore.NextWake() <= now) {
       CarryOut(mCore.OnTick(now));
     }
+    EndSilentCalls(now);
     mIdle = mCore.Idle();
   }
 }
@@ -162,6 +164,7 @@
     return;
   }
   Running& running = found->second;
+  mWatch.Heard(aEvent.mKey, trefoilio::MonotonicNow());
   CallData data{ .mKey = aEvent.mKey };
   if (running.mTokenStream && TurnedAway(running.mStatus)) {
     return;
@@ -188,6 +191,7 @@
   }
   const Running running = std::move(found->second);
   mRunning.erase(found);
+  mWatch.Ended(aEvent.mKey);
   CarryOut(mCore.OnCall(Conclude(aEvent.mKey, running, aEvent.mEnd),
                         trefoilio::MonotonicNow()));
 }
@@ -244,6 +248,24 @@
   aEvent.mAnswer->set_value(mCore.DumpState(trefoilio::MonotonicNow()));
 }
 
+void
+UpstreamService::EndSilentCalls(Millis aNow)
+{
+  for (const AttemptKey& key : mWatch.TakeSilent(aNow)) {
+    const auto found = mRunning.find(key);
+    if (found == mRunning.end()) {
+      continue;
+    }
+    mMetrics.Count("calls_silent_total");
+    mCalls->Cancel(found->second.mCall);
+    mRunning.erase(found);
+    CarryOut(mCore.OnCall(CallFailed{ .mKey = key,
+                                      .mKind = ErrorKind::UpstreamFailed,
+                                      .mRan = Ran::Maybe },
+                          aNow));
+  }
+}
+
 void
 UpstreamService::CarryOut(SidecarActions aActions)
 {
@@ -264,6 +286,9 @@
   const AttemptKey key = aAction.mKey;
   Running& running = mRunning[key];
   running.mTokenStream = aAction.mCall.mTokenStream;
+  if (running.mTokenStream) {
+    mWatch.Started(key, trefoilio::MonotonicNow());
+  }
   mMetrics.Count("calls_started_total");
   trefoilio::CallHooks hooks{
     .mOnHead =
@@ -307,6 +332,7 @@
     return;
   }
   mMetrics.Count("calls_cancelled_total");
+  mWatch.Ended(aAction.mKey);
   mCalls->Cancel(found->second.mCall);
   mRunning.erase(found);
 }
--- a/src/trefoilarchd/upstreamservice.h
+++ b/src/trefoilarchd/upstreamservice.h
@@ -3,6 +3,7 @@
 #include "eventsplitter.h"
 #include "sidecarserver.h"
 
+#include "libtrefoilarch/callwatch.h"
 #include "libtrefoilarch/sidecarcore.h"
 #include "libtrefoilio/boundedring.h"
 #include "libtrefoilio/callrunner.h"
@@ -26,6 +27,7 @@
   std::string mUrl; /**< `http://ADDRESS:PORT`, perhaps with a path */
   std::string mKey; /**< bearer token for the upstream, or empty */
   size_t mRingCapacity = 65536;
+  CallWatchOptions mWatch;
   trefoilio::CallRunnerOptions mCalls;
 };
 
@@ -111,6 +113,8 @@
   CallEvent Conclude(const AttemptKey& aKey,
                      const Running& aRunning,
                      trefoilio::CallEnd aEnd) const;
+  /** Gives up calls whose connection has gone silent for good. */
+  void EndSilentCalls(Millis aNow);
   void CarryOut(SidecarActions aActions);
   void Do(const SendToEntry& aAction);
   void Do(StartCall aAction);
@@ -121,6 +125,7 @@
   UpstreamOptions mOptions;
   trefoilio::Metrics& mMetrics;
   SidecarCore mCore;
+  CallWatch mWatch;
   /** Mutable: a state dump asks the decision thread for its state. */
   mutable trefoilio::BoundedRing<Event> mRing;
   SidecarServer mServer;
