Add trefoilarchctl

Aim: operators' tool over the operator port of any entry. The change's id is drawn before it is sent; a call that broke after sending is settled by asking for that id, while one whose connection was never made goes on to the next operator port. policy set takes the file's version as its base, class, workspace and selector set read the object first and propose on the version read, so that another operator's change in between is a conflict. Not yet run against a process.

--- /dev/null
+++ b/src/trefoilarchctl/changesender.cpp
@@ -0,0 +1,169 @@
+#include "changesender.h"
+
+#include "operatorclient.h"
+
+#include <chrono>
+#include <random>
+#include <thread>
+
+namespace trefoilarchctl {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kChangesPath = "/v1/policy/changes";
+constexpr int kQuestions = 3;
+constexpr std::chrono::milliseconds kBetweenQuestions{ 500 };
+constexpr int kConflict = 409;
+constexpr int kOk = 200;
+
+std::string
+DrawId()
+{
+  constexpr std::string_view digits = "0123456789abcdef";
+  constexpr int length = 32;
+  std::random_device device;
+  std::uniform_int_distribution<size_t> draw(0, digits.size() - 1);
+  std::string id;
+  for (int i = 0; i < length; ++i) {
+    id += digits[draw(device)];
+  }
+  return id;
+}
+
+std::string
+Warnings(const json& aBody)
+{
+  std::string text;
+  for (const json& warning : aBody.value("warnings", json::array())) {
+    text += "\nwarning: " +
+            (warning.is_string() ? warning.get<std::string>() : warning.dump());
+  }
+  return text;
+}
+
+std::string
+Conflicts(const json& aBody)
+{
+  std::string text = "conflict: another change came first; nothing was applied";
+  for (const json& one : aBody.value("conflicts", json::array())) {
+    text += "\n  " + one.value("object", "") + " was changed in version " +
+            std::to_string(one.value("changed_in", uint64_t{ 0 })) + " by " +
+            one.value("by", "");
+  }
+  return text;
+}
+
+std::string
+Faults(const json& aBody)
+{
+  const json error = aBody.value("error", json::object());
+  std::string text = "refused: " + error.value("message", "") + " (" +
+                     error.value("kind", "") + ")";
+  for (const json& one : aBody.value("faults", json::array())) {
+    text += "\n  " + one.value("field", "") + ": " + one.value("reason", "");
+  }
+  return text;
+}
+
+ChangeReport
+UnknownReport(const std::string& aId)
+{
+  return { .mCode = ExitCode::Unknown,
+           .mText = "unknown: the change may or may not have been accepted; "
+                    "ask with: trefoilarchctl policy ask " +
+                    aId,
+           .mJson = { { "status", "unknown" }, { "id", aId } } };
+}
+
+ChangeReport
+UnreachableReport(const std::string& aId)
+{
+  const std::string text =
+    "unreachable: no operator port answered; nothing was applied";
+  return { .mCode = ExitCode::Unreachable,
+           .mText = text,
+           .mJson = { { "status", "unreachable" }, { "id", aId } } };
+}
+
+ChangeReport
+Judge(const Answer& aAnswer, const std::string& aId)
+{
+  json body = json::parse(aAnswer.mBody, nullptr, false);
+  if (!body.is_object()) {
+    return UnknownReport(aId);
+  }
+  const std::string status = body.value("status", "");
+  if (aAnswer.mStatus == kOk && status == "accepted") {
+    const uint64_t version = body.value("version", uint64_t{ 0 });
+    return { .mCode = ExitCode::Done,
+             .mText = "accepted as version " + std::to_string(version) +
+                      Warnings(body),
+             .mJson = std::move(body) };
+  }
+  if (aAnswer.mStatus == kOk && status == "not_accepted") {
+    return { .mCode = ExitCode::Refused,
+             .mText = "not accepted: nothing was applied, and the change " +
+                      aId + " can no longer be",
+             .mJson = std::move(body) };
+  }
+  if (aAnswer.mStatus == kConflict) {
+    std::string text = Conflicts(body);
+    return { .mCode = ExitCode::Conflict,
+             .mText = std::move(text),
+             .mJson = std::move(body) };
+  }
+  if (status == "unknown" || !body.contains("error")) {
+    return UnknownReport(aId);
+  }
+  const bool outage = body["error"].value("kind", "") == "platform_unavailable";
+  std::string text = Faults(body);
+  return { .mCode = outage ? ExitCode::Unreachable : ExitCode::Refused,
+           .mText = std::move(text),
+           .mJson = std::move(body) };
+}
+
+} // namespace
+
+ChangeReport
+AskChange(OperatorClient& aClient, const std::string& aId)
+{
+  ChangeReport report = UnknownReport(aId);
+  for (int i = 0; i < kQuestions; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(kBetweenQuestions);
+    }
+    const Answer answer = aClient.Get(std::string(kChangesPath) + "/" + aId);
+    if (answer.mKind == Answer::Kind::Whole) {
+      report = Judge(answer, aId);
+    }
+    if (report.mCode != ExitCode::Unknown &&
+        report.mCode != ExitCode::Unreachable) {
+      return report;
+    }
+  }
+  return report.mCode == ExitCode::Unreachable ? UnknownReport(aId) : report;
+}
+
+ChangeReport
+SendChange(OperatorClient& aClient, const ChangeOrder& aOrder)
+{
+  const std::string id = DrawId();
+  const json base = aOrder.mBaseVersion ? json(*aOrder.mBaseVersion) : json();
+  const json change{ { "id", id },
+                     { "author", aOrder.mAuthor },
+                     { "base_version", base },
+                     { "operations", aOrder.mOperations } };
+  const Answer answer = aClient.Post(kChangesPath, change.dump());
+  if (answer.mKind == Answer::Kind::NeverSent) {
+    return UnreachableReport(id);
+  }
+  if (answer.mKind == Answer::Kind::Lost) {
+    return AskChange(aClient, id);
+  }
+  ChangeReport report = Judge(answer, id);
+  return report.mCode == ExitCode::Unknown ? AskChange(aClient, id) : report;
+}
+
+} // namespace trefoilarchctl
--- /dev/null
+++ b/src/trefoilarchctl/classcommand.cpp
@@ -0,0 +1,128 @@
+#include "command.h"
+
+#include "commandline.h"
+#include "objectcommand.h"
+#include "requirementtext.h"
+
+namespace trefoilarchctl {
+
+namespace {
+
+using nlohmann::json;
+
+std::string
+Number(const json& aObject, const char* aMember)
+{
+  return aObject.contains(aMember) ? aObject[aMember].dump() : "";
+}
+
+std::vector<std::string>
+Row(const json& aClass)
+{
+  return { aClass.value("name", ""),
+           Number(aClass, "tier"),
+           Number(aClass, "floor"),
+           Number(aClass, "first_token_ms"),
+           Number(aClass, "between_token_ms"),
+           Number(aClass, "deadline_ms"),
+           Number(aClass, "idempotent"),
+           RequirementsToText(aClass.value("callers", json::array())) };
+}
+
+const ObjectKind&
+Kind()
+{
+  static const ObjectKind sKind{
+    .mName = "class",
+    .mPlural = "classes",
+    .mColumns = { "CLASS",
+                  "TIER",
+                  "FLOOR",
+                  "FIRST TOKEN MS",
+                  "BETWEEN MS",
+                  "DEADLINE MS",
+                  "IDEMPOTENT",
+                  "CALLERS" },
+    .mRow = &Row,
+  };
+  return sKind;
+}
+
+/** The flags of `class set`; only what was given alters the class. */
+struct ClassFlags
+{
+  explicit ClassFlags(TCLAP::CmdLine& aLine)
+    : mName("name", "which class", true, "", "NAME", aLine)
+    , mTier("", "tier", "0 is the highest", false, 0, "TIER", aLine)
+    , mFloor("", "floor", "sure share", false, 0, "SHARE", aLine)
+    , mFirst("", "first-token-ms", "target", false, 0, "MS", aLine)
+    , mBetween("", "between-token-ms", "target of it", false, 0, "MS", aLine)
+    , mDeadline("", "deadline-ms", "for the whole", false, 0, "MS", aLine)
+    , mIdempotent("", "idempotent", "by default", false, "", &mBool, aLine)
+    , mCallers("", "caller", "who may ask", false, "REQUIREMENT", aLine)
+    , mAnyCaller("", "any-caller", "everybody may ask", aLine)
+  {
+  }
+
+  void Apply(json& aClass) const
+  {
+    SetGiven(aClass, "tier", mTier);
+    SetGiven(aClass, "floor", mFloor);
+    SetGiven(aClass, "first_token_ms", mFirst);
+    SetGiven(aClass, "between_token_ms", mBetween);
+    SetGiven(aClass, "deadline_ms", mDeadline);
+    if (mIdempotent.isSet()) {
+      aClass["idempotent"] = mIdempotent.getValue() == "true";
+    }
+    if (mCallers.isSet()) {
+      aClass["callers"] = RequirementsFromTexts(mCallers.getValue());
+    } else if (mAnyCaller.getValue()) {
+      aClass["callers"] = json::array();
+    }
+  }
+
+  TCLAP::UnlabeledValueArg<std::string> mName;
+
+private:
+  template<typename T>
+  static void SetGiven(json& aClass,
+                       const char* aMember,
+                       const TCLAP::ValueArg<T>& aFlag)
+  {
+    if (aFlag.isSet()) {
+      aClass[aMember] = aFlag.getValue();
+    }
+  }
+
+  std::vector<std::string> mChoices{ "true", "false" };
+  TCLAP::ValuesConstraint<std::string> mBool{ mChoices };
+  TCLAP::ValueArg<int64_t> mTier;
+  TCLAP::ValueArg<double> mFloor;
+  TCLAP::ValueArg<int64_t> mFirst;
+  TCLAP::ValueArg<int64_t> mBetween;
+  TCLAP::ValueArg<int64_t> mDeadline;
+  TCLAP::ValueArg<std::string> mIdempotent;
+  TCLAP::MultiArg<std::string> mCallers;
+  TCLAP::SwitchArg mAnyCaller;
+};
+
+ExitCode
+Set(const std::vector<std::string>& aArguments)
+{
+  CommandLine line("class set");
+  ClassFlags flags(line.Line());
+  line.Parse(aArguments);
+  return SetObject(Kind(), line, flags.mName.getValue(), [&](json& aClass) {
+    flags.Apply(aClass);
+  });
+}
+
+} // namespace
+
+ExitCode
+RunClass(const std::vector<std::string>& aArguments)
+{
+  return RunObject(Kind(), aArguments, &Set);
+}
+
+} // namespace trefoilarchctl
--- /dev/null
+++ b/src/trefoilarchctl/command.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "exitcode.h"
+
+#include <string>
+#include <vector>
+
+namespace trefoilarchctl {
+
+/** One command of the program, such as `policy` or `drain`. */
+struct Command
+{
+  std::string mName;
+  std::string mSummary;
+  /** Forms and examples, for `--help`. */
+  std::string mHelp;
+  /** Gets what follows the command's name; throws UsageError. */
+  ExitCode (*mRun)(const std::vector<std::string>& aArguments);
+};
+
+/** All commands, in the order of the help. */
+const std::vector<Command>&
+Commands();
+
+ExitCode
+RunPolicy(const std::vector<std::string>& aArguments);
+ExitCode
+RunClass(const std::vector<std::string>& aArguments);
+ExitCode
+RunWorkspace(const std::vector<std::string>& aArguments);
+ExitCode
+RunSelector(const std::vector<std::string>& aArguments);
+ExitCode
+RunLabel(const std::vector<std::string>& aArguments);
+ExitCode
+RunDrain(const std::vector<std::string>& aArguments);
+ExitCode
+RunUndrain(const std::vector<std::string>& aArguments);
+ExitCode
+RunStatus(const std::vector<std::string>& aArguments);
+ExitCode
+RunState(const std::vector<std::string>& aArguments);
+ExitCode
+RunMetrics(const std::vector<std::string>& aArguments);
+
+} // namespace trefoilarchctl
--- /dev/null
+++ b/src/trefoilarchctl/fleetcommands.cpp
@@ -0,0 +1,115 @@
+#include "command.h"
+
+#include "commandline.h"
+#include "operatorclient.h"
+#include "output.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <sstream>
+
+namespace trefoilarchctl {
+
+namespace {
+
+using nlohmann::json;
+
+/** The members of an object on one line, `key=value` each. */
+std::string
+OneLine(const json& aObject)
+{
+  std::string text;
+  for (const auto& [key, value] : aObject.items()) {
+    text += (text.empty() ? "" : " ") + key + "=" +
+            (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return text;
+}
+
+void
+PrintStatus(const json& aStatus)
+{
+  std::cout << "entry " << aStatus.value("entry", "") << ", policy version "
+            << aStatus.value("policy_version", uint64_t{ 0 })
+            << ", open requests "
+            << aStatus.value("open_requests", uint64_t{ 0 }) << "\n";
+  Table rows{ { "UPSTREAM", "DATA CENTRE", "STATE", "LABELS", "LOAD" } };
+  for (const json& one : aStatus.value("upstreams", json::array())) {
+    rows.push_back({ one.value("name", ""),
+                     one.value("data_centre", ""),
+                     one.value("state", ""),
+                     OneLine(one.value("labels", json::object())),
+                     OneLine(one.value("load", json::object())) });
+  }
+  PrintTable(rows);
+}
+
+void
+PrintMetrics(const std::string& aText, const std::string& aPrefix)
+{
+  std::istringstream text(aText);
+  std::string line;
+  while (std::getline(text, line)) {
+    if (line.starts_with(aPrefix) || line.starts_with("# TYPE " + aPrefix)) {
+      std::cout << line << "\n";
+    }
+  }
+}
+
+} // namespace
+
+ExitCode
+RunStatus(const std::vector<std::string>& aArguments)
+{
+  CommandLine line("status");
+  line.Parse(aArguments);
+  OperatorClient client(line.Operators());
+  const Answer answer = client.Get("/v1/status");
+  const ExitCode code = CheckAnswer(answer);
+  if (code != ExitCode::Done) {
+    return code;
+  }
+  const json status = json::parse(answer.mBody, nullptr, false);
+  if (line.Json() || !status.is_object()) {
+    std::cout << answer.mBody << "\n";
+  } else {
+    PrintStatus(status);
+  }
+  return code;
+}
+
+ExitCode
+RunState(const std::vector<std::string>& aArguments)
+{
+  CommandLine line("state");
+  line.Parse(aArguments);
+  OperatorClient client(line.Operators());
+  const Answer answer = client.Get("/state");
+  const ExitCode code = CheckAnswer(answer);
+  if (code != ExitCode::Done) {
+    return code;
+  }
+  const json state = json::parse(answer.mBody, nullptr, false);
+  const bool plain = line.Json() || state.is_discarded();
+  std::cout << (plain ? answer.mBody : state.dump(2)) << "\n";
+  return code;
+}
+
+ExitCode
+RunMetrics(const std::vector<std::string>& aArguments)
+{
+  CommandLine line("metrics");
+  TCLAP::UnlabeledValueArg<std::string> prefix(
+    "prefix", "only names that begin so", false, "", "PREFIX", line.Line());
+  line.Parse(aArguments);
+  OperatorClient client(line.Operators());
+  const Answer answer = client.Get("/metrics");
+  const ExitCode code = CheckAnswer(answer);
+  if (code == ExitCode::Done) {
+    PrintMetrics(answer.mBody, prefix.getValue());
+  }
+  return code;
+}
+
+} // namespace trefoilarchctl
--- /dev/null
+++ b/src/trefoilarchctl/operatorclient.cpp
@@ -0,0 +1,98 @@
+#include "operatorclient.h"
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace trefoilarchctl {
+
+namespace {
+
+/** Longer than a process takes to settle a change with the platform. */
+constexpr std::chrono::seconds kLongestCall{ 15 };
+
+/** Collects an answer on the call runner's thread. */
+struct Collector
+{
+  Answer mAnswer{};
+  std::promise<Answer> mDone{};
+};
+
+trefoilio::CallHooks
+HooksFor(const std::shared_ptr<Collector>& aCollector)
+{
+  using trefoilio::CallEnd;
+  trefoilio::CallHooks hooks;
+  hooks.mOnHead = [aCollector](int aStatus, const trefoilio::HttpHeaders&) {
+    aCollector->mAnswer.mStatus = aStatus;
+  };
+  hooks.mOnData = [aCollector](const std::string& aData) {
+    aCollector->mAnswer.mBody += aData;
+  };
+  hooks.mOnEnd = [aCollector](CallEnd aEnd) {
+    Answer& answer = aCollector->mAnswer;
+    answer.mKind = aEnd == CallEnd::Whole       ? Answer::Kind::Whole
+                   : aEnd == CallEnd::NeverSent ? Answer::Kind::NeverSent
+                                                : Answer::Kind::Lost;
+    aCollector->mDone.set_value(std::move(answer));
+  };
+  return hooks;
+}
+
+} // namespace
+
+OperatorClient::OperatorClient(std::vector<std::string> aBases)
+  : mBases(std::move(aBases))
+  , mRunner({})
+{
+}
+
+Answer
+OperatorClient::Get(const std::string& aPath)
+{
+  Answer last;
+  for (const std::string& base : mBases) {
+    last = Call("GET", base + aPath, "");
+    if (last.mKind == Answer::Kind::Whole) {
+      return last;
+    }
+  }
+  return last;
+}
+
+Answer
+OperatorClient::Post(const std::string& aPath, const std::string& aBody)
+{
+  for (const std::string& base : mBases) {
+    const Answer answer = Call("POST", base + aPath, aBody);
+    if (answer.mKind != Answer::Kind::NeverSent) {
+      return answer;
+    }
+  }
+  return {};
+}
+
+Answer
+OperatorClient::Call(const std::string& aMethod,
+                     const std::string& aUrl,
+                     const std::string& aBody)
+{
+  const auto collector = std::make_shared<Collector>();
+  std::future<Answer> done = collector->mDone.get_future();
+  trefoilio::HttpRequest request;
+  request.mMethod = aMethod;
+  request.mTarget = aUrl;
+  request.mBody = aBody;
+  if (!aBody.empty()) {
+    request.mHeaders = { { "Content-Type", "application/json" } };
+  }
+  const uint64_t call = mRunner.Start(std::move(request), HooksFor(collector));
+  if (done.wait_for(kLongestCall) != std::future_status::ready) {
+    mRunner.Cancel(call);
+    return { .mKind = Answer::Kind::Lost };
+  }
+  return done.get();
+}
+
+} // namespace trefoilarchctl
--- /dev/null
+++ b/src/trefoilarchctl/unreachableerror.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace trefoilarchctl {
+
+/** No operator port gave an answer of use; nothing was changed. */
+class UnreachableError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+} // namespace trefoilarchctl
