--- a/src/libtrefoilarch/servicerate.cpp
+++ b/src/libtrefoilarch/servicerate.cpp
@@ -16,6 +16,9 @@
 /** Prompts of this many tokens and more cost time by their length. */
 constexpr uint32_t kLongPrompt = 512;
 
+/** A time between tokens that is older says nothing of now. */
+constexpr Millis kBetweenSpan{ 2000 };
+
 /** The best time grows by this with each sample, until it is met again. */
 constexpr double kForget = 1.01;
 
@@ -42,14 +45,16 @@
 }
 
 void
-ServiceRate::OnFirstToken(uint32_t aPromptTokens, Millis aSpan)
+ServiceRate::OnFirstToken(uint32_t aPromptTokens, uint64_t aAhead, Millis aSpan)
 {
   const auto span = static_cast<double>(aSpan.Count());
+  if (aAhead >= kLongPrompt) {
+    const double whole = span / static_cast<double>(aAhead);
+    mBestSlope = mBestSlope > 0 ? std::min(whole, mBestSlope * kForget) : whole;
+  }
   if (aPromptTokens >= kLongPrompt) {
     const double slope = std::max(0.0, span - mFirstTokenBase) / aPromptTokens;
     mFirstTokenSlope = Blend(mFirstTokenSlope, slope);
-    const double whole = span / aPromptTokens;
-    mBestSlope = mBestSlope > 0 ? std::min(whole, mBestSlope * kForget) : whole;
     return;
   }
   mFirstTokenBase = mFirstTokenSeen ? Blend(mFirstTokenBase, span) : span;
@@ -57,16 +62,23 @@
 }
 
 void
-ServiceRate::OnTokens(uint32_t aTokens, Millis aSpan)
+ServiceRate::OnTokens(uint32_t aTokens, Millis aSpan, Millis aNow)
 {
   if (aTokens == 0)
     return;
   const double sample = static_cast<double>(aSpan.Count()) / aTokens;
   mBetween = mBetween > 0 ? Blend(mBetween, sample) : sample;
+  mBetweenAt = aNow;
+}
+
+double
+ServiceRate::BetweenTokens(Millis aNow) const
+{
+  return aNow <= mBetweenAt + kBetweenSpan ? mBetween : 0;
 }
 
 void
-ServiceRate::OnEnded(uint64_t aTokens, Millis aSpan)
+ServiceRate::OnEnded(uint64_t aTokens, uint64_t aOutput, Millis aSpan)
 {
   const auto tokens = static_cast<double>(std::max<uint64_t>(aTokens, 1));
   const auto span = static_cast<double>(std::max(aSpan, Millis(1)).Count());
@@ -74,6 +86,7 @@
   mTokenTime = mTokenTime * keep + tokens * span;
   mTokens = mTokens * keep + tokens;
   mRequests = mRequests * keep + 1;
+  mOutput = Blend(mOutput, static_cast<double>(aOutput));
 }
 
 void
@@ -117,11 +130,9 @@
 }
 
 Millis
-ServiceRate::BestFirstTokenTime(uint32_t aPromptTokens) const
+ServiceRate::BestPrefillTime(uint64_t aTokens) const
 {
-  if (aPromptTokens < kLongPrompt)
-    return Millis();
-  return Millis(static_cast<int64_t>(mBestSlope * aPromptTokens));
+  return Millis(std::llround(mBestSlope * static_cast<double>(aTokens)));
 }
 
 Millis
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -14,14 +14,6 @@
 /** A preemption comes when this part of the first-token target is left. */
 constexpr int64_t kPreemptPart = 4;
 
-uint64_t
-TokensOf(const Offer& aOffer, const SidecarOptions& aOptions)
-{
-  if (!aOptions.mTokenStream)
-    return 1;
-  return uint64_t{ aOffer.mPromptTokens } + aOffer.mOutputTokens;
-}
-
 } // namespace
 
 void
@@ -34,6 +26,7 @@
   ++mCounters.mOffered;
   if (mDraining)
     return DeclineOffer(aEntry, aOffer.mKey, ErrorKind::ShuttingDown, Millis());
+  mRoom.OnSeen(aOffer.mLevel.mTier, mNow);
   mStrictFirst.See(aOffer.mLevel.mFirstTokenTarget, mNow);
   mStrictBetween.See(aOffer.mLevel.mBetweenTokenTarget, mNow);
   if (const auto retryAfter = mAdmission.Refuse(ProspectOf(aOffer), mNow)) {
@@ -49,7 +42,7 @@
 SidecarCore::Impl::ProspectOf(const Offer& aOffer) const
 {
   return { .mLevel = aOffer.mLevel,
-           .mTokens = TokensOf(aOffer, mOptions),
+           .mTokens = ShareOf(aOffer).mTokens,
            .mLeastTime =
              mRate.LeastTime(aOffer.mPromptTokens, aOffer.mOutputTokens),
            .mStartDue =
@@ -57,6 +50,18 @@
            .mDeadline = aOffer.mDeadline };
 }
 
+RoomShare
+SidecarCore::Impl::ShareOf(const Offer& aOffer) const
+{
+  if (!mOptions.mTokenStream)
+    return { .mTokens = 1, .mTier = aOffer.mLevel.mTier };
+  const uint64_t output =
+    aOffer.mOutputTokens > 0 ? aOffer.mOutputTokens : mRate.MeanOutput();
+  return { .mTokens = aOffer.mPromptTokens + output,
+           .mPrefill = aOffer.mPromptTokens,
+           .mTier = aOffer.mLevel.mTier };
+}
+
 bool
 SidecarCore::Impl::MakePlace(const EntryId& aEntry, const Offer& aOffer)
 {
@@ -89,7 +94,7 @@
                           .mOffer = aOffer,
                           .mArrived = mNow,
                           .mDeadlineAt = mNow + aOffer.mDeadline,
-                          .mShare = { .mTokens = prospect.mTokens } };
+                          .mShare = ShareOf(aOffer) };
   const Millis last = attempt.mDeadlineAt - prospect.mLeastTime;
   const bool late = startBy < mNow;
   mTimers.Arm(aOffer.mKey, late ? std::min(last, mNow + kLatePause) : last);
@@ -165,7 +170,7 @@
 void
 SidecarCore::Impl::GrantWhatFits()
 {
-  mPreemptAt = Millis::Never();
+  mTurnDue = Millis::Never();
   if (mDraining || mRoom.IsPaused(mNow))
     return;
   GrantRegularTurns();
@@ -176,9 +181,11 @@
 SidecarCore::Impl::GrantRegularTurns()
 {
   while (const auto turn = mSchedule.NextRegular()) {
-    const uint64_t tokens = mSchedule.Find(turn->mKey)->mTokens;
-    if (!mRoom.Fits(tokens)) {
-      mRoom.OnWanted();
+    if (HoldsBack(*turn))
+      return;
+    const SidecarAttempt& attempt = mAttempts.at(turn->mKey);
+    if (!mRoom.Fits(attempt.mShare)) {
+      mRoom.OnWanted(attempt.mShare);
       if (!PreemptFor(*turn))
         return;
     }
@@ -189,7 +196,7 @@
 void
 SidecarCore::Impl::GrantFloorTurns()
 {
-  while (const auto turn = mSchedule.NextFloor(mNow))
+  while (const auto turn = mSchedule.NextFloor(mRoom.Limit(), mNow))
     GrantNow(*turn);
 }
 
@@ -199,37 +206,52 @@
   SidecarAttempt& attempt = mAttempts.at(aTurn.mKey);
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
   mRate.OnTurn(request.mLevel.mTier, request.mLate, request.mTokens, mNow);
-  mSchedule.Take(aTurn, mNow);
   ++mCounters.mGranted;
   mCounters.mFloorStarts += aTurn.mFloor ? 1 : 0;
   attempt.mState = AttemptState::Granted;
   attempt.mGrantedAt = mNow;
   attempt.mShare.mBeside = aTurn.mFloor;
+  attempt.mFloorTokens = aTurn.mFloor ? request.mTokens : 0;
+  mSchedule.Take(aTurn, mNow);
   mRoom.Take(attempt.mShare);
+  attempt.mPrefillAhead = mRoom.InPrefill();
   mTimers.Arm(aTurn.mKey, mNow + mOptions.mGrantSpan);
   SendGrant(attempt);
 }
 
+bool
+SidecarCore::Impl::HoldsBack(const Turn& aTurn)
+{
+  const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
+  const auto target =
+    static_cast<double>(request.mLevel.mBetweenTokenTarget.Count());
+  if (request.mLate || mRate.BetweenTokens(mNow) <= target)
+    return false;
+  mTurnDue = request.mStartBy + Millis(1);
+  return true;
+}
+
 bool
 SidecarCore::Impl::PreemptFor(const Turn& aTurn)
 {
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
-  if (request.mLate)
+  const RoomShare& share = mAttempts.at(aTurn.mKey).mShare;
+  const uint64_t shortfall = mRoom.Shortfall(share);
+  if (request.mLate || shortfall == 0)
     return false;
-  const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
-  const auto victims =
-    mPreemption.Choose(request.mLevel.mTier, mRoom.Shortfall(request.mTokens));
+  const auto victims = mPreemption.Choose(request.mLevel.mTier, shortfall);
   if (victims.empty())
     return false;
+  const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
   if (mNow < request.mStartBy - part) {
-    mPreemptAt = request.mStartBy - part;
+    mTurnDue = request.mStartBy - part;
     return false;
   }
   for (const AttemptKey& key : victims) {
     ++mCounters.mPreempted;
     Cancel(mAttempts.at(key), ErrorKind::Shed);
   }
-  return mRoom.Fits(request.mTokens);
+  return mRoom.Fits(share);
 }
 
 void
