--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -5,7 +5,7 @@
 
 #include "trefoilload/requestbuilder.h"
 
-#include <random>
+#include <fstream>
 #include <stdexcept>
 
 namespace integration {
@@ -97,10 +97,10 @@
     mPlatformProxy = std::make_unique<Proxy>(mPlatform->Address("platform"));
   }
   for (size_t i = 0; i < mOptions.mEngines; ++i) {
-    StartUpstream(i, true);
+    AddUpstream(i, true);
   }
   for (size_t i = 0; i < mOptions.mServices; ++i) {
-    StartUpstream(i, false);
+    AddUpstream(i, false);
   }
   for (size_t i = 0; i < mOptions.mEntries; ++i) {
     mEntries.push_back(MakeEntry(i));
@@ -119,16 +119,14 @@
 }
 
 void
-Fleet::StartUpstream(size_t aNumber, bool aEngine)
+Fleet::AddUpstream(size_t aNumber, bool aEngine)
 {
   auto host = std::make_unique<UpstreamHost>();
   host->mEngine = aEngine;
   host->mName =
     (aEngine ? "engine-" : "booking-") + std::to_string(aNumber + 1);
-  const std::vector<std::string> flags = { "--name", host->mName };
-  host->mUpstream = std::make_unique<ChildProcess>(
-    aEngine ? "trefoilarch-engine" : "trefoilarch-service",
-    aEngine ? Joined(flags, mOptions.mEngineFlags) : flags);
+  host->mRecordFile = mFolder.Path() + "/" + host->mName;
+  host->mUpstream = MakeUpstream(*host, "127.0.0.1:0");
   if (mOptions.mProxyUpstreams) {
     const std::string url = host->UpstreamUrl();
     host->mUpstreamProxy =
@@ -142,6 +140,28 @@
   mUpstreams.push_back(std::move(host));
 }
 
+std::unique_ptr<ChildProcess>
+Fleet::MakeUpstream(const UpstreamHost& aHost, const std::string& aListen) const
+{
+  const std::vector<std::string> flags = { "--name",   aHost.mName,
+                                           "--listen", aListen,
+                                           "--record", aHost.mRecordFile };
+  return std::make_unique<ChildProcess>(
+    aHost.mEngine ? "trefoilarch-engine" : "trefoilarch-service",
+    aHost.mEngine ? Joined(flags, mOptions.mEngineFlags) : flags);
+}
+
+void
+Fleet::RestartUpstream(size_t aUpstream)
+{
+  UpstreamHost& host = *mUpstreams[aUpstream];
+  const std::string address =
+    host.mUpstream->Address(host.mEngine ? "engine" : "service");
+  host.mUpstream.reset();
+  host.mUpstream = MakeUpstream(host, address);
+  host.UpstreamUrl();
+}
+
 std::unique_ptr<ChildProcess>
 Fleet::MakeSidecar(const UpstreamHost& aHost) const
 {
@@ -338,7 +358,15 @@
 size_t
 Fleet::RunsOf(const std::string& aMark) const
 {
-  return Executions(aMark).size();
+  size_t runs = 0;
+  for (const auto& host : mUpstreams) {
+    std::ifstream record(host->mRecordFile);
+    std::string id;
+    for (std::string mark; record >> id && std::getline(record, mark);) {
+      runs += mark.substr(mark.find_last_of("/ ") + 1) == aMark ? 1 : 0;
+    }
+  }
+  return runs;
 }
 
 json
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -2,6 +2,7 @@
 
 #include "childprocess.h"
 #include "opencall.h"
+#include "temporaryfolder.h"
 
 #include "libtrefoilio/callrunner.h"
 #include "trefoilload/trace.h"
@@ -55,6 +56,7 @@
   std::unique_ptr<ChildProcess> mSidecar;
   std::unique_ptr<Proxy> mChannelProxy;
   std::string mState = "live"; /**< on the platform's list */
+  std::string mRecordFile;     /**< executions, also of killed stand-ins */
 
   std::string UpstreamUrl() const;
   std::string OperatorUrl() const;
@@ -100,6 +102,8 @@
 
   /** Tells the platform the hosts as they are now. */
   void PublishHosts() const;
+  /** Starts an upstream stand-in anew, on the same port. */
+  void RestartUpstream(size_t aUpstream);
   /** Starts a sidecar anew beside its upstream, in place of the old one. */
   void RestartSidecar(size_t aUpstream);
   /** Starts an entry anew in place of the old one; does not await it. */
@@ -127,16 +131,20 @@
 
   /** All executions, or those of one mark. */
   std::vector<SeenExecution> Executions(const std::string& aMark = "") const;
+  /** How often upstreams ran it, those that were killed since included. */
   size_t RunsOf(const std::string& aMark) const;
 
 private:
-  void StartUpstream(size_t aNumber, bool aEngine);
+  void AddUpstream(size_t aNumber, bool aEngine);
+  std::unique_ptr<ChildProcess> MakeUpstream(const UpstreamHost& aHost,
+                                             const std::string& aListen) const;
   std::unique_ptr<ChildProcess> MakeSidecar(const UpstreamHost& aHost) const;
   std::unique_ptr<ChildProcess> MakeEntry(size_t aNumber) const;
   /** Where the daemons reach the platform. */
   std::string PlatformForDaemons() const;
 
   FleetOptions mOptions;
+  TemporaryFolder mFolder;
   std::unique_ptr<ChildProcess> mPlatform;
   std::unique_ptr<Proxy> mPlatformProxy;
   std::vector<std::unique_ptr<UpstreamHost>> mUpstreams;
--- a/tests/standins/common/executionlog.cpp
+++ b/tests/standins/common/executionlog.cpp
@@ -12,10 +12,20 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+ExecutionLog::ExecutionLog(const std::string& aFile)
+{
+  if (!aFile.empty()) {
+    mFile.open(aFile, std::ios::app);
+  }
+}
+
 size_t
 ExecutionLog::Begin(Execution aExecution)
 {
   const std::lock_guard lock(mMutex);
+  if (mFile.is_open()) {
+    mFile << aExecution.mId + " " + aExecution.mMark + "\n" << std::flush;
+  }
   aExecution.mStarted = MonotonicMillis();
   mExecutions.push_back(std::move(aExecution));
   return mExecutions.size() - 1;
--- a/tests/standins/common/executionlog.h
+++ b/tests/standins/common/executionlog.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <mutex>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -26,6 +27,12 @@
 class ExecutionLog
 {
 public:
+  /**
+   * Also appends `<id> <mark>` to the file when an execution begins, so that
+   * the record outlives a killed stand-in; an empty path: no file.
+   */
+  explicit ExecutionLog(const std::string& aFile = "");
+
   /** A number to refer to the execution by. */
   size_t Begin(Execution aExecution);
   void CountToken(size_t aNumber);
@@ -36,6 +43,7 @@
 
 private:
   mutable std::mutex mMutex;
+  std::ofstream mFile;
   std::deque<Execution> mExecutions;
 };
 
--- a/tests/standins/engine/engine.cpp
+++ b/tests/standins/engine/engine.cpp
@@ -71,6 +71,7 @@
 
 Engine::Engine(EngineOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mExecutions(mOptions.mRecordFile)
   , mOrders(mOptions.mModel, mOptions.mRefusesOldFencing)
   , mBatch(mOptions.mBatch)
 {
--- a/tests/standins/engine/engine.h
+++ b/tests/standins/engine/engine.h
@@ -21,6 +21,7 @@
 struct EngineOptions
 {
   std::string mModel = "base";
+  std::string mRecordFile; /**< of ExecutionLog */
   bool mRefusesOldFencing = true;
   int64_t mReportLag = 0;   /**< milliseconds */
   int64_t mOrderMillis = 0; /**< how long an order takes */
--- a/tests/standins/engine/main.cpp
+++ b/tests/standins/engine/main.cpp
@@ -20,6 +20,8 @@
     "", "name", "the engine's name", false, "engine-1", "NAME", aLine);
   TCLAP::ValueArg<std::string> model(
     "", "model", "the model it serves", false, "base", "NAME", aLine);
+  TCLAP::ValueArg<std::string> record(
+    "", "record", "file to record executions in", false, "", "FILE", aLine);
   TCLAP::ValueArg<std::string> fencing("",
                                        "fencing",
                                        "old fencing numbers: refuse or ignore",
@@ -57,6 +59,7 @@
   aListen = listen.getValue();
   aName = name.getValue();
   EngineOptions options{ .mModel = model.getValue(),
+                         .mRecordFile = record.getValue(),
                          .mRefusesOldFencing = fencing.getValue() != "ignore",
                          .mReportLag = lag.getValue(),
                          .mOrderMillis = orders.getValue(),
--- a/tests/standins/service/main.cpp
+++ b/tests/standins/service/main.cpp
@@ -16,8 +16,10 @@
     "", "name", "the service's name", false, "service-1", "NAME", line);
   TCLAP::ValueArg<int64_t> delay(
     "", "delay-ms", "time before each answer", false, 0, "MS", line);
+  TCLAP::ValueArg<std::string> record(
+    "", "record", "file to record executions in", false, "", "FILE", line);
   line.parse(aCount, aArguments);
-  PlainService service(delay.getValue());
+  PlainService service(delay.getValue(), record.getValue());
   const StandinServer server(
     listen.getValue(),
     [&service](Exchange& aExchange) { service.Handle(aExchange); });
--- a/tests/standins/service/plainservice.cpp
+++ b/tests/standins/service/plainservice.cpp
@@ -10,8 +10,9 @@
 
 using nlohmann::json;
 
-PlainService::PlainService(int64_t aDelayMillis)
-  : mDelay(aDelayMillis)
+PlainService::PlainService(int64_t aDelayMillis, const std::string& aRecordFile)
+  : mExecutions(aRecordFile)
+  , mDelay(aDelayMillis)
 {
 }
 
--- a/tests/standins/service/plainservice.h
+++ b/tests/standins/service/plainservice.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <string>
 
 namespace standin {
 
@@ -18,7 +19,7 @@
 class PlainService
 {
 public:
-  explicit PlainService(int64_t aDelayMillis);
+  PlainService(int64_t aDelayMillis, const std::string& aRecordFile);
 
   void Handle(Exchange& aExchange);
 
