--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -228,7 +228,10 @@
                       aNow);
     return;
   }
-  request->mWholeAt = aMessage.mChunks;
+  if (!std::exchange(request->mWholeAt, aMessage.mChunks)) {
+    const ServiceLevel& level = request->mRequest.mClassified.mLevel;
+    mOutputs.Add(level.mClass, level.mWorkspace, aMessage.mOutputTokens);
+  }
   if (request->mNextChunk == aMessage.mChunks) {
     ConcludeWhole(*request, aNow);
   } else {
@@ -252,9 +255,12 @@
     mOutliers.OnFailure(aLink.mView.mName, aNow);
   }
   // A sidecar that lost sight of this entry ends what it ran for it.
-  const bool orphaned = aMessage.mKind == ErrorKind::CallerLeft;
+  if (aMessage.mKind == ErrorKind::CallerLeft) {
+    RetryOrConclude(*request, LostAfterStart(*request), aNow);
+    return;
+  }
   RetryOrConclude(*request,
-                  { orphaned ? ErrorKind::OutcomeUnknown : aMessage.mKind,
+                  { aMessage.mKind,
                     aMessage.mRan,
                     Millis(),
                     "the upstream did not complete the answer" },
--- a/src/libtrefoilarch/entrycore.h
+++ b/src/libtrefoilarch/entrycore.h
@@ -40,7 +40,10 @@
   Classified mClassified;
   Call mCall;
   uint32_t mPromptTokens = 0;
+  /** Of what the caller and the model know in common; 0: nothing. */
   uint64_t mPrefixHash = 0;
+  /** The most the caller allows (max_tokens); 0: no limit known. */
+  uint32_t mMostOutputTokens = 0;
 };
 
 /** Sends a message to a sidecar over its current channel. */
--- a/src/libtrefoilarch/entrydump.cpp
+++ b/src/libtrefoilarch/entrydump.cpp
@@ -19,6 +19,19 @@
   }
 }
 
+const char*
+NameOf(OutlierState aState)
+{
+  switch (aState) {
+    case OutlierState::Ejected:
+      return "ejected";
+    case OutlierState::Trial:
+      return "trial";
+    default:
+      return "no";
+  }
+}
+
 nlohmann::json
 Dump(const Load& aLoad)
 {
@@ -92,6 +105,7 @@
   nlohmann::json upstreams = nlohmann::json::object();
   for (const auto& [name, link] : mLinks) {
     upstreams[name] = Dump(link);
+    upstreams[name]["outlier"] = NameOf(mOutliers.State(name, aNow));
   }
   nlohmann::json requests = nlohmann::json::object();
   for (const auto& [id, request] : mRequests) {
@@ -105,6 +119,7 @@
                                 { "policy_version", PolicyVersion() },
                                 { "open_requests", mRequests.size() },
                                 { "counters", Dump(mCounters) },
+                                { "ejections", mOutliers.Ejections() },
                                 { "upstreams", std::move(upstreams) },
                                 { "requests", std::move(requests) } };
   return dump.dump();
--- a/src/libtrefoilarch/entryimpl.cpp
+++ b/src/libtrefoilarch/entryimpl.cpp
@@ -29,7 +29,8 @@
     Refuse(id, { ErrorKind::NotReady, Ran::No, ComeBack(), "no policy yet" });
     return;
   }
-  if (mRequests.size() >= mOptions.mMostOpen) {
+  const Tier tier = aRequest.mClassified.mLevel.mTier;
+  if (mRequests.size() >= mOptions.mMostOpen && !MakePlaceFor(tier, aNow)) {
     Refuse(id,
            { ErrorKind::TooManyOpen,
              Ran::No,
@@ -49,6 +50,22 @@
   PlaceOrConclude(request, aNow);
 }
 
+bool
+EntryCore::Impl::MakePlaceFor(Tier aTier, Millis aNow)
+{
+  const auto id = mShedOrder.FirstBelow(aTier);
+  if (!id) {
+    return false;
+  }
+  ConcludeWithError(mRequests.at(*id),
+                    { ErrorKind::Shed,
+                      Ran::No,
+                      ComeBack(),
+                      "gave way to a higher tier at a full entry" },
+                    aNow);
+  return true;
+}
+
 void
 EntryCore::Impl::OnCallerLeft(RequestId aId, Millis aNow)
 {
--- a/src/libtrefoilarch/entryimpl.h
+++ b/src/libtrefoilarch/entryimpl.h
@@ -3,8 +3,10 @@
 #include "entrycore.h"
 #include "openrequest.h"
 #include "outlierdetector.h"
+#include "outputestimator.h"
 #include "placement.h"
 #include "retrybudget.h"
+#include "shedorder.h"
 #include "timers.h"
 #include "upstreamlink.h"
 
@@ -68,6 +70,8 @@
     bool mAnyEligible = false;
   };
 
+  bool MakePlaceFor(Tier aTier, Millis aNow);
+
   // Placing and concluding requests.
   void Place(OpenRequest& aRequest, Millis aNow);
   void PlaceOrConclude(OpenRequest& aRequest, Millis aNow);
@@ -93,6 +97,8 @@
                  Millis aNow) const;
   void DropOffers(OpenRequest& aRequest, Millis aNow);
   void RetryOrConclude(OpenRequest& aRequest, Refusal aRefusal, Millis aNow);
+  /** Whoever may repeat the request is told to come back. */
+  static Refusal LostAfterStart(const OpenRequest& aRequest);
   void LoseStarted(OpenRequest& aRequest, Millis aNow);
   void OnRequestDue(OpenRequest& aRequest, Millis aNow);
   void ConcludeWithError(OpenRequest& aRequest, Refusal aRefusal, Millis aNow);
@@ -167,6 +173,9 @@
   Placement mPlacement;
   OutlierDetector mOutliers;
   RetryBudget mRetryBudget;
+  OutputEstimator mOutputs;
+  /** Requests that have not started. */
+  ShedOrder mShedOrder;
   EntryCounters mCounters;
   EntryActions mActions;
 };
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -221,13 +221,20 @@
                           Millis aNow) const
 {
   const Classified& classified = aRequest.mRequest.mClassified;
-  const Millis due = aRequest.mArrived + classified.mLevel.mFirstTokenTarget;
+  const ServiceLevel& level = classified.mLevel;
+  const Millis due = aRequest.mArrived + level.mFirstTokenTarget;
+  const bool hasTokens = classified.mTraffic.contains("model");
+  const uint32_t output =
+    hasTokens ? mOutputs.Estimate(level.mClass,
+                                  level.mWorkspace,
+                                  aRequest.mRequest.mMostOutputTokens)
+              : 0;
   return { .mKey = aKey,
-           .mLevel = classified.mLevel,
+           .mLevel = level,
            .mDeadline = std::max(aRequest.mDeadline - aNow, Millis()),
            .mFirstTokenDue = std::max(due - aNow, Millis()),
            .mPromptTokens = aRequest.mRequest.mPromptTokens,
-           .mOutputTokens = 0,
+           .mOutputTokens = output,
            .mPrefixHash = aRequest.mRequest.mPrefixHash,
            .mIdempotent = classified.mIdempotent };
 }
@@ -262,6 +269,16 @@
   Watch(aRequest);
 }
 
+Refusal
+EntryCore::Impl::LostAfterStart(const OpenRequest& aRequest)
+{
+  const bool mayRepeat = aRequest.mRequest.mClassified.mIdempotent;
+  return { mayRepeat ? ErrorKind::UpstreamFailed : ErrorKind::OutcomeUnknown,
+           Ran::Maybe,
+           Millis(),
+           "the upstream's host was lost after the start" };
+}
+
 void
 EntryCore::Impl::LoseStarted(OpenRequest& aRequest, Millis aNow)
 {
@@ -270,12 +287,7 @@
   aRequest.mFailedAt.push_back(attempt.mUpstream);
   mOutliers.OnFailure(attempt.mUpstream, aNow);
   CloseAttempt(attempt, aNow);
-  RetryOrConclude(aRequest,
-                  { ErrorKind::OutcomeUnknown,
-                    Ran::Maybe,
-                    Millis(),
-                    "the upstream's host was lost after the start" },
-                  aNow);
+  RetryOrConclude(aRequest, LostAfterStart(aRequest), aNow);
 }
 
 void
@@ -351,6 +363,7 @@
   const RequestId id = aRequest.mRequest.mId;
   mRequestTimers.Disarm(id);
   mParked.erase(id);
+  mShedOrder.Remove(id);
   mRequests.erase(id);
 }
 
@@ -419,6 +432,12 @@
 void
 EntryCore::Impl::Watch(const OpenRequest& aRequest)
 {
+  const EntryRequest& request = aRequest.mRequest;
+  if (aRequest.mStarted) {
+    mShedOrder.Remove(request.mId);
+  } else {
+    mShedOrder.Add(request.mId, request.mClassified.mLevel.mTier);
+  }
   mRequestTimers.Arm(aRequest.mRequest.mId,
                      std::min(aRequest.mDeadline, aRequest.mRetryAt));
 }
--- /dev/null
+++ b/src/libtrefoilarch/outputestimator.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace trefoilarch {
+
+/**
+ * Estimates how long an answer will be, in tokens, from the whole answers of
+ * its class and workspace. Both are histograms on a logarithmic scale whose
+ * old entries fade. A workspace that has had few answers is drawn towards its
+ * class, and a class that has had few towards a fixed guess.
+ */
+class OutputEstimator
+{
+public:
+  OutputEstimator();
+
+  /** A whole answer had that many tokens. */
+  void Add(const std::string& aClass,
+           const std::string& aWorkspace,
+           uint32_t aTokens);
+
+  /** The expected length, given that the caller allows aMost (0: any). */
+  uint32_t Estimate(const std::string& aClass,
+                    const std::string& aWorkspace,
+                    uint32_t aMost) const;
+
+private:
+  using Axis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+  using Histogram = boost::histogram::histogram<
+    std::tuple<Axis>,
+    boost::histogram::storage_adaptor<std::vector<float>>>;
+
+  /** Lengths of one class or of one workspace in a class. */
+  struct Lengths
+  {
+    Histogram mHistogram;
+    float mCount = 0;
+  };
+
+  static Histogram NewHistogram();
+  static void Add(Lengths& aLengths, uint32_t aTokens);
+  /** The mean with aGuess weighing as much as a few answers. */
+  double Mean(const Lengths& aLengths, double aMost, double aGuess) const;
+
+  std::map<std::string, Lengths, std::less<>> mClasses;
+  std::map<std::pair<std::string, std::string>, Lengths> mWorkspaces;
+  /** The length that each bin stands for. */
+  std::vector<double> mCentres;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/shedorder.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "ids.h"
+#include "servicelevel.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace trefoilarch {
+
+/**
+ * The requests that may still be given up, in the order in which they are:
+ * the lowest tier first, and in a tier whoever came last.
+ */
+class ShedOrder
+{
+public:
+  void Add(const RequestId& aId, Tier aTier);
+  void Remove(const RequestId& aId);
+  /** The first to go among those of a lower tier than the one given. */
+  std::optional<RequestId> FirstBelow(Tier aTier) const;
+
+private:
+  struct Place
+  {
+    Tier mTier = 0;
+    uint64_t mNumber = 0;
+  };
+
+  std::array<std::map<uint64_t, RequestId>, kTierCount> mTiers;
+  std::unordered_map<RequestId, Place> mPlaces;
+  uint64_t mNextNumber = 0;
+};
+
+} // namespace trefoilarch
