--- a/tests/unit/sidecarcoretest.cpp
+++ b/tests/unit/sidecarcoretest.cpp
@@ -304,3 +304,39 @@
   bench.Message(VoidOrReport{ .mKey = KeyOf(1) }, "f");
   cr_assert(bench.Sent<LedgerEntry>()->mState == AttemptState::Running);
 }
+
+/**
+ * A request of a higher tier that is about to miss its first token takes the
+ * room of a lower tier's work that can be rerun without a trace, of nothing
+ * else, and not before it is needed.
+ */
+Test(sidecarcore, preempts_only_what_can_be_rerun_without_a_trace)
+{
+  const auto run = [](bool aIdempotent, bool aBegun, Tier aTier) {
+    Bench bench({ .mFirstTokenRoom = 200, .mMostTokenRoom = 200 });
+    Offer lower = OfferOf(1, aTier);
+    lower.mIdempotent = aIdempotent;
+    bench.Message(lower);
+    bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
+    if (aBegun)
+      bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+    bench.Message(OfferOf(2, 0));
+    cr_assert_null(bench.Sent<Grant>());
+    bench.Pass(740);
+    cr_assert_null(bench.Sent<Failed>(), "too early");
+    bench.Pass(20);
+    const Failed* failed = bench.Sent<Failed>();
+    cr_assert_eq(failed != nullptr, bench.Sent<Grant>() != nullptr);
+    cr_assert_eq(bench.Count<CancelCall>(), failed ? 1 : 0);
+    if (failed) {
+      cr_assert(failed->mKind == ErrorKind::Shed);
+      cr_assert(failed->mRan == Ran::Maybe);
+      cr_assert_eq(failed->mChunks, 0);
+    }
+    return failed != nullptr;
+  };
+  cr_assert(run(true, false, 3));
+  cr_assert_not(run(false, false, 3));
+  cr_assert_not(run(true, true, 3));
+  cr_assert_not(run(true, false, 0));
+}
