Notice entries that fall silent, and hasten the heartbeat of a fresh request

Cause, found by reading: on a channel that is silent only towards the sidecar the entry sees heartbeats and chunks and never replaces it, while its Acks and Withdraws vanish. The sidecar now goes silent towards such an entry as well, voids what waits and orphans what runs, and hears it again from its next Hello. And a request offered on an idle channel was answered by a heartbeat after up to 5 s, past the entry's silence span of 1.5 s: it would have replaced a healthy channel. The benches of the tests now give the signs of life that a real entry gives.

--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -289,15 +289,28 @@
 SidecarCore::Impl::SendHeartbeats()
 {
   while (const auto entry = mHeartbeats.TakeDue(mNow)) {
-    const bool open = !mEntries[*entry].mAttempts.empty();
-    const Millis pause = mOptions.mHeartbeat * (open ? 1 : kIdleFactor);
-    Send(*entry,
-         SidecarHeartbeat{ .mLoad = CurrentLoad(),
-                           .mPolicyVersion = mPolicyVersion });
-    mHeartbeats.Arm(*entry, mNow + pause);
+    Entry& channel = mEntries[*entry];
+    const bool open = !channel.mAttempts.empty();
+    if (open && mNow >= channel.mHeard + mOptions.mEntrySilence) {
+      ++mCounters.mSilences;
+      channel.mSilenced = true;
+      OnEntryDown(*entry);
+      continue;
+    }
+    SendHeartbeat(*entry);
+    mHeartbeats.Arm(*entry,
+                    mNow + mOptions.mHeartbeat * (open ? 1 : kIdleFactor));
   }
 }
 
+void
+SidecarCore::Impl::SendHeartbeat(const EntryId& aEntry)
+{
+  Send(aEntry,
+       SidecarHeartbeat{ .mLoad = CurrentLoad(),
+                         .mPolicyVersion = mPolicyVersion });
+}
+
 void
 SidecarCore::Impl::Drain()
 {
@@ -322,9 +335,7 @@
 SidecarCore::Impl::TellLoad()
 {
   for (const auto& [entry, channel] : mEntries)
-    Send(entry,
-         SidecarHeartbeat{ .mLoad = CurrentLoad(),
-                           .mPolicyVersion = mPolicyVersion });
+    SendHeartbeat(entry);
 }
 
 bool
--- a/src/libtrefoilarch/sidecarcore.h
+++ b/src/libtrefoilarch/sidecarcore.h
@@ -34,6 +34,9 @@
   /** Bytes of unacknowledged answer kept for one attempt. */
   size_t mAnswerLimit = 4194304;
   Millis mHeartbeat{ 500 };
+  /** An entry with open attempts that is silent for this long is taken for
+   * gone, and heard again after a new Hello; several of its heartbeats. */
+  Millis mEntrySilence{ 2000 };
   /** A plain service has no tokens: its room is a number of calls. */
   bool mTokenStream = true;
   uint64_t mFirstTokenRoom = 16384; /**< tokens in flight to begin with */
--- a/src/libtrefoilarch/sidecardump.cpp
+++ b/src/libtrefoilarch/sidecardump.cpp
@@ -66,6 +66,7 @@
            { "preempted", aCounters.mPreempted },
            { "late_starts", aCounters.mLateStarts },
            { "stray_events", aCounters.mStrayEvents },
+           { "silent_entries", aCounters.mSilences },
            { "foreign_messages", aCounters.mForeign } };
 }
 
--- a/src/libtrefoilarch/sidecarimpl.cpp
+++ b/src/libtrefoilarch/sidecarimpl.cpp
@@ -45,6 +45,8 @@
 void
 SidecarCore::Impl::OnMessage(const EntryId& aEntry, EntryMessage aMessage)
 {
+  if (!Hears(aEntry, aMessage))
+    return;
   std::visit(
     [&](auto& aAny) {
       if constexpr (requires { aAny.mKey; })
@@ -55,6 +57,16 @@
     aMessage);
 }
 
+bool
+SidecarCore::Impl::Hears(const EntryId& aEntry, const EntryMessage& aMessage)
+{
+  const auto found = mEntries.find(aEntry);
+  if (found == mEntries.end())
+    return true;
+  found->second.mHeard = mNow;
+  return !found->second.mSilenced || std::holds_alternative<Hello>(aMessage);
+}
+
 template<typename Message>
 bool
 SidecarCore::Impl::MayTouch(const EntryId& aEntry, const Message& aMessage)
@@ -73,6 +85,8 @@
 {
   OnEntryDown(aEntry);
   mEntries[aEntry].mConnected = true;
+  mEntries[aEntry].mSilenced = false;
+  mEntries[aEntry].mHeard = mNow;
   Send(aEntry,
        Welcome{ .mUpstream = mOptions.mUpstream,
                 .mIncarnation = mOptions.mIncarnation,
@@ -203,9 +217,8 @@
 }
 
 void
-SidecarCore::Impl::Handle(const EntryId& aEntry, const EntryHeartbeat&)
+SidecarCore::Impl::Handle(const EntryId&, const EntryHeartbeat&)
 {
-  mEntries[aEntry].mConnected = true;
 }
 
 void
--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -33,6 +33,7 @@
   uint64_t mPreempted = 0;
   uint64_t mLateStarts = 0;  /**< Starts that came after the grant's end */
   uint64_t mStrayEvents = 0; /**< call events of attempts that are over */
+  uint64_t mSilences = 0;    /**< entries that fell silent */
   uint64_t mForeign = 0;     /**< messages on another entry's attempt */
 };
 
@@ -67,6 +68,9 @@
   struct Entry
   {
     bool mConnected = false;
+    /** It fell silent; nothing of it counts before its next Hello. */
+    bool mSilenced = false;
+    Millis mHeard{};
     std::unordered_set<AttemptKey> mAttempts;
   };
 
@@ -148,6 +152,9 @@
   void ArmRunning(const SidecarAttempt& aAttempt);
   void ArmEnded(const SidecarAttempt& aAttempt);
   void SendHeartbeats();
+  void SendHeartbeat(const EntryId& aEntry);
+  /** Notes that the entry has spoken; false if it must say Hello first. */
+  bool Hears(const EntryId& aEntry, const EntryMessage& aMessage);
   /** Tells every entry at once, where waiting for a heartbeat is too late. */
   void TellLoad();
   bool IsConnected(const EntryId& aEntry) const;
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -100,6 +100,10 @@
   mTimers.Arm(aOffer.mKey, late ? std::min(last, mNow + kLatePause) : last);
   Entry& entry = mEntries[aEntry];
   entry.mConnected = true;
+  if (entry.mAttempts.empty()) {
+    entry.mHeard = mNow;
+    mHeartbeats.Arm(aEntry, mNow + mOptions.mHeartbeat);
+  }
   entry.mAttempts.insert(aOffer.mKey);
   mAttempts.emplace(aOffer.mKey, std::move(attempt));
 }
--- a/tests/replay/sidecarloadtest.cpp
+++ b/tests/replay/sidecarloadtest.cpp
@@ -77,6 +77,7 @@
   {
     PlanArrival(aSpan);
     PlanSlowdown(aSpan);
+    Beat(aSpan + Millis(60000));
     mTime.RunUntil(aSpan + Millis(60000));
     for (const auto& [number, request] : mRequests)
       RC_ASSERT(request.mState == State::Ended);
@@ -144,6 +145,14 @@
       });
   }
 
+  /** The entry gives signs of life. */
+  void Beat(Millis aEnd)
+  {
+    Do(mCore.OnMessage(kEntry, EntryHeartbeat{}, mTime.Now()));
+    if (mTime.Now() < aEnd)
+      mTime.After(Millis(500), [this, aEnd] { Beat(aEnd); });
+  }
+
   void PlanSlowdown(Millis aEnd)
   {
     if (mTime.Now() >= aEnd)
