Judge a body that breaks off with an error in it as an honest failure

An answer that is not streamed has its head sent early, with spaces to keep it alive; its failure is an error object in a body that is cut, which no client takes for complete. The checker now reads it, and still calls the same body wrong if it ends cleanly (new test).

--- a/src/trefoilload/answerchecker.cpp
+++ b/src/trefoilload/answerchecker.cpp
@@ -103,7 +103,7 @@
     return JudgeStream(aComplete);
   }
   if (!aComplete) {
-    return CallOutcome::Unanswered;
+    return JudgeCutBody();
   }
   if (mRecord.mStatus != 200) {
     return JudgeError();
@@ -148,6 +148,13 @@
   return mRecord.mRan == "no" ? CallOutcome::Refused : CallOutcome::Failed;
 }
 
+CallOutcome
+AnswerChecker::JudgeCutBody()
+{
+  const bool honest = JudgeError() != CallOutcome::Wrong;
+  return honest ? CallOutcome::Failed : CallOutcome::Unanswered;
+}
+
 bool
 AnswerChecker::IsRightBody() const
 {
--- a/src/trefoilload/answerchecker.h
+++ b/src/trefoilload/answerchecker.h
@@ -29,6 +29,8 @@
   CallOutcome Judge(bool aComplete);
   CallOutcome JudgeStream(bool aComplete);
   CallOutcome JudgeError();
+  /** A head was sent, and the body broke off: with an error in it or not. */
+  CallOutcome JudgeCutBody();
   bool IsRightBody() const;
 
   const TraceRequest& mRequest;
--- a/tests/unit/answercheckertest.cpp
+++ b/tests/unit/answercheckertest.cpp
@@ -110,3 +110,17 @@
   cr_assert(Judge(request, sent, start, CallEnd::Broken) ==
             CallOutcome::Unanswered);
 }
+
+Test(answerchecker, a_whole_body_may_only_fail_with_a_word_and_a_cut)
+{
+  TraceRequest request = StreamedRequest(50);
+  request.mStream = false;
+  const auto sent = Sent(request, "a");
+  const std::string error = "  {\"error\":{\"kind\":\"upstream_failed\","
+                            "\"ran\":\"maybe\"}}";
+  cr_assert(Judge(request, sent, error, CallEnd::Broken) ==
+            CallOutcome::Failed);
+  cr_assert(Judge(request, sent, error) == CallOutcome::Wrong);
+  cr_assert(Judge(request, sent, "  ", CallEnd::Broken) ==
+            CallOutcome::Unanswered);
+}
