Add claims for idempotency keys

Weighed: a row for each request written by its entry; one process for each bucket that group-commits; a sticky ledger in memory. The last forgets with its process and cannot keep at-most-once. Buckets save writes only where one process has many claims a round trip, and cost a hop. Chosen: a row for each key, written by the entry itself, all that waits in one transaction (a group commit without a timer), and no second write for the end: whoever finds a row asks the entry that it names, by the request's id. In progress, finished (with the first answer where kept), not run (the row is replaced on condition of its revision) or nobody knows: maybe. Rows stand under an epoch of two hours and go away in one range.

--- /dev/null
+++ b/src/libtrefoilarch/claims.cpp
@@ -0,0 +1,379 @@
+#include "claims.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace trefoilarch {
+
+namespace {
+
+constexpr unsigned kMostDoublings = 8;
+/** Entries' clocks may differ by one epoch, and each looks one further. */
+constexpr uint64_t kEpochsKept = 2;
+
+ClaimEnd
+EndOf(ClaimStanding aStanding)
+{
+  switch (aStanding) {
+    case ClaimStanding::InProgress:
+      return ClaimEnd::InProgress;
+    case ClaimStanding::Finished:
+      return ClaimEnd::Finished;
+    case ClaimStanding::MaybeRan:
+    case ClaimStanding::NotKnown:
+    case ClaimStanding::NotRun:
+      break;
+  }
+  return ClaimEnd::MaybeRan;
+}
+
+} // namespace
+
+Claims::Claims(ClaimOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(static_cast<std::minstd_rand::result_type>(
+      mOptions.mSeed % std::numeric_limits<uint32_t>::max() + 1))
+{
+}
+
+ClaimActions
+Claims::Claim(ClaimRequest aRequest, int64_t aUnixSeconds, Millis aNow)
+{
+  const std::optional<ClaimAnswered> answered = AnswerHere(aRequest);
+  ClaimActions out;
+  if (answered) {
+    out.emplace_back(*answered);
+    return out;
+  }
+  const RequestId id = aRequest.mId;
+  mByKey[aRequest.mKey] = id;
+  mRecords[id] = { .mKey = std::move(aRequest.mKey),
+                   .mFingerprint = std::move(aRequest.mFingerprint),
+                   .mAnswer = nullptr };
+  mUndecided[id] = { .mDeadline = aNow + mOptions.mDecisionSpan,
+                     .mReplaces = std::nullopt };
+  mWaiting.push_back(id);
+  Drive(out, aUnixSeconds, aNow);
+  return out;
+}
+
+/** Settles a repeat whose first request is known in this process. */
+std::optional<ClaimAnswered>
+Claims::AnswerHere(const ClaimRequest& aRequest) const
+{
+  const auto first = mByKey.find(aRequest.mKey);
+  if (first == mByKey.end()) {
+    return std::nullopt;
+  }
+  const Record& record = mRecords.at(first->second);
+  if (record.mStanding == ClaimStanding::NotRun) {
+    return std::nullopt;
+  }
+  if (record.mFingerprint != aRequest.mFingerprint) {
+    return ClaimAnswered{ aRequest.mId, ClaimEnd::OtherIntent, nullptr };
+  }
+  return ClaimAnswered{ aRequest.mId, EndOf(record.mStanding), record.mAnswer };
+}
+
+void
+Claims::Answered(RequestId aId, KeptAnswer aAnswer)
+{
+  const auto record = mRecords.find(aId);
+  if (record == mRecords.end()) {
+    return;
+  }
+  const size_t bytes = aAnswer.mBody.size();
+  if (bytes <= mOptions.mLongestAnswer) {
+    record->second.mAnswer =
+      std::make_shared<const KeptAnswer>(std::move(aAnswer));
+    mAnswerBytes += bytes;
+    mKept.push_back(aId);
+  }
+  while (mAnswerBytes > mOptions.mMostAnswerBytes) {
+    const auto oldest = mRecords.find(mKept.front());
+    mKept.pop_front();
+    if (oldest != mRecords.end()) {
+      DropAnswer(oldest->second);
+    }
+  }
+  End(aId, ClaimStanding::Finished);
+}
+
+void
+Claims::AnsweredUnkept(RequestId aId)
+{
+  End(aId, ClaimStanding::Finished);
+}
+
+void
+Claims::NotRun(RequestId aId)
+{
+  End(aId, ClaimStanding::NotRun);
+}
+
+void
+Claims::MaybeRan(RequestId aId)
+{
+  End(aId, ClaimStanding::MaybeRan);
+}
+
+void
+Claims::End(RequestId aId, ClaimStanding aStanding)
+{
+  const auto record = mRecords.find(aId);
+  if (record == mRecords.end() ||
+      record->second.mStanding != ClaimStanding::InProgress) {
+    return;
+  }
+  record->second.mStanding = aStanding;
+  Remember(aId);
+}
+
+/** Beyond the limit the request that ended first is forgotten. */
+void
+Claims::Remember(RequestId aId)
+{
+  mEnded.push_back(aId);
+  if (mEnded.size() <= mOptions.mMostRemembered) {
+    return;
+  }
+  const auto oldest = mRecords.find(mEnded.front());
+  mEnded.pop_front();
+  if (oldest == mRecords.end()) {
+    return;
+  }
+  DropAnswer(oldest->second);
+  const auto newest = mByKey.find(oldest->second.mKey);
+  if (newest != mByKey.end() && newest->second == oldest->first) {
+    mByKey.erase(newest);
+  }
+  mRecords.erase(oldest);
+}
+
+void
+Claims::DropAnswer(Record& aRecord)
+{
+  if (aRecord.mAnswer) {
+    mAnswerBytes -= aRecord.mAnswer->mBody.size();
+    aRecord.mAnswer.reset();
+  }
+}
+
+ClaimActions
+Claims::OnCommitted(ClaimCommit aCommit, int64_t aUnixSeconds, Millis aNow)
+{
+  ClaimActions out;
+  const std::vector<RequestId> batch = std::move(mCommitting);
+  mCommitting.clear();
+  mFailures = aCommit.mEnd == ClaimCommitEnd::Unknown ? mFailures + 1 : 0;
+  if (aCommit.mEnd == ClaimCommitEnd::Unknown) {
+    mNextCommit = aNow + RetrySpan();
+  }
+  for (size_t place = 0; place < batch.size(); ++place) {
+    const RequestId id = batch[place];
+    const bool found = aCommit.mEnd == ClaimCommitEnd::Refused &&
+                       place < aCommit.mFound.size() &&
+                       aCommit.mFound[place].has_value();
+    if (!mUndecided.contains(id)) {
+      continue; // it was too late, and will not run
+    }
+    if (aCommit.mEnd == ClaimCommitEnd::Done) {
+      Decide(out, id, ClaimEnd::Run);
+    } else if (found) {
+      Weigh(out, id, *aCommit.mFound[place]);
+    } else {
+      if (aCommit.mEnd == ClaimCommitEnd::Refused) {
+        mUndecided.at(id).mReplaces.reset();
+      }
+      mWaiting.push_back(id);
+    }
+  }
+  Drive(out, aUnixSeconds, aNow);
+  return out;
+}
+
+/** The key has a row: our own, one of this entry's, or another entry's. */
+void
+Claims::Weigh(ClaimActions& aOut, RequestId aId, const FoundClaim& aFound)
+{
+  Pending& undecided = mUndecided.at(aId);
+  if (undecided.mReplaces && *undecided.mReplaces == aFound) {
+    mWaiting.push_back(aId); // refused because of another of the batch
+    return;
+  }
+  const std::optional<ClaimRow> row = ClaimRowFromText(aFound.mText);
+  if (!row) {
+    Decide(aOut, aId, ClaimEnd::MaybeRan);
+  } else if (row->mRequest == aId) {
+    Decide(aOut, aId, ClaimEnd::Run);
+  } else if (row->mFingerprint != mRecords.at(aId).mFingerprint) {
+    Decide(aOut, aId, ClaimEnd::OtherIntent);
+  } else if (row->mAddress == mOptions.mAddress) {
+    Follow(aOut, aId, aFound, Report(row->mRequest));
+  } else {
+    undecided.mAsking = true;
+    mAsked[++mLastTicket] = { aId, aFound };
+    aOut.push_back(AskClaimant{ mLastTicket, row->mAddress, row->mRequest });
+  }
+}
+
+void
+Claims::Follow(ClaimActions& aOut,
+               RequestId aId,
+               const FoundClaim& aFound,
+               const ClaimReport& aReport)
+{
+  if (aReport.mStanding == ClaimStanding::NotRun) {
+    mUndecided.at(aId).mReplaces = aFound;
+    mWaiting.push_back(aId);
+    return;
+  }
+  Decide(aOut, aId, EndOf(aReport.mStanding), aReport.mAnswer);
+}
+
+ClaimActions
+Claims::OnAsked(uint64_t aTicket,
+                ClaimReport aReport,
+                int64_t aUnixSeconds,
+                Millis aNow)
+{
+  ClaimActions out;
+  const auto asked = mAsked.find(aTicket);
+  if (asked != mAsked.end()) {
+    const auto [id, found] = std::move(asked->second);
+    mAsked.erase(asked);
+    const auto undecided = mUndecided.find(id);
+    if (undecided != mUndecided.end()) {
+      undecided->second.mAsking = false;
+      Follow(out, id, found, aReport);
+    }
+  }
+  Drive(out, aUnixSeconds, aNow);
+  return out;
+}
+
+ClaimActions
+Claims::OnTick(int64_t aUnixSeconds, Millis aNow)
+{
+  ClaimActions out;
+  Drive(out, aUnixSeconds, aNow);
+  return out;
+}
+
+ClaimReport
+Claims::Report(RequestId aId) const
+{
+  const auto record = mRecords.find(aId);
+  if (record == mRecords.end()) {
+    return {};
+  }
+  return { record->second.mStanding, record->second.mAnswer };
+}
+
+Millis
+Claims::NextWake() const
+{
+  Millis wake = Millis::Never();
+  if (mCommitting.empty() && !mWaiting.empty()) {
+    wake = mNextCommit;
+  }
+  for (const auto& [id, undecided] : mUndecided) {
+    wake = std::min(wake, undecided.mDeadline);
+  }
+  return wake;
+}
+
+void
+Claims::Drive(ClaimActions& aOut, int64_t aUnixSeconds, Millis aNow)
+{
+  DropLate(aOut, aNow);
+  Commit(aOut, aUnixSeconds, aNow);
+  Expire(aOut, aUnixSeconds);
+}
+
+/** A request that gets no claim in time will never run. */
+void
+Claims::DropLate(ClaimActions& aOut, Millis aNow)
+{
+  std::vector<RequestId> late;
+  for (const auto& [id, undecided] : mUndecided) {
+    if (undecided.mDeadline <= aNow) {
+      late.push_back(id);
+    }
+  }
+  for (const RequestId id : late) {
+    const bool taken = mUndecided.at(id).mAsking;
+    Decide(aOut, id, taken ? ClaimEnd::MaybeRan : ClaimEnd::Unsettled);
+  }
+}
+
+void
+Claims::Decide(ClaimActions& aOut,
+               RequestId aId,
+               ClaimEnd aEnd,
+               std::shared_ptr<const KeptAnswer> aAnswer)
+{
+  mUndecided.erase(aId);
+  if (aEnd != ClaimEnd::Run) {
+    NotRun(aId);
+  }
+  aOut.push_back(ClaimAnswered{ aId, aEnd, std::move(aAnswer) });
+}
+
+/** All that waits goes into one transaction: a group commit. */
+void
+Claims::Commit(ClaimActions& aOut, int64_t aUnixSeconds, Millis aNow)
+{
+  if (!mCommitting.empty() || aNow < mNextCommit) {
+    return;
+  }
+  CommitClaims commit;
+  while (!mWaiting.empty() && mCommitting.size() < mOptions.mMostInBatch) {
+    const RequestId id = mWaiting.front();
+    mWaiting.pop_front();
+    const auto undecided = mUndecided.find(id);
+    if (undecided == mUndecided.end()) {
+      continue;
+    }
+    const Record& record = mRecords.at(id);
+    const ClaimRow row{ id, mOptions.mAddress, record.mFingerprint };
+    commit.mWrites.push_back({ record.mKey,
+                               EpochOf(aUnixSeconds),
+                               ClaimRowToText(row),
+                               undecided->second.mReplaces });
+    mCommitting.push_back(id);
+  }
+  if (!mCommitting.empty()) {
+    aOut.push_back(std::move(commit));
+  }
+}
+
+void
+Claims::Expire(ClaimActions& aOut, int64_t aUnixSeconds)
+{
+  const uint64_t epoch = EpochOf(aUnixSeconds);
+  if (epoch <= kEpochsKept || epoch - kEpochsKept <= mExpiredBelow) {
+    return;
+  }
+  mExpiredBelow = epoch - kEpochsKept;
+  aOut.push_back(ExpireClaims{ mExpiredBelow });
+}
+
+uint64_t
+Claims::EpochOf(int64_t aUnixSeconds) const
+{
+  return static_cast<uint64_t>(
+    std::max<int64_t>(1, aUnixSeconds / mOptions.mEpochSeconds));
+}
+
+Millis
+Claims::RetrySpan()
+{
+  const int64_t factor = int64_t{ 1 } << std::min(mFailures, kMostDoublings);
+  const Millis most =
+    std::min(mOptions.mFirstRetry * factor, mOptions.mMostRetry);
+  std::uniform_int_distribution<int64_t> draw(most.Count() / 2, most.Count());
+  return Millis(draw(mRandom));
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/claimhold.cpp
@@ -0,0 +1,63 @@
+#include "claimhold.h"
+
+#include "claimservice.h"
+
+#include "libtrefoilio/httpmessage.h"
+
+namespace trefoilarch {
+
+ClaimHold::ClaimHold(ClaimService& aService, const RequestId& aId)
+  : mService(aService)
+  , mId(aId)
+{
+}
+
+ClaimHold::~ClaimHold()
+{
+  if (!mEnded) {
+    mService.MaybeRan(mId);
+  }
+}
+
+void
+ClaimHold::OnHead(int32_t aStatus, const Headers& aHeaders)
+{
+  mAnswer.mStatus = aStatus;
+  mAnswer.mContentType = trefoilio::FindHeader(aHeaders, "Content-Type");
+}
+
+void
+ClaimHold::OnData(std::string_view aData)
+{
+  mTooLong =
+    mTooLong || mAnswer.mBody.size() + aData.size() > mService.LongestAnswer();
+  if (mTooLong) {
+    mAnswer.mBody.clear();
+  } else {
+    mAnswer.mBody.append(aData);
+  }
+}
+
+void
+ClaimHold::OnEnd()
+{
+  mEnded = true;
+  if (mTooLong) {
+    mService.AnsweredUnkept(mId);
+  } else {
+    mService.Answered(mId, std::move(mAnswer));
+  }
+}
+
+void
+ClaimHold::OnError(const Refusal& aRefusal)
+{
+  mEnded = true;
+  if (aRefusal.mRan == Ran::No) {
+    mService.NotRun(mId);
+  } else {
+    mService.MaybeRan(mId);
+  }
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/claimhold.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libtrefoilarch/claimmessages.h"
+#include "libtrefoilarch/errors.h"
+#include "libtrefoilarch/messages.h"
+
+#include <string>
+#include <string_view>
+
+namespace trefoilarch {
+
+class ClaimService;
+
+/**
+ * A claim that let its request run. It follows the request's answer and tells
+ * the claim service its end; where it goes without an end, the request may
+ * have run.
+ */
+class ClaimHold
+{
+public:
+  ClaimHold(ClaimService& aService, const RequestId& aId);
+  ~ClaimHold();
+  ClaimHold(const ClaimHold&) = delete;
+  ClaimHold& operator=(const ClaimHold&) = delete;
+
+  void OnHead(int32_t aStatus, const Headers& aHeaders);
+  void OnData(std::string_view aData);
+  void OnEnd();
+  void OnError(const Refusal& aRefusal);
+
+private:
+  ClaimService& mService;
+  RequestId mId;
+  KeptAnswer mAnswer;
+  bool mTooLong = false;
+  bool mEnded = false;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/claimpeer.cpp
@@ -0,0 +1,75 @@
+#include "claimpeer.h"
+
+#include <chrono>
+
+namespace trefoilarch {
+
+namespace {
+
+/** Beyond this many addresses, most of which are long gone, all are dropped. */
+constexpr size_t kMostStubs = 64;
+
+ClaimStanding
+StandingFrom(uint32_t aNumber)
+{
+  const bool known = aNumber <= static_cast<uint32_t>(ClaimStanding::NotRun);
+  return known ? static_cast<ClaimStanding>(aNumber) : ClaimStanding::NotKnown;
+}
+
+} // namespace
+
+ClaimPeerServer::ClaimPeerServer(Source aSource)
+  : mSource(std::move(aSource))
+{
+}
+
+grpc::Status
+ClaimPeerServer::Ask(grpc::ServerContext* /*aContext*/,
+                     const wire::ClaimQuestion* aQuestion,
+                     wire::ClaimReport* aReport)
+{
+  const ClaimReport report =
+    mSource({ aQuestion->request_high(), aQuestion->request_low() });
+  aReport->set_standing(static_cast<uint32_t>(report.mStanding));
+  if (report.mAnswer) {
+    aReport->set_has_answer(true);
+    aReport->set_status(report.mAnswer->mStatus);
+    aReport->set_content_type(report.mAnswer->mContentType);
+    aReport->set_body(report.mAnswer->mBody);
+  }
+  return grpc::Status::OK;
+}
+
+ClaimReport
+ClaimPeerClient::Ask(const std::string& aAddress,
+                     RequestId aId,
+                     Millis aTimeout)
+{
+  if (mStubs.size() >= kMostStubs) {
+    mStubs.clear();
+  }
+  auto& stub = mStubs[aAddress];
+  if (!stub) {
+    stub = wire::ClaimPeer::NewStub(
+      grpc::CreateChannel(aAddress, grpc::InsecureChannelCredentials()));
+  }
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() +
+                       std::chrono::milliseconds(aTimeout.Count()));
+  wire::ClaimQuestion question;
+  question.set_request_high(aId.mHigh);
+  question.set_request_low(aId.mLow);
+  wire::ClaimReport reply;
+  if (!stub->Ask(&context, question, &reply).ok()) {
+    mStubs.erase(aAddress);
+    return {};
+  }
+  ClaimReport report{ StandingFrom(reply.standing()), nullptr };
+  if (reply.has_answer()) {
+    report.mAnswer = std::make_shared<const KeptAnswer>(
+      KeptAnswer{ reply.status(), reply.content_type(), reply.body() });
+  }
+  return report;
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/claimpeer.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "libtrefoilarch/claimmessages.h"
+#include "libtrefoilarch/millis.h"
+
+#include <grpcpp/grpcpp.h>
+#include <trefoilarch.grpc.pb.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace trefoilarch {
+
+/** Tells other entries what became of this one's requests. */
+class ClaimPeerServer final : public wire::ClaimPeer::Service
+{
+public:
+  using Source = std::function<ClaimReport(RequestId aId)>;
+
+  explicit ClaimPeerServer(Source aSource);
+
+  grpc::Status Ask(grpc::ServerContext* aContext,
+                   const wire::ClaimQuestion* aQuestion,
+                   wire::ClaimReport* aReport) override;
+
+private:
+  Source mSource;
+};
+
+/** Asks other entries. */
+class ClaimPeerClient
+{
+public:
+  /** NotKnown where the entry did not answer in time. */
+  ClaimReport Ask(const std::string& aAddress, RequestId aId, Millis aTimeout);
+
+private:
+  std::map<std::string, std::unique_ptr<wire::ClaimPeer::Stub>> mStubs;
+};
+
+} // namespace trefoilarch
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -50,6 +50,21 @@
   return rows;
 }
 
+/** The first row of each read of a transaction's reply. */
+std::vector<std::optional<TableRow>>
+FirstRows(const Json& aReply, size_t aCount)
+{
+  std::vector<std::optional<TableRow>> found(aCount);
+  for (size_t place = 0; place < aCount; ++place) {
+    const Json& one = aReply.at("responses").at(place);
+    std::vector<TableRow> rows = RowsOf(one.at("response_range"));
+    if (!rows.empty()) {
+      found[place] = std::move(rows.front());
+    }
+  }
+  return found;
+}
+
 Json
 ToJson(const TableCondition& aOne)
 {
@@ -79,9 +94,13 @@
     success.push_back(
       { { "request_delete_range", { { "key", ToBase64(key) } } } });
   }
+  Json failure = Json::array();
+  for (const std::string& key : aOne.mReadsIfRefused) {
+    failure.push_back({ { "request_range", { { "key", ToBase64(key) } } } });
+  }
   return { { "compare", std::move(compare) },
            { "success", std::move(success) },
-           { "failure", Json::array() } };
+           { "failure", std::move(failure) } };
 }
 
 bool
@@ -202,22 +221,24 @@
   }
 }
 
-WriteEnd
+CommitResult
 PlatformClient::Commit(const TableTransaction& aTransaction) const
 {
   const auto reply = Send("POST", "/v3/kv/txn", ToJson(aTransaction).dump());
   const WriteEnd end = EndOf(reply);
   if (end != WriteEnd::Done) {
-    return end;
+    return { end, {} };
   }
-  const Json body = Json::parse(reply->mBody, nullptr, false);
-  if (!body.is_object()) {
-    return WriteEnd::Unknown;
+  try {
+    const Json body = Json::parse(reply->mBody);
+    if (body.value("succeeded", false)) {
+      return { WriteEnd::Done, {} };
+    }
+    return { WriteEnd::Refused,
+             FirstRows(body, aTransaction.mReadsIfRefused.size()) };
+  } catch (const std::exception&) {
+    return {};
   }
-  const auto succeeded = body.find("succeeded");
-  const bool done = succeeded != body.end() && succeeded->is_boolean() &&
-                    succeeded->get<bool>();
-  return done ? WriteEnd::Done : WriteEnd::Refused;
 }
 
 WriteEnd
--- a/src/trefoilarchd/platformclient.h
+++ b/src/trefoilarchd/platformclient.h
@@ -47,6 +47,8 @@
   std::vector<TableCondition> mConditions;
   std::vector<std::pair<std::string, std::string>> mPuts;
   std::vector<std::string> mDeletes;
+  /** Rows to read where a condition does not hold. */
+  std::vector<std::string> mReadsIfRefused;
 };
 
 /** How a write to the platform ended. */
@@ -58,6 +60,14 @@
   Unknown, /**< the write may have taken effect, now or later */
 };
 
+/** How a transaction ended. */
+struct CommitResult
+{
+  WriteEnd mEnd = WriteEnd::Unknown;
+  /** Where refused: a place for each of mReadsIfRefused. */
+  std::vector<std::optional<TableRow>> mFound;
+};
+
 /** What reading an object gave. */
 struct ObjectFound
 {
@@ -85,7 +95,7 @@
   std::optional<std::vector<TableRow>> ReadRange(const std::string& aFrom,
                                                  const std::string& aEnd,
                                                  size_t aLimit) const;
-  WriteEnd Commit(const TableTransaction& aTransaction) const;
+  CommitResult Commit(const TableTransaction& aTransaction) const;
   WriteEnd DeleteRange(const std::string& aFrom, const std::string& aEnd) const;
 
   /** Keys that begin with the prefix, in order; none where not answered. */
--- a/src/trefoilarchd/policystore.cpp
+++ b/src/trefoilarchd/policystore.cpp
@@ -1,7 +1,8 @@
 #include "policystore.h"
 
+#include "tablekeys.h"
+
 #include <algorithm>
-#include <cstdio>
 
 namespace trefoilarch {
 
@@ -11,19 +12,11 @@
 /** The key after every row of the log: '0' follows '/'. */
 const std::string kLogEnd = "policy/log0";
 const std::string kSnapshotPrefix = "policy/snapshot/";
-constexpr size_t kDigits = 20;
-
-std::string
-Digits(uint64_t aVersion)
-{
-  std::string text = std::to_string(aVersion);
-  return std::string(kDigits - text.size(), '0') + text;
-}
 
 std::string
 RowKey(uint64_t aVersion)
 {
-  return kLogPrefix + Digits(aVersion);
+  return kLogPrefix + PaddedNumber(aVersion);
 }
 
 /** The version in a key of the given prefix; 0 where there is none. */
@@ -31,7 +24,7 @@
 VersionOf(const std::string& aKey, const std::string& aPrefix)
 {
   const bool good =
-    aKey.size() == aPrefix.size() + kDigits && aKey.starts_with(aPrefix) &&
+    aKey.size() == aPrefix.size() + kKeyDigits && aKey.starts_with(aPrefix) &&
     aKey.find_first_not_of("0123456789", aPrefix.size()) == std::string::npos;
   return good ? std::stoull(aKey.substr(aPrefix.size())) : 0;
 }
@@ -74,7 +67,7 @@
   if (first) {
     transaction.mPuts.emplace_back(RowKey(0), "{}");
   }
-  switch (mPlatform->Commit(transaction)) {
+  switch (mPlatform->Commit(transaction).mEnd) {
     case WriteEnd::Done:
       return InsertEnd::Inserted;
     case WriteEnd::Refused:
@@ -105,7 +98,7 @@
 bool
 PolicyStore::Write(const WriteSnapshot& aAction) const
 {
-  const std::string key = kSnapshotPrefix + Digits(aAction.mVersion);
+  const std::string key = kSnapshotPrefix + PaddedNumber(aAction.mVersion);
   return mPlatform->WriteObject(key, aAction.mText) == WriteEnd::Done;
 }
 
--- /dev/null
+++ b/tests/unit/claimstest.cpp
@@ -0,0 +1,500 @@
+#include "libtrefoilarch/claims.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr size_t kEntries = 3;
+constexpr int kSteps = 600;
+constexpr int64_t kEpochSeconds = 1000;
+
+/** What became of one request, over all of its life. */
+struct Life
+{
+  std::string mKey;
+  size_t mEntry = 0;
+  int mBoot = 0;
+  std::optional<ClaimEnd> mEnd;
+  bool mStarted = false;
+  std::optional<KeptAnswer> mAnswer;
+};
+
+struct Pending
+{
+  size_t mEntry = 0;
+  int mBoot = 0;
+  ClaimAction mAction;
+  bool mSlow = false;
+  bool mExecuted = false;
+  bool mForgotten = false;
+  ClaimCommit mCommit;
+  ClaimReport mReport;
+};
+
+/** Entries round one table; its writes come late and lose their answers. */
+class Fleet
+{
+public:
+  explicit Fleet(uint32_t aSeed)
+    : mRandom(aSeed)
+    , mCalm(std::max<uint32_t>(mRandom() % 150, 50) - 50)
+  {
+    for (size_t each = 0; each < kEntries; ++each) {
+      mEntries[each].mSkew =
+        static_cast<int64_t>(Draw(kEpochSeconds)) - kEpochSeconds / 2;
+      Boot(each);
+    }
+  }
+
+  void Step()
+  {
+    switch (Draw(24)) {
+      case 0:
+      case 1:
+      case 2:
+        return Ask(Draw(kEntries));
+      case 3:
+      case 4:
+      case 5:
+        return EndOne();
+      case 6:
+        return PauseOrWake(mEntries[Draw(kEntries)]);
+      case 7:
+        if (Fault(10)) {
+          Boot(Draw(kEntries));
+        }
+        return;
+      case 8:
+        mTableDown = Fault(40);
+        return;
+      case 9:
+      case 10:
+        return Advance(Millis(Draw(900)));
+      default:
+        return MovePending();
+    }
+  }
+
+  void Heal()
+  {
+    mTableDown = false;
+    mHealed = true;
+    for (Entry& entry : mEntries) {
+      entry.mPaused = false;
+    }
+    for (int round = 0; round < 200; ++round) {
+      for (int moves = 0; moves < 30; ++moves) {
+        MovePending();
+      }
+      Advance(Millis(100));
+    }
+  }
+
+  /** Each request of a living entry was answered; none has run twice. */
+  void CheckAll()
+  {
+    std::map<std::string, int> runs;
+    for (const auto& [id, life] : mLives) {
+      if (mEntries[life.mEntry].mBoot == life.mBoot) {
+        RC_ASSERT(life.mEnd.has_value());
+      }
+      runs[life.mKey] += life.mStarted ? 1 : 0;
+      RC_ASSERT(!life.mStarted || life.mEnd == ClaimEnd::Run);
+    }
+    for (const auto& [key, count] : runs) {
+      RC_ASSERT(count <= 1);
+      mRuns += count;
+    }
+  }
+
+  /** A key whose requests have all not run lets the next one run. */
+  void CheckKeysAreFree()
+  {
+    for (const std::string& key : mTried) {
+      bool free = true;
+      for (const auto& [id, life] : mLives) {
+        const bool alive = mEntries[life.mEntry].mBoot == life.mBoot;
+        free &= life.mKey != key || (alive && life.mEnd != ClaimEnd::Run) ||
+                (alive && mGaveUp.contains(id));
+      }
+      if (!free) {
+        continue;
+      }
+      const RequestId id = Send(Draw(kEntries), key);
+      for (int round = 0; round < 20; ++round) {
+        Heal();
+        if (mLives.at(id).mEnd) {
+          break;
+        }
+      }
+      RC_ASSERT(mLives.at(id).mEnd == ClaimEnd::Run);
+      ++mFreed;
+    }
+  }
+
+  int Runs() const { return mRuns; }
+  int Freed() const { return mFreed; }
+  int Repeats() const { return mRepeats; }
+
+private:
+  struct Entry
+  {
+    std::unique_ptr<Claims> mClaims;
+    int mBoot = 0;
+    bool mPaused = false;
+    int64_t mSkew = 0;
+  };
+
+  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
+  bool Chance(uint32_t aPercent) { return Draw(100) < aPercent; }
+  bool Fault(uint32_t aPercent)
+  {
+    return Draw(100) >= mCalm && Chance(aPercent);
+  }
+
+  int64_t SecondsAt(size_t aEntry) const
+  {
+    return 100 * kEpochSeconds + mNow.Count() / 1000 + mEntries[aEntry].mSkew;
+  }
+
+  void Boot(size_t aEntry)
+  {
+    Entry& entry = mEntries[aEntry];
+    ++entry.mBoot;
+    entry.mClaims = std::make_unique<Claims>(
+      ClaimOptions{ .mAddress = "entry-" + std::to_string(aEntry),
+                    .mMostInBatch = 3,
+                    .mEpochSeconds = kEpochSeconds,
+                    .mSeed = mRandom() });
+  }
+
+  void PauseOrWake(Entry& aEntry)
+  {
+    aEntry.mPaused = aEntry.mPaused ? Chance(80) : Fault(40);
+  }
+
+  void Ask(size_t aEntry)
+  {
+    if (!mEntries[aEntry].mPaused) {
+      Send(aEntry, "key-" + std::to_string(Draw(6)));
+    }
+  }
+
+  RequestId Send(size_t aEntry, const std::string& aKey)
+  {
+    mTried.insert(aKey);
+    const RequestId id{ 7, ++mLastId };
+    mLives[id] = { aKey, aEntry, mEntries[aEntry].mBoot, {}, false, {} };
+    Carry(aEntry,
+          mEntries[aEntry].mClaims->Claim(
+            { id, aKey, "same" }, SecondsAt(aEntry), mNow));
+    return id;
+  }
+
+  /** One of the requests that were let run starts, ends or is given up. */
+  void EndOne()
+  {
+    if (mRunning.empty()) {
+      return;
+    }
+    auto place = mRunning.begin();
+    std::advance(place, Draw(static_cast<uint32_t>(mRunning.size())));
+    const RequestId id = *place;
+    Life& life = mLives.at(id);
+    Entry& entry = mEntries[life.mEntry];
+    if (entry.mPaused) {
+      return;
+    }
+    mRunning.erase(place);
+    if (entry.mBoot != life.mBoot) {
+      return;
+    }
+    if (Chance(30)) {
+      mGaveUp.insert(id);
+      entry.mClaims->NotRun(id);
+      return;
+    }
+    life.mStarted = true;
+    if (Chance(25)) {
+      entry.mClaims->MaybeRan(id);
+      return;
+    }
+    life.mAnswer = KeptAnswer{ 200, "text/plain", id.Text() };
+    entry.mClaims->Answered(id, *life.mAnswer);
+  }
+
+  void Advance(Millis aSpan)
+  {
+    mNow += aSpan;
+    for (size_t each = 0; each < kEntries; ++each) {
+      Entry& entry = mEntries[each];
+      if (!entry.mPaused && entry.mClaims->NextWake() <= mNow) {
+        Carry(each, entry.mClaims->OnTick(SecondsAt(each), mNow));
+      }
+    }
+  }
+
+  void Carry(size_t aEntry, ClaimActions aActions)
+  {
+    for (ClaimAction& action : aActions) {
+      if (const auto* answer = std::get_if<ClaimAnswered>(&action)) {
+        NoteAnswer(*answer);
+        continue;
+      }
+      Pending& pending = mPending.emplace_back();
+      pending.mEntry = aEntry;
+      pending.mBoot = mEntries[aEntry].mBoot;
+      pending.mAction = std::move(action);
+      pending.mSlow = Fault(15);
+    }
+  }
+
+  void NoteAnswer(const ClaimAnswered& aAnswer)
+  {
+    Life& life = mLives.at(aAnswer.mId);
+    RC_ASSERT(!life.mEnd.has_value());
+    life.mEnd = aAnswer.mEnd;
+    if (aAnswer.mEnd == ClaimEnd::Run) {
+      mRunning.insert(aAnswer.mId);
+    }
+    if (aAnswer.mEnd == ClaimEnd::Finished) {
+      ++mRepeats;
+      const RequestId first = FirstOf(life.mKey);
+      RC_ASSERT(aAnswer.mAnswer && mLives.contains(first));
+      RC_ASSERT(*aAnswer.mAnswer == *mLives.at(first).mAnswer);
+    }
+  }
+
+  RequestId FirstOf(const std::string& aKey) const
+  {
+    for (const auto& [id, life] : mLives) {
+      if (life.mKey == aKey && life.mAnswer) {
+        return id;
+      }
+    }
+    return {};
+  }
+
+  void MovePending()
+  {
+    if (mPending.empty()) {
+      return;
+    }
+    const size_t place = Draw(static_cast<uint32_t>(mPending.size()));
+    Pending& one = mPending[place];
+    const bool lets = mHealed || !one.mSlow || Chance(2);
+    if (!one.mExecuted && lets && (mHealed || !Fault(30))) {
+      Execute(one);
+    } else if (one.mForgotten) {
+      if (one.mExecuted || Chance(one.mSlow ? 1 : 10)) {
+        Erase(place);
+      }
+    } else if (!mEntries[one.mEntry].mPaused) {
+      Deliver(place, !one.mExecuted || (!mHealed && Fault(50)));
+    }
+  }
+
+  void Execute(Pending& aOne)
+  {
+    aOne.mExecuted = true;
+    if (const auto* commit = std::get_if<CommitClaims>(&aOne.mAction)) {
+      aOne.mCommit = TableCommit(*commit);
+    } else if (const auto* ask = std::get_if<AskClaimant>(&aOne.mAction)) {
+      const size_t entry = ask->mAddress.back() - '0';
+      if (!mEntries[entry].mPaused) {
+        aOne.mReport = mEntries[entry].mClaims->Report(ask->mRequest);
+      }
+    } else if (const auto* gone = std::get_if<ExpireClaims>(&aOne.mAction)) {
+      std::erase_if(mTable, [&](const auto& aRow) {
+        return aRow.second.mEpoch < gone->mBelowEpoch;
+      });
+    }
+  }
+
+  ClaimCommit TableCommit(const CommitClaims& aCommit)
+  {
+    ClaimCommit result;
+    if (mTableDown) {
+      return result;
+    }
+    bool holds = true;
+    for (const ClaimWrite& write : aCommit.mWrites) {
+      const auto found = Find(write);
+      result.mFound.push_back(found);
+      holds &= write.mReplaces
+                 ? found && found->mRevision == write.mReplaces->mRevision
+                 : !found;
+    }
+    result.mEnd = holds ? ClaimCommitEnd::Done : ClaimCommitEnd::Refused;
+    for (const ClaimWrite& write : aCommit.mWrites) {
+      if (holds) {
+        for (uint64_t back = 0; back < 3; ++back) {
+          mTable.erase({ write.mKey, write.mEpoch + 1 - back });
+        }
+        mTable[{ write.mKey, write.mEpoch }] = { write.mEpoch,
+                                                 ++mRevision,
+                                                 write.mText };
+      }
+    }
+    return result;
+  }
+
+  std::optional<FoundClaim> Find(const ClaimWrite& aWrite) const
+  {
+    for (uint64_t back = 0; back < 3; ++back) {
+      const auto row = mTable.find({ aWrite.mKey, aWrite.mEpoch + 1 - back });
+      if (row != mTable.end()) {
+        return row->second;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Deliver(size_t aPlace, bool aLost)
+  {
+    const Pending one = mPending[aPlace];
+    if (aLost && !one.mExecuted) {
+      mPending[aPlace].mForgotten = true;
+    } else {
+      Erase(aPlace);
+    }
+    Entry& entry = mEntries[one.mEntry];
+    if (entry.mBoot != one.mBoot || one.mForgotten) {
+      return;
+    }
+    const int64_t seconds = SecondsAt(one.mEntry);
+    if (std::holds_alternative<CommitClaims>(one.mAction)) {
+      Carry(one.mEntry,
+            entry.mClaims->OnCommitted(
+              aLost ? ClaimCommit() : one.mCommit, seconds, mNow));
+    } else if (const auto* ask = std::get_if<AskClaimant>(&one.mAction)) {
+      Carry(
+        one.mEntry,
+        entry.mClaims->OnAsked(
+          ask->mTicket, aLost ? ClaimReport() : one.mReport, seconds, mNow));
+    }
+  }
+
+  void Erase(size_t aPlace)
+  {
+    mPending.erase(mPending.begin() + static_cast<std::ptrdiff_t>(aPlace));
+  }
+
+  std::mt19937 mRandom;
+  uint32_t mCalm;
+  Millis mNow{ 1000 };
+  std::array<Entry, kEntries> mEntries;
+  std::vector<Pending> mPending;
+  std::map<std::pair<std::string, uint64_t>, FoundClaim> mTable;
+  int64_t mRevision = 0;
+  bool mTableDown = false;
+  bool mHealed = false;
+  std::map<RequestId, Life> mLives;
+  std::set<RequestId> mRunning;
+  std::set<RequestId> mGaveUp;
+  std::set<std::string> mTried;
+  uint64_t mLastId = 0;
+  int mRuns = 0;
+  int mFreed = 0;
+  int mRepeats = 0;
+};
+
+RequestId
+Id(uint64_t aNumber)
+{
+  return { 1, aNumber };
+}
+
+} // namespace
+
+Test(claims, no_key_runs_twice_over_random_faults)
+{
+  int runs = 0;
+  int freed = 0;
+  int repeats = 0;
+  const bool holds = rc::check([&](uint32_t aSeed) {
+    Fleet fleet(aSeed);
+    for (int step = 0; step < kSteps; ++step) {
+      fleet.Step();
+    }
+    fleet.Heal();
+    fleet.CheckAll();
+    fleet.CheckKeysAreFree();
+    runs += fleet.Runs();
+    freed += fleet.Freed();
+    repeats += fleet.Repeats();
+  });
+  cr_assert(holds);
+  cr_assert(runs > 150 && repeats > 100, "%d, %d", runs, repeats);
+  cr_assert(freed > 10, "%d", freed);
+}
+
+Test(claims, what_waits_is_committed_together)
+{
+  Claims claims({ .mAddress = "here" });
+  size_t commits = 0;
+  size_t writes = 0;
+  const auto note = [&](const ClaimActions& aActions) {
+    for (const ClaimAction& action : aActions) {
+      if (const auto* commit = std::get_if<CommitClaims>(&action)) {
+        ++commits;
+        writes += commit->mWrites.size();
+      }
+    }
+  };
+  for (uint64_t each = 0; each < 30; ++each) {
+    note(claims.Claim({ Id(each), std::to_string(each), "f" }, 0, Millis(0)));
+  }
+  cr_assert(commits == 1 && writes == 1);
+  note(claims.OnCommitted({ ClaimCommitEnd::Done, {} }, 0, Millis(5)));
+  cr_assert(commits == 2 && writes == 30);
+}
+
+Test(claims, a_lost_answer_is_settled_by_the_row)
+{
+  Claims claims({ .mAddress = "here" });
+  claims.Claim({ Id(1), "key", "f" }, 0, Millis(0));
+  claims.OnCommitted({ ClaimCommitEnd::Unknown, {} }, 0, Millis(10));
+  const ClaimActions again = claims.OnTick(0, Millis(200));
+  const auto& commit = std::get<CommitClaims>(again.at(0));
+  const FoundClaim ours{ 1, 5, commit.mWrites.at(0).mText };
+  const ClaimActions out =
+    claims.OnCommitted({ ClaimCommitEnd::Refused, { ours } }, 0, Millis(210));
+  cr_assert(std::get<ClaimAnswered>(out.at(0)).mEnd == ClaimEnd::Run);
+}
+
+Test(claims, the_same_key_for_another_request_is_refused)
+{
+  Claims claims({ .mAddress = "here" });
+  claims.Claim({ Id(1), "key", "one" }, 0, Millis(0));
+  const ClaimActions out = claims.Claim({ Id(2), "key", "two" }, 0, Millis(0));
+  cr_assert(std::get<ClaimAnswered>(out.at(0)).mEnd == ClaimEnd::OtherIntent);
+}
+
+Test(claims, memory_is_bounded)
+{
+  Claims claims({ .mAddress = "here",
+                  .mMostRemembered = 10,
+                  .mMostAnswerBytes = 1000,
+                  .mLongestAnswer = 300 });
+  for (uint64_t each = 0; each < 100; ++each) {
+    claims.Claim({ Id(each), std::to_string(each), "f" }, 0, Millis(0));
+    claims.OnCommitted({ ClaimCommitEnd::Done, {} }, 0, Millis(0));
+    claims.Answered(Id(each), { 200, "text/plain", std::string(250, 'x') });
+    cr_assert(claims.AnswerBytes() <= 1000);
+  }
+  cr_assert(claims.Remembered() == 10);
+  cr_assert(claims.Report(Id(5)).mStanding == ClaimStanding::NotKnown);
+  cr_assert(claims.Report(Id(99)).mStanding == ClaimStanding::Finished);
+  cr_assert(claims.Report(Id(99)).mAnswer != nullptr);
+  cr_assert(claims.Report(Id(93)).mAnswer == nullptr);
+}
