--- a/src/trefoilarchctl/main.cpp
+++ b/src/trefoilarchctl/main.cpp
@@ -42,6 +42,29 @@
   return aText == "--help" || aText == "-h";
 }
 
+/** Puts flags that stand before the command behind it. */
+std::vector<std::string>
+CommandFirst(std::vector<std::string> aArguments)
+{
+  size_t flags = 0;
+  while (flags < aArguments.size()) {
+    const std::string& text = aArguments[flags];
+    if (text == "--operator" || text == "--author") {
+      flags += 2;
+    } else if (text == "--json" || text.starts_with("--operator=") ||
+               text.starts_with("--author=")) {
+      ++flags;
+    } else {
+      break;
+    }
+  }
+  if (flags < aArguments.size()) {
+    const auto command = aArguments.begin() + static_cast<ptrdiff_t>(flags);
+    std::rotate(aArguments.begin(), command, aArguments.end());
+  }
+  return aArguments;
+}
+
 ExitCode
 Run(const std::vector<std::string>& aArguments)
 {
@@ -76,7 +99,8 @@
 main(int aCount, char** aArguments)
 {
   try {
-    return static_cast<int>(Run({ aArguments + 1, aArguments + aCount }));
+    const std::vector<std::string> given(aArguments + 1, aArguments + aCount);
+    return static_cast<int>(Run(CommandFirst(given)));
   } catch (const UsageError& fault) {
     std::cerr << "usage: " << fault.what() << "\n";
     return static_cast<int>(ExitCode::Usage);
--- /dev/null
+++ b/tests/integration/ctltest.cpp
@@ -0,0 +1,210 @@
+#include "await.h"
+#include "childprocess.h"
+
+#include "libtrefoilio/httpserver.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <sys/wait.h>
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+using namespace integration;
+using nlohmann::json;
+using trefoilio::HttpReply;
+using trefoilio::HttpRequest;
+
+namespace {
+
+constexpr const char* kNobody = "http://127.0.0.1:1";
+
+/** Plays an entry's operator port and keeps what it was sent. */
+class FakeOperator
+{
+public:
+  using Handler = std::function<HttpReply(const HttpRequest&)>;
+
+  explicit FakeOperator(Handler aHandler)
+    : mServer(
+        {},
+        [this, handler = std::move(aHandler)](const HttpRequest& aRequest) {
+          {
+            std::lock_guard lock(mMutex);
+            mSeen.push_back(aRequest);
+          }
+          return handler(aRequest);
+        },
+        [](trefoilio::BadInput) { return HttpReply{ .mStatus = 400 }; })
+  {
+  }
+
+  std::string Url() const
+  {
+    return "http://127.0.0.1:" + std::to_string(mServer.Port());
+  }
+
+  std::vector<HttpRequest> Seen(const std::string& aMethod)
+  {
+    std::lock_guard lock(mMutex);
+    std::vector<HttpRequest> found;
+    for (const HttpRequest& request : mSeen) {
+      if (request.mMethod == aMethod) {
+        found.push_back(request);
+      }
+    }
+    return found;
+  }
+
+private:
+  std::mutex mMutex;
+  std::vector<HttpRequest> mSeen;
+  trefoilio::HttpServer mServer;
+};
+
+/** The connection ends before the answer is whole. */
+HttpReply
+Lost()
+{
+  return { .mStream = [](std::string&) { return trefoilio::StreamStep::Cut; } };
+}
+
+/** One finished run of the tool. */
+struct Run
+{
+  explicit Run(std::vector<std::string> aArguments)
+    : mProcess("trefoilarchctl", std::move(aArguments))
+  {
+    const bool ended = Await([this] { return mProcess.HasEnded(); });
+    cr_assert(ended);
+    mCode = WEXITSTATUS(mProcess.Status());
+  }
+
+  bool Says(const std::string& aStart)
+  {
+    return Await([&] { return mProcess.HasSaid(aStart); });
+  }
+
+  int mCode = -1;
+
+private:
+  ChildProcess mProcess;
+};
+
+int
+CodeFor(const HttpReply& aPost, const HttpReply& aGet)
+{
+  FakeOperator fake([&](const HttpRequest& aRequest) {
+    return aRequest.mMethod == "POST" ? aPost : aGet;
+  });
+  const Run run({ "drain", "engine-1", "--operator", fake.Url() });
+  cr_assert(fake.Seen("POST").size() == 1);
+  return run.mCode;
+}
+
+} // namespace
+
+Test(ctl, exit_code_tells_how_a_change_ended)
+{
+  const HttpReply accepted{
+    .mBody = R"({"status":"accepted","version":7,"warnings":[]})"
+  };
+  const HttpReply unknown{ .mStatus = 503, .mBody = R"({"status":"unknown"})" };
+  const HttpReply notAccepted{ .mBody = R"({"status":"not_accepted"})" };
+  const HttpReply conflict{
+    .mStatus = 409,
+    .mBody = R"({"error":{"kind":"policy_conflict"},"conflicts":[]})"
+  };
+  const HttpReply invalid{ .mStatus = 422,
+                           .mBody = R"({"error":{"kind":"policy_invalid"}})" };
+  const HttpReply outage{ .mStatus = 503,
+                          .mBody =
+                            R"({"error":{"kind":"platform_unavailable"}})" };
+  cr_assert(CodeFor(accepted, Lost()) == 0);
+  cr_assert(CodeFor(conflict, Lost()) == 3);
+  cr_assert(CodeFor(invalid, Lost()) == 4);
+  cr_assert(CodeFor(outage, Lost()) == 5);
+  cr_assert(CodeFor(unknown, unknown) == 6);
+  cr_assert(CodeFor(unknown, accepted) == 0);
+  cr_assert(CodeFor(Lost(), Lost()) == 6);
+  cr_assert(CodeFor(Lost(), outage) == 6);
+  cr_assert(CodeFor(Lost(), accepted) == 0);
+  cr_assert(CodeFor(Lost(), notAccepted) == 4);
+  cr_assert(CodeFor({ .mStatus = 500, .mBody = "oops" }, Lost()) == 6);
+}
+
+Test(ctl, lost_answer_is_asked_for_by_the_id_that_was_sent)
+{
+  FakeOperator fake([](const HttpRequest& aRequest) -> HttpReply {
+    if (aRequest.mMethod == "POST") {
+      return Lost();
+    }
+    return { .mBody = R"({"status":"accepted","version":12})" };
+  });
+  Run run({ "--operator", kNobody, "undrain", "e", "--operator", fake.Url() });
+  cr_assert(run.mCode == 0);
+  cr_assert(run.Says("accepted as version 12"));
+  const json sent = json::parse(fake.Seen("POST").at(0).mBody);
+  const std::string id = sent.at("id");
+  cr_assert(id.size() == 32);
+  cr_assert(fake.Seen("GET").at(0).mTarget == "/v1/policy/changes/" + id);
+}
+
+Test(ctl, nobody_reached_and_bad_usage_have_their_own_codes)
+{
+  cr_assert(Run({ "drain", "e", "--operator", kNobody }).mCode == 5);
+  cr_assert(Run({ "class", "list", "--operator", kNobody }).mCode == 5);
+  cr_assert(Run({ "drain", "--operator", kNobody }).mCode == 2);
+  cr_assert(Run({ "drain", "e" }).mCode == 2);
+  cr_assert(Run({ "drian", "e", "--operator", kNobody }).mCode == 2);
+  cr_assert(
+    Run({ "policy", "edit", "/nowhere", "--operator", kNobody }).mCode == 2);
+  cr_assert(Run({ "policy", "--help" }).mCode == 0);
+}
+
+Test(ctl, set_keeps_what_was_not_given_and_names_its_base)
+{
+  FakeOperator fake([](const HttpRequest& aRequest) -> HttpReply {
+    if (aRequest.mMethod == "POST") {
+      return { .mBody = R"({"status":"accepted","version":6})" };
+    }
+    return { .mBody = R"({"version":5,"classes":[
+      {"name":"call","tier":1,"floor":0.2,"callers":[]}],"selectors":[]})" };
+  });
+  const std::vector<std::string> common{ "--operator", fake.Url() };
+  const auto run = [&](std::vector<std::string> aArguments) {
+    aArguments.insert(aArguments.end(), common.begin(), common.end());
+    cr_assert(Run(aArguments).mCode == 0);
+    const json sent = json::parse(fake.Seen("POST").back().mBody);
+    cr_assert(sent.at("base_version") == 5);
+    return sent.at("operations").at(0);
+  };
+  const json setClass =
+    run({ "class", "set", "call", "--tier=0", "--caller", "team in a, b" });
+  const json expected = json::parse(R"({"op":"set_class","class":{
+    "name":"call","tier":0,"floor":0.2,
+    "callers":[{"key":"team","op":"in","values":["a","b"]}]}})");
+  cr_assert(setClass == expected);
+  const json setSelector = run({ "selector",
+                                 "set",
+                                 "new",
+                                 "--traffic=class=call",
+                                 "--traffic",
+                                 "a!=b",
+                                 "--upstream",
+                                 "!gone",
+                                 "--upstream",
+                                 "x not in y",
+                                 "--upstream",
+                                 "there" });
+  const json selector = json::parse(R"({"op":"set_selector","selector":{
+    "name":"new",
+    "traffic":[{"key":"class","op":"equals","values":["call"]},
+               {"key":"a","op":"not_equals","values":["b"]}],
+    "upstreams":[{"key":"gone","op":"not_exists","values":[]},
+                 {"key":"x","op":"not_in","values":["y"]},
+                 {"key":"there","op":"exists","values":[]}]}})");
+  cr_assert(setSelector == selector);
+}
