Find eligible upstreams by EligibleSets

Cause: the entry kept its own sets by all of the traffic's labels, the same logic as EligibleSets, which keys them by the labels that selectors ask for. Now EligibleLinks maps those sets to links, and RankedSet holds the order in which prefixes prefer them; the entry's own check of model and service goes, as MayGo() makes it.

--- a/src/libtrefoilarch/entrychannels.cpp
+++ b/src/libtrefoilarch/entrychannels.cpp
@@ -84,7 +84,7 @@
       ++place;
       continue;
     }
-    mPlacement.Forget();
+    mEligible.Forget();
     mOutliers.Remove(name);
     mLinkTimers.Disarm(name);
     place = mLinks.erase(place);
@@ -121,7 +121,7 @@
   aLink.mWelcomed = true;
   aLink.mView.mDataCentre = std::move(aMessage.mDataCentre);
   aLink.mView.mLabels = std::move(aMessage.mLabels);
-  mPlacement.Forget();
+  mEligible.Forget();
   const Labels& labels = aLink.mView.mLabels;
   const auto model = labels.find("model");
   const auto service = labels.find("service");
--- a/src/libtrefoilarch/entryimpl.cpp
+++ b/src/libtrefoilarch/entryimpl.cpp
@@ -97,7 +97,7 @@
 EntryCore::Impl::SetClassifier(std::shared_ptr<const Classifier> aClassifier)
 {
   mClassifier = std::move(aClassifier);
-  mPlacement.Forget();
+  mEligible.SetClassifier(mClassifier);
 }
 
 EntryActions
--- a/src/libtrefoilarch/entryimpl.h
+++ b/src/libtrefoilarch/entryimpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eligiblelinks.h"
 #include "entrycore.h"
 #include "openrequest.h"
 #include "outlierdetector.h"
@@ -170,6 +171,7 @@
   std::set<RequestId> mParked;
   Timers<RequestId> mRequestTimers;
   Timers<UpstreamId> mLinkTimers;
+  EligibleLinks mEligible;
   Placement mPlacement;
   OutlierDetector mOutliers;
   RetryBudget mRetryBudget;
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -90,10 +90,7 @@
 EntryCore::Impl::Choose(const OpenRequest& aRequest, size_t aCount, Millis aNow)
 {
   const EntryRequest& request = aRequest.mRequest;
-  EligibleSet& eligible = mPlacement.Eligible(
-    request.mClassified.mTraffic, mLinks, [&](const UpstreamLink& aLink) {
-      return aLink.mWelcomed && MayGo(aRequest, aLink);
-    });
+  RankedSet& eligible = mEligible.For(request.mClassified.mTraffic, mLinks);
   auto chosen = mPlacement.Choose(
     eligible,
     request.mPrefixHash,
@@ -170,18 +167,8 @@
 EntryCore::Impl::MayGo(const OpenRequest& aRequest,
                        const UpstreamLink& aLink) const
 {
-  const Labels& traffic = aRequest.mRequest.mClassified.mTraffic;
-  for (const char* key : { "model", "service" }) {
-    const auto wanted = traffic.find(key);
-    if (wanted == traffic.end()) {
-      continue;
-    }
-    const auto has = aLink.mView.mLabels.find(key);
-    if (has == aLink.mView.mLabels.end() || has->second != wanted->second) {
-      return false;
-    }
-  }
-  return mClassifier && mClassifier->MayGo(traffic, aLink.mView);
+  return mClassifier && mClassifier->MayGo(
+                          aRequest.mRequest.mClassified.mTraffic, aLink.mView);
 }
 
 size_t
--- a/tests/unit/placementtest.cpp
+++ b/tests/unit/placementtest.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 using namespace trefoilarch;
@@ -36,9 +37,15 @@
 
   std::vector<UpstreamLink*> Choose(uint64_t aPrefix, size_t aCount)
   {
-    EligibleSet& set = mPlacement.Eligible({}, mLinks, kAny);
+    if (!mSet) {
+      std::vector<UpstreamLink*> members;
+      for (auto& [name, link] : mLinks) {
+        members.push_back(&link);
+      }
+      mSet.emplace(std::move(members));
+    }
     mNow += Millis(1000);
-    return mPlacement.Choose(set, aPrefix, aCount, mUsable, mNow);
+    return mPlacement.Choose(*mSet, aPrefix, aCount, mUsable, mNow);
   }
 
   /** The place of each of many prefixes. */
@@ -65,6 +72,7 @@
   };
 
   std::map<UpstreamId, UpstreamLink> mLinks;
+  std::optional<RankedSet> mSet;
   Placement mPlacement{ { .mDataCentre = "riga-1" } };
   LinkFilter mUsable = kAny;
   Millis mNow;
@@ -78,7 +86,7 @@
   const auto before = fleet.Homes();
   cr_assert(fleet.Homes() == before);
   cr_assert_eq(std::set(before.begin(), before.end()).size(), 12);
-  fleet.mPlacement.Forget();
+  fleet.mSet.reset();
   fleet.mLinks.erase("engine-5");
   const auto after = fleet.Homes();
   for (size_t i = 0; i < before.size(); i++) {
