--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -41,8 +41,8 @@
     mCounters.mDropped++;
     return;
   }
-  std::visit([&](auto&& aKnown) { On(*link, std::move(aKnown), aNow); },
-             std::move(aMessage));
+  std::visit([&](auto& aKnown) { On(*link, std::move(aKnown), aNow); },
+             aMessage);
   Watch(*link, aNow);
 }
 
--- a/tests/bench/entrybench.cpp
+++ b/tests/bench/entrybench.cpp
@@ -97,6 +97,7 @@
     };
     mCore.SetClassifier(std::make_shared<const Classifier>(std::move(policy)));
     std::vector<UpstreamView> views;
+    views.reserve(static_cast<size_t>(aUpstreams));
     for (int i = 0; i < aUpstreams; i++) {
       views.push_back({ .mName = "engine-" + std::to_string(i),
                         .mDataCentre = "riga-1",
--- a/tests/unit/embeddingtest.cpp
+++ b/tests/unit/embeddingtest.cpp
@@ -125,22 +125,25 @@
   {
     CarryOut(mSidecar.OnMessage(kEntry, std::move(aAction.mMessage), mNow));
   }
-  void Do(ReopenChannel) { CarryOut(mEntry.OnChannelUp(kUpstream, mNow)); }
-  void Do(AnswerHead) {}
-  void Do(AnswerData aAction) { mAnswer += aAction.mData; }
-  void Do(AnswerEnd) { mWhole = true; }
-  void Do(AnswerError) { mRefused = true; }
+  void Do(const ReopenChannel&)
+  {
+    CarryOut(mEntry.OnChannelUp(kUpstream, mNow));
+  }
+  void Do(const AnswerHead&) {}
+  void Do(const AnswerData& aAction) { mAnswer += aAction.mData; }
+  void Do(const AnswerEnd&) { mWhole = true; }
+  void Do(const AnswerError&) { mRefused = true; }
 
   void Do(SendToEntry aAction)
   {
     CarryOut(mEntry.OnMessage(kUpstream, std::move(aAction.mMessage), mNow));
   }
-  void Do(StartCall aAction)
+  void Do(const StartCall& aAction)
   {
     mCall = aAction.mKey;
     mCallDue = mNow + Millis(20);
   }
-  void Do(CancelCall) { mCallDue = Millis::Never(); }
+  void Do(const CancelCall&) { mCallDue = Millis::Never(); }
 
   void ContinueCall()
   {
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -221,7 +221,7 @@
 {
   const bool holds = rc::check(
     "a full entry gives up the lowest tier that waits",
-    [](std::vector<std::pair<uint8_t, bool>> aRequests) {
+    [](const std::vector<std::pair<uint8_t, bool>>& aRequests) {
       Scene scene(4);
       std::map<RequestId, Tier> waiting;
       RequestId id{ 1, 0 };
--- a/tests/unit/entryfaultstest.cpp
+++ b/tests/unit/entryfaultstest.cpp
@@ -204,9 +204,10 @@
       std::mt19937_64 random(aSeed);
       VirtualFleet fleet(aSeed, 2, {}, AnyUpstream());
       for (int i = 0; i < 20; i++) {
-        const Millis when(1000 + random() % 10000);
+        std::uniform_int_distribution<int64_t> span(1, 10000);
+        const Millis when(span(random));
         fleet.At(when, [&] { fleet.Ask(random() % 2 == 0, Millis(20000)); });
-        fleet.At(when + Millis(random() % 400), [&] {
+        fleet.At(when + Millis(span(random) / 25), [&] {
           fleet.Silence(random() % 2 == 0 ? "engine-0" : "engine-1",
                         random() % 3 != 0,
                         random() % 3 != 0);
--- a/tests/unit/outlierdetectortest.cpp
+++ b/tests/unit/outlierdetectortest.cpp
@@ -105,7 +105,7 @@
 {
   const bool holds =
     rc::check("no more than a share is out at a time",
-              [](std::vector<std::pair<uint8_t, uint16_t>> aResults) {
+              [](const std::vector<std::pair<uint8_t, uint16_t>>& aResults) {
                 Group group(12);
                 for (const auto& [number, took] : aResults) {
                   group.Fail(number % 12, 5);
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -36,7 +36,7 @@
 {
   const bool holds =
     rc::check("retries stay a share of first attempts in any order",
-              [](std::vector<bool> aEvents) {
+              [](const std::vector<bool>& aEvents) {
                 RetryBudget budget(10);
                 int first = 0;
                 int retries = 0;
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -483,7 +483,7 @@
   }
 
   /** Tells the sidecar, as soon as its process moves. */
-  void Later(Host& aHost, CallEvent aEvent)
+  void Later(Host& aHost, const CallEvent& aEvent)
   {
     InTurn(aHost, [this, &aHost, aEvent, boots = aHost.mBoots] {
       if (aHost.mBoots == boots) {
