Keep the room open for slow upstreams, preempt nothing in vain, end failures at once

1. entryfaultstest (calm after the storm): an upstream slower than the strictest target even when little runs had its limit closed to 94 tokens, and its sidecar declined all as unmeetable. Times are now judged by the best that was measured as well, and the limit has a least value. 2. entryfaultstest (no faults): a failed attempt with unacknowledged chunks was kept as open for 30 s, so the entry, which had closed it and beat rarely, was taken for silent and its channel replaced. A failed attempt is over at once; the ledger answers for it. The room after a preemption is now tried first. Test: preempts_nothing_in_vain.

--- a/src/libtrefoilarch/adaptivelimit.cpp
+++ b/src/libtrefoilarch/adaptivelimit.cpp
@@ -18,6 +18,12 @@
 constexpr uint64_t kStepPart = 24;
 /** The most that one window takes off. */
 constexpr double kLeastFactor = 0.8;
+/** Times up to this multiple of the best are borne where the best is more
+ * than is allowed. */
+constexpr double kBearable = 1.25;
+/** The best grows by this in each window: it doubles in two to three minutes.
+ */
+constexpr double kForget = 1.001;
 /** The use may exceed the limit by this when it decreases again. */
 constexpr double kSettled = 1.05;
 
@@ -48,6 +54,7 @@
   }
   if (aNow < mWindowStart + kWindow || weight < kLeastWeight)
     return;
+  ratio = Judge(ratio);
   if (ratio > 1)
     Decrease(ratio, aUsed);
   else if (ratio < kInside && mWanted)
@@ -58,6 +65,13 @@
   mWanted = false;
 }
 
+double
+AdaptiveLimit::Judge(double aRatio)
+{
+  mBest = mBest > 0 ? std::min(mBest * kForget, aRatio) : aRatio;
+  return aRatio / std::max(1.0, mBest * kBearable);
+}
+
 void
 AdaptiveLimit::Decrease(double aRatio, uint64_t aUsed)
 {
--- a/src/libtrefoilarch/adaptivelimit.h
+++ b/src/libtrefoilarch/adaptivelimit.h
@@ -21,6 +21,10 @@
  * the times are far inside what is allowed, and multiplicative decrease in
  * proportion to the excess; a decrease waits until the use has come down to
  * the one before, or a few slow answers would close the limit altogether.
+ *
+ * An upstream that is slower than allowed even when little runs would close
+ * the limit for nothing. So the times are judged by the best that was measured
+ * as well, which is slowly forgotten: what is near it no limit can better.
  */
 class AdaptiveLimit
 {
@@ -44,12 +48,15 @@
 private:
   void Decrease(double aRatio, uint64_t aUsed);
   void Increase(double aRatio);
+  /** The window's ratio by what the upstream can do at best. */
+  double Judge(double aRatio);
 
   AdaptiveLimitOptions mOptions;
   uint64_t mValue;
   std::array<double, kCauses> mRatioSum{};
   std::array<double, kCauses> mWeightSum{};
   bool mWanted = false;
+  double mBest = 0;
   Millis mWindowStart;
 };
 
--- a/src/libtrefoilarch/preemptionorder.cpp
+++ b/src/libtrefoilarch/preemptionorder.cpp
@@ -29,16 +29,16 @@
 }
 
 std::vector<AttemptKey>
-PreemptionOrder::Choose(Tier aTier, uint64_t aTokens) const
+PreemptionOrder::Choose(
+  Tier aTier,
+  const std::function<bool(const AttemptKey&)>& aFits) const
 {
   std::vector<AttemptKey> chosen;
-  uint64_t tokens = 0;
   for (const Preemptible& attempt : mOrder) {
     if (attempt.mTier <= aTier)
       break;
     chosen.push_back(attempt.mKey);
-    tokens += attempt.mTokens;
-    if (tokens >= aTokens)
+    if (aFits(attempt.mKey))
       return chosen;
   }
   return {};
--- a/src/libtrefoilarch/preemptionorder.h
+++ b/src/libtrefoilarch/preemptionorder.h
@@ -4,7 +4,7 @@
 #include "millis.h"
 #include "servicelevel.h"
 
-#include <cstdint>
+#include <functional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -17,7 +17,6 @@
   AttemptKey mKey;
   Tier mTier = 0;
   Millis mStartedAt;
-  uint64_t mTokens = 0;
 
   /** The first one is the first to go: lowest tier, then latest start. */
   bool operator<(const Preemptible& aOther) const;
@@ -33,12 +32,15 @@
 public:
   void Add(const Preemptible& aAttempt);
   void Remove(const AttemptKey& aKey);
+  bool Empty() const { return mOrder.empty(); }
 
   /**
-   * Whom to preempt so that a request of aTier gets aTokens: attempts of lower
-   * tiers only; empty if those do not suffice.
+   * Whom to preempt for a request of aTier: the fewest attempts of lower tiers
+   * after which aFits holds, told of each in turn; empty if it never does.
    */
-  std::vector<AttemptKey> Choose(Tier aTier, uint64_t aTokens) const;
+  std::vector<AttemptKey> Choose(
+    Tier aTier,
+    const std::function<bool(const AttemptKey&)>& aFits) const;
 
 private:
   std::set<Preemptible> mOrder;
--- a/src/libtrefoilarch/room.cpp
+++ b/src/libtrefoilarch/room.cpp
@@ -20,6 +20,9 @@
                                                              100 };
 constexpr uint64_t kWhole = 100;
 
+/** The limit stays above this part of the first one. */
+constexpr uint64_t kLeastPart = 32;
+
 /** Prompt tokens in prefill: to begin with, at least and at most. */
 constexpr uint64_t kFirstPrefill = 4096;
 constexpr uint64_t kLeastPrefill = 1024;
@@ -32,9 +35,10 @@
 
 Room::Room(RoomOptions aOptions)
   : mOptions(aOptions)
-  , mTokenLimit({ .mFirst = aOptions.mFirstLimit,
-                  .mLeast = 1,
-                  .mMost = aOptions.mMostLimit })
+  , mTokenLimit(
+      { .mFirst = aOptions.mFirstLimit,
+        .mLeast = std::max<uint64_t>(aOptions.mFirstLimit / kLeastPart, 1),
+        .mMost = aOptions.mMostLimit })
   , mPrefillLimit({ .mFirst = kFirstPrefill,
                     .mLeast = kLeastPrefill,
                     .mMost = kMostPrefill })
@@ -101,25 +105,22 @@
 bool
 Room::Fits(const RoomShare& aShare) const
 {
-  return Shortfall(aShare) == 0 && !LacksPrefill(aShare);
+  const Use use = UseFor(aShare.mTier);
+  if (use.mCalls == 0)
+    return true;
+  if (mUnreached > 0 || LacksTokens(aShare) || LacksPrefill(aShare))
+    return false;
+  return use.mCalls + LeftBy(aShare.mTier).mCalls < mOptions.mMostRunning;
 }
 
-uint64_t
-Room::Shortfall(const RoomShare& aShare) const
+bool
+Room::LacksTokens(const RoomShare& aShare) const
 {
-  const Use use = UseFor(aShare.mTier);
-  if (use.mCalls == 0)
-    return 0;
-  if (mUnreached > 0)
-    return use.mTokens + 1;
   const size_t tier = std::min<size_t>(aShare.mTier, kTierCount - 1);
-  const Use left = LeftBy(aShare.mTier);
   const uint64_t limit =
     std::min(Limit() * kTokenPercent[tier] / kWhole, mOptions.mMostLimit);
-  const uint64_t wanted = use.mTokens + left.mTokens + aShare.mTokens;
-  if (wanted > limit)
-    return wanted - limit;
-  return use.mCalls + left.mCalls < mOptions.mMostRunning ? 0 : 1;
+  const uint64_t left = LeftBy(aShare.mTier).mTokens;
+  return UseFor(aShare.mTier).mTokens + left + aShare.mTokens > limit;
 }
 
 bool
--- a/src/libtrefoilarch/room.h
+++ b/src/libtrefoilarch/room.h
@@ -54,8 +54,6 @@
   explicit Room(RoomOptions aOptions);
 
   bool Fits(const RoomShare& aShare) const;
-  /** Tokens that must be released before it fits; 1 for a mere place. */
-  uint64_t Shortfall(const RoomShare& aShare) const;
 
   /** A request of the tier is here, running or waiting. */
   void OnSeen(Tier aTier, Millis aNow);
@@ -102,6 +100,7 @@
   Use& UseOf(const RoomShare& aShare);
   /** What the tier leaves for bursts of higher tiers. */
   Use LeftBy(Tier aTier) const;
+  bool LacksTokens(const RoomShare& aShare) const;
   bool LacksPrefill(const RoomShare& aShare) const;
 
   RoomOptions mOptions;
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -227,8 +227,7 @@
   mLedger.Close(key, NeverRan(aWord) ? FinalWord() : aWord, mNow);
   if (aAttempt.mFlowing)
     SendFinalWord(aAttempt.mEntry, aAttempt.mFinalWord);
-  const bool failed = aAttempt.mState == AttemptState::Failed;
-  if (failed && aAttempt.mAnswer.Empty())
+  if (aAttempt.mState == AttemptState::Failed)
     return Erase(key);
   ArmEnded(aAttempt);
 }
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -240,23 +240,25 @@
 SidecarCore::Impl::PreemptFor(const Turn& aTurn)
 {
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
-  const RoomShare& share = mAttempts.at(aTurn.mKey).mShare;
-  const uint64_t shortfall = mRoom.Shortfall(share);
-  if (request.mLate || shortfall == 0)
+  const Millis due =
+    request.mStartBy - request.mLevel.mFirstTokenTarget / kPreemptPart;
+  if (request.mLate || mPreemption.Empty())
     return false;
-  const auto victims = mPreemption.Choose(request.mLevel.mTier, shortfall);
-  if (victims.empty())
-    return false;
-  const Millis part = request.mLevel.mFirstTokenTarget / kPreemptPart;
-  if (mNow < request.mStartBy - part) {
-    mTurnDue = request.mStartBy - part;
+  if (mNow < due) {
+    mTurnDue = due;
     return false;
   }
+  Room trial = mRoom;
+  const auto victims =
+    mPreemption.Choose(request.mLevel.mTier, [&](const AttemptKey& aKey) {
+      trial.Release(mAttempts.at(aKey).mShare);
+      return trial.Fits(mAttempts.at(aTurn.mKey).mShare);
+    });
   for (const AttemptKey& key : victims) {
     ++mCounters.mPreempted;
     Cancel(mAttempts.at(key), ErrorKind::Shed);
   }
-  return mRoom.Fits(share);
+  return !victims.empty();
 }
 
 void
@@ -288,8 +290,7 @@
   if (attempt->mOffer.mIdempotent && !attempt->mShare.mBeside)
     mPreemption.Add({ .mKey = aStart.mKey,
                       .mTier = attempt->mOffer.mLevel.mTier,
-                      .mStartedAt = mNow,
-                      .mTokens = attempt->mShare.mTokens });
+                      .mStartedAt = mNow });
   mActions.emplace_back(StartCall{ .mKey = aStart.mKey,
                                    .mCall = std::move(aStart.mCall),
                                    .mTier = attempt->mOffer.mLevel.mTier });
--- a/tests/unit/sidecarcoretest.cpp
+++ b/tests/unit/sidecarcoretest.cpp
@@ -347,6 +347,49 @@
   cr_assert_not(run(true, false, 0));
 }
 
+/** What is preempted must make the room that is needed: here a prompt that
+ * may not be preempted holds up the higher tier as well. */
+Test(sidecarcore, preempts_nothing_in_vain)
+{
+  Bench bench({ .mMostRunning = 2 });
+  const auto start = [&](uint64_t aNumber, uint32_t aPrompt, bool aIdempotent) {
+    Offer offer = OfferOf(aNumber, 3);
+    offer.mPromptTokens = aPrompt;
+    offer.mIdempotent = aIdempotent;
+    bench.Message(offer);
+    bench.Message(Start{ .mKey = KeyOf(aNumber), .mCall = {} });
+    cr_assert_eq(bench.Count<StartCall>(), 1);
+  };
+  start(1, 3000, false);
+  start(2, 500, true);
+  Offer higher = OfferOf(3, 0);
+  higher.mPromptTokens = 3000;
+  bench.Message(higher);
+  bench.Pass(760);
+  cr_assert_eq(bench.Count<CancelCall>(), 0);
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  cr_assert_eq(bench.Count<CancelCall>(), 1);
+  cr_assert_not_null(bench.Sent<Grant>());
+}
+
+/** Nobody acknowledges a failure, so nothing may wait for that: the entry has
+ * closed the attempt and gives few signs of life. The ledger answers for it. */
+Test(sidecarcore, failed_attempt_is_over_at_once)
+{
+  Bench bench;
+  bench.StartOne(1);
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  bench.Message(Withdraw{ .mKey = KeyOf(1) });
+  cr_assert_eq(bench.Count<CancelCall>(), 1);
+  for (int beat = 0; beat < 6; ++beat)
+    bench.Pass(500, false);
+  bench.Message(OfferOf(2));
+  cr_assert_not_null(bench.Sent<Grant>());
+  bench.Message(Resume{ .mKey = KeyOf(1), .mNextChunk = 0 });
+  cr_assert(bench.Sent<Failed>()->mKind == ErrorKind::CallerLeft);
+  cr_assert_eq(bench.Sent<Failed>()->mChunks, 1);
+}
+
 /** Sidecar to entry alone works: the sidecar goes silent too, so that the
  * entry replaces the channel. */
 Test(sidecarcore, entry_that_falls_silent_must_say_hello_again)
