--- a/tests/integration/atmostoncetest.cpp
+++ b/tests/integration/atmostoncetest.cpp
@@ -124,9 +124,13 @@
   CheckAtMostOnce("channel silent both");
 }
 
-Test(atmostonce, channel_half_open)
+Test(atmostonce, channel_half_open_up)
 {
   CheckAtMostOnce("channel half-open up");
+}
+
+Test(atmostonce, channel_half_open_down)
+{
   CheckAtMostOnce("channel half-open down");
 }
 
@@ -135,15 +139,27 @@
   CheckAtMostOnce("upstream link cut");
 }
 
-Test(atmostonce, upstream_link_silent)
+Test(atmostonce, upstream_link_silent_up)
 {
   CheckAtMostOnce("upstream link silent up");
+}
+
+Test(atmostonce, upstream_link_silent_down)
+{
   CheckAtMostOnce("upstream link silent down");
+}
+
+Test(atmostonce, upstream_link_silent_both)
+{
   CheckAtMostOnce("upstream link silent both");
 }
 
-Test(atmostonce, upstream_link_half_open)
+Test(atmostonce, upstream_link_half_open_up)
 {
   CheckAtMostOnce("upstream link half-open up");
+}
+
+Test(atmostonce, upstream_link_half_open_down)
+{
   CheckAtMostOnce("upstream link half-open down");
 }
--- /dev/null
+++ b/tests/integration/cancellationtest.cpp
@@ -0,0 +1,103 @@
+#include "await.h"
+#include "fleet.h"
+#include "httpcall.h"
+
+#include "libtrefoilio/systemclock.h"
+
+#include <criterion/criterion.h>
+
+using namespace integration;
+using trefoilarch::Millis;
+using trefoilload::CallOutcome;
+
+namespace {
+
+/** The aim is a second; the rest is for a busy machine. */
+constexpr int64_t kStopsWithin = 2000;
+
+SeenExecution
+OnlyExecution(const Fleet& aFleet, const std::string& aMark)
+{
+  const auto all = aFleet.Executions(aMark);
+  return all.size() == 1 ? all.front() : SeenExecution();
+}
+
+/** Leaves and reports how long the upstream went on; milliseconds. */
+int64_t
+LeaveAndMeasure(const Fleet& aFleet, OpenCall& aCall)
+{
+  const int64_t left = trefoilio::MonotonicNow().Count();
+  aCall.Leave();
+  cr_assert(
+    Await([&] { return OnlyExecution(aFleet, aCall.Mark()).mCancelled; }));
+  return OnlyExecution(aFleet, aCall.Mark()).mEnded - left;
+}
+
+} // namespace
+
+Test(cancellation, a_caller_that_leaves_stops_the_engine)
+{
+  Fleet fleet({});
+  for (const bool stream : { true, false }) {
+    const auto call = fleet.Send(ChatRequest("mid-call", 5000, stream));
+    cr_assert(
+      Await([&] { return OnlyExecution(fleet, call->Mark()).mTokens > 20; }));
+    const int64_t span = LeaveAndMeasure(fleet, *call);
+    criterion_info("stream %d: stopped after %ld ms", stream, span);
+    cr_assert(span <= kStopsWithin, "stream %d: %ld ms", stream, span);
+  }
+}
+
+Test(cancellation, a_silent_engine_is_left_too)
+{
+  Fleet fleet({});
+  const auto call = fleet.Send(ChatRequest("mid-call", 5000));
+  cr_assert(call->AwaitBytes(500));
+  fleet.Upstream().Control({ { "slow", 1000.0 } });
+  const int64_t span = LeaveAndMeasure(fleet, *call);
+  cr_assert(span <= kStopsWithin, "%ld ms", span);
+}
+
+Test(cancellation, a_caller_that_leaves_the_queue_is_never_run)
+{
+  FleetOptions options;
+  options.mSidecarFlags = { "--most-running", "1" };
+  Fleet fleet(options);
+  const auto running = fleet.Send(ChatRequest("drafting", 400));
+  cr_assert(running->AwaitBytes(300));
+  const auto waiting = fleet.Send(ChatRequest("drafting", 50));
+  const std::string mark = waiting->Mark();
+  waiting->Leave();
+  cr_assert(running->AwaitEnd().mOutcome == CallOutcome::Whole);
+  const auto next = fleet.Send(ChatRequest("drafting", 20));
+  cr_assert(next->AwaitEnd().mOutcome == CallOutcome::Whole);
+  cr_assert(fleet.RunsOf(mark) == 0);
+}
+
+Test(cancellation, a_deadline_that_passes_stops_the_engine)
+{
+  Fleet fleet({});
+  const auto call = fleet.Send(ChatRequest("mid-call", 60),
+                               0,
+                               { { "X-Trefoilarch-Deadline-Ms", "1500" } });
+  cr_assert(call->AwaitBytes(300));
+  fleet.Upstream().Control({ { "slow", 100.0 } });
+  const auto record = call->AwaitEnd();
+  cr_assert(record.mOutcome == CallOutcome::Failed);
+  cr_assert(record.mKind == "deadline_exceeded", "%s", record.mKind.c_str());
+  cr_assert(record.mEnded - record.mSent <= 1500 + kStopsWithin);
+  cr_assert(
+    Await([&] { return OnlyExecution(fleet, call->Mark()).mCancelled; }));
+}
+
+Test(cancellation, a_caller_that_leaves_stops_a_service_call)
+{
+  FleetOptions options;
+  options.mServices = 1;
+  Fleet fleet(options);
+  fleet.Upstream(1).Control({ { "delay_ms", 8000 } });
+  const auto call = fleet.Send(BookingRequest());
+  cr_assert(Await([&] { return fleet.RunsOf(call->Mark()) == 1; }));
+  const int64_t span = LeaveAndMeasure(fleet, *call);
+  cr_assert(span <= kStopsWithin, "%ld ms", span);
+}
--- /dev/null
+++ b/tests/integration/plannedstoptest.cpp
@@ -0,0 +1,162 @@
+#include "await.h"
+#include "fleet.h"
+#include "httpcall.h"
+#include "verdict.h"
+
+#include "libtrefoilio/systemclock.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <csignal>
+#include <sys/wait.h>
+#include <thread>
+
+using namespace integration;
+using nlohmann::json;
+using trefoilload::CallOutcome;
+using trefoilload::CallRecord;
+
+namespace {
+
+using Calls = std::vector<std::unique_ptr<OpenCall>>;
+
+FleetOptions
+TwoOfEach()
+{
+  FleetOptions options;
+  options.mEngines = 2;
+  options.mEntries = 2;
+  return options;
+}
+
+Calls
+SendMany(Fleet& aFleet, size_t aCount, size_t aTokens, size_t aEntry)
+{
+  Calls calls;
+  for (size_t i = 0; i < aCount; ++i) {
+    calls.push_back(
+      aFleet.Send(OnceRequest("drafting", aTokens, i % 2 == 0), aEntry));
+  }
+  return calls;
+}
+
+void
+ExpectWhole(const Calls& aCalls)
+{
+  for (const auto& call : aCalls) {
+    const CallRecord record = call->AwaitEnd();
+    cr_expect(record.mOutcome == CallOutcome::Whole,
+              "%s %s",
+              Name(record.mOutcome).c_str(),
+              record.mKind.c_str());
+  }
+}
+
+/** How an upstream is told to leave. */
+using Leaving = std::function<void(Fleet&)>;
+
+/**
+ * Under steady traffic the first upstream is told to leave: what it runs is
+ * finished, and it starts nothing later than three seconds after.
+ */
+void
+CheckLeaving(const Leaving& aTell)
+{
+  constexpr int64_t kNoneAfter = 3000;
+  Fleet fleet(TwoOfEach());
+  const Calls running = SendMany(fleet, 8, 300, 0);
+  cr_assert(running.front()->AwaitBytes(300));
+  aTell(fleet);
+  const int64_t told = trefoilio::MonotonicNow().Count();
+  Calls later;
+  while (trefoilio::MonotonicNow().Count() < told + kNoneAfter + 1500) {
+    later.push_back(fleet.Send(ChatRequest("mid-call", 5), later.size() % 2));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  ExpectWhole(running);
+  ExpectWhole(later);
+  int64_t lastStart = 0;
+  for (const SeenExecution& execution : fleet.Executions()) {
+    if (execution.mUpstream == "engine-1") {
+      lastStart = std::max(lastStart, execution.mStarted);
+    }
+  }
+  criterion_info("last start %ld ms after", lastStart - told);
+  cr_assert(lastStart <= told + kNoneAfter, "%ld ms", lastStart - told);
+}
+
+} // namespace
+
+Test(plannedstop, of_an_entry_cuts_no_answer)
+{
+  Fleet fleet(TwoOfEach());
+  const Calls running = SendMany(fleet, 10, 400, 0);
+  for (const auto& call : running) {
+    cr_assert(Await([&] { return fleet.RunsOf(call->Mark()) == 1; }));
+  }
+  const std::string url = fleet.EntryUrl();
+  fleet.Entry().Signal(SIGTERM);
+  cr_assert(Await([&] {
+    const auto reply = CallHttp("POST",
+                                url + "/v1/chat/completions",
+                                "{}",
+                                { { "X-Trefoilarch-Workspace", "public" } });
+    return reply.mStatus == 0 ||
+           reply.mBody.find("shutting_down") != std::string::npos;
+  }));
+  ExpectWhole(running);
+  cr_assert(Await([&] { return fleet.Entry().HasEnded(); }));
+  cr_assert(WIFEXITED(fleet.Entry().Status()) &&
+            WEXITSTATUS(fleet.Entry().Status()) == 0);
+  for (const auto& call : running) {
+    cr_expect(fleet.RunsOf(call->Mark()) == 1);
+  }
+}
+
+Test(plannedstop, of_a_sidecar_cuts_no_answer)
+{
+  Fleet fleet(TwoOfEach());
+  const Calls running = SendMany(fleet, 10, 400, 0);
+  for (const auto& call : running) {
+    cr_assert(Await([&] { return fleet.RunsOf(call->Mark()) == 1; }));
+  }
+  fleet.Upstream().mSidecar->Signal(SIGTERM);
+  Calls later;
+  for (int i = 0; i < 20; ++i) {
+    later.push_back(fleet.Send(OnceRequest("mid-call", 5), i % 2));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  ExpectWhole(running);
+  ExpectWhole(later);
+  ChildProcess& sidecar = *fleet.Upstream().mSidecar;
+  cr_assert(Await([&] { return sidecar.HasEnded(); }));
+  cr_assert(WIFEXITED(sidecar.Status()) && WEXITSTATUS(sidecar.Status()) == 0);
+}
+
+Test(plannedstop, leaving_by_the_platforms_list)
+{
+  CheckLeaving([](Fleet& aFleet) {
+    aFleet.Upstream().mState = "leaving";
+    aFleet.PublishHosts();
+  });
+}
+
+Test(plannedstop, leaving_by_the_sidecars_word_while_the_list_lags)
+{
+  CheckLeaving([](Fleet& aFleet) {
+    aFleet.PlatformControl({ { "host_lag_ms", 60000 } });
+    const auto reply =
+      CallHttp("POST", aFleet.Upstream().OperatorUrl() + "/drain");
+    cr_assert(reply.mStatus == 200);
+  });
+}
+
+Test(plannedstop, leaving_by_the_operators_drain)
+{
+  CheckLeaving([](Fleet& aFleet) {
+    const json changed = aFleet.ChangePolicy(
+      { { { "op", "drain" }, { "upstream", "engine-1" } } });
+    cr_assert(changed["status"] == 200, "%s", changed.dump().c_str());
+  });
+}
--- /dev/null
+++ b/tests/integration/silencetest.cpp
@@ -0,0 +1,153 @@
+#include "await.h"
+#include "fleet.h"
+#include "httpcall.h"
+#include "verdict.h"
+
+#include "libtrefoilio/systemclock.h"
+
+#include <criterion/criterion.h>
+
+using namespace integration;
+using nlohmann::json;
+using trefoilload::CallOutcome;
+using trefoilload::CallRecord;
+
+namespace {
+
+/** The aim is two seconds; the rest is for a busy machine. */
+constexpr int64_t kFoundWithin = 4000;
+
+FleetOptions
+Proxied(size_t aEngines)
+{
+  FleetOptions options;
+  options.mEngines = aEngines;
+  options.mProxyChannels = true;
+  options.mProxyUpstreams = true;
+  return options;
+}
+
+/** Streams that may run once go on over a fresh channel, nothing lost. */
+void
+CheckChannel(const char* aWay)
+{
+  Fleet fleet(Proxied(1));
+  std::vector<std::unique_ptr<OpenCall>> calls;
+  for (int i = 0; i < 6; ++i) {
+    calls.push_back(fleet.Send(OnceRequest("mid-call", 500)));
+  }
+  for (const auto& call : calls) {
+    cr_assert(call->AwaitBytes(2000));
+  }
+  fleet.Upstream().mChannelProxy->Order({ { "silence", aWay } });
+  for (const auto& call : calls) {
+    const CallRecord record = call->AwaitEnd();
+    cr_expect(record.mOutcome == CallOutcome::Whole,
+              "silent %s: %s %s",
+              aWay,
+              Name(record.mOutcome).c_str(),
+              record.mKind.c_str());
+    cr_expect(fleet.RunsOf(call->Mark()) == 1);
+    criterion_info("silent %s: longest gap %ld ms", aWay, record.mLongestGap);
+    cr_expect(record.mLongestGap <= kFoundWithin,
+              "silent %s: %ld ms",
+              aWay,
+              record.mLongestGap);
+  }
+}
+
+} // namespace
+
+Test(silence, of_a_channel_up_is_found_and_the_answer_resumed)
+{
+  CheckChannel("up");
+}
+
+Test(silence, of_a_channel_down_is_found_and_the_answer_resumed)
+{
+  CheckChannel("down");
+}
+
+Test(silence, of_a_channel_both_ways_is_found_and_the_answer_resumed)
+{
+  CheckChannel("both");
+}
+
+Test(silence, of_an_idle_channel_costs_the_next_request_little)
+{
+  Fleet fleet(Proxied(1));
+  cr_assert(fleet.Send(ChatRequest("mid-call", 5))->AwaitEnd().mOutcome ==
+            CallOutcome::Whole);
+  fleet.Upstream().mChannelProxy->Order({ { "silence", "both" } });
+  const auto call = fleet.Send(ChatRequest("mid-call", 5));
+  const CallRecord record = call->AwaitEnd();
+  cr_assert(record.mOutcome == CallOutcome::Whole,
+            "%s %s",
+            Name(record.mOutcome).c_str(),
+            record.mKind.c_str());
+  const int64_t span = record.mEnded - record.mSent;
+  criterion_info("answered after %ld ms", span);
+  cr_assert(span <= kFoundWithin, "%ld ms", span);
+}
+
+Test(silence, towards_an_engine_is_found_before_the_deadline)
+{
+  Fleet fleet(Proxied(2));
+  const auto once = fleet.Send(OnceRequest("mid-call", 3000));
+  cr_assert(once->AwaitBytes(2000));
+  const size_t at =
+    fleet.Executions(once->Mark()).front().mUpstream == "engine-1" ? 0 : 1;
+  const int64_t struck = trefoilio::MonotonicNow().Count();
+  fleet.Upstream(at).mUpstreamProxy->Order({ { "silence", "both" } });
+  const CallRecord record = once->AwaitEnd();
+  cr_expect(record.mOutcome == CallOutcome::Failed && record.mRan == "maybe",
+            "%s %s",
+            Name(record.mOutcome).c_str(),
+            record.mKind.c_str());
+  criterion_info("found after %ld ms", record.mEnded - struck);
+  cr_expect(
+    record.mEnded - struck <= kFoundWithin, "%ld ms", record.mEnded - struck);
+  const auto next = fleet.Send(ChatRequest("mid-call", 5));
+  cr_expect(next->AwaitEnd().mOutcome == CallOutcome::Whole);
+}
+
+Test(silence, before_an_engines_first_token_is_rerun_where_that_is_safe)
+{
+  Fleet fleet(Proxied(2));
+  fleet.Upstream(0).Control({ { "stall", true } });
+  fleet.Upstream(1).Control({ { "stall", true } });
+  const auto call = fleet.Send(ChatRequest("drafting", 20));
+  cr_assert(Await([&] { return fleet.RunsOf(call->Mark()) == 1; }));
+  const size_t at =
+    fleet.Executions(call->Mark()).front().mUpstream == "engine-1" ? 0 : 1;
+  fleet.Upstream(at).mUpstreamProxy->Order({ { "silence", "both" } });
+  fleet.Upstream(0).Control({ { "stall", false } });
+  fleet.Upstream(1).Control({ { "stall", false } });
+  const CallRecord record = call->AwaitEnd();
+  cr_assert(record.mOutcome == CallOutcome::Whole,
+            "%s %s",
+            Name(record.mOutcome).c_str(),
+            record.mKind.c_str());
+}
+
+Test(silence, towards_the_platform_is_found_and_changes_go_on)
+{
+  FleetOptions options;
+  options.mEntries = 2;
+  options.mProxyPlatform = true;
+  Fleet fleet(options);
+  const uint64_t before = fleet.PolicyVersion();
+  fleet.PlatformProxy().Order({ { "silence", "both" } });
+  const int64_t struck = trefoilio::MonotonicNow().Count();
+  const json changed =
+    fleet.ChangePolicy({ { { "op", "drain" }, { "upstream", "engine-9" } } });
+  cr_assert(changed["status"] == 200 || changed["status"] == 503,
+            "%s",
+            changed.dump().c_str());
+  cr_assert(Await([&] {
+    return fleet.PolicyVersion(0) > before && fleet.PolicyVersion(1) > before;
+  }));
+  const int64_t span = trefoilio::MonotonicNow().Count() - struck;
+  criterion_info("in force after %ld ms", span);
+  cr_assert(span <= 2 * kFoundWithin, "%ld ms", span);
+}
