--- a/tests/integration/endtoendtest.cpp
+++ b/tests/integration/endtoendtest.cpp
@@ -4,6 +4,9 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
+#include <thread>
+
 using namespace integration;
 using trefoilload::CallOutcome;
 using trefoilload::CallRecord;
@@ -87,3 +90,35 @@
               call->Body().c_str());
   }
 }
+
+Test(endtoend, an_empty_host_list_is_survived)
+{
+  Fleet fleet(Small());
+  std::vector<std::unique_ptr<OpenCall>> running;
+  for (int i = 0; i < 8; ++i) {
+    running.push_back(fleet.Send(OnceRequest("drafting", 300, i % 2 == 0)));
+  }
+  cr_assert(running.front()->AwaitBytes(300));
+  fleet.PlatformControl({ { "hosts", nlohmann::json::array() } });
+  for (int i = 0; i < 30; ++i) {
+    const auto call = fleet.Send(ChatRequest("mid-call", 5));
+    const CallRecord record = call->AwaitEnd();
+    cr_assert(record.mOutcome == CallOutcome::Whole ||
+                record.mOutcome == CallOutcome::Refused,
+              "%s %s",
+              Name(record.mOutcome).c_str(),
+              record.mKind.c_str());
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  cr_assert(!fleet.Entry().HasEnded());
+  for (const auto& call : running) {
+    cr_expect(call->AwaitEnd().mOutcome == CallOutcome::Whole,
+              "in flight: %s",
+              call->Record().mKind.c_str());
+  }
+  fleet.PublishHosts();
+  cr_assert(Await([&] {
+    return fleet.Send(ChatRequest("mid-call", 5))->AwaitEnd().mOutcome ==
+           CallOutcome::Whole;
+  }));
+}
--- a/tests/integration/plannedstoptest.cpp
+++ b/tests/integration/plannedstoptest.cpp
@@ -54,10 +54,10 @@
 }
 
 /** How an upstream is told to leave. */
-using Leaving = std::function<void(Fleet&)>;
+using Leaving = std::function<void(Fleet&, UpstreamHost&)>;
 
 /**
- * Under steady traffic the first upstream is told to leave: what it runs is
+ * Under steady traffic an upstream is told to leave: what it runs is
  * finished, and it starts nothing later than three seconds after.
  */
 void
@@ -67,7 +67,9 @@
   Fleet fleet(TwoOfEach());
   const Calls running = SendMany(fleet, 8, 300, 0);
   cr_assert(running.front()->AwaitBytes(300));
-  aTell(fleet);
+  const std::string name =
+    fleet.Executions(running.front()->Mark()).front().mUpstream;
+  aTell(fleet, fleet.Upstream(name == "engine-1" ? 0 : 1));
   const int64_t told = trefoilio::MonotonicNow().Count();
   Calls later;
   while (trefoilio::MonotonicNow().Count() < told + kNoneAfter + 1500) {
@@ -78,7 +80,7 @@
   ExpectWhole(later);
   int64_t lastStart = 0;
   for (const SeenExecution& execution : fleet.Executions()) {
-    if (execution.mUpstream == "engine-1") {
+    if (execution.mUpstream == name) {
       lastStart = std::max(lastStart, execution.mStarted);
     }
   }
@@ -136,27 +138,26 @@
 
 Test(plannedstop, leaving_by_the_platforms_list)
 {
-  CheckLeaving([](Fleet& aFleet) {
-    aFleet.Upstream().mState = "leaving";
+  CheckLeaving([](Fleet& aFleet, UpstreamHost& aHost) {
+    aHost.mState = "leaving";
     aFleet.PublishHosts();
   });
 }
 
 Test(plannedstop, leaving_by_the_sidecars_word_while_the_list_lags)
 {
-  CheckLeaving([](Fleet& aFleet) {
+  CheckLeaving([](Fleet& aFleet, UpstreamHost& aHost) {
     aFleet.PlatformControl({ { "host_lag_ms", 60000 } });
-    const auto reply =
-      CallHttp("POST", aFleet.Upstream().OperatorUrl() + "/drain");
+    const auto reply = CallHttp("POST", aHost.OperatorUrl() + "/drain");
     cr_assert(reply.mStatus == 200);
   });
 }
 
 Test(plannedstop, leaving_by_the_operators_drain)
 {
-  CheckLeaving([](Fleet& aFleet) {
+  CheckLeaving([](Fleet& aFleet, UpstreamHost& aHost) {
     const json changed = aFleet.ChangePolicy(
-      { { { "op", "drain" }, { "upstream", "engine-1" } } });
+      { { { "op", "drain" }, { "upstream", aHost.mName } } });
     cr_assert(changed["status"] == 200, "%s", changed.dump().c_str());
   });
 }
--- a/tests/standins/platform/hostlist.cpp
+++ b/tests/standins/platform/hostlist.cpp
@@ -23,13 +23,11 @@
 {
   const std::lock_guard lock(mMutex);
   const int64_t now = MonotonicMillis();
-  while (mVersions.size() > 1 && mVersions[1].first + mLag <= now) {
+  while (!mVersions.empty() && mVersions.front().first + mLag <= now) {
+    mShown = std::move(mVersions.front().second);
     mVersions.pop_front();
   }
-  if (mVersions.empty() || mVersions.front().first + mLag > now) {
-    return "[]";
-  }
-  return mVersions.front().second.dump();
+  return mShown.dump();
 }
 
 } // namespace standin
--- a/tests/standins/platform/hostlist.h
+++ b/tests/standins/platform/hostlist.h
@@ -21,6 +21,8 @@
 private:
   std::mutex mMutex;
   int64_t mLag = 0;
+  nlohmann::json mShown = nlohmann::json::array();
+  /** Not yet shown, with the time of each change. */
   std::deque<std::pair<int64_t, nlohmann::json>> mVersions;
 };
 
