Keep gRPC from joining its callback threads from one of themselves

Cause: EntryChannel::OnDone destroyed the stub, and so perhaps the process's last channel, on gRPC's own callback thread; gRPC 1.51 joins those threads when its last channel goes, and aborts (grpc_cq_internal_unref, seen in a backtrace). Ruled out: a double release of the hold, and the policy peers' channels, which are not callback ones. Stubs now wait for the next open channel.

--- a/src/trefoilarchd/entrychannel.cpp
+++ b/src/trefoilarchd/entrychannel.cpp
@@ -6,6 +6,7 @@
 #include <grpcpp/support/channel_arguments.h>
 
 #include <utility>
+#include <vector>
 
 namespace trefoilarch {
 
@@ -14,6 +15,40 @@
 constexpr int kConnectMillis = 1000;
 constexpr int kMostMessageBytes = 64 * 1024 * 1024;
 
+/**
+ * Stubs of channels that are over, until the next channel is open. gRPC joins
+ * its callback threads when the last channel goes, and aborts where that
+ * happens on one of them, as it would in OnDone().
+ */
+class RetiredStubs
+{
+public:
+  void Add(std::unique_ptr<wire::Sidecar::Stub> aStub)
+  {
+    const std::lock_guard lock(mMutex);
+    mStubs.push_back(std::move(aStub));
+  }
+
+  void Clear()
+  {
+    std::vector<std::unique_ptr<wire::Sidecar::Stub>> stubs;
+    const std::lock_guard lock(mMutex);
+    stubs.swap(mStubs);
+  }
+
+private:
+  std::mutex mMutex;
+  std::vector<std::unique_ptr<wire::Sidecar::Stub>> mStubs;
+};
+
+/** Never destroyed: nothing may join those threads at exit either. */
+RetiredStubs&
+Retired()
+{
+  static auto* const sRetired = new RetiredStubs;
+  return *sRetired;
+}
+
 std::shared_ptr<grpc::Channel>
 Connect(const std::string& aAddress)
 {
@@ -36,6 +71,7 @@
     new EntryChannel(aAddress, std::move(aHooks)));
   channel->mSelf = channel;
   channel->Begin();
+  Retired().Clear();
   return channel;
 }
 
@@ -124,6 +160,7 @@
   ReleaseHold();
   mHooks.mOnDown();
   mHooks = {};
+  Retired().Add(std::move(mStub));
   mSelf.reset();
 }
 
