Judge the host list, and choose subsets of sidecars

A host that one read lacks stays until a second read, 500 ms later at the least; where four or more hosts and over half vanish at once, they stay 30 s, for a broken list must not stop all traffic. "Leaving" holds at once. Subsets by rendezvous hash of entry and upstream within each group: weighed against dealing them out in rounds, which is perfectly even but moves many places at each change.

For the lead: MembershipServiceOptions{.mEntry = name, .mSubsetSize} switch it on (0: all); the host list may carry the labels model or service, by which sidecars are grouped.

--- a/src/libtrefoilarch/membership.h
+++ b/src/libtrefoilarch/membership.h
@@ -15,6 +15,8 @@
   std::string mAddress; /**< IP and port of its gRPC server */
   std::string mDataCentre;
   bool mLeaving = false;
+  /** The model or service, where the list tells it; else empty. */
+  std::string mGroup;
 
   auto operator<=>(const SidecarMember&) const = default;
 };
--- a/src/trefoilarchd/membershipservice.cpp
+++ b/src/trefoilarchd/membershipservice.cpp
@@ -1,6 +1,8 @@
 #include "membershipservice.h"
 
+#include "libtrefoilarch/subset.h"
 #include "libtrefoilio/logs.h"
+#include "libtrefoilio/systemclock.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,6 +19,7 @@
 MembershipService::MembershipService(MembershipServiceOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.mSeed))
+  , mView(mOptions.mView)
 {
 }
 
@@ -51,6 +54,8 @@
   return nlohmann::json{
     { "known", mKnown },
     { "sidecars", mCurrent.mSidecars.size() },
+    { "sidecars_listed", mView.Current().mSidecars.size() },
+    { "hosts_missing", mView.Missing() },
     { "sidecars_leaving", leaving },
     { "entries", mCurrent.mEntries.size() },
     { "failed_polls_in_a_row", mFailures },
@@ -89,14 +94,20 @@
 MembershipService::Poll()
 {
   const std::optional<Membership> found = mOptions.mPlatform->ReadHosts();
+  Membership chosen;
   bool changed = false;
   {
     std::lock_guard lock(mMutex);
     mFailures = found ? 0 : mFailures + 1;
-    changed = found && (!mKnown || *found != mCurrent);
+    if (found) {
+      chosen = mView.OnList(*found, trefoilio::MonotonicNow());
+      chosen.mSidecars =
+        ChooseSubset(mOptions.mEntry, chosen.mSidecars, mOptions.mSubsetSize);
+      changed = !mKnown || chosen != mCurrent;
+    }
   }
   if (changed) {
-    Tell(*found);
+    Tell(chosen);
   }
 }
 
@@ -122,9 +133,12 @@
 Millis
 MembershipService::NextSpan()
 {
+  std::lock_guard lock(mMutex);
   const int64_t factor = int64_t{ 1 } << std::min(mFailures, kMostDoublings);
-  const Millis mean =
-    std::min(mOptions.mPollSpan * factor, mOptions.mMostPollSpan);
+  const int64_t entries = static_cast<int64_t>(mCurrent.mEntries.size());
+  const Millis span =
+    std::max(mOptions.mPollSpan, mOptions.mPollSpanPerEntry * entries);
+  const Millis mean = std::min(span * factor, mOptions.mMostPollSpan);
   std::uniform_int_distribution<int64_t> draw(mean.Count() * 3 / 4,
                                               mean.Count() * 5 / 4);
   return Millis(draw(mRandom));
--- a/src/trefoilarchd/membershipservice.h
+++ b/src/trefoilarchd/membershipservice.h
@@ -3,6 +3,7 @@
 #include "platformclient.h"
 
 #include "libtrefoilarch/membership.h"
+#include "libtrefoilarch/membershipview.h"
 #include "libtrefoilio/boundedring.h"
 #include "libtrefoilio/service.h"
 
@@ -22,7 +23,14 @@
   std::shared_ptr<const PlatformClient> mPlatform;
   Membership mFixed;
   Millis mPollSpan{ 1000 };
+  /** Added for each entry on the list, so that reads stay level. */
+  Millis mPollSpanPerEntry{ 5 };
   Millis mMostPollSpan{ 8000 }; /**< between polls in an outage */
+  MembershipViewOptions mView;
+  /** This entry's name, and how many sidecars of each model or service it
+   * connects to; 0: all of them. */
+  std::string mEntry;
+  size_t mSubsetSize = 0;
   uint64_t mSeed = 1;
 };
 
@@ -42,6 +50,7 @@
   /** Called at once at Start with the first list, and at each change, on the
    * membership thread; set before Start. */
   void Subscribe(OnMembership aHook) { mHooks.push_back(std::move(aHook)); }
+  /** The subset's sidecars, and all entries. */
   Membership Current() const;
   /** A list was read, or it is fixed. */
   bool Known() const;
@@ -55,6 +64,7 @@
   MembershipServiceOptions mOptions;
   std::vector<OnMembership> mHooks;
   std::minstd_rand mRandom;
+  MembershipView mView;
   mutable std::mutex mMutex;
   Membership mCurrent;
   bool mKnown = false;
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -153,7 +153,11 @@
   const std::string dataCentre = aLabels.value("data_centre", "");
   if (role == "sidecar") {
     aMembership.mSidecars.push_back(
-      { aLabels.value("upstream", aTarget), aTarget, dataCentre, leaving });
+      { aLabels.value("upstream", aTarget),
+        aTarget,
+        dataCentre,
+        leaving,
+        aLabels.value("model", aLabels.value("service", "")) });
   } else if (role == "entry") {
     aMembership.mEntries.push_back(
       { aLabels.value("host", aTarget), aTarget, dataCentre, leaving });
