Offer to three upstreams, to four in the upper tiers

Cause: with two offers a request of the top tier can wait behind its like at two upstreams while a third has room.

--- a/src/libtrefoilarch/entrycore.h
+++ b/src/libtrefoilarch/entrycore.h
@@ -18,8 +18,8 @@
 {
   EntryId mEntry;
   std::string mDataCentre;
-  /** Offers made at a time for one request. */
-  size_t mOfferWidth = 2;
+  /** Offers made at a time for one request; one more in the upper tiers. */
+  size_t mOfferWidth = 3;
   /** Silence on a channel with open requests after which it is replaced. */
   Millis mSilenceSpan{ 1500 };
   Millis mHeartbeat{ 500 };
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -76,12 +76,14 @@
 void
 EntryCore::Impl::Place(OpenRequest& aRequest, Millis aNow)
 {
+  const bool upper =
+    aRequest.mRequest.mClassified.mLevel.mTier < kTierCount / 2;
+  const size_t width = mOptions.mOfferWidth + (upper ? 1 : 0);
   const size_t ready = ReadyOffers(aRequest);
-  if (ready >= mOptions.mOfferWidth) {
+  if (ready >= width) {
     return;
   }
-  for (UpstreamLink* link :
-       Choose(aRequest, mOptions.mOfferWidth - ready, aNow)) {
+  for (UpstreamLink* link : Choose(aRequest, width - ready, aNow)) {
     SendOffer(aRequest, *link, aNow);
   }
 }
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -18,6 +18,7 @@
   explicit Scene(size_t aMostOpen = 100)
     : mCore({ .mEntry = "entry-1",
               .mDataCentre = "riga-1",
+              .mOfferWidth = 1,
               .mMostOpen = aMostOpen })
   {
     auto policy = std::make_shared<Policy>();
