Keep the channel of an unlisted sidecar until its requests have ended

Cause: the router closed a channel as soon as its sidecar was off the list, so that answers in flight ended in answer_cut (8 of 8), though the core says in NeedsChannel() how long to keep it; nobody called it. A platform that takes a stopping host off its list would cut every answer of a planned stop. Ruled out: holding the old list back in membership, which would also offer new work. endtoend an_empty_host_list_is_survived before: fails with 8 answers cut; after: passes, 5 of 5 in the file.

--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -107,6 +107,7 @@
     if (mCore.NextWake() <= now) {
       CarryOut(mCore.OnTick(now));
     }
+    CloseUnlisted();
     ReopenDue(now);
     mOpen = mCore.OpenRequests();
     LookWhetherSettled(now);
@@ -241,6 +242,7 @@
     }
     const auto found = mLinks.find(name);
     if (found != mLinks.end() && found->second.mAddress == sidecar.mAddress) {
+      found->second.mListed = true;
       kept.insert(mLinks.extract(found));
       continue;
     }
@@ -255,12 +257,31 @@
   }
   CarryOut(mCore.SetUpstreams(std::move(upstreams), leaving, now));
   for (auto& [name, link] : kept) {
-    CloseChannel(link);
-    CarryOut(mCore.OnChannelDown(name, now));
+    if (mLinks.contains(name) || !mCore.NeedsChannel(name)) {
+      CloseChannel(link);
+      CarryOut(mCore.OnChannelDown(name, now));
+    } else {
+      link.mListed = false;
+      mLinks[name] = std::move(link);
+    }
   }
   ReopenDue(now);
 }
 
+void
+RouterService::CloseUnlisted()
+{
+  for (auto place = mLinks.begin(); place != mLinks.end();) {
+    auto& [name, link] = *place;
+    if (link.mListed || mCore.NeedsChannel(name)) {
+      ++place;
+      continue;
+    }
+    CloseChannel(link);
+    place = mLinks.erase(place);
+  }
+}
+
 void
 RouterService::On(const NewClassifier& aEvent)
 {
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -135,6 +135,8 @@
     Millis mReopenAt = Millis::Never();
     Millis mBackoff;
     bool mHeard = false;
+    /** False: off the list, and kept until what runs there has ended. */
+    bool mListed = true;
   };
 
   void Run();
@@ -143,6 +145,7 @@
   void On(const Left& aEvent);
   void On(FromSidecar aEvent);
   void Learn(const SidecarMessage& aMessage);
+  void CloseUnlisted();
   void On(const ChannelDown& aEvent);
   void On(const NewSidecars& aEvent);
   void On(const NewClassifier& aEvent);
