Let a test's own header replace the harness's of the same name

of_the_same_key_with_another_body passed for the wrong reason: two X-Trefoilarch-Idempotent headers made the request invalid. It now asks for the reason by name.

--- a/tests/integration/fleet.cpp
+++ b/tests/integration/fleet.cpp
@@ -325,7 +325,12 @@
 {
   trefoilio::HttpRequest sent = trefoilload::BuildRequest(
     aRequest, aMark, EntryUrl(aEntry), { { "agents", "secret-of-agents" } });
-  sent.mHeaders.insert(sent.mHeaders.end(), aMore.begin(), aMore.end());
+  for (const auto& header : aMore) {
+    std::erase_if(sent.mHeaders, [&](const auto& aOther) {
+      return aOther.first == header.first;
+    });
+    sent.mHeaders.push_back(header);
+  }
   return std::make_unique<OpenCall>(*mRunner, aRequest, sent, aMark);
 }
 
--- a/tests/integration/repeatstest.cpp
+++ b/tests/integration/repeatstest.cpp
@@ -162,6 +162,10 @@
             "%s %s",
             Name(record.mOutcome).c_str(),
             record.mKind.c_str());
+  cr_expect(record.mKind == "invalid_request" &&
+              second->Body().find("Idempotency-Key") != std::string::npos,
+            "%s",
+            second->Body().c_str());
   cr_expect(fleet.RunsOf("second") == 0);
 }
 
