Let requests with an idempotency key pass only by their claim

A request that may run only once and carries a key asks for its claim before the router sees it; the claim follows the answer, so that a repeat at any entry gets the first answer. Where its caller leaves, such a request goes on: the caller will repeat it and wants to find the answer.

--- a/src/trefoilarchd/callerservice.cpp
+++ b/src/trefoilarchd/callerservice.cpp
@@ -2,6 +2,8 @@
 
 #include "answerreader.h"
 #include "answerwriter.h"
+#include "claimhold.h"
+#include "claimservice.h"
 #include "endpoint.h"
 #include "refusalreply.h"
 #include "routerservice.h"
@@ -89,6 +91,7 @@
 CallerService::Start(trefoilio::Kernel& aKernel)
 {
   mRouter = &aKernel.Find<RouterService>(RouterService::kName);
+  mClaims.emplace(aKernel.Find<ClaimService>(ClaimService::kName));
   mServer = std::make_unique<trefoilio::HttpServer>(
     mOptions.mHttp,
     [this](const HttpRequest& aHttp) { return Handle(aHttp); },
@@ -215,38 +218,65 @@
   }
   BOOST_LEAF_AUTO(classifier, PolicyInForce());
   BOOST_LEAF_AUTO(classified, classifier->Classify(aRequest.mClaims));
-  const ServiceLevel& level = classified.mLevel;
+  BOOST_LEAF_AUTO(pass, mClaims->Pass(aRequest, classified.mIdempotent, aId));
+  if (pass.mRepeat) {
+    mMetrics.Count("answers_repeated_total");
+    return std::move(*pass.mRepeat);
+  }
+  BOOST_LEAF_AUTO(reply,
+                  Submit(std::move(aRequest),
+                         std::move(classified),
+                         std::move(pass.mHold),
+                         aHttp,
+                         aId,
+                         arrived));
+  if (reply.mStream) {
+    reply.mOnClosed = [open] {};
+  }
+  return reply;
+}
+
+Result<HttpReply>
+CallerService::Submit(CallerRequest aRequest,
+                      Classified aClassified,
+                      std::shared_ptr<ClaimHold> aClaim,
+                      const HttpRequest& aHttp,
+                      const RequestId& aId,
+                      Millis aArrived)
+{
+  const ServiceLevel level = aClassified.mLevel;
   const AnswerTargets targets{ .mClass = level.mClass,
-                               .mArrived = arrived,
+                               .mArrived = aArrived,
                                .mFirstToken = level.mFirstTokenTarget,
                                .mBetweenToken = level.mBetweenTokenTarget,
-                               .mDeadline = classified.mDeadline };
+                               .mDeadline = aClassified.mDeadline };
+  aClassified.mDeadline -= trefoilio::MonotonicNow() - aArrived;
   const bool tokens = aRequest.mCall.mTokenStream;
-  const bool streamed = aRequest.mStreamed;
   if (tokens) {
     SetPriority(aRequest.mCall, level.mTier);
   }
   auto mailbox = std::make_shared<AnswerMailbox>(mOptions.mMostUnread);
   EntryRequest request{ .mId = aId,
-                        .mClassified = std::move(classified),
+                        .mClassified = std::move(aClassified),
                         .mCall = std::move(aRequest.mCall),
                         .mPromptTokens = aRequest.mPromptTokens,
                         .mPrefixHash = aRequest.mPrefixHash };
-  if (!mRouter->Submit(std::move(request), mailbox)) {
-    return Fail(
-      Refusal{ .mKind = ErrorKind::TooManyOpen, .mRetryAfter = kComeBackSoon });
+  if (!mRouter->Submit(std::move(request), mailbox, aClaim)) {
+    const Refusal refusal{ .mKind = ErrorKind::TooManyOpen,
+                           .mRetryAfter = kComeBackSoon };
+    if (aClaim) {
+      aClaim->OnError(refusal);
+    }
+    return Fail(refusal);
   }
   AnswerWriter writer(
     std::make_shared<AnswerReader>(*mRouter, aId, mailbox, aHttp.mCallerLeft),
     targets,
     mMetrics);
-  HttpReply reply = !tokens    ? writer.Plain()
-                    : streamed ? writer.Streamed()
-                               : writer.Assembled();
-  if (reply.mStream) {
-    reply.mOnClosed = [open] {};
+  if (!tokens) {
+    return writer.Plain();
   }
-  return reply;
+  return aRequest.mStreamed ? writer.Streamed() : writer.Assembled();
 }
 
 } // namespace trefoilarch
--- a/src/trefoilarchd/callerservice.h
+++ b/src/trefoilarchd/callerservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerrequest.h"
+#include "claimgate.h"
 
 #include "libtrefoilarch/classifier.h"
 #include "libtrefoilio/httpserver.h"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -62,6 +64,13 @@
                                    const trefoilio::HttpRequest& aHttp,
                                    const RequestId& aId);
   Result<std::shared_ptr<const Classifier>> PolicyInForce() const;
+  /** Hands the request to the router, and waits for its answer's head. */
+  Result<trefoilio::HttpReply> Submit(CallerRequest aRequest,
+                                      Classified aClassified,
+                                      std::shared_ptr<ClaimHold> aClaim,
+                                      const trefoilio::HttpRequest& aHttp,
+                                      const RequestId& aId,
+                                      Millis aArrived);
   trefoilio::HttpReply Refuse(const Refusal& aRefusal, const RequestId& aId);
   trefoilio::HttpReply RefuseBadInput(trefoilio::BadInput aInput);
   RequestId DrawId();
@@ -69,6 +78,7 @@
   CallerOptions mOptions;
   trefoilio::Metrics& mMetrics;
   RouterService* mRouter = nullptr;
+  std::optional<ClaimGate> mClaims;
   std::atomic<bool> mDraining = false;
   std::atomic<size_t> mOpen = 0;
   std::mutex mRandomMutex;
--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -1,4 +1,6 @@
 #include "callerservice.h"
+#include "claimpeer.h"
+#include "claimservice.h"
 #include "endpoint.h"
 #include "fleetstatus.h"
 #include "grpcserverservice.h"
@@ -112,6 +114,7 @@
     , mPlatform(PlatformFrom(aSettings))
     , mPeerServer(
         [this](uint64_t aAfter) { return mPolicy->DeltaAfter(aAfter); })
+    , mClaimPeers([this](RequestId aId) { return mClaims->Report(aId); })
   {
     mPolicy = Add(kPolicyName,
                   std::make_unique<PolicyService>(PolicyServiceOptions{
@@ -125,7 +128,13 @@
     mPeers = Add(GrpcServerService::kName,
                  std::make_unique<GrpcServerService>(
                    aSettings.Text("peer-listen"),
-                   std::vector<grpc::Service*>{ &mPeerServer }));
+                   std::vector<grpc::Service*>{ &mPeerServer, &mClaimPeers }));
+    mClaims = Add(ClaimService::kName,
+                  std::make_unique<ClaimService>(ClaimServiceOptions{
+                    .mPlatform = mPlatform,
+                    .mAddress = [this] { return mPeers->Address(); },
+                    .mClaims = { .mSeed = DrawIncarnation() },
+                    .mMetrics = &mMetrics }));
     CallerOptions callers = CallerOptionsFrom(aSettings);
     callers.mClassifier = [this] { return mPolicy->CurrentClassifier(); };
     mCallers =
@@ -230,11 +239,13 @@
   trefoilio::Metrics mMetrics;
   std::shared_ptr<const PlatformClient> mPlatform;
   PolicyPeerServer mPeerServer;
+  ClaimPeerServer mClaimPeers;
   trefoilio::Kernel mKernel;
   PolicyService* mPolicy = nullptr;
   RouterService* mRouter = nullptr;
   MembershipService* mMembership = nullptr;
   GrpcServerService* mPeers = nullptr;
+  ClaimService* mClaims = nullptr;
   CallerService* mCallers = nullptr;
   OperatorService* mOperators = nullptr;
   std::atomic<bool> mDraining = false;
--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -1,5 +1,7 @@
 #include "routerservice.h"
 
+#include "claimhold.h"
+
 #include "libtrefoilio/systemclock.h"
 
 #include <algorithm>
@@ -52,9 +54,11 @@
 
 bool
 RouterService::Submit(EntryRequest aRequest,
-                      std::shared_ptr<AnswerMailbox> aAnswer)
+                      std::shared_ptr<AnswerMailbox> aMailbox,
+                      std::shared_ptr<ClaimHold> aClaim)
 {
-  return mRing->TryPush(Submitted{ std::move(aRequest), std::move(aAnswer) });
+  return mRing->TryPush(
+    Submitted{ std::move(aRequest), std::move(aMailbox), std::move(aClaim) });
 }
 
 void
@@ -130,7 +134,7 @@
   while (!mGone.empty()) {
     const RequestId id = mGone.back();
     mGone.pop_back();
-    CarryOut(mCore.OnCallerLeft(id, trefoilio::MonotonicNow()));
+    On(Left{ id });
   }
 }
 
@@ -139,7 +143,8 @@
 {
   mMetrics.Count("requests_total",
                  "class=\"" + aEvent.mRequest.mClassified.mLevel.mClass + "\"");
-  mAnswers[aEvent.mRequest.mId] = std::move(aEvent.mAnswer);
+  mAnswers[aEvent.mRequest.mId] =
+    Answer{ std::move(aEvent.mMailbox), std::move(aEvent.mClaim) };
   CarryOut(
     mCore.OnRequest(std::move(aEvent.mRequest), trefoilio::MonotonicNow()));
 }
@@ -147,6 +152,11 @@
 void
 RouterService::On(const Left& aEvent)
 {
+  const auto found = mAnswers.find(aEvent.mId);
+  if (found != mAnswers.end() && found->second.mClaim) {
+    found->second.mMailbox.reset();
+    return;
+  }
   mAnswers.erase(aEvent.mId);
   CarryOut(mCore.OnCallerLeft(aEvent.mId, trefoilio::MonotonicNow()));
 }
@@ -334,6 +344,20 @@
   Deliver(id, std::move(aAction), true);
 }
 
+void
+RouterService::Tell(ClaimHold& aClaim, const AnswerEvent& aEvent)
+{
+  if (const auto* head = std::get_if<AnswerHead>(&aEvent)) {
+    aClaim.OnHead(head->mStatus, head->mHeaders);
+  } else if (const auto* data = std::get_if<AnswerData>(&aEvent)) {
+    aClaim.OnData(data->mData);
+  } else if (const auto* error = std::get_if<AnswerError>(&aEvent)) {
+    aClaim.OnError(error->mRefusal);
+  } else {
+    aClaim.OnEnd();
+  }
+}
+
 void
 RouterService::Deliver(RequestId aId, AnswerEvent aEvent, bool aLast)
 {
@@ -341,13 +365,17 @@
   if (found == mAnswers.end()) {
     return;
   }
-  const bool taken = found->second->Push(std::move(aEvent));
+  Answer& answer = found->second;
+  if (answer.mClaim) {
+    Tell(*answer.mClaim, aEvent);
+  }
+  const bool taken =
+    answer.mMailbox && answer.mMailbox->Push(std::move(aEvent));
   if (aLast) {
     mAnswers.erase(found);
-  } else if (!taken) {
+  } else if (!taken && answer.mMailbox) {
     mMetrics.Count("callers_too_slow_total");
-    found->second->Abandon();
-    mAnswers.erase(found);
+    answer.mMailbox->Abandon();
     mGone.push_back(aId);
   }
 }
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -23,6 +23,8 @@
 
 namespace trefoilarch {
 
+class ClaimHold;
+
 /** A sidecar that this entry is to have a channel to. */
 struct SidecarAddress
 {
@@ -64,8 +66,13 @@
   void Stop() override;
   std::string DumpState() const override;
 
-  /** Takes a request in; false where the ring is full. */
-  bool Submit(EntryRequest aRequest, std::shared_ptr<AnswerMailbox> aAnswer);
+  /**
+   * Takes a request in; false where the ring is full. One with a claim goes
+   * on when its caller leaves, so that a repeat finds its answer.
+   */
+  bool Submit(EntryRequest aRequest,
+              std::shared_ptr<AnswerMailbox> aMailbox,
+              std::shared_ptr<ClaimHold> aClaim);
   void CallerLeft(RequestId aId);
 
   void SetSidecars(std::vector<SidecarAddress> aSidecars);
@@ -89,7 +96,8 @@
   struct Submitted
   {
     EntryRequest mRequest;
-    std::shared_ptr<AnswerMailbox> mAnswer;
+    std::shared_ptr<AnswerMailbox> mMailbox;
+    std::shared_ptr<ClaimHold> mClaim;
   };
   struct Left
   {
@@ -137,6 +145,13 @@
     bool mHeard = false;
   };
 
+  /** Where a request's answer goes. */
+  struct Answer
+  {
+    std::shared_ptr<AnswerMailbox> mMailbox; /**< null: the caller left */
+    std::shared_ptr<ClaimHold> mClaim;       /**< null: it has none */
+  };
+
   void Run();
   void Handle(Event aEvent);
   void On(Submitted aEvent);
@@ -154,6 +169,8 @@
   void Do(AnswerData aAction);
   void Do(AnswerEnd aAction);
   void Do(AnswerError aAction);
+  /** Lets the claim see what becomes of its request. */
+  static void Tell(ClaimHold& aClaim, const AnswerEvent& aEvent);
   void Deliver(RequestId aId, AnswerEvent aEvent, bool aLast);
   void OpenChannel(const UpstreamId& aUpstream, Link& aLink);
   void CloseChannel(Link& aLink);
@@ -167,7 +184,7 @@
   /** Shared with channels that outlive their link for a moment. */
   std::shared_ptr<trefoilio::BoundedRing<Event>> mRing;
   std::map<UpstreamId, Link> mLinks;
-  std::map<RequestId, std::shared_ptr<AnswerMailbox>> mAnswers;
+  std::map<RequestId, Answer> mAnswers;
   std::vector<RequestId> mGone;
   uint64_t mNextGeneration = 1;
   std::minstd_rand mRandom;
