--- /dev/null
+++ b/tests/integration/claimservicetest.cpp
@@ -0,0 +1,181 @@
+#include "childprocess.h"
+#include "httpcall.h"
+
+#include "libtrefoilio/kernel.h"
+#include "trefoilarchd/claimhold.h"
+#include "trefoilarchd/claimservice.h"
+#include "trefoilarchd/grpcserverservice.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace integration;
+using namespace trefoilarch;
+using nlohmann::json;
+
+namespace {
+
+/** The claim part of one entry, with its peer port. */
+class ClaimingEntry
+{
+public:
+  explicit ClaimingEntry(const std::string& aPlatformUrl)
+    : mServer([this](RequestId aId) { return mService->Report(aId); })
+  {
+    auto port = std::make_unique<GrpcServerService>(
+      "127.0.0.1:0", std::vector<grpc::Service*>{ &mServer });
+    const GrpcServerService& bound = *port;
+    mKernel.Register(GrpcServerService::kName, std::move(port));
+    auto service = std::make_unique<ClaimService>(
+      ClaimServiceOptions{ .mPlatform = std::make_shared<const PlatformClient>(
+                             PlatformClientOptions{ .mUrl = aPlatformUrl }),
+                           .mAddress = [&bound] { return bound.Address(); } });
+    mService = service.get();
+    mKernel.Register(ClaimService::kName, std::move(service));
+    mKernel.StartAll();
+  }
+  ~ClaimingEntry() { mKernel.StopAll(); }
+
+  ClaimAnswered Claim(uint64_t aNumber,
+                      const std::string& aKey,
+                      const std::string& aIntent = "book")
+  {
+    return mService->Claim({ 1, aNumber }, "agents", aKey, aIntent);
+  }
+  ClaimService& Service() { return *mService; }
+
+private:
+  ClaimPeerServer mServer;
+  ClaimService* mService = nullptr;
+  trefoilio::Kernel mKernel;
+};
+
+/** A platform stand-in and two entries. */
+struct Bench
+{
+  ChildProcess mPlatform{ "trefoilarch-platform", {} };
+  std::string mUrl = "http://" + mPlatform.Address("platform");
+  std::unique_ptr<ClaimingEntry> mFirst = std::make_unique<ClaimingEntry>(mUrl);
+  std::unique_ptr<ClaimingEntry> mSecond =
+    std::make_unique<ClaimingEntry>(mUrl);
+
+  void SetTable(const char* aMode, double aProbability = 1)
+  {
+    PostJson(mUrl + "/control",
+             { { "table",
+                 { { "mode", aMode },
+                   { "delay_ms", 300 },
+                   { "probability", aProbability },
+                   { "seed", 1 } } } });
+  }
+};
+
+/** Many threads at both entries claim the same keys; how often each ran. */
+void
+CheckOneRunForEachKey(Bench& aBench, size_t aKeys, bool aSettled)
+{
+  constexpr size_t kTries = 4;
+  std::vector<std::atomic<int>> runs(aKeys);
+  std::vector<std::thread> callers;
+  for (size_t each = 0; each < aKeys * kTries; ++each) {
+    callers.emplace_back([&, each] {
+      auto& entry = each % 2 == 0 ? *aBench.mFirst : *aBench.mSecond;
+      const std::string key = "key-" + std::to_string(each / kTries);
+      if (entry.Claim(100 + each, key).mEnd == ClaimEnd::Run) {
+        ++runs[each / kTries];
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const std::atomic<int>& count : runs) {
+    cr_assert(count <= 1);
+    cr_assert(count == 1 || !aSettled);
+  }
+}
+
+} // namespace
+
+Test(claimservice, a_repeat_gets_the_first_answer_at_either_entry)
+{
+  Bench bench;
+  cr_assert(bench.mFirst->Claim(1, "k").mEnd == ClaimEnd::Run);
+  cr_assert(bench.mFirst->Claim(2, "k").mEnd == ClaimEnd::InProgress);
+  cr_assert(bench.mSecond->Claim(3, "k").mEnd == ClaimEnd::InProgress);
+  cr_assert(bench.mSecond->Claim(4, "k", "other").mEnd ==
+            ClaimEnd::OtherIntent);
+  {
+    ClaimHold hold(bench.mFirst->Service(), { 1, 1 });
+    hold.OnHead(201, { { "content-type", "text/x" } });
+    hold.OnData("book");
+    hold.OnData("ed");
+    hold.OnEnd();
+  }
+  for (ClaimingEntry* entry : { bench.mFirst.get(), bench.mSecond.get() }) {
+    const ClaimAnswered repeat = entry->Claim(5, "k");
+    cr_assert(repeat.mEnd == ClaimEnd::Finished);
+    cr_assert(*repeat.mAnswer == (KeptAnswer{ 201, "text/x", "booked" }));
+  }
+}
+
+Test(claimservice, what_did_not_run_may_run_elsewhere)
+{
+  Bench bench;
+  cr_assert(bench.mFirst->Claim(1, "k").mEnd == ClaimEnd::Run);
+  ClaimHold(bench.mFirst->Service(), { 1, 1 })
+    .OnError({ ErrorKind::Shed, Ran::No, Millis(100), "" });
+  cr_assert(bench.mSecond->Claim(2, "k").mEnd == ClaimEnd::Run);
+  cr_assert(bench.mFirst->Claim(3, "k").mEnd == ClaimEnd::InProgress);
+}
+
+Test(claimservice, a_claim_whose_entry_is_gone_stays_taken)
+{
+  Bench bench;
+  cr_assert(bench.mFirst->Claim(1, "k").mEnd == ClaimEnd::Run);
+  bench.mFirst.reset();
+  cr_assert(bench.mSecond->Claim(2, "k").mEnd == ClaimEnd::MaybeRan);
+}
+
+Test(claimservice, a_hold_without_an_end_may_have_run)
+{
+  Bench bench;
+  cr_assert(bench.mFirst->Claim(1, "k").mEnd == ClaimEnd::Run);
+  {
+    ClaimHold hold(bench.mFirst->Service(), { 1, 1 });
+  }
+  cr_assert(bench.mFirst->Claim(2, "k").mEnd == ClaimEnd::MaybeRan);
+  cr_assert(bench.mSecond->Claim(3, "k").mEnd == ClaimEnd::MaybeRan);
+}
+
+Test(claimservice, at_the_same_moment_one_runs)
+{
+  Bench bench;
+  CheckOneRunForEachKey(bench, 20, true);
+}
+
+Test(claimservice, at_the_same_moment_one_runs_where_the_table_is_slow)
+{
+  Bench bench;
+  bench.SetTable("slow");
+  CheckOneRunForEachKey(bench, 10, true);
+}
+
+Test(claimservice, at_the_same_moment_one_runs_where_answers_are_lost)
+{
+  Bench bench;
+  bench.SetTable("lose_answers", 0.4);
+  CheckOneRunForEachKey(bench, 10, false);
+}
+
+Test(claimservice, with_the_table_down_nothing_runs_until_it_is_back)
+{
+  Bench bench;
+  bench.SetTable("down");
+  cr_assert(bench.mFirst->Claim(1, "k").mEnd == ClaimEnd::Unsettled);
+  bench.SetTable("up");
+  cr_assert(bench.mSecond->Claim(2, "k").mEnd == ClaimEnd::Run);
+  cr_assert(bench.mFirst->Claim(3, "k").mEnd == ClaimEnd::InProgress);
+}
