--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -57,7 +57,7 @@
     return;
   }
   aLink.mHealth.OnProven(offer->mOffered);
-  if (aLink.TakesWork() && MayGo(*request, aLink)) {
+  if (MayGo(*request, aLink)) {
     StartAt(aLink, *request, *offer, aNow);
     return;
   }
