--- a/tests/unit/sidecarcoretest.cpp
+++ b/tests/unit/sidecarcoretest.cpp
@@ -50,10 +50,16 @@
     mLast = mCore.OnCall(std::move(aEvent), mNow);
   }
 
-  void Pass(int64_t aMillis)
+  /** Lets time pass, at the end of which the entry still gives signs of life
+   * or does not. */
+  void Pass(int64_t aMillis, bool aAlive = true)
   {
     mNow += Millis(aMillis);
+    SidecarActions heard;
+    if (aAlive)
+      heard = mCore.OnMessage("e", EntryHeartbeat{}, mNow);
     mLast = mCore.OnTick(mNow);
+    mLast.insert(mLast.begin(), heard.begin(), heard.end());
   }
 
   void StartOne(uint64_t aNumber)
@@ -304,3 +310,69 @@
   bench.Message(VoidOrReport{ .mKey = KeyOf(1) }, "f");
   cr_assert(bench.Sent<LedgerEntry>()->mState == AttemptState::Running);
 }
+
+/**
+ * A request of a higher tier that is about to miss its first token takes the
+ * room of a lower tier's work that can be rerun without a trace, of nothing
+ * else, and not before it is needed.
+ */
+Test(sidecarcore, preempts_only_what_can_be_rerun_without_a_trace)
+{
+  const auto run = [](bool aIdempotent, bool aBegun, Tier aTier) {
+    Bench bench({ .mFirstTokenRoom = 200, .mMostTokenRoom = 200 });
+    Offer lower = OfferOf(1, aTier);
+    lower.mIdempotent = aIdempotent;
+    bench.Message(lower);
+    bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
+    if (aBegun)
+      bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+    bench.Message(OfferOf(2, 0));
+    cr_assert_null(bench.Sent<Grant>());
+    bench.Pass(740);
+    cr_assert_null(bench.Sent<Failed>(), "too early");
+    bench.Pass(20);
+    const Failed* failed = bench.Sent<Failed>();
+    cr_assert_eq(failed != nullptr, bench.Sent<Grant>() != nullptr);
+    cr_assert_eq(bench.Count<CancelCall>(), failed ? 1 : 0);
+    if (failed) {
+      cr_assert(failed->mKind == ErrorKind::Shed);
+      cr_assert(failed->mRan == Ran::Maybe);
+      cr_assert_eq(failed->mChunks, 0);
+    }
+    return failed != nullptr;
+  };
+  cr_assert(run(true, false, 3));
+  cr_assert_not(run(false, false, 3));
+  cr_assert_not(run(true, true, 3));
+  cr_assert_not(run(true, false, 0));
+}
+
+/** Sidecar to entry alone works: the sidecar goes silent too, so that the
+ * entry replaces the channel. */
+Test(sidecarcore, entry_that_falls_silent_must_say_hello_again)
+{
+  Bench bench({ .mEntrySilence = Millis(2000) });
+  bench.StartOne(1);
+  for (int beat = 0; beat < 8; ++beat) {
+    bench.Pass(500, false);
+    cr_assert_eq(bench.Sent<SidecarHeartbeat>() != nullptr, beat < 3);
+  }
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  bench.Message(EntryHeartbeat{});
+  bench.Message(OfferOf(2));
+  cr_assert(bench.mLast.empty());
+  bench.Message(Hello{ .mEntry = "e", .mDataCentre = "d" });
+  cr_assert_not_null(bench.Sent<Welcome>());
+  bench.Message(Resume{ .mKey = KeyOf(1), .mNextChunk = 0 });
+  cr_assert(bench.Chunks() == std::vector<uint64_t>({ 0 }));
+}
+
+/** An entry that watches for silence must hear of its open requests. */
+Test(sidecarcore, first_open_attempt_hastens_the_heartbeat)
+{
+  Bench bench({ .mFirstTokenRoom = 200, .mMostTokenRoom = 200 });
+  bench.Pass(500);
+  bench.StartOne(1);
+  bench.Pass(500);
+  cr_assert_not_null(bench.Sent<SidecarHeartbeat>());
+}
