Acknowledge failed attempts; tell apart why upstreams declined

The entry now acknowledges what a failed attempt had produced. The storm also checks that in the end every sidecar has nothing left to do.

Also: a draining upstream's decline does not count as a round and does not hide the other declines' reason; a deadline that a sidecar saw pass ends the request; what a restart or a lost channel costs is not held against the upstream as a failure (a_restarted_sidecar_answers_at_once_for_its_engine).

--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -97,21 +97,42 @@
   aLink.mHealth.OnProven(offer->mOffered);
   Release(aLink, *offer);
   request->mDeclinedBy.push_back(aLink.mView.mName);
-  const bool sooner =
-    !request->mRefusal || aMessage.mRetryAfter < request->mRefusal->mRetryAfter;
-  if (sooner) {
-    request->mRefusal = { aMessage.mKind,
+  NoteDecline(*request, aMessage);
+  if (aMessage.mKind == ErrorKind::DeadlineExceeded) {
+    ConcludeWithError(*request, *request->mRefusal, aNow);
+  } else if (!HasReadyOffer(*request)) {
+    PlaceOnceMore(*request, aMessage.mKind, aNow);
+  }
+}
+
+void
+EntryCore::Impl::NoteDecline(OpenRequest& aRequest, const Decline& aDecline)
+{
+  const auto& known = aRequest.mRefusal;
+  const bool leaves = aDecline.mKind == ErrorKind::ShuttingDown;
+  const bool moreTelling =
+    !known || known->mKind == ErrorKind::ShuttingDown ||
+    aDecline.mKind == ErrorKind::DeadlineExceeded ||
+    (!leaves && aDecline.mRetryAfter < known->mRetryAfter);
+  if (moreTelling) {
+    aRequest.mRefusal = { aDecline.mKind,
                           Ran::No,
-                          aMessage.mRetryAfter,
+                          aDecline.mRetryAfter,
                           "declined by every upstream that was asked" };
   }
-  if (HasReadyOffer(*request)) {
-    return;
-  }
-  if (++request->mRounds < kMostRounds) {
-    PlaceOrConclude(*request, aNow);
+}
+
+void
+EntryCore::Impl::PlaceOnceMore(OpenRequest& aRequest,
+                               ErrorKind aDeclined,
+                               Millis aNow)
+{
+  const bool leaves = aDeclined == ErrorKind::ShuttingDown;
+  aRequest.mRounds += leaves ? 0 : 1;
+  if (aRequest.mRounds < kMostRounds) {
+    PlaceOrConclude(aRequest, aNow);
   } else {
-    ConcludeWithError(*request, *request->mRefusal, aNow);
+    ConcludeWithError(aRequest, *aRequest.mRefusal, aNow);
   }
 }
 
@@ -242,6 +263,9 @@
 void
 EntryCore::Impl::On(UpstreamLink& aLink, const Failed& aMessage, Millis aNow)
 {
+  if (aMessage.mChunks > 0) {
+    Send(aLink, Ack{ aMessage.mKey, aMessage.mChunks }, aNow);
+  }
   OpenRequest* request = StartedAt(aLink, aMessage.mKey);
   if (!request) {
     Confirm(aLink, aMessage.mKey);
--- a/src/libtrefoilarch/entryimpl.h
+++ b/src/libtrefoilarch/entryimpl.h
@@ -131,6 +131,8 @@
                OpenRequest& aRequest,
                EntryAttempt aOffer,
                Millis aNow);
+  static void NoteDecline(OpenRequest& aRequest, const Decline& aDecline);
+  void PlaceOnceMore(OpenRequest& aRequest, ErrorKind aDeclined, Millis aNow);
   void OnProbeAnswered(UpstreamLink& aLink, Millis aNow);
   void ReportFirstToken(const OpenRequest& aRequest, Millis aNow);
   void Deliver(OpenRequest& aRequest, Chunk aChunk, Millis aNow);
--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -274,7 +274,6 @@
   const EntryAttempt attempt = *std::exchange(aRequest.mStarted, std::nullopt);
   aRequest.mMayHaveRun = true;
   aRequest.mFailedAt.push_back(attempt.mUpstream);
-  mOutliers.OnFailure(attempt.mUpstream, aNow);
   CloseAttempt(attempt, aNow);
   RetryOrConclude(aRequest, LostAfterStart(aRequest), aNow);
 }
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -173,6 +173,41 @@
   cr_assert(refusal.mRetryAfter == Millis(500));
 }
 
+Test(entrycore, draining_upstreams_do_not_hide_why_the_others_declined)
+{
+  Scene scene;
+  scene.Request();
+  std::vector<std::pair<UpstreamId, Offer>> offers = scene.Sent<Offer>();
+  for (size_t i = 0; i < offers.size(); i++) {
+    const bool drains = i % 2 == 0;
+    scene.Hear(
+      offers[i].first,
+      Decline{ offers[i].second.mKey,
+               drains ? ErrorKind::ShuttingDown : ErrorKind::DeadlineUnmeetable,
+               drains ? Millis() : Millis(800) });
+    for (const auto& next : scene.Sent<Offer>()) {
+      offers.push_back(next);
+    }
+  }
+  cr_assert_eq(offers.size(), 3);
+  const Refusal refusal = scene.Given<AnswerError>().at(0).mRefusal;
+  cr_assert(refusal.mKind == ErrorKind::DeadlineUnmeetable);
+  cr_assert(refusal.mRetryAfter == Millis(800));
+}
+
+Test(entrycore, a_deadline_that_a_sidecar_saw_pass_ends_the_request)
+{
+  Scene scene;
+  scene.Request();
+  const auto offers = scene.Sent<Offer>();
+  scene.Hear(
+    offers[0].first,
+    Decline{ offers[0].second.mKey, ErrorKind::DeadlineExceeded, Millis(5) });
+  cr_assert(scene.Given<AnswerError>().at(0).mRefusal.mKind ==
+            ErrorKind::DeadlineExceeded);
+  cr_assert_eq(scene.Sent<Withdraw>().size(), 1);
+}
+
 Test(entrycore, a_caller_that_left_is_withdrawn_everywhere)
 {
   Scene scene;
--- a/tests/unit/entryfaultstest.cpp
+++ b/tests/unit/entryfaultstest.cpp
@@ -19,17 +19,6 @@
 /** Longer than every deadline and span together. */
 constexpr Millis kQuiet{ 60000 };
 
-std::shared_ptr<const Classifier>
-AnyUpstream()
-{
-  auto policy = std::make_shared<Policy>();
-  policy->mVersion = 1;
-  policy->mSelectors["all"] = { .mName = "all",
-                                .mTraffic = {},
-                                .mUpstreams = {} };
-  return std::make_shared<const Classifier>(std::move(policy));
-}
-
 /** Requests and faults drawn from one seed, and the checks on what came. */
 class Storm
 {
@@ -163,6 +152,7 @@
       Storm storm(aSeed, faults, { .mCrash = 0.02, .mRefuse = 0.05 });
       VirtualFleet& fleet = storm.Run();
       RC_ASSERT(fleet.Entry().OpenRequests() == 0U);
+      RC_ASSERT(fleet.DrainedAtOnce());
       for (const RequestId& id : storm.InCalm()) {
         RC_ASSERT(fleet.Callers().at(id).mWhole);
       }
--- a/tests/unit/outlierdetectortest.cpp
+++ b/tests/unit/outlierdetectortest.cpp
@@ -125,13 +125,7 @@
 
 Test(outlierdetector, an_upstream_that_refuses_all_gets_little)
 {
-  auto policy = std::make_shared<Policy>();
-  policy->mVersion = 1;
-  policy->mSelectors["all"] = { .mName = "all",
-                                .mTraffic = {},
-                                .mUpstreams = {} };
-  VirtualFleet fleet(
-    1, 3, {}, std::make_shared<const Classifier>(std::move(policy)));
+  VirtualFleet fleet(1, 3, {}, AnyUpstream());
   fleet.SetEngine(NameOf(0), { .mRefuse = 1 });
   for (int i = 0; i < 600; i++) {
     fleet.At(Millis(2000 + i * 100),
@@ -145,3 +139,17 @@
   }
   cr_assert_geq(whole, 599);
 }
+
+Test(outlierdetector, a_restarted_sidecar_answers_at_once_for_its_engine)
+{
+  VirtualFleet fleet(1, 3, {}, AnyUpstream());
+  for (int i = 0; i < 200; i++) {
+    fleet.At(Millis(2000 + i * 10),
+             [&fleet] { fleet.Ask(true, Millis(20000)); });
+  }
+  fleet.At(Millis(3000), [&fleet] { fleet.Restart(NameOf(0)); });
+  fleet.Run(Millis(3900));
+  const int before = fleet.Calls().at(NameOf(0));
+  fleet.Run(Millis(4100));
+  cr_assert_gt(fleet.Calls().at(NameOf(0)), before);
+}
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -9,17 +9,6 @@
 
 namespace {
 
-std::shared_ptr<const Classifier>
-AnyUpstream()
-{
-  auto policy = std::make_shared<Policy>();
-  policy->mVersion = 1;
-  policy->mSelectors["all"] = { .mName = "all",
-                                .mTraffic = {},
-                                .mUpstreams = {} };
-  return std::make_shared<const Classifier>(std::move(policy));
-}
-
 int
 CallsOf(const VirtualFleet& aFleet)
 {
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -18,6 +18,18 @@
 
 namespace trefoilarch {
 
+/** A policy by which all traffic may go anywhere. */
+inline std::shared_ptr<const Classifier>
+AnyUpstream()
+{
+  auto policy = std::make_shared<Policy>();
+  policy->mVersion = 1;
+  policy->mSelectors["all"] = { .mName = "all",
+                                .mTraffic = {},
+                                .mUpstreams = {} };
+  return std::make_shared<const Classifier>(std::move(policy));
+}
+
 /** What one caller of a VirtualFleet asked for and got. */
 struct VirtualCaller
 {
@@ -194,10 +206,15 @@
     mOdd[aName] = aEngine;
   }
 
-  void Drain(const UpstreamId& aName)
+  /** Drains all sidecars, and tells whether they have nothing left to do. */
+  bool DrainedAtOnce()
   {
-    Host& host = mHosts.at(aName);
-    CarryOut(host, host.mCore->Drain(mNow));
+    bool idle = true;
+    for (auto& [name, host] : mHosts) {
+      CarryOut(host, host.mCore->Drain(mNow));
+      idle = idle && host.mCore->Idle();
+    }
+    return idle;
   }
 
   EntryCore& Entry() { return *mEntry; }
