--- /dev/null
+++ b/tests/unit/ledgertest.cpp
@@ -0,0 +1,74 @@
+#include "libtrefoilarch/ledger.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace trefoilarch;
+
+namespace {
+
+AttemptKey
+KeyOf(uint64_t aNumber)
+{
+  return { .mRequest = { .mHigh = 0, .mLow = aNumber }, .mAttempt = 1 };
+}
+
+} // namespace
+
+/**
+ * Over random ends and pauses: the bounds hold, the first word on a key
+ * stands, and while no start has been forgotten every attempt that had started
+ * is still known.
+ */
+Test(ledger, never_forgets_a_start_unsaid)
+{
+  const bool holds = rc::check([] {
+    constexpr size_t kLimit = 20;
+    constexpr Millis kSpan{ 1000 };
+    Ledger ledger({ .mSpan = kSpan, .mLimit = kLimit });
+    std::map<uint64_t, bool> ended;
+    Millis now(1);
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      now += Millis(*rc::gen::inRange(0, 100));
+      const auto number = *rc::gen::inRange<uint64_t>(0, 60);
+      const bool started = *rc::gen::arbitrary<bool>();
+      const bool known = ledger.Find(KeyOf(number)) != nullptr;
+      const FinalWord word =
+        started ? FinalWord(Finished{ .mKey = KeyOf(number) }) : FinalWord();
+      ledger.Close(KeyOf(number), word, now);
+      if (!known)
+        ended[number] = started;
+      ledger.Expire(now);
+      RC_ASSERT(ledger.Size() <= kLimit);
+      for (const auto& [key, hadStarted] : ended) {
+        const FinalWord* found = ledger.Find(KeyOf(key));
+        if (found)
+          RC_ASSERT(std::holds_alternative<Finished>(*found) == hadStarted);
+        if (!found && hadStarted)
+          RC_ASSERT(ledger.HasForgottenStarts());
+      }
+    }
+  });
+  cr_assert(holds);
+}
+
+/** At the bound a voided attempt goes before one that had started. */
+Test(ledger, forgets_voided_attempts_first)
+{
+  Ledger ledger({ .mSpan = Millis(1000), .mLimit = 3 });
+  ledger.Close(KeyOf(1), Finished{ .mKey = KeyOf(1) }, Millis(1));
+  for (uint64_t i = 2; i < 10; ++i)
+    ledger.Close(KeyOf(i), {}, Millis(2));
+  cr_assert_not_null(ledger.Find(KeyOf(1)));
+  cr_assert_not(ledger.HasForgottenStarts());
+  ledger.Close(KeyOf(10), Finished{ .mKey = KeyOf(10) }, Millis(3));
+  ledger.Close(KeyOf(11), Finished{ .mKey = KeyOf(11) }, Millis(3));
+  cr_assert_not(ledger.HasForgottenStarts());
+  ledger.Close(KeyOf(12), Finished{ .mKey = KeyOf(12) }, Millis(3));
+  cr_assert(ledger.HasForgottenStarts());
+  cr_assert_null(ledger.Find(KeyOf(1)));
+}
