--- a/src/libtrefoilarch/room.cpp
+++ b/src/libtrefoilarch/room.cpp
@@ -20,9 +20,6 @@
                                                              100 };
 constexpr uint64_t kWhole = 100;
 
-/** The limit stays above this part of the first one. */
-constexpr uint64_t kLeastPart = 32;
-
 /** Prompt tokens in prefill: to begin with, at least and at most. */
 constexpr uint64_t kFirstPrefill = 4096;
 constexpr uint64_t kLeastPrefill = 1024;
@@ -35,10 +32,9 @@
 
 Room::Room(RoomOptions aOptions)
   : mOptions(aOptions)
-  , mTokenLimit(
-      { .mFirst = aOptions.mFirstLimit,
-        .mLeast = std::max<uint64_t>(aOptions.mFirstLimit / kLeastPart, 1),
-        .mMost = aOptions.mMostLimit })
+  , mTokenLimit({ .mFirst = aOptions.mFirstLimit,
+                  .mLeast = std::max<uint64_t>(aOptions.mLeastLimit, 1),
+                  .mMost = aOptions.mMostLimit })
   , mPrefillLimit({ .mFirst = kFirstPrefill,
                     .mLeast = kLeastPrefill,
                     .mMost = kMostPrefill })
--- a/src/libtrefoilarch/room.h
+++ b/src/libtrefoilarch/room.h
@@ -14,6 +14,8 @@
 struct RoomOptions
 {
   uint64_t mFirstLimit = 16384;
+  /** The limit never falls below this. */
+  uint64_t mLeastLimit = 512;
   /** What the upstream itself can hold at a time, in tokens and in calls. */
   uint64_t mMostLimit = 1048576;
   size_t mMostRunning = 256;
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -100,8 +100,10 @@
   if (offer.mLevel.mFirstTokenTarget > strictest * kNearlyStrict)
     return;
   const Millis own = mRate.BestPrefillTime(offer.mPromptTokens) * kOwnFactor;
-  const auto allowed = static_cast<double>(
-    std::max({ strictest * kFirstPart / kWholeParts, own, Millis(1) }).Count());
+  const Millis part =
+    mOptions.mTokenStream ? strictest * kFirstPart / kWholeParts : strictest;
+  const auto allowed =
+    static_cast<double>(std::max({ part, own, Millis(1) }).Count());
   const Millis prefill = mRate.BestPrefillTime(aAttempt.mPrefillAhead);
   const Millis step(std::llround(mRate.BetweenTokens(mNow)));
   mRoom.OnFirstToken(static_cast<double>(aSpan.Count()) / allowed,
--- a/src/libtrefoilarch/sidecarimpl.cpp
+++ b/src/libtrefoilarch/sidecarimpl.cpp
@@ -7,12 +7,19 @@
 
 namespace {
 
+/** Parts of the first limit that the room never falls below. The calls of a
+ * service differ by their nature, so slow ones say less of its load. */
+constexpr uint64_t kLeastTokenPart = 32;
+constexpr size_t kLeastCallPart = 4;
+
 RoomOptions
 RoomOptionsFrom(const SidecarOptions& aOptions)
 {
   const size_t calls = aOptions.mMostRunning;
   const bool tokens = aOptions.mTokenStream;
   return { .mFirstLimit = tokens ? aOptions.mFirstTokenRoom : calls,
+           .mLeastLimit = tokens ? aOptions.mFirstTokenRoom / kLeastTokenPart
+                                 : calls / kLeastCallPart,
            .mMostLimit = tokens ? aOptions.mMostTokenRoom : calls,
            .mMostRunning = calls };
 }
--- a/tests/unit/sidecarcoretest.cpp
+++ b/tests/unit/sidecarcoretest.cpp
@@ -372,6 +372,21 @@
   cr_assert_not_null(bench.Sent<Grant>());
 }
 
+/** A plain service has no tokens; its room is a number of calls. */
+Test(sidecarcore, service_is_counted_in_calls)
+{
+  Bench bench({ .mTokenStream = false, .mMostRunning = 2 });
+  bench.StartOne(1);
+  bench.StartOne(2);
+  bench.Message(OfferOf(3));
+  cr_assert_null(bench.Sent<Grant>());
+  bench.Event(CallHead{ .mKey = KeyOf(1), .mStatus = 200, .mHeaders = {} });
+  bench.Event(CallData{ .mKey = KeyOf(1), .mData = "{}" });
+  bench.Event(CallDone{ .mKey = KeyOf(1) });
+  cr_assert_not_null(bench.Sent<Finished>());
+  cr_assert_not_null(bench.Sent<Grant>());
+}
+
 /** Nobody acknowledges a failure, so nothing may wait for that: the entry has
  * closed the attempt and gives few signs of life. The ledger answers for it. */
 Test(sidecarcore, failed_attempt_is_over_at_once)
