--- a/src/trefoilload/answerchecker.cpp
+++ b/src/trefoilload/answerchecker.cpp
@@ -162,10 +162,11 @@
   if (mRequest.mService.empty()) {
     return body == json::parse(mExpected.WholeBody());
   }
-  return body.is_object() &&
+  const std::string& target = mSent.mTarget;
+  return body.is_object() && body.value("method", "") == mSent.mMethod &&
+         body.value("path", "none") == target.substr(target.find("/calls/")) &&
          body.value("body_hash", "") ==
-           std::to_string(standin::HashOf(mSent.mBody)) &&
-         body.value("request_id", "").starts_with(mRecord.mRequestId);
+           std::to_string(standin::HashOf(mSent.mBody));
 }
 
 } // namespace trefoilload
