--- /dev/null
+++ b/tests/integration/outagetest.cpp
@@ -0,0 +1,135 @@
+#include "await.h"
+#include "fleet.h"
+#include "httpcall.h"
+
+#include <criterion/criterion.h>
+
+using namespace integration;
+using nlohmann::json;
+using trefoilload::CallOutcome;
+using trefoilload::CallRecord;
+
+namespace {
+
+const json kDown = { { "mode", "down" } };
+const json kSlow = { { "mode", "slow" }, { "delay_ms", 3000 } };
+const json kLossy = { { "mode", "lose_answers" }, { "probability", 1.0 } };
+
+json
+Drain(const char* aOperation)
+{
+  return json::array({ { { "op", aOperation }, { "upstream", "engine-2" } } });
+}
+
+/**
+ * One row of the operators' outage table: while the service fails, requests
+ * without a key are answered and the entries stay ready; afterwards a change
+ * is accepted and in force at both.
+ */
+void
+CheckRow(const char* aService, const json& aFaults)
+{
+  FleetOptions options;
+  options.mEngines = 2;
+  options.mEntries = 2;
+  Fleet fleet(options);
+  fleet.PlatformControl({ { aService, aFaults } });
+  for (int i = 0; i < 30; ++i) {
+    const auto call = fleet.Send(ChatRequest("mid-call", 5), i % 2);
+    const CallRecord record = call->AwaitEnd();
+    cr_assert(record.mOutcome == CallOutcome::Whole,
+              "%s %s: %s",
+              aService,
+              aFaults.dump().c_str(),
+              record.mKind.c_str());
+  }
+  for (size_t entry = 0; entry < 2; ++entry) {
+    cr_assert(CallHttp("GET", fleet.OperatorUrl(entry) + "/readyz").mStatus ==
+              200);
+  }
+  fleet.PlatformControl({ { aService, { { "mode", "up" } } } });
+  json changed;
+  cr_assert(Await([&] {
+    changed = fleet.ChangePolicy(Drain("drain"));
+    return changed["status"] == 200;
+  }));
+  const uint64_t version = changed["body"]["version"].get<uint64_t>();
+  for (size_t entry = 0; entry < 2; ++entry) {
+    cr_assert(Await([&] { return fleet.PolicyVersion(entry) >= version; }));
+  }
+}
+
+} // namespace
+
+Test(outage, table_down)
+{
+  CheckRow("table", kDown);
+}
+
+Test(outage, table_slow)
+{
+  CheckRow("table", kSlow);
+}
+
+Test(outage, table_loses_answers)
+{
+  CheckRow("table", kLossy);
+}
+
+Test(outage, objects_down)
+{
+  CheckRow("objects", kDown);
+}
+
+Test(outage, objects_slow)
+{
+  CheckRow("objects", kSlow);
+}
+
+Test(outage, objects_lose_answers)
+{
+  CheckRow("objects", kLossy);
+}
+
+Test(outage, host_list_down)
+{
+  CheckRow("hostlist", kDown);
+}
+
+Test(outage, host_list_slow)
+{
+  CheckRow("hostlist", kSlow);
+}
+
+Test(outage, host_list_loses_answers)
+{
+  CheckRow("hostlist", kLossy);
+}
+
+Test(outage, a_keyed_request_in_a_table_outage_is_refused_as_not_run)
+{
+  Fleet fleet({});
+  fleet.PlatformControl({ { "table", kDown } });
+  const auto call = fleet.Send(OnceRequest("drafting", 10, false));
+  const CallRecord record = call->AwaitEnd();
+  cr_assert(record.mOutcome == CallOutcome::Refused,
+            "%s %s",
+            Name(record.mOutcome).c_str(),
+            record.mKind.c_str());
+  cr_assert(record.mKind == "claim_unsettled", "%s", record.mKind.c_str());
+  cr_assert(record.mRetryAfter > 0);
+  cr_assert(fleet.RunsOf(call->Mark()) == 0);
+}
+
+Test(outage, a_new_host_is_used_once_the_list_is_back)
+{
+  FleetOptions options;
+  options.mEngines = 1;
+  Fleet fleet(options);
+  fleet.PlatformControl({ { "hostlist", kDown } });
+  fleet.AddEntry();
+  fleet.PlatformControl({ { "hostlist", { { "mode", "up" } } } });
+  cr_assert(fleet.AwaitReady(1));
+  const auto call = fleet.Send(ChatRequest("mid-call", 5), 1);
+  cr_assert(call->AwaitEnd().mOutcome == CallOutcome::Whole);
+}
