--- a/src/libtrefoilarch/callwatch.h
+++ b/src/libtrefoilarch/callwatch.h
@@ -14,7 +14,7 @@
   /** No call is given up sooner. */
   Millis mLeastSpan{ 2000 };
   /** Nor this soon where the upstream says nothing to any call. */
-  Millis mStalledSpan{ 5000 };
+  Millis mStalledSpan{ 3000 };
   /** Until a first token has been seen, calls may take this long for it. */
   Millis mUnknownFirst{ 10000 };
   /** Silence is this many times the longest wait of late. */
