Give orders to engines under a lease, loads paced by slots

An engine that checks fencing numbers is sent an order while the lease is held; one that ignores them only while the lease is good for the longest order, and a process that took over from one that did not give back waits that time first, so a holder may sleep between its check and its sending for as long as the longest order. An order without an answer is repeated only after that time, and keeps the lease until then. A load needs one of the fleet's load slots, each a lease of its own.

Weighed: a counter in the table as the pace of loads; it needs a clock that all share, or it leaks when a holder dies. A slot lapses by itself.

Now one lease for each slot goes on watching.

The daemon's part (HTTP to the engine, operators' path) is not here yet.

--- a/src/libtrefoilarch/lease.cpp
+++ b/src/libtrefoilarch/lease.cpp
@@ -187,6 +187,7 @@
     return;
   }
   const LeaseRow next{ mOptions.mHolder, row.mFence + 1, 0, mOptions.mSpan };
+  mTakingOver = !free;
   Write(aOut, next, aFound.mRevision, aNow);
 }
 
@@ -206,7 +207,7 @@
   if (!mHolding || mFence != mSent.mFence) {
     mHolding = true;
     mFence = mSent.mFence;
-    aOut.emplace_back(LeaseGained{ mFence });
+    aOut.emplace_back(LeaseGained{ mFence, mTakingOver });
   }
 }
 
--- a/src/libtrefoilarch/lease.h
+++ b/src/libtrefoilarch/lease.h
@@ -61,6 +61,8 @@
 struct LeaseGained
 {
   uint64_t mFence = 0;
+  /** The holder before did not give it back: it may be at work still. */
+  bool mTakenOver = false;
 };
 
 /** It is not, or not for sure, any more. */
@@ -112,6 +114,9 @@
    */
   bool Held(Millis aNow, Millis aSpan = Millis()) const;
   uint64_t Fence() const { return mFence; }
+  bool Wanted() const { return mWanted; }
+  /** A read or write is under way. */
+  bool Busy() const { return mBusy; }
   Millis NextWake() const;
 
 private:
@@ -133,6 +138,7 @@
   Millis mGoodUntil;
   uint64_t mFence = 0;
   int64_t mRevision = 0; /**< of the row while it is known to be ours */
+  bool mTakingOver = false;
   uint64_t mWrites = 0;
   LeaseRow mSent; /**< the last write, and when it was sent */
   Millis mSentAt;
--- /dev/null
+++ b/src/libtrefoilarch/orders.cpp
@@ -0,0 +1,260 @@
+#include "orders.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+const std::string kSlotPrefix = "lease/loads/";
+
+std::string
+SlotKey(size_t aSlot)
+{
+  return kSlotPrefix + std::to_string(aSlot);
+}
+
+} // namespace
+
+Orders::Orders(OrderOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mLeaseKey("lease/orders/" + mOptions.mUpstream)
+  , mLease(OptionsFor(false))
+{
+  const size_t slots = std::max<size_t>(1, mOptions.mLoadSlots);
+  const std::string& name = mOptions.mUpstream;
+  mSlot = XXH3_64bits(name.data(), name.size()) % slots;
+  for (size_t slot = 0; slot < slots; ++slot) {
+    mSlots.emplace_back(OptionsFor(true));
+  }
+}
+
+LeaseOptions
+Orders::OptionsFor(bool aSlot)
+{
+  const bool covers = aSlot || !mOptions.mEngineChecksFence;
+  LeaseOptions options;
+  options.mHolder = mOptions.mHolder + "/" + std::to_string(++mLeases);
+  options.mSpan =
+    mOptions.mLeaseSpare + (covers ? mOptions.mLongestOrder : Millis());
+  options.mMargin = options.mSpan / 20;
+  options.mRenewAfter = options.mSpan / 10;
+  options.mSeed = mOptions.mSeed + (aSlot ? 1 : 0);
+  return options;
+}
+
+OrderActions
+Orders::Submit(EngineOrder aOrder, Millis aNow)
+{
+  OrderActions out;
+  if (mOrders.size() >= mOptions.mMostWaiting) {
+    out.emplace_back(OrderEnded{ aOrder.mId, OrderEnd::NotSent });
+    return out;
+  }
+  mOrders.push_back({ std::move(aOrder), aNow + mOptions.mOrderSpan, false });
+  Drive(out, aNow);
+  return out;
+}
+
+OrderActions
+Orders::OnLeaseRead(const std::string& aKey,
+                    const LeaseFound& aFound,
+                    Millis aNow)
+{
+  OrderActions out;
+  if (Lease* lease = Find(aKey)) {
+    Take(out, aKey, lease->OnRead(aFound, aNow), aNow);
+  }
+  Drive(out, aNow);
+  return out;
+}
+
+OrderActions
+Orders::OnLeaseWritten(const std::string& aKey,
+                       LeaseWriteEnd aEnd,
+                       int64_t aRevision,
+                       Millis aNow)
+{
+  OrderActions out;
+  if (Lease* lease = Find(aKey)) {
+    Take(out, aKey, lease->OnWritten(aEnd, aRevision, aNow), aNow);
+  }
+  Drive(out, aNow);
+  return out;
+}
+
+OrderActions
+Orders::OnReply(OrderReply aReply, Millis aNow)
+{
+  OrderActions out;
+  mSending = false;
+  Entry& entry = mOrders.front();
+  switch (aReply) {
+    case OrderReply::Done:
+      Finish(out, OrderEnd::Done);
+      break;
+    case OrderReply::Refused:
+      Finish(out, OrderEnd::Failed);
+      break;
+    case OrderReply::Unknown:
+      entry.mMaybeSent = true;
+      mQuietFrom = aNow + mOptions.mLongestOrder;
+      mNextTry = mQuietFrom;
+      break;
+    case OrderReply::OldFence:
+    case OrderReply::NotSent:
+      mNextTry = aNow + mOptions.mRetry;
+      break;
+  }
+  Drive(out, aNow);
+  return out;
+}
+
+OrderActions
+Orders::OnTick(Millis aNow)
+{
+  OrderActions out;
+  Take(out, mLeaseKey, mLease.OnTick(aNow), aNow);
+  for (size_t slot = 0; slot < mSlots.size(); ++slot) {
+    Take(out, SlotKey(slot), mSlots[slot].OnTick(aNow), aNow);
+  }
+  Drive(out, aNow);
+  return out;
+}
+
+bool
+Orders::MaySend(Millis aNow) const
+{
+  return !mOrders.empty() && aNow >= mActFrom &&
+         mLease.Held(aNow, SafeSpan()) &&
+         (!NeedsSlot() || Slot().Held(aNow, mOptions.mLongestOrder));
+}
+
+Millis
+Orders::NextWake() const
+{
+  Millis wake = mLease.NextWake();
+  for (const Lease& slot : mSlots) {
+    wake = std::min(wake, slot.NextWake());
+  }
+  if (mOrders.empty()) {
+    return mLease.Wanted() ? std::min(wake, mQuietFrom) : wake;
+  }
+  if (!mSending) {
+    wake = std::min(wake, std::max(mNextTry, mActFrom));
+  }
+  if (NeedsSlot() && mSlots.size() > 1 && !Slot().Held(mSlotSince)) {
+    wake = std::min(wake, mSlotSince + mOptions.mSlotPatience);
+  }
+  return std::min(wake, mOrders.front().mDeadline);
+}
+
+void
+Orders::Drive(OrderActions& aOut, Millis aNow)
+{
+  DropLate(aOut, aNow);
+  const bool wanted = !mOrders.empty() || aNow < mQuietFrom;
+  if (wanted != mLease.Wanted()) {
+    Take(aOut, mLeaseKey, mLease.Want(wanted, aNow), aNow);
+  }
+  DriveSlot(aOut, aNow);
+  if (!mSending && aNow >= mNextTry && MaySend(aNow)) {
+    mSending = true;
+    aOut.emplace_back(SendOrder{ mOrders.front().mOrder, mLease.Fence() });
+  }
+}
+
+/** An order under way is waited for, however late it is. */
+void
+Orders::DropLate(OrderActions& aOut, Millis aNow)
+{
+  while (!mOrders.empty() && !mSending && mOrders.front().mDeadline <= aNow) {
+    const bool sent = mOrders.front().mMaybeSent;
+    Finish(aOut, sent ? OrderEnd::Unknown : OrderEnd::NotSent);
+  }
+}
+
+/** A slot is wanted once the engine's lease is held, and kept while used. */
+void
+Orders::DriveSlot(OrderActions& aOut, Millis aNow)
+{
+  const bool lingers = Slot().Wanted() && aNow < mQuietFrom;
+  const bool wanted =
+    lingers || (NeedsSlot() && (mSending || mLease.Held(aNow, SafeSpan())));
+  if (wanted != Slot().Wanted()) {
+    mSlotSince = aNow;
+    Take(aOut, SlotKey(mSlot), Slot().Want(wanted, aNow), aNow);
+    return;
+  }
+  const bool impatient = wanted && !lingers && !mSending &&
+                         !Slot().Held(aNow) &&
+                         aNow >= mSlotSince + mOptions.mSlotPatience;
+  if (impatient && mSlots.size() > 1) {
+    Take(aOut, SlotKey(mSlot), Slot().Want(false, aNow), aNow);
+    mSlot = (mSlot + 1) % mSlots.size();
+    mSlotSince = aNow;
+    Take(aOut, SlotKey(mSlot), Slot().Want(true, aNow), aNow);
+  }
+}
+
+void
+Orders::Finish(OrderActions& aOut, OrderEnd aEnd)
+{
+  aOut.emplace_back(OrderEnded{ std::move(mOrders.front().mOrder.mId), aEnd });
+  mOrders.pop_front();
+}
+
+void
+Orders::Take(OrderActions& aOut,
+             const std::string& aKey,
+             LeaseActions aActions,
+             Millis aNow)
+{
+  for (LeaseAction& action : aActions) {
+    if (const auto* gained = std::get_if<LeaseGained>(&action)) {
+      const bool waits =
+        aKey == mLeaseKey && gained->mTakenOver && !mOptions.mEngineChecksFence;
+      mActFrom = waits ? aNow + mOptions.mLongestOrder : mActFrom;
+    } else if (std::holds_alternative<ReadLease>(action)) {
+      aOut.emplace_back(LeaseRowAction{ aKey, ReadLease{} });
+    } else if (auto* write = std::get_if<WriteLease>(&action)) {
+      aOut.emplace_back(LeaseRowAction{ aKey, std::move(*write) });
+    }
+  }
+}
+
+bool
+Orders::NeedsSlot() const
+{
+  if (mOrders.empty()) {
+    return false;
+  }
+  const OrderKind kind = mOrders.front().mOrder.mKind;
+  return kind == OrderKind::LoadModel || kind == OrderKind::LoadAdapter;
+}
+
+/** How long the lease must still be good when an order is sent. */
+Millis
+Orders::SafeSpan() const
+{
+  return mOptions.mEngineChecksFence ? Millis() : mOptions.mLongestOrder;
+}
+
+Lease*
+Orders::Find(const std::string& aKey)
+{
+  if (aKey == mLeaseKey) {
+    return &mLease;
+  }
+  for (size_t slot = 0; slot < mSlots.size(); ++slot) {
+    if (aKey == SlotKey(slot)) {
+      return &mSlots[slot];
+    }
+  }
+  return nullptr;
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/tests/unit/orderstest.cpp
@@ -0,0 +1,487 @@
+#include "libtrefoilarch/orders.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr size_t kProcesses = 4; /**< two for each of two upstreams */
+constexpr size_t kSlots = 1;
+constexpr int kSteps = 2000;
+const Millis kLongest{ 2000 };
+
+struct Pending
+{
+  size_t mProcess = 0;
+  int mLife = 0;
+  OrderAction mAction;
+  bool mExecuted = false;
+  bool mForgotten = false;
+  LeaseFound mFound;
+  LeaseWriteEnd mEnd = LeaseWriteEnd::Unknown;
+  int64_t mRevision = 0;
+};
+
+struct Execution
+{
+  size_t mUpstream = 0;
+  size_t mProcess = 0;
+  uint64_t mFence = 0;
+  Millis mBegin;
+  Millis mEnd;
+  bool mLoad = false;
+  bool mSlept = false;
+};
+
+/** Sidecars that replace each other give orders to the same engines. */
+class Site
+{
+public:
+  Site(uint32_t aSeed, bool aEnginesCheck)
+    : mRandom(aSeed)
+    , mEnginesCheck(aEnginesCheck)
+    , mCalm(std::max<uint32_t>(mRandom() % 150, 50) - 50)
+  {
+    for (size_t each = 0; each < kProcesses; ++each) {
+      Boot(each);
+    }
+  }
+
+  void Step()
+  {
+    switch (Draw(14)) {
+      case 0:
+      case 6:
+        Submit(Draw(kProcesses));
+        break;
+      case 1: {
+        Process& process = mProcesses[Draw(kProcesses)];
+        process.mPaused = process.mPaused ? Chance(80) : Fault(30);
+        break;
+      }
+      case 2:
+        if (Fault(8)) {
+          Boot(Draw(kProcesses));
+        }
+        break;
+      case 3:
+        mTableDown = Fault(20);
+        mProcesses[Draw(kProcesses)].mCut = Fault(60);
+        break;
+      case 4:
+      case 5:
+        Advance(Draw(700));
+        break;
+      default:
+        MovePending();
+    }
+  }
+
+  void Heal()
+  {
+    mTableDown = false;
+    mHealed = true;
+    for (Process& process : mProcesses) {
+      process.mPaused = false;
+      process.mCut = false;
+    }
+    for (int round = 0; round < 6000; ++round) {
+      for (int moves = 0; moves < 10; ++moves) {
+        MovePending();
+      }
+      Advance(50);
+    }
+    for (const Process& process : mProcesses) {
+      RC_ASSERT(process.mOrders->Waiting() == 0U);
+      RC_ASSERT(process.mOpen == 0);
+    }
+  }
+
+  /** What the engines saw. */
+  void CheckExecutions() const
+  {
+    for (size_t one = 0; one < mExecutions.size(); ++one) {
+      size_t loads = 0;
+      const Execution& first = mExecutions[one];
+      for (size_t two = 0; two < mExecutions.size(); ++two) {
+        const Execution& other = mExecutions[two];
+        const bool during =
+          other.mBegin <= first.mBegin && first.mBegin < other.mEnd;
+        const bool counts = !other.mSlept && !first.mSlept;
+        loads += during && counts && other.mLoad && first.mLoad ? 1 : 0;
+        if (two > one && other.mUpstream == first.mUpstream) {
+          RC_ASSERT(other.mFence >= first.mFence);
+          RC_ASSERT(mEnginesCheck || other.mFence == first.mFence ||
+                    other.mBegin >= first.mEnd);
+        }
+      }
+      RC_ASSERT(loads <= kSlots);
+    }
+  }
+
+  size_t Executions() const { return mExecutions.size(); }
+  size_t Handovers() const
+  {
+    size_t count = 0;
+    for (size_t place = 1; place < mExecutions.size(); ++place) {
+      count += mExecutions[place].mFence != mExecutions[place - 1].mFence;
+    }
+    return count;
+  }
+
+private:
+  struct Row
+  {
+    int64_t mRevision = 0;
+    std::string mText;
+  };
+  struct Process
+  {
+    std::unique_ptr<Orders> mOrders;
+    int mLife = 0;
+    bool mPaused = false;
+    bool mCut = false; /**< it alone does not reach the table */
+    int mOpen = 0;
+    /** It sleeps between its check and its sending. */
+    std::optional<SendOrder> mAsleep;
+    Millis mAsleepUntil;
+
+    bool Awake() const { return !mPaused && !mAsleep; }
+  };
+
+  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
+  bool Chance(uint32_t aPercent) { return Draw(100) < aPercent; }
+  void WakeSleepers()
+  {
+    for (size_t each = 0; each < kProcesses; ++each) {
+      Process& process = mProcesses[each];
+      if (process.mAsleep && mNow >= process.mAsleepUntil) {
+        const SendOrder send = *process.mAsleep;
+        process.mAsleep.reset();
+        Arrive(each, send, true);
+      }
+    }
+  }
+
+  bool Fault(uint32_t aPercent)
+  {
+    return Draw(100) >= mCalm && Chance(aPercent);
+  }
+
+  void Boot(size_t aProcess)
+  {
+    Process& process = mProcesses[aProcess];
+    ++process.mLife;
+    process.mOpen = 0;
+    process.mAsleep.reset();
+    process.mOrders = std::make_unique<Orders>(OrderOptions{
+      .mUpstream = "engine-" + std::to_string(aProcess % 2),
+      .mHolder = std::to_string(aProcess) + "-" + std::to_string(process.mLife),
+      .mEngineChecksFence = mEnginesCheck,
+      .mLongestOrder = kLongest,
+      .mLeaseSpare = Millis(1500),
+      .mOrderSpan = Millis(30000),
+      .mLoadSlots = kSlots,
+      .mSeed = mRandom() });
+  }
+
+  void Submit(size_t aProcess)
+  {
+    Process& process = mProcesses[aProcess];
+    if (!process.Awake()) {
+      return;
+    }
+    const bool load = Chance(60);
+    ++process.mOpen;
+    Carry(aProcess,
+          process.mOrders->Submit(
+            { std::to_string(++mLastId),
+              load ? OrderKind::LoadAdapter : OrderKind::UnloadAdapter,
+              "adapter",
+              "weights" },
+            mNow));
+  }
+
+  void Advance(int64_t aSpan)
+  {
+    mNow += Millis(aSpan);
+    WakeSleepers();
+    for (size_t each = 0; each < kProcesses; ++each) {
+      Process& process = mProcesses[each];
+      if (process.Awake() && process.mOrders->NextWake() <= mNow) {
+        Carry(each, process.mOrders->OnTick(mNow));
+      }
+    }
+  }
+
+  void Carry(size_t aProcess, OrderActions aActions)
+  {
+    for (OrderAction& action : aActions) {
+      if (std::holds_alternative<OrderEnded>(action)) {
+        --mProcesses[aProcess].mOpen;
+        continue;
+      }
+      Pending& pending = mPending.emplace_back();
+      pending.mProcess = aProcess;
+      pending.mLife = mProcesses[aProcess].mLife;
+      pending.mAction = std::move(action);
+    }
+  }
+
+  void MovePending()
+  {
+    if (mPending.empty()) {
+      return;
+    }
+    const size_t place = Draw(static_cast<uint32_t>(mPending.size()));
+    Pending& one = mPending[place];
+    const Process& process = mProcesses[one.mProcess];
+    if (const auto* send = std::get_if<SendOrder>(&one.mAction)) {
+      if (process.Awake()) {
+        const SendOrder copy = *send;
+        const Pending taken = one;
+        Erase(place);
+        Give(taken, copy);
+      }
+      return;
+    }
+    if (!one.mExecuted && (mHealed || !Fault(30))) {
+      Execute(one);
+    } else if (one.mForgotten) {
+      if (one.mExecuted || Chance(5)) {
+        Erase(place);
+      }
+    } else if (process.Awake()) {
+      Deliver(place, !one.mExecuted || (!mHealed && Fault(40)));
+    }
+  }
+
+  /** The process checks, sends, and the engine acts within kLongest. */
+  void Give(const Pending& aPending, const SendOrder& aSend)
+  {
+    Process& process = mProcesses[aPending.mProcess];
+    if (process.mLife != aPending.mLife) {
+      return;
+    }
+    if (!process.mOrders->MaySend(mNow)) {
+      Carry(aPending.mProcess,
+            process.mOrders->OnReply(OrderReply::NotSent, mNow));
+      return;
+    }
+    if (!mHealed && Fault(60)) {
+      process.mAsleep = aSend;
+      process.mAsleepUntil =
+        mNow + Millis(Draw(static_cast<uint32_t>(kLongest.Count())));
+      return;
+    }
+    Arrive(aPending.mProcess, aSend, false);
+  }
+
+  /** The order reaches the engine. */
+  void Arrive(size_t aProcess, const SendOrder& aSend, bool aSlept)
+  {
+    Orders& orders = *mProcesses[aProcess].mOrders;
+    const size_t upstream = aProcess % 2;
+    uint64_t& highest = mHighest[upstream];
+    if (mEnginesCheck && aSend.mFence < highest) {
+      Carry(aProcess, orders.OnReply(OrderReply::OldFence, mNow));
+      return;
+    }
+    highest = aSend.mFence;
+    const bool load = aSend.mOrder.mKind == OrderKind::LoadAdapter;
+    const bool lost = !mHealed && (aSlept || Fault(30));
+    const Millis span =
+      lost ? kLongest : Millis(static_cast<int64_t>(Draw(300)));
+    const Millis begin = aSlept ? mProcesses[aProcess].mAsleepUntil : mNow;
+    mExecutions.push_back(
+      { upstream, aProcess, aSend.mFence, begin, begin + span, load, aSlept });
+    if (!lost) {
+      mNow += span; // nothing else moves meanwhile; the reply comes at once
+    }
+    Carry(aProcess,
+          orders.OnReply(lost ? OrderReply::Unknown : OrderReply::Done, mNow));
+  }
+
+  void Execute(Pending& aOne)
+  {
+    aOne.mExecuted = true;
+    if (mTableDown || mProcesses[aOne.mProcess].mCut) {
+      return;
+    }
+    const auto& action = std::get<LeaseRowAction>(aOne.mAction);
+    Row& row = mTable[action.mKey];
+    const auto* write = std::get_if<WriteLease>(&action.mAction);
+    if (write == nullptr) {
+      aOne.mFound = { true, row.mRevision, row.mText };
+      return;
+    }
+    aOne.mEnd = LeaseWriteEnd::Refused;
+    if (write->mRevision == row.mRevision) {
+      row = { ++mLastRevision, write->mText };
+      aOne.mEnd = LeaseWriteEnd::Done;
+      aOne.mRevision = row.mRevision;
+    }
+  }
+
+  void Deliver(size_t aPlace, bool aLost)
+  {
+    const Pending one = mPending[aPlace];
+    if (aLost && !one.mExecuted) {
+      mPending[aPlace].mForgotten = true;
+    } else {
+      Erase(aPlace);
+    }
+    Process& process = mProcesses[one.mProcess];
+    if (process.mLife != one.mLife || one.mForgotten) {
+      return;
+    }
+    const auto& action = std::get<LeaseRowAction>(one.mAction);
+    const bool reads = std::holds_alternative<ReadLease>(action.mAction);
+    const LeaseFound found = aLost ? LeaseFound() : one.mFound;
+    const LeaseWriteEnd end = aLost ? LeaseWriteEnd::Unknown : one.mEnd;
+    Carry(one.mProcess,
+          reads ? process.mOrders->OnLeaseRead(action.mKey, found, mNow)
+                : process.mOrders->OnLeaseWritten(
+                    action.mKey, end, one.mRevision, mNow));
+  }
+
+  void Erase(size_t aPlace)
+  {
+    mPending.erase(mPending.begin() + static_cast<std::ptrdiff_t>(aPlace));
+  }
+
+  std::mt19937 mRandom;
+  bool mEnginesCheck;
+  uint32_t mCalm;
+  Millis mNow{ 1000 };
+  std::array<Process, kProcesses> mProcesses;
+  std::vector<Pending> mPending;
+  std::map<std::string, Row> mTable;
+  int64_t mLastRevision = 0;
+  bool mTableDown = false;
+  bool mHealed = false;
+  uint64_t mLastId = 0;
+  std::array<uint64_t, 2> mHighest{};
+  std::vector<Execution> mExecutions;
+};
+
+void
+CheckSites(bool aEnginesCheck)
+{
+  size_t executions = 0;
+  size_t handovers = 0;
+  const bool holds = rc::check([&](uint32_t aSeed) {
+    Site site(aSeed, aEnginesCheck);
+    for (int step = 0; step < kSteps; ++step) {
+      site.Step();
+    }
+    site.Heal();
+    site.CheckExecutions();
+    executions += site.Executions();
+    handovers += site.Handovers();
+  });
+  cr_assert(holds);
+  cr_assert(
+    executions > 1000 && handovers > 100, "%zu, %zu", executions, handovers);
+}
+
+} // namespace
+
+Test(orders, an_engine_that_ignores_numbers_never_serves_two_holders)
+{
+  CheckSites(false);
+}
+
+Test(orders, an_engine_that_checks_numbers_sees_them_rise)
+{
+  CheckSites(true);
+}
+
+namespace {
+
+OrderOptions
+Ignoring()
+{
+  return { .mUpstream = "e",
+           .mHolder = "b",
+           .mEngineChecksFence = false,
+           .mLongestOrder = Millis(2000),
+           .mLeaseSpare = Millis(8000),
+           .mOrderSpan = Millis(8000) };
+}
+
+const EngineOrder kUnload{ "1", OrderKind::UnloadAdapter, "x", "" };
+const std::string kKey = "lease/orders/e";
+
+/** Has the lease at time 0, whose row was like this before. */
+Orders
+Holder(const LeaseFound& aBefore)
+{
+  Orders orders(Ignoring());
+  orders.Submit(kUnload, Millis(0));
+  orders.OnLeaseRead(kKey, aBefore, Millis(0));
+  orders.OnLeaseWritten(kKey, LeaseWriteEnd::Done, 9, Millis(0));
+  return orders;
+}
+
+bool
+GivesBack(const OrderActions& aActions)
+{
+  return std::any_of(
+    aActions.begin(), aActions.end(), [](const OrderAction& aAction) {
+      const auto* row = std::get_if<LeaseRowAction>(&aAction);
+      const auto* write =
+        row == nullptr ? nullptr : std::get_if<WriteLease>(&row->mAction);
+      return write != nullptr &&
+             LeaseRowFromText(write->mText)->mHolder.empty();
+    });
+}
+
+} // namespace
+
+Test(orders, no_order_is_sent_that_the_lease_may_not_outlast)
+{
+  const Orders orders = Holder({ true, 0, "" });
+  cr_assert(orders.MaySend(Millis(0)));
+  cr_assert(orders.MaySend(Millis(7400)));
+  cr_assert(!orders.MaySend(Millis(7600)));
+}
+
+Test(orders, a_successor_waits_for_what_the_holder_before_may_have_sent)
+{
+  Orders orders(Ignoring());
+  orders.Submit(kUnload, Millis(0));
+  const LeaseFound other{ true,
+                          5,
+                          LeaseRowToText({ "a", 3, 1, Millis(4000) }) };
+  orders.OnLeaseRead(kKey, other, Millis(0));
+  orders.OnTick(Millis(5000));
+  orders.OnLeaseRead(kKey, other, Millis(5000));
+  orders.OnLeaseWritten(kKey, LeaseWriteEnd::Done, 9, Millis(5000));
+  cr_assert(!orders.MaySend(Millis(6900)));
+  cr_assert(orders.MaySend(Millis(7000)));
+  const Orders given =
+    Holder({ true, 5, LeaseRowToText({ "", 3, 1, Millis(4000) }) });
+  cr_assert(given.MaySend(Millis(0)));
+}
+
+Test(orders, the_lease_is_kept_while_an_order_may_be_at_work)
+{
+  Orders done = Holder({ true, 0, "" });
+  cr_assert(GivesBack(done.OnReply(OrderReply::Done, Millis(100))));
+  Orders lost = Holder({ true, 0, "" });
+  lost.OnReply(OrderReply::Unknown, Millis(7000));
+  cr_assert(!GivesBack(lost.OnTick(Millis(8000))));
+  lost.OnLeaseWritten(kKey, LeaseWriteEnd::Done, 10, Millis(8000));
+  cr_assert(GivesBack(lost.OnTick(Millis(9000))));
+  cr_assert(lost.Waiting() == 0);
+}
