--- a/src/libtrefoilarch/lease.cpp
+++ b/src/libtrefoilarch/lease.cpp
@@ -203,7 +203,7 @@
   if (aNow >= mGoodUntil) {
     return; // too late to be of use; it is renewed at once
   }
-  mNext = mSentAt + Jittered(mOptions.mRenewAfter);
+  mNext = mWanted ? mSentAt + Jittered(mOptions.mRenewAfter) : aNow;
   if (!mHolding || mFence != mSent.mFence) {
     mHolding = true;
     mFence = mSent.mFence;
