--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -18,6 +18,18 @@
 
 namespace trefoilarch {
 
+/** A policy by which all traffic may go anywhere. */
+inline std::shared_ptr<const Classifier>
+AnyUpstream()
+{
+  auto policy = std::make_shared<Policy>();
+  policy->mVersion = 1;
+  policy->mSelectors["all"] = { .mName = "all",
+                                .mTraffic = {},
+                                .mUpstreams = {} };
+  return std::make_shared<const Classifier>(std::move(policy));
+}
+
 /** What one caller of a VirtualFleet asked for and got. */
 struct VirtualCaller
 {
@@ -194,16 +206,22 @@
     mOdd[aName] = aEngine;
   }
 
-  void Drain(const UpstreamId& aName)
+  /** Drains all sidecars, and tells whether they have nothing left to do. */
+  bool DrainedAtOnce()
   {
-    Host& host = mHosts.at(aName);
-    CarryOut(host, host.mCore->Drain(mNow));
+    bool idle = true;
+    for (auto& [name, host] : mHosts) {
+      CarryOut(host, host.mCore->Drain(mNow));
+      idle = idle && host.mCore->Idle();
+    }
+    return idle;
   }
 
   EntryCore& Entry() { return *mEntry; }
   Millis Now() const { return mNow; }
   const std::map<RequestId, VirtualCaller>& Callers() const { return mCallers; }
-  const std::set<UpstreamId>& Reopened() const { return mReopened; }
+  /** When an upstream's channel was last taken for silent. */
+  const std::map<UpstreamId, Millis>& Reopened() const { return mReopened; }
   /** Calls sent to each upstream, refused ones too. */
   const std::map<UpstreamId, int>& Calls() const { return mCalls; }
 
@@ -375,7 +393,7 @@
   void Do(ReopenChannel& aAction)
   {
     Host& host = mHosts.at(aAction.mUpstream);
-    mReopened.insert(aAction.mUpstream);
+    mReopened[aAction.mUpstream] = mNow;
     host.mChannel = 0;
     At(mNow + Chance(20), [this, &host] { Open(host); });
   }
@@ -501,7 +519,7 @@
   std::map<UpstreamId, Host> mHosts;
   std::unique_ptr<EntryCore> mEntry;
   std::map<RequestId, VirtualCaller> mCallers;
-  std::set<UpstreamId> mReopened;
+  std::map<UpstreamId, Millis> mReopened;
   std::map<UpstreamId, int> mCalls;
   std::map<UpstreamId, VirtualEngines> mOdd;
 };
