--- /dev/null
+++ b/tests/bench/pathbench.cpp
@@ -0,0 +1,291 @@
+// What the way through an entry and a sidecar adds to calling the engine
+// stand-in directly; pairs in one run, so that the machine's other load
+// meets both alike.
+
+#include "probecall.h"
+#include "processusage.h"
+
+#include "integration/fleet.h"
+
+#include "trefoilload/requestbuilder.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace bench;
+using integration::Fleet;
+using integration::FleetOptions;
+using trefoilload::TraceRequest;
+
+constexpr int kWarmUps = 20;
+constexpr int kPairs = 400;
+constexpr int kRounds = 4;
+constexpr size_t kStreams = 16;
+constexpr size_t kStreamTokens = 150;
+constexpr size_t kOpenStreams = 500;
+constexpr size_t kWorkers = 32;
+constexpr int kThroughputCalls = 4000;
+
+double
+Quantile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto last = static_cast<double>(aValues.size() - 1);
+  return aValues[static_cast<size_t>(last * aShare + 0.5)];
+}
+
+/** The engine directly, or the way through the fleet. */
+enum class Way
+{
+  Direct,
+  Routed,
+};
+
+/** Sends the same kind of request either way. */
+class Prober
+{
+public:
+  explicit Prober(Fleet& aFleet)
+    : mFleet(aFleet)
+    , mRunner({ .mMostConnections = 2 * kOpenStreams })
+  {
+  }
+
+  std::unique_ptr<ProbeCall> Send(Way aWay, size_t aTokens, bool aStream)
+  {
+    const std::string mark = "bench" + std::to_string(++mSent);
+    const TraceRequest request =
+      integration::ChatRequest("mid-call", aTokens, aStream);
+    const std::string base =
+      aWay == Way::Direct ? mFleet.Upstream().UpstreamUrl() : mFleet.EntryUrl();
+    return std::make_unique<ProbeCall>(
+      mRunner,
+      trefoilload::BuildRequest(
+        request, mark, base, { { "agents", "secret-of-agents" } }));
+  }
+
+  ProbeResult Run(Way aWay, size_t aTokens, bool aStream = true)
+  {
+    ProbeResult result = Send(aWay, aTokens, aStream)->AwaitEnd();
+    if (!result.mWhole) {
+      ++mFailed;
+    }
+    return result;
+  }
+
+  int Failed() const { return mFailed; }
+
+private:
+  Fleet& mFleet;
+  trefoilio::CallRunner mRunner;
+  int mSent = 0;
+  int mFailed = 0;
+};
+
+FleetOptions
+FastFleet()
+{
+  FleetOptions options;
+  options.mEngineFlags = {
+    "--max-running", "1000", "--memory-tokens", "2000000"
+  };
+  options.mSidecarFlags = {
+    "--most-running", "1000", "--first-token-room", "1048576"
+  };
+  return options;
+}
+
+void
+PrintPair(const char* aName,
+          const std::vector<double>& aDirect,
+          const std::vector<double>& aRouted)
+{
+  std::printf("%-34s %8zu", aName, aDirect.size());
+  for (const double share : { 0.5, 0.99 }) {
+    const double direct = Quantile(aDirect, share);
+    const double routed = Quantile(aRouted, share);
+    std::printf(" %9.2f %9.2f %9.2f", direct, routed, routed - direct);
+  }
+  std::printf("\n");
+}
+
+void
+MeasureFirstToken(Prober& aProber)
+{
+  std::vector<double> direct;
+  std::vector<double> routed;
+  std::vector<double> added;
+  for (int i = 0; i < kWarmUps + kPairs; ++i) {
+    const bool directFirst = i % 2 == 0;
+    const Way first = directFirst ? Way::Direct : Way::Routed;
+    const Way second = directFirst ? Way::Routed : Way::Direct;
+    const double one = aProber.Run(first, 4).mFirstToken;
+    const double two = aProber.Run(second, 4).mFirstToken;
+    if (i < kWarmUps) {
+      continue;
+    }
+    direct.push_back(directFirst ? one : two);
+    routed.push_back(directFirst ? two : one);
+    added.push_back(routed.back() - direct.back());
+  }
+  PrintPair("first token, one caller", direct, routed);
+  std::printf("%-34s %8zu   median of differences %.2f, p99 %.2f\n",
+              "  pair by pair",
+              added.size(),
+              Quantile(added, 0.5),
+              Quantile(added, 0.99));
+}
+
+void
+RunStreams(Prober& aProber,
+           Way aWay,
+           std::vector<double>& aFirst,
+           std::vector<double>& aGaps)
+{
+  std::vector<std::unique_ptr<ProbeCall>> calls;
+  calls.reserve(kStreams);
+  for (size_t i = 0; i < kStreams; ++i) {
+    calls.push_back(aProber.Send(aWay, kStreamTokens, true));
+  }
+  for (const auto& call : calls) {
+    const ProbeResult result = call->AwaitEnd();
+    aFirst.push_back(result.mFirstToken);
+    aGaps.insert(aGaps.end(), result.mGaps.begin(), result.mGaps.end());
+  }
+}
+
+void
+MeasureStreams(Prober& aProber)
+{
+  std::vector<double> first[2];
+  std::vector<double> gaps[2];
+  for (int round = 0; round < kRounds; ++round) {
+    for (const Way way : { Way::Direct, Way::Routed }) {
+      const auto place = static_cast<size_t>(way);
+      RunStreams(aProber, way, first[place], gaps[place]);
+    }
+  }
+  PrintPair("first token, 16 streams", first[0], first[1]);
+  PrintPair("between tokens, 16 streams", gaps[0], gaps[1]);
+}
+
+double
+ProcessorSeconds(Fleet& aFleet)
+{
+  return UsageOf(aFleet.Entry().Id()).mProcessorSeconds +
+         UsageOf(aFleet.Upstream().mSidecar->Id()).mProcessorSeconds;
+}
+
+void
+MeasureThroughput(Fleet& aFleet, Prober& aProber, bool aStream, size_t aTokens)
+{
+  using Clock = std::chrono::steady_clock;
+  const double before = ProcessorSeconds(aFleet);
+  const Clock::time_point began = Clock::now();
+  std::vector<std::unique_ptr<ProbeCall>> open(kWorkers);
+  int whole = 0;
+  const int calls = aStream ? kThroughputCalls / 10 : kThroughputCalls;
+  for (int i = 0; i < calls + static_cast<int>(kWorkers); ++i) {
+    auto& place = open[static_cast<size_t>(i) % kWorkers];
+    if (place) {
+      whole += place->AwaitEnd().mWhole ? 1 : 0;
+    }
+    place = i < calls ? aProber.Send(Way::Routed, aTokens, aStream) : nullptr;
+  }
+  const double seconds =
+    std::chrono::duration<double>(Clock::now() - began).count();
+  const double spent = ProcessorSeconds(aFleet) - before;
+  std::printf("%-34s %8d   whole %d, %.0f requests/s, %.0f requests/s per "
+              "core (entry + sidecar), %.1f us a token\n",
+              aStream ? "streams of 100 tokens" : "short answers, 32 callers",
+              calls,
+              whole,
+              whole / seconds,
+              whole / spent,
+              1e6 * spent / static_cast<double>(whole) /
+                static_cast<double>(aTokens));
+}
+
+void
+PrintMemory(const char* aName, pid_t aProcess)
+{
+  const ProcessUsage usage = UsageOf(aProcess);
+  std::printf("%-34s          %.1f MB, %lu threads\n",
+              aName,
+              usage.mMemoryMegabytes,
+              static_cast<unsigned long>(usage.mThreads));
+}
+
+void
+MeasureMemory()
+{
+  FleetOptions options = FastFleet();
+  options.mEngineFlags.insert(options.mEngineFlags.end(),
+                              { "--step-ms", "200" });
+  Fleet fleet(options);
+  Prober prober(fleet);
+  PrintMemory("entry, no open stream", fleet.Entry().Id());
+  PrintMemory("sidecar, no open stream", fleet.Upstream().mSidecar->Id());
+  std::vector<std::unique_ptr<ProbeCall>> calls;
+  calls.reserve(kOpenStreams);
+  for (size_t i = 0; i < kOpenStreams; ++i) {
+    calls.push_back(prober.Send(Way::Routed, 500, true));
+  }
+  size_t open = 0;
+  for (const auto& call : calls) {
+    open += call->AwaitFirst() ? 1 : 0;
+  }
+  std::printf("%-34s %8zu\n", "streams with a first token", open);
+  PrintMemory("entry, 500 open streams", fleet.Entry().Id());
+  PrintMemory("sidecar, 500 open streams", fleet.Upstream().mSidecar->Id());
+}
+
+std::string
+LoadAverage()
+{
+  std::ifstream file("/proc/loadavg");
+  std::string text;
+  std::getline(file, text);
+  return text;
+}
+
+} // namespace
+
+int
+main()
+{
+  std::printf("load average at the start: %s\n", LoadAverage().c_str());
+  std::printf("%-34s %8s %9s %9s %9s %9s %9s %9s   (ms)\n",
+              "",
+              "samples",
+              "p50 dir.",
+              "routed",
+              "added",
+              "p99 dir.",
+              "routed",
+              "added");
+  int failed = 0;
+  {
+    Fleet fleet(FastFleet());
+    Prober prober(fleet);
+    MeasureFirstToken(prober);
+    MeasureStreams(prober);
+    MeasureThroughput(fleet, prober, false, 4);
+    MeasureThroughput(fleet, prober, true, 100);
+    failed = prober.Failed();
+  }
+  MeasureMemory();
+  std::printf("answers that were not whole, of the first measure: %d\n",
+              failed);
+  std::printf("load average at the end: %s\n", LoadAverage().c_str());
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/bench/probecall.cpp
@@ -0,0 +1,95 @@
+#include "probecall.h"
+
+#include <string_view>
+
+namespace bench {
+
+namespace {
+
+constexpr std::chrono::seconds kLongest{ 120 };
+/** Stands once in each event that carries a token. */
+constexpr std::string_view kTokenMark = "\"content\":";
+
+size_t
+CountTokens(std::string_view aData)
+{
+  size_t count = 0;
+  size_t place = aData.find(kTokenMark);
+  while (place != std::string_view::npos) {
+    ++count;
+    place = aData.find(kTokenMark, place + kTokenMark.size());
+  }
+  return count;
+}
+
+double
+MillisBetween(std::chrono::steady_clock::time_point aFrom,
+              std::chrono::steady_clock::time_point aTo)
+{
+  return std::chrono::duration<double, std::milli>(aTo - aFrom).count();
+}
+
+} // namespace
+
+ProbeCall::ProbeCall(trefoilio::CallRunner& aRunner,
+                     trefoilio::HttpRequest aRequest)
+  : mRunner(aRunner)
+{
+  trefoilio::CallHooks hooks;
+  hooks.mOnHead = [state = mState](int aStatus, const trefoilio::HttpHeaders&) {
+    std::lock_guard lock(state->mMutex);
+    state->mResult.mStatus = aStatus;
+  };
+  hooks.mOnData = [state = mState](const std::string& aData) {
+    TakeData(*state, aData);
+  };
+  hooks.mOnEnd = [state = mState](trefoilio::CallEnd aEnd) {
+    std::lock_guard lock(state->mMutex);
+    state->mEnded = true;
+    state->mResult.mWhole =
+      aEnd == trefoilio::CallEnd::Whole && state->mResult.mStatus == 200;
+    state->mChanged.notify_all();
+  };
+  mState->mSent = Clock::now();
+  mCall = mRunner.Start(std::move(aRequest), std::move(hooks));
+}
+
+ProbeCall::~ProbeCall()
+{
+  mRunner.Cancel(mCall);
+}
+
+void
+ProbeCall::TakeData(State& aState, const std::string& aData)
+{
+  const Clock::time_point now = Clock::now();
+  const size_t tokens = CountTokens(aData);
+  std::lock_guard lock(aState.mMutex);
+  for (size_t i = 0; i < tokens; ++i) {
+    if (aState.mTokens++ == 0) {
+      aState.mResult.mFirstToken = MillisBetween(aState.mSent, now);
+      aState.mChanged.notify_all();
+    } else {
+      aState.mResult.mGaps.push_back(MillisBetween(aState.mLast, now));
+    }
+    aState.mLast = now;
+  }
+}
+
+ProbeResult
+ProbeCall::AwaitEnd()
+{
+  std::unique_lock lock(mState->mMutex);
+  mState->mChanged.wait_for(lock, kLongest, [&] { return mState->mEnded; });
+  return mState->mResult;
+}
+
+bool
+ProbeCall::AwaitFirst()
+{
+  std::unique_lock lock(mState->mMutex);
+  return mState->mChanged.wait_for(
+    lock, kLongest, [&] { return mState->mTokens > 0; });
+}
+
+} // namespace bench
