Measure the path against calling the engine directly: scripts/run-bench

The first try hung: 500 streams with a step of 200 ms miss the class's 200 ms between tokens, so the sidecar rightly took in only some 100, and the bench waited for each in turn; now a step takes 50 ms and the bench looks once after 10 s.

--- /dev/null
+++ b/tests/bench/capacitybench.cpp
@@ -0,0 +1,165 @@
+// What control costs in processes of growing fleets: at rest all that moves
+// is control. A line of data for each size, for scripts/run-capacity.
+
+#include "processusage.h"
+#include "restingfleet.h"
+#include "socketbytes.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace bench;
+using Clock = std::chrono::steady_clock;
+using nlohmann::json;
+
+constexpr std::chrono::seconds kSettling{ 6 };
+constexpr std::chrono::seconds kWindow{ 10 };
+constexpr int kChanges = 5;
+
+/** All counters at one moment. */
+struct Snapshot
+{
+  Clock::time_point mAt;
+  std::vector<ProcessUsage> mEntries;
+  std::vector<ProcessUsage> mSidecars;
+  uint64_t mChannelBytes = 0;
+  json mPlatform;
+};
+
+Snapshot
+Take(const RestingFleet& aFleet)
+{
+  Snapshot taken{ .mAt = Clock::now() };
+  for (size_t i = 0; i < aFleet.Size().mEntries; ++i) {
+    taken.mEntries.push_back(UsageOf(aFleet.Entry(i).Id()));
+  }
+  const auto bytes = BytesByLocalPort();
+  for (size_t i = 0; i < aFleet.Size().mSidecars; ++i) {
+    taken.mSidecars.push_back(UsageOf(aFleet.Sidecar(i).Id()));
+    const auto found = bytes.find(aFleet.ChannelPort(i));
+    taken.mChannelBytes += found == bytes.end() ? 0 : found->second;
+  }
+  taken.mPlatform = aFleet.PlatformCounts();
+  return taken;
+}
+
+double
+MeanCorePercent(const std::vector<ProcessUsage>& aBefore,
+                const std::vector<ProcessUsage>& aAfter,
+                double aSeconds)
+{
+  double spent = 0;
+  for (size_t i = 0; i < aBefore.size(); ++i) {
+    spent += aAfter[i].mProcessorSeconds - aBefore[i].mProcessorSeconds;
+  }
+  return 100 * spent / aSeconds / static_cast<double>(aBefore.size());
+}
+
+double
+MostMegabytes(const std::vector<ProcessUsage>& aUsages)
+{
+  double most = 0;
+  for (const ProcessUsage& usage : aUsages) {
+    most = std::max(most, usage.mMemoryMegabytes);
+  }
+  return most;
+}
+
+double
+PerSecond(const Snapshot& aBefore,
+          const Snapshot& aAfter,
+          const char* aService,
+          const char* aCount,
+          double aSeconds)
+{
+  const auto read = [&](const Snapshot& aOne) {
+    const json service = aOne.mPlatform.value(aService, json::object());
+    return service.value(aCount, 0.0);
+  };
+  return (read(aAfter) - read(aBefore)) / aSeconds;
+}
+
+/** The longest of some changes until every entry has it; milliseconds. */
+double
+LongestSpread(RestingFleet& aFleet)
+{
+  double longest = 0;
+  for (int i = 0; i < kChanges; ++i) {
+    const json operation{ { "op", "set_upstream_labels" },
+                          { "upstream", "engine-1" },
+                          { "labels", { { "try", std::to_string(i) } } } };
+    const uint64_t version = aFleet.ChangePolicy(operation);
+    const Clock::time_point accepted = Clock::now();
+    for (size_t entry = 0; entry < aFleet.Size().mEntries; ++entry) {
+      while (aFleet.PolicyVersion(entry) < version) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    }
+    const std::chrono::duration<double, std::milli> span =
+      Clock::now() - accepted;
+    longest = std::max(longest, span.count());
+  }
+  return longest;
+}
+
+void
+Measure(FleetSize aSize)
+{
+  const Clock::time_point began = Clock::now();
+  RestingFleet fleet(aSize);
+  const std::chrono::duration<double> started = Clock::now() - began;
+  const json start = fleet.PlatformCounts();
+  std::this_thread::sleep_for(kSettling);
+  const Snapshot before = Take(fleet);
+  std::this_thread::sleep_for(kWindow);
+  const Snapshot after = Take(fleet);
+  const double seconds =
+    std::chrono::duration<double>(after.mAt - before.mAt).count();
+  const double bytes =
+    static_cast<double>(after.mChannelBytes - before.mChannelBytes) / seconds;
+  const auto entries = static_cast<double>(aSize.mEntries);
+  const auto sidecars = static_cast<double>(aSize.mSidecars);
+  std::printf(
+    "%zu %zu %.0f %.0f %.2f %.2f %.1f %.1f %.2f %.2f %.2f %zu %.0f %.1f\n",
+    aSize.mEntries,
+    aSize.mSidecars,
+    bytes / entries,
+    bytes / sidecars,
+    MeanCorePercent(before.mEntries, after.mEntries, seconds),
+    MeanCorePercent(before.mSidecars, after.mSidecars, seconds),
+    MostMegabytes(after.mEntries),
+    MostMegabytes(after.mSidecars),
+    PerSecond(before, after, "table", "reads", seconds),
+    PerSecond(before, after, "table", "writes", seconds),
+    PerSecond(before, after, "hostlist", "reads", seconds),
+    fleet.HostListBytes(),
+    LongestSpread(fleet),
+    started.count());
+  std::fprintf(stderr, "platform at the start: %s\n", start.dump().c_str());
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  std::printf("# entries sidecars entry_channel_B/s sidecar_channel_B/s "
+              "entry_core_% sidecar_core_% entry_MB sidecar_MB table_reads/s "
+              "table_writes/s list_reads/s list_bytes spread_ms start_s\n");
+  std::vector<FleetSize> sizes{ { 2, 12 }, { 8, 48 }, { 32, 150 } };
+  if (aCount == 3) {
+    sizes = { { std::strtoul(aArguments[1], nullptr, 10),
+                std::strtoul(aArguments[2], nullptr, 10) } };
+  }
+  for (const FleetSize& size : sizes) {
+    Measure(size);
+  }
+  return EXIT_SUCCESS;
+}
--- a/tests/bench/pathbench.cpp
+++ b/tests/bench/pathbench.cpp
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -29,6 +30,9 @@
 constexpr size_t kStreams = 16;
 constexpr size_t kStreamTokens = 150;
 constexpr size_t kOpenStreams = 500;
+/** At 500 streams a step takes 125 ms, so these last 25 s. */
+constexpr size_t kOpenTokens = 200;
+constexpr std::chrono::seconds kOpeningSpan{ 10 };
 constexpr size_t kWorkers = 32;
 constexpr int kThroughputCalls = 4000;
 
@@ -179,17 +183,23 @@
 }
 
 double
-ProcessorSeconds(Fleet& aFleet)
+EntrySeconds(Fleet& aFleet)
 {
-  return UsageOf(aFleet.Entry().Id()).mProcessorSeconds +
-         UsageOf(aFleet.Upstream().mSidecar->Id()).mProcessorSeconds;
+  return UsageOf(aFleet.Entry().Id()).mProcessorSeconds;
+}
+
+double
+SidecarSeconds(Fleet& aFleet)
+{
+  return UsageOf(aFleet.Upstream().mSidecar->Id()).mProcessorSeconds;
 }
 
 void
 MeasureThroughput(Fleet& aFleet, Prober& aProber, bool aStream, size_t aTokens)
 {
   using Clock = std::chrono::steady_clock;
-  const double before = ProcessorSeconds(aFleet);
+  const double entryBefore = EntrySeconds(aFleet);
+  const double sidecarBefore = SidecarSeconds(aFleet);
   const Clock::time_point began = Clock::now();
   std::vector<std::unique_ptr<ProbeCall>> open(kWorkers);
   int whole = 0;
@@ -203,16 +213,19 @@
   }
   const double seconds =
     std::chrono::duration<double>(Clock::now() - began).count();
-  const double spent = ProcessorSeconds(aFleet) - before;
+  const double entry = EntrySeconds(aFleet) - entryBefore;
+  const double sidecar = SidecarSeconds(aFleet) - sidecarBefore;
+  const double tokens =
+    static_cast<double>(whole) * static_cast<double>(aTokens);
   std::printf("%-34s %8d   whole %d, %.0f requests/s, %.0f requests/s per "
-              "core (entry + sidecar), %.1f us a token\n",
+              "core; processor time a token: entry %.0f us, sidecar %.0f us\n",
               aStream ? "streams of 100 tokens" : "short answers, 32 callers",
               calls,
               whole,
               whole / seconds,
-              whole / spent,
-              1e6 * spent / static_cast<double>(whole) /
-                static_cast<double>(aTokens));
+              whole / (entry + sidecar),
+              1e6 * entry / tokens,
+              1e6 * sidecar / tokens);
 }
 
 void
@@ -230,7 +243,7 @@
 {
   FleetOptions options = FastFleet();
   options.mEngineFlags.insert(options.mEngineFlags.end(),
-                              { "--step-ms", "200" });
+                              { "--step-ms", "50" });
   Fleet fleet(options);
   Prober prober(fleet);
   PrintMemory("entry, no open stream", fleet.Entry().Id());
@@ -238,13 +251,14 @@
   std::vector<std::unique_ptr<ProbeCall>> calls;
   calls.reserve(kOpenStreams);
   for (size_t i = 0; i < kOpenStreams; ++i) {
-    calls.push_back(prober.Send(Way::Routed, 500, true));
-  }
-  size_t open = 0;
-  for (const auto& call : calls) {
-    open += call->AwaitFirst() ? 1 : 0;
+    calls.push_back(prober.Send(Way::Routed, kOpenTokens, true));
   }
-  std::printf("%-34s %8zu\n", "streams with a first token", open);
+  std::this_thread::sleep_for(kOpeningSpan);
+  const auto open =
+    std::count_if(calls.begin(), calls.end(), [](const auto& aCall) {
+      return aCall->IsStreaming();
+    });
+  std::printf("%-34s %8zu\n", "streams under way", static_cast<size_t>(open));
   PrintMemory("entry, 500 open streams", fleet.Entry().Id());
   PrintMemory("sidecar, 500 open streams", fleet.Upstream().mSidecar->Id());
 }
@@ -263,6 +277,7 @@
 int
 main()
 {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::printf("load average at the start: %s\n", LoadAverage().c_str());
   std::printf("%-34s %8s %9s %9s %9s %9s %9s %9s   (ms)\n",
               "",
--- a/tests/bench/probecall.cpp
+++ b/tests/bench/probecall.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds kLongest{ 120 };
+constexpr std::chrono::seconds kLongest{ 60 };
 /** Stands once in each event that carries a token. */
 constexpr std::string_view kTokenMark = "\"content\":";
 
@@ -85,11 +85,10 @@
 }
 
 bool
-ProbeCall::AwaitFirst()
+ProbeCall::IsStreaming() const
 {
-  std::unique_lock lock(mState->mMutex);
-  return mState->mChanged.wait_for(
-    lock, kLongest, [&] { return mState->mTokens > 0; });
+  std::lock_guard lock(mState->mMutex);
+  return mState->mTokens > 0 && !mState->mEnded;
 }
 
 } // namespace bench
--- a/tests/bench/probecall.h
+++ b/tests/bench/probecall.h
@@ -32,8 +32,8 @@
 
   /** Waits for the end; not whole where it does not come in time. */
   ProbeResult AwaitEnd();
-  /** Whether the first token comes in time. */
-  bool AwaitFirst();
+  /** Whether tokens have come and the answer has not ended. */
+  bool IsStreaming() const;
 
 private:
   using Clock = std::chrono::steady_clock;
--- /dev/null
+++ b/tests/bench/socketbytes.cpp
@@ -0,0 +1,116 @@
+#include "socketbytes.h"
+
+#include <arpa/inet.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/rtnetlink.h>
+#include <linux/sock_diag.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstring>
+
+namespace bench {
+
+namespace {
+
+constexpr uint32_t kEstablished = 1U << 1;
+constexpr size_t kBuffer = size_t{ 256 } * 1024;
+
+/** A netlink socket that is closed with the object. */
+class DiagSocket
+{
+public:
+  DiagSocket()
+    : mSocket(socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG))
+  {
+  }
+  ~DiagSocket()
+  {
+    if (mSocket >= 0) {
+      close(mSocket);
+    }
+  }
+  DiagSocket(const DiagSocket&) = delete;
+  DiagSocket& operator=(const DiagSocket&) = delete;
+
+  bool Ask() const
+  {
+    struct
+    {
+      nlmsghdr mHeader{};
+      inet_diag_req_v2 mQuestion{};
+    } request;
+    request.mHeader.nlmsg_len = sizeof request;
+    request.mHeader.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    request.mHeader.nlmsg_flags = NLM_F_REQUEST | NLM_F_DUMP;
+    request.mQuestion.sdiag_family = AF_INET;
+    request.mQuestion.sdiag_protocol = IPPROTO_TCP;
+    request.mQuestion.idiag_ext = 1U << (INET_DIAG_INFO - 1);
+    request.mQuestion.idiag_states = kEstablished;
+    return send(mSocket, &request, sizeof request, 0) > 0;
+  }
+
+  ssize_t Receive(char* aOut, size_t aMost) const
+  {
+    return recv(mSocket, aOut, aMost, 0);
+  }
+
+private:
+  int mSocket = -1;
+};
+
+/** Adds one connection's bytes to its local port. */
+void
+Add(const nlmsghdr& aMessage, std::map<uint16_t, uint64_t>& aBytes)
+{
+  const auto* socket =
+    reinterpret_cast<const inet_diag_msg*>(NLMSG_DATA(&aMessage));
+  auto left =
+    static_cast<int>(aMessage.nlmsg_len - NLMSG_LENGTH(sizeof(inet_diag_msg)));
+  const auto* part = reinterpret_cast<const rtattr*>(socket + 1);
+  for (; RTA_OK(part, left); part = RTA_NEXT(part, left)) {
+    if (part->rta_type != INET_DIAG_INFO) {
+      continue;
+    }
+    tcp_info info{};
+    const size_t length = RTA_PAYLOAD(part);
+    std::memcpy(
+      &info, RTA_DATA(part), length < sizeof info ? length : sizeof info);
+    aBytes[ntohs(socket->id.idiag_sport)] +=
+      info.tcpi_bytes_acked + info.tcpi_bytes_received;
+  }
+}
+
+} // namespace
+
+std::map<uint16_t, uint64_t>
+BytesByLocalPort()
+{
+  std::map<uint16_t, uint64_t> bytes;
+  const DiagSocket socket;
+  if (!socket.Ask()) {
+    return bytes;
+  }
+  static std::array<char, kBuffer> sBuffer;
+  while (true) {
+    const ssize_t received = socket.Receive(sBuffer.data(), sBuffer.size());
+    if (received <= 0) {
+      return bytes;
+    }
+    auto left = static_cast<unsigned>(received);
+    auto* message = reinterpret_cast<nlmsghdr*>(sBuffer.data());
+    for (; NLMSG_OK(message, left); message = NLMSG_NEXT(message, left)) {
+      if (message->nlmsg_type == NLMSG_DONE ||
+          message->nlmsg_type == NLMSG_ERROR) {
+        return bytes;
+      }
+      Add(*message, bytes);
+    }
+  }
+}
+
+} // namespace bench
