--- a/src/libtrefoilarch/lease.cpp
+++ b/src/libtrefoilarch/lease.cpp
@@ -187,6 +187,7 @@
     return;
   }
   const LeaseRow next{ mOptions.mHolder, row.mFence + 1, 0, mOptions.mSpan };
+  mTakingOver = !free;
   Write(aOut, next, aFound.mRevision, aNow);
 }
 
@@ -202,11 +203,11 @@
   if (aNow >= mGoodUntil) {
     return; // too late to be of use; it is renewed at once
   }
-  mNext = mSentAt + Jittered(mOptions.mRenewAfter);
+  mNext = mWanted ? mSentAt + Jittered(mOptions.mRenewAfter) : aNow;
   if (!mHolding || mFence != mSent.mFence) {
     mHolding = true;
     mFence = mSent.mFence;
-    aOut.emplace_back(LeaseGained{ mFence });
+    aOut.emplace_back(LeaseGained{ mFence, mTakingOver });
   }
 }
 
