--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -209,6 +209,8 @@
   MembershipServiceOptions MembershipOptionsFrom(const Settings& aSettings)
   {
     MembershipServiceOptions options{ .mSeed = DrawIncarnation() };
+    options.mEntry = mName;
+    options.mSubsetSize = aSettings.Integer("subset-size");
     options.mFixed = FixedMembers(aSettings);
     if (options.mFixed.mSidecars.empty()) {
       options.mPlatform = mPlatform;
