--- a/src/trefoilarchd/daemonsettings.cpp
+++ b/src/trefoilarchd/daemonsettings.cpp
@@ -97,7 +97,7 @@
       .mCheck = IntegerBetween(1, 3600) },
     { .mName = "offer-width",
       .mHelp = "entry: sidecars that a request is offered to at a time",
-      .mDefault = "2",
+      .mDefault = "3",
       .mCheck = IntegerBetween(1, 8) },
     { .mName = "silence-ms",
       .mHelp = "entry: silence after which a channel is replaced",
