--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -5,7 +5,6 @@
 #include "libtrefoilio/systemclock.h"
 
 #include <algorithm>
-#include <chrono>
 #include <set>
 #include <utility>
 
@@ -14,7 +13,6 @@
 namespace {
 
 constexpr Millis kLongestWait{ 100 };
-constexpr std::chrono::seconds kDumpWait{ 2 };
 
 } // namespace
 
@@ -88,13 +86,8 @@
 std::string
 RouterService::DumpState() const
 {
-  auto answer = std::make_shared<std::promise<std::string>>();
-  auto dump = answer->get_future();
-  if (!mRing->TryPush(DumpRequest{ answer }) ||
-      dump.wait_for(kDumpWait) != std::future_status::ready) {
-    return R"({"busy":true})";
-  }
-  return dump.get();
+  StateQuestion question;
+  return mRing->TryPush(question) ? question.Await() : BusyState();
 }
 
 void
@@ -299,9 +292,9 @@
 }
 
 void
-RouterService::On(const DumpRequest& aEvent)
+RouterService::On(const StateQuestion& aQuestion)
 {
-  aEvent.mAnswer->set_value(mCore.DumpState(trefoilio::MonotonicNow()));
+  aQuestion.Answer(mCore.DumpState(trefoilio::MonotonicNow()));
 }
 
 void
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -2,6 +2,7 @@
 
 #include "answermailbox.h"
 #include "entrychannel.h"
+#include "statequestion.h"
 
 #include "libtrefoilarch/entrycore.h"
 #include "libtrefoilio/boundedring.h"
@@ -10,7 +11,6 @@
 
 #include <atomic>
 #include <functional>
-#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -122,17 +122,13 @@
   {
     std::shared_ptr<const Classifier> mClassifier;
   };
-  struct DumpRequest
-  {
-    std::shared_ptr<std::promise<std::string>> mAnswer;
-  };
   using Event = std::variant<Submitted,
                              Left,
                              FromSidecar,
                              ChannelDown,
                              NewSidecars,
                              NewClassifier,
-                             DumpRequest>;
+                             StateQuestion>;
 
   /** One upstream's channel as the decision thread sees it. */
   struct Link
@@ -164,7 +160,7 @@
   void On(const ChannelDown& aEvent);
   void On(const NewSidecars& aEvent);
   void On(const NewClassifier& aEvent);
-  void On(const DumpRequest& aEvent);
+  void On(const StateQuestion& aQuestion);
   void CarryOut(EntryActions aActions);
   void Do(const SendToSidecar& aAction);
   void Do(const ReopenChannel& aAction);
--- a/src/trefoilarchd/upstreamservice.cpp
+++ b/src/trefoilarchd/upstreamservice.cpp
@@ -3,7 +3,6 @@
 #include "libtrefoilio/systemclock.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace trefoilarch {
@@ -11,7 +10,6 @@
 namespace {
 
 constexpr Millis kLongestWait{ 100 };
-constexpr std::chrono::seconds kDumpWait{ 2 };
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kFirstError = 400;
@@ -70,13 +68,8 @@
 std::string
 UpstreamService::DumpState() const
 {
-  auto answer = std::make_shared<std::promise<std::string>>();
-  auto dump = answer->get_future();
-  if (!mRing.TryPush(DumpRequest{ answer }) ||
-      dump.wait_for(kDumpWait) != std::future_status::ready) {
-    return R"({"busy":true})";
-  }
-  return dump.get();
+  StateQuestion question;
+  return mRing.TryPush(question) ? question.Await() : BusyState();
 }
 
 void
@@ -243,9 +236,9 @@
 }
 
 void
-UpstreamService::On(const DumpRequest& aEvent)
+UpstreamService::On(const StateQuestion& aQuestion)
 {
-  aEvent.mAnswer->set_value(mCore.DumpState(trefoilio::MonotonicNow()));
+  aQuestion.Answer(mCore.DumpState(trefoilio::MonotonicNow()));
 }
 
 void
--- a/src/trefoilarchd/upstreamservice.h
+++ b/src/trefoilarchd/upstreamservice.h
@@ -2,6 +2,7 @@
 
 #include "eventsplitter.h"
 #include "sidecarserver.h"
+#include "statequestion.h"
 
 #include "libtrefoilarch/callwatch.h"
 #include "libtrefoilarch/sidecarcore.h"
@@ -11,7 +12,6 @@
 #include "libtrefoilio/service.h"
 
 #include <atomic>
-#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -84,12 +84,8 @@
   {
     bool mDraining = false;
   };
-  struct DumpRequest
-  {
-    std::shared_ptr<std::promise<std::string>> mAnswer;
-  };
   using Event = std::
-    variant<FromEntry, EntryDown, Head, Data, End, SetDraining, DumpRequest>;
+    variant<FromEntry, EntryDown, Head, Data, End, SetDraining, StateQuestion>;
 
   /** One call that the upstream is running. */
   struct Running
@@ -109,7 +105,7 @@
   void On(const SetDraining& aEvent);
   /** A sidecar keeps no policy; it lets entries hear of each other's. */
   void PassOnVersion(uint64_t aVersion);
-  void On(const DumpRequest& aEvent);
+  void On(const StateQuestion& aQuestion);
   CallEvent Conclude(const AttemptKey& aKey,
                      const Running& aRunning,
                      trefoilio::CallEnd aEnd) const;
