--- a/tests/bench/capacitybench.cpp
+++ b/tests/bench/capacitybench.cpp
@@ -5,10 +5,13 @@
 #include "restingfleet.h"
 #include "socketbytes.h"
 
+#include "integration/fleet.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -21,6 +24,8 @@
 constexpr std::chrono::seconds kSettling{ 6 };
 constexpr std::chrono::seconds kWindow{ 10 };
 constexpr int kChanges = 5;
+constexpr int kRequestRounds = 30;
+constexpr int kRequestsAtOnce = 8;
 
 /** All counters at one moment. */
 struct Snapshot
@@ -85,6 +90,17 @@
   return (read(aAfter) - read(aBefore)) / aSeconds;
 }
 
+/** Reads of every service that the platform has served so far. */
+double
+AllReads(const json& aCounts)
+{
+  double reads = 0;
+  for (const char* service : { "table", "objects", "hostlist" }) {
+    reads += aCounts.value(service, json::object()).value("reads", 0.0);
+  }
+  return reads;
+}
+
 /** The longest of some changes until every entry has it; milliseconds. */
 double
 LongestSpread(RestingFleet& aFleet)
@@ -126,7 +142,8 @@
   const auto entries = static_cast<double>(aSize.mEntries);
   const auto sidecars = static_cast<double>(aSize.mSidecars);
   std::printf(
-    "%zu %zu %.0f %.0f %.2f %.2f %.1f %.1f %.2f %.2f %.2f %zu %.0f %.1f\n",
+    "%zu %zu %.0f %.0f %.2f %.2f %.1f %.1f %.2f %.2f %.2f %zu %.0f %.1f "
+    "%.0f\n",
     aSize.mEntries,
     aSize.mSidecars,
     bytes / entries,
@@ -140,19 +157,89 @@
     PerSecond(before, after, "hostlist", "reads", seconds),
     fleet.HostListBytes(),
     LongestSpread(fleet),
-    started.count());
-  std::fprintf(stderr, "platform at the start: %s\n", start.dump().c_str());
+    started.count(),
+    AllReads(start));
   std::fflush(stdout);
 }
 
+/** Bytes and processor time of many requests of one length. */
+void
+MeasureRequests(integration::Fleet& aFleet, size_t aTokens)
+{
+  const auto bytes = [&] {
+    uint64_t sum = 0;
+    const auto ports = BytesByLocalPort();
+    for (size_t i = 0; i < aFleet.UpstreamCount(); ++i) {
+      const std::string address = aFleet.Upstream(i).ChannelAddress();
+      const auto port = std::stoi(address.substr(address.rfind(':') + 1));
+      const auto found = ports.find(static_cast<uint16_t>(port));
+      sum += found == ports.end() ? 0 : found->second;
+    }
+    return sum;
+  };
+  const auto sidecars = [&] {
+    double sum = 0;
+    for (size_t i = 0; i < aFleet.UpstreamCount(); ++i) {
+      sum += UsageOf(aFleet.Upstream(i).mSidecar->Id()).mProcessorSeconds;
+    }
+    return sum;
+  };
+  const uint64_t bytesBefore = bytes();
+  const double entryBefore = UsageOf(aFleet.Entry().Id()).mProcessorSeconds;
+  const double sidecarsBefore = sidecars();
+  int whole = 0;
+  for (int round = 0; round < kRequestRounds; ++round) {
+    std::vector<std::unique_ptr<integration::OpenCall>> calls;
+    calls.reserve(kRequestsAtOnce);
+    for (int i = 0; i < kRequestsAtOnce; ++i) {
+      calls.push_back(
+        aFleet.Send(integration::ChatRequest("mid-call", aTokens)));
+    }
+    for (const auto& call : calls) {
+      const auto outcome = call->AwaitEnd().mOutcome;
+      whole += outcome == trefoilload::CallOutcome::Whole ? 1 : 0;
+    }
+  }
+  const double requests = kRequestRounds * kRequestsAtOnce;
+  std::printf("%zu %.0f %d %.0f %.0f %.0f\n",
+              aTokens,
+              requests,
+              whole,
+              static_cast<double>(bytes() - bytesBefore) / requests,
+              1e6 *
+                (UsageOf(aFleet.Entry().Id()).mProcessorSeconds - entryBefore) /
+                requests,
+              1e6 * (sidecars() - sidecarsBefore) / requests);
+  std::fflush(stdout);
+}
+
+/** What a request costs by its length: the part without tokens is control. */
+void
+MeasureRequestsByLength()
+{
+  integration::FleetOptions options;
+  options.mEngines = 2;
+  integration::Fleet fleet(options);
+  std::printf(
+    "# tokens requests whole channel_B entry_us sidecars_us (each)\n");
+  for (const size_t tokens : { 1, 20, 50, 100 }) {
+    MeasureRequests(fleet, tokens);
+  }
+}
+
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
+  if (aCount == 2 && std::string(aArguments[1]) == "requests") {
+    MeasureRequestsByLength();
+    return EXIT_SUCCESS;
+  }
   std::printf("# entries sidecars entry_channel_B/s sidecar_channel_B/s "
-              "entry_core_% sidecar_core_% entry_MB sidecar_MB table_reads/s "
-              "table_writes/s list_reads/s list_bytes spread_ms start_s\n");
+              "entry_core_%% sidecar_core_%% entry_MB sidecar_MB "
+              "table_reads/s table_writes/s list_reads/s list_bytes "
+              "spread_ms start_s start_reads\n");
   std::vector<FleetSize> sizes{ { 2, 12 }, { 8, 48 }, { 32, 150 } };
   if (aCount == 3) {
     sizes = { { std::strtoul(aArguments[1], nullptr, 10),
--- a/tests/bench/socketbytes.cpp
+++ b/tests/bench/socketbytes.cpp
@@ -37,7 +37,7 @@
   DiagSocket(const DiagSocket&) = delete;
   DiagSocket& operator=(const DiagSocket&) = delete;
 
-  bool Ask() const
+  bool Ask(uint8_t aFamily) const
   {
     struct
     {
@@ -47,7 +47,7 @@
     request.mHeader.nlmsg_len = sizeof request;
     request.mHeader.nlmsg_type = SOCK_DIAG_BY_FAMILY;
     request.mHeader.nlmsg_flags = NLM_F_REQUEST | NLM_F_DUMP;
-    request.mQuestion.sdiag_family = AF_INET;
+    request.mQuestion.sdiag_family = aFamily;
     request.mQuestion.sdiag_protocol = IPPROTO_TCP;
     request.mQuestion.idiag_ext = 1U << (INET_DIAG_INFO - 1);
     request.mQuestion.idiag_states = kEstablished;
@@ -85,32 +85,37 @@
   }
 }
 
-} // namespace
-
-std::map<uint16_t, uint64_t>
-BytesByLocalPort()
+void
+AddFamily(uint8_t aFamily, std::map<uint16_t, uint64_t>& aBytes)
 {
-  std::map<uint16_t, uint64_t> bytes;
-  const DiagSocket socket;
-  if (!socket.Ask()) {
-    return bytes;
-  }
   static std::array<char, kBuffer> sBuffer;
-  while (true) {
+  const DiagSocket socket;
+  bool more = socket.Ask(aFamily);
+  while (more) {
     const ssize_t received = socket.Receive(sBuffer.data(), sBuffer.size());
-    if (received <= 0) {
-      return bytes;
-    }
-    auto left = static_cast<unsigned>(received);
+    auto left = static_cast<unsigned>(received > 0 ? received : 0);
+    more = received > 0;
     auto* message = reinterpret_cast<nlmsghdr*>(sBuffer.data());
     for (; NLMSG_OK(message, left); message = NLMSG_NEXT(message, left)) {
       if (message->nlmsg_type == NLMSG_DONE ||
           message->nlmsg_type == NLMSG_ERROR) {
-        return bytes;
+        more = false;
+        break;
       }
-      Add(*message, bytes);
+      Add(*message, aBytes);
     }
   }
 }
 
+} // namespace
+
+std::map<uint16_t, uint64_t>
+BytesByLocalPort()
+{
+  std::map<uint16_t, uint64_t> bytes;
+  AddFamily(AF_INET, bytes);
+  AddFamily(AF_INET6, bytes);
+  return bytes;
+}
+
 } // namespace bench
