--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -23,6 +23,8 @@
 
 namespace trefoilarch {
 
+class ClaimHold;
+
 /** A sidecar that this entry is to have a channel to. */
 struct SidecarAddress
 {
@@ -64,8 +66,13 @@
   void Stop() override;
   std::string DumpState() const override;
 
-  /** Takes a request in; false where the ring is full. */
-  bool Submit(EntryRequest aRequest, std::shared_ptr<AnswerMailbox> aAnswer);
+  /**
+   * Takes a request in; false where the ring is full. One with a claim goes
+   * on when its caller leaves, so that a repeat finds its answer.
+   */
+  bool Submit(EntryRequest aRequest,
+              std::shared_ptr<AnswerMailbox> aMailbox,
+              std::shared_ptr<ClaimHold> aClaim);
   void CallerLeft(RequestId aId);
 
   void SetSidecars(std::vector<SidecarAddress> aSidecars);
@@ -89,7 +96,8 @@
   struct Submitted
   {
     EntryRequest mRequest;
-    std::shared_ptr<AnswerMailbox> mAnswer;
+    std::shared_ptr<AnswerMailbox> mMailbox;
+    std::shared_ptr<ClaimHold> mClaim;
   };
   struct Left
   {
@@ -135,6 +143,15 @@
     Millis mReopenAt = Millis::Never();
     Millis mBackoff;
     bool mHeard = false;
+    /** False: off the list, and kept until what runs there has ended. */
+    bool mListed = true;
+  };
+
+  /** Where a request's answer goes. */
+  struct Answer
+  {
+    std::shared_ptr<AnswerMailbox> mMailbox; /**< null: the caller left */
+    std::shared_ptr<ClaimHold> mClaim;       /**< null: it has none */
   };
 
   void Run();
@@ -143,6 +160,7 @@
   void On(const Left& aEvent);
   void On(FromSidecar aEvent);
   void Learn(const SidecarMessage& aMessage);
+  void CloseUnlisted();
   void On(const ChannelDown& aEvent);
   void On(const NewSidecars& aEvent);
   void On(const NewClassifier& aEvent);
@@ -154,6 +172,8 @@
   void Do(AnswerData aAction);
   void Do(AnswerEnd aAction);
   void Do(AnswerError aAction);
+  /** Lets the claim see what becomes of its request. */
+  static void Tell(ClaimHold& aClaim, const AnswerEvent& aEvent);
   void Deliver(RequestId aId, AnswerEvent aEvent, bool aLast);
   void OpenChannel(const UpstreamId& aUpstream, Link& aLink);
   void CloseChannel(Link& aLink);
@@ -167,7 +187,7 @@
   /** Shared with channels that outlive their link for a moment. */
   std::shared_ptr<trefoilio::BoundedRing<Event>> mRing;
   std::map<UpstreamId, Link> mLinks;
-  std::map<RequestId, std::shared_ptr<AnswerMailbox>> mAnswers;
+  std::map<RequestId, Answer> mAnswers;
   std::vector<RequestId> mGone;
   uint64_t mNextGeneration = 1;
   std::minstd_rand mRandom;
