--- a/src/libtrefoilio/connectionwatch.cpp
+++ b/src/libtrefoilio/connectionwatch.cpp
@@ -48,18 +48,21 @@
     std::lock_guard lock(mMutex);
     mStop = true;
   }
-  mStopping.notify_all();
+  mChanged.notify_all();
   mThread.join();
 }
 
 void
 ConnectionWatch::Opened(int aSocket)
 {
-  std::lock_guard lock(mMutex);
-  if (mConnections.size() >= mOptions.mMostConnections) {
-    CloseOldestIdle();
+  {
+    std::lock_guard lock(mMutex);
+    if (mConnections.size() >= mOptions.mMostConnections) {
+      CloseOldestIdle();
+    }
+    mConnections[aSocket] = Connection{ .mSince = Clock::now() };
   }
-  mConnections[aSocket] = Connection{ .mSince = Clock::now() };
+  mChanged.notify_one();
 }
 
 void
@@ -118,7 +121,8 @@
 {
   std::unique_lock lock(mMutex);
   while (!mStop) {
-    mStopping.wait_for(lock, kTick, [this] { return mStop; });
+    mChanged.wait(lock, [this] { return mStop || !mConnections.empty(); });
+    mChanged.wait_for(lock, kTick, [this] { return mStop; });
     const Clock::time_point now = Clock::now();
     for (auto& [socket, connection] : mConnections) {
       LookAt(socket, connection, now);
--- a/src/libtrefoilio/connectionwatch.h
+++ b/src/libtrefoilio/connectionwatch.h
@@ -91,7 +91,7 @@
   const ConnectionWatchOptions mOptions;
   const AnswerMaker mMakeAnswer;
   mutable std::mutex mMutex;
-  std::condition_variable mStopping;
+  std::condition_variable mChanged;
   bool mStop = false;
   std::unordered_map<int, Connection> mConnections;
   std::thread mThread;
