--- a/tests/bench/entrybench.cpp
+++ b/tests/bench/entrybench.cpp
@@ -1,27 +1,31 @@
-// What the entry's decisions cost, in nanoseconds and allocated bytes.
+// What the entry's decisions cost, in nanoseconds and allocated bytes, and what
+// its state takes.
+
+// A replacement of the global operators has to come down to malloc and free.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 
 #include "libtrefoilarch/entrycore.h"
 
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 #include <new>
 #include <random>
 
 namespace {
 
 uint64_t sAllocated = 0;
+int64_t sLive = 0;
 
 } // namespace
 
-// A replacement of the global operators has to come down to malloc and free.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 void*
 operator new(size_t aSize)
 {
   sAllocated += aSize;
   if (void* memory = std::malloc(aSize)) {
+    sLive += static_cast<int64_t>(malloc_usable_size(memory));
     return memory;
   }
   throw std::bad_alloc();
@@ -30,12 +34,14 @@
 void
 operator delete(void* aMemory) noexcept
 {
+  sLive -= static_cast<int64_t>(malloc_usable_size(aMemory));
   std::free(aMemory);
 }
 
 void
 operator delete(void* aMemory, size_t) noexcept
 {
+  sLive -= static_cast<int64_t>(malloc_usable_size(aMemory));
   std::free(aMemory);
 }
 
@@ -82,7 +88,8 @@
 {
 public:
   Bench(int aUpstreams, int aWorkspaces, int aOpen)
-    : mWorkspaces(aWorkspaces)
+    : mBefore(sLive)
+    , mWorkspaces(aWorkspaces)
     , mCore({ .mEntry = "entry-1",
               .mDataCentre = "riga-1",
               .mMostOpen = 1000000,
@@ -115,9 +122,14 @@
                                .mLoad = { .mTokenRoom = 16384 } },
                       mNow);
     }
+    const int64_t idle = sLive;
     for (int i = 0; i < aOpen; i++) {
       mCore.OnRequest(NextRequest(), mNow);
     }
+    std::printf("  state      %7lld bytes for an upstream, %lld for an open "
+                "request\n",
+                static_cast<long long>((idle - mBefore) / aUpstreams),
+                static_cast<long long>((sLive - idle) / aOpen));
   }
 
   void Run()
@@ -175,6 +187,7 @@
     }
   }
 
+  int64_t mBefore;
   uint64_t mWorkspaces;
   uint64_t mNumber = 0;
   std::mt19937_64 mRandom{ 1 };
