Hold a turn back for 50 ms at the most, and give the sidecar's timers a file

Cause, found by reading: where all upstreams are slower than a class's time between tokens, every sidecar held the class's turns back until they were late, which would have cost their first-token targets as well.

--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -117,7 +117,8 @@
   void GrantFloorTurns();
   void GrantNow(const Turn& aTurn);
   /** Holds back a turn whose targets this upstream is too slow for, so that
-   * another sidecar that it is offered to grants it, until it gets late. */
+   * another sidecar that it is offered to grants it; not for long, since the
+   * others may be as slow. */
   bool HoldsBack(const Turn& aTurn);
   /** Stops lower tiers' work if that saves the turn's first-token target. */
   bool PreemptFor(const Turn& aTurn);
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -11,6 +11,10 @@
 /** A late request is looked at again after this. */
 constexpr Millis kLatePause{ 500 };
 
+/** A turn that this upstream is too slow for waits so long for another's
+ * grant: some round trips. */
+constexpr Millis kHoldSpan{ 50 };
+
 /** A preemption comes when this part of the first-token target is left. */
 constexpr int64_t kPreemptPart = 4;
 
@@ -230,9 +234,10 @@
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
   const auto target =
     static_cast<double>(request.mLevel.mBetweenTokenTarget.Count());
-  if (request.mLate || mRate.BetweenTokens(mNow) <= target)
+  const Millis until = mAttempts.at(aTurn.mKey).mArrived + kHoldSpan;
+  if (mNow >= until || mRate.BetweenTokens(mNow) <= target)
     return false;
-  mTurnDue = request.mStartBy + Millis(1);
+  mTurnDue = until;
   return true;
 }
 
--- /dev/null
+++ b/src/libtrefoilarch/sidecartimers.cpp
@@ -0,0 +1,132 @@
+#include "sidecarimpl.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace trefoilarch {
+
+namespace {
+
+/** How long a whole answer waits for its last Ack from a connected entry. */
+constexpr Millis kAckSpan{ 30000 };
+
+/** Heartbeats are this many times rarer where nothing is open. */
+constexpr int64_t kIdleFactor = 10;
+
+} // namespace
+
+void
+SidecarCore::Impl::ArmRunning(const SidecarAttempt& aAttempt)
+{
+  const Millis orphaned =
+    aAttempt.mFlowing ? Millis::Never() : mNow + mOptions.mOrphanSpan;
+  mTimers.Arm(aAttempt.mOffer.mKey, std::min(aAttempt.mDeadlineAt, orphaned));
+}
+
+void
+SidecarCore::Impl::ArmEnded(const SidecarAttempt& aAttempt)
+{
+  const Millis span = aAttempt.mFlowing ? kAckSpan : mOptions.mOrphanSpan;
+  mTimers.Arm(aAttempt.mOffer.mKey, mNow + span);
+}
+
+void
+SidecarCore::Impl::OnTick()
+{
+  while (const auto key = mTimers.TakeDue(mNow))
+    OnTimer(mAttempts.at(*key));
+  SendHeartbeats();
+  mLedger.Expire(mNow);
+  mRoom.Adapt(mNow);
+}
+
+void
+SidecarCore::Impl::OnTimer(SidecarAttempt& aAttempt)
+{
+  const AttemptKey key = aAttempt.mOffer.mKey;
+  switch (aAttempt.mState) {
+    case AttemptState::Waiting:
+      return GiveUpIfHopeless(key);
+    case AttemptState::Granted:
+      return Void(aAttempt);
+    case AttemptState::Running:
+      return Cancel(aAttempt,
+                    mNow >= aAttempt.mDeadlineAt ? ErrorKind::DeadlineExceeded
+                                                 : ErrorKind::CallerLeft);
+    default:
+      return Erase(key);
+  }
+}
+
+void
+SidecarCore::Impl::SendHeartbeats()
+{
+  while (const auto entry = mHeartbeats.TakeDue(mNow)) {
+    Entry& channel = mEntries[*entry];
+    const bool open = !channel.mAttempts.empty();
+    if (open && mNow >= channel.mHeard + mOptions.mEntrySilence) {
+      ++mCounters.mSilences;
+      channel.mSilenced = true;
+      OnEntryDown(*entry);
+      continue;
+    }
+    SendHeartbeat(*entry);
+    mHeartbeats.Arm(*entry,
+                    mNow + mOptions.mHeartbeat * (open ? 1 : kIdleFactor));
+  }
+}
+
+void
+SidecarCore::Impl::SendHeartbeat(const EntryId& aEntry)
+{
+  Send(aEntry,
+       SidecarHeartbeat{ .mLoad = CurrentLoad(),
+                         .mPolicyVersion = mPolicyVersion });
+}
+
+void
+SidecarCore::Impl::Drain()
+{
+  mDraining = true;
+  std::vector<AttemptKey> waiting;
+  for (const auto& [key, attempt] : mAttempts)
+    if (attempt.mState == AttemptState::Waiting)
+      waiting.push_back(key);
+  for (const AttemptKey& key : waiting)
+    DeclineWaiting(key, ErrorKind::ShuttingDown, Millis());
+  TellLoad();
+}
+
+void
+SidecarCore::Impl::Undrain()
+{
+  mDraining = false;
+  TellLoad();
+}
+
+void
+SidecarCore::Impl::TellLoad()
+{
+  for (const auto& [entry, channel] : mEntries)
+    SendHeartbeat(entry);
+}
+
+bool
+SidecarCore::Impl::Idle() const
+{
+  return mDraining && mAttempts.empty();
+}
+
+Millis
+SidecarCore::Impl::NextWake() const
+{
+  Millis next = std::min(mTimers.Next(), mHeartbeats.Next());
+  if (mDraining)
+    return next;
+  next = std::min({ next, mSchedule.NextWake(), mTurnDue });
+  if (mRoom.IsPaused(mNow))
+    next = std::min(next, mRoom.PauseEnd());
+  return next;
+}
+
+} // namespace trefoilarch
