Keep the status of an answer without a body

Cause: ulfius refuses a binary body of no length, and its refusal went unseen, so the status stayed 200: a plain service's 404 or 503 without a body reached its caller as a success. Found when the host list's 304 came as 200; ruled out: the platform stand-in (curl saw its 304) and the client. Test first: 204 failed (and 304, 404, 503 after it would have); after: 10 passed.

--- a/src/libtrefoilio/httpserver.cpp
+++ b/src/libtrefoilio/httpserver.cpp
@@ -315,6 +315,10 @@
   {
     WriteHeaders(aReply, aResponse);
     const auto status = static_cast<unsigned>(aReply.mStatus);
+    if (!aReply.mStream && aReply.mBody.empty()) {
+      ulfius_set_empty_body_response(&aResponse, status);
+      return;
+    }
     if (!aReply.mStream) {
       ulfius_set_binary_body_response(
         &aResponse, status, aReply.mBody.data(), aReply.mBody.size());
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -155,6 +155,9 @@
     mHandled.Add();
     const std::string& target = aRequest.mTarget;
     const auto closed = [this] { mClosed.Add(); };
+    if (target.starts_with("/empty/")) {
+      return { .mStatus = std::stoi(target.substr(7)) };
+    }
     if (target.starts_with("/lines")) {
       return { .mStream = TenLines(StreamStep::End), .mOnClosed = closed };
     }
@@ -199,6 +202,18 @@
   cr_assert(FindHeader(reply->mHeaders, "X-Evil").empty());
 }
 
+Test(httpserver, status_of_an_empty_answer_arrives)
+{
+  Fixture fixture;
+  for (const int status : { 200, 204, 304, 404, 503 }) {
+    const auto reply = SendHttp(
+      { .mMethod = "GET",
+        .mTarget = fixture.Url("/empty/" + std::to_string(status)) },
+      Millis(5000));
+    cr_assert(reply && reply->mStatus == status, "%d", status);
+  }
+}
+
 Test(httpserver, stream_is_whole_cut_or_never_begun)
 {
   Fixture fixture;
