Read the host list whole only when it has changed

One that gives none is polled at a pace of 4 KB/s. Weighed: a longer span alone (43 s at that size, which is how long the list's word on a leaving host would then take; the sidecar's own word and the policy's drain do not wait for it).

--- a/src/trefoilarchd/membershipservice.cpp
+++ b/src/trefoilarchd/membershipservice.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int64_t kMillisPerSecond = 1000;
+
 constexpr unsigned kMostDoublings = 10;
 
 } // namespace
@@ -93,14 +95,15 @@
 void
 MembershipService::Poll()
 {
-  const std::optional<Membership> found = mOptions.mPlatform->ReadHosts();
+  const auto found = mOptions.mPlatform->ReadHosts(mTag);
   Membership chosen;
   bool changed = false;
   {
     std::lock_guard lock(mMutex);
     mFailures = found ? 0 : mFailures + 1;
     if (found) {
-      chosen = mView.OnList(*found, trefoilio::MonotonicNow());
+      Take(*found);
+      chosen = mView.OnList(mLastList, trefoilio::MonotonicNow());
       chosen.mSidecars =
         ChooseSubset(mOptions.mEntry, chosen.mSidecars, mOptions.mSubsetSize);
       changed = !mKnown || chosen != mCurrent;
@@ -111,6 +114,16 @@
   }
 }
 
+void
+MembershipService::Take(const HostsRead& aRead)
+{
+  mTag = aRead.mTag;
+  if (aRead.mMembership) {
+    mLastList = *aRead.mMembership;
+    mWholeListBytes = aRead.mBytes;
+  }
+}
+
 void
 MembershipService::Tell(const Membership& aMembership)
 {
@@ -138,7 +151,11 @@
   const int64_t entries = static_cast<int64_t>(mCurrent.mEntries.size());
   const Millis span =
     std::max(mOptions.mPollSpan, mOptions.mPollSpanPerEntry * entries);
-  const Millis mean = std::min(span * factor, mOptions.mMostPollSpan);
+  const int64_t bytes =
+    mTag.empty() ? static_cast<int64_t>(mWholeListBytes) : 0;
+  const Millis paced(kMillisPerSecond * bytes / mOptions.mListBytesPerSecond);
+  const Millis mean =
+    std::max(paced, std::min(span * factor, mOptions.mMostPollSpan));
   std::uniform_int_distribution<int64_t> draw(mean.Count() * 3 / 4,
                                               mean.Count() * 5 / 4);
   return Millis(draw(mRandom));
--- a/src/trefoilarchd/membershipservice.h
+++ b/src/trefoilarchd/membershipservice.h
@@ -26,6 +26,8 @@
   /** Added for each entry on the list, so that reads stay level. */
   Millis mPollSpanPerEntry{ 5 };
   Millis mMostPollSpan{ 8000 }; /**< between polls in an outage */
+  /** Bytes a second that lists may take which come whole at each poll. */
+  int64_t mListBytesPerSecond = 4096;
   MembershipViewOptions mView;
   /** This entry's name, and how many sidecars of each model or service it
    * connects to; 0: all of them. */
@@ -58,6 +60,8 @@
 private:
   void Run();
   void Poll();
+  /** Keeps what a read gave; under the lock. */
+  void Take(const HostsRead& aRead);
   void Tell(const Membership& aMembership);
   Millis NextSpan();
 
@@ -68,6 +72,10 @@
   mutable std::mutex mMutex;
   Membership mCurrent;
   bool mKnown = false;
+  /** The list as last read, and its tag where it has one. */
+  Membership mLastList;
+  std::string mTag;
+  size_t mWholeListBytes = 0;
   unsigned mFailures = 0;
   /** Never filled: closing it ends the wait between two polls. */
   trefoilio::BoundedRing<bool> mStop{ 1 };
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int kNotModified = 304;
+
 using Json = nlohmann::json;
 
 /** int64 values are strings in this gateway, and absent where zero. */
@@ -196,12 +198,14 @@
 std::optional<trefoilio::HttpReply>
 PlatformClient::Send(std::string aMethod,
                      const std::string& aPath,
-                     std::string aBody) const
+                     std::string aBody,
+                     trefoilio::HttpHeaders aMore) const
 {
   trefoilio::HttpRequest request;
   request.mMethod = std::move(aMethod);
   request.mTarget = mOptions.mUrl + aPath;
-  request.mHeaders = { { "Content-Type", "application/json" } };
+  request.mHeaders = std::move(aMore);
+  request.mHeaders.emplace_back("Content-Type", "application/json");
   request.mBody = std::move(aBody);
   return trefoilio::SendHttp(request, mOptions.mTimeout);
 }
@@ -287,11 +291,25 @@
   return EndOf(Send("DELETE", "/objects/" + aKey, ""));
 }
 
-std::optional<Membership>
-PlatformClient::ReadHosts() const
+std::optional<HostsRead>
+PlatformClient::ReadHosts(const std::string& aKnownTag) const
 {
-  const auto reply = Send("GET", "/hosts", "");
-  return Good(reply) ? ParseHostList(reply->mBody) : std::nullopt;
+  trefoilio::HttpHeaders known;
+  if (!aKnownTag.empty()) {
+    known.emplace_back("If-None-Match", aKnownTag);
+  }
+  const auto reply = Send("GET", "/hosts", "", std::move(known));
+  if (reply && reply->mStatus == kNotModified) {
+    return HostsRead{ .mTag = aKnownTag };
+  }
+  auto membership = Good(reply) ? ParseHostList(reply->mBody) : std::nullopt;
+  if (!membership) {
+    return std::nullopt;
+  }
+  return HostsRead{ .mMembership = std::move(membership),
+                    .mTag = std::string(
+                      trefoilio::FindHeader(reply->mHeaders, "ETag")),
+                    .mBytes = reply->mBody.size() };
 }
 
 } // namespace trefoilarch
--- a/src/trefoilarchd/platformclient.h
+++ b/src/trefoilarchd/platformclient.h
@@ -75,6 +75,15 @@
   std::optional<std::string> mBody; /**< empty where there is no such object */
 };
 
+/** What reading the host list gave. */
+struct HostsRead
+{
+  /** Empty where the list is still the one that the tag names. */
+  std::optional<Membership> mMembership;
+  std::string mTag; /**< empty where the platform gives none */
+  size_t mBytes = 0;
+};
+
 struct PlatformClientOptions
 {
   std::string mUrl; /**< http://ADDRESS:PORT */
@@ -105,13 +114,19 @@
   WriteEnd WriteObject(const std::string& aKey, std::string aBody) const;
   WriteEnd DeleteObject(const std::string& aKey) const;
 
-  /** The host list; none where not answered or not understood. */
-  std::optional<Membership> ReadHosts() const;
+  /**
+   * The host list; none where not answered or not understood. A list that is
+   * still the one of aKnownTag is not sent again, by a platform that gives
+   * its lists tags (RFC 9110, ETag and If-None-Match).
+   */
+  std::optional<HostsRead> ReadHosts(const std::string& aKnownTag = "") const;
 
 private:
-  std::optional<trefoilio::HttpReply> Send(std::string aMethod,
-                                           const std::string& aPath,
-                                           std::string aBody) const;
+  std::optional<trefoilio::HttpReply> Send(
+    std::string aMethod,
+    const std::string& aPath,
+    std::string aBody,
+    trefoilio::HttpHeaders aMore = {}) const;
 
   PlatformClientOptions mOptions;
 };
--- a/tests/standins/common/standinserver.cpp
+++ b/tests/standins/common/standinserver.cpp
@@ -145,11 +145,17 @@
 }
 
 void
-Exchange::Send(int aStatus, const std::string& aBody, const std::string& aType)
+Exchange::Send(int aStatus,
+               const std::string& aBody,
+               const std::string& aType,
+               const std::string& aTag)
 {
   http::response<http::string_body> reply(static_cast<http::status>(aStatus),
                                           mImpl.mRequest.version());
   reply.set(http::field::content_type, aType);
+  if (!aTag.empty()) {
+    reply.set(http::field::etag, aTag);
+  }
   reply.keep_alive(mImpl.mRequest.keep_alive());
   reply.body() = aBody;
   reply.prepare_payload();
--- a/tests/standins/common/standinserver.h
+++ b/tests/standins/common/standinserver.h
@@ -30,9 +30,11 @@
   std::string Header(const std::string& aName) const;
   const std::string& Body() const;
 
+  /** aTag: the body's ETag, where it has one. */
   void Send(int aStatus,
             const std::string& aBody,
-            const std::string& aType = "application/json");
+            const std::string& aType = "application/json",
+            const std::string& aTag = "");
   void StartStream(int aStatus, const std::string& aType);
   /** False once the client has left. */
   bool Write(const std::string& aData);
--- a/tests/standins/platform/faultgate.cpp
+++ b/tests/standins/platform/faultgate.cpp
@@ -69,7 +69,7 @@
     aExchange.Cut();
     return;
   }
-  aExchange.Send(reply.mStatus, reply.mBody, reply.mType);
+  aExchange.Send(reply.mStatus, reply.mBody, reply.mType, reply.mTag);
 }
 
 json
--- a/tests/standins/platform/faultgate.h
+++ b/tests/standins/platform/faultgate.h
@@ -17,6 +17,7 @@
   int mStatus = 200;
   std::string mBody;
   std::string mType = "application/json";
+  std::string mTag{}; /**< the body's ETag, where it has one */
 };
 
 /**
--- a/tests/standins/platform/platform.cpp
+++ b/tests/standins/platform/platform.cpp
@@ -1,6 +1,9 @@
 #include "platform.h"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <utility>
 
 namespace standin {
 
@@ -26,8 +29,9 @@
       return mObjects.List(aExchange.Parameter("prefix"));
     });
   } else if (path == "/hosts") {
-    mHostGate.Pass(
-      aExchange, false, [&] { return GateReply{ .mBody = mHosts.Text() }; });
+    mHostGate.Pass(aExchange, false, [&] {
+      return Hosts(aExchange.Header("If-None-Match"));
+    });
   } else if (path == "/control") {
     HandleControl(aExchange);
   } else {
@@ -35,6 +39,18 @@
   }
 }
 
+GateReply
+Platform::Hosts(const std::string& aKnownTag)
+{
+  std::string text = mHosts.Text();
+  std::string tag =
+    "\"" + std::to_string(XXH3_64bits(text.data(), text.size())) + "\"";
+  if (tag == aKnownTag) {
+    return GateReply{ .mStatus = 304, .mTag = std::move(tag) };
+  }
+  return GateReply{ .mBody = std::move(text), .mTag = std::move(tag) };
+}
+
 void
 Platform::HandleTable(Exchange& aExchange, const std::string& aOperation)
 {
--- a/tests/standins/platform/platform.h
+++ b/tests/standins/platform/platform.h
@@ -16,6 +16,8 @@
   void Handle(Exchange& aExchange);
 
 private:
+  /** The list; without a body where the caller knows it by its tag. */
+  GateReply Hosts(const std::string& aKnownTag);
   void HandleTable(Exchange& aExchange, const std::string& aOperation);
   void HandleObject(Exchange& aExchange, const std::string& aKey);
   void HandleControl(Exchange& aExchange);
