Wait for upstreams that connect; judge upstreams without labels

Two faults found by reading, each shown by a test that failed first: the time since which an upstream is listed was never set, so that an entry that had just started refused at once what it was to hold for a moment (a_request_waits_a_moment_...: an answer came at once); and an upstream without a model or service was not counted in its group, so that its failures threw (no_more_than_a_share_...: none of 12 was ejected, the group unknown).

--- a/src/libtrefoilarch/entrychannels.cpp
+++ b/src/libtrefoilarch/entrychannels.cpp
@@ -58,7 +58,11 @@
     const ChannelSpans spans{ .mSilence = mOptions.mSilenceSpan,
                               .mHeartbeat = mOptions.mHeartbeat,
                               .mIdleHeartbeat = mOptions.mIdleHeartbeat };
-    UpstreamLink& link = mLinks.try_emplace(view.mName, spans).first->second;
+    const auto [place, isNew] = mLinks.try_emplace(view.mName, spans);
+    UpstreamLink& link = place->second;
+    if (isNew) {
+      link.mListedSince = aNow;
+    }
     link.mListed = true;
     link.mLeaving =
       std::find(aLeaving.begin(), aLeaving.end(), view.mName) != aLeaving.end();
--- a/src/libtrefoilarch/outlierdetector.cpp
+++ b/src/libtrefoilarch/outlierdetector.cpp
@@ -25,8 +25,8 @@
 void
 OutlierDetector::Add(const UpstreamId& aUpstream, const std::string& aGroup)
 {
-  Member& member = mMembers[aUpstream];
-  if (member.mGroup == aGroup) {
+  const auto known = mMembers.find(aUpstream);
+  if (known != mMembers.end() && known->second.mGroup == aGroup) {
     return;
   }
   Remove(aUpstream);
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -24,7 +24,7 @@
     SetDrained("");
     SetUpstreams({ "a", "b", "c" }, {});
     for (const char* name : { "a", "b", "c" }) {
-      mCore.OnChannelUp(name, Millis());
+      mCore.OnChannelUp(name, mNow);
       Hear(name, WelcomeOf(name, 1));
     }
   }
@@ -112,7 +112,7 @@
 
   EntryCore mCore;
   EntryActions mDone;
-  Millis mNow{ 10 };
+  Millis mNow{ 1000000 };
 };
 
 } // namespace
@@ -223,9 +223,9 @@
   Scene scene;
   scene.Request();
   const auto offers = scene.Sent<Offer>();
-  scene.mDone = scene.mCore.OnTick(Millis(1509));
+  scene.mDone = scene.mCore.OnTick(scene.mNow + Millis(1499));
   cr_assert(scene.Given<ReopenChannel>().empty());
-  scene.mDone = scene.mCore.OnTick(Millis(1510));
+  scene.mDone = scene.mCore.OnTick(scene.mNow + Millis(1500));
   cr_assert_eq(scene.Given<ReopenChannel>().size(), 2);
 }
 
@@ -261,7 +261,7 @@
     scene.Hear(upstream, Grant{ offer.mKey, Millis(1000) });
     scene.Hear(upstream, Voided{ offer.mKey, incarnation });
     cr_assert_eq(scene.Sent<Offer>().empty(), incarnation != 1);
-    scene.mDone = scene.mCore.OnTick(Millis(60010));
+    scene.mDone = scene.mCore.OnTick(scene.mNow + Millis(60000));
     const Refusal refusal = scene.Given<AnswerError>().at(0).mRefusal;
     cr_assert(refusal.mKind == ErrorKind::DeadlineExceeded);
     cr_assert(refusal.mRan == (incarnation == 1 ? Ran::No : Ran::Maybe));
@@ -372,3 +372,41 @@
   cr_assert(dump.find("open_requests\":1") != std::string::npos);
   cr_assert(dump.find("question") == std::string::npos);
 }
+
+Test(entrycore, a_request_waits_a_moment_for_an_upstream_that_is_connecting)
+{
+  for (const bool comes : { true, false }) {
+    Scene scene;
+    scene.SetUpstreams({ "d" }, {});
+    scene.Request();
+    cr_assert(scene.mDone.empty());
+    if (comes) {
+      scene.mCore.OnChannelUp("d", scene.mNow);
+      scene.Hear("d", Scene::WelcomeOf("d", 1));
+      cr_assert_eq(scene.Sent<Offer>().size(), 1);
+      continue;
+    }
+    scene.mDone = scene.mCore.OnTick(scene.mNow + Millis(2000));
+    const Refusal refusal = scene.Given<AnswerError>().at(0).mRefusal;
+    cr_assert(refusal.mKind == ErrorKind::NotReady);
+    cr_assert(refusal.mRan == Ran::No);
+    scene.mNow += Millis(5000);
+    scene.Request();
+    cr_assert_eq(scene.Given<AnswerError>().size(), 1, "dead for too long");
+  }
+}
+
+Test(entrycore, what_no_upstream_serves_is_refused_at_once_with_its_reason)
+{
+  Scene scene;
+  scene.SetUpstreams({}, {});
+  scene.Request();
+  cr_assert(scene.Given<AnswerError>().at(0).mRefusal.mKind ==
+            ErrorKind::UnknownModel);
+  Scene draining;
+  draining.SetUpstreams({ "a", "b", "c" }, { "a", "b", "c" });
+  draining.Request();
+  const Refusal refusal = draining.Given<AnswerError>().at(0).mRefusal;
+  cr_assert(refusal.mKind == ErrorKind::NoEligibleUpstream);
+  cr_assert(refusal.mRetryAfter > Millis());
+}
--- a/tests/unit/outlierdetectortest.cpp
+++ b/tests/unit/outlierdetectortest.cpp
@@ -21,11 +21,11 @@
 class Group
 {
 public:
-  explicit Group(size_t aSize)
+  explicit Group(size_t aSize, const std::string& aName = "base")
     : mSize(aSize)
   {
     for (size_t i = 0; i < aSize; i++) {
-      mDetector.Add(NameOf(i), "base");
+      mDetector.Add(NameOf(i), aName);
     }
     for (int i = 0; i < 20; i++) {
       AllTake(kUsual);
@@ -116,7 +116,7 @@
                 }
               });
   cr_assert(holds);
-  Group all(12);
+  Group all(12, "");
   for (size_t i = 0; i < 12; i++) {
     all.Fail(i, 20);
   }
