--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -327,8 +327,17 @@
                                       const LedgerEntry& aMessage,
                                       Millis aNow)
 {
-  const bool withdrawn = aLink.mWithdrawn.contains(aMessage.mKey);
-  if (!withdrawn) {
+  OpenRequest* request = RequestOf(aMessage.mKey);
+  const auto offer =
+    request ? TakeOffer(aLink, *request, aMessage.mKey) : std::nullopt;
+  if (offer) {
+    Release(aLink, *offer);
+    if (!HasReadyOffer(*request)) {
+      PlaceOrConclude(*request, aNow);
+    }
+    return;
+  }
+  if (!aLink.mWithdrawn.contains(aMessage.mKey)) {
     mCounters.mDropped++;
     return;
   }
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -33,6 +33,7 @@
                     const std::vector<UpstreamId>& aLeaving)
   {
     std::vector<UpstreamView> views;
+    views.reserve(aNames.size());
     for (const UpstreamId& name : aNames) {
       views.push_back({ .mName = name, .mDataCentre = "", .mLabels = {} });
     }
@@ -410,3 +411,17 @@
   cr_assert(refusal.mKind == ErrorKind::NoEligibleUpstream);
   cr_assert(refusal.mRetryAfter > Millis());
 }
+
+Test(entrycore, an_offer_that_a_ledger_has_closed_is_placed_anew)
+{
+  Scene scene;
+  scene.Request();
+  const auto offers = scene.Sent<Offer>();
+  for (const auto& [upstream, offer] : offers) {
+    scene.Hear(upstream, LedgerEntry{ offer.mKey, AttemptState::Unknown, 1 });
+  }
+  const auto anew = scene.Sent<Offer>();
+  cr_assert_not(anew.empty());
+  scene.Hear(anew[0].first, Grant{ anew[0].second.mKey, Millis(1000) });
+  cr_assert_eq(scene.Sent<Start>().size(), 1);
+}
