--- a/src/trefoilarchd/callerrequest.cpp
+++ b/src/trefoilarchd/callerrequest.cpp
@@ -132,6 +132,20 @@
   return prefix;
 }
 
+/** The newer of the two published names goes first. */
+uint32_t
+MostOutputTokens(const json& aBody)
+{
+  for (const char* name : { "max_completion_tokens", "max_tokens" }) {
+    const auto limit = aBody.find(name);
+    if (limit != aBody.end() && limit->is_number_unsigned()) {
+      const auto most = limit->get<uint64_t>();
+      return static_cast<uint32_t>(std::min<uint64_t>(most, UINT32_MAX));
+    }
+  }
+  return 0;
+}
+
 Result<json>
 ReadChatBody(const std::string& aText)
 {
@@ -213,6 +227,7 @@
     body["stream"] = true;
     body["stream_options"] = { { "include_usage", true } };
   }
+  request.mMostOutputTokens = MostOutputTokens(body);
   const std::string prefix = PrefixOf(body);
   request.mPrefixHash = XXH3_64bits(prefix.data(), prefix.size());
   request.mPromptTokens =
--- a/src/trefoilarchd/callerservice.cpp
+++ b/src/trefoilarchd/callerservice.cpp
@@ -260,7 +260,8 @@
                         .mClassified = std::move(aClassified),
                         .mCall = std::move(aRequest.mCall),
                         .mPromptTokens = aRequest.mPromptTokens,
-                        .mPrefixHash = aRequest.mPrefixHash };
+                        .mPrefixHash = aRequest.mPrefixHash,
+                        .mMostOutputTokens = aRequest.mMostOutputTokens };
   if (!mRouter->Submit(std::move(request), mailbox, aClaim)) {
     const Refusal refusal{ .mKind = ErrorKind::TooManyOpen,
                            .mRetryAfter = kComeBackSoon };
