--- a/src/trefoilload/report.cpp
+++ b/src/trefoilload/report.cpp
@@ -1,6 +1,7 @@
 #include "report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -19,7 +20,7 @@
   }
   std::ranges::sort(aValues);
   const double last = static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<size_t>(last * aShare + 0.5)];
+  return aValues[static_cast<size_t>(std::lround(last * aShare))];
 }
 
 bool
@@ -152,7 +153,9 @@
         target == aTargets.end() ? ClassTarget() : target->second);
     ++run.mOutcomes[Name(record.mOutcome)];
     if (!record.mKind.empty()) {
-      ++run.mRefusals[record.mKind + " (ran: " + record.mRan + ")"];
+      std::string kind = record.mKind;
+      kind.append(" (ran: ").append(record.mRan).append(")");
+      ++run.mRefusals[kind];
     }
     run.mSeconds = std::max(
       run.mSeconds, static_cast<double>(record.mEnded) / kMillisPerSecond);
@@ -242,8 +245,9 @@
     const double attained =
       found == aReport.mClasses.end() ? 0 : found->Attainment();
     if (attained < std::stod(share)) {
-      missed.push_back(name + ": attainment " + std::to_string(attained) +
-                       ", expected " + share);
+      std::ostringstream line;
+      line << name << ": attainment " << attained << ", expected " << share;
+      missed.push_back(line.str());
     }
   }
   return missed;
--- a/tests/integration/childprocess.cpp
+++ b/tests/integration/childprocess.cpp
@@ -54,6 +54,7 @@
   aArguments.insert(aArguments.begin(),
                     std::string(TREFOILARCH_BIN) + "/" + mProgram);
   std::vector<char*> arguments;
+  arguments.reserve(aArguments.size() + 1);
   for (std::string& argument : aArguments) {
     arguments.push_back(argument.data());
   }
--- a/tests/integration/endtoendtest.cpp
+++ b/tests/integration/endtoendtest.cpp
@@ -94,8 +94,10 @@
 Test(endtoend, an_empty_host_list_is_survived)
 {
   Fleet fleet(Small());
+  constexpr size_t kRunning = 8;
   std::vector<std::unique_ptr<OpenCall>> running;
-  for (int i = 0; i < 8; ++i) {
+  running.reserve(kRunning);
+  for (size_t i = 0; i < kRunning; ++i) {
     running.push_back(fleet.Send(OnceRequest("drafting", 300, i % 2 == 0)));
   }
   cr_assert(running.front()->AwaitBytes(300));
--- a/tests/integration/refusalstest.cpp
+++ b/tests/integration/refusalstest.cpp
@@ -24,12 +24,13 @@
   R"({"model":"base","messages":[{"role":"user","content":"hello"}]})";
 
 HttpHeaders
-With(HttpHeaders aHeaders, HttpHeaders aMore)
+With(HttpHeaders aHeaders, const HttpHeaders& aMore)
 {
-  for (auto& [name, value] : aMore) {
-    std::erase_if(aHeaders,
-                  [&](const auto& aPair) { return aPair.first == name; });
-    aHeaders.emplace_back(name, value);
+  for (const auto& header : aMore) {
+    std::erase_if(aHeaders, [&header](const auto& aOther) {
+      return aOther.first == header.first;
+    });
+    aHeaders.push_back(header);
   }
   return aHeaders;
 }
--- a/tests/integration/silencetest.cpp
+++ b/tests/integration/silencetest.cpp
@@ -34,8 +34,10 @@
 CheckChannel(const char* aWay)
 {
   Fleet fleet(Proxied(1));
+  constexpr size_t kCalls = 6;
   std::vector<std::unique_ptr<OpenCall>> calls;
-  for (int i = 0; i < 6; ++i) {
+  calls.reserve(kCalls);
+  for (size_t i = 0; i < kCalls; ++i) {
     calls.push_back(fleet.Send(OnceRequest("mid-call", 500)));
   }
   for (const auto& call : calls) {
--- a/tests/standins/platform/faultgate.cpp
+++ b/tests/standins/platform/faultgate.cpp
@@ -15,7 +15,7 @@
 void
 FaultGate::Set(const json& aOrder)
 {
-  static const std::map<std::string, Mode> sModes = {
+  static const std::map<std::string, Mode> kModes = {
     { "up", Mode::Up },
     { "down", Mode::Down },
     { "slow", Mode::Slow },
@@ -23,7 +23,7 @@
   };
   const std::lock_guard lock(mMutex);
   if (aOrder.contains("mode")) {
-    mMode = sModes.at(aOrder["mode"].get<std::string>());
+    mMode = kModes.at(aOrder["mode"].get<std::string>());
   }
   mDelay = aOrder.value("delay_ms", mDelay);
   mProbability = aOrder.value("probability", mProbability);
