Mend what the linter reports in policy and claims; draw the poll's seed

All entries had the seed 1 for their polls' jitter, so that a start of all at once kept them in step. (The line is in the entry process, the lead's.)

--- a/src/libtrefoilarch/claims.cpp
+++ b/src/libtrefoilarch/claims.cpp
@@ -233,7 +233,7 @@
 
 ClaimActions
 Claims::OnAsked(uint64_t aTicket,
-                ClaimReport aReport,
+                const ClaimReport& aReport,
                 int64_t aUnixSeconds,
                 Millis aNow)
 {
--- a/src/libtrefoilarch/claims.h
+++ b/src/libtrefoilarch/claims.h
@@ -64,7 +64,7 @@
                            int64_t aUnixSeconds,
                            Millis aNow);
   ClaimActions OnAsked(uint64_t aTicket,
-                       ClaimReport aReport,
+                       const ClaimReport& aReport,
                        int64_t aUnixSeconds,
                        Millis aNow);
   ClaimActions OnTick(int64_t aUnixSeconds, Millis aNow);
--- a/src/libtrefoilarch/policycodec.cpp
+++ b/src/libtrefoilarch/policycodec.cpp
@@ -213,7 +213,8 @@
     if (value.is_string()) {
       labels[key] = value.get<std::string>();
     } else {
-      aFields.Fault(aName + "." + key, "must be a string");
+      aFields.Fault(std::string(aName).append(".").append(key),
+                    "must be a string");
     }
   }
   return labels;
--- a/src/libtrefoilarch/policylog.cpp
+++ b/src/libtrefoilarch/policylog.cpp
@@ -97,7 +97,7 @@
 }
 
 PolicyLogActions
-PolicyLog::OnSnapshot(SnapshotFound aFound, Millis aNow)
+PolicyLog::OnSnapshot(const SnapshotFound& aFound, Millis aNow)
 {
   mReading = false;
   const bool adopted =
--- a/src/libtrefoilarch/policylog.h
+++ b/src/libtrefoilarch/policylog.h
@@ -64,7 +64,7 @@
   PolicyLogActions OnRows(std::optional<std::vector<LogRow>> aRows,
                           Millis aNow);
   PolicyLogActions OnInserted(InsertEnd aEnd, Millis aNow);
-  PolicyLogActions OnSnapshot(SnapshotFound aFound, Millis aNow);
+  PolicyLogActions OnSnapshot(const SnapshotFound& aFound, Millis aNow);
   PolicyLogActions OnSnapshotWritten(bool aWritten, Millis aNow);
   PolicyLogActions OnPulled(std::optional<PolicyDelta> aDelta, Millis aNow);
   /** Another process's message carried this version. */
--- a/src/libtrefoilarch/policyvalidation.cpp
+++ b/src/libtrefoilarch/policyvalidation.cpp
@@ -122,7 +122,8 @@
                    const std::vector<std::string_view>& aReserved)
   {
     for (const auto& [key, value] : aLabels) {
-      const std::string path = aPath + ".labels." + key;
+      const std::string path =
+        std::string(aPath).append(".labels.").append(key);
       if (!GoodName(key)) {
         Add(path, "a key must be 1 to 128 letters, digits or any of -_.:/@+");
       }
--- a/src/libtrefoilarch/policywarnings.cpp
+++ b/src/libtrefoilarch/policywarnings.cpp
@@ -105,15 +105,16 @@
       Add("there is no workspace: no caller is admitted");
       return;
     }
-    for (const auto& [name, one] : mPolicy.mClasses) {
+    for (const auto& entry : mPolicy.mClasses) {
+      const RequestClass& one = entry.second;
       const auto& all = mPolicy.mWorkspaces;
       const bool served =
         std::any_of(all.begin(), all.end(), [&](const auto& aEntry) {
           return MaySend(aEntry.second, one);
         });
       if (!served) {
-        mUnserved.push_back(name);
-        Add("class " + name + " is left without any upstream");
+        mUnserved.push_back(one.mName);
+        Add("class " + one.mName + " is left without any upstream");
       }
     }
   }
--- a/src/trefoilarchd/claimservice.cpp
+++ b/src/trefoilarchd/claimservice.cpp
@@ -45,8 +45,7 @@
   }
   ClaimActions operator()(Asked& aOne) const
   {
-    return mService.mCore->OnAsked(
-      aOne.mTicket, std::move(aOne.mReport), mSeconds, mNow);
+    return mService.mCore->OnAsked(aOne.mTicket, aOne.mReport, mSeconds, mNow);
   }
 };
 
--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -118,7 +118,9 @@
   {
     mPolicy = Add(kPolicyName,
                   std::make_unique<PolicyService>(PolicyServiceOptions{
-                    .mPlatform = mPlatform, .mMetrics = &mMetrics }));
+                    .mPlatform = mPlatform,
+                    .mLog = { .mSeed = DrawIncarnation() },
+                    .mMetrics = &mMetrics }));
     mRouter = Add(
       RouterService::kName,
       std::make_unique<RouterService>(RouterOptionsFrom(aSettings), mMetrics));
--- a/src/trefoilarchd/policyservice.cpp
+++ b/src/trefoilarchd/policyservice.cpp
@@ -57,7 +57,7 @@
   }
   PolicyLogActions operator()(SnapshotRead& aOne) const
   {
-    return mService.mLog.OnSnapshot(std::move(aOne.mFound), mNow);
+    return mService.mLog.OnSnapshot(aOne.mFound, mNow);
   }
   PolicyLogActions operator()(const SnapshotStored& aOne) const
   {
