--- a/tests/unit/sidecarcoretest.cpp
+++ b/tests/unit/sidecarcoretest.cpp
@@ -372,6 +372,25 @@
   cr_assert_not_null(bench.Sent<Grant>());
 }
 
+/** An upstream too slow for a class leaves its requests to others for a
+ * moment, and not for good: the others may be as slow. */
+Test(sidecarcore, slow_upstream_holds_a_turn_back_for_a_moment)
+{
+  Bench bench;
+  bench.StartOne(1);
+  for (int i = 0; i < 3; ++i) {
+    bench.Pass(200);
+    bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  }
+  bench.Message(OfferOf(2));
+  cr_assert_null(bench.Sent<Grant>());
+  bench.Pass(50);
+  cr_assert_not_null(bench.Sent<Grant>());
+  bench.Pass(3000);
+  bench.Message(OfferOf(3));
+  cr_assert_not_null(bench.Sent<Grant>(), "an old measurement says nothing");
+}
+
 /** A plain service has no tokens; its room is a number of calls. */
 Test(sidecarcore, service_is_counted_in_calls)
 {
