Call an entry ready only when it has a policy

Cause: outage::table_slow failed once in four runs on a busy machine with policy_unknown: an entry had read the log before the first policy was in it, took that for all there was to know, and called itself ready; then the table became slow before its next poll. Ruled out: the outage's own handling (an entry that has a policy answers all through it). Change: no policy, not ready, whether or not the log is known to be empty.

--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -162,8 +162,9 @@
     if (mDraining) {
       return "stopping";
     }
-    if (!mPolicy->Known()) {
-      return "no policy is known yet";
+    if (mPolicy->Version() == 0) {
+      return mPolicy->Known() ? "no policy has been set"
+                              : "no policy is known yet";
     }
     if (!mMembership->Known()) {
       return "no host list is known yet";
