--- /dev/null
+++ b/src/trefoilarchd/leasestore.cpp
@@ -0,0 +1,49 @@
+#include "leasestore.h"
+
+namespace trefoilarch {
+
+LeaseStore::LeaseStore(std::shared_ptr<const PlatformClient> aPlatform)
+  : mPlatform(std::move(aPlatform))
+{
+}
+
+LeaseFound
+LeaseStore::Read(const std::string& aKey) const
+{
+  const std::string end = aKey + '\0';
+  const auto rows = mPlatform->ReadRange(aKey, end, 1);
+  if (!rows) {
+    return {};
+  }
+  if (rows->empty()) {
+    return { true, 0, "" };
+  }
+  return { true, rows->front().mModRevision, rows->front().mValue };
+}
+
+LeaseWritten
+LeaseStore::Write(const std::string& aKey, const WriteLease& aWrite) const
+{
+  const bool absent = aWrite.mRevision == 0;
+  TableTransaction transaction;
+  transaction.mConditions = {
+    { .mKey = aKey,
+      .mTarget = absent ? TableCondition::Target::CreateRevision
+                        : TableCondition::Target::ModRevision,
+      .mValue = aWrite.mRevision },
+  };
+  transaction.mPuts = { { aKey, aWrite.mText } };
+  const CommitResult result = mPlatform->Commit(transaction);
+  switch (result.mEnd) {
+    case WriteEnd::Done:
+      return { LeaseWriteEnd::Done, result.mRevision };
+    case WriteEnd::Refused:
+    case WriteEnd::NotDone:
+      return { LeaseWriteEnd::Refused, 0 };
+    case WriteEnd::Unknown:
+      break;
+  }
+  return {};
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/trefoilarchd/leasestore.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "platformclient.h"
+
+#include "libtrefoilarch/lease.h"
+
+#include <memory>
+#include <string>
+
+namespace trefoilarch {
+
+/** How writing a lease's row ended. */
+struct LeaseWritten
+{
+  LeaseWriteEnd mEnd = LeaseWriteEnd::Unknown;
+  int64_t mRevision = 0; /**< the row's, where done */
+};
+
+/** Keeps the rows of leases in the platform's table. */
+class LeaseStore
+{
+public:
+  explicit LeaseStore(std::shared_ptr<const PlatformClient> aPlatform);
+
+  LeaseFound Read(const std::string& aKey) const;
+  LeaseWritten Write(const std::string& aKey, const WriteLease& aWrite) const;
+
+private:
+  std::shared_ptr<const PlatformClient> mPlatform;
+};
+
+} // namespace trefoilarch
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -231,15 +231,16 @@
   const auto reply = Send("POST", "/v3/kv/txn", ToJson(aTransaction).dump());
   const WriteEnd end = EndOf(reply);
   if (end != WriteEnd::Done) {
-    return { end, {} };
+    return { end, {}, 0 };
   }
   try {
     const Json body = Json::parse(reply->mBody);
     if (body.value("succeeded", false)) {
-      return { WriteEnd::Done, {} };
+      return { WriteEnd::Done, {}, Int64Of(body.at("header"), "revision") };
     }
     return { WriteEnd::Refused,
-             FirstRows(body, aTransaction.mReadsIfRefused.size()) };
+             FirstRows(body, aTransaction.mReadsIfRefused.size()),
+             0 };
   } catch (const std::exception&) {
     return {};
   }
--- a/src/trefoilarchd/platformclient.h
+++ b/src/trefoilarchd/platformclient.h
@@ -66,6 +66,8 @@
   WriteEnd mEnd = WriteEnd::Unknown;
   /** Where refused: a place for each of mReadsIfRefused. */
   std::vector<std::optional<TableRow>> mFound;
+  /** Where done: the change revision of the rows that were put. */
+  int64_t mRevision = 0;
 };
 
 /** What reading an object gave. */
--- /dev/null
+++ b/tests/integration/orderservicetest.cpp
@@ -0,0 +1,168 @@
+#include "await.h"
+#include "childprocess.h"
+#include "httpcall.h"
+
+#include "libtrefoilio/kernel.h"
+#include "trefoilarchd/orderservice.h"
+
+#include <criterion/criterion.h>
+
+using namespace integration;
+using namespace trefoilarch;
+using nlohmann::json;
+
+namespace {
+
+constexpr Millis kLongest{ 1500 };
+
+/** The order part of one sidecar. */
+class OrderingSidecar
+{
+public:
+  OrderingSidecar(const std::string& aPlatformUrl,
+                  const std::string& aEngineUrl,
+                  const std::string& aHolder,
+                  bool aEngineChecks,
+                  Millis aOrderSpan)
+  {
+    auto service = std::make_unique<OrderService>(
+      OrderServiceOptions{ .mPlatform = std::make_shared<const PlatformClient>(
+                             PlatformClientOptions{ .mUrl = aPlatformUrl }),
+                           .mEngineUrl = aEngineUrl,
+                           .mOrders = { .mUpstream = "engine-1",
+                                        .mHolder = aHolder,
+                                        .mEngineChecksFence = aEngineChecks,
+                                        .mLongestOrder = kLongest,
+                                        .mLeaseSpare = Millis(2000),
+                                        .mOrderSpan = aOrderSpan,
+                                        .mRetry = Millis(200) } });
+    mService = service.get();
+    mKernel.Register(OrderService::kName, std::move(service));
+    mKernel.StartAll();
+  }
+  ~OrderingSidecar() { mKernel.StopAll(); }
+
+  int Post(const json& aOrder)
+  {
+    return mService->HandleOperator({ "POST", "/v1/orders", {}, aOrder.dump() })
+      .mStatus;
+  }
+  bool AwaitStanding(const std::string& aId, const std::string& aStanding)
+  {
+    return Await([&] { return mService->Standing(aId) == aStanding; });
+  }
+
+private:
+  trefoilio::Kernel mKernel;
+  OrderService* mService = nullptr;
+};
+
+/** A platform, an engine and whoever orders it about. */
+struct Bench
+{
+  explicit Bench(bool aEngineChecks = true,
+                 std::vector<std::string> aFlags = {})
+    : mEngine("trefoilarch-engine", Flags(aEngineChecks, std::move(aFlags)))
+    , mChecks(aEngineChecks)
+  {
+  }
+
+  static std::vector<std::string> Flags(bool aEngineChecks,
+                                        std::vector<std::string> aMore)
+  {
+    aMore.insert(aMore.end(),
+                 { "--fencing", aEngineChecks ? "refuse" : "ignore" });
+    return aMore;
+  }
+
+  std::unique_ptr<OrderingSidecar> Sidecar(const std::string& aHolder,
+                                           Millis aOrderSpan = Millis(60000))
+  {
+    return std::make_unique<OrderingSidecar>(
+      mUrl, mEngineUrl, aHolder, mChecks, aOrderSpan);
+  }
+  void SetTable(const char* aMode, double aProbability)
+  {
+    PostJson(mUrl + "/control",
+             { { "table",
+                 { { "mode", aMode },
+                   { "probability", aProbability },
+                   { "seed", 1 } } } });
+  }
+  bool Serves(const std::string& aModel) const
+  {
+    const json models = GetJson(mEngineUrl + "/v1/models");
+    return models.dump().find("\"" + aModel + "\"") != std::string::npos;
+  }
+
+  ChildProcess mPlatform{ "trefoilarch-platform", {} };
+  ChildProcess mEngine;
+  bool mChecks;
+  std::string mUrl = "http://" + mPlatform.Address("platform");
+  std::string mEngineUrl = "http://" + mEngine.Address("engine");
+};
+
+json
+Load(const std::string& aId, const std::string& aName)
+{
+  return { { "id", aId },
+           { "kind", "load_adapter" },
+           { "name", aName },
+           { "source", "weights/" + aName } };
+}
+
+} // namespace
+
+Test(orderservice, an_adapter_is_loaded_and_dropped)
+{
+  Bench bench;
+  const auto sidecar = bench.Sidecar("a");
+  cr_assert(sidecar->Post(Load("1", "riga")) == 202);
+  cr_assert(sidecar->Post(Load("1", "riga")) == 409);
+  cr_assert(sidecar->Post({ { "id", "2" }, { "kind", "reboot" } }) == 422);
+  cr_assert(sidecar->AwaitStanding("1", "done"));
+  cr_assert(bench.Serves("riga"));
+  sidecar->Post(
+    { { "id", "3" }, { "kind", "unload_adapter" }, { "name", "riga" } });
+  cr_assert(sidecar->AwaitStanding("3", "done"));
+  cr_assert(!bench.Serves("riga"));
+}
+
+Test(orderservice, a_successor_orders_under_a_higher_number)
+{
+  for (const bool checks : { true, false }) {
+    Bench bench(checks);
+    auto first = bench.Sidecar("a");
+    first->Post(Load("1", "riga"));
+    cr_assert(first->AwaitStanding("1", "done"));
+    first.reset();
+    const auto second = bench.Sidecar("b");
+    second->Post(Load("2", "tallinn"));
+    cr_assert(second->AwaitStanding("2", "done"));
+    cr_assert(bench.Serves("tallinn"));
+    const json orders = GetJson(bench.mEngineUrl + "/orders")["orders"];
+    cr_assert(orders.size() == 2);
+    cr_assert(orders[0]["fencing"] < orders[1]["fencing"]);
+  }
+}
+
+Test(orderservice, lost_answers_of_the_table_are_settled)
+{
+  Bench bench;
+  bench.SetTable("lose_answers", 0.3);
+  const auto sidecar = bench.Sidecar("a");
+  for (const char* id : { "1", "2", "3" }) {
+    sidecar->Post(Load(id, id));
+    cr_assert(sidecar->AwaitStanding(id, "done"));
+  }
+}
+
+/** The engine takes twice as long as orders may: no answer comes in time. */
+Test(orderservice, an_order_without_an_answer_ends_as_unknown)
+{
+  Bench bench(false, { "--order-ms", "3000" });
+  const auto sidecar = bench.Sidecar("a", Millis(4000));
+  sidecar->Post(Load("1", "riga"));
+  cr_assert(sidecar->AwaitStanding("1", "unknown"));
+  cr_assert(Await([&] { return bench.Serves("riga"); }));
+}
