--- a/src/trefoilarchctl/changesender.cpp
+++ b/src/trefoilarchctl/changesender.cpp
@@ -97,9 +97,10 @@
   const std::string status = body.value("status", "");
   if (aAnswer.mStatus == kOk && status == "accepted") {
     const uint64_t version = body.value("version", uint64_t{ 0 });
+    std::string text = "accepted as version " + std::to_string(version);
+    text += Warnings(body);
     return { .mCode = ExitCode::Done,
-             .mText = "accepted as version " + std::to_string(version) +
-                      Warnings(body),
+             .mText = std::move(text),
              .mJson = std::move(body) };
   }
   if (aAnswer.mStatus == kOk && status == "not_accepted") {
--- a/src/trefoilarchctl/classcommand.cpp
+++ b/src/trefoilarchctl/classcommand.cpp
@@ -32,7 +32,7 @@
 const ObjectKind&
 Kind()
 {
-  static const ObjectKind sKind{
+  static const ObjectKind kKind{
     .mName = "class",
     .mPlural = "classes",
     .mColumns = { "CLASS",
@@ -45,7 +45,7 @@
                   "CALLERS" },
     .mRow = &Row,
   };
-  return sKind;
+  return kKind;
 }
 
 /** The flags of `class set`; only what was given alters the class. */
--- a/src/trefoilarchctl/command.cpp
+++ b/src/trefoilarchctl/command.cpp
@@ -110,7 +110,7 @@
 const std::vector<Command>&
 Commands()
 {
-  static const std::vector<Command> sCommands{
+  static const std::vector<Command> kCommands{
     { "policy", "read and change the policy", kPolicyHelp, &RunPolicy },
     { "class", "request classes", kClassHelp, &RunClass },
     { "workspace", "workspaces", kWorkspaceHelp, &RunWorkspace },
@@ -122,7 +122,7 @@
     { "state", "dump of a process", kStateHelp, &RunState },
     { "metrics", "metrics of a process", kMetricsHelp, &RunMetrics },
   };
-  return sCommands;
+  return kCommands;
 }
 
 } // namespace trefoilarchctl
--- a/src/trefoilarchctl/commandline.cpp
+++ b/src/trefoilarchctl/commandline.cpp
@@ -66,7 +66,8 @@
   for (const std::string& url : operators) {
     const std::string range = check(url);
     if (!range.empty()) {
-      throw UsageError("--operator must be " + range + ", not \"" + url + "\"");
+      std::string text = "--operator must be " + range;
+      throw UsageError(text.append(", not ").append(url));
     }
   }
 }
@@ -97,7 +98,7 @@
     return mAuthor.getValue();
   }
   for (const char* name : { "TREFOILARCH_AUTHOR", "USER" }) {
-    const std::string value = Variable(name);
+    std::string value = Variable(name);
     if (!value.empty()) {
       return value;
     }
--- a/src/trefoilarchctl/operatorclient.cpp
+++ b/src/trefoilarchctl/operatorclient.cpp
@@ -65,7 +65,7 @@
 OperatorClient::Post(const std::string& aPath, const std::string& aBody)
 {
   for (const std::string& base : mBases) {
-    const Answer answer = Call("POST", base + aPath, aBody);
+    Answer answer = Call("POST", base + aPath, aBody);
     if (answer.mKind != Answer::Kind::NeverSent) {
       return answer;
     }
--- a/src/trefoilarchctl/selectorcommand.cpp
+++ b/src/trefoilarchctl/selectorcommand.cpp
@@ -21,13 +21,13 @@
 const ObjectKind&
 Kind()
 {
-  static const ObjectKind sKind{
+  static const ObjectKind kKind{
     .mName = "selector",
     .mPlural = "selectors",
     .mColumns = { "SELECTOR", "TRAFFIC", "UPSTREAMS" },
     .mRow = &Row,
   };
-  return sKind;
+  return kKind;
 }
 
 ExitCode
--- a/src/trefoilarchctl/workspacecommand.cpp
+++ b/src/trefoilarchctl/workspacecommand.cpp
@@ -39,13 +39,13 @@
 const ObjectKind&
 Kind()
 {
-  static const ObjectKind sKind{
+  static const ObjectKind kKind{
     .mName = "workspace",
     .mPlural = "workspaces",
     .mColumns = { "WORKSPACE", "DEFAULT CLASS", "WEIGHT", "TOKEN", "LABELS" },
     .mRow = &Row,
   };
-  return sKind;
+  return kKind;
 }
 
 std::string
--- a/tests/bench/pathbench.cpp
+++ b/tests/bench/pathbench.cpp
@@ -10,6 +10,7 @@
 #include "trefoilload/requestbuilder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -44,7 +45,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const auto last = static_cast<double>(aValues.size() - 1);
-  return aValues[static_cast<size_t>(last * aShare + 0.5)];
+  return aValues[static_cast<size_t>(std::lround(last * aShare))];
 }
 
 /** The engine directly, or the way through the fleet. */
@@ -272,11 +273,19 @@
   return text;
 }
 
+/** Whether a measure is asked for: all are, where none is named. */
+bool
+Wanted(const std::string& aAsked, const char* aName)
+{
+  return aAsked.empty() || aAsked == aName;
+}
+
 } // namespace
 
 int
-main()
+main(int aCount, char** aArguments)
 {
+  const std::string asked = aCount > 1 ? aArguments[1] : "";
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   std::printf("load average at the start: %s\n", LoadAverage().c_str());
   std::printf("%-34s %8s %9s %9s %9s %9s %9s %9s   (ms)\n",
@@ -289,16 +298,22 @@
               "routed",
               "added");
   int failed = 0;
-  {
+  if (Wanted(asked, "latency") || Wanted(asked, "throughput")) {
     Fleet fleet(FastFleet());
     Prober prober(fleet);
-    MeasureFirstToken(prober);
-    MeasureStreams(prober);
-    MeasureThroughput(fleet, prober, false, 4);
-    MeasureThroughput(fleet, prober, true, 100);
+    if (Wanted(asked, "latency")) {
+      MeasureFirstToken(prober);
+      MeasureStreams(prober);
+    }
+    if (Wanted(asked, "throughput")) {
+      MeasureThroughput(fleet, prober, false, 4);
+      MeasureThroughput(fleet, prober, true, 100);
+    }
     failed = prober.Failed();
   }
-  MeasureMemory();
+  if (Wanted(asked, "memory")) {
+    MeasureMemory();
+  }
   std::printf("answers that were not whole, of the first measure: %d\n",
               failed);
   std::printf("load average at the end: %s\n", LoadAverage().c_str());
