--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -118,7 +118,9 @@
   {
     mPolicy = Add(kPolicyName,
                   std::make_unique<PolicyService>(PolicyServiceOptions{
-                    .mPlatform = mPlatform, .mMetrics = &mMetrics }));
+                    .mPlatform = mPlatform,
+                    .mLog = { .mSeed = DrawIncarnation() },
+                    .mMetrics = &mMetrics }));
     mRouter = Add(
       RouterService::kName,
       std::make_unique<RouterService>(RouterOptionsFrom(aSettings), mMetrics));
@@ -209,6 +211,8 @@
   MembershipServiceOptions MembershipOptionsFrom(const Settings& aSettings)
   {
     MembershipServiceOptions options{ .mSeed = DrawIncarnation() };
+    options.mEntry = mName;
+    options.mSubsetSize = aSettings.Integer("subset-size");
     options.mFixed = FixedMembers(aSettings);
     if (options.mFixed.mSidecars.empty()) {
       options.mPlatform = mPlatform;
