--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -206,10 +206,10 @@
 {
   Fixture fixture;
   for (const int status : { 200, 204, 304, 404, 503 }) {
-    const auto reply = SendHttp(
-      { .mMethod = "GET",
-        .mTarget = fixture.Url("/empty/" + std::to_string(status)) },
-      Millis(5000));
+    const auto reply =
+      SendHttp({ .mMethod = "GET",
+                 .mTarget = fixture.Url("/empty/" + std::to_string(status)) },
+               Millis(5000));
     cr_assert(reply && reply->mStatus == status, "%d", status);
   }
 }
