--- a/tests/integration/atmostoncetest.cpp
+++ b/tests/integration/atmostoncetest.cpp
@@ -94,31 +94,30 @@
  * than silence takes to be found.
  */
 void
-CheckAtMostOnce(const std::string& aFault, Moment aMoment)
+CheckAtMostOnce(const Fault& aFault, Moment aMoment)
 {
-  const Fault fault = FaultNamed(aFault);
   Fleet fleet(Crowded());
   Calls calls;
   ReachMoment(fleet, calls, aMoment);
-  fault.mStrike(fleet, 0);
+  aFault.mStrike(fleet, 0);
   SendWave(fleet, calls, 4);
   std::this_thread::sleep_for(std::chrono::milliseconds(2500));
-  fault.mHeal(fleet, 0);
+  aFault.mHeal(fleet, 0);
   SetStalled(fleet, 0, false);
-  for (const std::string& broken : BrokenPromises(fleet, calls, fault)) {
-    cr_expect(false, "%s: %s", aFault.c_str(), broken.c_str());
+  for (const std::string& broken : BrokenPromises(fleet, calls, aFault)) {
+    cr_expect(false, "%s: %s", aFault.mName.c_str(), broken.c_str());
   }
   const bool anyWhole = std::ranges::any_of(calls, [](const auto& aCall) {
     return aCall->Record().mOutcome == CallOutcome::Whole;
   });
-  cr_assert(anyWhole, "%s: nothing was answered", aFault.c_str());
+  cr_assert(anyWhole, "%s: nothing was answered", aFault.mName.c_str());
 }
 
 void
 CheckAtMostOnce(const std::string& aFault)
 {
-  CheckAtMostOnce(aFault, Moment::Started);
-  CheckAtMostOnce(aFault, Moment::Answering);
+  CheckAtMostOnce(FaultNamed(aFault), Moment::Started);
+  CheckAtMostOnce(FaultNamed(aFault), Moment::Answering);
 }
 
 } // namespace
@@ -138,6 +137,14 @@
   CheckAtMostOnce("sidecar killed");
 }
 
+Test(atmostonce, sidecar_gone_for_good)
+{
+  Fault fault = FaultNamed("sidecar killed");
+  fault.mHeal = [](Fleet&, size_t) {};
+  CheckAtMostOnce(fault, Moment::Started);
+  CheckAtMostOnce(fault, Moment::Answering);
+}
+
 Test(atmostonce, sidecar_frozen)
 {
   CheckAtMostOnce("sidecar frozen");
