--- a/src/trefoilarchd/callerservice.cpp
+++ b/src/trefoilarchd/callerservice.cpp
@@ -226,7 +226,7 @@
   BOOST_LEAF_AUTO(reply,
                   Submit(std::move(aRequest),
                          std::move(classified),
-                         std::move(pass.mHold),
+                         pass.mHold,
                          aHttp,
                          aId,
                          arrived));
@@ -239,7 +239,7 @@
 Result<HttpReply>
 CallerService::Submit(CallerRequest aRequest,
                       Classified aClassified,
-                      std::shared_ptr<ClaimHold> aClaim,
+                      const std::shared_ptr<ClaimHold>& aClaim,
                       const HttpRequest& aHttp,
                       const RequestId& aId,
                       Millis aArrived)
--- a/src/trefoilarchd/callerservice.h
+++ b/src/trefoilarchd/callerservice.h
@@ -67,7 +67,7 @@
   /** Hands the request to the router, and waits for its answer's head. */
   Result<trefoilio::HttpReply> Submit(CallerRequest aRequest,
                                       Classified aClassified,
-                                      std::shared_ptr<ClaimHold> aClaim,
+                                      const std::shared_ptr<ClaimHold>& aClaim,
                                       const trefoilio::HttpRequest& aHttp,
                                       const RequestId& aId,
                                       Millis aArrived);
--- a/src/trefoilarchd/entrychannel.cpp
+++ b/src/trefoilarchd/entrychannel.cpp
@@ -45,8 +45,8 @@
 RetiredStubs&
 Retired()
 {
-  static auto* const sRetired = new RetiredStubs;
-  return *sRetired;
+  static auto* const kRetired = new RetiredStubs;
+  return *kRetired;
 }
 
 std::shared_ptr<grpc::Channel>
