--- a/src/trefoilarchd/sidecarprocess.cpp
+++ b/src/trefoilarchd/sidecarprocess.cpp
@@ -2,6 +2,7 @@
 #include "grpcserverservice.h"
 #include "incarnation.h"
 #include "operatorservice.h"
+#include "orderservice.h"
 #include "process.h"
 #include "upstreamservice.h"
 
@@ -19,6 +20,8 @@
 using trefoilio::HttpRequest;
 using trefoilio::Settings;
 
+constexpr int kNotFound = 404;
+
 std::string
 UpstreamName(const Settings& aSettings)
 {
@@ -48,6 +51,34 @@
   return options;
 }
 
+/** Orders go to engines alone, under leases that the platform keeps. */
+bool
+TakesOrders(const Settings& aSettings)
+{
+  return aSettings.Text("upstream-kind") == "engine" &&
+         !aSettings.Text("platform").empty();
+}
+
+OrderServiceOptions
+OrderOptionsFrom(const Settings& aSettings)
+{
+  const uint64_t incarnation = DrawIncarnation();
+  OrderServiceOptions options;
+  options.mPlatform = std::make_shared<const PlatformClient>(
+    PlatformClientOptions{ .mUrl = aSettings.Text("platform") });
+  options.mEngineUrl = aSettings.Text("upstream-url");
+  options.mEngineKey = aSettings.Text("upstream-key");
+  options.mOrders.mUpstream = UpstreamName(aSettings);
+  options.mOrders.mHolder =
+    aSettings.Text("name") + "-" + std::to_string(incarnation);
+  options.mOrders.mEngineChecksFence =
+    aSettings.Text("engine-fencing") == "refuse";
+  options.mOrders.mLongestOrder = Millis(aSettings.Integer("longest-order-ms"));
+  options.mOrders.mLoadSlots = aSettings.Integer("load-slots");
+  options.mOrders.mSeed = incarnation;
+  return options;
+}
+
 /** The daemon beside an upstream. */
 class SidecarProcess final : public Process
 {
@@ -66,6 +97,11 @@
       OperatorOptionsFrom(aSettings), mMetrics);
     mOperators = operators.get();
     mKernel.Register(OperatorService::kName, std::move(operators));
+    if (TakesOrders(aSettings)) {
+      auto orders = std::make_unique<OrderService>(OrderOptionsFrom(aSettings));
+      mOrders = orders.get();
+      mKernel.Register(OrderService::kName, std::move(orders));
+    }
     mKernel.Register(UpstreamService::kName, std::move(upstream));
     mKernel.Register(GrpcServerService::kName, std::move(grpc));
   }
@@ -105,6 +141,11 @@
       mUpstream->Drain();
       return HttpReply{ .mBody = "draining\n" };
     };
+    options.mPaths["/v1/orders"] = [this](const HttpRequest& aHttp) {
+      return mOrders ? mOrders->HandleOperator(aHttp)
+                     : HttpReply{ .mStatus = kNotFound,
+                                  .mBody = "no engine takes orders here\n" };
+    };
     options.mPaths["/undrain"] = [this](const HttpRequest&) {
       mDraining = false;
       mUpstream->Undrain();
@@ -119,6 +160,7 @@
   UpstreamService* mUpstream = nullptr;
   GrpcServerService* mGrpc = nullptr;
   OperatorService* mOperators = nullptr;
+  OrderService* mOrders = nullptr; /**< null without engine or platform */
   std::atomic<bool> mDraining = false;
 };
 
--- a/tests/integration/orderservicetest.cpp
+++ b/tests/integration/orderservicetest.cpp
@@ -7,6 +7,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <csignal>
+#include <vector>
+
 using namespace integration;
 using namespace trefoilarch;
 using nlohmann::json;
@@ -89,6 +93,11 @@
                    { "probability", aProbability },
                    { "seed", 1 } } } });
   }
+  uint64_t TableWrites() const
+  {
+    const json counts = GetJson(mUrl + "/control");
+    return counts["table"]["writes"].get<uint64_t>();
+  }
   bool Serves(const std::string& aModel) const
   {
     const json models = GetJson(mEngineUrl + "/v1/models");
@@ -102,6 +111,44 @@
   std::string mEngineUrl = "http://" + mEngine.Address("engine");
 };
 
+/** A whole sidecar daemon beside the engine. */
+class SidecarDaemon
+{
+public:
+  SidecarDaemon(const Bench& aBench, const std::string& aName)
+    : mProcess("trefoilarchd",
+               { "--role",
+                 "sidecar",
+                 "--name",
+                 aName,
+                 "--upstream-name",
+                 "engine-1",
+                 "--upstream-url",
+                 aBench.mEngineUrl,
+                 "--labels",
+                 "model=base",
+                 "--platform",
+                 aBench.mUrl,
+                 "--engine-fencing",
+                 aBench.mChecks ? "refuse" : "ignore",
+                 "--longest-order-ms",
+                 "1500" })
+    , mUrl("http://" + mProcess.Address("operator") + "/v1/orders")
+  {
+  }
+
+  ChildProcess& Child() { return mProcess; }
+  void Post(const json& aOrder) { PostJson(mUrl, aOrder); }
+  std::string Standing(const std::string& aId) const
+  {
+    return GetJson(mUrl + "/" + aId).value("status", "");
+  }
+
+private:
+  ChildProcess mProcess;
+  std::string mUrl;
+};
+
 json
 Load(const std::string& aId, const std::string& aName)
 {
@@ -166,3 +213,33 @@
   cr_assert(sidecar->AwaitStanding("1", "unknown"));
   cr_assert(Await([&] { return bench.Serves("riga"); }));
 }
+
+/** The one that holds the engine's lease is frozen in the midst of an order. */
+Test(orderservice, a_frozen_holder_does_not_order_after_its_successor)
+{
+  Bench bench(false, { "--order-ms", "1000" });
+  SidecarDaemon first(bench, "a");
+  first.Post(Load("1", "riga"));
+  const auto fences = [&bench] {
+    std::vector<uint64_t> numbers;
+    const json seen = GetJson(bench.mEngineUrl + "/orders");
+    for (const json& order : seen["orders"]) {
+      numbers.push_back(order["fencing"].get<uint64_t>());
+    }
+    return numbers;
+  };
+  cr_assert(Await([&] { return bench.TableWrites() > 0; }));
+  first.Child().Signal(SIGSTOP);
+  SidecarDaemon second(bench, "b");
+  second.Post(Load("2", "tallinn"));
+  cr_assert(
+    Await([&] { return second.Standing("2") == "done"; }, Millis(60000)));
+  first.Child().Signal(SIGCONT);
+  first.Post(Load("3", "vilnius"));
+  cr_assert(
+    Await([&] { return first.Standing("3") == "done"; }, Millis(60000)));
+  const auto numbers = fences();
+  cr_assert(numbers.size() >= 3);
+  cr_assert(std::is_sorted(numbers.begin(), numbers.end()));
+  cr_assert(numbers.front() < numbers[1] && numbers[1] < numbers.back());
+}
