--- a/tests/bench/capacitybench.cpp
+++ b/tests/bench/capacitybench.cpp
@@ -1,5 +1,6 @@
 // What control costs in processes of growing fleets: at rest all that moves
-// is control. A line of data for each size, for scripts/run-capacity.
+// is control. A line of data for each size, for scripts/run-capacity. `mesh`:
+// every entry connected to every sidecar; `requests`: what a request adds.
 
 #include "processusage.h"
 #include "restingfleet.h"
@@ -125,10 +126,10 @@
 }
 
 void
-Measure(FleetSize aSize)
+Measure(FleetSize aSize, const std::vector<std::string>& aEntryFlags)
 {
   const Clock::time_point began = Clock::now();
-  RestingFleet fleet(aSize);
+  RestingFleet fleet(aSize, aEntryFlags);
   const std::chrono::duration<double> started = Clock::now() - began;
   const json start = fleet.PlatformCounts();
   std::this_thread::sleep_for(kSettling);
@@ -240,13 +241,17 @@
               "entry_core_%% sidecar_core_%% entry_MB sidecar_MB "
               "table_reads/s table_writes/s list_reads/s list_bytes "
               "spread_ms start_s start_reads\n");
+  const bool mesh = aCount == 2 && std::string(aArguments[1]) == "mesh";
+  const std::vector<std::string> flags =
+    mesh ? std::vector<std::string>{ "--subset-size", "0" }
+         : std::vector<std::string>{};
   std::vector<FleetSize> sizes{ { 2, 12 }, { 8, 48 }, { 32, 150 } };
   if (aCount == 3) {
     sizes = { { std::strtoul(aArguments[1], nullptr, 10),
                 std::strtoul(aArguments[2], nullptr, 10) } };
   }
   for (const FleetSize& size : sizes) {
-    Measure(size);
+    Measure(size, flags);
   }
   return EXIT_SUCCESS;
 }
--- a/tests/bench/restingfleet.cpp
+++ b/tests/bench/restingfleet.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-RestingFleet::RestingFleet(FleetSize aSize)
+RestingFleet::RestingFleet(FleetSize aSize,
+                           const std::vector<std::string>& aEntryFlags)
   : mSize(aSize)
   , mPlatform("trefoilarch-platform", {})
   , mEngine("trefoilarch-engine", { "--name", "engine" })
@@ -65,7 +66,7 @@
                                 "model=base" }));
   }
   for (size_t i = 0; i < mSize.mEntries; ++i) {
-    mEntries.push_back(start("entry", NameOf("entry", i), {}));
+    mEntries.push_back(start("entry", NameOf("entry", i), aEntryFlags));
   }
   PublishHosts();
   const json policy{ { "op", "replace_policy" },
--- a/tests/bench/restingfleet.h
+++ b/tests/bench/restingfleet.h
@@ -25,7 +25,7 @@
 class RestingFleet
 {
 public:
-  explicit RestingFleet(FleetSize aSize);
+  RestingFleet(FleetSize aSize, const std::vector<std::string>& aEntryFlags);
 
   const FleetSize& Size() const { return mSize; }
   const integration::ChildProcess& Entry(size_t aPlace) const
