Rerun preempted requests without charge to the retry budget

Cause: a sidecar's preemption ends a started attempt with shed, and the entry charged the rerun to its class's budget, as if an upstream had failed; from the fourth preemption on a low tier was refused.

--- a/src/libtrefoilarch/entryplacing.cpp
+++ b/src/libtrefoilarch/entryplacing.cpp
@@ -244,10 +244,12 @@
   const Classified& classified = aRequest.mRequest.mClassified;
   const bool safe =
     !aRequest.mHeadSent && (classified.mIdempotent || !aRequest.mMayHaveRun);
+  // Only a preemption ends a started attempt so; no upstream has failed.
+  const bool preempted = aRefusal.mKind == ErrorKind::Shed;
   const Millis retryAt = aNow + Backoff(aRequest.mRetries);
   if (!safe || !Contains(kRetryableKinds, aRefusal.mKind) ||
       aRequest.mRetries >= kMostRetries || retryAt >= aRequest.mDeadline ||
-      !mRetryBudget.TakeRetry(classified.mLevel.mClass)) {
+      !(preempted || mRetryBudget.TakeRetry(classified.mLevel.mClass))) {
     ConcludeWithError(aRequest, std::move(aRefusal), aNow);
     return;
   }
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -425,3 +425,19 @@
   scene.Hear(anew[0].first, Grant{ anew[0].second.mKey, Millis(1000) });
   cr_assert_eq(scene.Sent<Start>().size(), 1);
 }
+
+Test(entrycore, preempted_requests_are_rerun_without_charge)
+{
+  Scene scene;
+  for (uint64_t i = 1; i <= 6; ++i) {
+    scene.Request(true, RequestId{ 9, i }, 3);
+    const auto offer = scene.Sent<Offer>().front();
+    scene.Hear(offer.first, Grant{ offer.second.mKey, Millis(1000) });
+    scene.Hear(offer.first,
+               Failed{ .mKey = offer.second.mKey,
+                       .mKind = ErrorKind::Shed,
+                       .mRan = Ran::Maybe });
+    cr_assert(scene.Given<AnswerError>().empty(), "request %lu", i);
+  }
+  cr_assert(scene.mCore.OpenRequests() == 6);
+}
