--- a/src/trefoilarchd/entrychannel.cpp
+++ b/src/trefoilarchd/entrychannel.cpp
@@ -150,7 +150,7 @@
   const std::lock_guard lock(mMutex);
   const auto* next = mOutbox.Next();
   if (next && mHeld) {
-    StartWrite(next, HintFor(mOutbox));
+    StartWrite(next);
   }
 }
 
--- a/src/trefoilarchd/outbox.h
+++ b/src/trefoilarchd/outbox.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <grpcpp/impl/codegen/call_op_set.h>
-
 #include <cstddef>
 #include <deque>
 #include <utility>
@@ -35,9 +33,6 @@
     return mItems.empty() ? nullptr : &mItems.front();
   }
 
-  /** More waits behind the envelope that is written next. */
-  bool MoreFollows() const { return mItems.size() > 1; }
-
   bool Overfull() const { return mBytes > kMostBytes; }
 
 private:
@@ -45,16 +40,4 @@
   size_t mBytes = 0;
 };
 
-/** Lets gRPC gather what follows at once into one send. */
-template<typename Envelope>
-grpc::WriteOptions
-HintFor(const Outbox<Envelope>& aOutbox)
-{
-  grpc::WriteOptions options;
-  if (aOutbox.MoreFollows()) {
-    options.set_buffer_hint();
-  }
-  return options;
-}
-
 } // namespace trefoilarch
--- a/src/trefoilarchd/sidecarserver.cpp
+++ b/src/trefoilarchd/sidecarserver.cpp
@@ -91,7 +91,7 @@
     if (!aOk) {
       FinishLocked();
     } else if (next && !mFinished) {
-      StartWrite(next, HintFor(mOutbox));
+      StartWrite(next);
     }
   }
 
