Move the library's cost programs out of the tests, with one measure of cost

They measure what decisions cost an embedder and decide no verdict; two of them had the same counting allocator and summing class, now one (allocations, cost).

--- a/tests/bench/entrybench.cpp
+++ b/src/trefoilbench/entrybench.cpp
@@ -1,94 +1,29 @@
 // What the entry's decisions cost, in nanoseconds and allocated bytes, and what
 // its state takes.
 
-// A replacement of the global operators has to come down to malloc and free.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+#include "cost.h"
 
 #include "libtrefoilarch/entrycore.h"
 
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <malloc.h>
-#include <new>
 #include <random>
 
-namespace {
-
-uint64_t sAllocated = 0;
-int64_t sLive = 0;
-
-} // namespace
-
-void*
-operator new(size_t aSize)
-{
-  sAllocated += aSize;
-  if (void* memory = std::malloc(aSize)) {
-    sLive += static_cast<int64_t>(malloc_usable_size(memory));
-    return memory;
-  }
-  throw std::bad_alloc();
-}
-
-void
-operator delete(void* aMemory) noexcept
-{
-  sLive -= static_cast<int64_t>(malloc_usable_size(aMemory));
-  std::free(aMemory);
-}
-
-void
-operator delete(void* aMemory, size_t) noexcept
-{
-  sLive -= static_cast<int64_t>(malloc_usable_size(aMemory));
-  std::free(aMemory);
-}
-
 namespace trefoilarch {
 
 namespace {
 
+using trefoilbench::Cost;
+
 constexpr int kWarmUp = 20000;
 constexpr int kMeasured = 50000;
 
-/** Sums up the cost of one kind of event. */
-class Cost
-{
-public:
-  template<typename Event>
-  auto Add(Event aEvent)
-  {
-    const uint64_t bytes = sAllocated;
-    const auto begin = std::chrono::steady_clock::now();
-    auto actions = aEvent();
-    const auto took = std::chrono::steady_clock::now() - begin;
-    mNanoseconds += std::chrono::nanoseconds(took).count();
-    mBytes += sAllocated - bytes;
-    mEvents++;
-    return actions;
-  }
-
-  void Print(const char* aName) const
-  {
-    std::printf("  %-10s %7lld ns %7llu bytes\n",
-                aName,
-                static_cast<long long>(mNanoseconds / mEvents),
-                static_cast<unsigned long long>(mBytes / mEvents));
-  }
-
-private:
-  int64_t mNanoseconds = 0;
-  uint64_t mBytes = 0;
-  int64_t mEvents = 1;
-};
-
 /** One entry before a fleet, fed with requests that end at once. */
 class Bench
 {
 public:
   Bench(int aUpstreams, int aWorkspaces, int aOpen)
-    : mBefore(sLive)
+    : mBefore(trefoilbench::LiveBytes())
     , mWorkspaces(aWorkspaces)
     , mCore({ .mEntry = "entry-1",
               .mDataCentre = "riga-1",
@@ -122,14 +57,15 @@
                                .mLoad = { .mTokenRoom = 16384 } },
                       mNow);
     }
-    const int64_t idle = sLive;
+    const int64_t idle = trefoilbench::LiveBytes();
     for (int i = 0; i < aOpen; i++) {
       mCore.OnRequest(NextRequest(), mNow);
     }
-    std::printf("  state      %7lld bytes for an upstream, %lld for an open "
-                "request\n",
-                static_cast<long long>((idle - mBefore) / aUpstreams),
-                static_cast<long long>((sLive - idle) / aOpen));
+    std::printf(
+      "  state      %7lld bytes for an upstream, %lld for an open "
+      "request\n",
+      static_cast<long long>((idle - mBefore) / aUpstreams),
+      static_cast<long long>((trefoilbench::LiveBytes() - idle) / aOpen));
   }
 
   void Run()
--- a/tests/bench/sidecarbench.cpp
+++ b/src/trefoilbench/sidecarbench.cpp
@@ -40,7 +40,7 @@
   {
     for (int i = 0; i < kWarmUp; ++i)
       One();
-    mOffer = mEnd = mToken = mTick = bench::Cost();
+    mOffer = mEnd = mToken = mTick = trefoilbench::Cost();
     for (int i = 0; i < kMeasured; ++i)
       One();
     mOffer.Print("offer");
@@ -107,10 +107,10 @@
   Millis mNow{ 1000 };
   SidecarCore mCore;
   std::deque<AttemptKey> mRunning;
-  bench::Cost mOffer;
-  bench::Cost mEnd;
-  bench::Cost mToken;
-  bench::Cost mTick;
+  trefoilbench::Cost mOffer;
+  trefoilbench::Cost mEnd;
+  trefoilbench::Cost mToken;
+  trefoilbench::Cost mTick;
 };
 
 } // namespace
