--- a/src/libtrefoilarch/adaptivelimit.cpp
+++ b/src/libtrefoilarch/adaptivelimit.cpp
@@ -49,16 +49,19 @@
   double ratio = 0;
   for (size_t cause = 0; cause < kCauses; ++cause) {
     weight += mWeightSum[cause];
-    if (mWeightSum[cause] > 0)
+    if (mWeightSum[cause] > 0) {
       ratio = std::max(ratio, mRatioSum[cause] / mWeightSum[cause]);
+    }
   }
-  if (aNow < mWindowStart + kWindow || weight < kLeastWeight)
+  if (aNow < mWindowStart + kWindow || weight < kLeastWeight) {
     return;
+  }
   ratio = Judge(ratio);
-  if (ratio > 1)
+  if (ratio > 1) {
     Decrease(ratio, aUsed);
-  else if (ratio < kInside && mWanted)
+  } else if (ratio < kInside && mWanted) {
     Increase(ratio);
+  }
   mWindowStart = aNow;
   mRatioSum.fill(0);
   mWeightSum.fill(0);
@@ -77,8 +80,9 @@
 {
   const auto value = static_cast<double>(mValue);
   const auto used = static_cast<double>(aUsed);
-  if (used > value * kSettled)
+  if (used > value * kSettled) {
     return;
+  }
   const double next =
     std::min(value, used) * std::max(kLeastFactor, 1 / aRatio);
   mValue = std::max(static_cast<uint64_t>(next), mOptions.mLeast);
--- a/src/libtrefoilarch/admission.cpp
+++ b/src/libtrefoilarch/admission.cpp
@@ -34,28 +34,32 @@
 std::optional<Millis>
 Admission::Refuse(const Prospect& aProspect, Millis aNow)
 {
-  if (mRoom.Running() == 0)
+  if (mRoom.Running() == 0) {
     return std::nullopt;
+  }
   const double onTime = Wait(aProspect, false, aNow);
   const auto startDue = static_cast<double>(aProspect.mStartDue.Count());
   const auto last =
     static_cast<double>((aProspect.mDeadline - aProspect.mLeastTime).Count());
-  if (onTime <= std::min(startDue, last))
+  if (onTime <= std::min(startDue, last)) {
     return std::nullopt;
+  }
   return GiveUp(aProspect, aNow);
 }
 
 std::optional<Millis>
 Admission::GiveUp(const Prospect& aProspect, Millis aNow)
 {
-  if (mRoom.Running() == 0)
+  if (mRoom.Running() == 0) {
     return std::nullopt;
+  }
   const double wait =
     std::min(Wait(aProspect, true, aNow), FloorWait(aProspect.mLevel, aNow));
   const auto last =
     static_cast<double>((aProspect.mDeadline - aProspect.mLeastTime).Count());
-  if (wait <= last)
+  if (wait <= last) {
     return std::nullopt;
+  }
   return RetryAfter(aProspect.mLevel, aNow);
 }
 
@@ -67,8 +71,9 @@
                        .mLeastTime = {},
                        .mStartDue = {},
                        .mDeadline = {} };
-  if (mRate.Capacity(Limit(), aNow) <= 0)
+  if (mRate.Capacity(Limit(), aNow) <= 0) {
     return Jittered(kUnmeasuredRetry);
+  }
   return Jittered(Wait(next, false, aNow));
 }
 
@@ -80,8 +85,9 @@
     static_cast<double>(mSchedule.TokensAhead(aProspect.mLevel, aLate)) +
     static_cast<double>(mRoom.InFlight() + aProspect.mTokens) -
     static_cast<double>(Limit());
-  if (due <= 0 || mRate.Capacity(Limit(), aNow) <= 0)
+  if (due <= 0 || mRate.Capacity(Limit(), aNow) <= 0) {
     return 0;
+  }
   const double drain = mRate.Drain(tier, aLate, Limit(), aNow);
   return drain > 0 ? due / drain : kHopeless;
 }
@@ -90,8 +96,9 @@
 Admission::FloorWait(const ServiceLevel& aLevel, Millis aNow) const
 {
   const double capacity = mRate.Capacity(Limit(), aNow);
-  if (capacity <= 0)
+  if (capacity <= 0) {
     return 0;
+  }
   const double startSpan = mRate.MeanTokens() / capacity;
   const double turns = static_cast<double>(mSchedule.WaitingOf(aLevel) + 1);
   return turns * startSpan / mSchedule.Floor(aLevel);
@@ -101,8 +108,9 @@
 Admission::Limit() const
 {
   const double mean = mRate.MeanTokens();
-  if (mean <= 0)
+  if (mean <= 0) {
     return mRoom.Limit();
+  }
   const double byCount = mean * static_cast<double>(mRoom.MostRunning());
   return std::min(mRoom.Limit(), static_cast<uint64_t>(byCount));
 }
--- a/src/libtrefoilarch/ledger.cpp
+++ b/src/libtrefoilarch/ledger.cpp
@@ -13,8 +13,9 @@
 Ledger::Close(const AttemptKey& aKey, const FinalWord& aWord, Millis aNow)
 {
   const bool voided = std::holds_alternative<std::monostate>(aWord);
-  if (!mWords.emplace(aKey, aWord).second)
+  if (!mWords.emplace(aKey, aWord).second) {
     return;
+  }
   auto& order = voided ? mVoided : mStarted;
   order.push_back({ .mKey = aKey, .mAt = aNow });
   Trim();
@@ -32,19 +33,23 @@
 Ledger::Expire(Millis aNow)
 {
   const Millis oldest = aNow - mOptions.mSpan;
-  while (!mVoided.empty() && mVoided.front().mAt < oldest)
+  while (!mVoided.empty() && mVoided.front().mAt < oldest) {
     ForgetVoided();
-  while (!mStarted.empty() && mStarted.front().mAt < oldest)
+  }
+  while (!mStarted.empty() && mStarted.front().mAt < oldest) {
     ForgetStarted();
+  }
 }
 
 void
 Ledger::Trim()
 {
-  while (mWords.size() > mOptions.mLimit && !mVoided.empty())
+  while (mWords.size() > mOptions.mLimit && !mVoided.empty()) {
     ForgetVoided();
-  while (mWords.size() > mOptions.mLimit)
+  }
+  while (mWords.size() > mOptions.mLimit) {
     ForgetStarted();
+  }
 }
 
 void
--- a/src/libtrefoilarch/preemptionorder.cpp
+++ b/src/libtrefoilarch/preemptionorder.cpp
@@ -14,16 +14,18 @@
 void
 PreemptionOrder::Add(const Preemptible& aAttempt)
 {
-  if (mAttempts.emplace(aAttempt.mKey, aAttempt).second)
+  if (mAttempts.emplace(aAttempt.mKey, aAttempt).second) {
     mOrder.insert(aAttempt);
+  }
 }
 
 void
 PreemptionOrder::Remove(const AttemptKey& aKey)
 {
   const auto found = mAttempts.find(aKey);
-  if (found == mAttempts.end())
+  if (found == mAttempts.end()) {
     return;
+  }
   mOrder.erase(found->second);
   mAttempts.erase(found);
 }
@@ -35,11 +37,13 @@
 {
   std::vector<AttemptKey> chosen;
   for (const Preemptible& attempt : mOrder) {
-    if (attempt.mTier <= aTier)
+    if (attempt.mTier <= aTier) {
       break;
+    }
     chosen.push_back(attempt.mKey);
-    if (aFits(attempt.mKey))
+    if (aFits(attempt.mKey)) {
       return chosen;
+    }
   }
   return {};
 }
--- a/src/libtrefoilarch/room.cpp
+++ b/src/libtrefoilarch/room.cpp
@@ -57,8 +57,9 @@
   const size_t own = std::min<size_t>(aTier, kTierCount - 1);
   for (size_t tier = 0; tier < kTierCount; ++tier) {
     use += mWithin[tier];
-    if (tier <= own)
+    if (tier <= own) {
       use += mBeside[tier];
+    }
   }
   return use;
 }
@@ -80,8 +81,9 @@
     higher += mWithin[tier];
     present |= mSeen[tier] > Millis() && mNow <= mSeen[tier] + kPresence;
   }
-  if (!present)
+  if (!present) {
     return {};
+  }
   const double running =
     static_cast<double>(std::max<size_t>(higher.mCalls, 1));
   const double calls = kBurst * std::sqrt(running);
@@ -102,10 +104,12 @@
 Room::Fits(const RoomShare& aShare) const
 {
   const Use use = UseFor(aShare.mTier);
-  if (use.mCalls == 0)
+  if (use.mCalls == 0) {
     return true;
-  if (mUnreached > 0 || LacksTokens(aShare) || LacksPrefill(aShare))
+  }
+  if (mUnreached > 0 || LacksTokens(aShare) || LacksPrefill(aShare)) {
     return false;
+  }
   return use.mCalls + LeftBy(aShare.mTier).mCalls < mOptions.mMostRunning;
 }
 
@@ -153,19 +157,22 @@
 void
 Room::OnFirstToken(double aRatio, bool aByPrefill)
 {
-  if (aRatio <= 1 || aByPrefill)
+  if (aRatio <= 1 || aByPrefill) {
     mPrefillLimit.OnMeasured(0, aRatio, 1);
-  if (aRatio <= 1 || !aByPrefill)
+  }
+  if (aRatio <= 1 || !aByPrefill) {
     mTokenLimit.OnMeasured(1, aRatio, 1);
+  }
 }
 
 void
 Room::OnWanted(const RoomShare& aShare)
 {
-  if (LacksPrefill(aShare))
+  if (LacksPrefill(aShare)) {
     mPrefillLimit.OnWanted();
-  else
+  } else {
     mTokenLimit.OnWanted();
+  }
 }
 
 void
--- a/src/libtrefoilarch/schedule.cpp
+++ b/src/libtrefoilarch/schedule.cpp
@@ -24,8 +24,9 @@
 Schedule::Add(const WaitingRequest& aRequest, Millis aNow)
 {
   const auto [found, fresh] = mRequests.emplace(aRequest.mKey, aRequest);
-  if (!fresh)
+  if (!fresh) {
     return;
+  }
   WaitingRequest& request = found->second;
   request.mArrival = mArrivals++;
   request.mLate = request.mStartBy < aNow;
@@ -36,8 +37,9 @@
     owner.mFloorStart = mRegularStarts + FloorInterval(owner);
   }
   owner.Add(request);
-  if (!request.mLate)
+  if (!request.mLate) {
     mOnTime.insert(&request);
+  }
   mTokens[Clamped(request.mLevel)][request.mLate ? 1 : 0] += request.mTokens;
 }
 
@@ -45,13 +47,15 @@
 Schedule::Remove(const AttemptKey& aKey)
 {
   const auto found = mRequests.find(aKey);
-  if (found == mRequests.end())
+  if (found == mRequests.end()) {
     return;
+  }
   WaitingRequest& request = found->second;
   const ServiceLevel level = request.mLevel;
   TierOf(level).at(level.mClass).Remove(request);
-  if (!request.mLate)
+  if (!request.mLate) {
     mOnTime.erase(&request);
+  }
   mTokens[Clamped(level)][request.mLate ? 1 : 0] -= request.mTokens;
   mRequests.erase(found);
   ForgetIfUnused(level);
@@ -83,10 +87,13 @@
 std::optional<Turn>
 Schedule::NextFloor(uint64_t aRoom, Millis aNow) const
 {
-  for (const ClassMap& tier : mTiers)
-    for (const auto& [name, owner] : tier)
-      if (IsOwed(owner, aNow) && HasFloorRoom(owner, aRoom))
+  for (const ClassMap& tier : mTiers) {
+    for (const auto& [name, owner] : tier) {
+      if (IsOwed(owner, aNow) && HasFloorRoom(owner, aRoom)) {
         return Turn{ .mKey = owner.Next()->mKey, .mFloor = true };
+      }
+    }
+  }
   return std::nullopt;
 }
 
@@ -98,11 +105,13 @@
       const WaitingRequest* best = nullptr;
       for (const auto& [name, owner] : tier) {
         const WaitingRequest* next = owner.Next(late);
-        if (next && (!best || ByUrgency()(next, best)))
+        if (next && (!best || ByUrgency()(next, best))) {
           best = next;
+        }
       }
-      if (best)
+      if (best) {
         return Turn{ .mKey = best->mKey, .mFloor = false };
+      }
     }
   }
   return std::nullopt;
@@ -116,10 +125,11 @@
   const auto tokens = static_cast<int64_t>(request.mTokens);
   ScheduleClass& owner = ClassOf(level);
   owner.Charge(level.mWorkspace, std::max<int64_t>(tokens, 1));
-  if (aTurn.mFloor)
+  if (aTurn.mFloor) {
     owner.mFloorTokens += request.mTokens;
-  else
+  } else {
     ++mRegularStarts;
+  }
   owner.mFloorStart = mRegularStarts + FloorInterval(owner);
   owner.mSince = aNow;
   ++owner.mRunning;
@@ -134,8 +144,9 @@
   ScheduleClass& owner = ClassOf(aLevel);
   owner.mFloorTokens -= aFloorTokens;
   --owner.mRunning;
-  if (owner.mRunning == 0)
+  if (owner.mRunning == 0) {
     owner.mSince = aNow;
+  }
   ForgetIfUnused(aLevel);
 }
 
@@ -144,8 +155,9 @@
 {
   ClassMap& tier = TierOf(aLevel);
   const auto found = tier.find(aLevel.mClass);
-  if (found != tier.end())
+  if (found != tier.end()) {
     found->second.Charge(aLevel.mWorkspace, aTokens);
+  }
 }
 
 std::optional<AttemptKey>
@@ -154,13 +166,16 @@
   for (Tier tier = kTierCount - 1; tier > Clamped(aLevel); --tier) {
     const WaitingRequest* last = nullptr;
     for (const auto& [name, owner] : mTiers[tier]) {
-      if (owner.Waiting() <= mOptions.mKeptPlaces)
+      if (owner.Waiting() <= mOptions.mKeptPlaces) {
         continue;
-      if (!last || owner.LastArrival().mArrival > last->mArrival)
+      }
+      if (!last || owner.LastArrival().mArrival > last->mArrival) {
         last = &owner.LastArrival();
+      }
     }
-    if (last)
+    if (last) {
       return last->mKey;
+    }
   }
   return std::nullopt;
 }
@@ -176,11 +191,13 @@
 {
   const Tier own = Clamped(aLevel);
   uint64_t ahead = mTokens[own][0] + (aLate ? mTokens[own][1] : 0);
-  for (Tier tier = 0; tier < own; ++tier)
+  for (Tier tier = 0; tier < own; ++tier) {
     ahead += mTokens[tier][0] + mTokens[tier][1];
+  }
   const ScheduleClass* owner = FindClass(aLevel);
-  if (!owner)
+  if (!owner) {
     return ahead;
+  }
   ahead -= owner->Tokens(false) + (aLate ? owner->Tokens(true) : 0);
   return ahead + owner->TokensAhead(aLevel.mWorkspace, aLevel.mWeight, aLate);
 }
@@ -196,8 +213,9 @@
 Schedule::Tokens() const
 {
   uint64_t tokens = 0;
-  for (const auto& [onTime, late] : mTokens)
+  for (const auto& [onTime, late] : mTokens) {
     tokens += onTime + late;
+  }
   return tokens;
 }
 
@@ -206,10 +224,13 @@
 {
   Millis next = mOnTime.empty() ? Millis::Never()
                                 : (*mOnTime.begin())->mStartBy + Millis(1);
-  for (const ClassMap& tier : mTiers)
-    for (const auto& [name, owner] : tier)
-      if (owner.Waiting() > 0 && owner.mRunning == 0)
+  for (const ClassMap& tier : mTiers) {
+    for (const auto& [name, owner] : tier) {
+      if (owner.Waiting() > 0 && owner.mRunning == 0) {
         next = std::min(next, owner.mSince + mOptions.mFloorSpan);
+      }
+    }
+  }
   return next;
 }
 
@@ -248,10 +269,12 @@
 bool
 Schedule::IsOwed(const ScheduleClass& aClass, Millis aNow) const
 {
-  if (aClass.Waiting() == 0)
+  if (aClass.Waiting() == 0) {
     return false;
-  if (mRegularStarts >= aClass.mFloorStart)
+  }
+  if (mRegularStarts >= aClass.mFloorStart) {
     return true;
+  }
   return aClass.mRunning == 0 && aNow >= aClass.mSince + mOptions.mFloorSpan;
 }
 
@@ -268,10 +291,12 @@
 {
   ClassMap& tier = TierOf(aLevel);
   const auto found = tier.find(aLevel.mClass);
-  if (found == tier.end())
+  if (found == tier.end()) {
     return;
-  if (found->second.Waiting() == 0 && found->second.mRunning == 0)
+  }
+  if (found->second.Waiting() == 0 && found->second.mRunning == 0) {
     tier.erase(found);
+  }
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/scheduleclass.cpp
+++ b/src/libtrefoilarch/scheduleclass.cpp
@@ -33,8 +33,9 @@
   Workspace& workspace = WorkspaceOf(aRequest.mLevel);
   Unlist(workspace);
   Leave(workspace, aRequest);
-  if (workspace.IsIdle())
+  if (workspace.IsIdle()) {
     mWaitingWeight -= workspace.mWeight;
+  }
   List(workspace);
   mByArrival.erase(aRequest.mArrival);
   ForgetIdle();
@@ -55,8 +56,9 @@
 ScheduleClass::Next(bool aLate) const
 {
   const ShareQueue& shares = mShares[aLate ? 1 : 0];
-  if (shares.empty())
+  if (shares.empty()) {
     return nullptr;
+  }
   return *(*shares.begin())->mLanes[aLate ? 1 : 0].begin();
 }
 
@@ -77,12 +79,14 @@
 ScheduleClass::Charge(const std::string& aWorkspace, int64_t aTokens)
 {
   const auto found = mWorkspaces.find(aWorkspace);
-  if (found == mWorkspaces.end())
+  if (found == mWorkspaces.end()) {
     return;
+  }
   Workspace& workspace = found->second;
   Unlist(workspace);
-  if (aTokens > 0)
+  if (aTokens > 0) {
     mClock = std::max(mClock, workspace.mServed);
+  }
   workspace.mServed += static_cast<double>(aTokens) / workspace.mWeight;
   List(workspace);
   ForgetIdle();
@@ -94,8 +98,9 @@
                            bool aLate) const
 {
   const auto found = mWorkspaces.find(aWorkspace);
-  if (found == mWorkspaces.end())
+  if (found == mWorkspaces.end()) {
     return 0;
+  }
   const auto& [ownOnTime, ownLate] = found->second.mTokens;
   const uint64_t own = ownOnTime + (aLate ? ownLate : 0);
   const uint64_t all = mTokens[0] + (aLate ? mTokens[1] : 0);
@@ -135,21 +140,27 @@
 void
 ScheduleClass::Unlist(Workspace& aWorkspace)
 {
-  for (size_t lane = 0; lane < mShares.size(); ++lane)
-    if (!aWorkspace.mLanes[lane].empty())
+  for (size_t lane = 0; lane < mShares.size(); ++lane) {
+    if (!aWorkspace.mLanes[lane].empty()) {
       mShares[lane].erase(&aWorkspace);
-  if (aWorkspace.IsIdle())
+    }
+  }
+  if (aWorkspace.IsIdle()) {
     mIdle.erase(&aWorkspace);
+  }
 }
 
 void
 ScheduleClass::List(Workspace& aWorkspace)
 {
-  for (size_t lane = 0; lane < mShares.size(); ++lane)
-    if (!aWorkspace.mLanes[lane].empty())
+  for (size_t lane = 0; lane < mShares.size(); ++lane) {
+    if (!aWorkspace.mLanes[lane].empty()) {
       mShares[lane].insert(&aWorkspace);
-  if (aWorkspace.IsIdle())
+    }
+  }
+  if (aWorkspace.IsIdle()) {
     mIdle.insert(&aWorkspace);
+  }
 }
 
 void
--- a/src/libtrefoilarch/servicerate.cpp
+++ b/src/libtrefoilarch/servicerate.cpp
@@ -69,8 +69,9 @@
 void
 ServiceRate::OnTokens(uint32_t aTokens, Millis aSpan, Millis aNow)
 {
-  if (aTokens == 0)
+  if (aTokens == 0) {
     return;
+  }
   const double sample = static_cast<double>(aSpan.Count()) / aTokens;
   mBetween = mBetween > 0 ? Blend(mBetween, sample) : sample;
   mBetweenAt = aNow;
@@ -104,8 +105,9 @@
 void
 ServiceRate::OnBlocked(Millis aNow)
 {
-  if (aNow > mBlockedAt + kBlockedGap)
+  if (aNow > mBlockedAt + kBlockedGap) {
     mBlockedSince = aNow;
+  }
   mBlockedAt = aNow;
 }
 
@@ -114,13 +116,16 @@
 {
   const bool blocked = aNow <= mBlockedAt + kBlockedGap &&
                        mBlockedAt >= mBlockedSince + kBlockedSpan;
-  if (mTokenTime <= 0)
+  if (mTokenTime <= 0) {
     return 0;
-  if (!blocked)
+  }
+  if (!blocked) {
     return static_cast<double>(aLimit) * mTokens / mTokenTime;
+  }
   double rate = 0;
-  for (const auto& [onTime, late] : mFlows)
+  for (const auto& [onTime, late] : mFlows) {
     rate += onTime.Rate(aNow) + late.Rate(aNow);
+  }
   return rate;
 }
 
@@ -129,10 +134,12 @@
 {
   const Tier own = std::min<Tier>(aTier, kTierCount - 1);
   double left = Capacity(aLimit, aNow);
-  for (Tier tier = 0; tier < own; ++tier)
+  for (Tier tier = 0; tier < own; ++tier) {
     left -= mFlows[tier][0].Rate(aNow) + mFlows[tier][1].Rate(aNow);
-  if (aLate)
+  }
+  if (aLate) {
     left -= mFlows[own][0].Rate(aNow);
+  }
   return std::max(left, 0.0);
 }
 
--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -44,8 +44,9 @@
 SidecarCore::Impl::Handle(CallHead& aHead)
 {
   SidecarAttempt* attempt = FindRunning(aHead.mKey);
-  if (!attempt)
+  if (!attempt) {
     return;
+  }
   attempt->mHeadWaits = true;
   attempt->mStatus = aHead.mStatus;
   attempt->mHeaders = std::move(aHead.mHeaders);
@@ -55,11 +56,13 @@
 SidecarCore::Impl::Handle(CallData& aData)
 {
   SidecarAttempt* attempt = FindRunning(aData.mKey);
-  if (!attempt)
+  if (!attempt) {
     return;
+  }
   const size_t bytes = attempt->mAnswer.Bytes() + aData.mData.size();
-  if (bytes > mOptions.mAnswerLimit)
+  if (bytes > mOptions.mAnswerLimit) {
     return Cancel(*attempt, ErrorKind::AnswerCut);
+  }
   mRoom.OnReached();
   mPreemption.Remove(aData.mKey);
   Measure(*attempt, aData.mTokens);
@@ -69,15 +72,17 @@
 void
 SidecarCore::Impl::Measure(SidecarAttempt& aAttempt, uint32_t aTokens)
 {
-  if (mOptions.mTokenStream && aTokens == 0)
+  if (mOptions.mTokenStream && aTokens == 0) {
     return;
+  }
   if (aAttempt.mLastTokenAt == Millis()) {
     MeasureFirstToken(aAttempt, mNow - aAttempt.mStartedAt);
     RoomShare prefilled = aAttempt.mShare;
     prefilled.mPrefill = 0;
     ChangeShare(aAttempt, prefilled);
-  } else if (mOptions.mTokenStream)
+  } else if (mOptions.mTokenStream) {
     MeasureBetween(aAttempt, aTokens);
+  }
   aAttempt.mLastTokenAt = mNow;
   aAttempt.mOutput += aTokens;
   GrowIfOutrun(aAttempt);
@@ -91,8 +96,9 @@
   const Offer& offer = aAttempt.mOffer;
   mRate.OnFirstToken(offer.mPromptTokens, aAttempt.mPrefillAhead, aSpan);
   const Millis strictest = mStrictFirst.Value();
-  if (offer.mLevel.mFirstTokenTarget > strictest * kNearlyStrict)
+  if (offer.mLevel.mFirstTokenTarget > strictest * kNearlyStrict) {
     return;
+  }
   const Millis own = mRate.BestPrefillTime(offer.mPromptTokens) * kOwnFactor;
   const Millis part =
     mOptions.mTokenStream ? strictest * kFirstPart / kWholeParts : strictest;
@@ -121,8 +127,9 @@
 SidecarCore::Impl::GrowIfOutrun(SidecarAttempt& aAttempt)
 {
   const uint64_t used = aAttempt.mOffer.mPromptTokens + aAttempt.mOutput;
-  if (!mOptions.mTokenStream || used <= aAttempt.mShare.mTokens)
+  if (!mOptions.mTokenStream || used <= aAttempt.mShare.mTokens) {
     return;
+  }
   const uint64_t more = std::max(aAttempt.mOutput / kOutrunPart, kLeastGrowth);
   RoomShare grown = aAttempt.mShare;
   grown.mTokens = used + more;
@@ -156,18 +163,21 @@
     aAttempt.mHeadWaits = false;
   }
   const Chunk& kept = aAttempt.mAnswer.Append(std::move(chunk));
-  if (aAttempt.mFlowing)
+  if (aAttempt.mFlowing) {
     Send(aAttempt.mEntry, kept);
+  }
 }
 
 void
 SidecarCore::Impl::Handle(const CallDone& aDone)
 {
   SidecarAttempt* attempt = FindRunning(aDone.mKey);
-  if (!attempt)
+  if (!attempt) {
     return;
-  if (attempt->mHeadWaits)
+  }
+  if (attempt->mHeadWaits) {
     AppendChunk(*attempt, {}, 0);
+  }
   ++mCounters.mFinished;
   attempt->mState = AttemptState::Finished;
   EndRunning(*attempt,
@@ -181,10 +191,12 @@
 SidecarCore::Impl::Handle(const CallFailed& aFailed)
 {
   SidecarAttempt* attempt = FindRunning(aFailed.mKey);
-  if (!attempt)
+  if (!attempt) {
     return;
-  if (aFailed.mKind == ErrorKind::UpstreamUnreachable)
+  }
+  if (aFailed.mKind == ErrorKind::UpstreamUnreachable) {
     mRoom.OnUnreachable(mNow);
+  }
   FailRunning(*attempt, aFailed.mKind, aFailed.mRan);
 }
 
@@ -215,26 +227,31 @@
   const uint64_t used = mOptions.mTokenStream
                           ? aAttempt.mOffer.mPromptTokens + aAttempt.mOutput
                           : 1;
-  if (aAttempt.mState == AttemptState::Finished)
+  if (aAttempt.mState == AttemptState::Finished) {
     mRate.OnEnded(used, aAttempt.mOutput, mNow - aAttempt.mStartedAt);
+  }
   ReleaseRoom(aAttempt, used);
   aAttempt.mFinalWord = aWord;
   const AttemptKey key = aAttempt.mOffer.mKey;
   mLedger.Close(key, NeverRan(aWord) ? FinalWord() : aWord, mNow);
-  if (aAttempt.mFlowing)
+  if (aAttempt.mFlowing) {
     SendFinalWord(aAttempt.mEntry, aAttempt.mFinalWord);
-  if (aAttempt.mState == AttemptState::Failed)
+  }
+  if (aAttempt.mState == AttemptState::Failed) {
     return Erase(key);
+  }
   ArmEnded(aAttempt);
 }
 
 void
 SidecarCore::Impl::SendFinalWord(const EntryId& aEntry, const FinalWord& aWord)
 {
-  if (const auto* finished = std::get_if<Finished>(&aWord))
+  if (const auto* finished = std::get_if<Finished>(&aWord)) {
     Send(aEntry, *finished);
-  if (const auto* failed = std::get_if<Failed>(&aWord))
+  }
+  if (const auto* failed = std::get_if<Failed>(&aWord)) {
     Send(aEntry, *failed);
+  }
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/sidecardump.cpp
+++ b/src/libtrefoilarch/sidecardump.cpp
@@ -99,8 +99,9 @@
 {
   nlohmann::json attempts = nlohmann::json::array();
   for (const auto& [key, attempt] : mAttempts) {
-    if (attempts.size() == kMostListed)
+    if (attempts.size() == kMostListed) {
       break;
+    }
     attempts.push_back(Dump(attempt, aNow));
   }
   const nlohmann::json state = {
--- a/src/libtrefoilarch/sidecarimpl.cpp
+++ b/src/libtrefoilarch/sidecarimpl.cpp
@@ -52,13 +52,16 @@
 void
 SidecarCore::Impl::OnMessage(const EntryId& aEntry, EntryMessage aMessage)
 {
-  if (!Hears(aEntry, aMessage))
+  if (!Hears(aEntry, aMessage)) {
     return;
+  }
   std::visit(
     [&](auto& aAny) {
-      if constexpr (requires { aAny.mKey; })
-        if (!MayTouch(aEntry, aAny))
+      if constexpr (requires { aAny.mKey; }) {
+        if (!MayTouch(aEntry, aAny)) {
           return;
+        }
+      }
       Handle(aEntry, aAny);
     },
     aMessage);
@@ -68,8 +71,9 @@
 SidecarCore::Impl::Hears(const EntryId& aEntry, const EntryMessage& aMessage)
 {
   const auto found = mEntries.find(aEntry);
-  if (found == mEntries.end())
+  if (found == mEntries.end()) {
     return true;
+  }
   found->second.mHeard = mNow;
   return !found->second.mSilenced || std::holds_alternative<Hello>(aMessage);
 }
@@ -78,11 +82,13 @@
 bool
 SidecarCore::Impl::MayTouch(const EntryId& aEntry, const Message& aMessage)
 {
-  if constexpr (std::is_same_v<Message, VoidOrReport>)
+  if constexpr (std::is_same_v<Message, VoidOrReport>) {
     return true;
+  }
   const SidecarAttempt* attempt = Find(aMessage.mKey);
-  if (!attempt || attempt->mEntry == aEntry)
+  if (!attempt || attempt->mEntry == aEntry) {
     return true;
+  }
   ++mCounters.mForeign;
   return false;
 }
@@ -108,20 +114,22 @@
 SidecarCore::Impl::OnEntryDown(const EntryId& aEntry)
 {
   const auto found = mEntries.find(aEntry);
-  if (found == mEntries.end())
+  if (found == mEntries.end()) {
     return;
+  }
   found->second.mConnected = false;
   mHeartbeats.Disarm(aEntry);
   const auto keys = found->second.mAttempts;
   for (const AttemptKey& key : keys) {
     SidecarAttempt& attempt = mAttempts.at(key);
     attempt.mFlowing = false;
-    if (attempt.mState == AttemptState::Running)
+    if (attempt.mState == AttemptState::Running) {
       ArmRunning(attempt);
-    else if (attempt.HasEnded())
+    } else if (attempt.HasEnded()) {
       ArmEnded(attempt);
-    else
+    } else {
       Void(attempt);
+    }
   }
   ForgetIfGone(aEntry);
 }
@@ -130,22 +138,27 @@
 SidecarCore::Impl::ForgetIfGone(const EntryId& aEntry)
 {
   const auto found = mEntries.find(aEntry);
-  if (found == mEntries.end())
+  if (found == mEntries.end()) {
     return;
-  if (!found->second.mConnected && found->second.mAttempts.empty())
+  }
+  if (!found->second.mConnected && found->second.mAttempts.empty()) {
     mEntries.erase(found);
+  }
 }
 
 void
 SidecarCore::Impl::Handle(const EntryId& aEntry, const Withdraw& aWithdraw)
 {
   SidecarAttempt* attempt = Find(aWithdraw.mKey);
-  if (!attempt)
+  if (!attempt) {
     return AnswerFromLedger(aEntry, aWithdraw.mKey);
-  if (attempt->mState == AttemptState::Running)
+  }
+  if (attempt->mState == AttemptState::Running) {
     return Cancel(*attempt, ErrorKind::CallerLeft);
-  if (attempt->HasEnded())
+  }
+  if (attempt->HasEnded()) {
     return Erase(aWithdraw.mKey);
+  }
   Void(*attempt);
 }
 
@@ -153,52 +166,63 @@
 SidecarCore::Impl::Handle(const EntryId& aEntry, const VoidOrReport& aAsk)
 {
   SidecarAttempt* attempt = Find(aAsk.mKey);
-  if (!attempt)
+  if (!attempt) {
     return AnswerFromLedger(aEntry, aAsk.mKey);
-  if (attempt->mState == AttemptState::Running || attempt->HasEnded())
+  }
+  if (attempt->mState == AttemptState::Running || attempt->HasEnded()) {
     return Send(aEntry,
                 LedgerEntry{ .mKey = aAsk.mKey,
                              .mState = attempt->mState,
                              .mIncarnation = mOptions.mIncarnation });
+  }
   const EntryId owner = attempt->mEntry;
   Void(*attempt);
-  if (owner != aEntry)
+  if (owner != aEntry) {
     AnswerFromLedger(aEntry, aAsk.mKey);
+  }
 }
 
 void
 SidecarCore::Impl::Handle(const EntryId&, const Ack& aAck)
 {
   SidecarAttempt* attempt = Find(aAck.mKey);
-  if (!attempt)
+  if (!attempt) {
     return;
+  }
   attempt->mAnswer.Acknowledge(aAck.mNextChunk);
-  if (attempt->HasEnded() && aAck.mNextChunk >= attempt->mAnswer.Count())
+  if (attempt->HasEnded() && aAck.mNextChunk >= attempt->mAnswer.Count()) {
     Erase(aAck.mKey);
+  }
 }
 
 void
 SidecarCore::Impl::Handle(const EntryId& aEntry, const Resume& aResume)
 {
   SidecarAttempt* attempt = Find(aResume.mKey);
-  if (!attempt)
+  if (!attempt) {
     return ResumeFromLedger(aEntry, aResume);
+  }
   if (attempt->mState == AttemptState::Waiting ||
-      attempt->mState == AttemptState::Granted)
+      attempt->mState == AttemptState::Granted) {
     return Void(*attempt);
+  }
   if (!attempt->mAnswer.Has(aResume.mNextChunk)) {
-    if (attempt->mState == AttemptState::Running)
+    if (attempt->mState == AttemptState::Running) {
       return Cancel(*attempt, ErrorKind::AnswerCut);
+    }
     Erase(aResume.mKey);
     return ResumeFromLedger(aEntry, aResume);
   }
   attempt->mFlowing = true;
   AnswerBuffer& answer = attempt->mAnswer;
   answer.Acknowledge(aResume.mNextChunk);
-  for (uint64_t number = aResume.mNextChunk; number < answer.Count(); ++number)
+  for (uint64_t number = aResume.mNextChunk; number < answer.Count();
+       ++number) {
     Send(aEntry, answer.At(number));
-  if (attempt->mState == AttemptState::Running)
+  }
+  if (attempt->mState == AttemptState::Running) {
     return ArmRunning(*attempt);
+  }
   SendFinalWord(aEntry, attempt->mFinalWord);
   ArmEnded(*attempt);
 }
@@ -210,12 +234,15 @@
   const FinalWord* word = mLedger.Find(aResume.mKey);
   const auto* finished = word ? std::get_if<Finished>(word) : nullptr;
   const auto* failed = word ? std::get_if<Failed>(word) : nullptr;
-  if (failed)
+  if (failed) {
     return Send(aEntry, *failed);
-  if (!finished)
+  }
+  if (!finished) {
     return AnswerFromLedger(aEntry, aResume.mKey);
-  if (finished->mChunks == aResume.mNextChunk)
+  }
+  if (finished->mChunks == aResume.mNextChunk) {
     return Send(aEntry, *finished);
+  }
   Send(aEntry,
        Failed{ .mKey = aResume.mKey,
                .mKind = ErrorKind::AnswerCut,
@@ -234,8 +261,9 @@
 {
   const FinalWord* word = mLedger.Find(aKey);
   const bool unknown = !word && mLedger.HasForgottenStarts();
-  if (!word && !unknown)
+  if (!word && !unknown) {
     mLedger.Close(aKey, {}, mNow);
+  }
   const bool started = word && !std::holds_alternative<std::monostate>(*word);
   if (!unknown && !started) {
     ++mCounters.mVoided;
@@ -258,8 +286,9 @@
   const AttemptKey key = aAttempt.mOffer.mKey;
   const EntryId entry = aAttempt.mEntry;
   mSchedule.Remove(key);
-  if (aAttempt.HoldsRoom())
+  if (aAttempt.HoldsRoom()) {
     ReleaseRoom(aAttempt, 0);
+  }
   mLedger.Close(key, {}, mNow);
   Erase(key);
   AnswerFromLedger(entry, key);
@@ -280,8 +309,9 @@
 SidecarCore::Impl::Erase(const AttemptKey& aKey)
 {
   const auto found = mAttempts.find(aKey);
-  if (found == mAttempts.end())
+  if (found == mAttempts.end()) {
     return;
+  }
   const EntryId entry = found->second.mEntry;
   mTimers.Disarm(aKey);
   mAttempts.erase(found);
@@ -300,8 +330,9 @@
 SidecarCore::Impl::FindRunning(const AttemptKey& aKey)
 {
   SidecarAttempt* attempt = Find(aKey);
-  if (attempt && attempt->mState == AttemptState::Running)
+  if (attempt && attempt->mState == AttemptState::Running) {
     return attempt;
+  }
   ++mCounters.mStrayEvents;
   return nullptr;
 }
@@ -309,8 +340,9 @@
 void
 SidecarCore::Impl::Send(const EntryId& aEntry, SidecarMessage aMessage)
 {
-  if (!IsConnected(aEntry))
+  if (!IsConnected(aEntry)) {
     return;
+  }
   mActions.emplace_back(
     SendToEntry{ .mEntry = aEntry, .mMessage = std::move(aMessage) });
 }
--- a/src/libtrefoilarch/sidecarqueue.cpp
+++ b/src/libtrefoilarch/sidecarqueue.cpp
@@ -23,13 +23,16 @@
 void
 SidecarCore::Impl::Handle(const EntryId& aEntry, const Offer& aOffer)
 {
-  if (SidecarAttempt* known = Find(aOffer.mKey))
+  if (SidecarAttempt* known = Find(aOffer.mKey)) {
     return RepeatOffer(*known);
-  if (mLedger.Find(aOffer.mKey))
+  }
+  if (mLedger.Find(aOffer.mKey)) {
     return AnswerFromLedger(aEntry, aOffer.mKey);
+  }
   ++mCounters.mOffered;
-  if (mDraining)
+  if (mDraining) {
     return DeclineOffer(aEntry, aOffer.mKey, ErrorKind::ShuttingDown, Millis());
+  }
   mRoom.OnSeen(aOffer.mLevel.mTier, mNow);
   mStrictFirst.See(aOffer.mLevel.mFirstTokenTarget, mNow);
   mStrictBetween.See(aOffer.mLevel.mBetweenTokenTarget, mNow);
@@ -38,8 +41,9 @@
     return DeclineOffer(
       aEntry, aOffer.mKey, ErrorKind::DeadlineUnmeetable, *retryAfter);
   }
-  if (MakePlace(aEntry, aOffer))
+  if (MakePlace(aEntry, aOffer)) {
     Enqueue(aEntry, aOffer);
+  }
 }
 
 Prospect
@@ -57,8 +61,9 @@
 RoomShare
 SidecarCore::Impl::ShareOf(const Offer& aOffer) const
 {
-  if (!mOptions.mTokenStream)
+  if (!mOptions.mTokenStream) {
     return { .mTokens = 1, .mTier = aOffer.mLevel.mTier };
+  }
   const uint64_t output =
     aOffer.mOutputTokens > 0 ? aOffer.mOutputTokens : mRate.MeanOutput();
   return { .mTokens = aOffer.mPromptTokens + output,
@@ -70,8 +75,10 @@
 SidecarCore::Impl::MakePlace(const EntryId& aEntry, const Offer& aOffer)
 {
   const ServiceLevel& level = aOffer.mLevel;
-  if (mSchedule.Size() < mOptions.mQueueLimit || mSchedule.HasKeptPlace(level))
+  if (mSchedule.Size() < mOptions.mQueueLimit ||
+      mSchedule.HasKeptPlace(level)) {
     return true;
+  }
   ++mCounters.mShed;
   const auto victim = mSchedule.ToShedFor(level);
   if (!victim) {
@@ -115,8 +122,9 @@
 void
 SidecarCore::Impl::GiveUpLate()
 {
-  for (const AttemptKey& key : mSchedule.TakeLate(mNow))
+  for (const AttemptKey& key : mSchedule.TakeLate(mNow)) {
     GiveUpIfHopeless(key);
+  }
 }
 
 void
@@ -128,10 +136,12 @@
   prospect.mDeadline = attempt.mDeadlineAt - mNow;
   const Millis last = attempt.mDeadlineAt - prospect.mLeastTime;
   auto retryAfter = mAdmission.GiveUp(prospect, mNow);
-  if (!retryAfter && mNow < last)
+  if (!retryAfter && mNow < last) {
     return mTimers.Arm(aKey, std::min(last, mNow + kLatePause));
-  if (!retryAfter)
+  }
+  if (!retryAfter) {
     retryAfter = mAdmission.RetryAfter(attempt.mOffer.mLevel, mNow);
+  }
   ++mCounters.mGivenUp;
   const bool passed = mNow >= attempt.mDeadlineAt;
   DeclineWaiting(aKey,
@@ -143,10 +153,12 @@
 void
 SidecarCore::Impl::RepeatOffer(SidecarAttempt& aAttempt)
 {
-  if (aAttempt.mState == AttemptState::Granted)
+  if (aAttempt.mState == AttemptState::Granted) {
     return SendGrant(aAttempt);
-  if (aAttempt.mState == AttemptState::Waiting)
+  }
+  if (aAttempt.mState == AttemptState::Waiting) {
     return;
+  }
   Send(aAttempt.mEntry,
        LedgerEntry{ .mKey = aAttempt.mOffer.mKey,
                     .mState = aAttempt.mState,
@@ -179,8 +191,9 @@
 SidecarCore::Impl::GrantWhatFits()
 {
   mTurnDue = Millis::Never();
-  if (mDraining || mRoom.IsPaused(mNow))
+  if (mDraining || mRoom.IsPaused(mNow)) {
     return;
+  }
   GrantRegularTurns();
   GrantFloorTurns();
 }
@@ -189,14 +202,16 @@
 SidecarCore::Impl::GrantRegularTurns()
 {
   while (const auto turn = mSchedule.NextRegular()) {
-    if (HoldsBack(*turn))
+    if (HoldsBack(*turn)) {
       return;
+    }
     const SidecarAttempt& attempt = mAttempts.at(turn->mKey);
     if (!mRoom.Fits(attempt.mShare)) {
       mRoom.OnWanted(attempt.mShare);
       mRate.OnBlocked(mNow);
-      if (!PreemptFor(*turn))
+      if (!PreemptFor(*turn)) {
         return;
+      }
     }
     GrantNow(*turn);
   }
@@ -205,8 +220,9 @@
 void
 SidecarCore::Impl::GrantFloorTurns()
 {
-  while (const auto turn = mSchedule.NextFloor(mRoom.Limit(), mNow))
+  while (const auto turn = mSchedule.NextFloor(mRoom.Limit(), mNow)) {
     GrantNow(*turn);
+  }
 }
 
 void
@@ -235,8 +251,9 @@
   const auto target =
     static_cast<double>(request.mLevel.mBetweenTokenTarget.Count());
   const Millis until = mAttempts.at(aTurn.mKey).mArrived + kHoldSpan;
-  if (mNow >= until || mRate.BetweenTokens(mNow) <= target)
+  if (mNow >= until || mRate.BetweenTokens(mNow) <= target) {
     return false;
+  }
   mTurnDue = until;
   return true;
 }
@@ -247,8 +264,9 @@
   const WaitingRequest& request = *mSchedule.Find(aTurn.mKey);
   const Millis due =
     request.mStartBy - request.mLevel.mFirstTokenTarget / kPreemptPart;
-  if (request.mLate || mPreemption.Empty())
+  if (request.mLate || mPreemption.Empty()) {
     return false;
+  }
   if (mNow < due) {
     mTurnDue = due;
     return false;
@@ -282,20 +300,24 @@
     ++mCounters.mLateStarts;
     return AnswerFromLedger(aEntry, aStart.mKey);
   }
-  if (attempt->mState == AttemptState::Waiting)
+  if (attempt->mState == AttemptState::Waiting) {
     return Void(*attempt);
-  if (attempt->mState != AttemptState::Granted)
+  }
+  if (attempt->mState != AttemptState::Granted) {
     return;
-  if (mNow >= attempt->mGrantedAt + mOptions.mGrantSpan)
+  }
+  if (mNow >= attempt->mGrantedAt + mOptions.mGrantSpan) {
     return Void(*attempt);
+  }
   ++mCounters.mStarted;
   attempt->mState = AttemptState::Running;
   attempt->mStartedAt = mNow;
   ArmRunning(*attempt);
-  if (attempt->mOffer.mIdempotent && !attempt->mShare.mBeside)
+  if (attempt->mOffer.mIdempotent && !attempt->mShare.mBeside) {
     mPreemption.Add({ .mKey = aStart.mKey,
                       .mTier = attempt->mOffer.mLevel.mTier,
                       .mStartedAt = mNow });
+  }
   mActions.emplace_back(StartCall{ .mKey = aStart.mKey,
                                    .mCall = std::move(aStart.mCall),
                                    .mTier = attempt->mOffer.mLevel.mTier });
--- a/src/libtrefoilarch/sidecartimers.cpp
+++ b/src/libtrefoilarch/sidecartimers.cpp
@@ -33,8 +33,9 @@
 void
 SidecarCore::Impl::OnTick()
 {
-  while (const auto key = mTimers.TakeDue(mNow))
+  while (const auto key = mTimers.TakeDue(mNow)) {
     OnTimer(mAttempts.at(*key));
+  }
   SendHeartbeats();
   mLedger.Expire(mNow);
   mRoom.Adapt(mNow);
@@ -89,11 +90,14 @@
 {
   mDraining = true;
   std::vector<AttemptKey> waiting;
-  for (const auto& [key, attempt] : mAttempts)
-    if (attempt.mState == AttemptState::Waiting)
+  for (const auto& [key, attempt] : mAttempts) {
+    if (attempt.mState == AttemptState::Waiting) {
       waiting.push_back(key);
-  for (const AttemptKey& key : waiting)
+    }
+  }
+  for (const AttemptKey& key : waiting) {
     DeclineWaiting(key, ErrorKind::ShuttingDown, Millis());
+  }
   TellLoad();
 }
 
@@ -107,8 +111,9 @@
 void
 SidecarCore::Impl::TellLoad()
 {
-  for (const auto& [entry, channel] : mEntries)
+  for (const auto& [entry, channel] : mEntries) {
     SendHeartbeat(entry);
+  }
 }
 
 bool
@@ -121,11 +126,13 @@
 SidecarCore::Impl::NextWake() const
 {
   Millis next = std::min(mTimers.Next(), mHeartbeats.Next());
-  if (mDraining)
+  if (mDraining) {
     return next;
+  }
   next = std::min({ next, mSchedule.NextWake(), mTurnDue });
-  if (mRoom.IsPaused(mNow))
+  if (mRoom.IsPaused(mNow)) {
     next = std::min(next, mRoom.PauseEnd());
+  }
   return next;
 }
 
--- a/src/libtrefoilarch/strictesttarget.h
+++ b/src/libtrefoilarch/strictesttarget.h
@@ -13,8 +13,9 @@
 public:
   void See(Millis aTarget, Millis aNow)
   {
-    if (aTarget > mTarget && aNow <= mSeen + kSpan)
+    if (aTarget > mTarget && aNow <= mSeen + kSpan) {
       return;
+    }
     mTarget = aTarget;
     mSeen = aNow;
   }
--- a/src/libtrefoilarch/timers.h
+++ b/src/libtrefoilarch/timers.h
@@ -25,8 +25,9 @@
   void Disarm(const Key& aKey)
   {
     const auto found = mDue.find(aKey);
-    if (found == mDue.end())
+    if (found == mDue.end()) {
       return;
+    }
     mQueue.erase({ found->second, aKey });
     mDue.erase(found);
   }
@@ -34,8 +35,9 @@
   /** Takes out one key whose time has come. */
   std::optional<Key> TakeDue(Millis aNow)
   {
-    if (mQueue.empty() || mQueue.begin()->first > aNow)
+    if (mQueue.empty() || mQueue.begin()->first > aNow) {
       return std::nullopt;
+    }
     Key key = mQueue.begin()->second;
     mQueue.erase(mQueue.begin());
     mDue.erase(key);
--- a/src/trefoilbench/sidecarbench.cpp
+++ b/src/trefoilbench/sidecarbench.cpp
@@ -32,17 +32,20 @@
               .mMostRunning = 64 })
   {
     mCore.OnMessage(kEntry, Hello{ .mEntry = kEntry, .mDataCentre = "" }, mNow);
-    for (int i = 0; i < aWaiting; ++i)
+    for (int i = 0; i < aWaiting; ++i) {
       Start(mCore.OnMessage(kEntry, NextOffer(), mNow));
+    }
   }
 
   void Run()
   {
-    for (int i = 0; i < kWarmUp; ++i)
+    for (int i = 0; i < kWarmUp; ++i) {
       One();
+    }
     mOffer = mEnd = mToken = mTick = trefoilbench::Cost();
-    for (int i = 0; i < kMeasured; ++i)
+    for (int i = 0; i < kMeasured; ++i) {
       One();
+    }
     mOffer.Print("offer");
     mEnd.Print("end, grant");
     mToken.Print("token");
@@ -70,8 +73,8 @@
   /** Starts whatever has been granted, and what is granted by that. */
   void Start(const SidecarActions& aActions)
   {
-    for (const SidecarAction& action : aActions)
-      if (const auto* send = std::get_if<SendToEntry>(&action))
+    for (const SidecarAction& action : aActions) {
+      if (const auto* send = std::get_if<SendToEntry>(&action)) {
         if (const auto* grant = std::get_if<Grant>(&send->mMessage)) {
           mRunning.push_back(grant->mKey);
           Start(mCore.OnMessage(
@@ -79,6 +82,8 @@
             trefoilarch::Start{ .mKey = grant->mKey, .mCall = {} },
             mNow));
         }
+      }
+    }
   }
 
   void One()
@@ -86,8 +91,9 @@
     mNow += Millis(++mSteps % 4 == 0 ? 1 : 0);
     const Offer offer = NextOffer();
     Start(mOffer.Add([&] { return mCore.OnMessage(kEntry, offer, mNow); }));
-    if (mRunning.empty())
+    if (mRunning.empty()) {
       return;
+    }
     const AttemptKey key = mRunning.front();
     mRunning.pop_front();
     Start(mToken.Add([&] {
@@ -97,8 +103,9 @@
     Start(
       mEnd.Add([&] { return mCore.OnCall(CallDone{ .mKey = key }, mNow); }));
     Start(mCore.OnMessage(kEntry, Ack{ .mKey = key, .mNextChunk = 1 }, mNow));
-    if (mCore.NextWake() <= mNow)
+    if (mCore.NextWake() <= mNow) {
       Start(mTick.Add([&] { return mCore.OnTick(mNow); }));
+    }
   }
 
   int mWorkspaces;
--- a/tests/chaos/chaosrun.cpp
+++ b/tests/chaos/chaosrun.cpp
@@ -34,14 +34,12 @@
 FleetOptions
 ChaosFleet()
 {
-  FleetOptions options;
-  options.mEngines = kEngines;
-  options.mEntries = kEntries;
-  options.mServices = 1;
-  options.mProxyChannels = true;
-  options.mProxyUpstreams = true;
-  options.mSidecarFlags = { "--most-running", "4" };
-  return options;
+  return { .mEngines = kEngines,
+           .mServices = 1,
+           .mEntries = kEntries,
+           .mProxyChannels = true,
+           .mProxyUpstreams = true,
+           .mSidecarFlags = { "--most-running", "4" } };
 }
 
 std::vector<Fault>
--- a/tests/integration/atmostoncetest.cpp
+++ b/tests/integration/atmostoncetest.cpp
@@ -26,13 +26,11 @@
 FleetOptions
 Crowded()
 {
-  FleetOptions options;
-  options.mEngines = 2;
-  options.mEntries = 2;
-  options.mProxyChannels = true;
-  options.mProxyUpstreams = true;
-  options.mSidecarFlags = { "--most-running", "2" };
-  return options;
+  return { .mEngines = 2,
+           .mEntries = 2,
+           .mProxyChannels = true,
+           .mProxyUpstreams = true,
+           .mSidecarFlags = { "--most-running", "2" } };
 }
 
 /** Requests that may run once, from both entries, streamed and not. */
--- a/tests/integration/badinputtest.cpp
+++ b/tests/integration/badinputtest.cpp
@@ -19,12 +19,13 @@
 FleetOptions
 TightLimits()
 {
-  FleetOptions options;
-  options.mServices = 1;
-  options.mEntryFlags = { "--most-body-bytes",   "20000",
-                          "--most-header-bytes", "8000",
-                          "--receive-seconds",   "1" };
-  return options;
+  return { .mServices = 1,
+           .mEntryFlags = { "--most-body-bytes",
+                            "20000",
+                            "--most-header-bytes",
+                            "8000",
+                            "--receive-seconds",
+                            "1" } };
 }
 
 std::string
--- a/tests/integration/cancellationtest.cpp
+++ b/tests/integration/cancellationtest.cpp
@@ -60,9 +60,7 @@
 
 Test(cancellation, a_caller_that_leaves_the_queue_is_never_run)
 {
-  FleetOptions options;
-  options.mSidecarFlags = { "--most-running", "1" };
-  Fleet fleet(options);
+  Fleet fleet({ .mSidecarFlags = { "--most-running", "1" } });
   const auto running = fleet.Send(ChatRequest("drafting", 400));
   cr_assert(running->AwaitBytes(300));
   const auto waiting = fleet.Send(ChatRequest("drafting", 50));
@@ -92,9 +90,7 @@
 
 Test(cancellation, a_caller_that_leaves_stops_a_service_call)
 {
-  FleetOptions options;
-  options.mServices = 1;
-  Fleet fleet(options);
+  Fleet fleet({ .mServices = 1 });
   fleet.Upstream(1).Control({ { "delay_ms", 8000 } });
   auto request = BookingRequest();
   request.mIdempotent = true;
@@ -106,9 +102,7 @@
 
 Test(cancellation, a_keyed_call_goes_on_for_its_repeat)
 {
-  FleetOptions options;
-  options.mServices = 1;
-  Fleet fleet(options);
+  Fleet fleet({ .mServices = 1 });
   fleet.Upstream(1).Control({ { "delay_ms", 1500 } });
   const auto first = fleet.SendMarked(BookingRequest(), "seat", 0);
   cr_assert(Await([&] { return fleet.RunsOf("seat") == 1; }));
--- a/tests/integration/endtoendtest.cpp
+++ b/tests/integration/endtoendtest.cpp
@@ -16,11 +16,7 @@
 FleetOptions
 Small()
 {
-  FleetOptions options;
-  options.mEngines = 2;
-  options.mServices = 1;
-  options.mEntries = 2;
-  return options;
+  return { .mEngines = 2, .mServices = 1, .mEntries = 2 };
 }
 
 } // namespace
--- a/tests/integration/outagetest.cpp
+++ b/tests/integration/outagetest.cpp
@@ -29,10 +29,7 @@
 void
 CheckRow(const char* aService, const json& aFaults)
 {
-  FleetOptions options;
-  options.mEngines = 2;
-  options.mEntries = 2;
-  Fleet fleet(options);
+  Fleet fleet({ .mEngines = 2, .mEntries = 2 });
   fleet.PlatformControl({ { aService, aFaults } });
   for (int i = 0; i < 30; ++i) {
     const auto call = fleet.Send(ChatRequest("mid-call", 5), i % 2);
@@ -123,9 +120,7 @@
 
 Test(outage, a_new_host_is_used_once_the_list_is_back)
 {
-  FleetOptions options;
-  options.mEngines = 1;
-  Fleet fleet(options);
+  Fleet fleet({ .mEngines = 1 });
   fleet.PlatformControl({ { "hostlist", kDown } });
   fleet.AddEntry();
   fleet.PlatformControl({ { "hostlist", { { "mode", "up" } } } });
--- a/tests/integration/plannedstoptest.cpp
+++ b/tests/integration/plannedstoptest.cpp
@@ -24,10 +24,7 @@
 FleetOptions
 TwoOfEach()
 {
-  FleetOptions options;
-  options.mEngines = 2;
-  options.mEntries = 2;
-  return options;
+  return { .mEngines = 2, .mEntries = 2 };
 }
 
 Calls
--- a/tests/integration/policyspreadtest.cpp
+++ b/tests/integration/policyspreadtest.cpp
@@ -21,9 +21,7 @@
 FleetOptions
 Entries(size_t aCount)
 {
-  FleetOptions options;
-  options.mEntries = aCount;
-  return options;
+  return { .mEntries = aCount };
 }
 
 json
--- a/tests/integration/policytest.cpp
+++ b/tests/integration/policytest.cpp
@@ -16,10 +16,7 @@
 FleetOptions
 TwoEntries()
 {
-  FleetOptions options;
-  options.mEngines = 1;
-  options.mEntries = 2;
-  return options;
+  return { .mEngines = 1, .mEntries = 2 };
 }
 
 json
--- a/tests/integration/refusalstest.cpp
+++ b/tests/integration/refusalstest.cpp
@@ -168,10 +168,8 @@
 
 Test(refusals, an_unmeetable_deadline_is_refused_with_a_time_to_come_back)
 {
-  FleetOptions options;
-  options.mEngineFlags = { "--max-running", "1" };
-  options.mSidecarFlags = { "--most-running", "1" };
-  Fleet fleet(options);
+  Fleet fleet({ .mEngineFlags = { "--max-running", "1" },
+                .mSidecarFlags = { "--most-running", "1" } });
   const auto running = fleet.Send(ChatRequest("drafting", 2000));
   cr_assert(running->AwaitBytes(500));
   const auto start = fleet.Send(ChatRequest("drafting", 2000),
--- a/tests/integration/repeatstest.cpp
+++ b/tests/integration/repeatstest.cpp
@@ -18,11 +18,7 @@
 FleetOptions
 TwoEntries()
 {
-  FleetOptions options;
-  options.mEngines = 2;
-  options.mServices = 1;
-  options.mEntries = 2;
-  return options;
+  return { .mEngines = 2, .mServices = 1, .mEntries = 2 };
 }
 
 std::string
--- a/tests/integration/silencetest.cpp
+++ b/tests/integration/silencetest.cpp
@@ -22,11 +22,9 @@
 FleetOptions
 Proxied(size_t aEngines)
 {
-  FleetOptions options;
-  options.mEngines = aEngines;
-  options.mProxyChannels = true;
-  options.mProxyUpstreams = true;
-  return options;
+  return { .mEngines = aEngines,
+           .mProxyChannels = true,
+           .mProxyUpstreams = true };
 }
 
 /** Streams that may run once go on over a fresh channel, nothing lost. */
@@ -158,10 +156,7 @@
 
 Test(silence, towards_the_platform_is_found_and_changes_go_on)
 {
-  FleetOptions options;
-  options.mEntries = 2;
-  options.mProxyPlatform = true;
-  Fleet fleet(options);
+  Fleet fleet({ .mEntries = 2, .mProxyPlatform = true });
   const uint64_t before = fleet.PolicyVersion();
   fleet.PlatformProxy().Order({ { "silence", "both" } });
   const int64_t struck = trefoilio::MonotonicNow().Count();
--- a/tests/replay/baselines.cpp
+++ b/tests/replay/baselines.cpp
@@ -45,11 +45,12 @@
     , mSeen(aTrace.mEngines)
     , mUp(aTrace.mEngines, true)
   {
-    for (size_t i = 0; i < aTrace.mEngines; ++i)
+    for (size_t i = 0; i < aTrace.mEngines; ++i) {
       mEngines.push_back(std::make_unique<VirtualEngine>(
         aTime, aTrace.mBatch, [this](uint64_t aId, bool aLast) {
           OnToken(aId, aLast);
         }));
+    }
     Report();
   }
 
@@ -65,8 +66,9 @@
   void Leave(CallerRequest aRequest) override
   {
     const auto found = mOpen.find(aRequest);
-    if (found == mOpen.end())
+    if (found == mOpen.end()) {
       return;
+    }
     const uint64_t id = found->second;
     mOpen.erase(found);
     mTime.After(kNetwork,
@@ -75,27 +77,32 @@
 
   void Apply(const TraceFault& aFault) override
   {
-    if (aFault.mSlow > 0)
+    if (aFault.mSlow > 0) {
       return mEngines[aFault.mEngine]->SetSlow(aFault.mSlow);
+    }
     const size_t engine = aFault.mEngine;
     mUp[engine] = false;
     mEngines[engine]->Crash();
     mTime.After(kNoticeLoss, [this, engine] { mSeen[engine].mUp = false; });
     const auto open = mOpen;
-    for (const auto& [request, id] : open)
-      if (mCalls.at(id).mEngine == engine)
+    for (const auto& [request, id] : open) {
+      if (mCalls.at(id).mEngine == engine) {
         Lose(id);
+      }
+    }
   }
 
   std::vector<Spent> Executions() const override
   {
     std::vector<Spent> spent;
-    for (const auto& engine : mEngines)
-      for (const Execution& execution : engine->Executions())
+    for (const auto& engine : mEngines) {
+      for (const Execution& execution : engine->Executions()) {
         spent.push_back({ .mRequest = mCalls.at(execution.mId).mRequest,
                           .mCost = LeastCost(execution.mPromptTokens,
                                              execution.mOutputTokens),
                           .mWhole = mCalls.at(execution.mId).mWhole });
+      }
+    }
     return spent;
   }
 
@@ -112,8 +119,9 @@
   {
     const Call& call = mCalls.at(aId);
     const TraceRequest& request = mTrace.mRequests[call.mRequest.mIndex];
-    if (!mUp[call.mEngine])
+    if (!mUp[call.mEngine]) {
       return Lose(aId);
+    }
     mEngines[call.mEngine]->Start(
       { .mId = aId,
         .mPriority = mTiers ? mTrace.ClassOf(request).mTier : 0,
@@ -129,8 +137,9 @@
     const Call call = mCalls.at(aId);
     const bool idempotent = mTrace.mRequests[call.mRequest.mIndex].mIdempotent;
     mOpen.erase(call.mRequest);
-    if (!call.mBegun && idempotent)
+    if (!call.mBegun && idempotent) {
       return Submit(call.mRequest);
+    }
     mHooks.mOnRefused(call.mRequest,
                       Refusal{ .mKind = ErrorKind::UpstreamFailed,
                                .mRan = Ran::Maybe,
@@ -145,24 +154,29 @@
     call.mWhole = aLast;
     mTime.After(kNetwork, [this, request = call.mRequest, aId, aLast] {
       const auto found = mOpen.find(request);
-      if (found == mOpen.end() || found->second != aId)
+      if (found == mOpen.end() || found->second != aId) {
         return;
+      }
       mHooks.mOnToken(request);
-      if (aLast)
+      if (aLast) {
         mOpen.erase(found);
-      if (aLast)
+      }
+      if (aLast) {
         mHooks.mOnWhole(request);
+      }
     });
   }
 
   void Report()
   {
-    for (size_t i = 0; i < mEngines.size(); ++i)
+    for (size_t i = 0; i < mEngines.size(); ++i) {
       mTime.After(kReportLag, [this, i, load = mEngines[i]->Open()] {
         mSeen[i].mLoad = load;
       });
-    if (mTime.Now() < mTrace.End())
+    }
+    if (mTime.Now() < mTrace.End()) {
       mTime.After(kReportEvery, [this] { Report(); });
+    }
   }
 
   VirtualTime& mTime;
@@ -185,9 +199,9 @@
 {
   const auto choose = [next =
                          size_t{ 0 }](const std::vector<Seen>& aSeen) mutable {
-    do
+    do {
       next = (next + 1) % aSeen.size();
-    while (!aSeen[next].mUp);
+    } while (!aSeen[next].mUp);
     return next;
   };
   return std::make_unique<EarlyBinding>(
@@ -202,8 +216,9 @@
     std::uniform_int_distribution<size_t> pick(0, aSeen.size() - 1);
     const auto draw = [&] {
       size_t one = pick(random);
-      while (!aSeen[one].mUp)
+      while (!aSeen[one].mUp) {
         one = pick(random);
+      }
       return one;
     };
     const size_t first = draw();
--- a/tests/replay/design.cpp
+++ b/tests/replay/design.cpp
@@ -30,10 +30,12 @@
 {
   auto policy = std::make_shared<Policy>();
   policy->mVersion = 1;
-  for (const RequestClass& requestClass : aTrace.mClasses)
+  for (const RequestClass& requestClass : aTrace.mClasses) {
     policy->mClasses[requestClass.mName] = requestClass;
-  for (const TraceRequest& request : aTrace.mRequests)
+  }
+  for (const TraceRequest& request : aTrace.mRequests) {
     policy->mWorkspaces[request.mWorkspace].mName = request.mWorkspace;
+  }
   policy->mSelectors["all"] = { .mName = "all",
                                 .mTraffic = {},
                                 .mUpstreams = {} };
@@ -50,10 +52,12 @@
     , mHooks(std::move(aHooks))
     , mClassifier(ClassifierFor(aTrace))
   {
-    for (size_t i = 0; i < aTrace.mEngines; ++i)
+    for (size_t i = 0; i < aTrace.mEngines; ++i) {
       AddSidecar("engine-" + std::to_string(i));
-    for (size_t i = 0; i < aTrace.mEntries; ++i)
+    }
+    for (size_t i = 0; i < aTrace.mEntries; ++i) {
       AddEntry("entry-" + std::to_string(i));
+    }
   }
 
   void Submit(CallerRequest aRequest) override
@@ -89,20 +93,22 @@
   {
     Sidecar& sidecar =
       *mSidecars.at("engine-" + std::to_string(aFault.mEngine));
-    if (aFault.mSlow > 0)
+    if (aFault.mSlow > 0) {
       return sidecar.mEngine->SetSlow(aFault.mSlow);
+    }
     sidecar.mUp = false;
     sidecar.mEngine->Crash();
-    for (auto& [name, entry] : mEntries)
+    for (auto& [name, entry] : mEntries) {
       mTime.After(kNetwork, [this, &entry = *entry, upstream = sidecar.mName] {
         Do(entry, entry.mCore->OnChannelDown(upstream, mTime.Now()));
       });
+    }
   }
 
   std::vector<Spent> Executions() const override
   {
     std::vector<Spent> spent;
-    for (const auto& [name, sidecar] : mSidecars)
+    for (const auto& [name, sidecar] : mSidecars) {
       for (const Execution& execution : sidecar->mEngine->Executions()) {
         const AttemptKey& key = mCalls.at(execution.mId);
         spent.push_back({ .mRequest = CallerOf(key.mRequest),
@@ -110,14 +116,16 @@
                                              execution.mOutputTokens),
                           .mWhole = mWhole.count(execution.mId) > 0 });
       }
+    }
     return spent;
   }
 
   std::string Dump() const override
   {
     std::string dump;
-    for (const auto& [name, sidecar] : mSidecars)
+    for (const auto& [name, sidecar] : mSidecars) {
       dump += sidecar->mCore->DumpState(mTime.Now()) + "\n";
+    }
     return dump;
   }
 
@@ -169,13 +177,15 @@
     mEntries[aName] = std::move(owned);
     entry.mCore->SetClassifier(mClassifier);
     std::vector<UpstreamView> views;
-    for (const auto& [name, sidecar] : mSidecars)
+    for (const auto& [name, sidecar] : mSidecars) {
       views.push_back({ .mName = name,
                         .mDataCentre = {},
                         .mLabels = { { "model", kModel } } });
+    }
     Do(entry, entry.mCore->SetUpstreams(views, {}, mTime.Now()));
-    for (const auto& [name, sidecar] : mSidecars)
+    for (const auto& [name, sidecar] : mSidecars) {
       Do(entry, entry.mCore->OnChannelUp(name, mTime.Now()));
+    }
   }
 
   Entry& EntryOf(CallerRequest aRequest)
@@ -186,15 +196,17 @@
 
   void Do(Entry& aEntry, EntryActions aActions)
   {
-    for (EntryAction& action : aActions)
+    for (EntryAction& action : aActions) {
       std::visit([&](auto& aOne) { Carry(aEntry, aOne); }, action);
+    }
     PlanWake(aEntry);
   }
 
   void Do(Sidecar& aSidecar, SidecarActions aActions)
   {
-    for (SidecarAction& action : aActions)
+    for (SidecarAction& action : aActions) {
       std::visit([&](auto& aOne) { Carry(aSidecar, aOne); }, action);
+    }
     PlanWake(aSidecar);
   }
 
@@ -202,16 +214,20 @@
   void PlanWake(Party& aParty)
   {
     const Millis wake = std::max(aParty.mCore->NextWake(), mTime.Now());
-    if (wake >= aParty.mWake || wake >= Millis::Never())
+    if (wake >= aParty.mWake || wake >= Millis::Never()) {
       return;
+    }
     aParty.mWake = wake;
     mTime.At(wake, [this, &aParty, wake] {
-      if (aParty.mWake != wake)
+      if (aParty.mWake != wake) {
         return;
+      }
       aParty.mWake = Millis::Never();
-      if constexpr (std::is_same_v<Party, Sidecar>)
-        if (!aParty.mUp)
+      if constexpr (std::is_same_v<Party, Sidecar>) {
+        if (!aParty.mUp) {
           return;
+        }
+      }
       Do(aParty, aParty.mCore->OnTick(mTime.Now()));
     });
   }
@@ -225,9 +241,10 @@
        &sidecar,
        name = aEntry.mName,
        message = std::move(aSend.mMessage)]() mutable {
-        if (sidecar.mUp)
+        if (sidecar.mUp) {
           Do(sidecar,
              sidecar.mCore->OnMessage(name, std::move(message), mTime.Now()));
+        }
       });
   }
 
@@ -235,10 +252,11 @@
   {
     Sidecar& sidecar = *mSidecars.at(aReopen.mUpstream);
     mTime.After(kConnect, [this, &aEntry, &sidecar] {
-      if (sidecar.mUp)
+      if (sidecar.mUp) {
         Do(aEntry, aEntry.mCore->OnChannelUp(sidecar.mName, mTime.Now()));
-      else
+      } else {
         Do(aEntry, aEntry.mCore->OnChannelDown(sidecar.mName, mTime.Now()));
+      }
     });
   }
 
@@ -246,8 +264,9 @@
 
   void Carry(Entry&, AnswerData& aData)
   {
-    for (size_t i = 0; i < aData.mData.size(); ++i)
+    for (size_t i = 0; i < aData.mData.size(); ++i) {
       mHooks.mOnToken(CallerOf(aData.mId));
+    }
   }
 
   void Carry(Entry&, AnswerEnd& aEnd) { mHooks.mOnWhole(CallerOf(aEnd.mId)); }
@@ -263,10 +282,11 @@
     mTime.After(
       kNetwork,
       [this, &aSidecar, &entry, message = std::move(aSend.mMessage)]() mutable {
-        if (aSidecar.mUp)
+        if (aSidecar.mUp) {
           Do(entry,
              entry.mCore->OnMessage(
                aSidecar.mName, std::move(message), mTime.Now()));
+        }
       });
   }
 
@@ -288,8 +308,9 @@
   void Carry(Sidecar& aSidecar, CancelCall& aCancel)
   {
     const auto found = aSidecar.mRunning.find(aCancel.mKey);
-    if (found == aSidecar.mRunning.end())
+    if (found == aSidecar.mRunning.end()) {
       return;
+    }
     aSidecar.mEngine->Cancel(found->second);
     aSidecar.mRunning.erase(found);
   }
@@ -304,9 +325,10 @@
     Do(aSidecar,
        aSidecar.mCore->OnCall(
          CallData{ .mKey = key, .mData = "t", .mTokens = 1 }, mTime.Now()));
-    if (aLast)
+    if (aLast) {
       Do(aSidecar,
          aSidecar.mCore->OnCall(CallDone{ .mKey = key }, mTime.Now()));
+    }
   }
 
   VirtualTime& mTime;
--- a/tests/replay/main.cpp
+++ b/tests/replay/main.cpp
@@ -31,12 +31,14 @@
               aScore.mSlowTokens,
               static_cast<long long>(Quantile(aScore.mFirstTokens, 0.5)),
               static_cast<long long>(Quantile(aScore.mFirstTokens, 0.95)));
-  for (const auto& [kind, count] : aScore.mRefused)
+  for (const auto& [kind, count] : aScore.mRefused) {
     std::printf("  %s %zu", kind.c_str(), count);
-  if (!aScore.mRefusedAfter.empty())
+  }
+  if (!aScore.mRefusedAfter.empty()) {
     std::printf("  refused after p50 %lld p95 %lld ms",
                 static_cast<long long>(Quantile(aScore.mRefusedAfter, 0.5)),
                 static_cast<long long>(Quantile(aScore.mRefusedAfter, 0.95)));
+  }
   std::printf("\n");
 }
 
@@ -64,12 +66,15 @@
                 score.mTwice,
                 score.mRunTwice,
                 score.mFalseNo);
-    for (const auto& [name, ofClass] : score.mClasses)
+    for (const auto& [name, ofClass] : score.mClasses) {
       PrintClass(name, ofClass);
-    if (!contender.mBound)
+    }
+    if (!contender.mBound) {
       continue;
-    if (aDump)
+    }
+    if (aDump) {
       std::printf("%s\n", score.mDump.c_str());
+    }
     for (const std::string& promise : BrokenPromises(aTrace, score)) {
       ++broken;
       std::printf("    BROKEN: %s\n", promise.c_str());
@@ -82,8 +87,9 @@
 Main(const std::vector<std::string>& aWords)
 {
   if (aWords.size() == 2 && aWords[0] == "--generate") {
-    for (const Trace& trace : GenerateTraces())
+    for (const Trace& trace : GenerateTraces()) {
       WriteTrace(trace, aWords[1]);
+    }
     return 0;
   }
   if (aWords.empty()) {
@@ -94,11 +100,13 @@
   }
   const bool dump = aWords.back() == "--dump";
   std::vector<std::string> names = TraceNames(aWords[0]);
-  if (aWords.size() > (dump ? 2U : 1U))
+  if (aWords.size() > (dump ? 2U : 1U)) {
     names = { aWords[1] };
+  }
   size_t broken = 0;
-  for (const std::string& name : names)
+  for (const std::string& name : names) {
     broken += ReplayOne(ReadTrace(aWords[0], name), dump);
+  }
   std::printf(
     "%zu traces replayed, %zu promises broken\n", names.size(), broken);
   return broken == 0 ? 0 : 1;
--- a/tests/replay/replayrun.cpp
+++ b/tests/replay/replayrun.cpp
@@ -59,8 +59,9 @@
       mTime.At(DeadlineOf(i), [this, i] { Leave(i); });
       end = std::max(end, DeadlineOf(i));
     }
-    for (const TraceFault& fault : mTrace.mFaults)
+    for (const TraceFault& fault : mTrace.mFaults) {
       mTime.At(fault.mAt + kWarmUp, [this, &fault] { mRouter->Apply(fault); });
+    }
     mTime.RunUntil(end + kSettle);
     return Judge();
   }
@@ -88,10 +89,12 @@
   void OnToken(CallerRequest aWho)
   {
     Caller* caller = Current(aWho);
-    if (!caller)
+    if (!caller) {
       return;
-    if (caller->mTokens++ == 0)
+    }
+    if (caller->mTokens++ == 0) {
       caller->mFirst = mTime.Now();
+    }
     caller->mLast = mTime.Now();
   }
 
@@ -113,27 +116,31 @@
       mTwice += mCallers[aWho.mIndex].mLeft ? 0 : 1;
       return;
     }
-    if (aWhy.mRan == Ran::No)
+    if (aWhy.mRan == Ran::No) {
       mSaidNo.push_back(aWho);
+    }
     caller->mRefusal = aWhy;
     const bool again =
       mTrace.mRepeatAfter > Millis() && caller->mRepeat < mTrace.mRepeats &&
       caller->mTokens == 0 &&
       mTime.Now() + mTrace.mRepeatAfter < DeadlineOf(aWho.mIndex);
-    if (!again)
+    if (!again) {
       return End(*caller);
+    }
     ++caller->mRepeat;
     mTime.After(mTrace.mRepeatAfter, [this, aWho] {
-      if (Current({ aWho.mIndex, aWho.mRepeat + 1 }))
+      if (Current({ aWho.mIndex, aWho.mRepeat + 1 })) {
         mRouter->Submit({ aWho.mIndex, aWho.mRepeat + 1 });
+      }
     });
   }
 
   void Leave(size_t aIndex)
   {
     Caller& caller = mCallers[aIndex];
-    if (caller.mEnded)
+    if (caller.mEnded) {
       return;
+    }
     caller.mLeft = true;
     End(caller);
     mRouter->Leave({ .mIndex = aIndex, .mRepeat = caller.mRepeat });
@@ -148,8 +155,9 @@
   Score Judge()
   {
     Score score;
-    for (size_t i = 0; i < mCallers.size(); ++i)
+    for (size_t i = 0; i < mCallers.size(); ++i) {
       JudgeOne(i, score);
+    }
     for (auto& [name, ofClass] : score.mClasses) {
       std::sort(ofClass.mFirstTokens.begin(), ofClass.mFirstTokens.end());
       std::sort(ofClass.mRefusedAfter.begin(), ofClass.mRefusedAfter.end());
@@ -169,8 +177,9 @@
     ++ofClass.mAsked;
     aScore.mLost += caller.mEnded ? 0 : 1;
     const Millis first = caller.mFirst - ArrivalOf(aIndex);
-    if (caller.mTokens > 0)
+    if (caller.mTokens > 0) {
       ofClass.mFirstTokens.push_back(first.Count());
+    }
     if (!caller.mWhole) {
       const Millis after = caller.mEndedAt - ArrivalOf(aIndex);
       ofClass.mRefusedAfter.push_back(after.Count());
@@ -206,11 +215,14 @@
       inTime += received && caller.mAttained ? spent.mCost : 0;
       ++runs[spent.mRequest];
     }
-    for (const auto& [who, count] : runs)
-      if (count > 1 && !mTrace.mRequests[who.mIndex].mIdempotent)
+    for (const auto& [who, count] : runs) {
+      if (count > 1 && !mTrace.mRequests[who.mIndex].mIdempotent) {
         ++aScore.mRunTwice;
-    for (const CallerRequest& who : mSaidNo)
+      }
+    }
+    for (const CallerRequest& who : mSaidNo) {
       aScore.mFalseNo += runs.count(who);
+    }
     aScore.mWaste = all > 0 ? 1 - useful / all : 0;
     aScore.mGoodput = inTime / Best();
   }
@@ -228,9 +240,11 @@
     size_t next = 0;
     for (Millis now; next < mCallers.size() || !due.empty();
          now += Millis(kBin)) {
-      for (; next < mCallers.size() && mTrace.mRequests[next].mAt < now; ++next)
+      for (; next < mCallers.size() && mTrace.mRequests[next].mAt < now;
+           ++next) {
         due.emplace(InTime(mTrace.mRequests[next]),
                     CostOf(mTrace.mRequests[next]));
+      }
       double left = SpeedAt(now) * static_cast<double>(kBin);
       while (!due.empty() && (left > 0 || due.begin()->first < now)) {
         const auto first = due.begin();
@@ -239,8 +253,9 @@
         done += part;
         left -= part;
         first->second -= part;
-        if (first->second <= 0 || first->first < now)
+        if (first->second <= 0 || first->first < now) {
           due.erase(first);
+        }
       }
     }
     return done;
@@ -276,9 +291,11 @@
   double SpeedAt(Millis aNow) const
   {
     std::vector<double> speed(mTrace.mEngines, 1);
-    for (const TraceFault& fault : mTrace.mFaults)
-      if (fault.mAt <= aNow)
+    for (const TraceFault& fault : mTrace.mFaults) {
+      if (fault.mAt <= aNow) {
         speed[fault.mEngine] = fault.mSlow > 0 ? 1 / fault.mSlow : 0;
+      }
+    }
     return std::accumulate(speed.begin(), speed.end(), 0.0);
   }
 
@@ -315,8 +332,9 @@
 {
   std::vector<std::string> broken;
   const auto demand = [&](bool aHolds, const std::string& aWhat, double aGot) {
-    if (aHolds)
+    if (aHolds) {
       return;
+    }
     std::ostringstream text;
     text << aWhat << ", got " << aGot;
     broken.push_back(text.str());
@@ -349,8 +367,9 @@
 int64_t
 Quantile(const std::vector<int64_t>& aSorted, double aShare)
 {
-  if (aSorted.empty())
+  if (aSorted.empty()) {
     return 0;
+  }
   const auto last = static_cast<double>(aSorted.size() - 1);
   return aSorted[static_cast<size_t>(last * aShare)];
 }
--- a/tests/replay/sidecarloadtest.cpp
+++ b/tests/replay/sidecarloadtest.cpp
@@ -81,8 +81,9 @@
     PlanSlowdown(aSpan);
     Beat(aSpan + Millis(60000));
     mTime.RunUntil(aSpan + Millis(60000));
-    for (const auto& [number, request] : mRequests)
+    for (const auto& [number, request] : mRequests) {
       RC_ASSERT(request.mState == State::Ended);
+    }
     Do(mCore.Drain(mTime.Now()));
     RC_ASSERT(mCore.Idle());
     RC_ASSERT(mCore.CurrentLoad().mTokensInFlight == 0);
@@ -102,8 +103,9 @@
     PlanArrival(aSpan);
     Beat(aSpan + Millis(60000));
     mTime.RunUntil(aSpan);
-    if (!mSentAway)
+    if (!mSentAway) {
       return std::nullopt;
+    }
     const Offer last = *mSentAway;
     const uint64_t number = mNext;
     mTime.At(mReturnAt, [this, last] { Arrive(last); });
@@ -159,25 +161,28 @@
     std::exponential_distribution<double> gap(mBehaviour.mArrivalsPerSecond /
                                               1000);
     const Millis at = mTime.Now() + Millis(std::lround(gap(mRandom)));
-    if (at < aEnd)
+    if (at < aEnd) {
       mTime.At(at, [this, aEnd] {
         Arrive();
         PlanArrival(aEnd);
       });
+    }
   }
 
   /** The entry gives signs of life. */
   void Beat(Millis aEnd)
   {
     Do(mCore.OnMessage(kEntry, EntryHeartbeat{}, mTime.Now()));
-    if (mTime.Now() < aEnd)
+    if (mTime.Now() < aEnd) {
       mTime.After(Millis(500), [this, aEnd] { Beat(aEnd); });
+    }
   }
 
   void PlanSlowdown(Millis aEnd)
   {
-    if (mTime.Now() >= aEnd)
+    if (mTime.Now() >= aEnd) {
       return mEngine.SetSlow(1);
+    }
     mEngine.SetSlow(Chance(mBehaviour.mSlowdowns) ? 5 : 1);
     mTime.After(Millis(3000), [this, aEnd] { PlanSlowdown(aEnd); });
   }
@@ -200,26 +205,32 @@
     mRequests[number] = { .mOffer = aOffer,
                           .mDeadlineAt = mTime.Now() + aOffer.mDeadline };
     ClassRecord& record = mClasses[aOffer.mLevel.mClass];
-    if (WaitingOf(aOffer.mLevel.mClass) == 1)
+    if (WaitingOf(aOffer.mLevel.mClass) == 1) {
       Restart(record);
+    }
     Do(mCore.OnMessage(kEntry, aOffer, mTime.Now()));
-    if (Chance(mBehaviour.mWithdraws))
+    if (Chance(mBehaviour.mWithdraws)) {
       mTime.After(Millis(Between(1, 5000)), [this, number] {
         Do(mCore.OnMessage(
           kEntry, Withdraw{ .mKey = KeyOf(number) }, mTime.Now()));
       });
+    }
   }
 
   void Do(const SidecarActions& aActions)
   {
     mHighestGranted = kTierCount;
-    for (const SidecarAction& action : aActions)
-      if (const auto* send = std::get_if<SendToEntry>(&action))
-        if (const auto* grant = std::get_if<Grant>(&send->mMessage))
+    for (const SidecarAction& action : aActions) {
+      if (const auto* send = std::get_if<SendToEntry>(&action)) {
+        if (const auto* grant = std::get_if<Grant>(&send->mMessage)) {
           mHighestGranted = std::min(
             mHighestGranted, RequestOf(grant->mKey).mOffer.mLevel.mTier);
-    for (const SidecarAction& action : aActions)
+        }
+      }
+    }
+    for (const SidecarAction& action : aActions) {
       std::visit([this](const auto& aOne) { Check(aOne); }, action);
+    }
     CheckNobodyOverstays();
     Plan();
   }
@@ -227,12 +238,14 @@
   void Plan()
   {
     const Millis wake = std::max(mCore.NextWake(), mTime.Now());
-    if (wake >= mWake || wake >= Millis::Never())
+    if (wake >= mWake || wake >= Millis::Never()) {
       return;
+    }
     mWake = wake;
     mTime.At(wake, [this, wake] {
-      if (mWake != wake)
+      if (mWake != wake) {
         return;
+      }
       mWake = Millis::Never();
       Do(mCore.OnTick(mTime.Now()));
     });
@@ -290,8 +303,9 @@
     ClassRecord& record = mClasses[request.mOffer.mLevel.mClass];
     ++record.mInFlight;
     Restart(record);
-    if (Chance(mBehaviour.mNeverStarts))
+    if (Chance(mBehaviour.mNeverStarts)) {
       return;
+    }
     mTime.After(Millis(1), [this, key = aGrant.mKey] {
       Do(mCore.OnMessage(
         kEntry, Start{ .mKey = key, .mCall = {} }, mTime.Now()));
@@ -329,8 +343,9 @@
       mSentAway = request.mOffer;
       mReturnAt = mTime.Now() + aDecline.mRetryAfter;
     }
-    if (aDecline.mKind == ErrorKind::Shed)
+    if (aDecline.mKind == ErrorKind::Shed) {
       CheckShed(request.mOffer.mLevel);
+    }
     End(request);
   }
 
@@ -338,8 +353,9 @@
   {
     for (int i = 0; i < kClasses; ++i) {
       const ServiceLevel other = LevelOf(i);
-      if (other.mTier > aLevel.mTier)
+      if (other.mTier > aLevel.mTier) {
         RC_ASSERT(WaitingOf(other.mClass) <= kKeptPlaces);
+      }
     }
   }
 
@@ -372,8 +388,9 @@
   {
     Request& request = RequestOf(aVoided.mKey);
     RC_ASSERT(request.mState != State::Running);
-    if (request.mState != State::Ended)
+    if (request.mState != State::Ended) {
       End(request);
+    }
   }
 
   void Hear(const Chunk& aChunk)
@@ -391,8 +408,9 @@
   void End(Request& aRequest)
   {
     ClassRecord& record = mClasses[aRequest.mOffer.mLevel.mClass];
-    if (aRequest.mState != State::Waiting && --record.mInFlight == 0)
+    if (aRequest.mState != State::Waiting && --record.mInFlight == 0) {
       record.mSince = mTime.Now();
+    }
     aRequest.mState = State::Ended;
   }
 
@@ -402,15 +420,17 @@
   {
     std::set<std::string> waiting;
     for (const auto& [number, request] : mRequests) {
-      if (request.mState != State::Waiting)
+      if (request.mState != State::Waiting) {
         continue;
+      }
       RC_ASSERT(mTime.Now() <= request.mDeadlineAt);
       waiting.insert(request.mOffer.mLevel.mClass);
     }
     for (const std::string& name : waiting) {
       const ClassRecord& record = mClasses.at(name);
-      if (record.mInFlight == 0)
+      if (record.mInFlight == 0) {
         RC_ASSERT(mTime.Now() - record.mSince <= kFloorSpan);
+      }
     }
   }
 
@@ -418,8 +438,9 @@
   {
     Do(mCore.OnCall(CallData{ .mKey = KeyOf(aId), .mData = "t", .mTokens = 1 },
                     mTime.Now()));
-    if (aLast)
+    if (aLast) {
       Do(mCore.OnCall(CallDone{ .mKey = KeyOf(aId) }, mTime.Now()));
+    }
   }
 
   std::mt19937_64 mRandom;
--- a/tests/replay/tracefiles.cpp
+++ b/tests/replay/tracefiles.cpp
@@ -55,18 +55,21 @@
 ToJson(const Trace& aTrace)
 {
   json classes = json::array();
-  for (const RequestClass& requestClass : aTrace.mClasses)
+  for (const RequestClass& requestClass : aTrace.mClasses) {
     classes.push_back(ToJson(requestClass));
+  }
   json faults = json::array();
-  for (const TraceFault& fault : aTrace.mFaults)
+  for (const TraceFault& fault : aTrace.mFaults) {
     faults.push_back({ { "at_ms", fault.mAt.Count() },
                        { "engine", fault.mEngine },
                        { "slow", fault.mSlow } });
+  }
   json promises = json::array();
-  for (const Promise& promise : aTrace.mPromises)
+  for (const Promise& promise : aTrace.mPromises) {
     promises.push_back({ { "class", promise.mClass },
                          { "least_attainment", promise.mLeastAttainment },
                          { "least_completed", promise.mLeastCompleted } });
+  }
   return { { "about", aTrace.mAbout },
            { "seed", aTrace.mSeed },
            { "entries", aTrace.mEntries },
@@ -85,8 +88,9 @@
 Open(const std::filesystem::path& aPath)
 {
   std::ifstream file(aPath);
-  if (!file)
+  if (!file) {
     throw std::runtime_error("cannot read " + aPath.string());
+  }
   return file;
 }
 
@@ -95,11 +99,12 @@
 {
   aTrace.mLeastGoodput = aPromised.at("least_goodput");
   aTrace.mMostWaste = aPromised.at("most_waste");
-  for (const json& promise : aPromised.at("classes"))
+  for (const json& promise : aPromised.at("classes")) {
     aTrace.mPromises.push_back(
       { .mClass = promise.at("class"),
         .mLeastAttainment = promise.at("least_attainment"),
         .mLeastCompleted = promise.at("least_completed") });
+  }
 }
 
 TraceRequest
@@ -108,8 +113,9 @@
   std::istringstream line(aLine);
   const auto field = [&line] {
     std::string text;
-    if (!std::getline(line, text, ','))
+    if (!std::getline(line, text, ',')) {
       throw std::runtime_error("a request of a trace lacks a field");
+    }
     return text;
   };
   TraceRequest request;
@@ -129,9 +135,11 @@
 const RequestClass&
 Trace::ClassOf(const TraceRequest& aRequest) const
 {
-  for (const RequestClass& requestClass : mClasses)
-    if (requestClass.mName == aRequest.mClass)
+  for (const RequestClass& requestClass : mClasses) {
+    if (requestClass.mName == aRequest.mClass) {
       return requestClass;
+    }
+  }
   throw std::runtime_error("a request of an unknown class: " + aRequest.mClass);
 }
 
@@ -148,11 +156,12 @@
     << ToJson(aTrace).dump(2) << '\n';
   std::ofstream rows(PathOf(aFolder, aTrace.mName, ".csv"));
   rows << kColumns << '\n';
-  for (const TraceRequest& request : aTrace.mRequests)
+  for (const TraceRequest& request : aTrace.mRequests) {
     rows << request.mAt.Count() << ',' << request.mClass << ','
          << request.mWorkspace << ',' << request.mPrefix << ','
          << request.mPrefixTokens << ',' << request.mPromptTokens << ','
          << request.mOutputTokens << ',' << request.mIdempotent << '\n';
+  }
 }
 
 Trace
@@ -168,19 +177,23 @@
   trace.mBatch = ReplayBatch();
   trace.mRepeatAfter = Millis(head.at("repeat_after_ms"));
   trace.mRepeats = head.at("repeats");
-  for (const json& requestClass : head.at("classes"))
+  for (const json& requestClass : head.at("classes")) {
     trace.mClasses.push_back(ClassFrom(requestClass));
-  for (const json& fault : head.at("faults"))
+  }
+  for (const json& fault : head.at("faults")) {
     trace.mFaults.push_back({ .mAt = Millis(fault.at("at_ms")),
                               .mEngine = fault.at("engine"),
                               .mSlow = fault.at("slow") });
+  }
   ReadPromises(head.at("promised"), trace);
   std::ifstream rows = Open(PathOf(aFolder, aName, ".csv"));
   std::string line;
-  if (!std::getline(rows, line) || line != kColumns)
+  if (!std::getline(rows, line) || line != kColumns) {
     throw std::runtime_error("other columns than expected in " + aName);
-  while (std::getline(rows, line))
+  }
+  while (std::getline(rows, line)) {
     trace.mRequests.push_back(RequestFrom(line));
+  }
   return trace;
 }
 
@@ -188,9 +201,11 @@
 TraceNames(const std::string& aFolder)
 {
   std::vector<std::string> names;
-  for (const auto& file : std::filesystem::directory_iterator(aFolder))
-    if (file.path().extension() == ".csv")
+  for (const auto& file : std::filesystem::directory_iterator(aFolder)) {
+    if (file.path().extension() == ".csv") {
       names.push_back(file.path().stem());
+    }
+  }
   std::sort(names.begin(), names.end());
   return names;
 }
--- a/tests/replay/tracegenerator.cpp
+++ b/tests/replay/tracegenerator.cpp
@@ -90,8 +90,9 @@
     const double engines = static_cast<double>(mTrace.mEngines);
     std::exponential_distribution<double> gap(aLoad * engines / cost);
     double at = static_cast<double>(aFrom) + gap(mRandom);
-    for (; at < static_cast<double>(aTo); at += gap(mRandom))
+    for (; at < static_cast<double>(aTo); at += gap(mRandom)) {
       AddOne(aStream, static_cast<int64_t>(at));
+    }
   }
 
   void AddOne(const Stream& aStream, int64_t aAt)
@@ -140,9 +141,11 @@
 private:
   void Know(const RequestClass& aClass)
   {
-    for (const RequestClass& known : mTrace.mClasses)
-      if (known.mName == aClass.mName)
+    for (const RequestClass& known : mTrace.mClasses) {
+      if (known.mName == aClass.mName) {
         return;
+      }
+    }
     mTrace.mClasses.push_back(aClass);
   }
 
@@ -195,9 +198,11 @@
                  102);
   made.Add(kChecklist, 0.25, 0, 40000);
   made.Add(kPricing, 0.35, 0, 40000);
-  for (int64_t at = 10000; at < 30000; at += 2000)
-    for (int driver = 0; driver < 12; ++driver)
+  for (int64_t at = 10000; at < 30000; at += 2000) {
+    for (int driver = 0; driver < 12; ++driver) {
       made.AddOne(kGate, at);
+    }
+  }
   made.Promise("gate", 0.95, 0.99)
     .Promise("checklist", 0.95, 0.99)
     .Promise("pricing", 0.95, 0.99);
--- a/tests/replay/virtualengine.cpp
+++ b/tests/replay/virtualengine.cpp
@@ -20,8 +20,9 @@
 VirtualEngine::Start(const EngineCall& aCall)
 {
   std::vector<uint64_t> blocks;
-  for (uint32_t i = 0; i < aCall.mPrefixTokens / standin::kBlockTokens; ++i)
+  for (uint32_t i = 0; i < aCall.mPrefixTokens / standin::kBlockTokens; ++i) {
     blocks.push_back(aCall.mPrefix * 1000003 + i);
+  }
   mCalls[aCall.mId] = { .mPrompt = aCall.mPromptTokens,
                         .mOutput = aCall.mOutputTokens };
   mBatch.Add({ .mId = aCall.mId,
@@ -45,8 +46,9 @@
 void
 VirtualEngine::Crash()
 {
-  while (!mCalls.empty())
+  while (!mCalls.empty()) {
     Close(mCalls.begin()->first);
+  }
   mBatch = standin::BatchModel(mOptions);
   mStepping = false;
   ++mLife;
@@ -56,8 +58,9 @@
 VirtualEngine::Close(uint64_t aId)
 {
   const auto found = mCalls.find(aId);
-  if (found == mCalls.end())
+  if (found == mCalls.end()) {
     return;
+  }
   const Call& call = found->second;
   const bool prefilled = call.mDone > 0 || mBatch.Waiting() == 0;
   mExecutions.push_back({ .mId = aId,
@@ -70,14 +73,16 @@
 VirtualEngine::Step()
 {
   mStepping = !mBatch.Idle();
-  if (!mStepping)
+  if (!mStepping) {
     return;
+  }
   const standin::BatchStep step = mBatch.Step();
   mClock += step.mMillis * mSlow;
   const Millis end(static_cast<int64_t>(std::ceil(mClock)));
   mTime.At(end, [this, step, life = mLife] {
-    if (life != mLife)
+    if (life != mLife) {
       return;
+    }
     Deliver(step);
     Step();
   });
@@ -88,11 +93,13 @@
 {
   for (const uint64_t id : aStep.mTokens) {
     const auto found = mCalls.find(id);
-    if (found == mCalls.end())
+    if (found == mCalls.end()) {
       continue;
+    }
     const bool last = ++found->second.mDone >= found->second.mOutput;
-    if (last)
+    if (last) {
       Close(id);
+    }
     mOnToken(id, last);
   }
 }
--- a/tests/unit/ledgertest.cpp
+++ b/tests/unit/ledgertest.cpp
@@ -40,16 +40,19 @@
       const FinalWord word =
         started ? FinalWord(Finished{ .mKey = KeyOf(number) }) : FinalWord();
       ledger.Close(KeyOf(number), word, now);
-      if (!known)
+      if (!known) {
         ended[number] = started;
+      }
       ledger.Expire(now);
       RC_ASSERT(ledger.Size() <= kLimit);
       for (const auto& [key, hadStarted] : ended) {
         const FinalWord* found = ledger.Find(KeyOf(key));
-        if (found)
+        if (found) {
           RC_ASSERT(std::holds_alternative<Finished>(*found) == hadStarted);
-        if (!found && hadStarted)
+        }
+        if (!found && hadStarted) {
           RC_ASSERT(ledger.HasForgottenStarts());
+        }
       }
     }
   });
@@ -61,8 +64,9 @@
 {
   Ledger ledger({ .mSpan = Millis(1000), .mLimit = 3 });
   ledger.Close(KeyOf(1), Finished{ .mKey = KeyOf(1) }, Millis(1));
-  for (uint64_t i = 2; i < 10; ++i)
+  for (uint64_t i = 2; i < 10; ++i) {
     ledger.Close(KeyOf(i), {}, Millis(2));
+  }
   cr_assert_not_null(ledger.Find(KeyOf(1)));
   cr_assert_not(ledger.HasForgottenStarts());
   ledger.Close(KeyOf(10), Finished{ .mKey = KeyOf(10) }, Millis(3));
--- a/tests/unit/roomtest.cpp
+++ b/tests/unit/roomtest.cpp
@@ -47,8 +47,9 @@
         .mBeside = *rc::gen::inRange(0, 10) == 0,
         .mTier = *rc::gen::inRange<Tier>(0, kTierCount),
       };
-      if (running.empty())
+      if (running.empty()) {
         RC_ASSERT(room.Fits(share));
+      }
       if (share.mBeside || room.Fits(share)) {
         room.OnSeen(share.mTier, now);
         room.Take(share);
@@ -65,8 +66,9 @@
       RC_ASSERT(room.Limit() >= kOptions.mLeastLimit);
       RC_ASSERT(room.Limit() <= kOptions.mMostLimit);
     }
-    for (const RoomShare& share : running)
+    for (const RoomShare& share : running) {
       room.Release(share);
+    }
     RC_ASSERT(room.Running() == 0);
     RC_ASSERT(room.InFlight() == 0);
     RC_ASSERT(room.InPrefill() == 0);
@@ -114,14 +116,17 @@
 {
   const auto places = [](bool aSeen) {
     Room room({ .mFirstLimit = 100, .mMostLimit = 100, .mMostRunning = 100 });
-    if (aSeen)
+    if (aSeen) {
       room.OnSeen(0, Millis(1000));
-    for (int i = 0; i < 16; ++i)
+    }
+    for (int i = 0; i < 16; ++i) {
       room.Take({ .mTokens = 1, .mTier = 0 });
+    }
     int count = 0;
     const RoomShare lower{ .mTokens = 1, .mTier = 3 };
-    for (; room.Fits(lower); ++count)
+    for (; room.Fits(lower); ++count) {
       room.Take(lower);
+    }
     cr_assert(room.Fits({ .mTokens = 1, .mTier = 0 }) == aSeen);
     return count;
   };
--- a/tests/unit/scheduletest.cpp
+++ b/tests/unit/scheduletest.cpp
@@ -47,14 +47,16 @@
     mSchedule.Add(request, mNow);
     mWaiting.push_back(request);
     ClassRecord& record = mClasses[request.mLevel.mClass];
-    if (CountOf(request.mLevel.mClass) == 1)
+    if (CountOf(request.mLevel.mClass) == 1) {
       Restart(record);
+    }
   }
 
   void RemoveOne(size_t aPick)
   {
-    if (mWaiting.empty())
+    if (mWaiting.empty()) {
       return;
+    }
     const AttemptKey key = mWaiting[aPick % mWaiting.size()].mKey;
     mSchedule.Remove(key);
     Forget(key);
@@ -65,17 +67,21 @@
     mSchedule.TakeLate(mNow);
     const auto turn = mSchedule.NextRegular();
     RC_ASSERT(turn.has_value() == !mWaiting.empty());
-    if (!turn)
+    if (!turn) {
       return;
+    }
     const WaitingRequest request = Find(turn->mKey);
     for (const WaitingRequest& other : mWaiting) {
       RC_ASSERT(other.mLevel.mTier >= request.mLevel.mTier);
-      if (other.mLevel.mTier == request.mLevel.mTier && !IsLate(other))
+      if (other.mLevel.mTier == request.mLevel.mTier && !IsLate(other)) {
         RC_ASSERT(!IsLate(request));
+      }
     }
-    for (auto& [name, record] : mClasses)
-      if (name != request.mLevel.mClass)
+    for (auto& [name, record] : mClasses) {
+      if (name != request.mLevel.mClass) {
         ++record.mOthersStarts;
+      }
+    }
     Start(*turn);
     TakeFloors();
   }
@@ -83,30 +89,36 @@
   /** As the sidecar does after regular turns and at each wake. */
   void TakeFloors()
   {
-    while (const auto turn = mSchedule.NextFloor(kRoom, mNow))
+    while (const auto turn = mSchedule.NextFloor(kRoom, mNow)) {
       Start(*turn);
+    }
     for (const auto& [name, record] : mClasses) {
-      if (CountOf(name) == 0)
+      if (CountOf(name) == 0) {
         continue;
+      }
       const double floor = LevelOf(name[0] - 'a', 0).mFloor;
-      if (record.mFloorTokens == 0)
+      if (record.mFloorTokens == 0) {
         RC_ASSERT(record.mOthersStarts < std::ceil(1 / floor));
-      if (record.mRunning.empty())
+      }
+      if (record.mRunning.empty()) {
         RC_ASSERT(mNow - record.mSince < kFloorSpan);
+      }
     }
   }
 
   void EndOne(int aClass)
   {
     ClassRecord& record = mClasses[LevelOf(aClass, 0).mClass];
-    if (record.mRunning.empty())
+    if (record.mRunning.empty()) {
       return;
+    }
     const Started ended = record.mRunning.back();
     mSchedule.OnEnded(ended.mLevel, ended.mFloorTokens, mNow);
     record.mFloorTokens -= ended.mFloorTokens;
     record.mRunning.pop_back();
-    if (record.mRunning.empty())
+    if (record.mRunning.empty()) {
       record.mSince = mNow;
+    }
   }
 
   void Pass(Millis aSpan)
@@ -118,9 +130,11 @@
       TakeFloors();
     }
     mNow = until;
-    for (const auto& [name, record] : mClasses)
-      if (CountOf(name) > 0 && record.mRunning.empty())
+    for (const auto& [name, record] : mClasses) {
+      if (CountOf(name) > 0 && record.mRunning.empty()) {
         RC_ASSERT(mNow - record.mSince <= kFloorSpan);
+      }
+    }
     TakeFloors();
   }
 
@@ -129,17 +143,22 @@
     const ServiceLevel level = LevelOf(aClass, 0);
     const auto victim = mSchedule.ToShedFor(level);
     Tier lowest = 0;
-    for (const WaitingRequest& request : mWaiting)
-      if (CountOf(request.mLevel.mClass) > kKept)
+    for (const WaitingRequest& request : mWaiting) {
+      if (CountOf(request.mLevel.mClass) > kKept) {
         lowest = std::max(lowest, request.mLevel.mTier);
+      }
+    }
     RC_ASSERT(victim.has_value() == (lowest > level.mTier));
-    if (!victim)
+    if (!victim) {
       return;
+    }
     const WaitingRequest& shed = Find(*victim);
     RC_ASSERT(shed.mLevel.mTier == lowest);
-    for (const WaitingRequest& request : mWaiting)
-      if (request.mLevel.mClass == shed.mLevel.mClass)
+    for (const WaitingRequest& request : mWaiting) {
+      if (request.mLevel.mClass == shed.mLevel.mClass) {
         RC_ASSERT(request.mKey.mRequest <= shed.mKey.mRequest);
+      }
+    }
   }
 
   void CheckAhead(int aClass) const
@@ -159,8 +178,9 @@
   void CheckSums() const
   {
     uint64_t tokens = 0;
-    for (const WaitingRequest& request : mWaiting)
+    for (const WaitingRequest& request : mWaiting) {
       tokens += request.mTokens;
+    }
     RC_ASSERT(mSchedule.Size() == mWaiting.size());
     RC_ASSERT(mSchedule.Tokens() == tokens);
   }
@@ -193,8 +213,9 @@
     mSchedule.Take(aTurn, mNow);
     Forget(aTurn.mKey);
     ClassRecord& record = mClasses[request.mLevel.mClass];
-    if (aTurn.mFloor)
+    if (aTurn.mFloor) {
       CheckFloorRoom(request, record);
+    }
     record.mFloorTokens += floorTokens;
     Restart(record);
     record.mRunning.push_back({ request.mLevel, floorTokens });
@@ -262,19 +283,20 @@
     for (int i = 0; i < steps; ++i) {
       const int kind = *rc::gen::inRange(0, 10);
       const int ofClass = *rc::gen::inRange(0, 8);
-      if (kind < 4)
+      if (kind < 4) {
         model.Add(ofClass,
                   *rc::gen::inRange(0, 3),
                   *rc::gen::inRange<uint64_t>(1, 2000),
                   Millis(*rc::gen::inRange(0, 20000)));
-      else if (kind < 6)
+      } else if (kind < 6) {
         model.TakeRegular();
-      else if (kind == 6)
+      } else if (kind == 6) {
         model.EndOne(ofClass);
-      else if (kind == 7)
+      } else if (kind == 7) {
         model.RemoveOne(*rc::gen::inRange<size_t>(0, 1000));
-      else if (kind == 8)
+      } else if (kind == 8) {
         model.Pass(Millis(*rc::gen::inRange(0, 3000)));
+      }
       model.CheckShed(ofClass);
       model.CheckAhead(ofClass);
       model.CheckSums();
@@ -302,8 +324,9 @@
                      .mStartBy = Millis(1000000) },
                    Millis());
     };
-    for (const int workspace : { 0, 1, 0, 1 })
+    for (const int workspace : { 0, 1, 0, 1 }) {
       add(workspace);
+    }
     for (int i = 0; i < 300; ++i) {
       const Turn turn = *schedule.NextRegular();
       const WaitingRequest request = *schedule.Find(turn.mKey);
@@ -331,12 +354,15 @@
                    .mStartBy = Millis(1000000) },
                  Millis());
   };
-  for (int i = 0; i < 200; ++i)
+  for (int i = 0; i < 200; ++i) {
     add(0);
-  for (int i = 0; i < 100; ++i)
+  }
+  for (int i = 0; i < 100; ++i) {
     schedule.Take(*schedule.NextRegular(), Millis());
-  for (int i = 0; i < 50; ++i)
+  }
+  for (int i = 0; i < 50; ++i) {
     add(1);
+  }
   int ofFirst = 0;
   for (int i = 0; i < 30; ++i) {
     const Turn turn = *schedule.NextRegular();
--- a/tests/unit/sidecarcoretest.cpp
+++ b/tests/unit/sidecarcoretest.cpp
@@ -56,8 +56,9 @@
   {
     mNow += Millis(aMillis);
     SidecarActions heard;
-    if (aAlive)
+    if (aAlive) {
       heard = mCore.OnMessage("e", EntryHeartbeat{}, mNow);
+    }
     mLast = mCore.OnTick(mNow);
     mLast.insert(mLast.begin(), heard.begin(), heard.end());
   }
@@ -74,10 +75,13 @@
   template<typename Message>
   const Message* Sent() const
   {
-    for (const SidecarAction& action : mLast)
-      if (const auto* send = std::get_if<SendToEntry>(&action))
-        if (const auto* found = std::get_if<Message>(&send->mMessage))
+    for (const SidecarAction& action : mLast) {
+      if (const auto* send = std::get_if<SendToEntry>(&action)) {
+        if (const auto* found = std::get_if<Message>(&send->mMessage)) {
           return found;
+        }
+      }
+    }
     return nullptr;
   }
 
@@ -85,8 +89,9 @@
   int Count() const
   {
     int count = 0;
-    for (const SidecarAction& action : mLast)
+    for (const SidecarAction& action : mLast) {
       count += std::holds_alternative<Action>(action) ? 1 : 0;
+    }
     return count;
   }
 
@@ -94,10 +99,13 @@
   std::vector<uint64_t> Chunks() const
   {
     std::vector<uint64_t> numbers;
-    for (const SidecarAction& action : mLast)
-      if (const auto* send = std::get_if<SendToEntry>(&action))
-        if (const auto* chunk = std::get_if<Chunk>(&send->mMessage))
+    for (const SidecarAction& action : mLast) {
+      if (const auto* send = std::get_if<SendToEntry>(&action)) {
+        if (const auto* chunk = std::get_if<Chunk>(&send->mMessage)) {
           numbers.push_back(chunk->mNumber);
+        }
+      }
+    }
     return numbers;
   }
 
@@ -229,8 +237,9 @@
 {
   Bench bench;
   bench.StartOne(1);
-  for (int i = 0; i < 4; ++i)
+  for (int i = 0; i < 4; ++i) {
     bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+  }
   bench.Message(Ack{ .mKey = KeyOf(1), .mNextChunk = 1 });
   bench.mCore.OnEntryDown("e", bench.mNow);
   bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
@@ -324,8 +333,9 @@
     lower.mIdempotent = aIdempotent;
     bench.Message(lower);
     bench.Message(Start{ .mKey = KeyOf(1), .mCall = {} });
-    if (aBegun)
+    if (aBegun) {
       bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
+    }
     bench.Message(OfferOf(2, 0));
     cr_assert_null(bench.Sent<Grant>());
     bench.Pass(740);
@@ -415,8 +425,9 @@
   bench.Event(CallData{ .mKey = KeyOf(1), .mData = "x", .mTokens = 1 });
   bench.Message(Withdraw{ .mKey = KeyOf(1) });
   cr_assert_eq(bench.Count<CancelCall>(), 1);
-  for (int beat = 0; beat < 6; ++beat)
+  for (int beat = 0; beat < 6; ++beat) {
     bench.Pass(500, false);
+  }
   bench.Message(OfferOf(2));
   cr_assert_not_null(bench.Sent<Grant>());
   bench.Message(Resume{ .mKey = KeyOf(1), .mNextChunk = 0 });
