--- a/src/trefoilarchd/sidecarserver.cpp
+++ b/src/trefoilarchd/sidecarserver.cpp
@@ -1,7 +1,6 @@
 #include "sidecarserver.h"
 
-#include "outbox.h"
-#include "wirecodec.h"
+#include "serverchannel.h"
 
 #include "trefoilarch.grpc.pb.h"
 
@@ -11,112 +10,6 @@
 
 namespace trefoilarch {
 
-namespace {
-
-/** One channel's server side. Owned by itself until gRPC is done with it. */
-class ServerChannel final
-  : public grpc::ServerBidiReactor<wire::EntryEnvelope, wire::SidecarEnvelope>
-  , public std::enable_shared_from_this<ServerChannel>
-{
-public:
-  using MessageHook =
-    std::function<void(const std::shared_ptr<ServerChannel>&, EntryMessage)>;
-  using DownHook = std::function<void(const std::shared_ptr<ServerChannel>&)>;
-
-  static std::shared_ptr<ServerChannel> Open(MessageHook aOnMessage,
-                                             DownHook aOnDown)
-  {
-    std::shared_ptr<ServerChannel> channel(
-      new ServerChannel(std::move(aOnMessage), std::move(aOnDown)));
-    channel->mSelf = channel;
-    channel->StartRead(&channel->mIncoming);
-    return channel;
-  }
-
-  void Send(const SidecarMessage& aMessage)
-  {
-    const std::lock_guard lock(mMutex);
-    if (mFinished) {
-      return;
-    }
-    if (const auto* next = mOutbox.Add(Encode(aMessage))) {
-      StartWrite(next);
-    }
-    if (mOutbox.Overfull()) {
-      FinishLocked();
-    }
-  }
-
-  void Close()
-  {
-    const std::lock_guard lock(mMutex);
-    FinishLocked();
-  }
-
-private:
-  ServerChannel(MessageHook aOnMessage, DownHook aOnDown)
-    : mOnMessage(std::move(aOnMessage))
-    , mOnDown(std::move(aOnDown))
-  {
-  }
-
-  void FinishLocked()
-  {
-    if (!mFinished) {
-      mFinished = true;
-      Finish(grpc::Status::OK);
-    }
-  }
-
-  void OnReadDone(bool aOk) override
-  {
-    if (!aOk) {
-      Close();
-      return;
-    }
-    if (auto message = Decode(std::move(mIncoming))) {
-      mOnMessage(mSelf, std::move(*message));
-    }
-    mIncoming.Clear();
-    const std::lock_guard lock(mMutex);
-    if (!mFinished) {
-      StartRead(&mIncoming);
-    }
-  }
-
-  void OnWriteDone(bool aOk) override
-  {
-    const std::lock_guard lock(mMutex);
-    const auto* next = mOutbox.Next();
-    if (!aOk) {
-      FinishLocked();
-    } else if (next && !mFinished) {
-      StartWrite(next);
-    }
-  }
-
-  void OnCancel() override { Close(); }
-
-  void OnDone() override
-  {
-    const auto self = std::move(mSelf);
-    mOnDown(self);
-    mOnMessage = nullptr;
-    mOnDown = nullptr;
-  }
-
-  MessageHook mOnMessage;
-  DownHook mOnDown;
-  wire::EntryEnvelope mIncoming;
-  std::shared_ptr<ServerChannel> mSelf;
-
-  std::mutex mMutex;
-  Outbox<wire::SidecarEnvelope> mOutbox;
-  bool mFinished = false;
-};
-
-} // namespace
-
 class SidecarServer::Impl final : public wire::Sidecar::CallbackService
 {
 public:
@@ -128,11 +21,13 @@
   grpc::ServerBidiReactor<wire::EntryEnvelope, wire::SidecarEnvelope>* Channel(
     grpc::CallbackServerContext*) override
   {
-    const auto channel = ServerChannel::Open(
-      [this](const auto& aChannel, EntryMessage&& aMessage) {
-        OnMessage(aChannel, std::move(aMessage));
-      },
-      [this](const auto& aChannel) { OnDown(aChannel); });
+    const auto channel = ServerChannel::Open({
+      .mOnMessage =
+        [this](const auto& aChannel, EntryMessage&& aMessage) {
+          OnMessage(aChannel, std::move(aMessage));
+        },
+      .mOnDown = [this](const auto& aChannel) { OnDown(aChannel); },
+    });
     return channel.get();
   }
 
