Show upstreams that the policy drains as draining

Cause: after `trefoilarchctl drain engine-1` the fleet's status still said "up": the state came from the sidecar's own word alone, and the policy's drain never reaches the sidecar. The entry did send it no new work (entrycoretest, plannedstoptest); only the view was wrong.

--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -235,7 +235,9 @@
     };
     options.mPaths["/v1/status"] = [this](const HttpRequest&) {
       return HttpReply{ .mHeaders = { { "Content-Type", "application/json" } },
-                        .mBody = FleetStatus(mRouter->DumpState()) };
+                        .mBody = FleetStatus(
+                          mRouter->DumpState(),
+                          mPolicy->CurrentClassifier()->CurrentPolicy()) };
     };
     return options;
   }
--- a/src/trefoilarchd/fleetstatus.cpp
+++ b/src/trefoilarchd/fleetstatus.cpp
@@ -1,5 +1,7 @@
 #include "fleetstatus.h"
 
+#include "libtrefoilarch/policy.h"
+
 #include <nlohmann/json.hpp>
 
 namespace trefoilarch {
@@ -8,8 +10,15 @@
 
 using nlohmann::json;
 
+bool
+DrainedByPolicy(const Policy& aPolicy, const std::string& aName)
+{
+  const auto found = aPolicy.mUpstreams.find(aName);
+  return found != aPolicy.mUpstreams.end() && found->second.mDrained;
+}
+
 std::string
-StateOf(const json& aUpstream)
+StateOf(const json& aUpstream, bool aDrained)
 {
   if (aUpstream.value("leaving", false)) {
     return "leaving";
@@ -17,7 +26,7 @@
   if (aUpstream.value("channel", "") != "up") {
     return "down";
   }
-  if (aUpstream["load"].value("draining", false)) {
+  if (aDrained || aUpstream["load"].value("draining", false)) {
     return "draining";
   }
   return aUpstream.value("ejected", false) ? "ejected" : "up";
@@ -26,7 +35,7 @@
 } // namespace
 
 std::string
-FleetStatus(const std::string& aRouterDump)
+FleetStatus(const std::string& aRouterDump, const Policy& aPolicy)
 {
   const json dump = json::parse(aRouterDump, nullptr, false);
   if (!dump.is_object() || !dump.contains("upstreams")) {
@@ -34,11 +43,12 @@
   }
   json upstreams = json::array();
   for (const auto& [name, upstream] : dump["upstreams"].items()) {
-    upstreams.push_back({ { "name", name },
-                          { "data_centre", upstream["data_centre"] },
-                          { "state", StateOf(upstream) },
-                          { "load", upstream["load"] },
-                          { "labels", upstream["labels"] } });
+    upstreams.push_back(
+      { { "name", name },
+        { "data_centre", upstream["data_centre"] },
+        { "state", StateOf(upstream, DrainedByPolicy(aPolicy, name)) },
+        { "load", upstream["load"] },
+        { "labels", upstream["labels"] } });
   }
   return json{
     { "entry", dump["entry"] },
