Show ejected upstreams as ejected

The status looked for a field that the dump calls outlier, so an upstream that was taken out for its results was shown as up. Test first: it failed so.

--- a/src/trefoilarchd/fleetstatus.cpp
+++ b/src/trefoilarchd/fleetstatus.cpp
@@ -29,7 +29,7 @@
   if (aDrained || aUpstream["load"].value("draining", false)) {
     return "draining";
   }
-  return aUpstream.value("ejected", false) ? "ejected" : "up";
+  return aUpstream.value("outlier", "") == "ejected" ? "ejected" : "up";
 }
 
 } // namespace
--- a/tests/daemon/fleetstatustest.cpp
+++ b/tests/daemon/fleetstatustest.cpp
@@ -24,15 +24,17 @@
 
 Test(fleetstatus, tells_each_state_and_drains_by_either_word)
 {
-  const json dump = { { "entry", "e" },
-                      { "policy_version", 3 },
-                      { "open_requests", 0 },
-                      { "upstreams",
-                        { { "a", Upstream("up", false, false) },
-                          { "b", Upstream("down", false, false) },
-                          { "c", Upstream("up", false, true) },
-                          { "d", Upstream("up", true, false) },
-                          { "e", Upstream("up", false, false) } } } };
+  json dump = { { "entry", "e" },
+                { "policy_version", 3 },
+                { "open_requests", 0 },
+                { "upstreams",
+                  { { "a", Upstream("up", false, false) },
+                    { "b", Upstream("down", false, false) },
+                    { "c", Upstream("up", false, true) },
+                    { "d", Upstream("up", true, false) },
+                    { "e", Upstream("up", false, false) },
+                    { "f", Upstream("up", false, false) } } } };
+  dump["upstreams"]["f"]["outlier"] = "ejected";
   Policy policy;
   policy.mUpstreams["e"] = { .mName = "e", .mDrained = true };
   std::string states;
@@ -40,6 +42,7 @@
   for (const json& upstream : status["upstreams"]) {
     states += upstream["state"].get<std::string>() + " ";
   }
-  cr_assert(
-    states == "up down draining leaving draining ", "%s", states.c_str());
+  cr_assert(states == "up down draining leaving draining ejected ",
+            "%s",
+            states.c_str());
 }
