Show a load, and draw a model's chances, in one place each

Both cores' state dumps had the same function for a load; the four model tests of claims, leases, orders and the policy log had the same generator with its chances and the same removal. Now loaddump and tests/unit/modelchance.h. Left: how the models move pending operations is alike, but differs in what is lost when; not made one here.

--- a/src/libtrefoilarch/entrydump.cpp
+++ b/src/libtrefoilarch/entrydump.cpp
@@ -1,5 +1,7 @@
 #include "entryimpl.h"
 
+#include "loaddump.h"
+
 #include <nlohmann/json.hpp>
 
 namespace trefoilarch {
@@ -32,17 +34,6 @@
   }
 }
 
-nlohmann::json
-Dump(const Load& aLoad)
-{
-  return { { "running", aLoad.mRunning },
-           { "waiting", aLoad.mWaiting },
-           { "tokens_in_flight", aLoad.mTokensInFlight },
-           { "token_room", aLoad.mTokenRoom },
-           { "tokens_waiting", aLoad.mTokensWaiting },
-           { "draining", aLoad.mDraining } };
-}
-
 nlohmann::json
 Dump(const UpstreamLink& aLink)
 {
--- a/src/libtrefoilarch/sidecardump.cpp
+++ b/src/libtrefoilarch/sidecardump.cpp
@@ -1,5 +1,7 @@
 #include "sidecarimpl.h"
 
+#include "loaddump.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -70,17 +72,6 @@
            { "foreign_messages", aCounters.mForeign } };
 }
 
-nlohmann::json
-Dump(const Load& aLoad)
-{
-  return { { "running", aLoad.mRunning },
-           { "waiting", aLoad.mWaiting },
-           { "tokens_in_flight", aLoad.mTokensInFlight },
-           { "token_room", aLoad.mTokenRoom },
-           { "tokens_waiting", aLoad.mTokensWaiting },
-           { "draining", aLoad.mDraining } };
-}
-
 } // namespace
 
 Load
--- a/tests/unit/claimstest.cpp
+++ b/tests/unit/claimstest.cpp
@@ -1,12 +1,13 @@
 #include "libtrefoilarch/claims.h"
 
+#include "modelchance.h"
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 #include <array>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 
 using namespace trefoilarch;
@@ -41,12 +42,11 @@
 };
 
 /** Entries round one table; its writes come late and lose their answers. */
-class Fleet
+class Fleet : private ModelChance
 {
 public:
   explicit Fleet(uint32_t aSeed)
-    : mRandom(aSeed)
-    , mCalm(std::max<uint32_t>(mRandom() % 150, 50) - 50)
+    : ModelChance(aSeed)
   {
     for (size_t each = 0; each < kEntries; ++each) {
       mEntries[each].mSkew =
@@ -154,13 +154,6 @@
     int64_t mSkew = 0;
   };
 
-  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
-  bool Chance(uint32_t aPercent) { return Draw(100) < aPercent; }
-  bool Fault(uint32_t aPercent)
-  {
-    return Draw(100) >= mCalm && Chance(aPercent);
-  }
-
   int64_t SecondsAt(size_t aEntry) const
   {
     return 100 * kEpochSeconds + mNow.Count() / 1000 + mEntries[aEntry].mSkew;
@@ -296,7 +289,7 @@
       Execute(one);
     } else if (one.mForgotten) {
       if (one.mExecuted || Chance(one.mSlow ? 1 : 10)) {
-        Erase(place);
+        EraseAt(mPending, place);
       }
     } else if (!mEntries[one.mEntry].mPaused) {
       Deliver(place, !one.mExecuted || (!mHealed && Fault(50)));
@@ -365,7 +358,7 @@
     if (aLost && !one.mExecuted) {
       mPending[aPlace].mForgotten = true;
     } else {
-      Erase(aPlace);
+      EraseAt(mPending, aPlace);
     }
     Entry& entry = mEntries[one.mEntry];
     if (entry.mBoot != one.mBoot || one.mForgotten) {
@@ -384,13 +377,6 @@
     }
   }
 
-  void Erase(size_t aPlace)
-  {
-    mPending.erase(mPending.begin() + static_cast<std::ptrdiff_t>(aPlace));
-  }
-
-  std::mt19937 mRandom;
-  uint32_t mCalm;
   Millis mNow{ 1000 };
   std::array<Entry, kEntries> mEntries;
   std::vector<Pending> mPending;
--- a/tests/unit/leasetest.cpp
+++ b/tests/unit/leasetest.cpp
@@ -1,12 +1,13 @@
 #include "libtrefoilarch/lease.h"
 
+#include "modelchance.h"
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
 #include <array>
 #include <memory>
-#include <random>
 
 using namespace trefoilarch;
 
@@ -29,12 +30,11 @@
 };
 
 /** Processes with clocks of their own contend for one lease. */
-class Contenders
+class Contenders : private ModelChance
 {
 public:
   explicit Contenders(uint32_t aSeed)
-    : mRandom(aSeed)
-    , mCalm(std::max<uint32_t>(mRandom() % 150, 50) - 50)
+    : ModelChance(aSeed)
   {
     for (size_t each = 0; each < kProcesses; ++each) {
       mProcesses[each].mOffset = Draw(1000000);
@@ -112,13 +112,6 @@
     int64_t mRate = 1000; /**< thousandths of true time */
   };
 
-  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
-  bool Chance(uint32_t aPercent) { return Draw(100) < aPercent; }
-  bool Fault(uint32_t aPercent)
-  {
-    return Draw(100) >= mCalm && Chance(aPercent);
-  }
-
   Millis Now(const Process& aProcess) const
   {
     return Millis(aProcess.mOffset + mTime * aProcess.mRate / 1000);
@@ -205,7 +198,7 @@
       Execute(one);
     } else if (one.mForgotten) {
       if (one.mExecuted || Chance(one.mSlow ? 1 : 10)) {
-        Erase(place);
+        EraseAt(mPending, place);
       }
     } else if (!mProcesses[one.mProcess].mPaused) {
       Deliver(place, !one.mExecuted || (!mHealed && Fault(40)));
@@ -238,7 +231,7 @@
     if (aLost && !one.mExecuted) {
       mPending[aPlace].mForgotten = true;
     } else {
-      Erase(aPlace);
+      EraseAt(mPending, aPlace);
     }
     Process& process = mProcesses[one.mProcess];
     if (process.mLife != one.mLife || one.mForgotten) {
@@ -253,13 +246,6 @@
                 aLost ? LeaseWriteEnd::Unknown : one.mEnd, one.mRevision, now));
   }
 
-  void Erase(size_t aPlace)
-  {
-    mPending.erase(mPending.begin() + static_cast<std::ptrdiff_t>(aPlace));
-  }
-
-  std::mt19937 mRandom;
-  uint32_t mCalm;
   int64_t mTime = 0;
   std::array<Process, kProcesses> mProcesses;
   std::vector<Pending> mPending;
--- a/tests/unit/orderstest.cpp
+++ b/tests/unit/orderstest.cpp
@@ -1,5 +1,7 @@
 #include "libtrefoilarch/orders.h"
 
+#include "modelchance.h"
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -8,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 
 using namespace trefoilarch;
 
@@ -43,13 +44,12 @@
 };
 
 /** Sidecars that replace each other give orders to the same engines. */
-class Site
+class Site : private ModelChance
 {
 public:
   Site(uint32_t aSeed, bool aEnginesCheck)
-    : mRandom(aSeed)
+    : ModelChance(aSeed)
     , mEnginesCheck(aEnginesCheck)
-    , mCalm(std::max<uint32_t>(mRandom() % 150, 50) - 50)
   {
     for (size_t each = 0; each < kProcesses; ++each) {
       Boot(each);
@@ -158,8 +158,6 @@
     bool Awake() const { return !mPaused && !mAsleep; }
   };
 
-  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
-  bool Chance(uint32_t aPercent) { return Draw(100) < aPercent; }
   void WakeSleepers()
   {
     for (size_t each = 0; each < kProcesses; ++each) {
@@ -172,11 +170,6 @@
     }
   }
 
-  bool Fault(uint32_t aPercent)
-  {
-    return Draw(100) >= mCalm && Chance(aPercent);
-  }
-
   void Boot(size_t aProcess)
   {
     Process& process = mProcesses[aProcess];
@@ -249,7 +242,7 @@
       if (process.Awake()) {
         const SendOrder copy = *send;
         const Pending taken = one;
-        Erase(place);
+        EraseAt(mPending, place);
         Give(taken, copy);
       }
       return;
@@ -258,7 +251,7 @@
       Execute(one);
     } else if (one.mForgotten) {
       if (one.mExecuted || Chance(5)) {
-        Erase(place);
+        EraseAt(mPending, place);
       }
     } else if (process.Awake()) {
       Deliver(place, !one.mExecuted || (!mHealed && Fault(40)));
@@ -338,7 +331,7 @@
     if (aLost && !one.mExecuted) {
       mPending[aPlace].mForgotten = true;
     } else {
-      Erase(aPlace);
+      EraseAt(mPending, aPlace);
     }
     Process& process = mProcesses[one.mProcess];
     if (process.mLife != one.mLife || one.mForgotten) {
@@ -354,14 +347,7 @@
                     action.mKey, end, one.mRevision, mNow));
   }
 
-  void Erase(size_t aPlace)
-  {
-    mPending.erase(mPending.begin() + static_cast<std::ptrdiff_t>(aPlace));
-  }
-
-  std::mt19937 mRandom;
   bool mEnginesCheck;
-  uint32_t mCalm;
   Millis mNow{ 1000 };
   std::array<Process, kProcesses> mProcesses;
   std::vector<Pending> mPending;
--- a/tests/unit/policylogtest.cpp
+++ b/tests/unit/policylogtest.cpp
@@ -2,6 +2,8 @@
 
 #include "libtrefoilarch/policycodec.h"
 
+#include "modelchance.h"
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
@@ -9,7 +11,6 @@
 #include <array>
 #include <map>
 #include <memory>
-#include <random>
 
 using namespace trefoilarch;
 
@@ -58,12 +59,11 @@
  * Reads and writes take effect late, in any order, and lose their answers;
  * processes pause, restart and hear of each other's versions.
  */
-class Fleet
+class Fleet : private ModelChance
 {
 public:
   explicit Fleet(uint32_t aSeed)
-    : mRandom(aSeed)
-    , mCalm(std::max<uint32_t>(mRandom() % 150, 50) - 50)
+    : ModelChance(aSeed)
   {
     for (size_t each = 0; each < kProcesses; ++each) {
       Boot(each);
@@ -156,14 +156,6 @@
     std::map<uint64_t, std::string> mQuestions;
   };
 
-  uint32_t Draw(uint32_t aBelow) { return mRandom() % aBelow; }
-  /** As Chance, but the rarer the calmer this run is. */
-  bool Fault(uint32_t aPercent)
-  {
-    return Draw(100) >= mCalm && Chance(aPercent);
-  }
-  bool Chance(uint32_t aPercent) { return Draw(100) < aPercent; }
-
   void PauseOrWake(Process& aProcess)
   {
     aProcess.mPaused = aProcess.mPaused ? Chance(85) : Fault(40);
@@ -347,7 +339,7 @@
     }
     if (one.mForgotten) {
       if (one.mExecuted || Chance(one.mSlow ? 1 : 10)) {
-        Erase(place);
+        EraseAt(mPending, place);
       }
       return;
     }
@@ -426,7 +418,7 @@
     if (aLost && !one.mExecuted) {
       mPending[aPlace].mForgotten = true;
     } else {
-      Erase(aPlace);
+      EraseAt(mPending, aPlace);
     }
     Process& process = mProcesses[one.mProcess];
     if (process.mLife != one.mLife || one.mForgotten) {
@@ -448,11 +440,6 @@
     Carry(one.mProcess, std::move(out));
   }
 
-  void Erase(size_t aPlace)
-  {
-    mPending.erase(mPending.begin() + static_cast<std::ptrdiff_t>(aPlace));
-  }
-
   void CheckTold(const std::string& aId,
                  const Told& aTold,
                  const std::map<std::string, uint64_t>& aPlaceOf)
@@ -507,8 +494,6 @@
     return "change";
   }
 
-  std::mt19937 mRandom;
-  uint32_t mCalm;
   Millis mNow{ 1000 };
   std::array<Process, kProcesses> mProcesses;
   std::vector<Pending> mPending;
