--- /dev/null
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -0,0 +1,288 @@
+#include "directrouter.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace trefoilarch {
+
+namespace {
+
+/** Why a caller should come back soon: another entry may know more. */
+constexpr Millis kComeBack{ 250 };
+
+Refusal
+Refuse(ErrorKind aKind, std::string aMessage)
+{
+  return Refusal{ .mKind = aKind,
+                  .mRan = Ran::No,
+                  .mRetryAfter =
+                    AnswerFor(aKind).mWorthRetrying ? kComeBack : Millis(0),
+                  .mMessage = std::move(aMessage) };
+}
+
+} // namespace
+
+DirectRouter::DirectRouter(DirectRouterOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mOutliers(mOptions.mOutliers)
+  , mPlacement({ .mDataCentre = mOptions.mDataCentre,
+                 .mSeed = mOptions.mSeed })
+  , mRetries(mOptions.mRetries)
+  , mRandom(mOptions.mSeed)
+{
+}
+
+bool
+DirectRouter::SetPolicy(std::shared_ptr<const RoutePolicy> aPolicy)
+{
+  if (mIndex && aPolicy->mVersion <= mIndex->Version()) {
+    return false;
+  }
+  mIndex = std::make_shared<RouteIndex>(std::move(aPolicy));
+  return true;
+}
+
+void
+DirectRouter::OnDirectoryChanged()
+{
+  for (auto& [id, tracked] : mTracked) {
+    tracked.mListed = false;
+  }
+  for (const auto& [id, listed] : mDirectory.All()) {
+    Tracked& tracked = mTracked[id];
+    tracked.mListed = true;
+    tracked.mService = listed.mService;
+    mOutliers.Add(id, listed.mService);
+  }
+  std::erase_if(mTracked, [this](const auto& aEntry) {
+    const auto& [id, tracked] = aEntry;
+    if (tracked.mListed) {
+      return false;
+    }
+    mOutliers.Remove(id);
+    mPlacement.Memory().Forget(id);
+    return tracked.mWork.Open() == 0;
+  });
+}
+
+Result<BoundRequest>
+DirectRouter::Bind(const RequestFacts& aFacts, Millis aNow)
+{
+  if (!mIndex) {
+    return Fail(Refuse(ErrorKind::PolicyUnknown, "no policy yet"));
+  }
+  const bool recent = mPolicyFreshness.IsWithin(mOptions.mPolicySpan, aNow);
+  const Route* route = mIndex->Find(aFacts.mHost, aFacts.mPath);
+  if (route == nullptr) {
+    return Fail(Refuse(recent ? ErrorKind::UnknownRoute
+                              : ErrorKind::PolicyStale,
+                       "no route"));
+  }
+  BoundRequest bound{ .mIndex = mIndex,
+                      .mRoute = route,
+                      .mPriority = route->mPriority,
+                      .mPrompt = aFacts.mPrompt,
+                      .mArrived = aFacts.mArrived };
+  if (!route->mPublic && !mIndex->Policy().mWorkspaces.empty()) {
+    if (!mPolicyFreshness.IsWithin(mOptions.mKeySpan, aNow)) {
+      return Fail(Refuse(ErrorKind::PolicyStale, "keys can't be checked"));
+    }
+    const KeyedWorkspace* workspace = mIndex->WorkspaceOf(aFacts.mKey);
+    if (workspace == nullptr) {
+      return Fail(Refuse(recent ? ErrorKind::BadToken : ErrorKind::PolicyStale,
+                         "unknown key"));
+    }
+    bound.mWorkspace = workspace->mName;
+    bound.mKey = aFacts.mKey;
+    bound.mPriority = workspace->mPriority.value_or(route->mPriority);
+  }
+  const Millis span =
+    std::min(route->mTimeout, aFacts.mPatience.value_or(route->mTimeout));
+  bound.mEnd = aFacts.mArrived + span;
+  bound.mService = ServiceFor(*route);
+  mRetries.OnFirstAttempt(bound.mService);
+  return bound;
+}
+
+bool
+DirectRouter::StillAllowed(const BoundRequest& aRequest, Millis aNow) const
+{
+  if (aRequest.mWorkspace.empty()) {
+    return true;
+  }
+  return mPolicyFreshness.IsWithin(mOptions.mKeySpan, aNow) &&
+         mIndex->WorkspaceOf(aRequest.mKey) != nullptr;
+}
+
+std::optional<PlacedAttempt>
+DirectRouter::Place(const BoundRequest& aRequest,
+                    const std::set<UpstreamId>& aTried,
+                    Millis aNow)
+{
+  const Candidates candidates = CandidatesFor(aRequest, aTried, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const Placed placed = mPlacement.Choose(candidates, aRequest.mPrompt, aNow);
+  const ListedUpstream* listed = mDirectory.Find(placed.mUpstream);
+  mTracked[placed.mUpstream].mWork.OnSent(placed.mWork, aNow);
+  mPlacement.Memory().OnSent(placed.mUpstream, aRequest.mPrompt, aNow);
+  return PlacedAttempt{ .mUpstream = placed.mUpstream,
+                        .mService = listed->mService,
+                        .mAddress = listed->mAddress,
+                        .mWork = placed.mWork,
+                        .mSentAt = aNow };
+}
+
+bool
+DirectRouter::TakeRetry(const std::string& aService)
+{
+  return mRetries.TakeRetry(aService);
+}
+
+double
+DirectRouter::RetriesLeft(const std::string& aService) const
+{
+  return mRetries.Left(aService);
+}
+
+void
+DirectRouter::OnHeard(const PlacedAttempt& aAttempt, Millis aNow)
+{
+  const auto tracked = mTracked.find(aAttempt.mUpstream);
+  if (tracked != mTracked.end()) {
+    tracked->second.mWork.OnHeard(aNow);
+  }
+}
+
+void
+DirectRouter::OnStarted(PlacedAttempt& aAttempt, Millis aNow)
+{
+  if (aAttempt.mStarted) {
+    return;
+  }
+  aAttempt.mStarted = true;
+  const auto tracked = mTracked.find(aAttempt.mUpstream);
+  if (tracked != mTracked.end()) {
+    tracked->second.mWork.OnStarted(aAttempt.mWork);
+  }
+  mOutliers.OnFirstToken(
+    aAttempt.mUpstream, aNow - aAttempt.mSentAt, aNow);
+}
+
+void
+DirectRouter::OnReport(const UpstreamId& aUpstream,
+                       const ReportedLoad& aLoad,
+                       Millis aNow)
+{
+  const auto tracked = mTracked.find(aUpstream);
+  if (tracked != mTracked.end()) {
+    tracked->second.mWork.OnReport(aLoad, aNow);
+  }
+}
+
+void
+DirectRouter::OnEnded(const PlacedAttempt& aAttempt,
+                      AttemptOutcome aOutcome,
+                      Millis aNow)
+{
+  const auto tracked = mTracked.find(aAttempt.mUpstream);
+  if (tracked != mTracked.end()) {
+    tracked->second.mWork.OnEnded(aAttempt.mWork, aAttempt.mStarted);
+    if (!tracked->second.mListed && tracked->second.mWork.Open() == 0) {
+      mTracked.erase(tracked);
+    }
+  }
+  if (aOutcome == AttemptOutcome::Good ||
+      aOutcome == AttemptOutcome::Withdrawn) {
+    return;
+  }
+  mOutliers.OnFailure(aAttempt.mUpstream, aNow);
+}
+
+OutlierState
+DirectRouter::StateOf(const UpstreamId& aUpstream, Millis aNow) const
+{
+  return mOutliers.State(aUpstream, aNow);
+}
+
+std::string
+DirectRouter::DumpState(Millis aNow) const
+{
+  nlohmann::json dump;
+  dump["policy_version"] = mIndex ? mIndex->Version() : 0;
+  dump["policy_age_ms"] = mPolicyFreshness.Age(aNow).Count();
+  nlohmann::json& upstreams = dump["upstreams"] = nlohmann::json::object();
+  for (const auto& [id, tracked] : mTracked) {
+    const ListedUpstream* listed = mDirectory.Find(id);
+    nlohmann::json& each = upstreams[id];
+    each["service"] = tracked.mService;
+    each["listed"] = tracked.mListed;
+    each["leaving"] = listed != nullptr && listed->mLeaving;
+    each["open"] = tracked.mWork.Open();
+    each["busy"] = tracked.mWork.Busy(aNow);
+    each["silent_ms"] = tracked.mWork.Silence(aNow).Count();
+    each["outlier"] =
+      mOutliers.State(id, aNow) != OutlierState::Healthy;
+  }
+  return dump.dump();
+}
+
+const std::string&
+DirectRouter::ServiceFor(const Route& aRoute)
+{
+  uint64_t total = 0;
+  for (const WeightedTarget& target : aRoute.mTargets) {
+    total += target.mWeight;
+  }
+  if (total == 0) {
+    return aRoute.mTargets.front().mService;
+  }
+  uint64_t pick = std::uniform_int_distribution<uint64_t>(0, total - 1)(mRandom);
+  for (const WeightedTarget& target : aRoute.mTargets) {
+    if (pick < target.mWeight) {
+      return target.mService;
+    }
+    pick -= target.mWeight;
+  }
+  return aRoute.mTargets.back().mService;
+}
+
+DirectRouter::Candidates
+DirectRouter::CandidatesFor(const BoundRequest& aRequest,
+                            const std::set<UpstreamId>& aTried,
+                            Millis aNow)
+{
+  const bool repeatable = aRequest.mRoute->mRepeat != RepeatRule::AtMostOnce;
+  const uint32_t most = ConnectionsFor(aRequest);
+  Candidates healthy;
+  Candidates others;
+  for (const ListedUpstream* each : mDirectory.OfService(aRequest.mService)) {
+    if (each->mLeaving || aTried.contains(each->mId)) {
+      continue;
+    }
+    const UpstreamWork& work = mTracked[each->mId].mWork;
+    if (work.Open() >= most) {
+      continue;
+    }
+    const PlacementCandidate candidate{ .mListed = each, .mWork = &work };
+    const OutlierState state = mOutliers.State(each->mId, aNow);
+    if (state == OutlierState::Trial && repeatable && work.Open() == 0) {
+      return { candidate };
+    }
+    (state == OutlierState::Healthy ? healthy : others).push_back(candidate);
+  }
+  return healthy.empty() ? others : healthy;
+}
+
+uint32_t
+DirectRouter::ConnectionsFor(const BoundRequest& aRequest) const
+{
+  const RoutedService* service =
+    aRequest.mIndex->ServiceNamed(aRequest.mService);
+  const uint32_t all = service == nullptr ? RoutedService{}.mMostConnections
+                                          : service->mMostConnections;
+  return std::max(1U, all / mOptions.mConnectionShare);
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/directrouter.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "errors.h"
+#include "freshness.h"
+#include "outlierdetector.h"
+#include "prompt.h"
+#include "retrybudget.h"
+#include "routeindex.h"
+#include "upstreamdirectory.h"
+#include "workplacement.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace trefoilarch {
+
+/** How a DirectRouter decides; times in milliseconds. */
+struct DirectRouterOptions
+{
+  std::string mDataCentre;
+  /** A keyed request is taken only while the policy was confirmed within
+   * this span: a key that was revoked is honoured no longer than that. */
+  Millis mKeySpan{ 4500 };
+  /** Without a confirmation for this long, an unknown route or key is not
+   * called unknown: the policy may have been changed. */
+  Millis mPolicySpan{ 3000 };
+  /** An upstream's connections are shared among entries; this entry takes
+   * one in so many at the most. */
+  uint32_t mConnectionShare = 6;
+  RetryBudgetOptions mRetries{ .mPercent = 15, .mFirst = 2, .mMost = 5 };
+  OutlierOptions mOutliers{ .mFailuresInRow = 3,
+                            .mFailureShare = 0.3,
+                            .mLeastResults = 10,
+                            .mSlowFactor = 4,
+                            .mSlowMargin = Millis(400),
+                            .mFirstEjection = Millis(1500),
+                            .mLongestEjection = Millis(6000),
+                            .mMostEjected = 0.5 };
+  uint64_t mSeed = 1;
+};
+
+/** What a caller's request says of itself; views into the request. */
+struct RequestFacts
+{
+  std::string_view mHost;
+  std::string_view mPath;
+  std::string mKey;
+  /** When its first byte came. */
+  Millis mArrived;
+  /** How long the caller will wait, from its arrival. */
+  std::optional<Millis> mPatience;
+  PromptShape mPrompt;
+};
+
+/** A request with what the policy gives it. It keeps its policy alive. */
+struct BoundRequest
+{
+  std::shared_ptr<const RouteIndex> mIndex;
+  const Route* mRoute = nullptr;
+  std::string mService;
+  /** Empty on a public route. */
+  std::string mWorkspace;
+  std::string mKey;
+  uint8_t mPriority = 0;
+  PromptShape mPrompt;
+  Millis mArrived;
+  /** The caller's deadline or the route's timeout, whichever is first. */
+  Millis mEnd;
+};
+
+/** An attempt at an upstream, to be handed back when it ends. */
+struct PlacedAttempt
+{
+  UpstreamId mUpstream;
+  std::string mService;
+  std::string mAddress;
+  AttemptWork mWork;
+  Millis mSentAt;
+  bool mStarted = false;
+};
+
+/** How an attempt ended. */
+enum class AttemptOutcome : uint8_t
+{
+  Good,        /**< a whole answer */
+  Refused,     /**< the upstream said that it did not run */
+  Failed,      /**< the upstream answered with a failure of its own */
+  Unreachable, /**< no connection; nothing was sent */
+  Broken,      /**< the connection broke, or what came was no answer */
+  Withdrawn,   /**< we ended it: the caller left or the time was up */
+};
+
+/**
+ * All of an entry's decisions about requests that go straight to upstreams:
+ * which route, workspace and upstream, how fresh the policy has to be, and
+ * what may be tried again. Single-threaded and free of I/O.
+ */
+class DirectRouter
+{
+public:
+  explicit DirectRouter(DirectRouterOptions aOptions);
+
+  /** Takes a policy; an older version than the current one is ignored. */
+  bool SetPolicy(std::shared_ptr<const RoutePolicy> aPolicy);
+  /** The current policy was the newest at that instant. */
+  void ConfirmPolicy(Millis aAt) { mPolicyFreshness.Confirm(aAt); }
+  /** Null before the first. */
+  const std::shared_ptr<const RouteIndex>& Index() const { return mIndex; }
+  const Freshness& PolicyFreshness() const { return mPolicyFreshness; }
+
+  UpstreamDirectory& Directory() { return mDirectory; }
+  const UpstreamDirectory& Directory() const { return mDirectory; }
+  /** To be called after each change of the directory. */
+  void OnDirectoryChanged();
+
+  /**
+   * Fails with PolicyUnknown, PolicyStale, UnknownRoute, BadToken or
+   * DeadlineExceeded.
+   */
+  Result<BoundRequest> Bind(const RequestFacts& aFacts, Millis aNow);
+
+  /** Whether its key may still be honoured; to be asked before each send. */
+  bool StillAllowed(const BoundRequest& aRequest, Millis aNow) const;
+
+  /** Chooses an upstream and counts the attempt, or says there is none. */
+  std::optional<PlacedAttempt> Place(const BoundRequest& aRequest,
+                                     const std::set<UpstreamId>& aTried,
+                                     Millis aNow);
+
+  /** Takes a second attempt from the service's budget. */
+  bool TakeRetry(const std::string& aService);
+  /** A service's retries that are left. */
+  double RetriesLeft(const std::string& aService) const;
+
+  /** Any byte came. */
+  void OnHeard(const PlacedAttempt& aAttempt, Millis aNow);
+  /** The first byte of the answer's content came. */
+  void OnStarted(PlacedAttempt& aAttempt, Millis aNow);
+  void OnReport(const UpstreamId& aUpstream,
+                const ReportedLoad& aLoad,
+                Millis aNow);
+  void OnEnded(const PlacedAttempt& aAttempt,
+               AttemptOutcome aOutcome,
+               Millis aNow);
+
+  uint64_t Ejections() const { return mOutliers.Ejections(); }
+  OutlierState StateOf(const UpstreamId& aUpstream, Millis aNow) const;
+  /** Open attempts and the belief about each upstream, as JSON text. */
+  std::string DumpState(Millis aNow) const;
+
+private:
+  struct Tracked
+  {
+    std::string mService;
+    UpstreamWork mWork;
+    bool mListed = false;
+  };
+  using Candidates = std::vector<PlacementCandidate>;
+
+  const std::string& ServiceFor(const Route& aRoute);
+  Candidates CandidatesFor(const BoundRequest& aRequest,
+                           const std::set<UpstreamId>& aTried,
+                           Millis aNow);
+  uint32_t ConnectionsFor(const BoundRequest& aRequest) const;
+
+  DirectRouterOptions mOptions;
+  std::shared_ptr<const RouteIndex> mIndex;
+  Freshness mPolicyFreshness;
+  UpstreamDirectory mDirectory;
+  std::unordered_map<UpstreamId, Tracked> mTracked;
+  OutlierDetector mOutliers;
+  WorkPlacement mPlacement;
+  RetryBudget mRetries;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/entryimpl.cpp
+++ b/src/libtrefoilarch/entryimpl.cpp
@@ -12,7 +12,7 @@
   , mRandom(mOptions.mSeed)
   , mPlacement({ .mDataCentre = mOptions.mDataCentre, .mSeed = mOptions.mSeed })
   , mOutliers({})
-  , mRetryBudget(mOptions.mRetryPercent)
+  , mRetryBudget({ .mPercent = mOptions.mRetryPercent })
 {
 }
 
--- a/src/libtrefoilarch/errors.cpp
+++ b/src/libtrefoilarch/errors.cpp
@@ -16,6 +16,8 @@
   ErrorAnswer{ ErrorKind::UnknownClass, "unknown_class", 400, false },
   ErrorAnswer{ ErrorKind::ClassNotAllowed, "class_not_allowed", 403, false },
   ErrorAnswer{ ErrorKind::UnknownModel, "unknown_model", 404, false },
+  ErrorAnswer{ ErrorKind::UnknownRoute, "unknown_route", 404, false },
+  ErrorAnswer{ ErrorKind::PolicyStale, "policy_stale", 503, true },
   ErrorAnswer{ ErrorKind::UnknownService, "unknown_service", 404, false },
   ErrorAnswer{ ErrorKind::NoEligibleUpstream,
                "no_eligible_upstream",
--- a/src/libtrefoilarch/errors.h
+++ b/src/libtrefoilarch/errors.h
@@ -22,6 +22,8 @@
   UnknownClass,
   ClassNotAllowed,
   UnknownModel,
+  UnknownRoute,
+  PolicyStale,
   UnknownService,
   NoEligibleUpstream,
   NotReady,
--- /dev/null
+++ b/src/libtrefoilarch/prefixmemory.cpp
@@ -0,0 +1,85 @@
+#include "prefixmemory.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace trefoilarch {
+
+namespace {
+
+/** The share of parts that stays when there are too many. */
+constexpr double kKeptShare = 0.75;
+
+} // namespace
+
+PrefixMemory::PrefixMemory(PrefixMemoryOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+PrefixMemory::OnSent(const UpstreamId& aUpstream,
+                     const PromptShape& aPrompt,
+                     Millis aNow)
+{
+  if (aPrompt.mParts.empty()) {
+    return;
+  }
+  Parts& parts = mHeld[aUpstream];
+  for (const PromptPart& part : aPrompt.mParts) {
+    parts[part.mId] = aNow;
+  }
+  if (parts.size() > mOptions.mMostParts) {
+    Trim(parts, aNow);
+  }
+}
+
+void
+PrefixMemory::Forget(const UpstreamId& aUpstream)
+{
+  mHeld.erase(aUpstream);
+}
+
+uint32_t
+PrefixMemory::Held(const UpstreamId& aUpstream,
+                   const PromptShape& aPrompt,
+                   Millis aNow) const
+{
+  const auto parts = mHeld.find(aUpstream);
+  if (parts == mHeld.end()) {
+    return 0;
+  }
+  uint32_t held = 0;
+  for (const PromptPart& part : aPrompt.mParts) {
+    const auto place = parts->second.find(part.mId);
+    if (place == parts->second.end() || aNow - place->second > mOptions.mSpan) {
+      break;
+    }
+    held += part.mTokens;
+  }
+  return held;
+}
+
+void
+PrefixMemory::Trim(Parts& aParts, Millis aNow) const
+{
+  std::erase_if(aParts, [&](const auto& aPart) {
+    return aNow - aPart.second > mOptions.mSpan;
+  });
+  const auto kept = static_cast<size_t>(
+    kKeptShare * static_cast<double>(mOptions.mMostParts));
+  if (aParts.size() <= kept) {
+    return;
+  }
+  std::vector<Millis> used;
+  used.reserve(aParts.size());
+  for (const auto& [id, at] : aParts) {
+    used.push_back(at);
+  }
+  const auto oldest = used.end() - static_cast<std::ptrdiff_t>(kept);
+  std::nth_element(used.begin(), oldest, used.end());
+  std::erase_if(aParts,
+                [&](const auto& aPart) { return aPart.second < *oldest; });
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/prompt.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace trefoilarch {
+
+/** A part of a prompt that other requests may share. */
+struct PromptPart
+{
+  uint64_t mId = 0;
+  uint32_t mTokens = 0;
+
+  bool operator==(const PromptPart&) const = default;
+};
+
+/** What a caller says of its prompt and of the answer it expects. */
+struct PromptShape
+{
+  std::string mModel;
+  uint32_t mPromptTokens = 0;
+  /** The most that the answer may have; 0: not told. */
+  uint32_t mMostOutput = 0;
+  /** The caller's guess, right in the median and often far off; 0: none. */
+  uint32_t mLikelyOutput = 0;
+  /** In the prompt's order; the last belongs to the session. */
+  std::vector<PromptPart> mParts;
+
+  bool operator==(const PromptShape&) const = default;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/retrybudget.cpp
+++ b/src/libtrefoilarch/retrybudget.cpp
@@ -6,32 +6,26 @@
 
 namespace {
 
-/** What a class starts with, so that a quiet one can retry at all. */
-constexpr double kFirstRetries = 3;
-
-/** What a class can save up; bounds the retries of one bad moment. */
-constexpr double kMostRetries = 20;
-
 constexpr double kHundred = 100;
 
 } // namespace
 
-RetryBudget::RetryBudget(double aPercent)
-  : mShare(aPercent / kHundred)
+RetryBudget::RetryBudget(RetryBudgetOptions aOptions)
+  : mOptions(aOptions)
 {
 }
 
 void
 RetryBudget::OnFirstAttempt(const std::string& aClass)
 {
-  double& left = mLeft.try_emplace(aClass, kFirstRetries).first->second;
-  left = std::min(left + mShare, kMostRetries);
+  double& left = mLeft.try_emplace(aClass, mOptions.mFirst).first->second;
+  left = std::min(left + mOptions.mPercent / kHundred, mOptions.mMost);
 }
 
 bool
 RetryBudget::TakeRetry(const std::string& aClass)
 {
-  double& left = mLeft.try_emplace(aClass, kFirstRetries).first->second;
+  double& left = mLeft.try_emplace(aClass, mOptions.mFirst).first->second;
   if (left < 1) {
     return false;
   }
@@ -43,7 +37,7 @@
 RetryBudget::Left(const std::string& aClass) const
 {
   const auto place = mLeft.find(aClass);
-  return place == mLeft.end() ? kFirstRetries : place->second;
+  return place == mLeft.end() ? mOptions.mFirst : place->second;
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/retrybudget.h
+++ b/src/libtrefoilarch/retrybudget.h
@@ -5,6 +5,17 @@
 
 namespace trefoilarch {
 
+/** How many retries a RetryBudget allows. */
+struct RetryBudgetOptions
+{
+  /** Retries for each hundred first attempts. */
+  double mPercent = 10;
+  /** What a class starts with, so that a quiet one can retry at all. */
+  double mFirst = 3;
+  /** What a class can save up; bounds the retries of one bad moment. */
+  double mMost = 20;
+};
+
 /**
  * Bounds retries to a share of first attempts, class by class, so that
  * retries cannot multiply the load when many upstreams fail at once.
@@ -12,8 +23,7 @@
 class RetryBudget
 {
 public:
-  /** Retries for each hundred first attempts. */
-  explicit RetryBudget(double aPercent);
+  explicit RetryBudget(RetryBudgetOptions aOptions);
 
   /** A request of the class was tried for the first time. */
   void OnFirstAttempt(const std::string& aClass);
@@ -23,7 +33,7 @@
   double Left(const std::string& aClass) const;
 
 private:
-  double mShare;
+  RetryBudgetOptions mOptions;
   std::unordered_map<std::string, double> mLeft;
 };
 
--- /dev/null
+++ b/src/libtrefoilarch/upstreamdirectory.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "ids.h"
+#include "millis.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace trefoilarch {
+
+/** An upstream as the platform lists it. */
+struct ListedUpstream
+{
+  UpstreamId mId; /**< one start of one process; never used again */
+  std::string mService;
+  std::string mAddress; /**< IP and port; another upstream may get it later */
+  std::string mDataCentre;
+  uint32_t mSlots = 1;
+  bool mLeaving = false;
+  /** How much longer it is slow after its start. */
+  Millis mColdFor;
+
+  bool operator==(const ListedUpstream&) const = default;
+};
+
+/** How the directory treats a list that may have lapsed. */
+struct DirectoryOptions
+{
+  /** Entries that went while the list was away are kept for this long after
+   * its return: living upstreams are listed again within two seconds. */
+  Millis mHoldSpan{ 2000 };
+};
+
+/**
+ * The upstreams that exist, as last told by the platform's list. An upstream
+ * that is missing is gone at once while the list is sound. One that went
+ * missing while the list could not be reached is kept until it has had the
+ * time to come back.
+ */
+class UpstreamDirectory
+{
+public:
+  explicit UpstreamDirectory(DirectoryOptions aOptions = {});
+
+  void Put(ListedUpstream aUpstream);
+  void Remove(const UpstreamId& aId, Millis aNow);
+  /** The whole list; what is not in it is removed. */
+  void ReplaceAll(std::vector<ListedUpstream> aAll, Millis aNow);
+
+  /** The list can't be read. */
+  void OnListLost();
+  /** It can be read again. */
+  void OnListBack(Millis aNow);
+
+  /** Drops what was kept long enough; true where that changed anything. */
+  bool Expire(Millis aNow);
+  /** When Expire() is next due. */
+  Millis NextExpiry() const;
+
+  const ListedUpstream* Find(const UpstreamId& aId) const;
+  /** Sorted by id, leaving ones included. */
+  const std::vector<const ListedUpstream*>& OfService(
+    const std::string& aService) const;
+  const std::map<UpstreamId, ListedUpstream>& All() const { return mAll; }
+
+private:
+  void Drop(const UpstreamId& aId);
+  void Rebuild();
+
+  DirectoryOptions mOptions;
+  std::map<UpstreamId, ListedUpstream> mAll;
+  std::unordered_map<std::string, std::vector<const ListedUpstream*>>
+    mByService;
+  /** Missing from the list, and when they count as gone. */
+  std::map<UpstreamId, Millis> mMissing;
+  bool mLost = false;
+  std::optional<Millis> mBackAt;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -0,0 +1,382 @@
+#include "callerconnection.h"
+
+#include "bootclock.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace trefoilgate {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using trefoilarch::Millis;
+
+namespace {
+
+constexpr size_t kReadBytes = 8192;
+
+/** What a caller may send ahead while its request is served. */
+constexpr size_t kMostReadAhead = 65536;
+
+/** How long a caller may take for a body; generous, as phones are slow. */
+constexpr Millis kBodySpan{ 15000 };
+
+/** Added to the idle limit, so that a caller that keeps the limit is never
+ * the one to lose the race. */
+constexpr Millis kIdleMargin{ 1000 };
+
+constexpr int kBadRequest = 400;
+constexpr int kTimedOut = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+
+void
+AppendHead(std::string& aOut, const AnswerHeadOut& aHead, bool aKeep)
+{
+  aOut += "HTTP/1.1 ";
+  aOut += std::to_string(aHead.mStatus);
+  aOut += ' ';
+  aOut += aHead.mReason.empty()
+            ? std::string(http::obsolete_reason(
+                http::int_to_status(static_cast<unsigned>(aHead.mStatus))))
+            : aHead.mReason;
+  aOut += "\r\n";
+  for (const auto& [name, value] : aHead.mHeaders) {
+    AppendField(aOut, name, value);
+  }
+  if (aHead.mLength) {
+    AppendField(aOut, "Content-Length", std::to_string(*aHead.mLength));
+  } else if (!aHead.mNoBody) {
+    AppendField(aOut, "Transfer-Encoding", "chunked");
+  }
+  if (!aKeep) {
+    AppendField(aOut, "Connection", "close");
+  }
+  aOut += "\r\n";
+}
+
+int
+StatusFor(const boost::system::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return kHeadersTooLarge;
+  }
+  return aError == http::error::body_limit ? kTooLarge : kBadRequest;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket aSocket,
+                                   const CallerHooks& aHooks)
+  : mSocket(std::move(aSocket))
+  , mHooks(aHooks)
+  , mSince(BootNow())
+{
+}
+
+void
+CallerConnection::Start()
+{
+  NewParser();
+  Read();
+}
+
+bool
+CallerConnection::Idle() const
+{
+  return mState == State::Reading && mBuffer.size() == 0 &&
+         (!mParser || !mParser->got_some());
+}
+
+void
+CallerConnection::CheckTimes(Millis aNow)
+{
+  if (mState != State::Reading) {
+    return;
+  }
+  const Millis span = aNow - mSince;
+  if (Idle()) {
+    if (span >= mLimits.mIdleTimeout + kIdleMargin) {
+      Close();
+    }
+    return;
+  }
+  const Millis most = mHeadChecked ? kBodySpan : mLimits.mHeaderTimeout;
+  if (span >= most) {
+    Reject(kTimedOut, "request not sent in time");
+  }
+}
+
+void
+CallerConnection::Close()
+{
+  if (mState == State::Closed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const bool serving = mState == State::Serving;
+  mState = State::Closed;
+  Error ignored;
+  mSocket.close(ignored);
+  const auto left = std::exchange(mOnLeft, nullptr);
+  mOnDrained = nullptr;
+  if (serving && left) {
+    left();
+  }
+  mHooks.mOnClosed(this);
+}
+
+void
+CallerConnection::NewParser()
+{
+  mLimits = mHooks.mLimits();
+  mParser.emplace();
+  mParser->eager(true);
+  mParser->header_limit(mLimits.mMostHeaderBytes);
+  mParser->body_limit(mLimits.mMostBodyBytes);
+  mHeadChecked = false;
+  mSince = BootNow();
+}
+
+void
+CallerConnection::Read()
+{
+  if (mReadPending || mState == State::Closed) {
+    return;
+  }
+  mReadPending = true;
+  mSocket.async_read_some(
+    mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](const Error& aError, size_t aBytes) {
+      self->mReadPending = false;
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+CallerConnection::OnRead(const Error& aError, size_t aBytes)
+{
+  if (mState == State::Closed) {
+    return;
+  }
+  if (aError) {
+    if (mState != State::Closing) {
+      Close();
+    }
+    return;
+  }
+  if (Idle()) {
+    mSince = BootNow();
+  }
+  mBuffer.commit(aBytes);
+  if (mState == State::Reading) {
+    Parse();
+  }
+  if (mBuffer.size() < kMostReadAhead) {
+    Read();
+  }
+}
+
+void
+CallerConnection::Parse()
+{
+  const auto self = shared_from_this();
+  while (mState == State::Reading && mBuffer.size() > 0) {
+    Error error;
+    const size_t used = mParser->put(mBuffer.data(), error);
+    mBuffer.consume(used);
+    if (error && error != http::error::need_more) {
+      Reject(StatusFor(error), "malformed request");
+      return;
+    }
+    if (mParser->is_header_done() && !mHeadChecked && !CheckHead()) {
+      return;
+    }
+    if (mParser->is_done()) {
+      Dispatch();
+      return;
+    }
+    if (error) {
+      return;
+    }
+  }
+}
+
+bool
+CallerConnection::CheckHead()
+{
+  mHeadChecked = true;
+  const auto& message = mParser->get();
+  const auto coding = message.find(http::field::transfer_encoding);
+  if (coding != message.end() &&
+      !boost::beast::iequals(coding->value(), "chunked")) {
+    Reject(kBadRequest, "unknown transfer coding");
+    return false;
+  }
+  if (message.count(http::field::host) != 1 || message.version() != 11) {
+    Reject(kBadRequest, "no single host, or another version");
+    return false;
+  }
+  const bool expects =
+    boost::beast::iequals(message[http::field::expect], "100-continue");
+  if (expects && !mParser->is_done()) {
+    mOut += "HTTP/1.1 100 Continue\r\n\r\n";
+    Write();
+  }
+  return true;
+}
+
+void
+CallerConnection::Dispatch()
+{
+  auto message = mParser->release();
+  mKeepAlive = message.keep_alive();
+  CallerRequest request{ .mMethod = std::string(message.method_string()),
+                         .mTarget = std::string(message.target()),
+                         .mHost = std::string(message[http::field::host]),
+                         .mHeaders = EndToEnd(message),
+                         .mHasBody = message.has_content_length() ||
+                                     message.chunked(),
+                         .mArrived = mSince };
+  request.mBody = std::make_shared<const std::string>(std::move(message.body()));
+  mState = State::Serving;
+  mParser.reset();
+  mHooks.mOnRequest(shared_from_this(), std::move(request));
+}
+
+void
+CallerConnection::Reject(int aStatus, const char* aWhy)
+{
+  mHooks.mOnRejected(aStatus, aWhy);
+  mKeepAlive = false;
+  mState = State::Serving;
+  Answer({ .mStatus = aStatus,
+           .mHeaders = { { "Content-Type", "text/plain" } } },
+         aWhy);
+}
+
+void
+CallerConnection::BeginAnswer(const AnswerHeadOut& aHead)
+{
+  mNoBody = aHead.mNoBody;
+  mChunked = !aHead.mLength && !aHead.mNoBody;
+  mKeepAlive = Keep();
+  AppendHead(mOut, aHead, mKeepAlive);
+}
+
+void
+CallerConnection::WriteAnswer(std::string_view aData)
+{
+  if (mState != State::Serving || aData.empty() || mNoBody) {
+    return;
+  }
+  if (mChunked) {
+    std::array<char, 2 * sizeof(size_t)> digits{};
+    constexpr int kHexadecimal = 16;
+    const auto end = std::to_chars(digits.data(),
+                                   digits.data() + digits.size(),
+                                   aData.size(),
+                                   kHexadecimal);
+    mOut.append(digits.data(), end.ptr);
+    mOut += "\r\n";
+    mOut += aData;
+    mOut += "\r\n";
+  } else {
+    mOut += aData;
+  }
+  Write();
+}
+
+void
+CallerConnection::EndAnswer()
+{
+  if (mState != State::Serving) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (mChunked) {
+    mOut += "0\r\n\r\n";
+  }
+  mOnLeft = nullptr;
+  mOnDrained = nullptr;
+  mState = mKeepAlive ? State::Reading : State::Closing;
+  Write();
+  if (mState != State::Reading) {
+    return;
+  }
+  NewParser();
+  Parse();
+  Read();
+}
+
+void
+CallerConnection::Answer(AnswerHeadOut aHead, std::string_view aBody)
+{
+  if (mState != State::Serving) {
+    return;
+  }
+  if (!aHead.mLength) {
+    aHead.mLength = aBody.size();
+  }
+  BeginAnswer(aHead);
+  if (!mNoBody) {
+    mOut += aBody;
+  }
+  EndAnswer();
+}
+
+void
+CallerConnection::CutAnswer()
+{
+  mOnLeft = nullptr;
+  Close();
+}
+
+void
+CallerConnection::Write()
+{
+  if (!mWriting.empty() || mOut.empty() || mState == State::Closed) {
+    return;
+  }
+  mWriting.swap(mOut);
+  asio::async_write(
+    mSocket,
+    asio::buffer(mWriting),
+    [self = shared_from_this()](const Error& aError, size_t) {
+      self->OnWritten(aError);
+    });
+}
+
+void
+CallerConnection::OnWritten(const Error& aError)
+{
+  mWriting.clear();
+  if (mState == State::Closed) {
+    return;
+  }
+  if (aError) {
+    Close();
+    return;
+  }
+  if (!mOut.empty()) {
+    Write();
+    return;
+  }
+  if (mState == State::Closing) {
+    // The other side reads to the end before the connection goes.
+    Error ignored;
+    mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    Close();
+    return;
+  }
+  if (mOnDrained) {
+    const auto drained = mOnDrained;
+    drained();
+  }
+}
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/callerlistener.cpp
@@ -0,0 +1,131 @@
+#include "callerlistener.h"
+
+#include "connectionpool.h"
+
+#include <chrono>
+#include <vector>
+
+namespace trefoilgate {
+
+namespace asio = boost::asio;
+using trefoilarch::Millis;
+
+namespace {
+
+/** The queue of callers that are not accepted yet. */
+constexpr int kBacklog = 1024;
+
+/** After a failure to accept, such as too many descriptors. */
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+
+/** A caller on a bad line may be silent for seconds. */
+constexpr SilenceOptions kCallerSilence{ .mUnacknowledged = Millis(8000),
+                                         .mProbeAfterSeconds = 5,
+                                         .mProbes = 3 };
+
+} // namespace
+
+CallerListener::CallerListener(asio::io_context& aLoop,
+                               ListenerOptions aOptions,
+                               CallerHooks aHooks)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mAcceptor(aLoop)
+  , mPause(aLoop)
+{
+  mHooks.mOnClosed = [this](CallerConnection* aConnection) {
+    mConnections.erase(aConnection);
+  };
+}
+
+void
+CallerListener::Open()
+{
+  const auto endpoint = EndpointOf(mOptions.mAddress);
+  mAcceptor.open(endpoint.protocol());
+  mAcceptor.set_option(asio::socket_base::reuse_address(true));
+  mAcceptor.bind(endpoint);
+  mAcceptor.listen(kBacklog);
+  Accept();
+}
+
+void
+CallerListener::Close()
+{
+  boost::system::error_code ignored;
+  mAcceptor.close(ignored);
+}
+
+void
+CallerListener::CheckTimes(Millis aNow)
+{
+  ForEach([aNow](CallerConnection& aEach) { aEach.CheckTimes(aNow); });
+}
+
+void
+CallerListener::CloseIdle()
+{
+  ForEach([](CallerConnection& aEach) {
+    if (aEach.Idle()) {
+      aEach.Close();
+    }
+  });
+}
+
+void
+CallerListener::CloseAll()
+{
+  ForEach([](CallerConnection& aEach) { aEach.Close(); });
+}
+
+void
+CallerListener::Accept()
+{
+  mAcceptor.async_accept([this](const boost::system::error_code& aError,
+                                asio::ip::tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      mPause.expires_after(kAcceptPause);
+      mPause.async_wait([this](const boost::system::error_code& aStopped) {
+        if (!aStopped) {
+          Accept();
+        }
+      });
+      return;
+    }
+    Add(std::move(aSocket));
+    Accept();
+  });
+}
+
+void
+CallerListener::Add(asio::ip::tcp::socket aSocket)
+{
+  if (mConnections.size() >= mOptions.mMostConnections) {
+    return;
+  }
+  SetOptions(aSocket, kCallerSilence);
+  const auto connection =
+    std::make_shared<CallerConnection>(std::move(aSocket), mHooks);
+  mConnections[connection.get()] = connection;
+  connection->Start();
+}
+
+template<typename Action>
+void
+CallerListener::ForEach(const Action& aAction)
+{
+  std::vector<std::shared_ptr<CallerConnection>> all;
+  all.reserve(mConnections.size());
+  for (const auto& [key, connection] : mConnections) {
+    all.push_back(connection);
+  }
+  for (const auto& connection : all) {
+    aAction(*connection);
+  }
+}
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/callerlistener.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "callerconnection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace trefoilgate {
+
+/** How a CallerListener treats its connections. */
+struct ListenerOptions
+{
+  /** `IP:PORT`. */
+  std::string mAddress;
+  /** More connections than these are closed at once. */
+  size_t mMostConnections = 3500;
+};
+
+/** Accepts callers and keeps their connections. */
+class CallerListener
+{
+public:
+  /** aHooks.mOnClosed is set by the listener itself. */
+  CallerListener(boost::asio::io_context& aLoop,
+                 ListenerOptions aOptions,
+                 CallerHooks aHooks);
+
+  /** Throws boost::system::system_error where it can't listen. */
+  void Open();
+  void Close();
+
+  /** Closes connections that are idle or slow beyond the limits. */
+  void CheckTimes(trefoilarch::Millis aNow);
+  /** Closes the connections that have no request at present. */
+  void CloseIdle();
+  void CloseAll();
+
+  size_t Connections() const { return mConnections.size(); }
+  uint16_t Port() const { return mAcceptor.local_endpoint().port(); }
+
+private:
+  void Accept();
+  void Add(boost::asio::ip::tcp::socket aSocket);
+  template<typename Action>
+  void ForEach(const Action& aAction);
+
+  boost::asio::io_context& mLoop;
+  ListenerOptions mOptions;
+  CallerHooks mHooks;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mPause;
+  std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
+    mConnections;
+};
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/connectionpool.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "clientconnection.h"
+
+#include "libtrefoilarch/ids.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trefoilgate {
+
+/** How connections to upstreams are kept. */
+struct PoolOptions
+{
+  /** In a region a handshake takes milliseconds; an upstream that does not
+   * answer one is tried no longer. */
+  trefoilarch::Millis mConnectSpan{ 250 };
+  /** Closed by us this long before the upstream would: a request must not
+   * cross the upstream's close. */
+  trefoilarch::Millis mIdleMargin{ 1000 };
+  /** Kept where the upstream says nothing. */
+  trefoilarch::Millis mIdleSpan{ 15000 };
+  SilenceOptions mSilence{};
+};
+
+/** Kept-alive connections to upstreams, the newest used first. */
+class ConnectionPool
+{
+public:
+  using Connection = std::shared_ptr<ClientConnection>;
+
+  ConnectionPool(boost::asio::io_context& aLoop, PoolOptions aOptions);
+
+  /**
+   * Gives a connection to the upstream, or null where none can be made. May
+   * call back at once.
+   */
+  void Acquire(const trefoilarch::UpstreamId& aUpstream,
+               const std::string& aAddress,
+               std::function<void(Connection)> aDone);
+
+  /** Takes a connection back once its call has ended. */
+  void Release(const trefoilarch::UpstreamId& aUpstream,
+               const Connection& aConnection);
+
+  /** Lets the call's answer run out unread, then keeps the connection. */
+  static CallHandlers DiscardHandlers(
+    ConnectionPool& aPool,
+    const trefoilarch::UpstreamId& aUpstream,
+    const Connection& aConnection);
+
+  /** Closes what has been idle for too long, and all to upstreams that are
+   * not on the list any more. */
+  void Sweep(const std::function<bool(const trefoilarch::UpstreamId&)>& aListed,
+             trefoilarch::Millis aNow);
+  void CloseAll();
+
+  size_t IdleCount() const;
+  /** Connections made since the start. */
+  uint64_t Made() const { return mMade; }
+  uint64_t Failed() const { return mFailed; }
+
+private:
+  struct Kept
+  {
+    Connection mConnection;
+    trefoilarch::Millis mSince;
+  };
+
+  bool Expired(const Kept& aKept, trefoilarch::Millis aNow) const;
+  void Forget(const trefoilarch::UpstreamId& aUpstream,
+              const ClientConnection* aConnection);
+
+  boost::asio::io_context& mLoop;
+  PoolOptions mOptions;
+  std::map<trefoilarch::UpstreamId, std::vector<Kept>> mIdle;
+  uint64_t mMade = 0;
+  uint64_t mFailed = 0;
+};
+
+/** Reads `IP:PORT`; an unspecified endpoint where it is none. */
+boost::asio::ip::tcp::endpoint
+EndpointOf(const std::string& aAddress);
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/dialect.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "callerconnection.h"
+#include "upstreamanswer.h"
+
+#include "libtrefoilarch/directrouter.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace trefoilgate {
+
+/** What an entry sets on a request that goes to an upstream. */
+struct OutgoingMarks
+{
+  trefoilarch::UpstreamId mUpstream;
+  std::string mWorkspace;
+  uint8_t mPriority = 0;
+  trefoilarch::Millis mTimeLeft;
+  /** The last event that the caller has; empty at the first attempt. */
+  std::string mLastEvent;
+};
+
+/** How an upstream's answer is to be taken. */
+enum class AnswerMeaning : uint8_t
+{
+  Genuine,  /**< the upstream's answer to this request */
+  NotRun,   /**< the upstream did not run the request */
+  NotOurs,  /**< the answer to another request */
+  Unsealed, /**< a success that the upstream did not vouch for */
+};
+
+/**
+ * How callers and upstreams say what they say: header names and their
+ * meaning, for one kind of deployment. Hooks, so that the gateway knows no
+ * deployment's names.
+ */
+struct Dialect
+{
+  /** The caller's name for its request, for logs and for matching answers. */
+  std::function<std::string(const CallerRequest&)> mRequestId;
+  std::function<trefoilarch::RequestFacts(const CallerRequest&)> mFacts;
+  /** Headers of the request to an upstream: the caller's less those that the
+   * system sets itself, and the system's. */
+  std::function<Headers(const CallerRequest&, const OutgoingMarks&)> mOutgoing;
+  std::function<AnswerMeaning(const UpstreamAnswer&, const std::string& aId)>
+    mMeaning;
+  std::function<std::optional<trefoilarch::ReportedLoad>(const UpstreamAnswer&)>
+    mLoad;
+};
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/exchange.cpp
@@ -0,0 +1,489 @@
+#include "exchange.h"
+
+#include "bootclock.h"
+#include "decisionlog.h"
+#include "gatemetrics.h"
+
+#include <chrono>
+
+namespace trefoilgate {
+
+using namespace trefoilarch;
+
+namespace {
+
+/** An answer that is no stream is passed on whole up to this size, so that
+ * one that breaks off can still be asked for again. */
+constexpr size_t kMostBuffered = 65536;
+
+/** A caller that has this much untaken is slow: the upstream waits. */
+constexpr size_t kMostPending = 262144;
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kLeastFailure = 500;
+constexpr double kMillisPerSecond = 1000;
+
+std::string
+SecondsText(Millis aSpan)
+{
+  std::string text =
+    std::to_string(static_cast<double>(aSpan.Count()) / kMillisPerSecond);
+  text.resize(text.find('.') + 4);
+  return text;
+}
+
+} // namespace
+
+Exchange::Exchange(ExchangeContext& aContext,
+                   std::shared_ptr<CallerConnection> aCaller,
+                   CallerRequest aRequest,
+                   std::string aId,
+                   BoundRequest aBound)
+  : mContext(aContext)
+  , mCaller(std::move(aCaller))
+  , mRequest(std::move(aRequest))
+  , mId(std::move(aId))
+  , mPlan(aContext.mRouter, std::move(aBound))
+  , mTimer(aContext.mLoop)
+{
+}
+
+void
+Exchange::Start()
+{
+  const auto self = shared_from_this();
+  mCaller->OnLeft([self] { self->OnCallerLeft(); });
+  mCaller->OnDrained([self] {
+    if (self->mPaused && self->mConnection) {
+      self->mPaused = false;
+      self->mConnection->Resume();
+    }
+  });
+  const Millis left = mPlan.Request().mEnd - BootNow();
+  mTimer.expires_after(std::chrono::milliseconds(left.Count()));
+  mTimer.async_wait([self](const boost::system::error_code& aError) {
+    if (!aError) {
+      self->OnTimeUp();
+    }
+  });
+  Apply(mPlan.Begin(BootNow()));
+}
+
+void
+Exchange::Abandon()
+{
+  if (mDone) {
+    return;
+  }
+  EndAttempt(AttemptOutcome::Withdrawn);
+  DropConnection();
+  Cut(ErrorKind::ShuttingDown);
+}
+
+void
+Exchange::Apply(PlanStep aStep)
+{
+  if (auto* send = std::get_if<SendRequest>(&aStep)) {
+    SendTo(std::move(*send));
+  } else if (const auto* answer = std::get_if<AnswerRefusal>(&aStep)) {
+    Refuse(answer->mRefusal);
+  } else if (const auto* cut = std::get_if<CutAnswer>(&aStep)) {
+    Cut(cut->mKind);
+  }
+}
+
+void
+Exchange::SendTo(SendRequest aSend)
+{
+  mAttempt = std::move(aSend.mAttempt);
+  mAnswer.reset();
+  mAttemptNumber++;
+  mContext.mPool.Acquire(
+    mAttempt->mUpstream,
+    mAttempt->mAddress,
+    [self = shared_from_this(),
+     number = mAttemptNumber](const ConnectionPool::Connection& aConnection) {
+      self->OnConnection(number, aConnection);
+    });
+}
+
+void
+Exchange::OnConnection(uint64_t aAttempt,
+                       const ConnectionPool::Connection& aConnection)
+{
+  if (mDone || aAttempt != mAttemptNumber || !mAttempt) {
+    if (aConnection) {
+      aConnection->Close();
+    }
+    return;
+  }
+  const Millis now = BootNow();
+  if (!aConnection) {
+    LogAttempt("unreachable", "no connection");
+    EndAttempt(AttemptOutcome::Unreachable);
+    Apply(mPlan.OnUnreachable(now));
+    return;
+  }
+  mConnection = aConnection;
+  mPlan.OnSending();
+  mConnection->Send(MakeCall(mPlan.Request().mEnd - now), MakeHandlers());
+}
+
+OutgoingCall
+Exchange::MakeCall(Millis aTimeLeft) const
+{
+  const BoundRequest& bound = mPlan.Request();
+  const OutgoingMarks marks{ .mUpstream = mAttempt->mUpstream,
+                             .mWorkspace = bound.mWorkspace,
+                             .mPriority = bound.mPriority,
+                             .mTimeLeft = aTimeLeft,
+                             .mLastEvent = mEvents.LastId() };
+  std::string head = mRequest.mMethod + " " + mRequest.mTarget + " HTTP/1.1\r\n";
+  for (const auto& [name, value] :
+       mContext.mDialect.mOutgoing(mRequest, marks)) {
+    AppendField(head, name, value);
+  }
+  if (mRequest.mHasBody) {
+    AppendField(head, "Content-Length", std::to_string(mRequest.mBody->size()));
+  }
+  head += "\r\n";
+  return OutgoingCall{ .mHead = std::move(head),
+                       .mBody = mRequest.mBody,
+                       .mNoBody = mRequest.mMethod == "HEAD" };
+}
+
+CallHandlers
+Exchange::MakeHandlers()
+{
+  const auto self = shared_from_this();
+  return CallHandlers{
+    .mIsOurs =
+      [self](const UpstreamAnswer& aAnswer) {
+        return self->mContext.mDialect.mMeaning(aAnswer, self->mId) !=
+               AnswerMeaning::NotOurs;
+      },
+    .mOnHead =
+      [self](UpstreamAnswer aAnswer) { self->OnHead(std::move(aAnswer)); },
+    .mOnData = [self](std::string aData) { self->OnData(std::move(aData)); },
+    .mOnEnd = [self] { self->OnEnd(); },
+    .mOnBroken = [self](const std::string& aWhy) { self->OnBroken(aWhy); }
+  };
+}
+
+void
+Exchange::OnHead(UpstreamAnswer aAnswer)
+{
+  const Millis now = BootNow();
+  mContext.mRouter.OnHeard(*mAttempt, now);
+  if (const auto load = mContext.mDialect.mLoad(aAnswer)) {
+    mContext.mRouter.OnReport(mAttempt->mUpstream, *load, now);
+  }
+  const AnswerMeaning meaning = mContext.mDialect.mMeaning(aAnswer, mId);
+  if (meaning == AnswerMeaning::NotRun) {
+    LogAttempt("not_run", "status " + std::to_string(aAnswer.mStatus));
+    SetAside();
+    EndAttempt(AttemptOutcome::Refused);
+    Apply(mPlan.OnNotRun(now));
+    return;
+  }
+  if (meaning == AnswerMeaning::Unsealed) {
+    DropConnection();
+    OnBroken("a success without the upstream's seal");
+    return;
+  }
+  if (mBegun && aAnswer.mStatus >= kLeastFailure) {
+    DropConnection();
+    OnBroken("status " + std::to_string(aAnswer.mStatus) + " instead of events");
+    return;
+  }
+  PlanStep step = mPlan.OnHead(aAnswer.mStatus, now);
+  if (std::holds_alternative<SendRequest>(step)) {
+    LogAttempt("failed", "status " + std::to_string(aAnswer.mStatus));
+    SetAside();
+    EndAttempt(AttemptOutcome::Failed);
+    Apply(std::move(step));
+    return;
+  }
+  mAnswer = std::move(aAnswer);
+}
+
+void
+Exchange::OnData(std::string aData)
+{
+  const Millis now = BootNow();
+  mContext.mRouter.OnHeard(*mAttempt, now);
+  mContext.mRouter.OnStarted(*mAttempt, now);
+  if (mFirstByteAt == Millis(0)) {
+    mFirstByteAt = now;
+  }
+  if (mPlan.Request().mRoute->mStream && mAnswer->mStatus < kLeastFailure) {
+    PassData(mEvents.Add(aData));
+    return;
+  }
+  mBuffered += aData;
+  if (mBegun || mBuffered.size() > kMostBuffered) {
+    Flush();
+  }
+}
+
+void
+Exchange::PassData(const std::string& aData)
+{
+  if (mEvents.Gap()) {
+    DropConnection();
+    EndAttempt(AttemptOutcome::Broken);
+    Cut(ErrorKind::AnswerCut);
+    return;
+  }
+  if (aData.empty()) {
+    return;
+  }
+  if (!mBegun) {
+    BeginAnswer();
+  }
+  mCaller->WriteAnswer(aData);
+  if (mCaller->Pending() > kMostPending) {
+    mPaused = true;
+    mConnection->Pause();
+  }
+}
+
+void
+Exchange::Flush()
+{
+  if (!mBegun) {
+    BeginAnswer();
+  }
+  mCaller->WriteAnswer(mBuffered);
+  mBuffered.clear();
+  if (mCaller->Pending() > kMostPending) {
+    mPaused = true;
+    mConnection->Pause();
+  }
+}
+
+void
+Exchange::BeginAnswer()
+{
+  mBegun = true;
+  mPlan.OnAnswerBegun();
+  const int status = mAnswer->mStatus;
+  const bool noBody = mRequest.mMethod == "HEAD" || status == kNoContent ||
+                      status == kNotModified;
+  // A stream that may go on at another upstream has no length of its own.
+  const bool stream = CanGoOn();
+  mCaller->BeginAnswer(
+    { .mStatus = status,
+      .mReason = mAnswer->mReason,
+      .mHeaders = mAnswer->mHeaders,
+      .mLength = stream ? std::nullopt : mAnswer->mLength,
+      .mNoBody = noBody });
+}
+
+void
+Exchange::OnEnd()
+{
+  const Millis now = BootNow();
+  mContext.mRouter.OnStarted(*mAttempt, now);
+  const int status = mAnswer ? mAnswer->mStatus : 0;
+  mContext.mPool.Release(mAttempt->mUpstream, mConnection);
+  mConnection.reset();
+  EndAttempt(status < kLeastFailure ? AttemptOutcome::Good
+                                    : AttemptOutcome::Failed);
+  if (!mEvents.Rest().empty()) {
+    mCaller->WriteAnswer(mEvents.Rest());
+  }
+  if (mBegun) {
+    mCaller->WriteAnswer(mBuffered);
+    mCaller->EndAnswer();
+  } else {
+    const bool noBody = mRequest.mMethod == "HEAD" || status == kNoContent ||
+                        status == kNotModified;
+    const auto length =
+      noBody ? mAnswer->mLength : std::optional<uint64_t>(mBuffered.size());
+    mCaller->Answer({ .mStatus = status,
+                      .mReason = mAnswer->mReason,
+                      .mHeaders = mAnswer->mHeaders,
+                      .mLength = length,
+                      .mNoBody = noBody },
+                    mBuffered);
+  }
+  Close(status < kLeastFailure ? "served" : "upstream_failed", status);
+}
+
+void
+Exchange::OnBroken(const std::string& aWhy)
+{
+  LogAttempt("broken", aWhy);
+  mConnection.reset();
+  EndAttempt(AttemptOutcome::Broken);
+  mBuffered.clear();
+  const bool canGoOn = CanGoOn();
+  PlanStep step = mPlan.OnBroken(canGoOn, BootNow());
+  if (std::holds_alternative<SendRequest>(step)) {
+    mEvents.BeginNextRun();
+  }
+  Apply(std::move(step));
+}
+
+void
+Exchange::OnCallerLeft()
+{
+  if (mDone) {
+    return;
+  }
+  const Millis waited = BootNow() - mRequest.mArrived;
+  const bool late = mAttempt && !mAttempt->mStarted &&
+                    waited > mPlan.Request().mRoute->mFirstTokenTarget;
+  DropConnection();
+  EndAttempt(late ? AttemptOutcome::Broken : AttemptOutcome::Withdrawn);
+  Close("caller_left", 0);
+}
+
+void
+Exchange::OnTimeUp()
+{
+  if (mDone) {
+    return;
+  }
+  const bool late = mAttempt && !mAttempt->mStarted;
+  DropConnection();
+  EndAttempt(late ? AttemptOutcome::Broken : AttemptOutcome::Withdrawn);
+  Apply(mPlan.OnTimeUp(BootNow()));
+}
+
+void
+Exchange::Refuse(const Refusal& aRefusal)
+{
+  const ErrorAnswer& answer = AnswerFor(aRefusal.mKind);
+  mCaller->Answer(RefusalHead(aRefusal), RefusalBody(aRefusal));
+  mContext.mMetrics.OnRefusal(answer.mName);
+  Close(answer.mName.data(), answer.mHttpStatus);
+}
+
+void
+Exchange::Cut(ErrorKind aKind)
+{
+  mCaller->CutAnswer();
+  Close(Name(aKind).data(), 0);
+}
+
+void
+Exchange::EndAttempt(AttemptOutcome aOutcome)
+{
+  if (!mAttempt) {
+    return;
+  }
+  mContext.mRouter.OnEnded(*mAttempt, aOutcome, BootNow());
+  mContext.mMetrics.OnAttempt(aOutcome);
+  mAttempt.reset();
+}
+
+void
+Exchange::DropConnection()
+{
+  if (mConnection) {
+    mConnection->Close();
+    mConnection.reset();
+  }
+}
+
+void
+Exchange::SetAside()
+{
+  // The rest of the answer is read and dropped, and the connection kept.
+  mConnection->Replace(ConnectionPool::DiscardHandlers(
+    mContext.mPool, mAttempt->mUpstream, mConnection));
+  mConnection.reset();
+}
+
+void
+Exchange::Close(const char* aOutcome, int aStatus)
+{
+  if (mDone) {
+    return;
+  }
+  mDone = true;
+  mTimer.cancel();
+  const Millis now = BootNow();
+  const BoundRequest& bound = mPlan.Request();
+  const bool served = std::string_view(aOutcome) == "served";
+  const Millis firstByte =
+    mFirstByteAt == Millis(0) ? Millis(0) : mFirstByteAt - mRequest.mArrived;
+  mContext.mMetrics.OnRequest(
+    { .mRoute = bound.mRoute->mName,
+      .mOutcome = aOutcome,
+      .mFirstByte = firstByte,
+      .mTook = now - mRequest.mArrived });
+  mContext.mLog.Write(
+    served ? LineKind::Success : LineKind::Trouble,
+    "request_ended",
+    { { "id", mId },
+      { "outcome", aOutcome },
+      { "status", aStatus },
+      { "route", bound.mRoute->mName },
+      { "service", bound.mService },
+      { "workspace", bound.mWorkspace },
+      { "priority", bound.mPriority },
+      { "policy_version", bound.mIndex->Version() },
+      { "attempts", mPlan.Attempts() },
+      { "may_have_run", mPlan.MayHaveRun() },
+      { "events", mEvents.Events() },
+      { "first_byte_ms", firstByte.Count() },
+      { "took_ms", (now - mRequest.mArrived).Count() },
+      { "allowed_ms", (bound.mEnd - bound.mArrived).Count() } });
+  // The last reference may be the caller's hooks: end after they are gone.
+  const auto self = shared_from_this();
+  mCaller->OnLeft(nullptr);
+  mCaller->OnDrained(nullptr);
+  mContext.mOnEnded(this);
+}
+
+void
+Exchange::LogAttempt(const char* aWhat, const std::string& aWhy)
+{
+  const Millis now = BootNow();
+  mContext.mLog.Write(
+    LineKind::Trouble,
+    "attempt_ended",
+    { { "id", mId },
+      { "outcome", aWhat },
+      { "why", aWhy },
+      { "upstream", mAttempt ? mAttempt->mUpstream : "" },
+      { "address", mAttempt ? mAttempt->mAddress : "" },
+      { "attempt", mPlan.Attempts() },
+      { "after_ms", mAttempt ? (now - mAttempt->mSentAt).Count() : 0 },
+      { "started", mAttempt && mAttempt->mStarted },
+      { "retries_left",
+        mContext.mRouter.RetriesLeft(mPlan.Request().mService) } });
+}
+
+bool
+Exchange::CanGoOn() const
+{
+  return mPlan.Request().mRoute->mRepeat == RepeatRule::Resumable;
+}
+
+AnswerHeadOut
+RefusalHead(const Refusal& aRefusal)
+{
+  AnswerHeadOut head{ .mStatus = AnswerFor(aRefusal.mKind).mHttpStatus,
+                      .mHeaders = { { "Content-Type", "application/json" } } };
+  if (aRefusal.mRetryAfter > Millis(0)) {
+    head.mHeaders.emplace_back("Retry-After",
+                               SecondsText(aRefusal.mRetryAfter));
+  }
+  return head;
+}
+
+std::string
+RefusalBody(const Refusal& aRefusal)
+{
+  const nlohmann::ordered_json body = {
+    { "kind", Name(aRefusal.mKind) }, { "ran", Name(aRefusal.mRan) }
+  };
+  return body.dump();
+}
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -0,0 +1,125 @@
+#include "gatesettings.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace trefoilgate {
+
+using trefoilarch::Millis;
+using trefoilio::IntegerBetween;
+using trefoilio::NotEmpty;
+using trefoilio::NumericEndpoint;
+using trefoilio::SettingSpec;
+
+namespace {
+
+/** Taken off the time for which a revoked key may be honoured: for the way
+ * to the upstream, and for a host that stands still for a moment. */
+constexpr Millis kKeyMargin{ 500 };
+
+/** Taken off the time in which a process has to end. */
+constexpr Millis kStopMargin{ 300 };
+
+/** Entries that may share the burst of retries: a fleet's entries at most. */
+constexpr double kMostEntries = 24;
+
+constexpr double kMostBurst = 8;
+constexpr double kHundred = 100;
+
+/** The part of the allowed share of retries that is used: what is sent and
+ * lost on the way counts as well. */
+constexpr double kRetryPart = 0.75;
+
+std::function<std::string(const std::string&)>
+Share()
+{
+  return [](const std::string& aText) -> std::string {
+    double value = 0;
+    const char* end = aText.data() + aText.size();
+    const auto parsed = std::from_chars(aText.data(), end, value);
+    const bool fine = parsed.ec == std::errc() && parsed.ptr == end &&
+                      value >= 0 && value <= 1;
+    return fine ? "" : "a number from 0 to 1";
+  };
+}
+
+double
+NumberOf(const std::string& aText)
+{
+  double value = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  return value;
+}
+
+} // namespace
+
+std::vector<SettingSpec>
+GateSettingSpecs()
+{
+  constexpr int64_t kMostMillis = 3600L * 1000;
+  return {
+    { .mName = "name",
+      .mHelp = "name of this process, for logs",
+      .mRequired = true,
+      .mCheck = NotEmpty() },
+    { .mName = "data-centre",
+      .mHelp = "data centre this process stands in",
+      .mDefault = "local",
+      .mCheck = NotEmpty() },
+    { .mName = "listen",
+      .mHelp = "callers' HTTP port (ADDRESS:PORT)",
+      .mRequired = true,
+      .mCheck = NumericEndpoint() },
+    { .mName = "operator-listen",
+      .mHelp = "port for readiness, metrics and the state dump (ADDRESS:PORT)",
+      .mRequired = true,
+      .mCheck = NumericEndpoint() },
+    { .mName = "platform",
+      .mHelp = "the platform's store (ADDRESS:PORT)",
+      .mRequired = true,
+      .mCheck = NumericEndpoint() },
+    { .mName = "revoke-ms",
+      .mHelp = "a revoked key is honoured no longer than this (ms)",
+      .mDefault = "5000",
+      .mCheck = IntegerBetween(1000, kMostMillis) },
+    { .mName = "retry-share",
+      .mHelp = "retries that all entries together may make, as a share of "
+               "requests (0 to 1)",
+      .mDefault = "0.2",
+      .mCheck = Share() },
+    { .mName = "retry-slack",
+      .mHelp = "retries besides, of all entries together (a number)",
+      .mDefault = "50",
+      .mCheck = IntegerBetween(0, 100000) },
+    { .mName = "stop-seconds",
+      .mHelp = "how long a planned stop may take (s)",
+      .mDefault = "8",
+      .mCheck = IntegerBetween(1, 3600) },
+    { .mName = "most-descriptors",
+      .mHelp = "file descriptors that the process may use",
+      .mDefault = "4096",
+      .mCheck = IntegerBetween(64, 1 << 20) },
+  };
+}
+
+GateSettings
+ReadGateSettings(const trefoilio::Settings& aSettings)
+{
+  const double slack = static_cast<double>(aSettings.Integer("retry-slack"));
+  return GateSettings{
+    .mName = aSettings.Text("name"),
+    .mDataCentre = aSettings.Text("data-centre"),
+    .mListen = aSettings.Text("listen"),
+    .mOperatorListen = aSettings.Text("operator-listen"),
+    .mPlatform = aSettings.Text("platform"),
+    .mKeySpan = Millis(aSettings.Integer("revoke-ms")) - kKeyMargin,
+    .mRetryPercent =
+      NumberOf(aSettings.Text("retry-share")) * kRetryPart * kHundred,
+    .mRetryBurst = std::min(slack / kMostEntries, kMostBurst),
+    .mStopSpan = Millis(aSettings.Integer("stop-seconds") * 1000) - kStopMargin,
+    .mMostDescriptors =
+      static_cast<uint32_t>(aSettings.Integer("most-descriptors"))
+  };
+}
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/gatesettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "libtrefoilarch/millis.h"
+#include "libtrefoilio/settings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace trefoilgate {
+
+/** The settings of a gateway, checked. */
+struct GateSettings
+{
+  std::string mName;
+  std::string mDataCentre;
+  std::string mListen;
+  std::string mOperatorListen;
+  std::string mPlatform;
+  trefoilarch::Millis mKeySpan;
+  double mRetryPercent = 0;
+  double mRetryBurst = 0;
+  trefoilarch::Millis mStopSpan;
+  uint32_t mMostDescriptors = 0;
+
+  bool operator==(const GateSettings&) const = default;
+};
+
+/** Flags and environment variables of the gateway with their checks. */
+std::vector<trefoilio::SettingSpec>
+GateSettingSpecs();
+
+GateSettings
+ReadGateSettings(const trefoilio::Settings& aSettings);
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/gateway.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "callerlistener.h"
+#include "connectionpool.h"
+#include "decisionlog.h"
+#include "dialect.h"
+#include "exchange.h"
+#include "gatemetrics.h"
+#include "gatesettings.h"
+
+#include "libtrefoilarch/directrouter.h"
+#include "libtrefoilio/service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace trefoilgate {
+
+/** What a Gateway needs to be made. */
+struct GatewayOptions
+{
+  GateSettings mSettings;
+  Dialect mDialect;
+  /** Where the platform asks whether the process is ready. */
+  std::string mReadyPath = "/ready";
+  uint64_t mSeed = 1;
+};
+
+/**
+ * An entry that sends callers' requests straight to upstreams: listens,
+ * binds each request by the policy, and hands it to an Exchange. Everything
+ * runs on the one loop.
+ */
+class Gateway : public trefoilio::Service
+{
+public:
+  Gateway(boost::asio::io_context& aLoop, GatewayOptions aOptions);
+
+  void Start(trefoilio::Kernel& aKernel) override;
+  /** Cuts what is still open. */
+  void Stop() override;
+  std::string DumpState() const override;
+
+  /** Not ready any more; answers close their connections; what is in flight
+   * goes on. The loop ends when all is done or the time is up. */
+  void Drain();
+
+  /** A policy from its source; tells whether it was newer. */
+  bool SetPolicy(std::shared_ptr<const trefoilarch::RoutePolicy> aPolicy);
+  void ConfirmPolicy(trefoilarch::Millis aAt);
+  /** Changes the directory by the given action, and takes note. */
+  void ChangeDirectory(
+    const std::function<void(trefoilarch::UpstreamDirectory&)>& aChange);
+  /** The list has been read as a whole once. */
+  void SetListKnown() { mListKnown = true; }
+
+  DecisionLog& Log() { return mLog; }
+
+private:
+  using Millis = trefoilarch::Millis;
+
+  CallerHooks CallersHooks();
+  CallerHooks OperatorHooks();
+  void OnRequest(const std::shared_ptr<CallerConnection>& aCaller,
+                 CallerRequest aRequest);
+  void OnOperatorRequest(const std::shared_ptr<CallerConnection>& aCaller,
+                         const CallerRequest& aRequest);
+  void RefuseUnbound(const std::shared_ptr<CallerConnection>& aCaller,
+                     const CallerRequest& aRequest,
+                     const std::string& aId,
+                     const trefoilarch::Refusal& aRefusal);
+  /** Empty where requests can be served, else the reason. */
+  std::string NotReady() const;
+  void LogReadiness(const std::string& aReason);
+  std::string MetricsText();
+  void Tick();
+  void ContinueDrain();
+
+  boost::asio::io_context& mLoop;
+  GatewayOptions mOptions;
+  DecisionLog mLog;
+  GateMetrics mMetrics;
+  trefoilarch::DirectRouter mRouter;
+  ConnectionPool mPool;
+  ExchangeContext mContext;
+  CallerListener mCallers;
+  CallerListener mOperators;
+  boost::asio::steady_timer mTimer;
+  std::unordered_map<Exchange*, std::shared_ptr<Exchange>> mExchanges;
+  std::string mLastReason = "starting";
+  bool mListKnown = false;
+  bool mDraining = false;
+  Millis mDrainingSince;
+};
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/upstreamanswer.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "httpfields.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace trefoilgate {
+
+/** The head of an upstream's answer. */
+struct UpstreamAnswer
+{
+  int mStatus = 0;
+  std::string mReason;
+  /** End-to-end headers alone. */
+  Headers mHeaders;
+  std::optional<uint64_t> mLength;
+  /** How long the upstream keeps an idle connection, if it says so. */
+  std::optional<trefoilarch::Millis> mIdleSpan;
+};
+
+} // namespace trefoilgate
--- a/src/trefoilarchd/base64.h
+++ b/src/libtrefoilio/base64.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <string_view>
 
-namespace trefoilarch {
+namespace trefoilio {
 
-/** Standard base64 with padding (RFC 4648), by OpenSSL. */
+/** Standard base64 with padding (RFC 4648), by Boost's iterators. */
 std::string
 ToBase64(std::string_view aBytes);
 
@@ -14,4 +14,4 @@
 std::optional<std::string>
 FromBase64(std::string_view aText);
 
-} // namespace trefoilarch
+} // namespace trefoilio
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -1,6 +1,6 @@
 #include "platformclient.h"
 
-#include "base64.h"
+#include "libtrefoilio/base64.h"
 
 #include "libtrefoilio/httpclient.h"
 
@@ -33,7 +33,7 @@
 std::string
 BytesOf(const Json& aObject, const char* aName)
 {
-  return FromBase64(aObject.value(aName, "")).value_or("");
+  return trefoilio::FromBase64(aObject.value(aName, "")).value_or("");
 }
 
 std::vector<TableRow>
@@ -72,7 +72,7 @@
 {
   const bool create = aOne.mTarget == TableCondition::Target::CreateRevision;
   const bool equal = aOne.mRelation == TableCondition::Relation::Equal;
-  return { { "key", ToBase64(aOne.mKey) },
+  return { { "key", trefoilio::ToBase64(aOne.mKey) },
            { "target", create ? "CREATE" : "MOD" },
            { "result", equal ? "EQUAL" : "GREATER" },
            { create ? "create_revision" : "mod_revision",
@@ -90,15 +90,15 @@
   for (const auto& [key, value] : aOne.mPuts) {
     success.push_back(
       { { "request_put",
-          { { "key", ToBase64(key) }, { "value", ToBase64(value) } } } });
+          { { "key", trefoilio::ToBase64(key) }, { "value", trefoilio::ToBase64(value) } } } });
   }
   for (const std::string& key : aOne.mDeletes) {
     success.push_back(
-      { { "request_delete_range", { { "key", ToBase64(key) } } } });
+      { { "request_delete_range", { { "key", trefoilio::ToBase64(key) } } } });
   }
   Json failure = Json::array();
   for (const std::string& key : aOne.mReadsIfRefused) {
-    failure.push_back({ { "request_range", { { "key", ToBase64(key) } } } });
+    failure.push_back({ { "request_range", { { "key", trefoilio::ToBase64(key) } } } });
   }
   return { { "compare", std::move(compare) },
            { "success", std::move(success) },
@@ -215,8 +215,8 @@
                           const std::string& aEnd,
                           size_t aLimit) const
 {
-  const Json body = { { "key", ToBase64(aFrom) },
-                      { "range_end", ToBase64(aEnd) },
+  const Json body = { { "key", trefoilio::ToBase64(aFrom) },
+                      { "range_end", trefoilio::ToBase64(aEnd) },
                       { "limit", std::to_string(aLimit) } };
   const auto reply = Send("POST", "/v3/kv/range", body.dump());
   if (!Good(reply)) {
@@ -254,8 +254,8 @@
 PlatformClient::DeleteRange(const std::string& aFrom,
                             const std::string& aEnd) const
 {
-  const Json body = { { "key", ToBase64(aFrom) },
-                      { "range_end", ToBase64(aEnd) } };
+  const Json body = { { "key", trefoilio::ToBase64(aFrom) },
+                      { "range_end", trefoilio::ToBase64(aEnd) } };
   return EndOf(Send("POST", "/v3/kv/deleterange", body.dump()));
 }
 
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -26,7 +26,7 @@
   const bool holds =
     rc::check("retries stay a share of first attempts in any order",
               [](const std::vector<bool>& aEvents) {
-                RetryBudget budget(10);
+                RetryBudget budget({ .mPercent = 10 });
                 int first = 0;
                 int retries = 0;
                 for (const bool retry : aEvents) {
