Keep long prompts apart from strict streams; send sessions where their parts are

Cause: streams of the strictest class were late by pauses: several long prompts were read at one engine at a time (107 of 369 platform-guide late), and the affinity key was the prompt's last part, which is the request's own. Ruled out: the first token (p99 436 ms was pauses, not the start). Change: lanes of engines that all entries work out alike; affinity by the last part that other requests share, learnt by route; Kv-Fetch from the holder where a session has to go elsewhere; the route's rank decides between equals of the workspace's rank.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -81,6 +81,7 @@
   BoundRequest bound{ .mIndex = mIndex,
                       .mRoute = route,
                       .mPriority = route->mPriority,
+                      .mRoutePriority = route->mPriority,
                       .mPrompt = aFacts.mPrompt,
                       .mArrived = aFacts.mArrived };
   if (!route->mPublic && !mIndex->Policy().mWorkspaces.empty()) {
@@ -101,6 +102,8 @@
   bound.mEnd = aFacts.mArrived + span;
   bound.mService = ServiceFor(*route);
   mRetries.OnFirstAttempt(bound.mService);
+  bound.mPrompt.mShared = mShared.OnPrompt(route->mName, bound.mPrompt);
+  mLanes.OnRequest(bound.mService, *route, bound.mPrompt, aNow);
   return bound;
 }
 
@@ -127,10 +130,13 @@
   const ListedUpstream* listed = mDirectory.Find(placed.mUpstream);
   mTracked[placed.mUpstream].mWork.OnSent(placed.mWork, aNow);
   mPlacement.Memory().OnSent(placed.mUpstream, aRequest.mPrompt, aNow);
+  const ListedUpstream* holder = mDirectory.Find(placed.mHolder);
   return PlacedAttempt{ .mUpstream = placed.mUpstream,
                         .mService = listed->mService,
                         .mAddress = listed->mAddress,
                         .mWork = placed.mWork,
+                        .mHolderAddress =
+                          holder != nullptr ? holder->mAddress : "",
                         .mSentAt = aNow };
 }
 
@@ -257,7 +263,10 @@
   const uint32_t most = ConnectionsFor(aRequest);
   Candidates healthy;
   Candidates others;
-  for (const ListedUpstream* each : mDirectory.OfService(aRequest.mService)) {
+  const auto& all = mDirectory.OfService(aRequest.mService);
+  const std::set<UpstreamId> lane =
+    mLanes.Members(aRequest.mService, *aRequest.mRoute, all, aNow);
+  for (const ListedUpstream* each : all) {
     if (each->mLeaving || aTried.contains(each->mId)) {
       continue;
     }
@@ -265,7 +274,9 @@
     if (work.Open() >= most) {
       continue;
     }
-    const PlacementCandidate candidate{ .mListed = each, .mWork = &work };
+    const PlacementCandidate candidate{ .mListed = each,
+                                        .mWork = &work,
+                                        .mInLane = lane.contains(each->mId) };
     const OutlierState state = mOutliers.State(each->mId, aNow);
     if (state == OutlierState::Trial && repeatable && work.Open() == 0) {
       return { candidate };
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -2,10 +2,12 @@
 
 #include "errors.h"
 #include "freshness.h"
+#include "lanes.h"
 #include "outlierdetector.h"
 #include "prompt.h"
 #include "retrybudget.h"
 #include "routeindex.h"
+#include "sharedparts.h"
 #include "upstreamdirectory.h"
 #include "workplacement.h"
 
@@ -68,7 +70,10 @@
   /** Empty on a public route. */
   std::string mWorkspace;
   std::string mKey;
+  /** The workspace's, or else the route's. */
   uint8_t mPriority = 0;
+  /** The route's own, between requests of the same priority. */
+  uint8_t mRoutePriority = 0;
   PromptShape mPrompt;
   Millis mArrived;
   /** The caller's deadline or the route's timeout, whichever is first. */
@@ -82,6 +87,8 @@
   std::string mService;
   std::string mAddress;
   AttemptWork mWork;
+  /** Empty, or the address of an upstream that holds more of the prompt. */
+  std::string mHolderAddress;
   Millis mSentAt;
   bool mStarted = false;
 };
@@ -177,6 +184,8 @@
   std::unordered_map<UpstreamId, Tracked> mTracked;
   OutlierDetector mOutliers;
   WorkPlacement mPlacement;
+  Lanes mLanes;
+  SharedParts mShared;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
 };
--- a/src/libtrefoilarch/prefixmemory.cpp
+++ b/src/libtrefoilarch/prefixmemory.cpp
@@ -22,12 +22,12 @@
                      const PromptShape& aPrompt,
                      Millis aNow)
 {
-  if (aPrompt.mParts.empty()) {
+  if (aPrompt.mShared == 0) {
     return;
   }
   Parts& parts = mHeld[aUpstream];
-  for (const PromptPart& part : aPrompt.mParts) {
-    parts[part.mId] = aNow;
+  for (size_t each = 0; each < aPrompt.mShared; ++each) {
+    parts[aPrompt.mParts[each].mId] = aNow;
   }
   if (parts.size() > mOptions.mMostParts) {
     Trim(parts, aNow);
@@ -50,7 +50,8 @@
     return 0;
   }
   uint32_t held = 0;
-  for (const PromptPart& part : aPrompt.mParts) {
+  for (size_t each = 0; each < aPrompt.mShared; ++each) {
+    const PromptPart& part = aPrompt.mParts[each];
     const auto place = parts->second.find(part.mId);
     if (place == parts->second.end() || aNow - place->second > mOptions.mSpan) {
       break;
--- a/src/libtrefoilarch/prompt.h
+++ b/src/libtrefoilarch/prompt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -24,8 +25,20 @@
   uint32_t mMostOutput = 0;
   /** The caller's guess, right in the median and often far off; 0: none. */
   uint32_t mLikelyOutput = 0;
-  /** In the prompt's order; the last belongs to the session. */
+  /** In the prompt's order; the last belongs to the request or its session. */
   std::vector<PromptPart> mParts;
+  /** The first parts that other requests are likely to share. */
+  size_t mShared = 0;
+
+  /** Tokens of the parts that others are likely to share. */
+  uint32_t SharedTokens() const
+  {
+    uint32_t tokens = 0;
+    for (size_t each = 0; each < mShared; ++each) {
+      tokens += mParts[each].mTokens;
+    }
+    return tokens;
+  }
 
   bool operator==(const PromptShape&) const = default;
 };
--- /dev/null
+++ b/src/libtrefoilarch/sharedparts.cpp
@@ -0,0 +1,39 @@
+#include "sharedparts.h"
+
+namespace trefoilarch {
+
+namespace {
+
+/** Last parts that are remembered for each route. */
+constexpr size_t kMostIds = 1024;
+
+/** Weight of the newest prompt. */
+constexpr double kNewest = 0.02;
+
+/** This share of last parts seen before makes them a session's. */
+constexpr double kSessionShare = 0.08;
+
+} // namespace
+
+size_t
+SharedParts::OnPrompt(const std::string& aRoute, const PromptShape& aPrompt)
+{
+  if (aPrompt.mParts.empty()) {
+    return 0;
+  }
+  Seen& seen = mRoutes[aRoute];
+  const uint64_t last = aPrompt.mParts.back().mId;
+  const bool again = !seen.mIds.insert(last).second;
+  seen.mAgain += kNewest * ((again ? 1 : 0) - seen.mAgain);
+  if (!again) {
+    seen.mOrder.push_back(last);
+  }
+  if (seen.mOrder.size() > kMostIds) {
+    seen.mIds.erase(seen.mOrder.front());
+    seen.mOrder.pop_front();
+  }
+  const size_t parts = aPrompt.mParts.size();
+  return seen.mAgain >= kSessionShare ? parts : parts - 1;
+}
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -18,9 +18,11 @@
 /** Weight of a silent millisecond: silence soon outweighs every other cost. */
 constexpr double kSilenceWeight = 2;
 
-/** How much of a prefill the requests beside it lose: all of it, each; but
- * only those that would be late by it lose anything. */
-constexpr double kStallShare = 0.2;
+/** What a request beyond the engine's slots waits for, in milliseconds. */
+constexpr double kOverSlotsMs = 50;
+
+/** Less than this is not worth fetching from another engine. */
+constexpr uint32_t kLeastFetch = 1000;
 
 uint64_t
 RankOf(uint64_t aSession, const UpstreamId& aUpstream)
@@ -38,27 +40,24 @@
   return output;
 }
 
-uint32_t
-SharedTokens(const PromptShape& aPrompt)
-{
-  uint32_t tokens = 0;
-  for (const PromptPart& part : aPrompt.mParts) {
-    tokens += part.mTokens;
-  }
-  return tokens;
-}
-
 const ListedUpstream*
 PreferredOf(const std::vector<PlacementCandidate>& aCandidates,
             const PromptShape& aPrompt)
 {
-  if (aPrompt.mParts.empty()) {
+  if (aPrompt.mShared == 0) {
     return nullptr;
   }
-  const uint64_t session = aPrompt.mParts.back().mId;
+  const uint64_t session = aPrompt.mParts[aPrompt.mShared - 1].mId;
   const ListedUpstream* best = nullptr;
   uint64_t bestRank = 0;
+  const bool lane = std::any_of(
+    aCandidates.begin(), aCandidates.end(), [](const auto& aEach) {
+      return aEach.mInLane;
+    });
   for (const PlacementCandidate& each : aCandidates) {
+    if (lane && !each.mInLane) {
+      continue;
+    }
     const uint64_t rank = RankOf(session, each.mListed->mId);
     if (best == nullptr || rank > bestRank) {
       best = each.mListed;
@@ -84,46 +83,53 @@
   std::uniform_real_distribution<double> chance(0, kChanceMs);
   const bool engine = aPrompt.mPromptTokens > 0;
   const ListedUpstream* preferred = PreferredOf(aCandidates, aPrompt);
-  const uint32_t shared = SharedTokens(aPrompt);
+  const uint32_t shared = aPrompt.SharedTokens();
   Placed best;
   double bestCost = std::numeric_limits<double>::max();
   for (const PlacementCandidate& each : aCandidates) {
-    AttemptWork work;
+    Placed placed{ .mUpstream = each.mListed->mId };
     if (engine) {
       const uint32_t held =
         each.mListed == preferred
           ? shared
           : mMemory.Held(each.mListed->mId, aPrompt, aNow);
-      work.mPrefill =
+      placed.mWork.mPrefill =
         aPrompt.mPromptTokens - std::min(held, aPrompt.mPromptTokens);
-      work.mOutput = OutputOf(aPrompt);
+      placed.mWork.mOutput = OutputOf(aPrompt);
+      placed.mMissing = shared - std::min(held, shared);
     }
     const double cost =
-      (engine ? EngineCost(each, work, aNow) : PlainCost(each, aNow)) +
+      (engine ? EngineCost(each, placed, aNow) : PlainCost(each, aNow)) +
       chance(mRandom);
     if (cost < bestCost) {
       bestCost = cost;
-      best = Placed{ .mUpstream = each.mListed->mId, .mWork = work };
+      best = std::move(placed);
     }
   }
+  if (preferred != nullptr && best.mMissing >= kLeastFetch &&
+      mMemory.Held(preferred->mId, aPrompt, aNow) >= kLeastFetch) {
+    best.mHolder = preferred->mId;
+  }
   return best;
 }
 
 double
 WorkPlacement::EngineCost(const PlacementCandidate& aCandidate,
-                          const AttemptWork& aWork,
+                          const Placed& aPlaced,
                           Millis aNow) const
 {
   const double busy = aCandidate.mWork->Busy(aNow);
-  const double read = aWork.mPrefill / mOptions.mPrefillPerMs;
+  const double read = aPlaced.mWork.mPrefill / mOptions.mPrefillPerMs;
+  const double again = aPlaced.mMissing * mOptions.mSharedTokenMs;
   const double before =
+    mOptions.mOthersFactor *
     static_cast<double>(aCandidate.mWork->PendingPrefill()) /
     mOptions.mPrefillPerMs;
-  const double steps = 2 * mOptions.mStepPerBusyMs * aWork.mOutput * busy;
   const double over =
     std::max(0.0, busy - static_cast<double>(aCandidate.mListed->mSlots));
-  return read * (1 + kStallShare * busy) + before + steps +
-         over * mOptions.mPlainCallMs +
+  return read + again + before + busy * mOptions.mBusyMs +
+         over * kOverSlotsMs +
+         (aCandidate.mInLane ? 0 : mOptions.mOtherLaneMs) +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(*aCandidate.mWork, aNow);
 }
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -20,8 +20,17 @@
   /** Prompt tokens that an engine reads in a millisecond; engines in use
    * today read 75 to 94. */
   double mPrefillPerMs = 80;
-  /** Milliseconds that each request of the batch adds to a token's step. */
-  double mStepPerBusyMs = 0.11;
+  /** What a shared prompt token is worth that need not be read again, in
+   * milliseconds, besides the time of reading it: reading 6,000 of them again
+   * weighs as much as 300 ms of the caller's time. */
+  double mSharedTokenMs = 0.05;
+  /** Each request that runs at an engine weighs as much as this. */
+  double mBusyMs = 1.5;
+  /** This entry's prompts that wait to be read, times this, stand for those
+   * of all entries. */
+  double mOthersFactor = 3;
+  /** Going to an engine of the other lane weighs as much as this. */
+  double mOtherLaneMs = 400;
   /** Milliseconds that it is worth to stay in the own data centre. */
   double mOtherDataCentreMs = 2;
   /** The same for a plain service, whose upstreams are all alike. */
@@ -38,6 +47,8 @@
 {
   const ListedUpstream* mListed = nullptr;
   const UpstreamWork* mWork = nullptr;
+  /** It belongs to the lane of the request's route. */
+  bool mInLane = true;
 };
 
 /** The chosen upstream and what the request asks of it. */
@@ -45,6 +56,10 @@
 {
   UpstreamId mUpstream;
   AttemptWork mWork;
+  /** Shared prompt tokens that the upstream seems not to hold. */
+  uint32_t mMissing = 0;
+  /** Empty, or another upstream that holds much of what is missing. */
+  UpstreamId mHolder;
 
   bool operator==(const Placed&) const = default;
 };
@@ -72,7 +87,7 @@
 
 private:
   double EngineCost(const PlacementCandidate& aCandidate,
-                    const AttemptWork& aWork,
+                    const Placed& aPlaced,
                     Millis aNow) const;
   double PlainCost(const PlacementCandidate& aCandidate, Millis aNow) const;
   double Distance(const PlacementCandidate& aCandidate, double aMs) const;
--- a/src/libtrefoilgate/dialect.h
+++ b/src/libtrefoilgate/dialect.h
@@ -16,8 +16,12 @@
 {
   trefoilarch::UpstreamId mUpstream;
   std::string mWorkspace;
+  /** 0 is the most urgent; the second decides between equals. */
   uint8_t mPriority = 0;
+  uint8_t mRoutePriority = 0;
   trefoilarch::Millis mTimeLeft;
+  /** Empty, or the address of an upstream that holds more of the prompt. */
+  std::string mHolderAddress;
   /** The last event that the caller has; empty at the first attempt. */
   std::string mLastEvent;
 };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -97,6 +97,7 @@
 Exchange::SendTo(SendRequest aSend)
 {
   mAttempt = std::move(aSend.mAttempt);
+  mLastPlaced = *mAttempt;
   mAnswer.reset();
   mAttemptNumber++;
   mContext.mPool.Acquire(
@@ -137,7 +138,9 @@
   const OutgoingMarks marks{ .mUpstream = mAttempt->mUpstream,
                              .mWorkspace = bound.mWorkspace,
                              .mPriority = bound.mPriority,
+                             .mRoutePriority = bound.mRoutePriority,
                              .mTimeLeft = aTimeLeft,
+                             .mHolderAddress = mAttempt->mHolderAddress,
                              .mLastEvent = mEvents.LastId() };
   std::string head = mRequest.mMethod + " " + mRequest.mTarget + " HTTP/1.1\r\n";
   for (const auto& [name, value] :
@@ -428,6 +431,10 @@
       { "priority", bound.mPriority },
       { "policy_version", bound.mIndex->Version() },
       { "attempts", mPlan.Attempts() },
+      { "upstream", mLastPlaced.mUpstream },
+      { "prompt_tokens", bound.mPrompt.mPromptTokens },
+      { "prefill_tokens", mLastPlaced.mWork.mPrefill },
+      { "most_output_tokens", bound.mPrompt.mMostOutput },
       { "may_have_run", mPlan.MayHaveRun() },
       { "events", mEvents.Events() },
       { "first_byte_ms", firstByte.Count() },
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -88,6 +88,8 @@
   trefoilarch::RequestPlan mPlan;
   boost::asio::steady_timer mTimer;
   std::optional<trefoilarch::PlacedAttempt> mAttempt;
+  /** The newest attempt, for the log. */
+  trefoilarch::PlacedAttempt mLastPlaced;
   ConnectionPool::Connection mConnection;
   std::optional<UpstreamAnswer> mAnswer;
   EventTracker mEvents;
