Refuse early what would start too late, by the measured rate of starts

Ruled out: placement (busiest engine 1.17 of the mean). Change: StartMeter, by route: what waits, over the rate of starts, against the objective; only while waits are long. Fetch from the preferred engine whenever a session goes elsewhere; lanes are left only in need.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -1,6 +1,7 @@
 #include "directrouter.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace trefoilarch {
@@ -20,6 +21,15 @@
                   .mMessage = std::move(aMessage) };
 }
 
+/** How much longer a wait than others' a request of that priority may face
+ * before it is refused, so that the less urgent are refused first. */
+double
+FavourOf(uint8_t aPriority)
+{
+  constexpr std::array kFavours = { 1.3, 1.0, 0.8, 0.65 };
+  return kFavours[std::min<size_t>(aPriority, kFavours.size() - 1)];
+}
+
 } // namespace
 
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
@@ -101,9 +111,17 @@
     std::min(route->mTimeout, aFacts.mPatience.value_or(route->mTimeout));
   bound.mEnd = aFacts.mArrived + span;
   bound.mService = ServiceFor(*route);
-  mRetries.OnFirstAttempt(bound.mService);
   bound.mPrompt.mShared = mShared.OnPrompt(route->mName, bound.mPrompt);
   mLanes.OnRequest(bound.mService, *route, bound.mPrompt, aNow);
+  const auto comeBack = mMeters[route->mName].Refuse(
+    route->mFirstTokenTarget, FavourOf(bound.mPriority), aNow);
+  if (comeBack) {
+    return Fail(Refusal{ .mKind = ErrorKind::Shed,
+                         .mRan = Ran::No,
+                         .mRetryAfter = *comeBack,
+                         .mMessage = "would start too late" });
+  }
+  mRetries.OnFirstAttempt(bound.mService);
   return bound;
 }
 
@@ -130,9 +148,11 @@
   const ListedUpstream* listed = mDirectory.Find(placed.mUpstream);
   mTracked[placed.mUpstream].mWork.OnSent(placed.mWork, aNow);
   mPlacement.Memory().OnSent(placed.mUpstream, aRequest.mPrompt, aNow);
+  mMeters[aRequest.mRoute->mName].OnSent(aNow);
   const ListedUpstream* holder = mDirectory.Find(placed.mHolder);
   return PlacedAttempt{ .mUpstream = placed.mUpstream,
                         .mService = listed->mService,
+                        .mRoute = aRequest.mRoute->mName,
                         .mAddress = listed->mAddress,
                         .mWork = placed.mWork,
                         .mHolderAddress =
@@ -168,6 +188,7 @@
     return;
   }
   aAttempt.mStarted = true;
+  mMeters[aAttempt.mRoute].OnStarted(aAttempt.mSentAt, aNow);
   const auto tracked = mTracked.find(aAttempt.mUpstream);
   if (tracked != mTracked.end()) {
     tracked->second.mWork.OnStarted(aAttempt.mWork);
@@ -199,6 +220,9 @@
       mTracked.erase(tracked);
     }
   }
+  if (!aAttempt.mStarted) {
+    mMeters[aAttempt.mRoute].OnGivenUp(aAttempt.mSentAt, aNow);
+  }
   if (aOutcome == AttemptOutcome::Good ||
       aOutcome == AttemptOutcome::Withdrawn) {
     return;
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -8,6 +8,7 @@
 #include "retrybudget.h"
 #include "routeindex.h"
 #include "sharedparts.h"
+#include "startmeter.h"
 #include "upstreamdirectory.h"
 #include "workplacement.h"
 
@@ -85,6 +86,7 @@
 {
   UpstreamId mUpstream;
   std::string mService;
+  std::string mRoute;
   std::string mAddress;
   AttemptWork mWork;
   /** Empty, or the address of an upstream that holds more of the prompt. */
@@ -128,8 +130,8 @@
   void OnDirectoryChanged();
 
   /**
-   * Fails with PolicyUnknown, PolicyStale, UnknownRoute, BadToken or
-   * DeadlineExceeded.
+   * Fails with PolicyUnknown, PolicyStale, UnknownRoute, BadToken, or Shed
+   * where the request would start too late.
    */
   Result<BoundRequest> Bind(const RequestFacts& aFacts, Millis aNow);
 
@@ -186,6 +188,8 @@
   WorkPlacement mPlacement;
   Lanes mLanes;
   SharedParts mShared;
+  /** By route. */
+  std::unordered_map<std::string, StartMeter> mMeters;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
 };
--- /dev/null
+++ b/src/libtrefoilarch/startmeter.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "millis.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace trefoilarch {
+
+/** When a StartMeter says that a route is overloaded. */
+struct StartMeterOptions
+{
+  /** A new request is refused if it would wait for more than this share of
+   * the time in which it should start... */
+  double mMostWait = 0.7;
+  /** ...and the waits of late were at least this share of it. */
+  double mSlowShare = 0.35;
+  /** So many may always wait. */
+  uint32_t mFreePending = 2;
+};
+
+/**
+ * Watches how one route's requests start at their upstreams, and refuses new
+ * ones that would start too late: those that wait, by the rate at which they
+ * start. While starts are quick nothing is refused, since the rate then says
+ * how much is asked for and not how much is possible.
+ */
+class StartMeter
+{
+public:
+  explicit StartMeter(StartMeterOptions aOptions = {});
+
+  void OnSent(Millis aNow);
+  /** An answer began; aSentAt as in OnSent(). */
+  void OnStarted(Millis aSentAt, Millis aNow);
+  /** One that waited has ended without a start. */
+  void OnGivenUp(Millis aSentAt, Millis aNow);
+
+  /**
+   * When to come back, if a request that should start within aTarget can't
+   * be taken; aFavour is above 1 for the more urgent.
+   */
+  std::optional<Millis> Refuse(Millis aTarget, double aFavour, Millis aNow);
+
+  /** The wait of a request sent now, by the rate of starts. */
+  Millis ExpectedWait(Millis aNow);
+  uint32_t Pending() const { return mPending; }
+
+private:
+  double Rate(Millis aNow);
+  double RecentWait(Millis aNow) const;
+  void Leave(Millis aSentAt);
+
+  StartMeterOptions mOptions;
+  uint32_t mPending = 0;
+  /** Sum of the pending ones' send times, for their mean age. */
+  int64_t mSentSum = 0;
+  std::deque<Millis> mStarts;
+  double mWait = 0;
+  Millis mWaitAt;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -106,8 +106,7 @@
       best = std::move(placed);
     }
   }
-  if (preferred != nullptr && best.mMissing >= kLeastFetch &&
-      mMemory.Held(preferred->mId, aPrompt, aNow) >= kLeastFetch) {
+  if (preferred != nullptr && best.mMissing >= kLeastFetch) {
     best.mHolder = preferred->mId;
   }
   return best;
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -30,7 +30,7 @@
    * of all entries. */
   double mOthersFactor = 3;
   /** Going to an engine of the other lane weighs as much as this. */
-  double mOtherLaneMs = 400;
+  double mOtherLaneMs = 1500;
   /** Milliseconds that it is worth to stay in the own data centre. */
   double mOtherDataCentreMs = 2;
   /** The same for a plain service, whose upstreams are all alike. */
