Give each session a second engine; move lanes less; refuse a little later

Change: from 0.55, at 0.9 of it; the second engine by rendezvous takes the spill; the lanes' boundary moves by an eighth of the engines or more.

--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -142,7 +142,7 @@
   const double wanted = share * static_cast<double>(aEngines);
   const double off = std::abs(wanted - static_cast<double>(aService.mLong));
   if (aService.mLong == 0 || aService.mLong >= aEngines ||
-      off > mOptions.mSlack) {
+      off > mOptions.mSlack * static_cast<double>(aEngines)) {
     aService.mLong = static_cast<size_t>(std::lround(wanted));
   }
   aService.mLong = std::clamp<size_t>(aService.mLong, 1, aEngines - 1);
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -29,8 +29,9 @@
   /** The long lane's bounds, as shares of the engines. */
   double mLeastShare = 0.25;
   double mMostShare = 0.6;
-  /** The boundary moves when it is this many engines off. */
-  double mSlack = 0.8;
+  /** The boundary moves when it is off by this share of the engines: a
+   * session whose engine changes lanes is read again elsewhere. */
+  double mSlack = 0.12;
 };
 
 /**
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -13,9 +13,9 @@
 {
   /** A new request is refused if it would wait for more than this share of
    * the time in which it should start... */
-  double mMostWait = 0.7;
+  double mMostWait = 0.9;
   /** ...and the waits of late were at least this share of it. */
-  double mSlowShare = 0.35;
+  double mSlowShare = 0.55;
   /** So many may always wait. */
   uint32_t mFreePending = 2;
 };
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -40,16 +40,24 @@
   return output;
 }
 
-const ListedUpstream*
+/** A session's first two engines by rendezvous hash, or null. */
+struct Preferred
+{
+  const ListedUpstream* mFirst = nullptr;
+  const ListedUpstream* mSecond = nullptr;
+};
+
+Preferred
 PreferredOf(const std::vector<PlacementCandidate>& aCandidates,
             const PromptShape& aPrompt)
 {
+  Preferred best;
   if (aPrompt.mShared == 0) {
-    return nullptr;
+    return best;
   }
   const uint64_t session = aPrompt.mParts[aPrompt.mShared - 1].mId;
-  const ListedUpstream* best = nullptr;
-  uint64_t bestRank = 0;
+  uint64_t firstRank = 0;
+  uint64_t secondRank = 0;
   const bool lane = std::any_of(
     aCandidates.begin(), aCandidates.end(), [](const auto& aEach) {
       return aEach.mInLane;
@@ -59,9 +67,14 @@
       continue;
     }
     const uint64_t rank = RankOf(session, each.mListed->mId);
-    if (best == nullptr || rank > bestRank) {
-      best = each.mListed;
-      bestRank = rank;
+    if (best.mFirst == nullptr || rank > firstRank) {
+      best.mSecond = best.mFirst;
+      secondRank = firstRank;
+      best.mFirst = each.mListed;
+      firstRank = rank;
+    } else if (best.mSecond == nullptr || rank > secondRank) {
+      best.mSecond = each.mListed;
+      secondRank = rank;
     }
   }
   return best;
@@ -82,17 +95,19 @@
 {
   std::uniform_real_distribution<double> chance(0, kChanceMs);
   const bool engine = aPrompt.mPromptTokens > 0;
-  const ListedUpstream* preferred = PreferredOf(aCandidates, aPrompt);
+  const Preferred preferred = PreferredOf(aCandidates, aPrompt);
   const uint32_t shared = aPrompt.SharedTokens();
   Placed best;
   double bestCost = std::numeric_limits<double>::max();
   for (const PlacementCandidate& each : aCandidates) {
     Placed placed{ .mUpstream = each.mListed->mId };
     if (engine) {
-      const uint32_t held =
-        each.mListed == preferred
-          ? shared
-          : mMemory.Held(each.mListed->mId, aPrompt, aNow);
+      uint32_t held = mMemory.Held(each.mListed->mId, aPrompt, aNow);
+      if (each.mListed == preferred.mFirst) {
+        held = shared;
+      } else if (each.mListed == preferred.mSecond) {
+        held = std::max(held, shared / 2);
+      }
       placed.mWork.mPrefill =
         aPrompt.mPromptTokens - std::min(held, aPrompt.mPromptTokens);
       placed.mWork.mOutput = OutputOf(aPrompt);
@@ -106,8 +121,8 @@
       best = std::move(placed);
     }
   }
-  if (preferred != nullptr && best.mMissing >= kLeastFetch) {
-    best.mHolder = preferred->mId;
+  if (preferred.mFirst != nullptr && best.mMissing >= kLeastFetch) {
+    best.mHolder = preferred.mFirst->mId;
   }
   return best;
 }
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -28,9 +28,9 @@
   double mBusyMs = 1.5;
   /** This entry's prompts that wait to be read, times this, stand for those
    * of all entries. */
-  double mOthersFactor = 3;
+  double mOthersFactor = 2;
   /** Going to an engine of the other lane weighs as much as this. */
-  double mOtherLaneMs = 1500;
+  double mOtherLaneMs = 800;
   /** Milliseconds that it is worth to stay in the own data centre. */
   double mOtherDataCentreMs = 2;
   /** The same for a plain service, whose upstreams are all alike. */
@@ -70,8 +70,8 @@
  * it, and the longer steps of a larger batch.
  *
  * Every session has a preferred upstream by rendezvous hash, which is taken to
- * hold the session's parts: entries need not tell each other what they sent
- * where.
+ * hold the session's parts, and a second one for when that is busy: entries
+ * need not tell each other what they sent where.
  */
 class WorkPlacement
 {
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -16,9 +16,13 @@
 constexpr std::chrono::milliseconds kDrainTick{ 50 };
 
 /** After a planned stop begins, callers still come until the balancer has
- * noticed; only then are idle connections closed. */
+ * noticed; only then are idle connections closed. What comes later can't be
+ * sure to end in time and is sent elsewhere. */
 constexpr Millis kOutOfRotation{ 3000 };
 
+/** For a caller that comes while the process ends: another entry serves. */
+constexpr Millis kReturnElsewhere{ 100 };
+
 /** Descriptors that are not for callers: upstreams, store, files. */
 constexpr size_t kOtherDescriptors = 800;
 
@@ -196,6 +200,15 @@
                    CallerRequest aRequest)
 {
   const std::string id = mOptions.mDialect.mRequestId(aRequest);
+  if (mDraining && BootNow() - mDrainingSince >= kOutOfRotation) {
+    RefuseUnbound(aCaller,
+                  aRequest,
+                  id,
+                  Refusal{ .mKind = ErrorKind::ShuttingDown,
+                           .mRetryAfter = kReturnElsewhere,
+                           .mMessage = "could not be finished in time" });
+    return;
+  }
   const RequestFacts facts = mOptions.mDialect.mFacts(aRequest);
   boost::leaf::try_handle_all(
     [&]() -> Result<void> {
