--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -35,8 +35,7 @@
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
   : mOptions(std::move(aOptions))
   , mOutliers(mOptions.mOutliers)
-  , mPlacement({ .mDataCentre = mOptions.mDataCentre,
-                 .mSeed = mOptions.mSeed })
+  , mPlacement({ .mDataCentre = mOptions.mDataCentre, .mSeed = mOptions.mSeed })
   , mRetries(mOptions.mRetries)
   , mRandom(mOptions.mSeed)
 {
@@ -84,9 +83,8 @@
   const bool recent = mPolicyFreshness.IsWithin(mOptions.mPolicySpan, aNow);
   const Route* route = mIndex->Find(aFacts.mHost, aFacts.mPath);
   if (route == nullptr) {
-    return Fail(Refuse(recent ? ErrorKind::UnknownRoute
-                              : ErrorKind::PolicyStale,
-                       "no route"));
+    return Fail(Refuse(
+      recent ? ErrorKind::UnknownRoute : ErrorKind::PolicyStale, "no route"));
   }
   BoundRequest bound{ .mIndex = mIndex,
                       .mRoute = route,
@@ -193,8 +191,7 @@
   if (tracked != mTracked.end()) {
     tracked->second.mWork.OnStarted(aAttempt.mWork);
   }
-  mOutliers.OnFirstToken(
-    aAttempt.mUpstream, aNow - aAttempt.mSentAt, aNow);
+  mOutliers.OnFirstToken(aAttempt.mUpstream, aNow - aAttempt.mSentAt, aNow);
 }
 
 void
@@ -252,8 +249,7 @@
     each["open"] = tracked.mWork.Open();
     each["busy"] = tracked.mWork.Busy(aNow);
     each["silent_ms"] = tracked.mWork.Silence(aNow).Count();
-    each["outlier"] =
-      mOutliers.State(id, aNow) != OutlierState::Healthy;
+    each["outlier"] = mOutliers.State(id, aNow) != OutlierState::Healthy;
   }
   return dump.dump();
 }
@@ -268,7 +264,8 @@
   if (total == 0) {
     return aRoute.mTargets.front().mService;
   }
-  uint64_t pick = std::uniform_int_distribution<uint64_t>(0, total - 1)(mRandom);
+  uint64_t pick =
+    std::uniform_int_distribution<uint64_t>(0, total - 1)(mRandom);
   for (const WeightedTarget& target : aRoute.mTargets) {
     if (pick < target.mWeight) {
       return target.mService;
--- a/src/libtrefoilarch/prefixmemory.cpp
+++ b/src/libtrefoilarch/prefixmemory.cpp
@@ -67,8 +67,8 @@
   std::erase_if(aParts, [&](const auto& aPart) {
     return aNow - aPart.second > mOptions.mSpan;
   });
-  const auto kept = static_cast<size_t>(
-    kKeptShare * static_cast<double>(mOptions.mMostParts));
+  const auto kept =
+    static_cast<size_t>(kKeptShare * static_cast<double>(mOptions.mMostParts));
   if (aParts.size() <= kept) {
     return;
   }
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -95,8 +95,7 @@
   if (!mRouter.StillAllowed(mRequest, aNow)) {
     return Refuse(ErrorKind::PolicyStale, kNoneRetryAfter, aNow);
   }
-  std::optional<PlacedAttempt> attempt =
-    mRouter.Place(mRequest, mTried, aNow);
+  std::optional<PlacedAttempt> attempt = mRouter.Place(mRequest, mTried, aNow);
   if (!attempt) {
     return Refuse(ErrorKind::NoEligibleUpstream, kNoneRetryAfter, aNow);
   }
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -26,8 +26,7 @@
 
 /** Passes the upstream's answer on as it is. */
 struct PassOn
-{
-};
+{};
 
 /** The answer has begun and can't be completed: the connection is cut. */
 struct CutAnswer
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -82,17 +82,17 @@
   while (!mStarts.empty() && aNow - mStarts.front() > kRateSpan) {
     mStarts.pop_front();
   }
-  const double starts = std::max<double>(1, static_cast<double>(mStarts.size()));
+  const double starts =
+    std::max<double>(1, static_cast<double>(mStarts.size()));
   return starts * kMillisPerSecond / static_cast<double>(kRateSpan.Count());
 }
 
 double
 StartMeter::RecentWait(Millis aNow) const
 {
-  const double age =
-    mPending == 0 ? 0
-                  : static_cast<double>(aNow.Count()) -
-                      static_cast<double>(mSentSum) / mPending;
+  const double age = mPending == 0 ? 0
+                                   : static_cast<double>(aNow.Count()) -
+                                       static_cast<double>(mSentSum) / mPending;
   const double idle = static_cast<double>((aNow - mWaitAt).Count());
   return std::max(mWait * std::exp(-idle / kWaitMemoryMs), kAgeToWait * age);
 }
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -58,8 +58,8 @@
   const uint64_t session = aPrompt.mParts[aPrompt.mShared - 1].mId;
   uint64_t firstRank = 0;
   uint64_t secondRank = 0;
-  const bool lane = std::any_of(
-    aCandidates.begin(), aCandidates.end(), [](const auto& aEach) {
+  const bool lane =
+    std::any_of(aCandidates.begin(), aCandidates.end(), [](const auto& aEach) {
       return aEach.mInLane;
     });
   for (const PlacementCandidate& each : aCandidates) {
@@ -141,8 +141,7 @@
     mOptions.mPrefillPerMs;
   const double over =
     std::max(0.0, busy - static_cast<double>(aCandidate.mListed->mSlots));
-  return read + again + before + busy * mOptions.mBusyMs +
-         over * kOverSlotsMs +
+  return read + again + before + busy * mOptions.mBusyMs + over * kOverSlotsMs +
          (aCandidate.mInLane ? 0 : mOptions.mOtherLaneMs) +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(*aCandidate.mWork, aNow);
--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -239,10 +239,11 @@
                          .mTarget = std::string(message.target()),
                          .mHost = std::string(message[http::field::host]),
                          .mHeaders = EndToEnd(message),
-                         .mHasBody = message.has_content_length() ||
-                                     message.chunked(),
+                         .mHasBody =
+                           message.has_content_length() || message.chunked(),
                          .mArrived = mSince };
-  request.mBody = std::make_shared<const std::string>(std::move(message.body()));
+  request.mBody =
+    std::make_shared<const std::string>(std::move(message.body()));
   mState = State::Serving;
   mParser.reset();
   mHooks.mOnRequest(shared_from_this(), std::move(request));
@@ -254,9 +255,9 @@
   mHooks.mOnRejected(aStatus, aWhy);
   mKeepAlive = false;
   mState = State::Serving;
-  Answer({ .mStatus = aStatus,
-           .mHeaders = { { "Content-Type", "text/plain" } } },
-         aWhy);
+  Answer(
+    { .mStatus = aStatus, .mHeaders = { { "Content-Type", "text/plain" } } },
+    aWhy);
 }
 
 void
@@ -277,10 +278,8 @@
   if (mChunked) {
     std::array<char, 2 * sizeof(size_t)> digits{};
     constexpr int kHexadecimal = 16;
-    const auto end = std::to_chars(digits.data(),
-                                   digits.data() + digits.size(),
-                                   aData.size(),
-                                   kHexadecimal);
+    const auto end = std::to_chars(
+      digits.data(), digits.data() + digits.size(), aData.size(), kHexadecimal);
     mOut.append(digits.data(), end.ptr);
     mOut += "\r\n";
     mOut += aData;
@@ -343,12 +342,11 @@
     return;
   }
   mWriting.swap(mOut);
-  asio::async_write(
-    mSocket,
-    asio::buffer(mWriting),
-    [self = shared_from_this()](const Error& aError, size_t) {
-      self->OnWritten(aError);
-    });
+  asio::async_write(mSocket,
+                    asio::buffer(mWriting),
+                    [self = shared_from_this()](const Error& aError, size_t) {
+                      self->OnWritten(aError);
+                    });
 }
 
 void
--- a/src/libtrefoilgate/callerconnection.h
+++ b/src/libtrefoilgate/callerconnection.h
@@ -97,6 +97,11 @@
   size_t Pending() const { return mOut.size() + mWriting.size(); }
   /** No request is being read or served. */
   bool Idle() const;
+  /** How long it has been idle; zero if it is not. */
+  trefoilarch::Millis IdleFor(trefoilarch::Millis aNow) const
+  {
+    return Idle() ? aNow - mSince : trefoilarch::Millis(0);
+  }
   /** Closes an idle connection, and one whose request takes too long. */
   void CheckTimes(trefoilarch::Millis aNow);
   void Close();
--- a/src/libtrefoilgate/callerlistener.cpp
+++ b/src/libtrefoilgate/callerlistener.cpp
@@ -50,6 +50,13 @@
   Accept();
 }
 
+std::string
+CallerListener::Address() const
+{
+  const auto place = mAcceptor.local_endpoint();
+  return place.address().to_string() + ":" + std::to_string(place.port());
+}
+
 void
 CallerListener::Close()
 {
@@ -64,10 +71,10 @@
 }
 
 void
-CallerListener::CloseIdle()
+CallerListener::CloseIdle(Millis aSpan, Millis aNow)
 {
-  ForEach([](CallerConnection& aEach) {
-    if (aEach.Idle()) {
+  ForEach([aSpan, aNow](CallerConnection& aEach) {
+    if (aEach.IdleFor(aNow) >= aSpan) {
       aEach.Close();
     }
   });
--- a/src/libtrefoilgate/callerlistener.h
+++ b/src/libtrefoilgate/callerlistener.h
@@ -36,12 +36,13 @@
 
   /** Closes connections that are idle or slow beyond the limits. */
   void CheckTimes(trefoilarch::Millis aNow);
-  /** Closes the connections that have no request at present. */
-  void CloseIdle();
+  /** Closes the connections that have had no request for that long. */
+  void CloseIdle(trefoilarch::Millis aSpan, trefoilarch::Millis aNow);
   void CloseAll();
 
   size_t Connections() const { return mConnections.size(); }
-  uint16_t Port() const { return mAcceptor.local_endpoint().port(); }
+  /** Where it listens, with the port that it was given. */
+  std::string Address() const;
 
 private:
   void Accept();
--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -147,8 +147,8 @@
   };
   asio::async_write(mSocket,
                     parts,
-                    [self = shared_from_this(), body = mCall.mBody](
-                      const Error& aError, size_t) {
+                    [self = shared_from_this(),
+                     body = mCall.mBody](const Error& aError, size_t) {
                       if (!aError) {
                         self->mWritten = true;
                       } else if (self->mBusy && self->mOpen) {
@@ -289,8 +289,8 @@
     NewParser();
     return;
   }
-  mSpoilt = mSpoilt || !mParser->keep_alive() || !mWritten ||
-            mBuffer.size() > 0;
+  mSpoilt =
+    mSpoilt || !mParser->keep_alive() || !mWritten || mBuffer.size() > 0;
   mBusy = false;
   const auto end = mHandlers.mOnEnd;
   mHandlers = {};
--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -55,14 +55,13 @@
     kept.mConnection->Close();
   }
   const auto connection = std::make_shared<ClientConnection>(mLoop);
-  connection->Connect(
-    EndpointOf(aAddress),
-    mOptions.mConnectSpan,
-    mOptions.mSilence,
-    [this, connection, done = std::move(aDone)](bool aMade) {
-      (aMade ? mMade : mFailed)++;
-      done(aMade ? connection : nullptr);
-    });
+  connection->Connect(EndpointOf(aAddress),
+                      mOptions.mConnectSpan,
+                      mOptions.mSilence,
+                      [this, connection, done = std::move(aDone)](bool aMade) {
+                        (aMade ? mMade : mFailed)++;
+                        done(aMade ? connection : nullptr);
+                      });
 }
 
 void
@@ -72,9 +71,8 @@
   if (!aConnection->Idle()) {
     return;
   }
-  aConnection->OnIdleLost([this, aUpstream, raw = aConnection.get()] {
-    Forget(aUpstream, raw);
-  });
+  aConnection->OnIdleLost(
+    [this, aUpstream, raw = aConnection.get()] { Forget(aUpstream, raw); });
   mIdle[aUpstream].push_back({ aConnection, BootNow() });
 }
 
@@ -102,7 +100,8 @@
       return true;
     });
   }
-  std::erase_if(mIdle, [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 void
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -49,10 +49,9 @@
                const Connection& aConnection);
 
   /** Lets the call's answer run out unread, then keeps the connection. */
-  static CallHandlers DiscardHandlers(
-    ConnectionPool& aPool,
-    const trefoilarch::UpstreamId& aUpstream,
-    const Connection& aConnection);
+  static CallHandlers DiscardHandlers(ConnectionPool& aPool,
+                                      const trefoilarch::UpstreamId& aUpstream,
+                                      const Connection& aConnection);
 
   /** Closes what has been idle for too long, and all to upstreams that are
    * not on the list any more. */
--- a/src/libtrefoilgate/decisionlog.h
+++ b/src/libtrefoilgate/decisionlog.h
@@ -15,10 +15,10 @@
 /** Kinds of line, each with a budget of its own. */
 enum class LineKind : uint8_t
 {
-  Process,  /**< start, stop, reload, a dependency lost or regained */
-  Belief,   /**< what the process believes has changed */
-  Trouble,  /**< a refusal, repeat, cancellation or unknown outcome */
-  Success,  /**< a request that was served; the first to be left out */
+  Process, /**< start, stop, reload, a dependency lost or regained */
+  Belief,  /**< what the process believes has changed */
+  Trouble, /**< a refusal, repeat, cancellation or unknown outcome */
+  Success, /**< a request that was served; the first to be left out */
 };
 
 /** How much is logged. */
@@ -46,7 +46,9 @@
   DecisionLog& operator=(const DecisionLog&) = delete;
 
   /** Adds `t_ms`, `process` and `event` to the fields. */
-  void Write(LineKind aKind, const char* aEvent, nlohmann::ordered_json aFields);
+  void Write(LineKind aKind,
+             const char* aEvent,
+             nlohmann::ordered_json aFields);
 
   uint64_t Written() const { return mWritten; }
   uint64_t LeftOut() const { return mLeftOut; }
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -100,13 +100,12 @@
   mLastPlaced = *mAttempt;
   mAnswer.reset();
   mAttemptNumber++;
-  mContext.mPool.Acquire(
-    mAttempt->mUpstream,
-    mAttempt->mAddress,
-    [self = shared_from_this(),
-     number = mAttemptNumber](const ConnectionPool::Connection& aConnection) {
-      self->OnConnection(number, aConnection);
-    });
+  mContext.mPool.Acquire(mAttempt->mUpstream,
+                         mAttempt->mAddress,
+                         [self = shared_from_this(), number = mAttemptNumber](
+                           const ConnectionPool::Connection& aConnection) {
+                           self->OnConnection(number, aConnection);
+                         });
 }
 
 void
@@ -142,7 +141,8 @@
                              .mTimeLeft = aTimeLeft,
                              .mHolderAddress = mAttempt->mHolderAddress,
                              .mLastEvent = mEvents.LastId() };
-  std::string head = mRequest.mMethod + " " + mRequest.mTarget + " HTTP/1.1\r\n";
+  std::string head =
+    mRequest.mMethod + " " + mRequest.mTarget + " HTTP/1.1\r\n";
   for (const auto& [name, value] :
        mContext.mDialect.mOutgoing(mRequest, marks)) {
     AppendField(head, name, value);
@@ -197,7 +197,8 @@
   }
   if (mBegun && aAnswer.mStatus >= kLeastFailure) {
     DropConnection();
-    OnBroken("status " + std::to_string(aAnswer.mStatus) + " instead of events");
+    OnBroken("status " + std::to_string(aAnswer.mStatus) +
+             " instead of events");
     return;
   }
   PlanStep step = mPlan.OnHead(aAnswer.mStatus, now);
@@ -276,12 +277,11 @@
                       status == kNotModified;
   // A stream that may go on at another upstream has no length of its own.
   const bool stream = CanGoOn();
-  mCaller->BeginAnswer(
-    { .mStatus = status,
-      .mReason = mAnswer->mReason,
-      .mHeaders = mAnswer->mHeaders,
-      .mLength = stream ? std::nullopt : mAnswer->mLength,
-      .mNoBody = noBody });
+  mCaller->BeginAnswer({ .mStatus = status,
+                         .mReason = mAnswer->mReason,
+                         .mHeaders = mAnswer->mHeaders,
+                         .mLength = stream ? std::nullopt : mAnswer->mLength,
+                         .mNoBody = noBody });
 }
 
 void
@@ -414,11 +414,10 @@
   const bool served = std::string_view(aOutcome) == "served";
   const Millis firstByte =
     mFirstByteAt == Millis(0) ? Millis(0) : mFirstByteAt - mRequest.mArrived;
-  mContext.mMetrics.OnRequest(
-    { .mRoute = bound.mRoute->mName,
-      .mOutcome = aOutcome,
-      .mFirstByte = firstByte,
-      .mTook = now - mRequest.mArrived });
+  mContext.mMetrics.OnRequest({ .mRoute = bound.mRoute->mName,
+                                .mOutcome = aOutcome,
+                                .mFirstByte = firstByte,
+                                .mTook = now - mRequest.mArrived });
   mContext.mLog.Write(
     served ? LineKind::Success : LineKind::Trouble,
     "request_ended",
@@ -487,9 +486,8 @@
 std::string
 RefusalBody(const Refusal& aRefusal)
 {
-  const nlohmann::ordered_json body = {
-    { "kind", Name(aRefusal.mKind) }, { "ran", Name(aRefusal.mRan) }
-  };
+  const nlohmann::ordered_json body = { { "kind", Name(aRefusal.mKind) },
+                                        { "ran", Name(aRefusal.mRan) } };
   return body.dump();
 }
 
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -82,9 +82,8 @@
                       std::string_view aLabel,
                       double aValue)
 {
-  mMetrics.SetGauge("trefoilarch_gate_" + std::string(aName),
-                    aValue,
-                    std::string(aLabel));
+  mMetrics.SetGauge(
+    "trefoilarch_gate_" + std::string(aName), aValue, std::string(aLabel));
 }
 
 } // namespace trefoilgate
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -33,9 +33,7 @@
   void OnPolicy(std::string_view aResult);
   /** A gauge of that name, with `trefoilarch_gate_` before it. */
   void SetGauge(std::string_view aName, double aValue);
-  void SetGauge(std::string_view aName,
-                std::string_view aLabel,
-                double aValue);
+  void SetGauge(std::string_view aName, std::string_view aLabel, double aValue);
 
   std::string Text() const { return mMetrics.Text(); }
 
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -37,8 +37,8 @@
     double value = 0;
     const char* end = aText.data() + aText.size();
     const auto parsed = std::from_chars(aText.data(), end, value);
-    const bool fine = parsed.ec == std::errc() && parsed.ptr == end &&
-                      value >= 0 && value <= 1;
+    const bool fine =
+      parsed.ec == std::errc() && parsed.ptr == end && value >= 0 && value <= 1;
     return fine ? "" : "a number from 0 to 1";
   };
 }
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -20,6 +20,10 @@
  * sure to end in time and is sent elsewhere. */
 constexpr Millis kOutOfRotation{ 3000 };
 
+/** While the process ends, a connection may be idle for this long: a caller
+ * that has just connected is about to send. */
+constexpr Millis kStopIdleSpan{ 400 };
+
 /** For a caller that comes while the process ends: another entry serves. */
 constexpr Millis kReturnElsewhere{ 100 };
 
@@ -36,9 +40,8 @@
 size_t
 ConnectionsFor(uint32_t aDescriptors)
 {
-  return aDescriptors > 2 * kOtherDescriptors
-           ? aDescriptors - kOtherDescriptors
-           : aDescriptors / 2;
+  return aDescriptors > 2 * kOtherDescriptors ? aDescriptors - kOtherDescriptors
+                                              : aDescriptors / 2;
 }
 
 } // namespace
@@ -60,12 +63,13 @@
               .mDialect = mOptions.mDialect,
               .mLog = mLog,
               .mMetrics = mMetrics,
-              .mOnEnded = [this](Exchange* aEnded) { mExchanges.erase(aEnded); } }
-  , mCallers(
-      aLoop,
-      { .mAddress = mOptions.mSettings.mListen,
-        .mMostConnections = ConnectionsFor(mOptions.mSettings.mMostDescriptors) },
-      CallersHooks())
+              .mOnEnded =
+                [this](Exchange* aEnded) { mExchanges.erase(aEnded); } }
+  , mCallers(aLoop,
+             { .mAddress = mOptions.mSettings.mListen,
+               .mMostConnections =
+                 ConnectionsFor(mOptions.mSettings.mMostDescriptors) },
+             CallersHooks())
   , mOperators(aLoop,
                { .mAddress = mOptions.mSettings.mOperatorListen },
                OperatorHooks())
@@ -80,8 +84,8 @@
   mCallers.Open();
   mLog.Write(LineKind::Process,
              "started",
-             { { "listen", mOptions.mSettings.mListen },
-               { "operator_listen", mOptions.mSettings.mOperatorListen },
+             { { "listen", mCallers.Address() },
+               { "operator_listen", mOperators.Address() },
                { "platform", mOptions.mSettings.mPlatform },
                { "data_centre", mOptions.mSettings.mDataCentre } });
   Tick();
@@ -137,11 +141,10 @@
   const size_t routes = aPolicy->mRoutes.size();
   const bool newer = mRouter.SetPolicy(std::move(aPolicy));
   mMetrics.OnPolicy(newer ? "taken" : "not_newer");
-  mLog.Write(LineKind::Belief,
-             newer ? "policy_taken" : "policy_not_newer",
-             { { "version", version },
-               { "before", before },
-               { "routes", routes } });
+  mLog.Write(
+    LineKind::Belief,
+    newer ? "policy_taken" : "policy_not_newer",
+    { { "version", version }, { "before", before }, { "routes", routes } });
   return newer;
 }
 
@@ -152,8 +155,7 @@
 }
 
 void
-Gateway::ChangeDirectory(
-  const std::function<void(UpstreamDirectory&)>& aChange)
+Gateway::ChangeDirectory(const std::function<void(UpstreamDirectory&)>& aChange)
 {
   aChange(mRouter.Directory());
   mRouter.OnDirectoryChanged();
@@ -162,24 +164,26 @@
 CallerHooks
 Gateway::CallersHooks()
 {
-  return CallerHooks{
-    .mOnRequest =
-      [this](const std::shared_ptr<CallerConnection>& aCaller,
-             CallerRequest aRequest) { OnRequest(aCaller, std::move(aRequest)); },
-    .mLimits =
-      [this] {
-        return mRouter.Index() ? mRouter.Index()->Policy().mLimits
-                               : CallerLimits{};
-      },
-    .mStopping = [this] { return mDraining; },
-    .mOnRejected =
-      [this](int aStatus, const char* aWhy) {
-        mMetrics.OnRefusal("unreadable");
-        mLog.Write(LineKind::Trouble,
-                   "request_unreadable",
-                   { { "status", aStatus }, { "why", aWhy } });
-      }
-  };
+  return CallerHooks{ .mOnRequest =
+                        [this](const std::shared_ptr<CallerConnection>& aCaller,
+                               CallerRequest aRequest) {
+                          OnRequest(aCaller, std::move(aRequest));
+                        },
+                      .mLimits =
+                        [this] {
+                          return mRouter.Index()
+                                   ? mRouter.Index()->Policy().mLimits
+                                   : CallerLimits{};
+                        },
+                      .mStopping = [this] { return mDraining; },
+                      .mOnRejected =
+                        [this](int aStatus, const char* aWhy) {
+                          mMetrics.OnRefusal("unreadable");
+                          mLog.Write(
+                            LineKind::Trouble,
+                            "request_unreadable",
+                            { { "status", aStatus }, { "why", aWhy } });
+                        } };
 }
 
 CallerHooks
@@ -253,7 +257,8 @@
 Gateway::OnOperatorRequest(const std::shared_ptr<CallerConnection>& aCaller,
                            const CallerRequest& aRequest)
 {
-  const std::string path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
+  const std::string path =
+    aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
   if (path == mOptions.mReadyPath || path == "/ready") {
     const std::string reason = NotReady();
     LogReadiness(reason);
@@ -299,11 +304,11 @@
     return;
   }
   mLastReason = aReason;
-  mLog.Write(LineKind::Process,
-             aReason.empty() ? "ready" : "not_ready",
-             { { "reason", aReason },
-               { "policy_age_ms",
-                 mRouter.PolicyFreshness().Age(BootNow()).Count() } });
+  mLog.Write(
+    LineKind::Process,
+    aReason.empty() ? "ready" : "not_ready",
+    { { "reason", aReason },
+      { "policy_age_ms", mRouter.PolicyFreshness().Age(BootNow()).Count() } });
 }
 
 std::string
@@ -322,10 +327,9 @@
   mMetrics.SetGauge(
     "policy_age_ms",
     static_cast<double>(mRouter.PolicyFreshness().Age(now).Count()));
-  mMetrics.SetGauge("policy_version",
-                    mRouter.Index()
-                      ? static_cast<double>(mRouter.Index()->Version())
-                      : 0.0);
+  mMetrics.SetGauge(
+    "policy_version",
+    mRouter.Index() ? static_cast<double>(mRouter.Index()->Version()) : 0.0);
   mMetrics.SetGauge("ejections", static_cast<double>(mRouter.Ejections()));
   mMetrics.SetGauge("log_lines_left_out", static_cast<double>(mLog.LeftOut()));
   return mMetrics.Text();
@@ -363,7 +367,7 @@
   if (span < kOutOfRotation) {
     return;
   }
-  mCallers.CloseIdle();
+  mCallers.CloseIdle(kStopIdleSpan, BootNow());
   const bool done = mExchanges.empty() && mCallers.Connections() == 0;
   if (done || span >= mOptions.mSettings.mStopSpan) {
     mLoop.stop();
--- a/src/libtrefoilgate/httpfields.cpp
+++ b/src/libtrefoilgate/httpfields.cpp
@@ -13,10 +13,10 @@
 namespace {
 
 constexpr std::array kOneConnection = {
-  http::field::connection,        http::field::keep_alive,
-  http::field::proxy_connection,  http::field::te,
-  http::field::trailer,           http::field::transfer_encoding,
-  http::field::upgrade,           http::field::content_length,
+  http::field::connection,       http::field::keep_alive,
+  http::field::proxy_connection, http::field::te,
+  http::field::trailer,          http::field::transfer_encoding,
+  http::field::upgrade,          http::field::content_length,
   http::field::expect,
 };
 
@@ -61,8 +61,8 @@
   }
   Headers headers;
   for (const auto& field : aFields) {
-    const auto hop = std::find(
-      kOneConnection.begin(), kOneConnection.end(), field.name());
+    const auto hop =
+      std::find(kOneConnection.begin(), kOneConnection.end(), field.name());
     if (hop != kOneConnection.end()) {
       continue;
     }
--- a/src/libtrefoilgate/socketoptions.cpp
+++ b/src/libtrefoilgate/socketoptions.cpp
@@ -28,8 +28,7 @@
             TCP_USER_TIMEOUT,
             static_cast<int>(aSilence.mUnacknowledged.Count()));
   SetNumber(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetNumber(
-    handle, IPPROTO_TCP, TCP_KEEPIDLE, aSilence.mProbeAfterSeconds);
+  SetNumber(handle, IPPROTO_TCP, TCP_KEEPIDLE, aSilence.mProbeAfterSeconds);
   SetNumber(handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
   SetNumber(handle, IPPROTO_TCP, TCP_KEEPCNT, aSilence.mProbes);
 }
--- a/src/libtrefoilio/base64.cpp
+++ b/src/libtrefoilio/base64.cpp
@@ -18,10 +18,10 @@
 
 using Encoded = iterators::base64_from_binary<
   iterators::transform_width<const char*, kBitsOfDigit, kBitsOfByte>>;
-using Decoded = iterators::transform_width<
-  iterators::binary_from_base64<const char*>,
-  kBitsOfByte,
-  kBitsOfDigit>;
+using Decoded =
+  iterators::transform_width<iterators::binary_from_base64<const char*>,
+                             kBitsOfByte,
+                             kBitsOfDigit>;
 
 } // namespace
 
@@ -46,6 +46,9 @@
   while (digits.ends_with('=') && aText.size() - digits.size() < kMostPadding) {
     digits.remove_suffix(1);
   }
+  if (digits.ends_with('=') || digits.size() % kDigitsOfGroup == 1) {
+    return std::nullopt;
+  }
   const size_t bytes = digits.size() * kBitsOfDigit / kBitsOfByte;
   std::string decoded;
   decoded.reserve(bytes);
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -88,9 +88,9 @@
   }
   Json success = Json::array();
   for (const auto& [key, value] : aOne.mPuts) {
-    success.push_back(
-      { { "request_put",
-          { { "key", trefoilio::ToBase64(key) }, { "value", trefoilio::ToBase64(value) } } } });
+    success.push_back({ { "request_put",
+                          { { "key", trefoilio::ToBase64(key) },
+                            { "value", trefoilio::ToBase64(value) } } } });
   }
   for (const std::string& key : aOne.mDeletes) {
     success.push_back(
@@ -98,7 +98,8 @@
   }
   Json failure = Json::array();
   for (const std::string& key : aOne.mReadsIfRefused) {
-    failure.push_back({ { "request_range", { { "key", trefoilio::ToBase64(key) } } } });
+    failure.push_back(
+      { { "request_range", { { "key", trefoilio::ToBase64(key) } } } });
   }
   return { { "compare", std::move(compare) },
            { "success", std::move(success) },
--- a/tests/integration/childprocess.cpp
+++ b/tests/integration/childprocess.cpp
@@ -123,6 +123,19 @@
   return "";
 }
 
+std::vector<std::string>
+ChildProcess::LinesWith(const std::string& aPart) const
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<std::string> lines;
+  for (const std::string& line : mLines) {
+    if (line.find(aPart) != std::string::npos) {
+      lines.push_back(line);
+    }
+  }
+  return lines;
+}
+
 void
 ChildProcess::Signal(int aSignal) const
 {
--- a/tests/integration/childprocess.h
+++ b/tests/integration/childprocess.h
@@ -30,6 +30,8 @@
   std::string Address(const std::string& aRole);
   /** Whether it has printed a line that begins so. */
   bool HasSaid(const std::string& aStart) const;
+  /** All lines so far that hold the text. */
+  std::vector<std::string> LinesWith(const std::string& aPart) const;
 
   void Signal(int aSignal) const;
   /** Ends it at once, as a crash would. */
--- /dev/null
+++ b/tests/platform/beliefstest.cpp
@@ -0,0 +1,166 @@
+#include "platformfleet.h"
+
+#include "integration/await.h"
+
+#include "libtrefoilio/systemclock.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+using namespace platformtest;
+using integration::Await;
+using trefoilarch::Millis;
+using trefoilio::MonotonicNow;
+
+namespace {
+
+void
+Pause(int aMillis)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(aMillis));
+}
+
+int
+StatusFor(const PlatformFleet& aFleet, const std::string& aKey)
+{
+  return aFleet.Call({ .mKey = aKey }).mStatus;
+}
+
+} // namespace
+
+Test(beliefs, a_policy_is_in_force_soon_and_never_goes_back)
+{
+  const PlatformFleet fleet;
+  cr_expect(StatusFor(fleet, "key-3") == 401);
+  fleet.PutPolicy(PlatformFleet::MakePolicy(7, { "key-1", "key-3" }));
+  cr_expect(
+    Await([&] { return StatusFor(fleet, "key-3") == 200; }, Millis(1000)));
+  cr_expect(StatusFor(fleet, "key-2") == 401);
+  fleet.PutPolicy(PlatformFleet::MakePolicy(5, { "key-2" }));
+  Pause(300);
+  cr_expect(StatusFor(fleet, "key-3") == 200);
+  cr_expect(StatusFor(fleet, "key-2") == 401);
+}
+
+Test(beliefs, a_key_is_honoured_no_longer_than_its_revocation_may_take)
+{
+  constexpr int kRevokeMs = 3000;
+  const PlatformFleet fleet({ .mRevokeMs = kRevokeMs });
+  cr_expect(StatusFor(fleet, "key-2") == 200);
+  for (const char* fault : { "down", "silent", "busy", "reset" }) {
+    fleet.Control({ { "fault", fault } });
+    Pause(kRevokeMs);
+    const int status = StatusFor(fleet, "key-2");
+    cr_expect(status == 503, "%s: %d", fault, status);
+    fleet.Control({ { "fault", "up" } });
+    cr_expect(
+      Await([&] { return StatusFor(fleet, "key-2") == 200; }), "%s", fault);
+  }
+}
+
+Test(beliefs, a_key_is_not_honoured_after_the_process_stood_still)
+{
+  constexpr int kRevokeMs = 3000;
+  PlatformFleet fleet({ .mRevokeMs = kRevokeMs });
+  cr_expect(StatusFor(fleet, "key-2") == 200);
+  fleet.Gate(0).Signal(SIGSTOP);
+  fleet.PutPolicy(PlatformFleet::MakePolicy(9, { "key-1" }));
+  Pause(kRevokeMs + 500);
+  int status = 0;
+  std::thread caller([&] { status = StatusFor(fleet, "key-2"); });
+  Pause(100);
+  fleet.Gate(0).Signal(SIGCONT);
+  caller.join();
+  cr_expect(status == 503 || status == 401, "%d", status);
+  cr_expect(fleet.Runs(0).size() == 1);
+}
+
+Test(beliefs, dropped_history_is_read_as_a_whole)
+{
+  const PlatformFleet fleet;
+  fleet.Control({ { "fault", "down" } });
+  fleet.PutPolicy(PlatformFleet::MakePolicy(4, { "key-4" }));
+  fleet.Control({ { "drop_history", true } });
+  fleet.Control({ { "fault", "up" } });
+  cr_expect(
+    Await([&] { return StatusFor(fleet, "key-4") == 200; }, Millis(3000)));
+}
+
+Test(beliefs, a_leaving_upstream_gets_no_new_work)
+{
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  fleet.List(0, "draining");
+  Pause(1000);
+  const size_t before = fleet.Runs(0).size();
+  for (int each = 0; each < 20; ++each) {
+    cr_expect(StatusFor(fleet, "key-1") == 200);
+  }
+  cr_expect(fleet.Runs(0).size() == before);
+  fleet.Unlist("i-1");
+  Pause(1000);
+  cr_expect(StatusFor(fleet, "key-1") == 503);
+}
+
+Test(beliefs, entries_that_lapse_with_the_store_are_kept_until_it_is_back)
+{
+  const PlatformFleet fleet;
+  fleet.Control({ { "fault", "down" } });
+  Pause(2500);
+  fleet.Unlist("i-0");
+  fleet.Control({ { "fault", "up" } });
+  Pause(1200);
+  cr_expect(StatusFor(fleet, "key-1") == 200);
+  fleet.List(0);
+  Pause(2500);
+  cr_expect(StatusFor(fleet, "key-1") == 200);
+  fleet.Unlist("i-0");
+  Pause(800);
+  cr_expect(StatusFor(fleet, "key-1") == 503);
+}
+
+Test(beliefs, an_entry_still_missing_after_the_outage_is_gone)
+{
+  const PlatformFleet fleet;
+  fleet.Control({ { "fault", "reset" } });
+  Pause(2500);
+  fleet.Unlist("i-0");
+  fleet.Control({ { "fault", "up" } });
+  Pause(4500);
+  cr_expect(StatusFor(fleet, "key-1") == 503);
+  cr_expect(fleet.Runs(0).empty());
+}
+
+Test(beliefs, a_gate_is_not_ready_before_it_has_policy_and_list)
+{
+  PlatformFleet fleet;
+  fleet.Control({ { "fault", "down" } });
+  fleet.StartGate();
+  cr_assert(Await([&] { return !fleet.LogOf(1, "started").empty(); }));
+  Pause(500);
+  cr_expect(fleet.ReadyStatus(1) == 503);
+  cr_expect(fleet.Call({}, 1).mStatus == 503);
+  fleet.Control({ { "fault", "up" } });
+  cr_expect(Await([&] { return fleet.ReadyStatus(1) == 200; }));
+}
+
+Test(beliefs, the_store_is_asked_no_more_than_planned)
+{
+  const PlatformFleet fleet;
+  const uint64_t before = fleet.Control(nlohmann::json::object())
+                            .at("body")
+                            .at("calls")
+                            .get<uint64_t>();
+  Pause(6000);
+  const uint64_t after = fleet.Control(nlohmann::json::object())
+                           .at("body")
+                           .at("calls")
+                           .get<uint64_t>();
+  // Two tables, a long poll of two seconds each; a poll passes the faults
+  // twice in this store.
+  cr_expect(
+    after - before <= 2 * 2 * 4, "%d", static_cast<int>(after - before));
+  cr_expect(after - before >= 2 * 2, "%d", static_cast<int>(after - before));
+}
--- /dev/null
+++ b/tests/platform/lifetest.cpp
@@ -0,0 +1,205 @@
+#include "platformfleet.h"
+
+#include "integration/await.h"
+#include "integration/rawcaller.h"
+
+#include "libtrefoilio/systemclock.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <thread>
+
+using namespace platformtest;
+using integration::Await;
+using integration::RawCaller;
+using trefoilarch::Millis;
+using trefoilio::FindHeader;
+using trefoilio::HttpReply;
+using trefoilio::MonotonicNow;
+
+namespace {
+
+void
+Pause(int aMillis)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(aMillis));
+}
+
+std::string
+HowItEnded(const PlatformFleet& aFleet, const std::string& aId)
+{
+  const auto runs = aFleet.RunsOf(aId);
+  return runs.empty() ? "" : runs.at(0).at("how").get<std::string>();
+}
+
+} // namespace
+
+Test(life, work_ends_soon_after_the_caller_has_left)
+{
+  const PlatformFleet fleet;
+  for (const char* plan : { "hang", "stream,count=500,gap=20" }) {
+    auto caller = std::make_unique<RawCaller>(fleet.GateAddress(0));
+    caller->Send(PlatformFleet::Text(
+      { .mId = plan, .mMethod = "POST", .mPath = "/stream/x", .mPlan = plan }));
+    cr_assert(Await([&] { return HowItEnded(fleet, plan) == "running"; }));
+    Pause(100);
+    caller.reset();
+    cr_expect(
+      Await([&] { return HowItEnded(fleet, plan) == "left"; }, Millis(500)),
+      "%s",
+      plan);
+  }
+}
+
+Test(life, the_time_limit_ends_the_wait_and_the_work)
+{
+  const PlatformFleet fleet;
+  const Millis start = MonotonicNow();
+  const HttpReply reply = fleet.Call({ .mMethod = "POST",
+                                       .mPath = "/once/x",
+                                       .mPlan = "hang",
+                                       .mDeadlineMs = 700 });
+  const Millis took = MonotonicNow() - start;
+  cr_expect(reply.mStatus == 504, "%d", reply.mStatus);
+  cr_expect(took >= Millis(600) && took < Millis(1100));
+  cr_expect(
+    Await([&] { return HowItEnded(fleet, "1") == "left"; }, Millis(500)));
+}
+
+Test(life, an_upstream_is_handed_what_is_left_of_the_time)
+{
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  fleet.SetPlan(0, "cut_head,delay=800", 1);
+  fleet.SetPlan(1, "cut_head,delay=800", 1);
+  fleet.Call({ .mId = "d", .mDeadlineMs = 2000 });
+  const auto runs = fleet.RunsOf("d");
+  cr_assert(runs.size() == 2);
+  int least = 2000;
+  for (const auto& run : runs) {
+    least = std::min(
+      least,
+      std::stoi(run.at("headers").at("X-Deadline-Ms").get<std::string>()));
+  }
+  cr_expect(least <= 1250 && least > 800, "%d", least);
+}
+
+Test(life, an_upstream_that_is_gone_costs_one_attempt)
+{
+  PlatformFleet fleet({ .mWorkers = 2 });
+  fleet.Worker(0).Kill();
+  for (int each = 0; each < 10; ++each) {
+    const HttpReply reply = fleet.Call({ .mId = "g" + std::to_string(each),
+                                         .mMethod = "POST",
+                                         .mPath = "/once/x" });
+    cr_expect(reply.mStatus == 200, "%d", reply.mStatus);
+  }
+}
+
+Test(life, a_planned_stop_cuts_off_nothing)
+{
+  PlatformFleet fleet({ .mGates = 2 });
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int each = 0; each < 10; ++each) {
+    callers.push_back(std::make_unique<RawCaller>(fleet.GateAddress(0)));
+    callers.back()->Send(
+      PlatformFleet::Text({ .mId = "p" + std::to_string(each),
+                            .mMethod = "POST",
+                            .mPath = "/stream/x",
+                            .mPlan = "stream,count=25,gap=100" }));
+  }
+  Pause(200);
+  fleet.Gate(0).Signal(SIGTERM);
+  cr_expect(Await([&] { return fleet.ReadyStatus(0) == 503; }, Millis(1000)));
+  const HttpReply late = fleet.Call({ .mId = "late" });
+  cr_expect(late.mStatus == 200);
+  cr_expect(FindHeader(late.mHeaders, "Connection") == "close");
+  for (const auto& caller : callers) {
+    const std::string text = caller->ReadAll(3000);
+    cr_expect(text.find("event 25\n") != std::string::npos);
+    cr_expect(text.ends_with("0\r\n\r\n"));
+  }
+  cr_expect(Await([&] { return fleet.Gate(0).HasEnded(); }, Millis(9000)));
+  cr_expect(fleet.Gate(0).Status() == 0);
+  cr_expect(fleet.LogOf(0, "stopped").at(0).at("cut") == 0);
+}
+
+Test(life, late_in_a_stop_requests_are_sent_elsewhere_unread_by_upstreams)
+{
+  PlatformFleet fleet;
+  fleet.Gate(0).Signal(SIGTERM);
+  Pause(1500);
+  const RawCaller open(fleet.GateAddress(0));
+  open.Send(PlatformFleet::Text({ .mId = "long",
+                                  .mMethod = "POST",
+                                  .mPath = "/stream/x",
+                                  .mPlan = "stream,count=28,gap=100" }));
+  Pause(1800);
+  const HttpReply reply =
+    fleet.Call({ .mId = "after", .mMethod = "POST", .mPath = "/once/x" });
+  cr_expect(reply.mStatus == 503, "%d", reply.mStatus);
+  cr_expect(!FindHeader(reply.mHeaders, "Retry-After").empty());
+  cr_expect(fleet.RunsOf("after").empty());
+}
+
+Test(life, a_hangup_reads_the_settings_and_serves_on)
+{
+  PlatformFleet fleet;
+  fleet.Gate(0).Signal(SIGHUP);
+  cr_expect(Await([&] { return !fleet.LogOf(0, "reloaded").empty(); }));
+  cr_expect(fleet.Call({}).mStatus == 200);
+}
+
+Test(life, a_slow_reader_holds_the_upstream_back_and_not_the_gate)
+{
+  const PlatformFleet fleet;
+  const RawCaller slow(fleet.GateAddress(0));
+  slow.Send(PlatformFleet::Text({ .mId = "big", .mPlan = "ok,size=30000000" }));
+  Pause(300);
+  const Millis start = MonotonicNow();
+  cr_expect(fleet.Call({ .mId = "small" }).mStatus == 200);
+  cr_expect(MonotonicNow() - start < Millis(500));
+  const std::string dump =
+    integration::CallHttp("GET", "http://" + fleet.OperatorAddress(0) + "/dump")
+      .mBody;
+  cr_expect(dump.find("\"open\":1") != std::string::npos);
+}
+
+Test(life, metrics_and_dump_are_served)
+{
+  const PlatformFleet fleet;
+  fleet.Call({ .mPlan = "ok,delay=20" });
+  const std::string base = "http://" + fleet.OperatorAddress(0);
+  const std::string text =
+    integration::CallHttp("GET", base + "/metrics").mBody;
+  for (const char* name : { "trefoilarch_gate_requests_total",
+                            "trefoilarch_gate_first_byte_ms_bucket",
+                            "trefoilarch_gate_policy_age_ms",
+                            "trefoilarch_gate_open_requests" }) {
+    cr_expect(text.find(name) != std::string::npos, "%s", name);
+  }
+  const auto dump = integration::GetJson(base + "/dump");
+  cr_expect(dump.at("policy_version") == 1);
+  cr_expect(dump.at("upstreams").contains("i-0"));
+}
+
+Test(life, a_log_line_tells_of_each_request)
+{
+  const PlatformFleet fleet;
+  fleet.Call({ .mId = "served-one" });
+  fleet.Call({ .mId = "cut-one",
+               .mMethod = "POST",
+               .mPath = "/once/x",
+               .mPlan = "cut_head" });
+  cr_assert(Await([&] { return fleet.LogOf(0, "request_ended").size() >= 2; }));
+  const auto ended = fleet.LogOf(0, "request_ended");
+  cr_expect(ended.at(0).at("id") == "served-one");
+  cr_expect(ended.at(0).at("outcome") == "served");
+  cr_expect(ended.at(1).at("outcome") == "outcome_unknown");
+  cr_expect(ended.at(1).at("may_have_run") == true);
+  const auto attempts = fleet.LogOf(0, "attempt_ended");
+  cr_expect(attempts.at(0).at("id") == "cut-one");
+  cr_expect(attempts.at(0).at("upstream") == "i-0");
+}
--- /dev/null
+++ b/tests/platform/platformfleet.cpp
@@ -0,0 +1,259 @@
+#include "platformfleet.h"
+
+#include "integration/await.h"
+
+#include <stdexcept>
+
+namespace platformtest {
+
+using integration::Await;
+using integration::CallHttp;
+using integration::ChildProcess;
+using nlohmann::json;
+
+namespace {
+
+json
+RouteOf(const std::string& aName, const std::string& aKind, int aAttempts)
+{
+  return { { "name", aName },
+           { "host", "svc.example" },
+           { "prefix", "/" + aName + "/" },
+           { "kind", aKind },
+           { "timeoutMs", 3000 },
+           { "targetLatencyMs", 500 },
+           { "priority", 1 },
+           { "service", "svc" },
+           { "maxAttempts", aAttempts },
+           { "public", false },
+           { "stickySessions", false },
+           { "streamResume", aName == "resume" },
+           { "gapAimMs", 300 } };
+}
+
+std::string
+NameOf(size_t aWorker)
+{
+  return "i-" + std::to_string(aWorker);
+}
+
+} // namespace
+
+PlatformFleet::PlatformFleet(FleetOptions aOptions)
+  : mOptions(aOptions)
+  , mStore(std::make_unique<ChildProcess>("trefoilarch-rowstore",
+                                          std::vector<std::string>{}))
+{
+  PutPolicy(MakePolicy(1, { "key-1", "key-2" }));
+  for (size_t each = 0; each < mOptions.mWorkers; ++each) {
+    mWorkers.push_back(std::make_unique<ChildProcess>(
+      "trefoilarch-worker", std::vector<std::string>{ NameOf(each) }));
+    List(each);
+  }
+  for (size_t each = 0; each < mOptions.mGates; ++each) {
+    StartGate();
+  }
+  AwaitReady();
+}
+
+void
+PlatformFleet::StartGate()
+{
+  mGates.push_back(std::make_unique<ChildProcess>(
+    "trefoilarch-gate",
+    std::vector<std::string>{ "--name",
+                              "gate-" + std::to_string(mGates.size()),
+                              "--data-centre",
+                              "here",
+                              "--listen",
+                              "127.0.0.1:0",
+                              "--operator-listen",
+                              "127.0.0.1:0",
+                              "--platform",
+                              mStore->Address("rowstore"),
+                              "--revoke-ms",
+                              std::to_string(mOptions.mRevokeMs),
+                              "--retry-slack",
+                              std::to_string(mOptions.mRetrySlack),
+                              "--stop-seconds",
+                              std::to_string(mOptions.mStopSeconds) }));
+}
+
+void
+PlatformFleet::AwaitReady()
+{
+  for (size_t each = 0; each < mGates.size(); ++each) {
+    if (!Await([&] { return ReadyStatus(each) == 200; })) {
+      throw std::runtime_error("gate not ready");
+    }
+  }
+}
+
+trefoilio::HttpReply
+PlatformFleet::Call(const GateCall& aCall, size_t aGate) const
+{
+  trefoilio::HttpHeaders headers = { { "Host", "svc.example" },
+                                     { "X-Request-Id", aCall.mId },
+                                     { "X-Test-Plan", aCall.mPlan },
+                                     { "X-Credential", aCall.mKey },
+                                     { "X-Deadline-Ms",
+                                       std::to_string(aCall.mDeadlineMs) } };
+  headers.insert(headers.end(), aCall.mHeaders.begin(), aCall.mHeaders.end());
+  return CallHttp(aCall.mMethod,
+                  "http://" + GateAddress(aGate) + aCall.mPath,
+                  aCall.mBody,
+                  headers);
+}
+
+std::string
+PlatformFleet::Text(const GateCall& aCall)
+{
+  std::string text = aCall.mMethod + " " + aCall.mPath + " HTTP/1.1\r\n";
+  text += "Host: svc.example\r\nX-Request-Id: " + aCall.mId + "\r\n";
+  text += "X-Test-Plan: " + aCall.mPlan + "\r\n";
+  text += "X-Credential: " + aCall.mKey + "\r\n";
+  text += "X-Deadline-Ms: " + std::to_string(aCall.mDeadlineMs) + "\r\n";
+  for (const auto& [name, value] : aCall.mHeaders) {
+    text += name + ": " + value + "\r\n";
+  }
+  if (!aCall.mBody.empty()) {
+    text += "Content-Length: " + std::to_string(aCall.mBody.size()) + "\r\n";
+  }
+  return text + "\r\n" + aCall.mBody;
+}
+
+json
+PlatformFleet::Runs(size_t aWorker) const
+{
+  return integration::GetJson("http://" + WorkerAddress(aWorker) + "/control")
+    .value("runs", json::array());
+}
+
+std::vector<json>
+PlatformFleet::RunsOf(const std::string& aId) const
+{
+  std::vector<json> runs;
+  for (size_t each = 0; each < mWorkers.size(); ++each) {
+    for (const json& run : Runs(each)) {
+      if (run.at("id") == aId) {
+        runs.push_back(run);
+        runs.back()["worker"] = each;
+      }
+    }
+  }
+  return runs;
+}
+
+void
+PlatformFleet::SetPlan(size_t aWorker,
+                       const std::string& aPlan,
+                       int aTimes) const
+{
+  integration::PostJson("http://" + WorkerAddress(aWorker) + "/control",
+                        { { "plan", aPlan }, { "times", aTimes } });
+}
+
+json
+PlatformFleet::MakePolicy(uint64_t aVersion,
+                          const std::vector<std::string>& aKeys)
+{
+  return { { "version", aVersion },
+           { "routes",
+             { RouteOf("safe", "safe", 2),
+               RouteOf("once", "unsafe", 1),
+               RouteOf("stream", "stream", 1),
+               RouteOf("resume", "stream", 3) } },
+           { "services",
+             { { { "name", "svc" },
+                 { "healthPath", "/healthz" },
+                 { "maxConns", 100 } } } },
+           { "limits",
+             { { "maxHeaderBytes", 16384 },
+               { "maxBodyBytes", 1000000 },
+               { "headerTimeoutMs", 3000 },
+               { "idleTimeoutMs", 15000 } } },
+           { "tenants", { { { "name", "desk" }, { "apiKeys", aKeys } } } } };
+}
+
+void
+PlatformFleet::PutPolicy(const json& aPolicy) const
+{
+  Control({ { "put",
+              { { { "table", "op" },
+                  { "key", "config" },
+                  { "value", aPolicy } } } } });
+}
+
+void
+PlatformFleet::List(size_t aWorker, const std::string& aState) const
+{
+  ListAs(NameOf(aWorker), WorkerAddress(aWorker), aState);
+}
+
+void
+PlatformFleet::ListAs(const std::string& aId,
+                      const std::string& aAddress,
+                      const std::string& aState) const
+{
+  const json entry = { { "service", "svc" }, { "address", aAddress },
+                       { "zone", "here" },   { "slots", 8 },
+                       { "state", aState },  { "coldRemainingMs", 0 },
+                       { "sequence", 1 } };
+  Control(
+    { { "put",
+        { { { "table", "servers" }, { "key", aId }, { "value", entry } } } } });
+}
+
+void
+PlatformFleet::Unlist(const std::string& aId) const
+{
+  Control({ { "remove", { { { "table", "servers" }, { "key", aId } } } } });
+}
+
+json
+PlatformFleet::Control(const json& aOrder) const
+{
+  return integration::PostJson(
+    "http://" + mStore->Address("rowstore") + "/control", aOrder);
+}
+
+std::string
+PlatformFleet::GateAddress(size_t aGate) const
+{
+  return LogOf(aGate, "started").at(0).at("listen");
+}
+
+std::string
+PlatformFleet::OperatorAddress(size_t aGate) const
+{
+  return LogOf(aGate, "started").at(0).at("operator_listen");
+}
+
+std::string
+PlatformFleet::WorkerAddress(size_t aWorker) const
+{
+  return mWorkers[aWorker]->Address("worker");
+}
+
+int
+PlatformFleet::ReadyStatus(size_t aGate) const
+{
+  if (LogOf(aGate, "started").empty()) {
+    return 0;
+  }
+  return CallHttp("GET", "http://" + OperatorAddress(aGate) + "/v1/readyz")
+    .mStatus;
+}
+
+std::vector<json>
+PlatformFleet::LogOf(size_t aGate, const std::string& aEvent) const
+{
+  std::vector<json> lines;
+  for (const std::string& line :
+       mGates[aGate]->LinesWith("\"event\":\"" + aEvent + "\"")) {
+    lines.push_back(json::parse(line));
+  }
+  return lines;
+}
+
+} // namespace platformtest
--- /dev/null
+++ b/tests/platform/platformfleet.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "integration/childprocess.h"
+#include "integration/httpcall.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace platformtest {
+
+/** What a PlatformFleet starts with. */
+struct FleetOptions
+{
+  size_t mWorkers = 1;
+  size_t mGates = 1;
+  /** A revoked key is honoured no longer than this. */
+  int mRevokeMs = 5000;
+  int mStopSeconds = 8;
+  /** Retries of all gates together besides the share of requests. */
+  int mRetrySlack = 50;
+};
+
+/** One request to a gate. */
+struct GateCall
+{
+  std::string mId = "1";
+  std::string mMethod = "GET";
+  /** `/safe/`, `/once/`, `/stream/` and `/resume/` are routes. */
+  std::string mPath = "/safe/x";
+  /** What the worker does; see the worker's plans. */
+  std::string mPlan = "ok";
+  std::string mKey = "key-1";
+  std::string mBody{};
+  int mDeadlineMs = 5000;
+  trefoilio::HttpHeaders mHeaders{};
+};
+
+/**
+ * A store, workers and gates as real processes on loopback, with a policy of
+ * four routes to one service and one workspace.
+ */
+class PlatformFleet
+{
+public:
+  explicit PlatformFleet(FleetOptions aOptions = {});
+
+  /** Waits until every gate is ready. */
+  void AwaitReady();
+
+  trefoilio::HttpReply Call(const GateCall& aCall, size_t aGate = 0) const;
+  /** The request as it goes over the wire, for raw callers. */
+  static std::string Text(const GateCall& aCall);
+
+  /** All runs of a worker, as it wrote them down. */
+  nlohmann::json Runs(size_t aWorker) const;
+  /** The runs of that request at all workers. */
+  std::vector<nlohmann::json> RunsOf(const std::string& aId) const;
+  /** What the worker does with its next requests. */
+  void SetPlan(size_t aWorker, const std::string& aPlan, int aTimes) const;
+
+  /** Makes the policy of the fleet with another version or keys. */
+  static nlohmann::json MakePolicy(uint64_t aVersion,
+                                   const std::vector<std::string>& aKeys);
+  void PutPolicy(const nlohmann::json& aPolicy) const;
+  void List(size_t aWorker, const std::string& aState = "ready") const;
+  void ListAs(const std::string& aId,
+              const std::string& aAddress,
+              const std::string& aState = "ready") const;
+  void Unlist(const std::string& aId) const;
+  /** `{"fault":...}` and so on; returns the store's counts. */
+  nlohmann::json Control(const nlohmann::json& aOrder) const;
+
+  void StartGate();
+  integration::ChildProcess& Gate(size_t aGate) { return *mGates[aGate]; }
+  integration::ChildProcess& Worker(size_t aWorker)
+  {
+    return *mWorkers[aWorker];
+  }
+  std::string GateAddress(size_t aGate) const;
+  std::string OperatorAddress(size_t aGate) const;
+  std::string WorkerAddress(size_t aWorker) const;
+  int ReadyStatus(size_t aGate) const;
+  /** The gate's log lines of that event, parsed. */
+  std::vector<nlohmann::json> LogOf(size_t aGate,
+                                    const std::string& aEvent) const;
+
+private:
+  FleetOptions mOptions;
+  std::unique_ptr<integration::ChildProcess> mStore;
+  std::vector<std::unique_ptr<integration::ChildProcess>> mWorkers;
+  std::vector<std::unique_ptr<integration::ChildProcess>> mGates;
+};
+
+} // namespace platformtest
--- /dev/null
+++ b/tests/standins/rowstore/main.cpp
@@ -0,0 +1,202 @@
+#include "rowtable.h"
+
+#include "common/standinserver.h"
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <iostream>
+#include <mutex>
+#include <random>
+#include <thread>
+
+using namespace standin;
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t kMostRows = 500;
+constexpr int kHistoryGone = 410;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+/**
+ * The store's faults: `up`; `down` (503); `busy` (429); `reset`; `silent` (no
+ * answer while it lasts); `slow` (delay_ms before each answer); `lost`
+ * (writes take effect and the connection is cut).
+ */
+class Faults
+{
+public:
+  void Set(const json& aOrder)
+  {
+    const std::lock_guard lock(mMutex);
+    mMode = aOrder.value("fault", mMode);
+    mDelay = std::chrono::milliseconds(aOrder.value("delay_ms", 0));
+    mChanged.notify_all();
+  }
+
+  std::string Mode() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mMode;
+  }
+
+  /** False where the call is not to be served. */
+  bool Pass(Exchange& aExchange)
+  {
+    std::unique_lock lock(mMutex);
+    mCalls++;
+    while (mMode == "silent" && !aExchange.ClientLeft()) {
+      mChanged.wait_for(lock, std::chrono::milliseconds(20));
+    }
+    const std::string mode = mMode;
+    const auto delay = mDelay;
+    lock.unlock();
+    if (mode == "slow") {
+      std::this_thread::sleep_for(delay);
+    }
+    if (mode == "down") {
+      aExchange.Send(kUnavailable, "{}");
+    } else if (mode == "busy") {
+      aExchange.Send(429, "{}");
+    } else if (mode == "reset" || aExchange.ClientLeft()) {
+      aExchange.Cut();
+    } else {
+      return true;
+    }
+    return false;
+  }
+
+  uint64_t Calls() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mCalls;
+  }
+
+private:
+  mutable std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::string mMode = "up";
+  std::chrono::milliseconds mDelay{ 0 };
+  uint64_t mCalls = 0;
+};
+
+uint64_t
+NumberOf(const std::string& aText, uint64_t aOtherwise)
+{
+  return aText.empty() ? aOtherwise : std::stoull(aText);
+}
+
+void
+Control(RowTable& aRows, Faults& aFaults, Exchange& aExchange)
+{
+  const json order = json::parse(aExchange.Body(), nullptr, false);
+  if (order.contains("fault")) {
+    aFaults.Set(order);
+  }
+  for (const json& row : order.value("put", json::array())) {
+    aRows.Put(row.at("table"), row.at("key"), row.at("value").dump());
+  }
+  for (const json& row : order.value("remove", json::array())) {
+    aRows.Remove(row.at("table"), row.at("key"));
+  }
+  if (order.value("drop_history", false)) {
+    aRows.DropHistory();
+  }
+  aExchange.Send(200, json{ { "calls", aFaults.Calls() } }.dump());
+}
+
+void
+Write(RowTable& aRows, const Faults& aFaults, Exchange& aExchange)
+{
+  const json order = json::parse(aExchange.Body(), nullptr, false);
+  for (const char* list : { "setKeys", "remove" }) {
+    for (const json& row : order.value(list, json::array())) {
+      const std::string table = row.value("table", "");
+      if (table == "op" || table == "servers") {
+        aExchange.Send(kForbidden, "{}");
+        return;
+      }
+    }
+  }
+  const TransactionResult result = aRows.Transact(order);
+  if (aFaults.Mode() == "lost") {
+    aExchange.Cut();
+    return;
+  }
+  aExchange.Send(result.mStatus, result.mBody.dump());
+}
+
+void
+Read(const RowTable& aRows, Exchange& aExchange)
+{
+  const auto limit = std::min<uint64_t>(
+    kMostRows, NumberOf(aExchange.Parameter("limit"), kMostRows));
+  aExchange.Send(200,
+                 aRows
+                   .Read(aExchange.Parameter("table"),
+                         aExchange.Parameter("part"),
+                         aExchange.Parameter("from"),
+                         aExchange.Parameter("to"),
+                         limit)
+                   .dump());
+}
+
+void
+Follow(const RowTable& aRows, Faults& aFaults, Exchange& aExchange)
+{
+  const auto wait =
+    std::chrono::milliseconds(NumberOf(aExchange.Parameter("waitMs"), 0));
+  const auto changes = aRows.Follow(aExchange.Parameter("table"),
+                                    NumberOf(aExchange.Parameter("after"), 0),
+                                    wait);
+  // A fault that began while the call waited holds for its answer too.
+  if (!aFaults.Pass(aExchange)) {
+    return;
+  }
+  if (changes) {
+    aExchange.Send(200, changes->dump());
+  } else {
+    aExchange.Send(kHistoryGone, "{}");
+  }
+}
+
+void
+Serve(RowTable& aRows, Faults& aFaults, Exchange& aExchange)
+{
+  const std::string path = aExchange.Path();
+  if (path == "/control") {
+    Control(aRows, aFaults, aExchange);
+    return;
+  }
+  if (!aFaults.Pass(aExchange)) {
+    return;
+  }
+  if (path == "/v1/rows-tx") {
+    Write(aRows, aFaults, aExchange);
+  } else if (path == "/v1/rows-get") {
+    Read(aRows, aExchange);
+  } else if (path == "/v1/rows-feed") {
+    Follow(aRows, aFaults, aExchange);
+  } else {
+    aExchange.Send(kNotFound, "{}");
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  BlockStopSignals();
+  const std::string endpoint = aCount > 1 ? aArguments[1] : "127.0.0.1:0";
+  RowTable rows;
+  Faults faults;
+  const StandinServer server(
+    endpoint, [&](Exchange& aExchange) { Serve(rows, faults, aExchange); });
+  AnnounceListening("rowstore", "store", server.Endpoint());
+  WaitForStopSignal();
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/rowstore/rowtable.cpp
@@ -0,0 +1,188 @@
+#include "rowtable.h"
+
+#include "libtrefoilio/base64.h"
+
+#include <optional>
+
+namespace standin {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t kMostHistory = 10000;
+constexpr int kConflict = 412;
+
+int64_t
+NowMillis()
+{
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+TransactionResult
+RowTable::Transact(const json& aOrder)
+{
+  const std::lock_guard lock(mMutex);
+  json current = json::array();
+  bool holds = true;
+  for (const json& each : aOrder.value("expectedRev", json::array())) {
+    const auto row = mRows.find(KeyOf(each));
+    const uint64_t version = row == mRows.end() ? 0 : row->second.mVersion;
+    holds = holds && version == each.value("ver", uint64_t{ 0 });
+    if (row != mRows.end()) {
+      current.push_back(JsonOf(row->first, row->second));
+    }
+  }
+  if (!holds) {
+    return { .mStatus = kConflict, .mBody = Stamped(std::move(current)) };
+  }
+  mVersion++;
+  for (const json& each : aOrder.value("setKeys", json::array())) {
+    const std::string value = each.value("value", "");
+    Apply(KeyOf(each), &value);
+  }
+  for (const json& each : aOrder.value("remove", json::array())) {
+    Apply(KeyOf(each), nullptr);
+  }
+  mChanged.notify_all();
+  return { .mBody = { { "ver", mVersion }, { "nowMs", NowMillis() } } };
+}
+
+json
+RowTable::Read(const std::string& aTable,
+               const std::string& aPart,
+               const std::string& aFrom,
+               const std::string& aTo,
+               size_t aLimit) const
+{
+  const std::lock_guard lock(mMutex);
+  json rows = json::array();
+  bool more = false;
+  for (auto row = mRows.lower_bound({ aTable, aPart, aFrom });
+       row != mRows.end();
+       ++row) {
+    const auto& [table, part, key] = row->first;
+    if (table != aTable || part != aPart || (!aTo.empty() && key >= aTo)) {
+      break;
+    }
+    if (rows.size() >= aLimit) {
+      more = true;
+      break;
+    }
+    rows.push_back(JsonOf(row->first, row->second));
+  }
+  json body = Stamped(std::move(rows));
+  body["hasMore"] = more;
+  return body;
+}
+
+std::optional<json>
+RowTable::Follow(const std::string& aTable,
+                 uint64_t aAfter,
+                 std::chrono::milliseconds aWait) const
+{
+  const auto end = std::chrono::steady_clock::now() + aWait;
+  std::unique_lock lock(mMutex);
+  for (;;) {
+    if (aAfter < mForgotten) {
+      return std::nullopt;
+    }
+    json rows = json::array();
+    for (const Change& change : mHistory) {
+      if (change.mVersion <= aAfter || std::get<0>(change.mKey) != aTable) {
+        continue;
+      }
+      json row = JsonOf(
+        change.mKey, { .mValue = change.mValue, .mVersion = change.mVersion });
+      if (change.mRemoved) {
+        row["tombstone"] = true;
+      }
+      rows.push_back(std::move(row));
+    }
+    if (!rows.empty() || std::chrono::steady_clock::now() >= end) {
+      return Stamped(std::move(rows));
+    }
+    mChanged.wait_until(lock, end);
+  }
+}
+
+void
+RowTable::Put(const std::string& aTable,
+              const std::string& aKey,
+              const std::string& aValue)
+{
+  const std::lock_guard lock(mMutex);
+  mVersion++;
+  const std::string encoded = trefoilio::ToBase64(aValue);
+  Apply({ aTable, "", aKey }, &encoded);
+  mChanged.notify_all();
+}
+
+void
+RowTable::Remove(const std::string& aTable, const std::string& aKey)
+{
+  const std::lock_guard lock(mMutex);
+  mVersion++;
+  Apply({ aTable, "", aKey }, nullptr);
+  mChanged.notify_all();
+}
+
+void
+RowTable::DropHistory()
+{
+  const std::lock_guard lock(mMutex);
+  mForgotten = mVersion;
+  mHistory.clear();
+  mChanged.notify_all();
+}
+
+RowTable::RowKey
+RowTable::KeyOf(const json& aRow)
+{
+  return { aRow.value("table", ""),
+           aRow.value("part", ""),
+           aRow.value("key", "") };
+}
+
+json
+RowTable::JsonOf(const RowKey& aKey, const Stored& aRow)
+{
+  const auto& [table, part, key] = aKey;
+  return { { "table", table },
+           { "part", part },
+           { "key", key },
+           { "value", aRow.mValue },
+           { "ver", aRow.mVersion } };
+}
+
+json
+RowTable::Stamped(json aRows) const
+{
+  return { { "rows", std::move(aRows) },
+           { "ver", mVersion },
+           { "nowMs", NowMillis() } };
+}
+
+void
+RowTable::Apply(const RowKey& aKey, const std::string* aValue)
+{
+  if (aValue != nullptr) {
+    mRows[aKey] = { .mValue = *aValue, .mVersion = mVersion };
+  } else if (mRows.erase(aKey) == 0) {
+    return;
+  }
+  mHistory.push_back({ .mKey = aKey,
+                       .mVersion = mVersion,
+                       .mRemoved = aValue == nullptr,
+                       .mValue = aValue != nullptr ? *aValue : "" });
+  if (mHistory.size() > kMostHistory) {
+    mForgotten = mHistory.front().mVersion;
+    mHistory.pop_front();
+  }
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/standins/rowstore/rowtable.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <tuple>
+
+namespace standin {
+
+/** What a transaction came to. */
+struct TransactionResult
+{
+  int mStatus = 200;
+  nlohmann::json mBody;
+};
+
+/**
+ * The rows of a store: one counter of versions, conditional transactions,
+ * range reads and a feed of changes with a bounded history. Thread-safe.
+ */
+class RowTable
+{
+public:
+  TransactionResult Transact(const nlohmann::json& aOrder);
+  nlohmann::json Read(const std::string& aTable,
+                      const std::string& aPart,
+                      const std::string& aFrom,
+                      const std::string& aTo,
+                      size_t aLimit) const;
+  /** Waits for changes after a version; empty where that history is gone. */
+  std::optional<nlohmann::json> Follow(const std::string& aTable,
+                                       uint64_t aAfter,
+                                       std::chrono::milliseconds aWait) const;
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           const std::string& aValue);
+  void Remove(const std::string& aTable, const std::string& aKey);
+  /** Forgets all changes up to now. */
+  void DropHistory();
+
+private:
+  using RowKey = std::tuple<std::string, std::string, std::string>;
+  struct Stored
+  {
+    std::string mValue; /**< base64, as on the wire */
+    uint64_t mVersion = 0;
+  };
+  struct Change
+  {
+    RowKey mKey;
+    uint64_t mVersion = 0;
+    bool mRemoved = false;
+    std::string mValue;
+  };
+
+  static RowKey KeyOf(const nlohmann::json& aRow);
+  static nlohmann::json JsonOf(const RowKey& aKey, const Stored& aRow);
+  nlohmann::json Stamped(nlohmann::json aRows) const;
+  void Apply(const RowKey& aKey, const std::string* aValue);
+
+  mutable std::mutex mMutex;
+  mutable std::condition_variable mChanged;
+  std::map<RowKey, Stored> mRows;
+  std::deque<Change> mHistory;
+  uint64_t mVersion = 1;
+  uint64_t mForgotten = 0;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/unit/freshnesstest.cpp
@@ -0,0 +1,56 @@
+#include "libtrefoilarch/freshness.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace trefoilarch;
+
+Test(freshness, an_older_confirmation_changes_nothing)
+{
+  Freshness belief;
+  cr_expect(!belief.IsWithin(Millis(1000), Millis(0)));
+  belief.Confirm(Millis(500));
+  belief.Confirm(Millis(300));
+  cr_expect(belief.Age(Millis(700)) == Millis(200));
+  cr_expect(belief.IsWithin(Millis(201), Millis(700)));
+  cr_expect(!belief.IsWithin(Millis(200), Millis(700)));
+}
+
+/**
+ * The model: the other process makes its answer some time after it was asked
+ * and the answer travels for some time. A date must never be later than the
+ * moment at which the answer was made.
+ */
+Test(freshness, an_answer_is_never_dated_too_late)
+{
+  const bool holds = rc::check(
+    "an answer is never dated too late",
+    [](const std::vector<std::tuple<uint8_t, uint16_t, uint8_t>>& aPolls) {
+      constexpr int64_t kOffset = 123456;
+      RemoteClock clock;
+      int64_t now = 1000;
+      for (const auto& [there, held, back] : aPolls) {
+        const int64_t asked = now;
+        const int64_t made = asked + there + held;
+        const Millis date = clock.DateOf(Millis(asked), Millis(made - kOffset));
+        RC_ASSERT(date.Count() <= made);
+        now = made + back;
+      }
+    });
+  cr_assert(holds);
+}
+
+Test(freshness, a_long_poll_is_dated_to_within_a_round_trip)
+{
+  RemoteClock clock;
+  clock.DateOf(Millis(1000), Millis(51)); // asked at 1000, made at 1001
+  const Millis date = clock.DateOf(Millis(1002), Millis(2053));
+  cr_expect(date == Millis(3002)); // made at 3003
+}
+
+Test(freshness, a_reading_that_jumps_back_starts_anew)
+{
+  RemoteClock clock;
+  clock.DateOf(Millis(1000), Millis(5000));
+  cr_expect(clock.DateOf(Millis(2000), Millis(10)) == Millis(2000));
+}
--- /dev/null
+++ b/tests/unit/requestplantest.cpp
@@ -0,0 +1,310 @@
+#include "libtrefoilarch/requestplan.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace trefoilarch;
+
+namespace {
+
+constexpr Millis kTimeout{ 5000 };
+
+Route
+MakeRoute(const char* aName, RepeatRule aRepeat, uint32_t aAttempts)
+{
+  return Route{ .mName = aName,
+                .mHost = "h",
+                .mPathPrefix = std::string("/") + aName + "/",
+                .mRepeat = aRepeat,
+                .mStream = aRepeat == RepeatRule::Resumable,
+                .mTimeout = kTimeout,
+                .mTargets = { { .mService = "svc" } },
+                .mMostAttempts = aAttempts };
+}
+
+/** A router that knows a policy, a key and a few upstreams. */
+DirectRouter
+MakeRouter(size_t aUpstreams, double aRetries = 100)
+{
+  DirectRouter router(
+    { .mRetries = { .mPercent = 100, .mFirst = aRetries, .mMost = aRetries } });
+  RoutePolicy policy{ .mVersion = 1 };
+  policy.mRoutes = { MakeRoute("once", RepeatRule::AtMostOnce, 3),
+                     MakeRoute("safe", RepeatRule::Idempotent, 3),
+                     MakeRoute("resume", RepeatRule::Resumable, 3) };
+  policy.mWorkspaces = { { .mName = "desk", .mKeys = { "k" } } };
+  router.SetPolicy(std::make_shared<const RoutePolicy>(std::move(policy)));
+  router.ConfirmPolicy(Millis(0));
+  for (size_t each = 0; each < aUpstreams; ++each) {
+    router.Directory().Put({ .mId = "u" + std::to_string(each),
+                             .mService = "svc",
+                             .mAddress = "a:1" });
+  }
+  router.OnDirectoryChanged();
+  return router;
+}
+
+BoundRequest
+Bound(DirectRouter& aRouter, const std::string& aPath, Millis aNow = Millis(0))
+{
+  BoundRequest bound;
+  boost::leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_ASSIGN(
+        bound,
+        aRouter.Bind(
+          { .mHost = "h", .mPath = aPath, .mKey = "k", .mArrived = aNow },
+          aNow));
+      return {};
+    },
+    [] { cr_assert(false, "not bound"); });
+  return bound;
+}
+
+ErrorKind
+BindError(DirectRouter& aRouter, const RequestFacts& aFacts, Millis aNow)
+{
+  return boost::leaf::try_handle_all(
+    [&]() -> Result<ErrorKind> {
+      BOOST_LEAF_CHECK(aRouter.Bind(aFacts, aNow));
+      return ErrorKind::Internal;
+    },
+    [](const Refusal& aRefusal) { return aRefusal.mKind; },
+    [] { return ErrorKind::Internal; });
+}
+
+/** What an upstream may do with an attempt. */
+enum class Fate
+{
+  Unreachable,
+  NotRun,
+  Failed,   /**< an answer with a status of 500 */
+  Broken,   /**< no answer at all */
+  CutShort, /**< the answer begins and breaks off */
+  Good,
+  TimeUp,
+};
+
+/** What a played request came to. */
+struct Played
+{
+  int mRuns = 0;
+  /** An earlier run was still possible when one was begun. */
+  bool mSecondRun = false;
+  bool mAnswered = false;
+  bool mSaidNotRun = false;
+  bool mTellsReturn = false;
+  bool mCut = false;
+  uint32_t mAttempts = 0;
+};
+
+Played
+Play(const std::string& aPath, const std::vector<Fate>& aFates)
+{
+  DirectRouter router = MakeRouter(5);
+  RequestPlan plan(router, Bound(router, aPath));
+  Played played;
+  Millis now(0);
+  PlanStep step = plan.Begin(now);
+  size_t next = 0;
+  while (const auto* send = std::get_if<SendRequest>(&step)) {
+    PlacedAttempt attempt = send->mAttempt;
+    const Fate fate = next < aFates.size() ? aFates[next] : Fate::Good;
+    next++;
+    now += Millis(7);
+    if (fate == Fate::Unreachable) {
+      router.OnEnded(attempt, AttemptOutcome::Unreachable, now);
+      step = plan.OnUnreachable(now);
+      continue;
+    }
+    plan.OnSending();
+    if (fate == Fate::NotRun) {
+      router.OnEnded(attempt, AttemptOutcome::Refused, now);
+      step = plan.OnNotRun(now);
+      continue;
+    }
+    played.mSecondRun = played.mSecondRun || played.mRuns > 0;
+    played.mRuns++;
+    if (fate == Fate::TimeUp) {
+      router.OnEnded(attempt, AttemptOutcome::Withdrawn, now);
+      step = plan.OnTimeUp(kTimeout);
+    } else if (fate == Fate::Failed) {
+      step = plan.OnHead(500, now);
+      router.OnEnded(attempt, AttemptOutcome::Failed, now);
+    } else if (fate == Fate::Good) {
+      step = plan.OnHead(200, now);
+      cr_assert(std::holds_alternative<PassOn>(step));
+      router.OnEnded(attempt, AttemptOutcome::Good, now);
+    } else {
+      if (fate == Fate::CutShort) {
+        step = plan.OnHead(200, now);
+        plan.OnAnswerBegun();
+      }
+      router.OnEnded(attempt, AttemptOutcome::Broken, now);
+      step = plan.OnBroken(
+        plan.Request().mRoute->mRepeat == RepeatRule::Resumable, now);
+    }
+  }
+  played.mAttempts = plan.Attempts();
+  played.mCut = std::holds_alternative<CutAnswer>(step);
+  played.mAnswered = std::holds_alternative<PassOn>(step);
+  if (const auto* refusal = std::get_if<AnswerRefusal>(&step)) {
+    const int status = AnswerFor(refusal->mRefusal.mKind).mHttpStatus;
+    played.mSaidNotRun = status == 429 || status == 503;
+    played.mTellsReturn = refusal->mRefusal.mRetryAfter > Millis(0);
+    cr_assert(played.mSaidNotRun == (refusal->mRefusal.mRan == Ran::No));
+  }
+  return played;
+}
+
+std::vector<Fate>
+Fates(const std::vector<uint8_t>& aChances)
+{
+  std::vector<Fate> fates;
+  for (const uint8_t chance : aChances) {
+    fates.push_back(
+      static_cast<Fate>(chance % (static_cast<int>(Fate::TimeUp) + 1)));
+  }
+  return fates;
+}
+
+} // namespace
+
+Test(requestplan, what_may_run_once_never_runs_twice)
+{
+  const bool holds =
+    rc::check("at most one run", [](const std::vector<uint8_t>& aChances) {
+      const Played played = Play("/once/x", Fates(aChances));
+      RC_ASSERT(played.mRuns <= 1);
+    });
+  cr_assert(holds);
+}
+
+Test(requestplan, not_run_is_said_exactly_where_nothing_ran)
+{
+  const bool holds = rc::check(
+    "an honest refusal", [](const std::vector<uint8_t>& aChances, bool aSafe) {
+      const Played played =
+        Play(aSafe ? "/safe/x" : "/once/x", Fates(aChances));
+      RC_ASSERT(!(played.mSaidNotRun && played.mRuns > 0));
+      RC_ASSERT(played.mSaidNotRun == played.mTellsReturn);
+    });
+  cr_assert(holds);
+}
+
+Test(requestplan, no_more_upstreams_than_the_route_allows)
+{
+  const bool holds =
+    rc::check("attempts are bounded",
+              [](const std::vector<uint8_t>& aChances, bool aSafe) {
+                const Played played =
+                  Play(aSafe ? "/safe/x" : "/resume/x", Fates(aChances));
+                RC_ASSERT(played.mRuns <= 3);
+                RC_ASSERT(played.mAttempts <= 3U);
+              });
+  cr_assert(holds);
+}
+
+Test(requestplan, a_begun_answer_is_cut_and_never_refused)
+{
+  const Played once = Play("/once/x", { Fate::CutShort });
+  cr_expect(once.mCut && once.mRuns == 1);
+  const Played safe = Play("/safe/x", { Fate::CutShort });
+  cr_expect(safe.mCut && safe.mRuns == 1);
+  const Played resumed = Play("/resume/x", { Fate::CutShort, Fate::Broken });
+  cr_expect(resumed.mAnswered && resumed.mRuns == 3);
+}
+
+Test(requestplan, a_failure_of_its_own_is_passed_on_when_no_attempt_is_left)
+{
+  const Played played =
+    Play("/safe/x", { Fate::Failed, Fate::Failed, Fate::Failed });
+  cr_expect(played.mAnswered && played.mRuns == 3);
+}
+
+Test(requestplan, without_budget_nothing_is_repeated)
+{
+  DirectRouter router = MakeRouter(3, 0);
+  RequestPlan plan(router, Bound(router, "/safe/x"));
+  plan.Begin(Millis(0));
+  plan.OnSending();
+  const PlanStep step = plan.OnBroken(false, Millis(5));
+  cr_assert(std::holds_alternative<AnswerRefusal>(step));
+  cr_expect(std::get<AnswerRefusal>(step).mRefusal.mRan == Ran::Maybe);
+}
+
+Test(directrouter, keys_are_refused_on_a_stale_policy_without_calling_them_bad)
+{
+  DirectRouter router = MakeRouter(1);
+  const RequestFacts known{ .mHost = "h", .mPath = "/safe/x", .mKey = "k" };
+  const RequestFacts unknown{ .mHost = "h", .mPath = "/safe/x", .mKey = "q" };
+  const RequestFacts elsewhere{ .mHost = "h", .mPath = "/none/", .mKey = "k" };
+  cr_expect(BindError(router, unknown, Millis(100)) == ErrorKind::BadToken);
+  cr_expect(BindError(router, elsewhere, Millis(100)) ==
+            ErrorKind::UnknownRoute);
+  cr_expect(BindError(router, known, Millis(4500)) == ErrorKind::PolicyStale);
+  cr_expect(BindError(router, unknown, Millis(3500)) == ErrorKind::PolicyStale);
+  cr_expect(BindError(router, elsewhere, Millis(3500)) ==
+            ErrorKind::PolicyStale);
+}
+
+Test(directrouter, a_key_that_is_taken_away_while_waiting_is_not_sent_on)
+{
+  DirectRouter router = MakeRouter(1);
+  RequestPlan plan(router, Bound(router, "/safe/x"));
+  RoutePolicy later{ .mVersion = 2 };
+  later.mRoutes = { MakeRoute("safe", RepeatRule::Idempotent, 3) };
+  later.mWorkspaces = { { .mName = "desk", .mKeys = { "other" } } };
+  router.SetPolicy(std::make_shared<const RoutePolicy>(std::move(later)));
+  const PlanStep step = plan.Begin(Millis(1));
+  cr_assert(std::holds_alternative<AnswerRefusal>(step));
+  cr_expect(std::get<AnswerRefusal>(step).mRefusal.mKind ==
+            ErrorKind::PolicyStale);
+}
+
+Test(directrouter, versions_only_rise)
+{
+  DirectRouter router = MakeRouter(1);
+  cr_expect(
+    !router.SetPolicy(std::make_shared<const RoutePolicy>(RoutePolicy{})));
+  cr_expect(!router.SetPolicy(
+    std::make_shared<const RoutePolicy>(RoutePolicy{ .mVersion = 1 })));
+  cr_expect(router.SetPolicy(
+    std::make_shared<const RoutePolicy>(RoutePolicy{ .mVersion = 5 })));
+  cr_expect(router.Index()->Version() == 5);
+}
+
+Test(directrouter, leaving_upstreams_get_nothing)
+{
+  DirectRouter router = MakeRouter(2);
+  router.Directory().Put(
+    { .mId = "u0", .mService = "svc", .mAddress = "a:1", .mLeaving = true });
+  router.OnDirectoryChanged();
+  for (int each = 0; each < 20; ++each) {
+    const BoundRequest bound = Bound(router, "/safe/x");
+    const auto attempt = router.Place(bound, {}, Millis(0));
+    cr_assert(attempt.has_value());
+    cr_expect(attempt->mUpstream == "u1");
+    router.OnEnded(*attempt, AttemptOutcome::Good, Millis(0));
+  }
+}
+
+Test(directrouter, failing_upstreams_are_avoided_but_never_all_of_them)
+{
+  DirectRouter router = MakeRouter(4);
+  for (int each = 0; each < 60; ++each) {
+    const BoundRequest bound = Bound(router, "/once/x");
+    const auto attempt = router.Place(bound, {}, Millis(0));
+    cr_assert(attempt.has_value());
+    const bool bad = attempt->mUpstream == "u0";
+    router.OnEnded(
+      *attempt, bad ? AttemptOutcome::Broken : AttemptOutcome::Good, Millis(0));
+  }
+  cr_expect(router.StateOf("u0", Millis(0)) == OutlierState::Ejected);
+  for (int each = 0; each < 60; ++each) {
+    const BoundRequest bound = Bound(router, "/once/x");
+    const auto attempt = router.Place(bound, {}, Millis(1));
+    cr_assert(attempt.has_value(), "always somewhere to go");
+    router.OnEnded(*attempt, AttemptOutcome::Broken, Millis(1));
+  }
+}
--- /dev/null
+++ b/tests/unit/workplacementtest.cpp
@@ -0,0 +1,207 @@
+#include "libtrefoilarch/workplacement.h"
+#include "libtrefoilarch/lanes.h"
+#include "libtrefoilarch/sharedparts.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace trefoilarch;
+
+namespace {
+
+/** A service's engines with their work. */
+struct Engines
+{
+  explicit Engines(size_t aCount)
+    : mWork(aCount)
+  {
+    for (size_t each = 0; each < aCount; ++each) {
+      mListed.push_back({ .mId = "e" + std::to_string(each),
+                          .mService = "llm",
+                          .mAddress = "a:1",
+                          .mDataCentre = each % 2 == 0 ? "here" : "there",
+                          .mSlots = 64 });
+    }
+  }
+
+  std::vector<PlacementCandidate> Candidates() const
+  {
+    std::vector<PlacementCandidate> all;
+    for (size_t each = 0; each < mListed.size(); ++each) {
+      all.push_back({ .mListed = &mListed[each], .mWork = &mWork[each] });
+    }
+    return all;
+  }
+
+  std::vector<const ListedUpstream*> Listed() const
+  {
+    std::vector<const ListedUpstream*> all;
+    for (const ListedUpstream& each : mListed) {
+      all.push_back(&each);
+    }
+    return all;
+  }
+
+  std::vector<ListedUpstream> mListed;
+  std::vector<UpstreamWork> mWork;
+};
+
+PromptShape
+Session(uint64_t aSession, uint64_t aOwn)
+{
+  return PromptShape{ .mPromptTokens = 9000,
+                      .mMostOutput = 200,
+                      .mParts = { { .mId = 1, .mTokens = 2500 },
+                                  { .mId = 100 + aSession, .mTokens = 3800 },
+                                  { .mId = 100000 + aOwn, .mTokens = 2700 } },
+                      .mShared = 2 };
+}
+
+Route
+MakeRoute(const char* aName, int64_t aGap)
+{
+  return Route{ .mName = aName, .mStream = true, .mGapTarget = Millis(aGap) };
+}
+
+} // namespace
+
+Test(workplacement, a_session_goes_to_the_same_engine_from_every_entry)
+{
+  const Engines engines(12);
+  WorkPlacement one({ .mDataCentre = "here", .mSeed = 1 });
+  WorkPlacement other({ .mDataCentre = "there", .mSeed = 2 });
+  std::map<UpstreamId, int> counts;
+  for (uint64_t session = 0; session < 200; ++session) {
+    const auto first =
+      one.Choose(engines.Candidates(), Session(session, session), Millis(0));
+    const auto second = other.Choose(
+      engines.Candidates(), Session(session, 9000 + session), Millis(0));
+    cr_expect(first.mUpstream == second.mUpstream);
+    counts[first.mUpstream]++;
+  }
+  cr_expect(counts.size() == 12);
+}
+
+Test(workplacement, a_session_leaves_an_engine_that_is_far_too_busy)
+{
+  Engines engines(12);
+  WorkPlacement placement({ .mDataCentre = "here" });
+  const auto usual =
+    placement.Choose(engines.Candidates(), Session(5, 1), Millis(0));
+  for (size_t each = 0; each < engines.mListed.size(); ++each) {
+    if (engines.mListed[each].mId == usual.mUpstream) {
+      for (int request = 0; request < 20; ++request) {
+        engines.mWork[each].OnSent({ .mPrefill = 3000 }, Millis(0));
+      }
+    }
+  }
+  const auto moved =
+    placement.Choose(engines.Candidates(), Session(5, 2), Millis(0));
+  cr_expect(moved.mUpstream != usual.mUpstream);
+  cr_expect(moved.mHolder == usual.mUpstream);
+}
+
+Test(workplacement, a_silent_engine_is_avoided)
+{
+  Engines engines(2);
+  WorkPlacement placement({ .mDataCentre = "here" });
+  engines.mWork[0].OnSent({}, Millis(0));
+  int avoided = 0;
+  for (int each = 0; each < 50; ++each) {
+    const PromptShape prompt{ .mPromptTokens = 500, .mMostOutput = 100 };
+    const auto placed =
+      placement.Choose(engines.Candidates(), prompt, Millis(2000));
+    avoided += placed.mUpstream == "e1" ? 1 : 0;
+  }
+  cr_expect(avoided == 50);
+}
+
+Test(workplacement, a_plain_call_stays_in_its_data_centre_while_that_has_room)
+{
+  Engines engines(2);
+  WorkPlacement placement({ .mDataCentre = "there" });
+  cr_expect(placement.Choose(engines.Candidates(), {}, Millis(0)).mUpstream ==
+            "e1");
+  engines.mWork[1].OnReport({ .mRunning = 64, .mSlots = 64 }, Millis(0));
+  cr_expect(placement.Choose(engines.Candidates(), {}, Millis(0)).mUpstream ==
+            "e0");
+}
+
+Test(lanes, long_prompts_and_strict_streams_share_no_engine)
+{
+  const Engines engines(12);
+  Lanes lanes;
+  const Route strict = MakeRoute("strict", 200);
+  const Route longer = MakeRoute("longer", 800);
+  const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
+  for (uint64_t each = 0; each < 300; ++each) {
+    lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
+    lanes.OnRequest("llm", strict, small, Millis(each * 10));
+  }
+  const auto first =
+    lanes.Members("llm", longer, engines.Listed(), Millis(3000));
+  const auto second =
+    lanes.Members("llm", strict, engines.Listed(), Millis(3000));
+  cr_expect(first.size() >= 3 && second.size() >= 3);
+  cr_expect(first.size() + second.size() == 12);
+  for (const UpstreamId& each : first) {
+    cr_expect(!second.contains(each));
+  }
+}
+
+Test(lanes, routes_that_are_alike_share_all_engines)
+{
+  const Engines engines(6);
+  Lanes lanes;
+  const Route one = MakeRoute("one", 200);
+  const Route other = MakeRoute("other", 300);
+  for (uint64_t each = 0; each < 100; ++each) {
+    lanes.OnRequest("llm", one, Session(each, each), Millis(each));
+    lanes.OnRequest("llm", other, Session(each, each), Millis(each));
+  }
+  cr_expect(lanes.Members("llm", one, engines.Listed(), Millis(100)).size() ==
+            6);
+}
+
+Test(lanes, the_boundary_stays_while_demand_wavers)
+{
+  const Engines engines(12);
+  Lanes lanes;
+  const Route strict = MakeRoute("strict", 200);
+  const Route longer = MakeRoute("longer", 800);
+  const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
+  std::set<size_t> sizes;
+  for (uint64_t each = 0; each < 2000; ++each) {
+    if (each % 10 < 5 + (each / 400) % 2) {
+      lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
+    }
+    lanes.OnRequest("llm", strict, small, Millis(each * 10));
+    if (each > 200) {
+      sizes.insert(
+        lanes.Members("llm", longer, engines.Listed(), Millis(each * 10))
+          .size());
+    }
+  }
+  cr_expect(sizes.size() <= 2);
+}
+
+Test(sharedparts, the_last_part_of_one_off_prompts_is_their_own)
+{
+  SharedParts parts;
+  size_t shared = 0;
+  for (uint64_t each = 0; each < 300; ++each) {
+    shared = parts.OnPrompt("once", Session(each % 20, each));
+  }
+  cr_expect(shared == 2);
+}
+
+Test(sharedparts, a_last_part_that_comes_again_is_a_sessions)
+{
+  SharedParts parts;
+  size_t shared = 0;
+  for (uint64_t each = 0; each < 300; ++each) {
+    shared = parts.OnPrompt("turns", Session(each % 20, each % 20));
+  }
+  cr_expect(shared == 3);
+}
