--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -285,8 +285,8 @@
   Candidates healthy;
   Candidates others;
   const auto& all = mDirectory.OfService(aRequest.mService);
-  const std::set<UpstreamId> lane =
-    mLanes.Members(aRequest.mService, *aRequest.mRoute, all, aNow);
+  const LaneDistances lanes =
+    mLanes.DistancesFor(aRequest.mService, *aRequest.mRoute, all, aNow);
   for (const ListedUpstream* each : all) {
     if (each->mLeaving || aTried.contains(each->mId)) {
       continue;
@@ -295,9 +295,12 @@
     if (work.Open() >= most) {
       continue;
     }
+    const auto lane = lanes.find(each->mId);
     const PlacementCandidate candidate{ .mListed = each,
                                         .mWork = &work,
-                                        .mInLane = lane.contains(each->mId) };
+                                        .mLaneDistance = lane == lanes.end()
+                                                           ? 0
+                                                           : lane->second };
     const OutlierState state = mOutliers.State(each->mId, aNow);
     if (state == OutlierState::Trial && repeatable && work.Open() == 0) {
       return { candidate };
--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** Fewer engines are not worth dividing. */
-constexpr size_t kLeastEngines = 3;
+/** Fewer engines than this for each lane are not worth dividing. */
+constexpr size_t kLeastEngines = 2;
 
 /** Less demand than this many requests says nothing. */
 constexpr double kLeastCount = 1;
@@ -17,13 +17,36 @@
 /** Output tokens of a request of which nothing is known. */
 constexpr double kUsualOutput = 50;
 
+/** The share of the allowed output that answers have on average. */
+constexpr double kOutputShare = 0.25;
+
 double
 OutputOf(const PromptShape& aPrompt)
 {
   if (aPrompt.mLikelyOutput > 0) {
     return aPrompt.mLikelyOutput;
   }
-  return aPrompt.mMostOutput > 0 ? aPrompt.mMostOutput / 4.0 : kUsualOutput;
+  return aPrompt.mMostOutput > 0 ? aPrompt.mMostOutput * kOutputShare
+                                 : kUsualOutput;
+}
+
+std::vector<const ListedUpstream*>
+InOrder(const std::vector<const ListedUpstream*>& aAll)
+{
+  std::vector<std::pair<uint64_t, const ListedUpstream*>> ranked;
+  for (const ListedUpstream* each : aAll) {
+    if (!each->mLeaving) {
+      const uint64_t rank = XXH3_64bits(each->mId.data(), each->mId.size());
+      ranked.emplace_back(rank, each);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<const ListedUpstream*> order;
+  order.reserve(ranked.size());
+  for (const auto& [rank, each] : ranked) {
+    order.push_back(each);
+  }
+  return order;
 }
 
 } // namespace
@@ -53,39 +76,42 @@
   demand.mPauseMs = static_cast<double>(aRoute.mGapTarget.Count());
 }
 
-std::set<UpstreamId>
-Lanes::Members(const std::string& aService,
-               const Route& aRoute,
-               const std::vector<const ListedUpstream*>& aAll,
-               Millis aNow)
+LaneDistances
+Lanes::DistancesFor(const std::string& aService,
+                    const Route& aRoute,
+                    const std::vector<const ListedUpstream*>& aAll,
+                    Millis aNow)
 {
-  std::vector<std::pair<uint64_t, const ListedUpstream*>> order;
-  for (const ListedUpstream* each : aAll) {
-    if (!each->mLeaving) {
-      order.emplace_back(XXH3_64bits(each->mId.data(), each->mId.size()), each);
-    }
-  }
-  std::sort(order.begin(), order.end());
-  size_t first = 0;
-  size_t last = order.size();
+  LaneDistances distances;
   Service& service = mServices[aService];
   for (auto& [name, demand] : service.mRoutes) {
     Fade(demand, aNow);
   }
-  const std::set<std::string> longRoutes = LongRoutes(service);
-  if (order.size() >= kLeastEngines && !longRoutes.empty()) {
-    const size_t longCount = LongCount(service, longRoutes, order.size());
-    if (longRoutes.contains(aRoute.mName)) {
-      last = longCount;
-    } else {
-      first = longCount;
+  const std::vector<Lane> lanes = LanesOf(service);
+  const std::vector<const ListedUpstream*> order = InOrder(aAll);
+  size_t own = lanes.size();
+  for (size_t lane = 0; lane < lanes.size(); ++lane) {
+    const auto& routes = lanes[lane].mRoutes;
+    if (std::find(routes.begin(), routes.end(), aRoute.mName) != routes.end()) {
+      own = lane;
     }
   }
-  std::set<UpstreamId> members;
-  for (size_t each = first; each < last; ++each) {
-    members.insert(order[each].second->mId);
+  if (lanes.size() < 2 || own == lanes.size() ||
+      order.size() < kLeastEngines * lanes.size()) {
+    return distances;
   }
-  return members;
+  MoveEnds(service, lanes);
+  size_t lane = 0;
+  for (size_t each = 0; each < order.size(); ++each) {
+    const double place =
+      (static_cast<double>(each) + 0.5) / static_cast<double>(order.size());
+    while (lane < service.mEnds.size() && place > service.mEnds[lane]) {
+      lane++;
+    }
+    distances[order[each]->mId] =
+      static_cast<uint32_t>(lane > own ? lane - own : own - lane);
+  }
+  return distances;
 }
 
 void
@@ -100,53 +126,56 @@
   aDemand.mAt = aNow;
 }
 
-std::set<std::string>
-Lanes::LongRoutes(const Service& aService) const
+std::vector<Lanes::Lane>
+Lanes::LanesOf(const Service& aService) const
 {
-  const Demand* strictest = nullptr;
+  std::vector<std::pair<double, std::string>> byPause;
   for (const auto& [name, demand] : aService.mRoutes) {
-    if (demand.mCount >= kLeastCount &&
-        (strictest == nullptr || demand.mPauseMs < strictest->mPauseMs)) {
-      strictest = &demand;
+    if (demand.mCount >= kLeastCount) {
+      byPause.emplace_back(demand.mPauseMs, name);
     }
   }
-  std::set<std::string> names;
-  if (strictest == nullptr) {
-    return names;
-  }
-  const double prompt = strictest->mPromptTokens / strictest->mCount;
-  for (const auto& [name, demand] : aService.mRoutes) {
-    if (demand.mCount >= kLeastCount &&
-        demand.mPauseMs >= mOptions.mPauseFactor * strictest->mPauseMs &&
-        demand.mPromptTokens / demand.mCount >=
-          mOptions.mPromptFactor * prompt) {
-      names.insert(name);
+  std::sort(byPause.begin(), byPause.end());
+  std::vector<Lane> lanes;
+  for (const auto& [pause, name] : byPause) {
+    const Demand& demand = aService.mRoutes.at(name);
+    const double prompt = demand.mPromptTokens / demand.mCount;
+    const bool apart =
+      lanes.empty() ||
+      (pause >= mOptions.mPauseFactor * lanes.back().mPauseMs &&
+       prompt >= mOptions.mPromptFactor * lanes.back().mPrompt);
+    if (apart) {
+      lanes.push_back({ .mPauseMs = pause, .mPrompt = prompt });
     }
+    lanes.back().mRoutes.push_back(name);
+    lanes.back().mWorkMs += demand.mWorkMs;
   }
-  return names;
+  std::reverse(lanes.begin(), lanes.end());
+  return lanes;
 }
 
-size_t
-Lanes::LongCount(Service& aService,
-                 const std::set<std::string>& aLong,
-                 size_t aEngines) const
+void
+Lanes::MoveEnds(Service& aService, const std::vector<Lane>& aLanes) const
 {
-  double longWork = 0;
-  double allWork = 0;
-  for (const auto& [name, demand] : aService.mRoutes) {
-    allWork += demand.mWorkMs;
-    longWork += aLong.contains(name) ? demand.mWorkMs : 0;
+  double all = 0;
+  for (const Lane& lane : aLanes) {
+    all += lane.mWorkMs;
+  }
+  const double free =
+    1 - mOptions.mLeastShare * static_cast<double>(aLanes.size());
+  std::vector<double> wanted;
+  double end = 0;
+  for (size_t lane = 0; lane + 1 < aLanes.size(); ++lane) {
+    end += mOptions.mLeastShare + free * aLanes[lane].mWorkMs / all;
+    wanted.push_back(end);
+  }
+  bool moves = wanted.size() != aService.mEnds.size();
+  for (size_t each = 0; !moves && each < wanted.size(); ++each) {
+    moves = std::abs(wanted[each] - aService.mEnds[each]) > mOptions.mSlack;
   }
-  const double share =
-    std::clamp(longWork / allWork, mOptions.mLeastShare, mOptions.mMostShare);
-  const double wanted = share * static_cast<double>(aEngines);
-  const double off = std::abs(wanted - static_cast<double>(aService.mLong));
-  if (aService.mLong == 0 || aService.mLong >= aEngines ||
-      off > mOptions.mSlack * static_cast<double>(aEngines)) {
-    aService.mLong = static_cast<size_t>(std::lround(wanted));
+  if (moves) {
+    aService.mEnds = wanted;
   }
-  aService.mLong = std::clamp<size_t>(aService.mLong, 1, aEngines - 1);
-  return aService.mLong;
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -6,9 +6,10 @@
 #include "upstreamdirectory.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
-#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace trefoilarch {
@@ -18,27 +19,30 @@
 {
   /** Demand fades by this time constant. */
   Millis mMemory{ 8000 };
-  /** A route takes the long lane if it allows this many times the pause of
-   * the strictest route... */
-  double mPauseFactor = 2;
+  /** A route has a lane of its own beside a stricter one if it allows this
+   * many times its pause... */
+  double mPauseFactor = 1.4;
   /** ...and its prompts are this many times as long. */
-  double mPromptFactor = 3;
+  double mPromptFactor = 2;
   double mPrefillPerMs = 80;
-  /** An output token's share of a step, in milliseconds. */
-  double mTokenMs = 0.6;
-  /** The long lane's bounds, as shares of the engines. */
-  double mLeastShare = 0.25;
-  double mMostShare = 0.6;
-  /** The boundary moves when it is off by this share of the engines: a
-   * session whose engine changes lanes is read again elsewhere. */
-  double mSlack = 0.12;
+  /** An output token's share of a step in a well filled batch, in ms. */
+  double mTokenMs = 0.3;
+  /** Every lane has at least this share of the engines. */
+  double mLeastShare = 0.12;
+  /** A boundary moves when it is off by this share of the engines: a session
+   * whose engine changes lanes is read again elsewhere. */
+  double mSlack = 0.1;
 };
 
+/** By engine: 0 in the route's own lane, 1 in the next one, and so on. */
+using LaneDistances = std::unordered_map<UpstreamId, uint32_t>;
+
 /**
- * Keeps long prompts away from streams that allow no long pause: reading a
- * prompt stalls every request of the batch. A service's engines are put in an
- * order that all entries work out alike; the long lane is its beginning, as
- * large as the long routes' share of the work that this entry sees.
+ * Keeps long prompts away from streams that allow no long pause: an engine
+ * reads prompts between the tokens of the requests beside them, so a few long
+ * ones in a row are a pause for all. A service's engines are put in an order
+ * that all entries work out alike, and are dealt to the lanes in that order,
+ * longest prompts first, by the work that this entry sees for each.
  */
 class Lanes
 {
@@ -51,14 +55,11 @@
                  const PromptShape& aPrompt,
                  Millis aNow);
 
-  /**
-   * The engines of the route's lane among all engines of the service; all of
-   * them where there is nothing to keep apart.
-   */
-  std::set<UpstreamId> Members(const std::string& aService,
-                               const Route& aRoute,
-                               const std::vector<const ListedUpstream*>& aAll,
-                               Millis aNow);
+  /** How far each engine is from the route's lane. */
+  LaneDistances DistancesFor(const std::string& aService,
+                             const Route& aRoute,
+                             const std::vector<const ListedUpstream*>& aAll,
+                             Millis aNow);
 
 private:
   /** What came of one route, fading. */
@@ -70,18 +71,25 @@
     double mPauseMs = 0;
     Millis mAt;
   };
+  /** Routes that share engines, and their work. */
+  struct Lane
+  {
+    std::vector<std::string> mRoutes;
+    double mPauseMs = 0;
+    double mPrompt = 0;
+    double mWorkMs = 0;
+  };
   struct Service
   {
     std::map<std::string, Demand> mRoutes;
-    size_t mLong = 0;
+    /** Where each lane but the last ends, as shares of the engines. */
+    std::vector<double> mEnds;
   };
 
   void Fade(Demand& aDemand, Millis aNow) const;
-  /** Names of the routes that belong to the long lane. */
-  std::set<std::string> LongRoutes(const Service& aService) const;
-  size_t LongCount(Service& aService,
-                   const std::set<std::string>& aLong,
-                   size_t aEngines) const;
+  /** From the longest prompts to the strictest streams. */
+  std::vector<Lane> LanesOf(const Service& aService) const;
+  void MoveEnds(Service& aService, const std::vector<Lane>& aLanes) const;
 
   LanesOptions mOptions;
   std::map<std::string, Service> mServices;
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -58,7 +58,8 @@
   if (mPending < mOptions.mFreePending) {
     return std::nullopt;
   }
-  const double target = static_cast<double>(aTarget.Count()) * aFavour;
+  const Millis judged = std::max(aTarget, mOptions.mLeastTarget);
+  const double target = static_cast<double>(judged.Count()) * aFavour;
   if (RecentWait(aNow) < mOptions.mSlowShare * target) {
     return std::nullopt;
   }
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -16,6 +16,9 @@
   double mMostWait = 0.9;
   /** ...and the waits of late were at least this share of it. */
   double mSlowShare = 0.55;
+  /** A target below this is judged as if it were this: a request that comes
+   * back after a refusal is no sooner. */
+  Millis mLeastTarget{ 800 };
   /** So many may always wait. */
   uint32_t mFreePending = 2;
 };
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -60,10 +60,10 @@
   uint64_t secondRank = 0;
   const bool lane =
     std::any_of(aCandidates.begin(), aCandidates.end(), [](const auto& aEach) {
-      return aEach.mInLane;
+      return aEach.mLaneDistance == 0;
     });
   for (const PlacementCandidate& each : aCandidates) {
-    if (lane && !each.mInLane) {
+    if (lane && each.mLaneDistance > 0) {
       continue;
     }
     const uint64_t rank = RankOf(session, each.mListed->mId);
@@ -142,7 +142,7 @@
   const double over =
     std::max(0.0, busy - static_cast<double>(aCandidate.mListed->mSlots));
   return read + again + before + busy * mOptions.mBusyMs + over * kOverSlotsMs +
-         (aCandidate.mInLane ? 0 : mOptions.mOtherLaneMs) +
+         aCandidate.mLaneDistance * mOptions.mOtherLaneMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(*aCandidate.mWork, aNow);
 }
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -29,7 +29,7 @@
   /** This entry's prompts that wait to be read, times this, stand for those
    * of all entries. */
   double mOthersFactor = 2;
-  /** Going to an engine of the other lane weighs as much as this. */
+  /** Each lane between weighs as much as this. */
   double mOtherLaneMs = 800;
   /** Milliseconds that it is worth to stay in the own data centre. */
   double mOtherDataCentreMs = 2;
@@ -47,8 +47,8 @@
 {
   const ListedUpstream* mListed = nullptr;
   const UpstreamWork* mWork = nullptr;
-  /** It belongs to the lane of the request's route. */
-  bool mInLane = true;
+  /** How many lanes it is away from that of the request's route. */
+  uint32_t mLaneDistance = 0;
 };
 
 /** The chosen upstream and what the request asks of it. */
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -220,7 +220,10 @@
   mContext.mRouter.OnStarted(*mAttempt, now);
   if (mFirstByteAt == Millis(0)) {
     mFirstByteAt = now;
+  } else {
+    mLongestPause = std::max(mLongestPause, now - mLastByteAt);
   }
+  mLastByteAt = now;
   if (mPlan.Request().mRoute->mStream && mAnswer->mStatus < kLeastFailure) {
     PassData(mEvents.Add(aData));
     return;
@@ -437,6 +440,7 @@
       { "may_have_run", mPlan.MayHaveRun() },
       { "events", mEvents.Events() },
       { "first_byte_ms", firstByte.Count() },
+      { "longest_pause_ms", mLongestPause.Count() },
       { "took_ms", (now - mRequest.mArrived).Count() },
       { "allowed_ms", (bound.mEnd - bound.mArrived).Count() } });
   // The last reference may be the caller's hooks: end after they are gone.
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -96,6 +96,9 @@
   std::string mBuffered;
   uint64_t mAttemptNumber = 0;
   Millis mFirstByteAt;
+  Millis mLastByteAt;
+  /** The longest pause between two parts of the answer. */
+  Millis mLongestPause;
   bool mBegun = false;
   bool mDone = false;
   bool mPaused = false;
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
+#include <set>
 
 using namespace trefoilarch;
 
@@ -64,6 +65,23 @@
   return Route{ .mName = aName, .mStream = true, .mGapTarget = Millis(aGap) };
 }
 
+/** The engines of the route's own lane. */
+std::set<UpstreamId>
+OwnLane(Lanes& aLanes,
+        const Route& aRoute,
+        const Engines& aEngines,
+        Millis aNow)
+{
+  std::set<UpstreamId> own;
+  for (const auto& [id, distance] :
+       aLanes.DistancesFor("llm", aRoute, aEngines.Listed(), aNow)) {
+    if (distance == 0) {
+      own.insert(id);
+    }
+  }
+  return own;
+}
+
 } // namespace
 
 Test(workplacement, a_session_goes_to_the_same_engine_from_every_entry)
@@ -139,10 +157,8 @@
     lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
     lanes.OnRequest("llm", strict, small, Millis(each * 10));
   }
-  const auto first =
-    lanes.Members("llm", longer, engines.Listed(), Millis(3000));
-  const auto second =
-    lanes.Members("llm", strict, engines.Listed(), Millis(3000));
+  const auto first = OwnLane(lanes, longer, engines, Millis(3000));
+  const auto second = OwnLane(lanes, strict, engines, Millis(3000));
   cr_expect(first.size() >= 3 && second.size() >= 3);
   cr_expect(first.size() + second.size() == 12);
   for (const UpstreamId& each : first) {
@@ -150,6 +166,33 @@
   }
 }
 
+Test(lanes, routes_between_have_a_lane_of_their_own)
+{
+  const Engines engines(24);
+  Lanes lanes;
+  const Route strict = MakeRoute("strict", 200);
+  const Route middle = MakeRoute("middle", 300);
+  const Route longer = MakeRoute("longer", 800);
+  const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
+  const PromptShape medium{ .mPromptTokens = 2400, .mMostOutput = 90 };
+  for (uint64_t each = 0; each < 300; ++each) {
+    lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
+    lanes.OnRequest("llm", middle, medium, Millis(each * 10));
+    lanes.OnRequest("llm", strict, small, Millis(each * 10));
+  }
+  const Millis now(3000);
+  const size_t all = OwnLane(lanes, longer, engines, now).size() +
+                     OwnLane(lanes, middle, engines, now).size() +
+                     OwnLane(lanes, strict, engines, now).size();
+  cr_expect(all == 24);
+  uint32_t farthest = 0;
+  for (const auto& [id, distance] :
+       lanes.DistancesFor("llm", strict, engines.Listed(), now)) {
+    farthest = std::max(farthest, distance);
+  }
+  cr_expect(farthest == 2);
+}
+
 Test(lanes, routes_that_are_alike_share_all_engines)
 {
   const Engines engines(6);
@@ -160,8 +203,8 @@
     lanes.OnRequest("llm", one, Session(each, each), Millis(each));
     lanes.OnRequest("llm", other, Session(each, each), Millis(each));
   }
-  cr_expect(lanes.Members("llm", one, engines.Listed(), Millis(100)).size() ==
-            6);
+  cr_expect(
+    lanes.DistancesFor("llm", one, engines.Listed(), Millis(100)).empty());
 }
 
 Test(lanes, the_boundary_stays_while_demand_wavers)
@@ -178,9 +221,7 @@
     }
     lanes.OnRequest("llm", strict, small, Millis(each * 10));
     if (each > 200) {
-      sizes.insert(
-        lanes.Members("llm", longer, engines.Listed(), Millis(each * 10))
-          .size());
+      sizes.insert(OwnLane(lanes, longer, engines, Millis(each * 10)).size());
     }
   }
   cr_expect(sizes.size() <= 2);
