Refuse what could not end in time; let lanes follow demand faster

Cause: in a saturated lane an event takes 311 ms, so answers of more than ten events ran into the 5 s deadline: 1,409 deadlines at the entries, their work in vain. Streams of the strictest lane waited for slots in bursts (p95 1,095 ms).

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -112,7 +112,7 @@
   bound.mPrompt.mShared = mShared.OnPrompt(route->mName, bound.mPrompt);
   mLanes.OnRequest(bound.mService, *route, bound.mPrompt, aNow);
   const auto comeBack = mMeters[route->mName].Refuse(
-    route->mFirstTokenTarget, FavourOf(bound.mPriority), aNow);
+    route->mFirstTokenTarget, span, FavourOf(bound.mPriority), aNow);
   if (comeBack) {
     return Fail(Refusal{ .mKind = ErrorKind::Shed,
                          .mRan = Ran::No,
@@ -186,6 +186,7 @@
     return;
   }
   aAttempt.mStarted = true;
+  aAttempt.mStartedAt = aNow;
   mMeters[aAttempt.mRoute].OnStarted(aAttempt.mSentAt, aNow);
   const auto tracked = mTracked.find(aAttempt.mUpstream);
   if (tracked != mTracked.end()) {
@@ -217,7 +218,9 @@
       mTracked.erase(tracked);
     }
   }
-  if (!aAttempt.mStarted) {
+  if (aAttempt.mStarted) {
+    mMeters[aAttempt.mRoute].OnEnded(aAttempt.mStartedAt, aNow);
+  } else {
     mMeters[aAttempt.mRoute].OnGivenUp(aAttempt.mSentAt, aNow);
   }
   if (aOutcome == AttemptOutcome::Good ||
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -92,6 +92,7 @@
   /** Empty, or the address of an upstream that holds more of the prompt. */
   std::string mHolderAddress;
   Millis mSentAt;
+  Millis mStartedAt;
   bool mStarted = false;
 };
 
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -18,7 +18,7 @@
 struct LanesOptions
 {
   /** Demand fades by this time constant. */
-  Millis mMemory{ 8000 };
+  Millis mMemory{ 5000 };
   /** A route has a lane of its own beside a stricter one if it allows this
    * many times its pause... */
   double mPauseFactor = 1.4;
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -13,6 +13,9 @@
 /** Weight of the newest start's wait. */
 constexpr double kNewest = 0.2;
 
+/** Weight of the newest answer's time; answers vary more than waits. */
+constexpr double kNewestAnswer = 0.05;
+
 /** The memory of waits fades by this time constant while nothing starts. */
 constexpr double kWaitMemoryMs = 3000;
 
@@ -52,22 +55,42 @@
   Leave(aSentAt);
 }
 
+void
+StartMeter::OnEnded(Millis aStartedAt, Millis aNow)
+{
+  const auto took = static_cast<double>((aNow - aStartedAt).Count());
+  mAnswer += kNewestAnswer * (took - mAnswer);
+}
+
 std::optional<Millis>
-StartMeter::Refuse(Millis aTarget, double aFavour, Millis aNow)
+StartMeter::Refuse(Millis aTarget, Millis aLimit, double aFavour, Millis aNow)
 {
   if (mPending < mOptions.mFreePending) {
     return std::nullopt;
   }
-  const Millis judged = std::max(aTarget, mOptions.mLeastTarget);
-  const double target = static_cast<double>(judged.Count()) * aFavour;
-  if (RecentWait(aNow) < mOptions.mSlowShare * target) {
-    return std::nullopt;
-  }
-  const Millis wait = ExpectedWait(aNow);
-  if (static_cast<double>(wait.Count()) <= mOptions.mMostWait * target) {
+  if (!StartsTooLate(aTarget, aFavour, aNow) &&
+      !EndsTooLate(aLimit, aFavour, aNow)) {
     return std::nullopt;
   }
-  return std::clamp(wait / 2, kLeastReturn, kLongestReturn);
+  return std::clamp(ExpectedWait(aNow) / 2, kLeastReturn, kLongestReturn);
+}
+
+bool
+StartMeter::StartsTooLate(Millis aTarget, double aFavour, Millis aNow)
+{
+  const Millis judged = std::max(aTarget, mOptions.mLeastTarget);
+  const double target = static_cast<double>(judged.Count()) * aFavour;
+  return RecentWait(aNow) >= mOptions.mSlowShare * target &&
+         static_cast<double>(ExpectedWait(aNow).Count()) >
+           mOptions.mMostWait * target;
+}
+
+bool
+StartMeter::EndsTooLate(Millis aLimit, double aFavour, Millis aNow)
+{
+  const double limit = static_cast<double>(aLimit.Count()) * aFavour;
+  const double end = RecentWait(aNow) + mOptions.mAnswerSpread * mAnswer;
+  return end > mOptions.mMostTime * limit;
 }
 
 Millis
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -19,6 +19,12 @@
   /** A target below this is judged as if it were this: a request that comes
    * back after a refusal is no sooner. */
   Millis mLeastTarget{ 800 };
+  /** A request is refused, too, if its start and this many times the mean
+   * answer... */
+  double mAnswerSpread = 1.5;
+  /** ...take more than this share of its time; answers that are slow all
+   * round are the sign of engines that read prompts without a break. */
+  double mMostTime = 0.8;
   /** So many may always wait. */
   uint32_t mFreePending = 2;
 };
@@ -37,14 +43,19 @@
   void OnSent(Millis aNow);
   /** An answer began; aSentAt as in OnSent(). */
   void OnStarted(Millis aSentAt, Millis aNow);
+  /** An answer is whole, or could not be made whole in time. */
+  void OnEnded(Millis aStartedAt, Millis aNow);
   /** One that waited has ended without a start. */
   void OnGivenUp(Millis aSentAt, Millis aNow);
 
   /**
-   * When to come back, if a request that should start within aTarget can't
-   * be taken; aFavour is above 1 for the more urgent.
+   * When to come back, if a request that should start within aTarget and end
+   * within aLimit can't be taken; aFavour is above 1 for the more urgent.
    */
-  std::optional<Millis> Refuse(Millis aTarget, double aFavour, Millis aNow);
+  std::optional<Millis> Refuse(Millis aTarget,
+                               Millis aLimit,
+                               double aFavour,
+                               Millis aNow);
 
   /** The wait of a request sent now, by the rate of starts. */
   Millis ExpectedWait(Millis aNow);
@@ -53,6 +64,8 @@
 private:
   double Rate(Millis aNow);
   double RecentWait(Millis aNow) const;
+  bool StartsTooLate(Millis aTarget, double aFavour, Millis aNow);
+  bool EndsTooLate(Millis aLimit, double aFavour, Millis aNow);
   void Leave(Millis aSentAt);
 
   StartMeterOptions mOptions;
@@ -61,6 +74,8 @@
   int64_t mSentSum = 0;
   std::deque<Millis> mStarts;
   double mWait = 0;
+  /** Mean time from the start of an answer to its end. */
+  double mAnswer = 0;
   Millis mWaitAt;
 };
 
--- a/tests/unit/startmetertest.cpp
+++ b/tests/unit/startmetertest.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Millis kTarget{ 1000 };
+constexpr Millis kLimit{ 5000 };
 
 /** A server with a fixed rate before a meter; returns the requests refused
  * among those that came, and the longest wait of those taken. */
@@ -27,7 +28,7 @@
   for (int now = 0; now < aSpan; ++now) {
     if (now % aArrivalGap == 0) {
       outcome.mCame++;
-      if (meter.Refuse(kTarget, 1, Millis(now))) {
+      if (meter.Refuse(kTarget, kLimit, 1, Millis(now))) {
         outcome.mRefused++;
       } else {
         meter.OnSent(Millis(now));
@@ -66,7 +67,7 @@
 {
   StartMeter meter;
   for (int each = 0; each < 50; ++each) {
-    cr_expect(!meter.Refuse(kTarget, 1, Millis(each)));
+    cr_expect(!meter.Refuse(kTarget, kLimit, 1, Millis(each)));
     meter.OnSent(Millis(each));
   }
 }
@@ -78,9 +79,9 @@
   int second = 0;
   for (int now = 0; now < 5000; now += 5) {
     const bool refusedLess =
-      meter.Refuse(kTarget, 0.65, Millis(now)).has_value();
+      meter.Refuse(kTarget, kLimit, 0.65, Millis(now)).has_value();
     const bool refusedMore =
-      meter.Refuse(kTarget, 1.3, Millis(now)).has_value();
+      meter.Refuse(kTarget, kLimit, 1.3, Millis(now)).has_value();
     first += refusedMore ? 1 : 0;
     second += refusedLess ? 1 : 0;
     cr_expect(!refusedMore || refusedLess);
@@ -100,9 +101,22 @@
   for (int each = 0; each < 100; ++each) {
     meter.OnSent(Millis(0));
   }
-  cr_expect(meter.Refuse(kTarget, 1, Millis(900)));
+  cr_expect(meter.Refuse(kTarget, kLimit, 1, Millis(900)));
   for (int each = 0; each < 100; ++each) {
     meter.OnGivenUp(Millis(0), Millis(900));
   }
-  cr_expect(!meter.Refuse(kTarget, 1, Millis(900)));
+  cr_expect(!meter.Refuse(kTarget, kLimit, 1, Millis(900)));
+}
+
+Test(startmeter, answers_that_could_not_end_in_time_are_not_begun)
+{
+  StartMeter meter;
+  for (int each = 0; each < 100; ++each) {
+    meter.OnSent(Millis(each * 10));
+    meter.OnStarted(Millis(each * 10), Millis(each * 10 + 50));
+    meter.OnEnded(Millis(each * 10), Millis(each * 10 + 3500));
+    meter.OnSent(Millis(each * 10));
+  }
+  cr_expect(meter.Refuse(kTarget, kLimit, 1, Millis(1000)));
+  cr_expect(!meter.Refuse(kTarget, Millis(15000), 1, Millis(1000)));
 }
