--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -111,7 +111,7 @@
   if (!AttemptsLeft() || !mRouter.TakeRetry(mRequest.mService)) {
     return Refuse(aOtherwise, kFullRetryAfter, aNow);
   }
-  const PlanStep next = Send(aNow);
+  PlanStep next = Send(aNow);
   if (std::holds_alternative<SendRequest>(next)) {
     return next;
   }
--- a/src/libtrefoilarch/upstreamdirectory.cpp
+++ b/src/libtrefoilarch/upstreamdirectory.cpp
@@ -119,9 +119,9 @@
 const std::vector<const ListedUpstream*>&
 UpstreamDirectory::OfService(const std::string& aService) const
 {
-  static const std::vector<const ListedUpstream*> sNone;
+  static const std::vector<const ListedUpstream*> kNone;
   const auto place = mByService.find(aService);
-  return place == mByService.end() ? sNone : place->second;
+  return place == mByService.end() ? kNone : place->second;
 }
 
 void
--- a/src/libtrefoilgate/decisionlog.cpp
+++ b/src/libtrefoilgate/decisionlog.cpp
@@ -56,7 +56,7 @@
 void
 DecisionLog::Write(LineKind aKind,
                    const char* aEvent,
-                   nlohmann::ordered_json aFields)
+                   const nlohmann::ordered_json& aFields)
 {
   const Millis now = BootNow();
   if (!Allowed(aKind, now)) {
--- a/src/libtrefoilgate/decisionlog.h
+++ b/src/libtrefoilgate/decisionlog.h
@@ -48,7 +48,7 @@
   /** Adds `t_ms`, `process` and `event` to the fields. */
   void Write(LineKind aKind,
              const char* aEvent,
-             nlohmann::ordered_json aFields);
+             const nlohmann::ordered_json& aFields);
 
   uint64_t Written() const { return mWritten; }
   uint64_t LeftOut() const { return mLeftOut; }
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -168,7 +168,7 @@
       },
     .mOnHead =
       [self](UpstreamAnswer aAnswer) { self->OnHead(std::move(aAnswer)); },
-    .mOnData = [self](std::string aData) { self->OnData(std::move(aData)); },
+    .mOnData = [self](const std::string& aData) { self->OnData(aData); },
     .mOnEnd = [self] { self->OnEnd(); },
     .mOnBroken = [self](const std::string& aWhy) { self->OnBroken(aWhy); }
   };
@@ -213,7 +213,7 @@
 }
 
 void
-Exchange::OnData(std::string aData)
+Exchange::OnData(const std::string& aData)
 {
   const Millis now = BootNow();
   mContext.mRouter.OnHeard(*mAttempt, now);
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -61,7 +61,7 @@
   OutgoingCall MakeCall(Millis aTimeLeft) const;
   CallHandlers MakeHandlers();
   void OnHead(UpstreamAnswer aAnswer);
-  void OnData(std::string aData);
+  void OnData(const std::string& aData);
   void OnEnd();
   void OnBroken(const std::string& aWhy);
   void OnCallerLeft();
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -108,13 +108,17 @@
 std::string
 PlatformFleet::Text(const GateCall& aCall)
 {
-  std::string text = aCall.mMethod + " " + aCall.mPath + " HTTP/1.1\r\n";
+  std::string text = aCall.mMethod;
+  text += " " + aCall.mPath + " HTTP/1.1\r\n";
   text += "Host: svc.example\r\nX-Request-Id: " + aCall.mId + "\r\n";
   text += "X-Test-Plan: " + aCall.mPlan + "\r\n";
   text += "X-Credential: " + aCall.mKey + "\r\n";
   text += "X-Deadline-Ms: " + std::to_string(aCall.mDeadlineMs) + "\r\n";
   for (const auto& [name, value] : aCall.mHeaders) {
-    text += name + ": " + value + "\r\n";
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
   }
   if (!aCall.mBody.empty()) {
     text += "Content-Length: " + std::to_string(aCall.mBody.size()) + "\r\n";
--- a/tests/platform/truthtest.cpp
+++ b/tests/platform/truthtest.cpp
@@ -185,10 +185,14 @@
          std::string("Transfer-Encoding: xchunked\r\n"),
          std::string("Content-Length: +4\r\n") }) {
     const integration::RawCaller caller(fleet.GateAddress(0));
-    caller.Send(start + framing + "\r\n0\r\n\r\n" + hidden);
-    const std::string text = caller.ReadAll(2000);
-    cr_expect(text.starts_with("HTTP/1.1 400"), "%s", framing.c_str());
-    cr_expect(text.find("HTTP/1.1", 8) == std::string::npos);
+    std::string text = start;
+    text += framing;
+    text += "\r\n0\r\n\r\n";
+    text += hidden;
+    caller.Send(text);
+    const std::string reply = caller.ReadAll(2000);
+    cr_expect(reply.starts_with("HTTP/1.1 400"), "%s", framing.c_str());
+    cr_expect(reply.find("HTTP/1.1", 8) == std::string::npos);
   }
   cr_expect(fleet.RunsOf("h").empty());
   cr_expect(fleet.RunsOf("s").empty());
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -111,7 +111,7 @@
 
 } // namespace
 
-Worker::Worker(std::string aId, std::string aEndpoint)
+Worker::Worker(std::string aId, const std::string& aEndpoint)
   : mId(std::move(aId))
   , mAcceptor(mLoop)
 {
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -38,7 +38,7 @@
 class Worker
 {
 public:
-  Worker(std::string aId, std::string aEndpoint);
+  Worker(std::string aId, const std::string& aEndpoint);
 
   std::string Endpoint() const;
   /** Serves until the process ends. */
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -161,6 +161,7 @@
 Fates(const std::vector<uint8_t>& aChances)
 {
   std::vector<Fate> fates;
+  fates.reserve(aChances.size());
   for (const uint8_t chance : aChances) {
     fates.push_back(
       static_cast<Fate>(chance % (static_cast<int>(Fate::TimeUp) + 1)));
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -59,6 +59,12 @@
                       .mShared = 2 };
 }
 
+Millis
+At(uint64_t aMillis)
+{
+  return Millis(static_cast<int64_t>(aMillis));
+}
+
 Route
 MakeRoute(const char* aName, int64_t aGap)
 {
@@ -154,8 +160,8 @@
   const Route longer = MakeRoute("longer", 800);
   const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
   for (uint64_t each = 0; each < 300; ++each) {
-    lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
-    lanes.OnRequest("llm", strict, small, Millis(each * 10));
+    lanes.OnRequest("llm", longer, Session(each, each), At(each * 10));
+    lanes.OnRequest("llm", strict, small, At(each * 10));
   }
   const auto first = OwnLane(lanes, longer, engines, Millis(3000));
   const auto second = OwnLane(lanes, strict, engines, Millis(3000));
@@ -176,9 +182,9 @@
   const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
   const PromptShape medium{ .mPromptTokens = 2400, .mMostOutput = 90 };
   for (uint64_t each = 0; each < 300; ++each) {
-    lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
-    lanes.OnRequest("llm", middle, medium, Millis(each * 10));
-    lanes.OnRequest("llm", strict, small, Millis(each * 10));
+    lanes.OnRequest("llm", longer, Session(each, each), At(each * 10));
+    lanes.OnRequest("llm", middle, medium, At(each * 10));
+    lanes.OnRequest("llm", strict, small, At(each * 10));
   }
   const Millis now(3000);
   const size_t all = OwnLane(lanes, longer, engines, now).size() +
@@ -200,8 +206,8 @@
   const Route one = MakeRoute("one", 200);
   const Route other = MakeRoute("other", 300);
   for (uint64_t each = 0; each < 100; ++each) {
-    lanes.OnRequest("llm", one, Session(each, each), Millis(each));
-    lanes.OnRequest("llm", other, Session(each, each), Millis(each));
+    lanes.OnRequest("llm", one, Session(each, each), At(each));
+    lanes.OnRequest("llm", other, Session(each, each), At(each));
   }
   cr_expect(
     lanes.DistancesFor("llm", one, engines.Listed(), Millis(100)).empty());
@@ -217,11 +223,11 @@
   std::set<size_t> sizes;
   for (uint64_t each = 0; each < 2000; ++each) {
     if (each % 10 < 5 + (each / 400) % 2) {
-      lanes.OnRequest("llm", longer, Session(each, each), Millis(each * 10));
+      lanes.OnRequest("llm", longer, Session(each, each), At(each * 10));
     }
-    lanes.OnRequest("llm", strict, small, Millis(each * 10));
+    lanes.OnRequest("llm", strict, small, At(each * 10));
     if (each > 200) {
-      sizes.insert(OwnLane(lanes, longer, engines, Millis(each * 10)).size());
+      sizes.insert(OwnLane(lanes, longer, engines, At(each * 10)).size());
     }
   }
   cr_expect(sizes.size() <= 2);
