--- a/tests/unit/startmetertest.cpp
+++ b/tests/unit/startmetertest.cpp
@@ -115,7 +115,9 @@
     meter.OnSent(Millis(each * 10));
     meter.OnStarted(Millis(each * 10), Millis(each * 10 + 50));
     meter.OnEnded(Millis(each * 10), Millis(each * 10 + 3500));
-    meter.OnSent(Millis(each * 10));
+  }
+  for (int each = 0; each < 3; ++each) {
+    meter.OnSent(Millis(1000));
   }
   cr_expect(meter.Refuse(kTarget, kLimit, 1, Millis(1000)));
   cr_expect(!meter.Refuse(kTarget, Millis(15000), 1, Millis(1000)));
