--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -30,6 +30,13 @@
   return kFavours[std::min<size_t>(aPriority, kFavours.size() - 1)];
 }
 
+/** A copy of a running request costs its prompt's memory on the links; it is
+ * made where the answer may be at least so long beside the prompt. */
+constexpr double kBackupOutputShare = 0.5;
+
+/** A lane's distance in open attempts, when a copy's place is chosen. */
+constexpr double kLaneLoad = 20;
+
 } // namespace
 
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
@@ -133,6 +140,27 @@
          mIndex->WorkspaceOf(aRequest.mKey) != nullptr;
 }
 
+std::optional<PlacedAttempt>
+DirectRouter::PlaceAtBackup(const BoundRequest& aRequest,
+                            const PlacedAttempt& aBroken,
+                            Millis aNow)
+{
+  const ListedUpstream* backup = mDirectory.Find(aBroken.mBackup);
+  if (backup == nullptr) {
+    return std::nullopt;
+  }
+  const AttemptWork work{ .mOutput = aBroken.mWork.mOutput };
+  mTracked[backup->mId].mWork.OnSent(work, aNow);
+  mMeters[aRequest.mRoute->mName].OnSent(aNow);
+  return PlacedAttempt{ .mUpstream = backup->mId,
+                        .mService = backup->mService,
+                        .mRoute = aRequest.mRoute->mName,
+                        .mAddress = backup->mAddress,
+                        .mWork = work,
+                        .mCopyOf = aBroken.mAddress,
+                        .mSentAt = aNow };
+}
+
 std::optional<PlacedAttempt>
 DirectRouter::Place(const BoundRequest& aRequest,
                     const std::set<UpstreamId>& aTried,
@@ -147,6 +175,8 @@
   mTracked[placed.mUpstream].mWork.OnSent(placed.mWork, aNow);
   mPlacement.Memory().OnSent(placed.mUpstream, aRequest.mPrompt, aNow);
   mMeters[aRequest.mRoute->mName].OnSent(aNow);
+  const ListedUpstream* backup =
+    BackupFor(aRequest, candidates, placed.mUpstream);
   const ListedUpstream* holder = mDirectory.Find(placed.mHolder);
   return PlacedAttempt{ .mUpstream = placed.mUpstream,
                         .mService = listed->mService,
@@ -155,6 +185,9 @@
                         .mWork = placed.mWork,
                         .mHolderAddress =
                           holder != nullptr ? holder->mAddress : "",
+                        .mBackup = backup != nullptr ? backup->mId : "",
+                        .mBackupAddress =
+                          backup != nullptr ? backup->mAddress : "",
                         .mSentAt = aNow };
 }
 
@@ -313,6 +346,34 @@
   return healthy.empty() ? others : healthy;
 }
 
+const ListedUpstream*
+DirectRouter::BackupFor(const BoundRequest& aRequest,
+                        const Candidates& aCandidates,
+                        const UpstreamId& aChosen) const
+{
+  const RoutedService* service =
+    aRequest.mIndex->ServiceNamed(aRequest.mService);
+  const PromptShape& prompt = aRequest.mPrompt;
+  const bool worthIt =
+    service != nullptr && service->mEngine && service->mEngine->mBackups &&
+    aRequest.mRoute->mStream && prompt.mPromptTokens > 0 &&
+    static_cast<double>(prompt.mMostOutput) >=
+      kBackupOutputShare * static_cast<double>(prompt.mPromptTokens);
+  if (!worthIt) {
+    return nullptr;
+  }
+  const ListedUpstream* best = nullptr;
+  double least = 0;
+  for (const PlacementCandidate& each : aCandidates) {
+    const double load = each.mWork->Open() + each.mLaneDistance * kLaneLoad;
+    if (each.mListed->mId != aChosen && (best == nullptr || load < least)) {
+      best = each.mListed;
+      least = load;
+    }
+  }
+  return best;
+}
+
 uint32_t
 DirectRouter::ConnectionsFor(const BoundRequest& aRequest) const
 {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -91,6 +91,12 @@
   AttemptWork mWork;
   /** Empty, or the address of an upstream that holds more of the prompt. */
   std::string mHolderAddress;
+  /** Empty, or an upstream that keeps a copy of the running request. */
+  UpstreamId mBackup;
+  std::string mBackupAddress;
+  /** Empty, or the address of the upstream that ran the request before and
+   * left a copy of it at this one. */
+  std::string mCopyOf;
   Millis mSentAt;
   Millis mStartedAt;
   bool mStarted = false;
@@ -144,6 +150,14 @@
                                      const std::set<UpstreamId>& aTried,
                                      Millis aNow);
 
+  /**
+   * Sends the request on to the upstream that keeps a copy of it, if that is
+   * still there; the copy counts as the same run.
+   */
+  std::optional<PlacedAttempt> PlaceAtBackup(const BoundRequest& aRequest,
+                                             const PlacedAttempt& aBroken,
+                                             Millis aNow);
+
   /** Takes a second attempt from the service's budget. */
   bool TakeRetry(const std::string& aService);
   /** A service's retries that are left. */
@@ -179,6 +193,10 @@
                            const std::set<UpstreamId>& aTried,
                            Millis aNow);
   uint32_t ConnectionsFor(const BoundRequest& aRequest) const;
+  /** An upstream that may keep a copy, where a copy is worth its price. */
+  const ListedUpstream* BackupFor(const BoundRequest& aRequest,
+                                  const Candidates& aCandidates,
+                                  const UpstreamId& aChosen) const;
 
   DirectRouterOptions mOptions;
   std::shared_ptr<const RouteIndex> mIndex;
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -38,7 +38,11 @@
 RequestPlan::OnUnreachable(Millis aNow)
 {
   mUnreachable++;
-  mAttempts--;
+  if (mCurrent.mCopyOf.empty()) {
+    mAttempts--;
+  } else if (!MayRepeat()) {
+    return CutAnswer{};
+  }
   if (mUnreachable >= kMostUnreachable) {
     return Refuse(ErrorKind::UpstreamUnreachable, kFullRetryAfter, aNow);
   }
@@ -49,7 +53,7 @@
 RequestPlan::OnNotRun(Millis aNow)
 {
   mMayHaveRun = mMayHaveRunBefore;
-  if (mAnswerBegun) {
+  if (mAnswerBegun && !MayRepeat()) {
     return CutAnswer{};
   }
   return Again(aNow, ErrorKind::Shed);
@@ -70,6 +74,11 @@
 PlanStep
 RequestPlan::OnBroken(bool aCanGoOn, Millis aNow)
 {
+  if (mAnswerBegun) {
+    if (auto goesOn = GoOnAtBackup(aNow)) {
+      return std::move(*goesOn);
+    }
+  }
   if (mAnswerBegun && !aCanGoOn) {
     return CutAnswer{};
   }
@@ -102,6 +111,7 @@
   mTried.insert(attempt->mUpstream);
   mAttempts++;
   mMayHaveRunBefore = mMayHaveRun;
+  mCurrent = *attempt;
   return SendRequest{ .mAttempt = std::move(*attempt), .mTimeLeft = left };
 }
 
@@ -118,6 +128,24 @@
   return Refuse(aOtherwise, kFullRetryAfter, aNow);
 }
 
+std::optional<PlanStep>
+RequestPlan::GoOnAtBackup(Millis aNow)
+{
+  const Millis left = mRequest.mEnd - aNow;
+  if (mCurrent.mBackup.empty() || left < kLeastTime ||
+      !mRouter.StillAllowed(mRequest, aNow) ||
+      !mRouter.TakeRetry(mRequest.mService)) {
+    return std::nullopt;
+  }
+  auto attempt = mRouter.PlaceAtBackup(mRequest, mCurrent, aNow);
+  if (!attempt) {
+    return std::nullopt;
+  }
+  mTried.insert(attempt->mUpstream);
+  mCurrent = *attempt;
+  return SendRequest{ .mAttempt = std::move(*attempt), .mTimeLeft = left };
+}
+
 bool
 RequestPlan::MayRepeat() const
 {
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -71,6 +71,8 @@
 private:
   PlanStep Send(Millis aNow);
   PlanStep Again(Millis aNow, ErrorKind aOtherwise);
+  /** Goes on at the upstream that keeps a copy, where there is one. */
+  std::optional<PlanStep> GoOnAtBackup(Millis aNow);
   bool MayRepeat() const;
   bool AttemptsLeft() const;
   PlanStep Refuse(ErrorKind aKind, Millis aRetryAfter, Millis aNow) const;
@@ -81,6 +83,8 @@
   uint32_t mAttempts = 0;
   /** Upstreams that can't have run it: unreachable ones. */
   uint32_t mUnreachable = 0;
+  /** The newest attempt. */
+  PlacedAttempt mCurrent;
   bool mMayHaveRun = false;
   /** An attempt before the current one may have run. */
   bool mMayHaveRunBefore = false;
--- a/src/libtrefoilgate/dialect.h
+++ b/src/libtrefoilgate/dialect.h
@@ -22,6 +22,10 @@
   trefoilarch::Millis mTimeLeft;
   /** Empty, or the address of an upstream that holds more of the prompt. */
   std::string mHolderAddress;
+  /** Empty, or the address of an upstream that is to keep a copy. */
+  std::string mBackupAddress;
+  /** Empty, or the address of the upstream that left a copy at this one. */
+  std::string mCopyOf;
   /** The last event that the caller has; empty at the first attempt. */
   std::string mLastEvent;
 };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -21,6 +21,7 @@
 
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr int kAfterSuccess = 300;
 constexpr int kLeastFailure = 500;
 constexpr double kMillisPerSecond = 1000;
 
@@ -140,6 +141,8 @@
                              .mRoutePriority = bound.mRoutePriority,
                              .mTimeLeft = aTimeLeft,
                              .mHolderAddress = mAttempt->mHolderAddress,
+                             .mBackupAddress = mAttempt->mBackupAddress,
+                             .mCopyOf = mAttempt->mCopyOf,
                              .mLastEvent = mEvents.LastId() };
   std::string head =
     mRequest.mMethod + " " + mRequest.mTarget + " HTTP/1.1\r\n";
@@ -195,7 +198,7 @@
     OnBroken("a success without the upstream's seal");
     return;
   }
-  if (mBegun && aAnswer.mStatus >= kLeastFailure) {
+  if (mBegun && aAnswer.mStatus >= kAfterSuccess) {
     DropConnection();
     OnBroken("status " + std::to_string(aAnswer.mStatus) +
              " instead of events");
--- a/tests/platform/truthtest.cpp
+++ b/tests/platform/truthtest.cpp
@@ -232,3 +232,49 @@
     cr_expect(fleet.RunsOf(id + "-next").size() == 1);
   }
 }
+
+Test(truth, a_stream_that_may_not_be_repeated_goes_on_from_its_copy)
+{
+  const PlatformFleet fleet({ .mWorkers = 3 });
+  const integration::RawCaller caller(fleet.GateAddress(0));
+  caller.Send(
+    PlatformFleet::Text({ .mMethod = "POST",
+                          .mPath = "/stream/x",
+                          .mPlan = "stream,count=8,cut=3,once=1",
+                          .mHeaders = { { "X-Token-Usage", "500,400" } } }));
+  const std::string text = caller.ReadAll(1500);
+  for (int event = 1; event <= 8; ++event) {
+    const std::string line = "data: event " + std::to_string(event) + "\n";
+    const size_t place = text.find(line);
+    cr_expect(place != std::string::npos, "event %d", event);
+    cr_expect(text.find(line, place + 1) == std::string::npos);
+  }
+  cr_expect(text.ends_with("0\r\n\r\n"));
+  const auto runs = fleet.RunsOf("1");
+  cr_assert(runs.size() == 2);
+  const json* first = &runs.at(0);
+  const json* next = &runs.at(1);
+  if (!next->at("headers").contains("Kv-From")) {
+    std::swap(first, next);
+  }
+  const std::string copy = fleet.WorkerAddress(next->at("worker"));
+  const std::string origin = fleet.WorkerAddress(first->at("worker"));
+  cr_expect(first->at("headers").at("X-Kv-Backup") == copy);
+  cr_expect(next->at("headers").at("Kv-From") == origin + "/1");
+  cr_expect(next->at("headers").at("Last-Event-Id") == "3");
+}
+
+Test(truth, a_stream_whose_copy_is_lost_too_is_cut)
+{
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  const integration::RawCaller caller(fleet.GateAddress(0));
+  caller.Send(
+    PlatformFleet::Text({ .mMethod = "POST",
+                          .mPath = "/stream/x",
+                          .mPlan = "stream,count=8,cut=3",
+                          .mHeaders = { { "X-Token-Usage", "500,400" } } }));
+  const std::string text = caller.ReadAll(1500);
+  cr_expect(text.find("event 6\n") != std::string::npos);
+  cr_expect(text.find("event 7\n") == std::string::npos);
+  cr_expect(!text.ends_with("0\r\n\r\n"));
+}
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -284,8 +284,9 @@
 {
   const int count = NumberOf(aPlan, "count", 5);
   const int gap = NumberOf(aPlan, "gap", 10);
-  const int cut = NumberOf(aPlan, "cut", 0);
   const std::string after(aRequest["Last-Event-Id"]);
+  const bool spared = !after.empty() && NumberOf(aPlan, "once", 0) > 0;
+  const int cut = spared ? 0 : NumberOf(aPlan, "cut", 0);
   const int first = after.empty() ? 1 : std::stoi(after) + 1;
   Write(aSocket,
         Head(aRequest,
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -30,7 +30,8 @@
  *   hang          no answer for as long as the client stays
  *   early         answers before it has read the body
  *   stream        events: count, gap (ms), cut (break after so many events,
- *                 in the middle of the next)
+ *                 in the middle of the next), once=1 (a run that goes on
+ *                 after an event is not cut)
  *
  * A worker's own plan (POST /control {"plan":...}) goes before the header's,
  * for the first `times` requests.
