--- a/tests/integration/childprocess.cpp
+++ b/tests/integration/childprocess.cpp
@@ -3,6 +3,7 @@
 #include "await.h"
 
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -71,6 +72,7 @@
 
 ChildProcess::~ChildProcess()
 {
+  mHold = false;
   Kill();
   mReader.join();
 }
@@ -89,6 +91,9 @@
       mLines.push_back(text.substr(0, end));
       text.erase(0, end + 1);
     }
+    while (mHold) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
   }
   close(aFd);
 }
--- a/tests/integration/childprocess.h
+++ b/tests/integration/childprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
@@ -33,6 +34,9 @@
   /** All lines so far that hold the text. */
   std::vector<std::string> LinesWith(const std::string& aPart) const;
 
+  /** While held, what it prints stays unread in its pipe. */
+  void HoldOutput(bool aHold) { mHold = aHold; }
+
   void Signal(int aSignal) const;
   /** Ends it at once, as a crash would. */
   void Kill();
@@ -48,6 +52,7 @@
   pid_t mId = -1;
   int mStatus = 0;
   bool mReaped = false;
+  std::atomic<bool> mHold = false;
   mutable std::mutex mMutex;
   std::vector<std::string> mLines;
   std::thread mReader;
