--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -295,6 +295,28 @@
   return dump.dump();
 }
 
+nlohmann::json
+DirectRouter::Status(Millis aNow) const
+{
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& [id, listed] : mDirectory.All()) {
+    const auto tracked = mTracked.find(id);
+    const bool known = tracked != mTracked.end();
+    const bool avoided = mOutliers.State(id, aNow) != OutlierState::Healthy;
+    const char* usual = avoided ? "ejected" : "ready";
+    upstreams.push_back(
+      { { "name", id },
+        { "data_centre", listed.mDataCentre },
+        { "state", listed.mLeaving ? "draining" : usual },
+        { "labels", { { "service", listed.mService } } },
+        { "load",
+          { { "open", known ? tracked->second.mWork.Open() : 0 },
+            { "busy", known ? tracked->second.mWork.Busy(aNow) : 0 } } } });
+  }
+  return { { "policy_version", mIndex ? mIndex->Version() : 0 },
+           { "upstreams", std::move(upstreams) } };
+}
+
 const std::string&
 DirectRouter::ServiceFor(const Route& aRoute)
 {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <random>
 #include <set>
@@ -179,6 +180,8 @@
   OutlierState StateOf(const UpstreamId& aUpstream, Millis aNow) const;
   /** Open attempts and the belief about each upstream, as JSON text. */
   std::string DumpState(Millis aNow) const;
+  /** The policy's version and each upstream with its state and load. */
+  nlohmann::json Status(Millis aNow) const;
 
 private:
   struct Tracked
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -271,7 +271,12 @@
       MetricsText());
     return;
   }
-  if (path == "/dump") {
+  if (path == "/v1/status") {
+    aCaller->Answer({ .mHeaders = { { "Content-Type", "application/json" } } },
+                    StatusText());
+    return;
+  }
+  if (path == "/dump" || path == "/state") {
     aCaller->Answer({ .mHeaders = { { "Content-Type", "application/json" } } },
                     DumpState());
     return;
@@ -335,6 +340,15 @@
   return mMetrics.Text();
 }
 
+std::string
+Gateway::StatusText() const
+{
+  nlohmann::json status = mRouter.Status(BootNow());
+  status["entry"] = mOptions.mSettings.mName;
+  status["open_requests"] = mExchanges.size();
+  return status.dump();
+}
+
 void
 Gateway::Tick()
 {
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -77,6 +77,8 @@
   std::string NotReady() const;
   void LogReadiness(const std::string& aReason);
   std::string MetricsText();
+  /** The fleet as this gate sees it, in the form of an entry's status. */
+  std::string StatusText() const;
   void Tick();
   void ContinueDrain();
 
--- a/src/trefoilarchctl/command.cpp
+++ b/src/trefoilarchctl/command.cpp
@@ -105,6 +105,18 @@
   trefoilarchctl metrics entry_ --operator http://10.0.0.5:7100
 )";
 
+constexpr const char* kExplainHelp =
+  R"(  explain ID [FILE] [--json]   a request's lines in a gate's log, and what
+                              was logged near it about its upstreams, the
+                              store and the process
+
+FILE is - or missing for standard input. Exit code 4 where no line has the id.
+
+Examples:
+  trefoilarchctl explain 9c41d07be2a35f68 gate.log
+  tail -n 100000 gate.log | trefoilarchctl explain 9c41d07be2a35f68
+)";
+
 } // namespace
 
 const std::vector<Command>&
@@ -121,6 +133,7 @@
     { "status", "the fleet at a glance", kStatusHelp, &RunStatus },
     { "state", "dump of a process", kStateHelp, &RunState },
     { "metrics", "metrics of a process", kMetricsHelp, &RunMetrics },
+    { "explain", "what became of a request", kExplainHelp, &RunExplain },
   };
   return kCommands;
 }
--- a/src/trefoilarchctl/command.h
+++ b/src/trefoilarchctl/command.h
@@ -42,5 +42,7 @@
 RunState(const std::vector<std::string>& aArguments);
 ExitCode
 RunMetrics(const std::vector<std::string>& aArguments);
+ExitCode
+RunExplain(const std::vector<std::string>& aArguments);
 
 } // namespace trefoilarchctl
--- a/tests/platform/operationstest.cpp
+++ b/tests/platform/operationstest.cpp
@@ -2,12 +2,15 @@
 
 #include "integration/await.h"
 #include "integration/rawcaller.h"
+#include "integration/temporaryfolder.h"
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <criterion/criterion.h>
+#include <fstream>
 #include <mutex>
+#include <sys/wait.h>
 #include <thread>
 
 using namespace platformtest;
@@ -192,3 +195,47 @@
   fleet.Gate(0).HoldOutput(false);
   cr_expect(Await([&] { return LinesOf(fleet, "held").size() > seen; }));
 }
+
+Test(operations, the_tool_explains_a_request_and_what_was_near_it)
+{
+  PlatformFleet fleet({ .mWorkers = 1 });
+  fleet.Call({ .mId = "lost",
+               .mMethod = "POST",
+               .mPath = "/once/x",
+               .mPlan = "cut_head" });
+  LineOf(fleet, "lost", "request_ended");
+  fleet.Unlist("i-0");
+  cr_assert(
+    Await([&] { return !fleet.LogOf(0, "upstream_unlisted").empty(); }));
+  const integration::TemporaryFolder folder;
+  const std::string file = folder.Path() + "/gate.log";
+  std::ofstream log(file);
+  for (const std::string& line : fleet.Gate(0).LinesWith("{")) {
+    log << "2026-12-02T10:00:00Z " << line << "\n";
+  }
+  log.close();
+  integration::ChildProcess tool("trefoilarchctl", { "explain", "lost", file });
+  cr_assert(Await([&] { return tool.HasEnded(); }));
+  cr_expect(tool.Status() == 0);
+  cr_expect(
+    Await([&] { return !tool.LinesWith("upstream_unlisted").empty(); }));
+  cr_expect(!tool.LinesWith("outcome=outcome_unknown").empty());
+  cr_expect(!tool.LinesWith("may_have_run=true").empty());
+  integration::ChildProcess none("trefoilarchctl", { "explain", "no", file });
+  cr_assert(Await([&] { return none.HasEnded(); }));
+  cr_expect(WEXITSTATUS(none.Status()) == 4);
+}
+
+Test(operations, the_tool_shows_the_fleet_as_a_gate_sees_it)
+{
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  fleet.List(1, "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  integration::ChildProcess tool(
+    "trefoilarchctl",
+    { "status", "--operator", "http://" + fleet.OperatorAddress(0) });
+  cr_assert(Await([&] { return tool.HasEnded(); }));
+  cr_expect(Await([&] { return !tool.LinesWith("i-0").empty(); }));
+  cr_expect(!tool.LinesWith("draining").empty());
+  cr_expect(!tool.LinesWith("policy version 1").empty());
+}
