--- a/tests/platform/truthtest.cpp
+++ b/tests/platform/truthtest.cpp
@@ -26,6 +26,19 @@
   cr_expect(!Seal(aReply).empty());
 }
 
+/** A chunked stream has events 1 to aCount, each once, and its end. */
+void
+ExpectEachEventOnce(const std::string& aText, int aCount)
+{
+  for (int event = 1; event <= aCount; ++event) {
+    const std::string line = "data: event " + std::to_string(event) + "\n";
+    const size_t place = aText.find(line);
+    cr_expect(place != std::string::npos, "event %d", event);
+    cr_expect(aText.find(line, place + 1) == std::string::npos);
+  }
+  cr_expect(aText.ends_with("0\r\n\r\n"));
+}
+
 } // namespace
 
 Test(truth, a_good_answer_is_passed_on_unchanged)
@@ -154,13 +167,7 @@
                                     .mPath = "/resume/x",
                                     .mPlan = "stream,count=8,cut=3" }));
   const std::string text = caller.ReadAll(1500);
-  for (int event = 1; event <= 8; ++event) {
-    const std::string line = "data: event " + std::to_string(event) + "\n";
-    const size_t place = text.find(line);
-    cr_expect(place != std::string::npos, "event %d", event);
-    cr_expect(text.find(line, place + 1) == std::string::npos);
-  }
-  cr_expect(text.ends_with("0\r\n\r\n"));
+  ExpectEachEventOnce(text, 8);
   const auto runs = fleet.RunsOf("1");
   cr_expect(runs.size() == 3);
   cr_expect(
@@ -243,13 +250,7 @@
                           .mPlan = "stream,count=8,cut=3,once=1",
                           .mHeaders = { { "X-Token-Usage", "500,400" } } }));
   const std::string text = caller.ReadAll(1500);
-  for (int event = 1; event <= 8; ++event) {
-    const std::string line = "data: event " + std::to_string(event) + "\n";
-    const size_t place = text.find(line);
-    cr_expect(place != std::string::npos, "event %d", event);
-    cr_expect(text.find(line, place + 1) == std::string::npos);
-  }
-  cr_expect(text.ends_with("0\r\n\r\n"));
+  ExpectEachEventOnce(text, 8);
   const auto runs = fleet.RunsOf("1");
   cr_assert(runs.size() == 2);
   const json* first = &runs.at(0);
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -193,7 +193,7 @@
   if (stream) {
     CallStream(record, call);
   } else {
-    CallPlain(record, call);
+    Exchange(record, call);
   }
   record.mEndedAt = SteadyNow();
   if (record.mStatus != 200) {
@@ -202,47 +202,38 @@
   return record;
 }
 
-void
-SoakRun::CallPlain(SoakRecord& aRecord, const GateCall& aCall)
+std::string
+SoakRun::Exchange(SoakRecord& aRecord, GateCall aCall) const
 {
   const integration::RawCaller caller(AddressOf(aRecord.mGate));
-  GateCall call = aCall;
-  call.mHeaders.emplace_back("Connection", "close");
-  caller.Send(PlatformFleet::Text(call));
+  aCall.mHeaders.emplace_back("Connection", "close");
+  caller.Send(PlatformFleet::Text(aCall));
   const std::string text = caller.ReadAll(kDeadlineMs + 2000);
-  const size_t body = text.find("\r\n\r\n");
-  if (!text.starts_with("HTTP/1.1 ") || body == std::string::npos) {
-    return;
+  const size_t end = text.find("\r\n\r\n");
+  if (!text.starts_with("HTTP/1.1 ") || end == std::string::npos) {
+    return {};
+  }
+  const std::string head = text.substr(0, end + 2);
+  aRecord.mStatus = std::stoi(head.substr(9, 3));
+  aRecord.mSealed = head.find("X-Response-Seal:") != std::string::npos;
+  aRecord.mReturnTold = head.find("Retry-After:") != std::string::npos;
+  const size_t length = head.find("Content-Length: ");
+  const std::string body = text.substr(end + 4);
+  if (length != std::string::npos) {
+    aRecord.mSize = static_cast<int>(body.size());
+    aRecord.mComplete = std::stoi(head.substr(length + 16)) == aRecord.mSize;
   }
-  aRecord.mStatus = std::stoi(text.substr(9, 3));
-  aRecord.mSealed = text.find("X-Response-Seal:") < body;
-  aRecord.mReturnTold = text.find("Retry-After:") < body;
-  aRecord.mSize = static_cast<int>(text.size() - body - 4);
-  const size_t length = text.find("Content-Length: ");
-  aRecord.mComplete =
-    length < body && std::stoi(text.substr(length + 16)) == aRecord.mSize;
+  return body;
 }
 
 void
-SoakRun::CallStream(SoakRecord& aRecord, const GateCall& aCall)
+SoakRun::CallStream(SoakRecord& aRecord, const GateCall& aCall) const
 {
-  const integration::RawCaller caller(AddressOf(aRecord.mGate));
-  GateCall call = aCall;
-  call.mHeaders.emplace_back("Connection", "close");
-  caller.Send(PlatformFleet::Text(call));
-  const std::string text = caller.ReadAll(kDeadlineMs + 2000);
-  const size_t body = text.find("\r\n\r\n");
-  if (!text.starts_with("HTTP/1.1 ") || body == std::string::npos) {
-    return;
-  }
-  aRecord.mStatus = std::stoi(text.substr(9, 3));
-  aRecord.mSealed = text.find("X-Response-Seal:") < body;
-  aRecord.mReturnTold = text.find("Retry-After:") < body;
-  if (text.find("Transfer-Encoding: chunked") >= body) {
-    aRecord.mComplete = true;
+  const std::string body = Exchange(aRecord, aCall);
+  if (aRecord.mStatus != 200) {
     return;
   }
-  const auto [data, ended] = Dechunked(text.substr(body + 4));
+  const auto [data, ended] = Dechunked(body);
   aRecord.mComplete = ended;
   std::istringstream lines(data);
   std::string line;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -49,8 +49,10 @@
 
   void CallerLoop(size_t aCaller);
   SoakRecord MakeCall(std::mt19937_64& aRandom, size_t aCaller, int aNumber);
-  void CallPlain(SoakRecord& aRecord, const platformtest::GateCall& aCall);
-  void CallStream(SoakRecord& aRecord, const platformtest::GateCall& aCall);
+  /** Sends and reads; the answer's body, with its head in the record. */
+  std::string Exchange(SoakRecord& aRecord, platformtest::GateCall aCall) const;
+  void CallStream(SoakRecord& aRecord,
+                  const platformtest::GateCall& aCall) const;
   std::string AddressOf(size_t aGate) const;
   void UpdateAddress(size_t aGate);
   void FaultLoop();
--- /dev/null
+++ b/tests/unit/virtualcaller.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "libtrefoilarch/entrycore.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace trefoilarch {
+
+/** A policy by which all traffic may go anywhere. */
+inline std::shared_ptr<const Classifier>
+AnyUpstream()
+{
+  auto policy = std::make_shared<Policy>();
+  policy->mVersion = 1;
+  policy->mSelectors["all"] = { .mName = "all",
+                                .mTraffic = {},
+                                .mUpstreams = {} };
+  return std::make_shared<const Classifier>(std::move(policy));
+}
+
+/** What one caller of a VirtualFleet asked for and got. */
+struct VirtualCaller
+{
+  bool mIdempotent = true;
+  Millis mArrived;
+  Millis mDeadline;
+  bool mHead = false;
+  std::string mData{};
+  bool mWhole = false;
+  bool mLeft = false;
+  std::optional<Refusal> mRefusal{};
+  Millis mEnded{};
+  /** Times that an upstream began to work on it. */
+  int mRuns = 0;
+
+  bool Ended() const { return mWhole || mRefusal; }
+};
+
+/** How the upstreams of a VirtualFleet behave; chances from 0 to 1. */
+struct VirtualEngines
+{
+  double mCrash = 0;
+  double mRefuse = 0;
+  Millis mMostPause{ 100 };
+};
+
+} // namespace trefoilarch
