--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -48,6 +48,8 @@
            trefoilarch::BoundRequest aBound);
 
   void Start();
+  /** Memory that the caller's body takes. */
+  size_t BodyBytes() const { return mRequest.mBody->size(); }
   /** The process ends: whatever is open is cut. */
   void Abandon();
 
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -28,7 +28,13 @@
 
 /** The part of the allowed share of retries that is used: what is sent and
  * lost on the way counts as well. */
-constexpr double kRetryPart = 0.75;
+constexpr double kRetryPart = 0.9;
+
+constexpr uint64_t kBytesPerMb = 1048576;
+
+/** One part in so many of the memory may hold callers' bodies; answers, which
+ * are held for slow callers, and the rest have the others. */
+constexpr uint64_t kBodyPart = 3;
 
 std::function<std::string(const std::string&)>
 Share()
@@ -99,6 +105,10 @@
       .mHelp = "file descriptors that the process may use",
       .mDefault = "4096",
       .mCheck = IntegerBetween(64, 1 << 20) },
+    { .mName = "memory-mb",
+      .mHelp = "memory that the process may use (MB)",
+      .mDefault = "512",
+      .mCheck = IntegerBetween(32, 1 << 20) },
   };
 }
 
@@ -118,7 +128,9 @@
     .mRetryBurst = std::min(slack / kMostEntries, kMostBurst),
     .mStopSpan = Millis(aSettings.Integer("stop-seconds") * 1000) - kStopMargin,
     .mMostDescriptors =
-      static_cast<uint32_t>(aSettings.Integer("most-descriptors"))
+      static_cast<uint32_t>(aSettings.Integer("most-descriptors")),
+    .mMostBodyBytes = static_cast<uint64_t>(aSettings.Integer("memory-mb")) *
+                      kBytesPerMb / kBodyPart
   };
 }
 
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -22,6 +22,8 @@
   double mRetryBurst = 0;
   trefoilarch::Millis mStopSpan;
   uint32_t mMostDescriptors = 0;
+  /** Bytes of callers' bodies that may be held at a time. */
+  uint64_t mMostBodyBytes = 0;
 
   bool operator==(const GateSettings&) const = default;
 };
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -27,6 +27,9 @@
 /** For a caller that comes while the process ends: another entry serves. */
 constexpr Millis kReturnElsewhere{ 100 };
 
+/** For a caller whose body finds no room: others end within this. */
+constexpr Millis kReturnLater{ 300 };
+
 /** Descriptors that are not for callers: upstreams, store, files. */
 constexpr size_t kOtherDescriptors = 800;
 
@@ -64,7 +67,7 @@
               .mLog = mLog,
               .mMetrics = mMetrics,
               .mOnEnded =
-                [this](Exchange* aEnded) { mExchanges.erase(aEnded); } }
+                [this](Exchange* aEnded) { OnExchangeEnded(aEnded); } }
   , mCallers(aLoop,
              { .mAddress = mOptions.mSettings.mListen,
                .mMostConnections =
@@ -213,6 +216,15 @@
                            .mMessage = "could not be finished in time" });
     return;
   }
+  if (mBodyBytes + aRequest.mBody->size() > mOptions.mSettings.mMostBodyBytes) {
+    RefuseUnbound(aCaller,
+                  aRequest,
+                  id,
+                  Refusal{ .mKind = ErrorKind::TooManyOpen,
+                           .mRetryAfter = kReturnLater,
+                           .mMessage = "bodies fill the memory" });
+    return;
+  }
   const RequestFacts facts = mOptions.mDialect.mFacts(aRequest);
   boost::leaf::try_handle_all(
     [&]() -> Result<void> {
@@ -220,6 +232,7 @@
       const auto exchange = std::make_shared<Exchange>(
         mContext, aCaller, std::move(aRequest), id, std::move(bound));
       mExchanges[exchange.get()] = exchange;
+      mBodyBytes += exchange->BodyBytes();
       exchange->Start();
       return {};
     },
@@ -232,6 +245,13 @@
     });
 }
 
+void
+Gateway::OnExchangeEnded(Exchange* aEnded)
+{
+  mBodyBytes -= std::min<uint64_t>(mBodyBytes, aEnded->BodyBytes());
+  mExchanges.erase(aEnded);
+}
+
 void
 Gateway::RefuseUnbound(const std::shared_ptr<CallerConnection>& aCaller,
                        const CallerRequest& aRequest,
@@ -321,6 +341,7 @@
 {
   const Millis now = BootNow();
   mMetrics.SetGauge("open_requests", static_cast<double>(mExchanges.size()));
+  mMetrics.SetGauge("body_bytes", static_cast<double>(mBodyBytes));
   mMetrics.SetGauge("caller_connections",
                     static_cast<double>(mCallers.Connections()));
   mMetrics.SetGauge("idle_upstream_connections",
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -69,6 +69,7 @@
                  CallerRequest aRequest);
   void OnOperatorRequest(const std::shared_ptr<CallerConnection>& aCaller,
                          const CallerRequest& aRequest);
+  void OnExchangeEnded(Exchange* aEnded);
   void RefuseUnbound(const std::shared_ptr<CallerConnection>& aCaller,
                      const CallerRequest& aRequest,
                      const std::string& aId,
@@ -93,6 +94,8 @@
   CallerListener mOperators;
   boost::asio::steady_timer mTimer;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> mExchanges;
+  /** Of the bodies of open requests. */
+  uint64_t mBodyBytes = 0;
   std::string mLastReason = "starting";
   bool mListKnown = false;
   bool mDraining = false;
--- a/tests/platform/lifetest.cpp
+++ b/tests/platform/lifetest.cpp
@@ -203,3 +203,33 @@
   cr_expect(attempts.at(0).at("id") == "cut-one");
   cr_expect(attempts.at(0).at("upstream") == "i-0");
 }
+
+Test(life, bodies_that_would_fill_the_memory_are_refused_as_not_run)
+{
+  // A third of 32 MB may hold bodies.
+  const PlatformFleet fleet({ .mMemoryMb = 32 });
+  const std::string body(900000, 'x');
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int each = 0; each < 14; ++each) {
+    callers.push_back(std::make_unique<RawCaller>(fleet.GateAddress(0)));
+    cr_assert(callers.back()->Send(
+      PlatformFleet::Text({ .mId = "b" + std::to_string(each),
+                            .mMethod = "POST",
+                            .mPath = "/once/x",
+                            .mPlan = "ok,delay=1500",
+                            .mBody = body })));
+  }
+  int refused = 0;
+  int served = 0;
+  for (size_t each = 0; each < callers.size(); ++each) {
+    const std::string text = callers[each]->ReadAll(2500);
+    if (text.starts_with("HTTP/1.1 429")) {
+      refused++;
+      cr_expect(text.find("Retry-After:") != std::string::npos);
+      cr_expect(fleet.RunsOf("b" + std::to_string(each)).empty());
+    }
+    served += text.starts_with("HTTP/1.1 200") ? 1 : 0;
+  }
+  cr_expect(
+    refused >= 2 && served >= 9, "%d refused, %d served", refused, served);
+}
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -95,6 +95,8 @@
                               store,
                               "--revoke-ms",
                               std::to_string(mOptions.mRevokeMs),
+                              "--memory-mb",
+                              std::to_string(mOptions.mMemoryMb),
                               "--retry-slack",
                               std::to_string(mOptions.mRetrySlack),
                               "--stop-seconds",
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -21,6 +21,7 @@
   int mStopSeconds = 8;
   /** Retries of all gates together besides the share of requests. */
   int mRetrySlack = 50;
+  int mMemoryMb = 512;
   /** Whether a fault proxy stands before each worker, and before the store
    * for each gate. */
   bool mProxied = false;
