Try recovered upstreams from any route; avoid cold ones; no copy at one that leaves

Tests: a_copy_at_an_upstream_that_leaves_is_not_used, an_upstream_that_recovers_gets_work_again_from_any_route, an_upstream_that_has_just_started_is_avoided.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -63,14 +63,18 @@
 }
 
 void
-DirectRouter::OnDirectoryChanged()
+DirectRouter::OnDirectoryChanged(Millis aNow)
 {
   for (auto& [id, tracked] : mTracked) {
     tracked.mListed = false;
   }
   for (const auto& [id, listed] : mDirectory.All()) {
-    Tracked& tracked = mTracked[id];
+    const auto [place, fresh] = mTracked.try_emplace(id);
+    Tracked& tracked = place->second;
     tracked.mListed = true;
+    if (fresh) {
+      tracked.mColdUntil = aNow + listed.mColdFor;
+    }
     tracked.mService = listed.mService;
     mOutliers.Add(id, listed.mService);
   }
@@ -151,7 +155,7 @@
                             Millis aNow)
 {
   const ListedUpstream* backup = mDirectory.Find(aBroken.mBackup);
-  if (backup == nullptr) {
+  if (backup == nullptr || backup->mLeaving) {
     return std::nullopt;
   }
   const AttemptWork work{ .mOutput = aBroken.mWork.mOutput };
@@ -354,7 +358,8 @@
     if (each->mLeaving || aTried.contains(each->mId)) {
       continue;
     }
-    const UpstreamWork& work = mTracked[each->mId].mWork;
+    const Tracked& tracked = mTracked[each->mId];
+    const UpstreamWork& work = tracked.mWork;
     if (work.Open() >= most) {
       continue;
     }
@@ -365,7 +370,8 @@
                                                            ? 0
                                                            : lane->second };
     const OutlierState state = mOutliers.State(each->mId, aNow);
-    if (state == OutlierState::Trial && repeatable && work.Open() == 0) {
+    const bool tries = repeatable || mTrialChance(mRandom);
+    if (state == OutlierState::Trial && tries && work.Open() == 0) {
       return { candidate };
     }
     (state == OutlierState::Healthy ? healthy : others).push_back(candidate);
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -136,7 +136,7 @@
   UpstreamDirectory& Directory() { return mDirectory; }
   const UpstreamDirectory& Directory() const { return mDirectory; }
   /** To be called after each change of the directory. */
-  void OnDirectoryChanged();
+  void OnDirectoryChanged(Millis aNow);
 
   /**
    * Fails with PolicyUnknown, PolicyStale, UnknownRoute, BadToken, or Shed
@@ -189,6 +189,8 @@
     std::string mService;
     UpstreamWork mWork;
     bool mListed = false;
+    /** It is slow until then, after its start. */
+    Millis mColdUntil;
   };
   using Candidates = std::vector<PlacementCandidate>;
 
@@ -216,6 +218,9 @@
   TierGuard mTiers;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
+  /** Whether a request that may run once only tries an upstream that had been
+   * failing: rarely, but where no others come nobody else would. */
+  std::bernoulli_distribution mTrialChance{ 0.2 };
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -144,7 +144,8 @@
   return read + again + before + busy * mOptions.mBusyMs + over * kOverSlotsMs +
          aCandidate.mLaneDistance * mOptions.mOtherLaneMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
-         SilenceCost(*aCandidate.mWork, aNow);
+         SilenceCost(*aCandidate.mWork, aNow) +
+         (aCandidate.mCold ? mOptions.mColdMs : 0);
 }
 
 double
@@ -155,7 +156,8 @@
   const double share = aCandidate.mWork->Busy(aNow) / slots;
   return share * mOptions.mPlainCallMs +
          Distance(aCandidate, mOptions.mPlainOtherDataCentreMs) +
-         SilenceCost(*aCandidate.mWork, aNow);
+         SilenceCost(*aCandidate.mWork, aNow) +
+         (aCandidate.mCold ? mOptions.mColdMs : 0);
 }
 
 double
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -37,6 +37,8 @@
   double mPlainOtherDataCentreMs = 8;
   /** How long a plain call lasts, for comparing load with distance. */
   double mPlainCallMs = 50;
+  /** An upstream that has just started is worth avoiding by as much. */
+  double mColdMs = 40;
   /** Silence up to this is usual while an upstream reads a long prompt. */
   Millis mUsualSilence{ 350 };
   uint64_t mSeed = 1;
@@ -47,6 +49,8 @@
 {
   const ListedUpstream* mListed = nullptr;
   const UpstreamWork* mWork = nullptr;
+  /** It has just started and is still slow. */
+  bool mCold = false;
   /** How many lanes it is away from that of the request's route. */
   uint32_t mLaneDistance = 0;
 };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -114,7 +114,9 @@
                        const ConnectionPool::Connection& aConnection)
 {
   if (mDone || aAttempt != mAttemptNumber || !mAttempt) {
-    if (aConnection) {
+    if (aConnection && aAttempt == mAttemptNumber) {
+      mContext.mPool.Release(mLastPlaced.mUpstream, aConnection);
+    } else if (aConnection) {
       aConnection->Close();
     }
     return;
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -161,7 +161,7 @@
 Gateway::ChangeDirectory(const std::function<void(UpstreamDirectory&)>& aChange)
 {
   aChange(mRouter.Directory());
-  mRouter.OnDirectoryChanged();
+  mRouter.OnDirectoryChanged(BootNow());
 }
 
 CallerHooks
@@ -375,7 +375,7 @@
 {
   const Millis now = BootNow();
   if (mRouter.Directory().Expire(now)) {
-    mRouter.OnDirectoryChanged();
+    mRouter.OnDirectoryChanged(now);
   }
   mCallers.CheckTimes(now);
   mOperators.CheckTimes(now);
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -40,7 +40,7 @@
                              .mService = "svc",
                              .mAddress = "a:1" });
   }
-  router.OnDirectoryChanged();
+  router.OnDirectoryChanged(Millis(0));
   return router;
 }
 
@@ -280,7 +280,7 @@
   DirectRouter router = MakeRouter(2);
   router.Directory().Put(
     { .mId = "u0", .mService = "svc", .mAddress = "a:1", .mLeaving = true });
-  router.OnDirectoryChanged();
+  router.OnDirectoryChanged(Millis(0));
   for (int each = 0; each < 20; ++each) {
     const BoundRequest bound = Bound(router, "/safe/x");
     const auto attempt = router.Place(bound, {}, Millis(0));
@@ -309,3 +309,37 @@
     router.OnEnded(*attempt, AttemptOutcome::Broken, Millis(1));
   }
 }
+
+Test(directrouter, an_upstream_that_recovers_gets_work_again_from_any_route)
+{
+  DirectRouter router = MakeRouter(3);
+  for (int each = 0; each < 30; ++each) {
+    const auto attempt = router.Place(Bound(router, "/once/x"), {}, Millis(0));
+    const bool bad = attempt->mUpstream == "u0";
+    router.OnEnded(
+      *attempt, bad ? AttemptOutcome::Broken : AttemptOutcome::Good, Millis(0));
+  }
+  cr_assert(router.StateOf("u0", Millis(0)) == OutlierState::Ejected);
+  router.ConfirmPolicy(Millis(20000));
+  int back = 0;
+  for (int each = 0; each < 100; ++each) {
+    const Millis now(20000 + each);
+    auto attempt = router.Place(Bound(router, "/once/x", now), {}, now);
+    router.OnStarted(*attempt, now);
+    router.OnEnded(*attempt, AttemptOutcome::Good, now);
+    back += attempt->mUpstream == "u0" ? 1 : 0;
+  }
+  cr_expect(back > 5);
+}
+
+Test(directrouter, a_copy_at_an_upstream_that_leaves_is_not_used)
+{
+  DirectRouter router = MakeRouter(2);
+  const BoundRequest bound = Bound(router, "/once/x");
+  PlacedAttempt broken{ .mUpstream = "u0", .mAddress = "a:1", .mBackup = "u1" };
+  cr_expect(router.PlaceAtBackup(bound, broken, Millis(0)).has_value());
+  router.Directory().Put(
+    { .mId = "u1", .mService = "svc", .mAddress = "a:1", .mLeaving = true });
+  router.OnDirectoryChanged(Millis(0));
+  cr_expect(!router.PlaceAtBackup(bound, broken, Millis(0)).has_value());
+}
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -152,6 +152,15 @@
             "e0");
 }
 
+Test(workplacement, an_upstream_that_has_just_started_is_avoided)
+{
+  const Engines engines(2);
+  WorkPlacement placement({ .mDataCentre = "here" });
+  auto candidates = engines.Candidates();
+  candidates[0].mCold = true;
+  cr_expect(placement.Choose(candidates, {}, Millis(0)).mUpstream == "e1");
+}
+
 Test(lanes, long_prompts_and_strict_streams_share_no_engine)
 {
   const Engines engines(12);
