--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -18,7 +18,7 @@
 struct LanesOptions
 {
   /** Demand fades by this time constant. */
-  Millis mMemory{ 5000 };
+  Millis mMemory{ 3000 };
   /** A route has a lane of its own beside a stricter one if it allows this
    * many times its pause... */
   double mPauseFactor = 1.4;
@@ -31,7 +31,7 @@
   double mLeastShare = 0.12;
   /** A boundary moves when it is off by this share of the engines: a session
    * whose engine changes lanes is read again elsewhere. */
-  double mSlack = 0.1;
+  double mSlack = 0.06;
 };
 
 /** By engine: 0 in the route's own lane, 1 in the next one, and so on. */
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -30,7 +30,7 @@
    * of all entries. */
   double mOthersFactor = 2;
   /** Each lane between weighs as much as this. */
-  double mOtherLaneMs = 350;
+  double mOtherLaneMs = 200;
   /** Milliseconds that it is worth to stay in the own data centre. */
   double mOtherDataCentreMs = 2;
   /** The same for a plain service, whose upstreams are all alike. */
