--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -352,7 +352,7 @@
   Candidates healthy;
   Candidates others;
   const auto& all = mDirectory.OfService(aRequest.mService);
-  const LaneDistances lanes =
+  const LaneDistances& lanes =
     mLanes.DistancesFor(aRequest.mService, *aRequest.mRoute, all, aNow);
   for (const ListedUpstream* each : all) {
     if (each->mLeaving || aTried.contains(each->mId)) {
--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -14,6 +14,9 @@
 /** Less demand than this many requests says nothing. */
 constexpr double kLeastCount = 1;
 
+/** How long a route's distances are good for. */
+constexpr Millis kKnownSpan{ 1000 };
+
 /** Output tokens of a request of which nothing is known. */
 constexpr double kUsualOutput = 50;
 
@@ -76,18 +79,32 @@
   demand.mPauseMs = static_cast<double>(aRoute.mGapTarget.Count());
 }
 
-LaneDistances
+const LaneDistances&
 Lanes::DistancesFor(const std::string& aService,
                     const Route& aRoute,
                     const std::vector<const ListedUpstream*>& aAll,
                     Millis aNow)
 {
-  LaneDistances distances;
   Service& service = mServices[aService];
-  for (auto& [name, demand] : service.mRoutes) {
+  Known& known = service.mKnown[aRoute.mName];
+  if (aNow >= known.mUntil) {
+    known.mDistances = WorkOut(service, aRoute, aAll, aNow);
+    known.mUntil = aNow + kKnownSpan;
+  }
+  return known.mDistances;
+}
+
+LaneDistances
+Lanes::WorkOut(Service& aService,
+               const Route& aRoute,
+               const std::vector<const ListedUpstream*>& aAll,
+               Millis aNow) const
+{
+  LaneDistances distances;
+  for (auto& [name, demand] : aService.mRoutes) {
     Fade(demand, aNow);
   }
-  const std::vector<Lane> lanes = LanesOf(service);
+  const std::vector<Lane> lanes = LanesOf(aService);
   const std::vector<const ListedUpstream*> order = InOrder(aAll);
   size_t own = lanes.size();
   for (size_t lane = 0; lane < lanes.size(); ++lane) {
@@ -100,12 +117,12 @@
       order.size() < kLeastEngines * lanes.size()) {
     return distances;
   }
-  MoveEnds(service, lanes);
+  MoveEnds(aService, lanes);
   size_t lane = 0;
   for (size_t each = 0; each < order.size(); ++each) {
     const double place =
       (static_cast<double>(each) + 0.5) / static_cast<double>(order.size());
-    while (lane < service.mEnds.size() && place > service.mEnds[lane]) {
+    while (lane < aService.mEnds.size() && place > aService.mEnds[lane]) {
       lane++;
     }
     distances[order[each]->mId] =
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -55,11 +55,16 @@
                  const PromptShape& aPrompt,
                  Millis aNow);
 
-  /** How far each engine is from the route's lane. */
-  LaneDistances DistancesFor(const std::string& aService,
-                             const Route& aRoute,
-                             const std::vector<const ListedUpstream*>& aAll,
-                             Millis aNow);
+  /**
+   * How far each engine is from the route's lane. Worked out once a second,
+   * as thousands of engines take a millisecond; an engine that has come since
+   * is in no lane yet.
+   */
+  const LaneDistances& DistancesFor(
+    const std::string& aService,
+    const Route& aRoute,
+    const std::vector<const ListedUpstream*>& aAll,
+    Millis aNow);
 
 private:
   /** What came of one route, fading. */
@@ -79,13 +84,24 @@
     double mPrompt = 0;
     double mWorkMs = 0;
   };
+  /** A route's distances and until when they are good. */
+  struct Known
+  {
+    LaneDistances mDistances;
+    Millis mUntil;
+  };
   struct Service
   {
     std::map<std::string, Demand> mRoutes;
     /** Where each lane but the last ends, as shares of the engines. */
     std::vector<double> mEnds;
+    std::map<std::string, Known> mKnown;
   };
 
+  LaneDistances WorkOut(Service& aService,
+                        const Route& aRoute,
+                        const std::vector<const ListedUpstream*>& aAll,
+                        Millis aNow) const;
   void Fade(Demand& aDemand, Millis aNow) const;
   /** From the longest prompts to the strictest streams. */
   std::vector<Lane> LanesOf(const Service& aService) const;
