Pass on a stream route's answer that has no events with its head

Cause: an answer of a stream route was held back for a whole event, and what was left at its end was written before any head: the caller got bare bytes. Found by reading; test failing first: a_stream_routes_answer_without_events_is_passed_on_whole (no status at all). Change: only a success is cut into events; what is left at the end goes behind the head.

--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -229,7 +229,7 @@
     mLongestPause = std::max(mLongestPause, now - mLastByteAt);
   }
   mLastByteAt = now;
-  if (mPlan.Request().mRoute->mStream && mAnswer->mStatus < kLeastFailure) {
+  if (mPlan.Request().mRoute->mStream && mAnswer->mStatus < kAfterSuccess) {
     PassData(mEvents.Add(aData));
     return;
   }
@@ -302,9 +302,8 @@
   mConnection.reset();
   EndAttempt(status < kLeastFailure ? AttemptOutcome::Good
                                     : AttemptOutcome::Failed);
-  if (!mEvents.Rest().empty()) {
-    mCaller->WriteAnswer(mEvents.Rest());
-  }
+  // What is no whole event at the end is the upstream's to answer for.
+  mBuffered += mEvents.Rest();
   if (mBegun) {
     mCaller->WriteAnswer(mBuffered);
     mCaller->EndAnswer();
--- a/tests/platform/truthtest.cpp
+++ b/tests/platform/truthtest.cpp
@@ -279,3 +279,19 @@
   cr_expect(text.find("event 7\n") == std::string::npos);
   cr_expect(!text.ends_with("0\r\n\r\n"));
 }
+
+Test(truth, a_stream_routes_answer_without_events_is_passed_on_whole)
+{
+  const PlatformFleet fleet;
+  for (const char* path : { "/stream/x", "/resume/x" }) {
+    const HttpReply denied =
+      fleet.Call({ .mMethod = "POST", .mPath = path, .mPlan = "denied" });
+    cr_expect(denied.mStatus == 403, "%s: %d", path, denied.mStatus);
+    cr_expect(denied.mBody == std::string(100, 'b'));
+    cr_expect(Seal(denied) == "seal-i-0");
+    const HttpReply odd =
+      fleet.Call({ .mMethod = "POST", .mPath = path, .mPlan = "unfinished" });
+    cr_expect(odd.mStatus == 200, "%s: %d", path, odd.mStatus);
+    cr_expect(odd.mBody == std::string(100, 'b'));
+  }
+}
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -249,6 +249,12 @@
   if (name == "error") {
     return Write(aSocket, Head(aRequest, 500, true, LengthOf("no")) + "no");
   }
+  if (name == "denied") {
+    return Write(aSocket, Head(aRequest, 403, true, LengthOf(body)) + body);
+  }
+  if (name == "unfinished") {
+    return Write(aSocket, Head(aRequest, 200, true, LengthOf(body)) + body);
+  }
   if (name == "cut_head") {
     Reset(aSocket);
     return false;
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -18,6 +18,8 @@
  *
  *   ok            200 with the seal (delay, size)
  *   error         500 of its own (delay)
+ *   denied        403 of its own, with a body that holds no event
+ *   unfinished    the same body as a success
  *   not_run       503 that says the request did not run
  *   cut_head      closes without an answer, having run (delay)
  *   cut_body      closes in the middle of the body
