--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -3,6 +3,7 @@
 #include "bootclock.h"
 #include "decisionlog.h"
 #include "gatemetrics.h"
+#include "refusalanswer.h"
 
 #include <chrono>
 
@@ -23,16 +24,6 @@
 constexpr int kNotModified = 304;
 constexpr int kAfterSuccess = 300;
 constexpr int kLeastFailure = 500;
-constexpr double kMillisPerSecond = 1000;
-
-std::string
-SecondsText(Millis aSpan)
-{
-  std::string text =
-    std::to_string(static_cast<double>(aSpan.Count()) / kMillisPerSecond);
-  text.resize(text.find('.') + 4);
-  return text;
-}
 
 } // namespace
 
@@ -479,24 +470,4 @@
   return mPlan.Request().mRoute->mRepeat == RepeatRule::Resumable;
 }
 
-AnswerHeadOut
-RefusalHead(const Refusal& aRefusal)
-{
-  AnswerHeadOut head{ .mStatus = AnswerFor(aRefusal.mKind).mHttpStatus,
-                      .mHeaders = { { "Content-Type", "application/json" } } };
-  if (aRefusal.mRetryAfter > Millis(0)) {
-    head.mHeaders.emplace_back("Retry-After",
-                               SecondsText(aRefusal.mRetryAfter));
-  }
-  return head;
-}
-
-std::string
-RefusalBody(const Refusal& aRefusal)
-{
-  const nlohmann::ordered_json body = { { "kind", Name(aRefusal.mKind) },
-                                        { "ran", Name(aRefusal.mRan) } };
-  return body.dump();
-}
-
 } // namespace trefoilgate
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "bootclock.h"
+#include "refusalanswer.h"
 
 #include <algorithm>
 #include <chrono>
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -218,7 +218,7 @@
   aRecord.mSealed = head.find("X-Response-Seal:") != std::string::npos;
   aRecord.mReturnTold = head.find("Retry-After:") != std::string::npos;
   const size_t length = head.find("Content-Length: ");
-  const std::string body = text.substr(end + 4);
+  std::string body = text.substr(end + 4);
   if (length != std::string::npos) {
     aRecord.mSize = static_cast<int>(body.size());
     aRecord.mComplete = std::stoi(head.substr(length + 16)) == aRecord.mSize;
