Move lanes' boundaries for all routes at once

Change: what is known is void for every route when a boundary moves, and good for 250 ms; a boundary moves by one and a half engines at the least. Test: boundaries_move_for_all_routes_at_once, failing on the code before.

--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -15,7 +15,7 @@
 constexpr double kLeastCount = 1;
 
 /** How long a route's distances are good for. */
-constexpr Millis kKnownSpan{ 1000 };
+constexpr Millis kKnownSpan{ 250 };
 
 /** Output tokens of a request of which nothing is known. */
 constexpr double kUsualOutput = 50;
@@ -89,6 +89,7 @@
   Known& known = service.mKnown[aRoute.mName];
   if (aNow >= known.mUntil) {
     known.mDistances = WorkOut(service, aRoute, aAll, aNow);
+    // After the work: moved boundaries void what is known of every route.
     known.mUntil = aNow + kKnownSpan;
   }
   return known.mDistances;
@@ -117,7 +118,7 @@
       order.size() < kLeastEngines * lanes.size()) {
     return distances;
   }
-  MoveEnds(aService, lanes);
+  MoveEnds(aService, lanes, order.size());
   size_t lane = 0;
   for (size_t each = 0; each < order.size(); ++each) {
     const double place =
@@ -172,8 +173,12 @@
 }
 
 void
-Lanes::MoveEnds(Service& aService, const std::vector<Lane>& aLanes) const
+Lanes::MoveEnds(Service& aService,
+                const std::vector<Lane>& aLanes,
+                size_t aEngines) const
 {
+  const double slack = std::max(
+    mOptions.mSlack, mOptions.mSlackEngines / static_cast<double>(aEngines));
   double all = 0;
   for (const Lane& lane : aLanes) {
     all += lane.mWorkMs;
@@ -188,10 +193,14 @@
   }
   bool moves = wanted.size() != aService.mEnds.size();
   for (size_t each = 0; !moves && each < wanted.size(); ++each) {
-    moves = std::abs(wanted[each] - aService.mEnds[each]) > mOptions.mSlack;
+    moves = std::abs(wanted[each] - aService.mEnds[each]) > slack;
   }
   if (moves) {
     aService.mEnds = wanted;
+    // No route may go by the old boundaries while another goes by the new.
+    for (auto& [route, known] : aService.mKnown) {
+      known.mUntil = Millis(0);
+    }
   }
 }
 
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -32,6 +32,8 @@
   /** A boundary moves when it is off by this share of the engines: a session
    * whose engine changes lanes is read again elsewhere. */
   double mSlack = 0.06;
+  /** ...and by this many engines: a small fleet's demand wavers more. */
+  double mSlackEngines = 1.5;
 };
 
 /** By engine: 0 in the route's own lane, 1 in the next one, and so on. */
@@ -56,9 +58,9 @@
                  Millis aNow);
 
   /**
-   * How far each engine is from the route's lane. Worked out once a second,
-   * as thousands of engines take a millisecond; an engine that has come since
-   * is in no lane yet.
+   * How far each engine is from the route's lane. Worked out four times
+   * a second at the most, as thousands of engines take a millisecond; an engine
+   * that has come since is in no lane yet.
    */
   const LaneDistances& DistancesFor(
     const std::string& aService,
@@ -105,7 +107,9 @@
   void Fade(Demand& aDemand, Millis aNow) const;
   /** From the longest prompts to the strictest streams. */
   std::vector<Lane> LanesOf(const Service& aService) const;
-  void MoveEnds(Service& aService, const std::vector<Lane>& aLanes) const;
+  void MoveEnds(Service& aService,
+                const std::vector<Lane>& aLanes,
+                size_t aEngines) const;
 
   LanesOptions mOptions;
   std::map<std::string, Service> mServices;
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -242,6 +242,31 @@
   cr_expect(sizes.size() <= 2);
 }
 
+Test(lanes, boundaries_move_for_all_routes_at_once)
+{
+  const Engines engines(24);
+  Lanes lanes;
+  const Route strict = MakeRoute("strict", 200);
+  const Route longer = MakeRoute("longer", 800);
+  const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
+  std::set<size_t> sizes;
+  for (uint64_t each = 0; each < 3000; ++each) {
+    // The demand for long prompts comes and goes.
+    if (each % 10 < 1 + 8 * ((each / 700) % 2)) {
+      lanes.OnRequest("llm", longer, Session(each, each), At(each * 10));
+    }
+    lanes.OnRequest("llm", strict, small, At(each * 10));
+    const auto first = OwnLane(lanes, longer, engines, At(each * 10));
+    const auto second = OwnLane(lanes, strict, engines, At(each * 10));
+    const auto again = OwnLane(lanes, longer, engines, At(each * 10));
+    if (each > 100 && !again.empty() && !second.empty()) {
+      cr_assert(again.size() + second.size() == 24);
+      sizes.insert(first.size());
+    }
+  }
+  cr_expect(sizes.size() >= 3);
+}
+
 Test(sharedparts, the_last_part_of_one_off_prompts_is_their_own)
 {
   SharedParts parts;
