One way to compare header names, to hold back and to make a head

The gate compared header names and looked headers up by code of its own beside libtrefoilio's; the pause for a slow caller and the head of an answer stood twice in Exchange. Behaviour is as it was.

--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -246,10 +246,7 @@
     BeginAnswer();
   }
   mCaller->WriteAnswer(aData);
-  if (mCaller->Pending() > kMostPending) {
-    mPaused = true;
-    mConnection->Pause();
-  }
+  HoldBackIfSlow();
 }
 
 void
@@ -260,27 +257,42 @@
   }
   mCaller->WriteAnswer(mBuffered);
   mBuffered.clear();
+  HoldBackIfSlow();
+}
+
+void
+Exchange::HoldBackIfSlow()
+{
   if (mCaller->Pending() > kMostPending) {
     mPaused = true;
     mConnection->Pause();
   }
 }
 
+bool
+Exchange::HasNoBody() const
+{
+  return mRequest.mMethod == "HEAD" || mAnswer->mStatus == kNoContent ||
+         mAnswer->mStatus == kNotModified;
+}
+
+AnswerHeadOut
+Exchange::HeadWith(std::optional<uint64_t> aLength) const
+{
+  return { .mStatus = mAnswer->mStatus,
+           .mReason = mAnswer->mReason,
+           .mHeaders = mAnswer->mHeaders,
+           .mLength = aLength,
+           .mNoBody = HasNoBody() };
+}
+
 void
 Exchange::BeginAnswer()
 {
   mBegun = true;
   mPlan.OnAnswerBegun();
-  const int status = mAnswer->mStatus;
-  const bool noBody = mRequest.mMethod == "HEAD" || status == kNoContent ||
-                      status == kNotModified;
   // A stream that may go on at another upstream has no length of its own.
-  const bool stream = CanGoOn();
-  mCaller->BeginAnswer({ .mStatus = status,
-                         .mReason = mAnswer->mReason,
-                         .mHeaders = mAnswer->mHeaders,
-                         .mLength = stream ? std::nullopt : mAnswer->mLength,
-                         .mNoBody = noBody });
+  mCaller->BeginAnswer(HeadWith(CanGoOn() ? std::nullopt : mAnswer->mLength));
 }
 
 void
@@ -299,16 +311,9 @@
     mCaller->WriteAnswer(mBuffered);
     mCaller->EndAnswer();
   } else {
-    const bool noBody = mRequest.mMethod == "HEAD" || status == kNoContent ||
-                        status == kNotModified;
-    const auto length =
-      noBody ? mAnswer->mLength : std::optional<uint64_t>(mBuffered.size());
-    mCaller->Answer({ .mStatus = status,
-                      .mReason = mAnswer->mReason,
-                      .mHeaders = mAnswer->mHeaders,
-                      .mLength = length,
-                      .mNoBody = noBody },
-                    mBuffered);
+    const auto length = HasNoBody() ? mAnswer->mLength
+                                    : std::optional<uint64_t>(mBuffered.size());
+    mCaller->Answer(HeadWith(length), mBuffered);
   }
   Close(status < kLeastFailure ? "served" : "upstream_failed", status);
 }
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -71,6 +71,12 @@
   /** Sends what is buffered, the head first. */
   void Flush();
   void BeginAnswer();
+  /** Reads no further while the caller has much untaken. */
+  void HoldBackIfSlow();
+  /** The answer is a head alone. */
+  bool HasNoBody() const;
+  /** The upstream's head, as it goes to the caller. */
+  AnswerHeadOut HeadWith(std::optional<uint64_t> aLength) const;
   void PassData(const std::string& aData);
   void Refuse(const trefoilarch::Refusal& aRefusal);
   void Cut(trefoilarch::ErrorKind aKind);
--- a/src/libtrefoilgate/httpfields.cpp
+++ b/src/libtrefoilgate/httpfields.cpp
@@ -1,8 +1,9 @@
 #include "httpfields.h"
 
+#include "libtrefoilio/httpmessage.h"
+
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <vector>
 
@@ -25,19 +26,13 @@
 bool
 SameName(std::string_view aLeft, std::string_view aRight)
 {
-  return boost::beast::iequals({ aLeft.data(), aLeft.size() },
-                               { aRight.data(), aRight.size() });
+  return trefoilio::SameHeaderName(aLeft, aRight);
 }
 
 std::string_view
 ValueOf(const Headers& aHeaders, std::string_view aName)
 {
-  for (const auto& [name, value] : aHeaders) {
-    if (SameName(name, aName)) {
-      return value;
-    }
-  }
-  return {};
+  return trefoilio::FindHeader(aHeaders, aName);
 }
 
 bool
