Count the attempt that follows a copy out of reach

Found by reading: when the upstream with a stream's copy could not be reached, a resumable stream went on at a further upstream even beyond the route's attempts and outside the retry budget. It now takes the way of every other repeat. Test failing first: a_copy_that_cannot_be_reached_gains_no_attempt.

--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -38,11 +38,12 @@
 RequestPlan::OnUnreachable(Millis aNow)
 {
   mUnreachable++;
-  if (mCurrent.mCopyOf.empty()) {
-    mAttempts--;
-  } else if (!MayRepeat()) {
-    return CutAnswer{};
+  if (!mCurrent.mCopyOf.empty()) {
+    // The copy is out of reach: another upstream would be one more attempt.
+    return MayRepeat() ? Again(aNow, ErrorKind::UpstreamUnreachable)
+                       : PlanStep(CutAnswer{});
   }
+  mAttempts--;
   if (mUnreachable >= kMostUnreachable) {
     return Refuse(ErrorKind::UpstreamUnreachable, kFullRetryAfter, aNow);
   }
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -343,3 +343,27 @@
   router.OnDirectoryChanged(Millis(0));
   cr_expect(!router.PlaceAtBackup(bound, broken, Millis(0)).has_value());
 }
+
+Test(requestplan, a_copy_that_cannot_be_reached_gains_no_attempt)
+{
+  DirectRouter router = MakeRouter(4);
+  RoutePolicy policy{ .mVersion = 2 };
+  policy.mRoutes = { MakeRoute("resume", RepeatRule::Resumable, 1) };
+  policy.mRoutes[0].mStream = true;
+  policy.mServices["svc"] = { .mName = "svc",
+                              .mEngine = EngineTraits{ .mBackups = true } };
+  policy.mWorkspaces = { { .mName = "desk", .mKeys = { "k" } } };
+  router.SetPolicy(std::make_shared<const RoutePolicy>(std::move(policy)));
+  BoundRequest bound = Bound(router, "/resume/x");
+  bound.mPrompt = { .mPromptTokens = 100, .mMostOutput = 100 };
+  RequestPlan single(router, bound);
+  const PlanStep first = single.Begin(Millis(0));
+  cr_assert(!std::get<SendRequest>(first).mAttempt.mBackup.empty());
+  single.OnSending();
+  single.OnHead(200, Millis(1));
+  single.OnAnswerBegun();
+  const PlanStep copy = single.OnBroken(true, Millis(2));
+  cr_assert(std::holds_alternative<SendRequest>(copy));
+  const PlanStep after = single.OnUnreachable(Millis(3));
+  cr_expect(std::holds_alternative<CutAnswer>(after));
+}
