Replay the gates in virtual time, beside sidecars and baselines

Change: MakeGates drives DirectRouter and RequestPlan against the stand-in's batch model, in virtual time; trefoilarch-replay shows it. PlacementCost is a hook by which another way of placement can be measured. SendRequest::mTimeLeft and a parameter of OnGivenUp were not used and are gone; a test made a file name by tmpnam.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -45,7 +45,9 @@
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
   : mOptions(std::move(aOptions))
   , mOutliers(mOptions.mOutliers)
-  , mPlacement({ .mDataCentre = mOptions.mDataCentre, .mSeed = mOptions.mSeed })
+  , mPlacement({ .mDataCentre = mOptions.mDataCentre,
+                 .mCost = mOptions.mPlacementCost,
+                 .mSeed = mOptions.mSeed })
   , mTiers(mOptions.mSeed)
   , mRetries(mOptions.mRetries)
   , mRandom(mOptions.mSeed)
@@ -264,7 +266,7 @@
   if (aAttempt.mStarted) {
     mMeters[aAttempt.mRoute].OnEnded(aAttempt.mStartedAt, aNow);
   } else {
-    mMeters[aAttempt.mRoute].OnGivenUp(aAttempt.mSentAt, aNow);
+    mMeters[aAttempt.mRoute].OnGivenUp(aAttempt.mSentAt);
   }
   if (aOutcome == AttemptOutcome::Good ||
       aOutcome == AttemptOutcome::Withdrawn) {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -48,6 +48,8 @@
                             .mFirstEjection = Millis(1500),
                             .mLongestEjection = Millis(6000),
                             .mMostEjected = 0.5 };
+  /** See WorkPlacementOptions::mCost. */
+  PlacementCost mPlacementCost;
   uint64_t mSeed = 1;
 };
 
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -98,8 +98,7 @@
 PlanStep
 RequestPlan::Send(Millis aNow)
 {
-  const Millis left = mRequest.mEnd - aNow;
-  if (left < kLeastTime) {
+  if (mRequest.mEnd - aNow < kLeastTime) {
     return Refuse(ErrorKind::DeadlineExceeded, Millis(0), aNow);
   }
   if (!mRouter.StillAllowed(mRequest, aNow)) {
@@ -113,7 +112,7 @@
   mAttempts++;
   mMayHaveRunBefore = mMayHaveRun;
   mCurrent = *attempt;
-  return SendRequest{ .mAttempt = std::move(*attempt), .mTimeLeft = left };
+  return SendRequest{ .mAttempt = std::move(*attempt) };
 }
 
 PlanStep
@@ -132,8 +131,7 @@
 std::optional<PlanStep>
 RequestPlan::GoOnAtBackup(Millis aNow)
 {
-  const Millis left = mRequest.mEnd - aNow;
-  if (mCurrent.mBackup.empty() || left < kLeastTime ||
+  if (mCurrent.mBackup.empty() || mRequest.mEnd - aNow < kLeastTime ||
       !mRouter.StillAllowed(mRequest, aNow) ||
       !mRouter.TakeRetry(mRequest.mService)) {
     return std::nullopt;
@@ -144,7 +142,7 @@
   }
   mTried.insert(attempt->mUpstream);
   mCurrent = *attempt;
-  return SendRequest{ .mAttempt = std::move(*attempt), .mTimeLeft = left };
+  return SendRequest{ .mAttempt = std::move(*attempt) };
 }
 
 bool
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -14,8 +14,6 @@
 struct SendRequest
 {
   PlacedAttempt mAttempt;
-  /** What is left of the caller's time, for the upstream. */
-  Millis mTimeLeft;
 };
 
 /** Answers the caller with a refusal or failure of our own. */
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -50,7 +50,7 @@
 }
 
 void
-StartMeter::OnGivenUp(Millis aSentAt, Millis /*aNow*/)
+StartMeter::OnGivenUp(Millis aSentAt)
 {
   Leave(aSentAt);
 }
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -46,7 +46,7 @@
   /** An answer is whole, or could not be made whole in time. */
   void OnEnded(Millis aStartedAt, Millis aNow);
   /** One that waited has ended without a start. */
-  void OnGivenUp(Millis aSentAt, Millis aNow);
+  void OnGivenUp(Millis aSentAt);
 
   /**
    * When to come back, if a request that should start within aTarget and end
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -113,9 +113,7 @@
       placed.mWork.mOutput = OutputOf(aPrompt);
       placed.mMissing = shared - std::min(held, shared);
     }
-    const double cost =
-      (engine ? EngineCost(each, placed, aNow) : PlainCost(each, aNow)) +
-      chance(mRandom);
+    const double cost = CostOf(each, placed, engine, aNow) + chance(mRandom);
     if (cost < bestCost) {
       bestCost = cost;
       best = std::move(placed);
@@ -127,6 +125,19 @@
   return best;
 }
 
+double
+WorkPlacement::CostOf(const PlacementCandidate& aCandidate,
+                      const Placed& aPlaced,
+                      bool aEngine,
+                      Millis aNow) const
+{
+  if (mOptions.mCost) {
+    return mOptions.mCost(aCandidate, aPlaced, aNow);
+  }
+  return aEngine ? EngineCost(aCandidate, aPlaced, aNow)
+                 : PlainCost(aCandidate, aNow);
+}
+
 double
 WorkPlacement::EngineCost(const PlacementCandidate& aCandidate,
                           const Placed& aPlaced,
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -7,12 +7,41 @@
 #include "upstreamwork.h"
 
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace trefoilarch {
 
+/** An upstream that may be chosen. */
+struct PlacementCandidate
+{
+  const ListedUpstream* mListed = nullptr;
+  const UpstreamWork* mWork = nullptr;
+  /** It has just started and is still slow. */
+  bool mCold = false;
+  /** How many lanes it is away from that of the request's route. */
+  uint32_t mLaneDistance = 0;
+};
+
+/** The chosen upstream and what the request asks of it. */
+struct Placed
+{
+  UpstreamId mUpstream;
+  AttemptWork mWork;
+  /** Shared prompt tokens that the upstream seems not to hold. */
+  uint32_t mMissing = 0;
+  /** Empty, or another upstream that holds much of what is missing. */
+  UpstreamId mHolder;
+
+  bool operator==(const Placed&) const = default;
+};
+
+/** What it costs to place a request at an upstream, in milliseconds. */
+using PlacementCost =
+  std::function<double(const PlacementCandidate&, const Placed&, Millis)>;
+
 /** The weights by which upstreams are compared. */
 struct WorkPlacementOptions
 {
@@ -41,33 +70,12 @@
   double mColdMs = 40;
   /** Silence up to this is usual while an upstream reads a long prompt. */
   Millis mUsualSilence{ 350 };
+  /** Where set, upstreams are compared by this instead of all of the above,
+   * to measure another way of placement by. */
+  PlacementCost mCost;
   uint64_t mSeed = 1;
 };
 
-/** An upstream that may be chosen. */
-struct PlacementCandidate
-{
-  const ListedUpstream* mListed = nullptr;
-  const UpstreamWork* mWork = nullptr;
-  /** It has just started and is still slow. */
-  bool mCold = false;
-  /** How many lanes it is away from that of the request's route. */
-  uint32_t mLaneDistance = 0;
-};
-
-/** The chosen upstream and what the request asks of it. */
-struct Placed
-{
-  UpstreamId mUpstream;
-  AttemptWork mWork;
-  /** Shared prompt tokens that the upstream seems not to hold. */
-  uint32_t mMissing = 0;
-  /** Empty, or another upstream that holds much of what is missing. */
-  UpstreamId mHolder;
-
-  bool operator==(const Placed&) const = default;
-};
-
 /**
  * Chooses the upstream at which a request costs least time, its own and that
  * of the requests beside it: prompt tokens to be read, those of others before
@@ -90,6 +98,10 @@
   PrefixMemory& Memory() { return mMemory; }
 
 private:
+  double CostOf(const PlacementCandidate& aCandidate,
+                const Placed& aPlaced,
+                bool aEngine,
+                Millis aNow) const;
   double EngineCost(const PlacementCandidate& aCandidate,
                     const Placed& aPlaced,
                     Millis aNow) const;
--- a/tests/platform/adaptertest.cpp
+++ b/tests/platform/adaptertest.cpp
@@ -9,7 +9,6 @@
 #include "libtrefoilio/base64.h"
 
 #include <criterion/criterion.h>
-#include <cstdio>
 #include <fstream>
 #include <memory>
 #include <sys/wait.h>
@@ -176,10 +175,10 @@
 
 Test(adapter, a_settings_file_is_read_by_lines)
 {
-  const std::string path = std::string(std::tmpnam(nullptr)) + ".env";
+  const integration::TemporaryFolder folder;
+  const std::string path = folder.Path() + "/gate.env";
   std::ofstream(path) << "# note\nTREFOILARCH_NAME=a=b\n\nrubbish\n";
   const auto file = ReadSettingsFile(path);
-  std::remove(path.c_str());
   cr_assert(file.has_value());
   cr_expect(file->size() == 1);
   cr_expect(file->at("TREFOILARCH_NAME") == "a=b");
--- a/tests/replay/main.cpp
+++ b/tests/replay/main.cpp
@@ -47,6 +47,11 @@
 {
   const std::vector<Contender> contenders = {
     { "design", MakeDesign, true },
+    { "gates straight to engines",
+      [](VirtualTime& aTime, const Trace& aEach, CallerHooks aHooks) {
+        return MakeGates(aTime, aEach, std::move(aHooks));
+      },
+      false },
     { "round robin, first in first out", MakeRoundRobin, false },
     { "power of two choices, early binding, lagged", MakeTwoChoices, false },
   };
--- a/tests/replay/replayrun.cpp
+++ b/tests/replay/replayrun.cpp
@@ -164,6 +164,7 @@
     }
     JudgeWork(score);
     score.mTwice = mTwice;
+    score.mPrefilled = mRouter->PrefilledTokens();
     score.mDump = mRouter->Dump();
     return score;
   }
--- a/tests/replay/replayrun.h
+++ b/tests/replay/replayrun.h
@@ -49,6 +49,8 @@
   size_t mRunTwice = 0;
   /** Errors that said `ran: no` of a request that had been executed. */
   size_t mFalseNo = 0;
+  /** Prompt tokens that the engines read, where the router counts them. */
+  uint64_t mPrefilled = 0;
   std::string mDump;
 };
 
--- a/tests/replay/router.h
+++ b/tests/replay/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libtrefoilarch/errors.h"
+#include "libtrefoilarch/workplacement.h"
 #include "trace.h"
 #include "virtualengine.h"
 #include "virtualtime.h"
@@ -48,6 +49,8 @@
   virtual void Apply(const TraceFault& aFault) = 0;
   /** Every execution that is over. */
   virtual std::vector<Spent> Executions() const = 0;
+  /** Prompt tokens that the engines read, where the router counts them. */
+  virtual uint64_t PrefilledTokens() const { return 0; }
   /** For the report's details; may be empty. */
   virtual std::string Dump() const { return {}; }
 };
@@ -59,6 +62,21 @@
 std::unique_ptr<Router>
 MakeDesign(VirtualTime& aTime, const Trace& aTrace, CallerHooks aHooks);
 
+/** How gates are made for a replay. */
+struct GatesOptions
+{
+  /** Empty for the gates' own way to place requests. */
+  trefoilarch::PlacementCost mPlacementCost;
+};
+
+/** The library without sidecars: a DirectRouter for each entry, straight to
+ * the engines, whose load it knows by their answers. */
+std::unique_ptr<Router>
+MakeGates(VirtualTime& aTime,
+          const Trace& aTrace,
+          CallerHooks aHooks,
+          GatesOptions aOptions = {});
+
 /** Baseline: engines in rotation, each first in, first out. */
 std::unique_ptr<Router>
 MakeRoundRobin(VirtualTime& aTime, const Trace& aTrace, CallerHooks aHooks);
--- a/tests/replay/virtualengine.h
+++ b/tests/replay/virtualengine.h
@@ -52,6 +52,7 @@
 
   size_t Running() const { return mBatch.Running(); }
   size_t Waiting() const { return mBatch.Waiting(); }
+  uint64_t PrefilledTokens() const { return mBatch.PrefilledTokens(); }
   size_t Open() const { return mCalls.size(); }
   /** Calls that are over, whole or not. */
   const std::vector<Execution>& Executions() const { return mExecutions; }
--- a/tests/standins/engine/batchmodel.cpp
+++ b/tests/standins/engine/batchmodel.cpp
@@ -83,6 +83,7 @@
     member.mToPrefill -= piece;
     budget -= piece;
   }
+  mPrefilled += mOptions.mPrefillBudget - budget;
   return mOptions.mPrefillMillis *
          static_cast<double>(mOptions.mPrefillBudget - budget);
 }
--- a/tests/standins/engine/batchmodel.h
+++ b/tests/standins/engine/batchmodel.h
@@ -58,6 +58,8 @@
   bool Idle() const { return mRunning.empty() && mWaiting.empty(); }
   size_t Running() const { return mRunning.size(); }
   size_t Waiting() const { return mWaiting.size(); }
+  /** Prompt tokens read since the start, not counting cached ones. */
+  uint64_t PrefilledTokens() const { return mPrefilled; }
   /** Share of the key-value memory in use, 0 to 1. */
   double MemoryUsage() const;
 
@@ -85,6 +87,7 @@
   std::list<Member> mRunning;
   std::list<Member> mWaiting; /**< most urgent first */
   uint64_t mNextOrder = 0;
+  uint64_t mPrefilled = 0;
 };
 
 } // namespace standin
