Avoid upstreams that have just started

Cause: the time until which an upstream is slow after its start was kept and never asked for; placement's cost for it (40 ms) was never added.

Ruled out: that the cost has no effect; workplacementtest holds it.

Change: candidates carry the mark. The new test of requestplantest failed before.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -390,6 +390,7 @@
     const auto lane = lanes.find(each->mId);
     const PlacementCandidate candidate{ .mListed = each,
                                         .mWork = &work,
+                                        .mCold = aNow < tracked.mColdUntil,
                                         .mLaneDistance = lane == lanes.end()
                                                            ? 0
                                                            : lane->second };
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -73,6 +73,30 @@
     [] { return ErrorKind::Internal; });
 }
 
+Test(directrouter, an_upstream_that_has_just_started_is_avoided_while_slow)
+{
+  DirectRouter router = MakeRouter(1);
+  router.Directory().Put({ .mId = "fresh",
+                           .mService = "svc",
+                           .mAddress = "a:2",
+                           .mColdFor = Millis(3000) });
+  router.OnDirectoryChanged(Millis(0));
+  const auto place = [&](Millis aNow) {
+    router.ConfirmPolicy(aNow);
+    const auto placed = router.Place(Bound(router, "/safe/x", aNow), {}, aNow);
+    router.OnEnded(*placed, AttemptOutcome::Good, aNow);
+    return placed->mUpstream;
+  };
+  for (int64_t now = 0; now < 3000; now += 100) {
+    cr_expect(place(Millis(now)) == "u0");
+  }
+  bool taken = false;
+  for (int64_t now = 3000; now < 6000; now += 100) {
+    taken = taken || place(Millis(now)) == "fresh";
+  }
+  cr_expect(taken, "once it is warm");
+}
+
 /** What an upstream may do with an attempt. */
 enum class Fate
 {
