Allow for the drift between an entry's clock and the store's

Cause: answers of the store are dated by the smallest lag ever seen between the two clocks.

Ruled out: dating by the moment of asking alone; a long poll of 2.4 s would then cost the key span twice.

Change: the measured lag loses one part in 2,000 of the time since, and an answer that is not held back is asked for once nothing was measured for 300 s.

Tests: keyfreshnesstest. The rule of 5 s for a revoked key as a model with lost and late answers, cuts and pauses: 1,000 runs passed; turned red by dating with the moment of arrival, and by a bound of 3.5 s.

--- a/src/libtrefoilarch/freshness.h
+++ b/src/libtrefoilarch/freshness.h
@@ -51,19 +51,41 @@
   Millis DateOf(Millis aAsked, Millis aReading)
   {
     const Millis offset = aAsked - aReading;
-    if (!mOffset || aReading < mLastReading || *mOffset < offset) {
+    if (!mOffset || aReading < mLastReading || Offset(aAsked) <= offset) {
       mOffset = offset;
+      mMeasuredAt = aAsked;
     }
     mLastReading = aReading;
-    return aReading + *mOffset;
+    return aReading + Offset(aAsked);
+  }
+
+  /** Whether an answer that is not held back is due: nothing is known of the
+   * other clock, or it is so long ago that much drift has to be allowed for. */
+  bool WantsQuickAnswer(Millis aNow) const
+  {
+    return !mOffset || aNow - mMeasuredAt > kMeasureSpan;
   }
 
   /** Forgets everything, for instance once the other side was lost. */
   void Reset() { mOffset.reset(); }
 
 private:
-  /** Own time less the other's, at the least. */
+  /** Clocks of hosts differ by 100 parts in a million and less; one part in
+   * so many is allowed for. */
+  static constexpr int64_t kDriftPart = 2000;
+
+  /** By this, 150 ms are allowed for drift. */
+  static constexpr Millis kMeasureSpan{ 300000 };
+
+  /** What was measured, less what the clocks may have drifted since. */
+  Millis Offset(Millis aNow) const
+  {
+    return *mOffset - Millis((aNow - mMeasuredAt).Count() / kDriftPart);
+  }
+
+  /** Own time less the other's, at the least, when it was measured. */
   std::optional<Millis> mOffset;
+  Millis mMeasuredAt;
   Millis mLastReading;
 };
 
