--- a/tests/platform/beliefstest.cpp
+++ b/tests/platform/beliefstest.cpp
@@ -164,3 +164,27 @@
     after - before <= 2 * 2 * 4, "%d", static_cast<int>(after - before));
   cr_expect(after - before >= 2 * 2, "%d", static_cast<int>(after - before));
 }
+
+/** Measured: 5 calls; 17 while lists were gathered for 200 ms and policies not
+ * at all. */
+Test(beliefs, changes_in_numbers_cost_few_calls)
+{
+  const PlatformFleet fleet;
+  Pause(700);
+  const auto calls = [&] {
+    return fleet.Control(nlohmann::json::object()).at("calls").get<int>();
+  };
+  const int before = calls();
+  constexpr int kChanges = 30;
+  for (int each = 0; each < kChanges; ++each) {
+    fleet.ListAs("n-" + std::to_string(each), fleet.WorkerAddress(0));
+    if (each % 3 == 0) {
+      fleet.PutPolicy(PlatformFleet::MakePolicy(10 + each, { "key-3" }));
+    }
+    Pause(50);
+  }
+  const int made = calls() - before;
+  cr_expect(made < 10, "%d calls", made);
+  cr_expect(
+    Await([&] { return StatusFor(fleet, "key-1") == 401; }, Millis(1000)));
+}
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -246,7 +246,7 @@
 PlatformFleet::Control(const json& aOrder) const
 {
   return integration::PostJson(
-    "http://" + mStore->Address("rowstore") + "/control", aOrder);
+    "http://" + mStore->Address("rowstore") + "/control", aOrder)["body"];
 }
 
 std::string
--- a/tests/standins/rowstore/main.cpp
+++ b/tests/standins/rowstore/main.cpp
@@ -47,7 +47,6 @@
   bool Pass(Exchange& aExchange)
   {
     std::unique_lock lock(mMutex);
-    mCalls++;
     while (mMode == "silent" && !aExchange.ClientLeft()) {
       mChanged.wait_for(lock, std::chrono::milliseconds(20));
     }
@@ -69,6 +68,12 @@
     return false;
   }
 
+  void CountCall()
+  {
+    const std::lock_guard lock(mMutex);
+    mCalls++;
+  }
+
   uint64_t Calls() const
   {
     const std::lock_guard lock(mMutex);
@@ -171,6 +176,7 @@
     Control(aRows, aFaults, aExchange);
     return;
   }
+  aFaults.CountCall();
   if (!aFaults.Pass(aExchange)) {
     return;
   }
