Fetch a session from where other entries send it

Cause: entries work out the lanes by the demand that each of them sees, so that their boundaries differ by a few engines, and a session whose first engine is near one is sent elsewhere by its next entry and read again.

Change: Lanes tells how far an engine is from its lane's boundary. Where the highest rank just outside the lane beats the session's first engine, or that is just inside, the other one is named as holder.

Test: workplacementtest, two entries whose lanes differ by three engines of 42: failed before (no holder was named).

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -376,8 +376,8 @@
   Candidates healthy;
   Candidates others;
   const auto& all = mDirectory.OfService(aRequest.mService);
-  const LaneDistances& lanes =
-    mLanes.DistancesFor(aRequest.mService, *aRequest.mRoute, all, aNow);
+  const LanePlaces& lanes =
+    mLanes.PlacesFor(aRequest.mService, *aRequest.mRoute, all, aNow);
   for (const ListedUpstream* each : all) {
     if (each->mLeaving || aTried.contains(each->mId)) {
       continue;
@@ -391,9 +391,9 @@
     const PlacementCandidate candidate{ .mListed = each,
                                         .mWork = &work,
                                         .mCold = aNow < tracked.mColdUntil,
-                                        .mLaneDistance = lane == lanes.end()
-                                                           ? 0
-                                                           : lane->second };
+                                        .mLane = lane == lanes.end()
+                                                   ? LanePlace{}
+                                                   : lane->second };
     const OutlierState state = mOutliers.State(each->mId, aNow);
     const bool tries = repeatable || mTrialChance(mRandom);
     if (state == OutlierState::Trial && tries && work.Open() == 0) {
@@ -423,7 +423,7 @@
   const ListedUpstream* best = nullptr;
   double least = 0;
   for (const PlacementCandidate& each : aCandidates) {
-    const double load = each.mWork->Open() + each.mLaneDistance * kLaneLoad;
+    const double load = each.mWork->Open() + each.mLane.mDistance * kLaneLoad;
     if (each.mListed->mId != aChosen && (best == nullptr || load < least)) {
       best = each.mListed;
       least = load;
--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -33,6 +33,22 @@
                                  : kUsualOutput;
 }
 
+/** Engines between that place and the nearer end of the lane that goes from
+ * aFirst to before aLast; an end of the order itself is no boundary. */
+uint32_t
+FromEdge(size_t aPlace, size_t aFirst, size_t aLast, size_t aEngines)
+{
+  size_t nearest = LanePlace::kFarFromEdge;
+  if (aFirst > 0) {
+    nearest = aPlace < aFirst ? aFirst - aPlace - 1 : aPlace - aFirst;
+  }
+  if (aLast < aEngines) {
+    nearest =
+      std::min(nearest, aPlace < aLast ? aLast - aPlace - 1 : aPlace - aLast);
+  }
+  return static_cast<uint32_t>(nearest);
+}
+
 std::vector<const ListedUpstream*>
 InOrder(const std::vector<const ListedUpstream*>& aAll)
 {
@@ -79,29 +95,29 @@
   demand.mPauseMs = static_cast<double>(aRoute.mGapTarget.Count());
 }
 
-const LaneDistances&
-Lanes::DistancesFor(const std::string& aService,
-                    const Route& aRoute,
-                    const std::vector<const ListedUpstream*>& aAll,
-                    Millis aNow)
+const LanePlaces&
+Lanes::PlacesFor(const std::string& aService,
+                 const Route& aRoute,
+                 const std::vector<const ListedUpstream*>& aAll,
+                 Millis aNow)
 {
   Service& service = mServices[aService];
   Known& known = service.mKnown[aRoute.mName];
   if (aNow >= known.mUntil) {
-    known.mDistances = WorkOut(service, aRoute, aAll, aNow);
+    known.mPlaces = WorkOut(service, aRoute, aAll, aNow);
     // After the work: moved boundaries void what is known of every route.
     known.mUntil = aNow + kKnownSpan;
   }
-  return known.mDistances;
+  return known.mPlaces;
 }
 
-LaneDistances
+LanePlaces
 Lanes::WorkOut(Service& aService,
                const Route& aRoute,
                const std::vector<const ListedUpstream*>& aAll,
                Millis aNow) const
 {
-  LaneDistances distances;
+  LanePlaces places;
   for (auto& [name, demand] : aService.mRoutes) {
     Fade(demand, aNow);
   }
@@ -116,20 +132,39 @@
   }
   if (lanes.size() < 2 || own == lanes.size() ||
       order.size() < kLeastEngines * lanes.size()) {
-    return distances;
+    return places;
   }
   MoveEnds(aService, lanes, order.size());
-  size_t lane = 0;
+  const std::vector<size_t> laneOf = LanesInOrder(aService, order.size());
+  const auto begin = std::find(laneOf.begin(), laneOf.end(), own);
+  const auto end = std::find_if(
+    begin, laneOf.end(), [own](size_t aLane) { return aLane != own; });
+  const auto first = static_cast<size_t>(begin - laneOf.begin());
+  const auto last = static_cast<size_t>(end - laneOf.begin());
   for (size_t each = 0; each < order.size(); ++each) {
+    const size_t lane = laneOf[each];
+    places[order[each]->mId] = {
+      .mDistance = static_cast<uint32_t>(lane > own ? lane - own : own - lane),
+      .mFromEdge = FromEdge(each, first, last, order.size())
+    };
+  }
+  return places;
+}
+
+std::vector<size_t>
+Lanes::LanesInOrder(const Service& aService, size_t aEngines)
+{
+  std::vector<size_t> lanes;
+  size_t lane = 0;
+  for (size_t each = 0; each < aEngines; ++each) {
     const double place =
-      (static_cast<double>(each) + 0.5) / static_cast<double>(order.size());
+      (static_cast<double>(each) + 0.5) / static_cast<double>(aEngines);
     while (lane < aService.mEnds.size() && place > aService.mEnds[lane]) {
       lane++;
     }
-    distances[order[each]->mId] =
-      static_cast<uint32_t>(lane > own ? lane - own : own - lane);
+    lanes.push_back(lane);
   }
-  return distances;
+  return lanes;
 }
 
 void
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -36,8 +36,20 @@
   double mSlackEngines = 1.5;
 };
 
-/** By engine: 0 in the route's own lane, 1 in the next one, and so on. */
-using LaneDistances = std::unordered_map<UpstreamId, uint32_t>;
+/** Where an engine is, as seen from a route. */
+struct LanePlace
+{
+  /** 0 in the route's own lane, 1 in the next one, and so on. */
+  uint32_t mDistance = 0;
+  /** Engines between it and the nearest boundary of the route's lane: other
+   * entries may have the boundary elsewhere. */
+  uint32_t mFromEdge = kFarFromEdge;
+
+  static constexpr uint32_t kFarFromEdge = 1000000;
+};
+
+/** By engine. */
+using LanePlaces = std::unordered_map<UpstreamId, LanePlace>;
 
 /**
  * Keeps long prompts away from streams that allow no long pause: an engine
@@ -62,11 +74,10 @@
    * a second at the most, as thousands of engines take a millisecond; an engine
    * that has come since is in no lane yet.
    */
-  const LaneDistances& DistancesFor(
-    const std::string& aService,
-    const Route& aRoute,
-    const std::vector<const ListedUpstream*>& aAll,
-    Millis aNow);
+  const LanePlaces& PlacesFor(const std::string& aService,
+                              const Route& aRoute,
+                              const std::vector<const ListedUpstream*>& aAll,
+                              Millis aNow);
 
 private:
   /** What came of one route, fading. */
@@ -89,7 +100,7 @@
   /** A route's distances and until when they are good. */
   struct Known
   {
-    LaneDistances mDistances;
+    LanePlaces mPlaces;
     Millis mUntil;
   };
   struct Service
@@ -100,10 +111,13 @@
     std::map<std::string, Known> mKnown;
   };
 
-  LaneDistances WorkOut(Service& aService,
-                        const Route& aRoute,
-                        const std::vector<const ListedUpstream*>& aAll,
-                        Millis aNow) const;
+  LanePlaces WorkOut(Service& aService,
+                     const Route& aRoute,
+                     const std::vector<const ListedUpstream*>& aAll,
+                     Millis aNow) const;
+  /** The lane of each place in the order. */
+  static std::vector<size_t> LanesInOrder(const Service& aService,
+                                          size_t aEngines);
   void Fade(Demand& aDemand, Millis aNow) const;
   /** From the longest prompts to the strictest streams. */
   std::vector<Lane> LanesOf(const Service& aService) const;
--- /dev/null
+++ b/src/libtrefoilarch/placementcandidate.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lanes.h"
+#include "upstreamdirectory.h"
+#include "upstreamwork.h"
+
+namespace trefoilarch {
+
+/** An upstream that may be chosen. */
+struct PlacementCandidate
+{
+  const ListedUpstream* mListed = nullptr;
+  const UpstreamWork* mWork = nullptr;
+  /** It has just started and is still slow. */
+  bool mCold = false;
+  /** Where it is as seen from the request's route. */
+  LanePlace mLane{};
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -1,8 +1,9 @@
 #include "workplacement.h"
 
+#include "sessionengines.h"
+
 #include <algorithm>
 #include <limits>
-#include <xxhash.h>
 
 namespace trefoilarch {
 
@@ -21,15 +22,6 @@
 /** What a request beyond the engine's slots waits for, in milliseconds. */
 constexpr double kOverSlotsMs = 50;
 
-/** Less than this is not worth fetching from another engine. */
-constexpr uint32_t kLeastFetch = 1000;
-
-uint64_t
-RankOf(uint64_t aSession, const UpstreamId& aUpstream)
-{
-  return XXH3_64bits_withSeed(aUpstream.data(), aUpstream.size(), aSession);
-}
-
 uint32_t
 OutputOf(const PromptShape& aPrompt)
 {
@@ -40,46 +32,6 @@
   return output;
 }
 
-/** A session's first two engines by rendezvous hash, or null. */
-struct Preferred
-{
-  const ListedUpstream* mFirst = nullptr;
-  const ListedUpstream* mSecond = nullptr;
-};
-
-Preferred
-PreferredOf(const std::vector<PlacementCandidate>& aCandidates,
-            const PromptShape& aPrompt)
-{
-  Preferred best;
-  if (aPrompt.mShared == 0) {
-    return best;
-  }
-  const uint64_t session = aPrompt.mParts[aPrompt.mShared - 1].mId;
-  uint64_t firstRank = 0;
-  uint64_t secondRank = 0;
-  const bool lane =
-    std::any_of(aCandidates.begin(), aCandidates.end(), [](const auto& aEach) {
-      return aEach.mLaneDistance == 0;
-    });
-  for (const PlacementCandidate& each : aCandidates) {
-    if (lane && each.mLaneDistance > 0) {
-      continue;
-    }
-    const uint64_t rank = RankOf(session, each.mListed->mId);
-    if (best.mFirst == nullptr || rank > firstRank) {
-      best.mSecond = best.mFirst;
-      secondRank = firstRank;
-      best.mFirst = each.mListed;
-      firstRank = rank;
-    } else if (best.mSecond == nullptr || rank > secondRank) {
-      best.mSecond = each.mListed;
-      secondRank = rank;
-    }
-  }
-  return best;
-}
-
 } // namespace
 
 WorkPlacement::WorkPlacement(WorkPlacementOptions aOptions)
@@ -95,7 +47,7 @@
 {
   std::uniform_real_distribution<double> chance(0, kChanceMs);
   const bool engine = aPrompt.mPromptTokens > 0;
-  const Preferred preferred = PreferredOf(aCandidates, aPrompt);
+  const SessionEngines session(aCandidates, aPrompt);
   const uint32_t shared = aPrompt.SharedTokens();
   Placed best;
   double bestCost = std::numeric_limits<double>::max();
@@ -103,9 +55,9 @@
     Placed placed{ .mUpstream = each.mListed->mId };
     if (engine) {
       uint32_t held = mMemory.Held(each.mListed->mId, aPrompt, aNow);
-      if (each.mListed == preferred.mFirst) {
+      if (each.mListed == session.First()) {
         held = shared;
-      } else if (each.mListed == preferred.mSecond) {
+      } else if (each.mListed == session.Second()) {
         held = std::max(held, shared / 2);
       }
       placed.mWork.mPrefill =
@@ -119,8 +71,10 @@
       best = std::move(placed);
     }
   }
-  if (preferred.mFirst != nullptr && best.mMissing >= kLeastFetch) {
-    best.mHolder = preferred.mFirst->mId;
+  const ListedUpstream* holder =
+    session.HolderFor(best.mUpstream, best.mMissing);
+  if (holder != nullptr) {
+    best.mHolder = holder->mId;
   }
   return best;
 }
@@ -153,7 +107,7 @@
   const double over =
     std::max(0.0, busy - static_cast<double>(aCandidate.mListed->mSlots));
   return read + again + before + busy * mOptions.mBusyMs + over * kOverSlotsMs +
-         aCandidate.mLaneDistance * mOptions.mOtherLaneMs +
+         aCandidate.mLane.mDistance * mOptions.mOtherLaneMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(*aCandidate.mWork, aNow) +
          (aCandidate.mCold ? mOptions.mColdMs : 0);
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "millis.h"
+#include "placementcandidate.h"
 #include "prefixmemory.h"
 #include "prompt.h"
-#include "upstreamdirectory.h"
 #include "upstreamwork.h"
 
 #include <cstdint>
@@ -14,17 +14,6 @@
 
 namespace trefoilarch {
 
-/** An upstream that may be chosen. */
-struct PlacementCandidate
-{
-  const ListedUpstream* mListed = nullptr;
-  const UpstreamWork* mWork = nullptr;
-  /** It has just started and is still slow. */
-  bool mCold = false;
-  /** How many lanes it is away from that of the request's route. */
-  uint32_t mLaneDistance = 0;
-};
-
 /** The chosen upstream and what the request asks of it. */
 struct Placed
 {
@@ -32,7 +21,7 @@
   AttemptWork mWork;
   /** Shared prompt tokens that the upstream seems not to hold. */
   uint32_t mMissing = 0;
-  /** Empty, or another upstream that holds much of what is missing. */
+  /** Empty, or another upstream that may hold what this one lacks. */
   UpstreamId mHolder;
 
   bool operator==(const Placed&) const = default;
@@ -80,10 +69,7 @@
  * Chooses the upstream at which a request costs least time, its own and that
  * of the requests beside it: prompt tokens to be read, those of others before
  * it, and the longer steps of a larger batch.
- *
- * Every session has a preferred upstream by rendezvous hash, which is taken to
- * hold the session's parts, and a second one for when that is busy: entries
- * need not tell each other what they sent where.
+ * A session's first engine (SessionEngines) is taken to hold its parts.
  */
 class WorkPlacement
 {
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -79,9 +79,9 @@
         Millis aNow)
 {
   std::set<UpstreamId> own;
-  for (const auto& [id, distance] :
-       aLanes.DistancesFor("llm", aRoute, aEngines.Listed(), aNow)) {
-    if (distance == 0) {
+  for (const auto& [id, place] :
+       aLanes.PlacesFor("llm", aRoute, aEngines.Listed(), aNow)) {
+    if (place.mDistance == 0) {
       own.insert(id);
     }
   }
@@ -107,6 +107,48 @@
   cr_expect(counts.size() == 12);
 }
 
+namespace {
+
+/** Candidates of which the first so many are the route's lane. */
+std::vector<PlacementCandidate>
+WithLane(const Engines& aEngines, size_t aLane)
+{
+  auto all = aEngines.Candidates();
+  for (size_t each = 0; each < all.size(); ++each) {
+    const bool inside = each < aLane;
+    const size_t edge = inside ? aLane - each - 1 : each - aLane;
+    all[each].mLane = { .mDistance = inside ? 0U : 1U,
+                        .mFromEdge = static_cast<uint32_t>(edge) };
+  }
+  return all;
+}
+
+} // namespace
+
+/** Entries see different demand, and draw the boundary of a lane a few engines
+ * apart: what one of them had read must be named by the other. */
+Test(workplacement, a_session_is_fetched_from_where_other_entries_send_it)
+{
+  const Engines engines(42);
+  WorkPlacement narrow({ .mDataCentre = "here", .mSeed = 1 });
+  WorkPlacement wide({ .mDataCentre = "here", .mSeed = 2 });
+  int differ = 0;
+  int found = 0;
+  for (uint64_t session = 0; session < 1000; ++session) {
+    const PromptShape prompt = Session(session, session);
+    const auto one = narrow.Choose(WithLane(engines, 25), prompt, Millis(0));
+    const auto other = wide.Choose(WithLane(engines, 28), prompt, Millis(0));
+    if (one.mUpstream == other.mUpstream) {
+      continue;
+    }
+    differ++;
+    found += one.mHolder == other.mUpstream ? 1 : 0;
+    found += other.mHolder == one.mUpstream ? 1 : 0;
+  }
+  cr_expect(differ > 50, "%d", differ);
+  cr_expect(found >= differ * 17 / 10, "%d of %d", found, 2 * differ);
+}
+
 Test(workplacement, a_session_leaves_an_engine_that_is_far_too_busy)
 {
   Engines engines(12);
@@ -201,13 +243,39 @@
                      OwnLane(lanes, strict, engines, now).size();
   cr_expect(all == 24);
   uint32_t farthest = 0;
-  for (const auto& [id, distance] :
-       lanes.DistancesFor("llm", strict, engines.Listed(), now)) {
-    farthest = std::max(farthest, distance);
+  for (const auto& [id, place] :
+       lanes.PlacesFor("llm", strict, engines.Listed(), now)) {
+    farthest = std::max(farthest, place.mDistance);
   }
   cr_expect(farthest == 2);
 }
 
+Test(lanes, engines_tell_how_far_they_are_from_the_boundary)
+{
+  const Engines engines(24);
+  Lanes lanes;
+  const Route strict = MakeRoute("strict", 200);
+  const Route longer = MakeRoute("longer", 800);
+  const PromptShape small{ .mPromptTokens = 700, .mMostOutput = 900 };
+  for (uint64_t each = 0; each < 300; ++each) {
+    lanes.OnRequest("llm", longer, Session(each, each), At(each * 10));
+    lanes.OnRequest("llm", strict, small, At(each * 10));
+  }
+  std::multiset<uint32_t> inside;
+  std::multiset<uint32_t> outside;
+  for (const auto& [id, place] :
+       lanes.PlacesFor("llm", strict, engines.Listed(), Millis(3000))) {
+    (place.mDistance == 0 ? inside : outside).insert(place.mFromEdge);
+  }
+  for (const auto& side : { inside, outside }) {
+    uint32_t next = 0;
+    for (const uint32_t edge : side) {
+      cr_expect(edge == next++);
+    }
+    cr_expect(side.size() >= 2);
+  }
+}
+
 Test(lanes, routes_that_are_alike_share_all_engines)
 {
   const Engines engines(6);
@@ -218,8 +286,7 @@
     lanes.OnRequest("llm", one, Session(each, each), At(each));
     lanes.OnRequest("llm", other, Session(each, each), At(each));
   }
-  cr_expect(
-    lanes.DistancesFor("llm", one, engines.Listed(), Millis(100)).empty());
+  cr_expect(lanes.PlacesFor("llm", one, engines.Listed(), Millis(100)).empty());
 }
 
 Test(lanes, the_boundary_stays_while_demand_wavers)
