Fetch a session from where this entry sent it last

Cause: with four entries before twelve engines, lanes differ by more than a few engines while demand jumps, so that the engine just outside is a poor guess.

Change: the entry's own record goes first, for 8 s; boundaries are taken to differ by a tenth of the engines, by one at the least; parts from 150 tokens on are fetched (1,000 before). Nothing is fetched from an upstream that is avoided.

Tests: workplacementtest and requestplantest, each failing before.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -189,7 +189,7 @@
   mMeters[aRequest.mRoute->mName].OnSent(aNow);
   const ListedUpstream* backup =
     BackupFor(aRequest, candidates, placed.mUpstream);
-  const ListedUpstream* holder = mDirectory.Find(placed.mHolder);
+  const ListedUpstream* holder = HolderAt(placed.mHolder, aNow);
   return PlacedAttempt{ .mUpstream = placed.mUpstream,
                         .mService = listed->mService,
                         .mRoute = aRequest.mRoute->mName,
@@ -215,6 +215,14 @@
   return mRetries.Left(aService);
 }
 
+const ListedUpstream*
+DirectRouter::HolderAt(const UpstreamId& aHolder, Millis aNow) const
+{
+  // One that gives no answer would hold the request up.
+  const bool healthy = mOutliers.State(aHolder, aNow) == OutlierState::Healthy;
+  return healthy ? mDirectory.Find(aHolder) : nullptr;
+}
+
 void
 DirectRouter::OnHeard(const PlacedAttempt& aAttempt, Millis aNow)
 {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -214,6 +214,8 @@
   Candidates CandidatesFor(const BoundRequest& aRequest,
                            const std::set<UpstreamId>& aTried,
                            Millis aNow);
+  /** The upstream, if something may be fetched from it, or null. */
+  const ListedUpstream* HolderAt(const UpstreamId& aHolder, Millis aNow) const;
   uint32_t ConnectionsFor(const BoundRequest& aRequest) const;
   /** An upstream that may keep a copy, where a copy is worth its price. */
   const ListedUpstream* BackupFor(const BoundRequest& aRequest,
--- a/src/libtrefoilarch/prefixmemory.cpp
+++ b/src/libtrefoilarch/prefixmemory.cpp
@@ -61,6 +61,21 @@
   return held;
 }
 
+std::optional<UpstreamId>
+PrefixMemory::LastHolder(uint64_t aPart, Millis aSpan, Millis aNow) const
+{
+  std::optional<UpstreamId> last;
+  Millis newest = aNow - aSpan;
+  for (const auto& [upstream, parts] : mHeld) {
+    const auto place = parts.find(aPart);
+    if (place != parts.end() && place->second > newest) {
+      newest = place->second;
+      last = upstream;
+    }
+  }
+  return last;
+}
+
 void
 PrefixMemory::Trim(Parts& aParts, Millis aNow) const
 {
--- a/src/libtrefoilarch/prefixmemory.h
+++ b/src/libtrefoilarch/prefixmemory.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 namespace trefoilarch {
@@ -42,6 +43,11 @@
                 const PromptShape& aPrompt,
                 Millis aNow) const;
 
+  /** Where the part was sent last, if that was within the span. */
+  std::optional<UpstreamId> LastHolder(uint64_t aPart,
+                                       Millis aSpan,
+                                       Millis aNow) const;
+
 private:
   using Parts = std::unordered_map<uint64_t, Millis>;
 
--- a/src/libtrefoilarch/sessionengines.cpp
+++ b/src/libtrefoilarch/sessionengines.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-/** Boundaries of lanes differ by less than this many engines among entries;
- * seen on calm days of 22 entries before 42 engines. */
-constexpr uint32_t kNearEdge = 4;
+/** Boundaries of lanes differ among entries by less than one engine in so
+ * many: of 2, 3 and 4 times that and all, this found most of the engines that
+ * held what was missing, at 12 engines and at 42. */
+constexpr uint32_t kEdgePart = 10;
 
-/** Less than this is not worth fetching from another engine. */
-constexpr uint32_t kLeastFetch = 1000;
+/** ...and by one engine at the least, on either side. */
+constexpr uint32_t kLeastEdge = 2;
 
 uint64_t
 RankOf(uint64_t aSession, const UpstreamId& aUpstream)
@@ -35,7 +36,8 @@
   if (aPrompt.mShared == 0) {
     return;
   }
-  mShared = aPrompt.SharedTokens();
+  mEdge =
+    std::max(kLeastEdge, static_cast<uint32_t>(aCandidates.size()) / kEdgePart);
   const uint64_t session = aPrompt.mParts[aPrompt.mShared - 1].mId;
   const bool lane =
     std::any_of(aCandidates.begin(), aCandidates.end(), IsInLane);
@@ -57,7 +59,7 @@
     mSecondRank = mFirstRank;
     mFirst = aCandidate.mListed;
     mFirstRank = aRank;
-    mFirstNearEdge = aCandidate.mLane.mFromEdge < kNearEdge;
+    mFirstNearEdge = aCandidate.mLane.mFromEdge < mEdge;
   } else if (mSecond == nullptr || aRank > mSecondRank) {
     mSecond = aCandidate.mListed;
     mSecondRank = aRank;
@@ -68,7 +70,7 @@
 SessionEngines::RankOutside(const PlacementCandidate& aCandidate,
                             uint64_t aRank)
 {
-  const bool near = aCandidate.mLane.mFromEdge < kNearEdge;
+  const bool near = aCandidate.mLane.mFromEdge < mEdge;
   if (near && (mOutside == nullptr || aRank > mOutsideRank)) {
     mOutside = aCandidate.mListed;
     mOutsideRank = aRank;
@@ -76,13 +78,10 @@
 }
 
 const ListedUpstream*
-SessionEngines::HolderFor(const UpstreamId& aChosen, uint32_t aMissing) const
+SessionEngines::HolderFor(const UpstreamId& aChosen) const
 {
   if (mFirst == nullptr || mFirst->mId != aChosen) {
-    return aMissing >= kLeastFetch ? mFirst : nullptr;
-  }
-  if (mShared < kLeastFetch) {
-    return nullptr;
+    return mFirst;
   }
   if (mOutside != nullptr && mOutsideRank > mFirstRank) {
     return mOutside;
--- a/src/libtrefoilarch/sessionengines.h
+++ b/src/libtrefoilarch/sessionengines.h
@@ -30,10 +30,8 @@
   const ListedUpstream* First() const { return mFirst; }
   /** Null where there is no other. */
   const ListedUpstream* Second() const { return mSecond; }
-  /** An engine that may hold what the chosen one lacks, or null; aMissing
-   * are the shared tokens that the chosen one surely lacks. */
-  const ListedUpstream* HolderFor(const UpstreamId& aChosen,
-                                  uint32_t aMissing) const;
+  /** An engine that may hold what the chosen one lacks, or null. */
+  const ListedUpstream* HolderFor(const UpstreamId& aChosen) const;
 
 private:
   void Rank(const PlacementCandidate& aCandidate, uint64_t aRank);
@@ -48,7 +46,8 @@
   uint64_t mOutsideRank = 0;
   /** The first one is just inside the lane. */
   bool mFirstNearEdge = false;
-  uint32_t mShared = 0;
+  /** So many engines are near a boundary, on either side. */
+  uint32_t mEdge = 0;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -22,6 +22,13 @@
 /** What a request beyond the engine's slots waits for, in milliseconds. */
 constexpr double kOverSlotsMs = 50;
 
+/** Less than this is not worth fetching from another engine: one that has
+ * nothing to give costs some milliseconds all the same. */
+constexpr uint32_t kLeastFetch = 150;
+
+/** What this entry sent within this span is still held where it was sent. */
+constexpr Millis kSureSpan{ 8000 };
+
 uint32_t
 OutputOf(const PromptShape& aPrompt)
 {
@@ -71,14 +78,27 @@
       best = std::move(placed);
     }
   }
-  const ListedUpstream* holder =
-    session.HolderFor(best.mUpstream, best.mMissing);
-  if (holder != nullptr) {
-    best.mHolder = holder->mId;
+  if (shared >= kLeastFetch) {
+    best.mHolder = HolderFor(session, best.mUpstream, aPrompt, aNow);
   }
   return best;
 }
 
+UpstreamId
+WorkPlacement::HolderFor(const SessionEngines& aSession,
+                         const UpstreamId& aChosen,
+                         const PromptShape& aPrompt,
+                         Millis aNow) const
+{
+  const uint64_t part = aPrompt.mParts[aPrompt.mShared - 1].mId;
+  const auto last = mMemory.LastHolder(part, kSureSpan, aNow);
+  if (last) {
+    return *last == aChosen ? UpstreamId() : *last;
+  }
+  const ListedUpstream* holder = aSession.HolderFor(aChosen);
+  return holder != nullptr ? holder->mId : UpstreamId();
+}
+
 double
 WorkPlacement::CostOf(const PlacementCandidate& aCandidate,
                       const Placed& aPlaced,
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -14,6 +14,8 @@
 
 namespace trefoilarch {
 
+class SessionEngines;
+
 /** The chosen upstream and what the request asks of it. */
 struct Placed
 {
@@ -84,6 +86,11 @@
   PrefixMemory& Memory() { return mMemory; }
 
 private:
+  /** Empty, or an engine that may hold what the chosen one lacks. */
+  UpstreamId HolderFor(const SessionEngines& aSession,
+                       const UpstreamId& aChosen,
+                       const PromptShape& aPrompt,
+                       Millis aNow) const;
   double CostOf(const PlacementCandidate& aCandidate,
                 const Placed& aPlaced,
                 bool aEngine,
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -38,7 +38,7 @@
   for (size_t each = 0; each < aUpstreams; ++each) {
     router.Directory().Put({ .mId = "u" + std::to_string(each),
                              .mService = "svc",
-                             .mAddress = "a:1" });
+                             .mAddress = "a:" + std::to_string(each) });
   }
   router.OnDirectoryChanged(Millis(0));
   return router;
@@ -73,6 +73,25 @@
     [] { return ErrorKind::Internal; });
 }
 
+Test(directrouter, nothing_is_fetched_from_an_upstream_that_fails)
+{
+  for (const bool fails : { false, true }) {
+    DirectRouter router = MakeRouter(8);
+    BoundRequest request = Bound(router, "/safe/x");
+    request.mPrompt = { .mPromptTokens = 9000,
+                        .mParts = { { .mId = 1, .mTokens = 5000 },
+                                    { .mId = 2, .mTokens = 4000 } },
+                        .mShared = 1 };
+    const auto first = router.Place(request, {}, Millis(0));
+    router.OnEnded(*first, AttemptOutcome::Good, Millis(10));
+    for (int64_t each = 0; fails && each < 6; ++each) {
+      router.OnEnded(*first, AttemptOutcome::Broken, Millis(20 + each));
+    }
+    const auto next = router.Place(request, { first->mUpstream }, Millis(30));
+    cr_expect(next->mHolderAddress == (fails ? "" : first->mAddress));
+  }
+}
+
 Test(directrouter, an_upstream_that_has_just_started_is_avoided_while_slow)
 {
   DirectRouter router = MakeRouter(1);
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -149,6 +149,26 @@
   cr_expect(found >= differ * 17 / 10, "%d of %d", found, 2 * differ);
 }
 
+/** The last engine of a session is the surest holder of its parts. */
+Test(workplacement, a_session_is_fetched_from_where_this_entry_sent_it_last)
+{
+  const Engines engines(12);
+  WorkPlacement placement({ .mDataCentre = "here" });
+  const auto choose = [&](int64_t aNow) {
+    return placement.Choose(engines.Candidates(), Session(5, 1), Millis(aNow));
+  };
+  const Placed usual = choose(0);
+  cr_expect(usual.mHolder.empty(), "nobody else has it");
+  const UpstreamId other = usual.mUpstream == "e3" ? "e4" : "e3";
+  placement.Memory().OnSent(other, Session(5, 2), Millis(100));
+  const Placed back = choose(2000);
+  cr_expect(back.mUpstream == usual.mUpstream);
+  cr_expect(back.mHolder == other);
+  placement.Memory().OnSent(usual.mUpstream, Session(5, 3), Millis(3000));
+  cr_expect(choose(3500).mHolder.empty(), "it is where it goes");
+  cr_expect(choose(30000).mHolder.empty(), "long ago");
+}
+
 Test(workplacement, a_session_leaves_an_engine_that_is_far_too_busy)
 {
   Engines engines(12);
