--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -293,7 +293,6 @@
                        const Refusal& aRefusal)
 {
   mMetrics.OnRefusal(Name(aRefusal.mKind));
-  const Millis age = mRouter.PolicyFreshness().Age(BootNow());
   mLog.Write(
     LineKind::Trouble,
     "request_refused",
@@ -303,7 +302,7 @@
       { "host", aRequest.mHost },
       { "path", aRequest.mTarget },
       { "policy_version", mRouter.Index() ? mRouter.Index()->Version() : 0 },
-      { "policy_age_ms", age.Count() } });
+      { "policy_age_ms", AgeMs(mRouter.PolicyFreshness()) } });
   aCaller->Answer(RefusalHead(aRefusal), RefusalBody(aRefusal));
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -99,6 +99,8 @@
                      const std::string& aId,
                      const trefoilarch::Refusal& aRefusal);
   OperatorPage ReadyPage();
+  /** -1 where it was never confirmed. */
+  static int64_t AgeMs(const trefoilarch::Freshness& aBelief);
   /** Empty where requests can be served, else the reason. */
   std::string NotReady() const;
   void LogReadiness(const std::string& aReason);
