--- a/tests/replay/gates.cpp
+++ b/tests/replay/gates.cpp
@@ -397,7 +397,7 @@
 MakeGates(VirtualTime& aTime,
           const Trace& aTrace,
           CallerHooks aHooks,
-          GatesOptions aOptions)
+          const GatesOptions& aOptions)
 {
   return std::make_unique<Gates>(aTime, aTrace, std::move(aHooks), aOptions);
 }
--- a/tests/replay/gatestest.cpp
+++ b/tests/replay/gatestest.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 RouterMaker
-GatesWith(PlacementCost aCost = {})
+GatesWith(const PlacementCost& aCost = {})
 {
   return [aCost](VirtualTime& aTime, const Trace& aTrace, CallerHooks aHooks) {
     return MakeGates(
--- a/tests/replay/router.h
+++ b/tests/replay/router.h
@@ -75,7 +75,7 @@
 MakeGates(VirtualTime& aTime,
           const Trace& aTrace,
           CallerHooks aHooks,
-          GatesOptions aOptions = {});
+          const GatesOptions& aOptions = {});
 
 /** Baseline: engines in rotation, each first in, first out. */
 std::unique_ptr<Router>
