Fetch nothing from an upstream that is silent

Cause: an engine that went dark stays listed for seconds, and a session that leaves it named it as the holder of its parts; the next engine would wait for it.

Change: a holder that has said nothing for 800 ms while attempts are open is not named. requestplantest holds it, and failed before.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -37,6 +37,9 @@
  * made where the answer may be at least so long beside the prompt. */
 constexpr double kBackupOutputShare = 0.5;
 
+/** An engine may say nothing for so long while it reads a long prompt. */
+constexpr Millis kSilentHolder{ 800 };
+
 /** A lane's distance in open attempts, when a copy's place is chosen. */
 constexpr double kLaneLoad = 20;
 
@@ -219,8 +222,11 @@
 DirectRouter::HolderAt(const UpstreamId& aHolder, Millis aNow) const
 {
   // One that gives no answer would hold the request up.
+  const auto tracked = mTracked.find(aHolder);
+  const bool silent = tracked != mTracked.end() &&
+                      tracked->second.mWork.Silence(aNow) > kSilentHolder;
   const bool healthy = mOutliers.State(aHolder, aNow) == OutlierState::Healthy;
-  return healthy ? mDirectory.Find(aHolder) : nullptr;
+  return healthy && !silent ? mDirectory.Find(aHolder) : nullptr;
 }
 
 void
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -92,6 +92,24 @@
   }
 }
 
+Test(directrouter, nothing_is_fetched_from_an_upstream_that_is_silent)
+{
+  for (const bool silent : { false, true }) {
+    DirectRouter router = MakeRouter(8);
+    BoundRequest request = Bound(router, "/safe/x");
+    request.mPrompt = { .mPromptTokens = 9000,
+                        .mParts = { { .mId = 1, .mTokens = 5000 },
+                                    { .mId = 2, .mTokens = 4000 } },
+                        .mShared = 1 };
+    const auto first = router.Place(request, {}, Millis(0));
+    if (!silent) {
+      router.OnHeard(*first, Millis(1400));
+    }
+    const auto next = router.Place(request, { first->mUpstream }, Millis(1500));
+    cr_expect(next->mHolderAddress == (silent ? "" : first->mAddress));
+  }
+}
+
 Test(directrouter, an_upstream_that_has_just_started_is_avoided_while_slow)
 {
   DirectRouter router = MakeRouter(1);
