Work out lanes by the demand of six seconds

Cause: entries disagree on the lanes by the noise of what each of them sees: some sixty requests within the time constant of 3 s at 23 entries.

Not tried: a wider slack instead.

--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -17,8 +17,9 @@
 /** How Lanes divides a service's engines. */
 struct LanesOptions
 {
-  /** Demand fades by this time constant. */
-  Millis mMemory{ 3000 };
+  /** Demand fades by this time constant; an entry of many sees some twenty
+   * requests a second, too few for a shorter one. */
+  Millis mMemory{ 6000 };
   /** A route has a lane of its own beside a stricter one if it allows this
    * many times its pause... */
   double mPauseFactor = 1.4;
