--- a/tests/standins/engine/batchmodel.cpp
+++ b/tests/standins/engine/batchmodel.cpp
@@ -109,6 +109,7 @@
       std::max_element(mRunning.begin(), mRunning.end(), MoreUrgent);
     Member member = std::move(*last);
     mRunning.erase(last);
+    mPreempted++;
     const auto place =
       std::upper_bound(mWaiting.begin(), mWaiting.end(), member, MoreUrgent);
     mWaiting.insert(place, std::move(member));
--- a/tests/standins/engine/batchmodel.h
+++ b/tests/standins/engine/batchmodel.h
@@ -60,6 +60,8 @@
   size_t Waiting() const { return mWaiting.size(); }
   /** Prompt tokens read since the start, not counting cached ones. */
   uint64_t PrefilledTokens() const { return mPrefilled; }
+  /** Requests that went back to the queue since the start. */
+  uint64_t Preempted() const { return mPreempted; }
   /** Share of the key-value memory in use, 0 to 1. */
   double MemoryUsage() const;
 
@@ -88,6 +90,7 @@
   std::list<Member> mWaiting; /**< most urgent first */
   uint64_t mNextOrder = 0;
   uint64_t mPrefilled = 0;
+  uint64_t mPreempted = 0;
 };
 
 } // namespace standin
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <poll.h>
 #include <sstream>
@@ -117,11 +118,58 @@
   return text.str();
 }
 
+constexpr const char* kEventFraming = "Content-Type: text/event-stream\r\n"
+                                      "Transfer-Encoding: chunked\r\n";
+
+std::string
+EventText(int aEvent)
+{
+  const std::string number = std::to_string(aEvent);
+  return "id: " + number + "\ndata: event " + number + "\n\n";
+}
+
+/** Tokens in an event of the engine's. */
+constexpr size_t kEventTokens = 4;
+
+/** A small engine: four at a time, memory for a few prompts. */
+constexpr BatchOptions kEngine{ .mMostRunning = 4,
+                                .mMemoryTokens = 12000,
+                                .mCacheBlocks = 2000 };
+
+/** The request as the engine takes it: blocks of the parts that sessions
+ * share, which is all but the last. */
+Sequence
+SequenceOf(const http::request<http::string_body>& aRequest, size_t aOutput)
+{
+  constexpr int kUsualPriority = 5;
+  Sequence sequence{ .mPriority = kUsualPriority, .mOutputTokens = aOutput };
+  const std::string priority(aRequest["X-Request-Priority"]);
+  if (!priority.empty()) {
+    sequence.mPriority = std::stoi(priority);
+  }
+  std::istringstream parts{ std::string(aRequest["X-Prompt-Prefix"]) };
+  std::string part;
+  std::vector<uint64_t> own;
+  while (std::getline(parts, part, ',')) {
+    sequence.mBlocks.insert(sequence.mBlocks.end(), own.begin(), own.end());
+    own.clear();
+    const size_t colon = part.find(':');
+    const uint64_t id = std::stoull(part.substr(0, colon), nullptr, 16);
+    const size_t tokens = std::stoul(part.substr(colon + 1));
+    for (size_t each = 0; each < tokens / kBlockTokens; ++each) {
+      own.push_back(id * 1000003 + each);
+    }
+    sequence.mPromptTokens += tokens;
+  }
+  return sequence;
+}
+
 } // namespace
 
 Worker::Worker(std::string aId, const std::string& aEndpoint)
   : mId(std::move(aId))
   , mAcceptor(mLoop)
+  , mEngine(kEngine)
 {
   const size_t colon = aEndpoint.rfind(':');
   const Tcp::endpoint place(
@@ -219,6 +267,7 @@
     }
     reply = { { "runs", mRuns }, { "running", mRunning.load() } };
   }
+  reply["engine"] = mEngine.Counts();
   const std::string body = reply.dump();
   return Write(aSocket,
                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
@@ -234,6 +283,9 @@
     End(run, "left");
     return false;
   }
+  if (name == "engine") {
+    return StreamFromEngine(aSocket, aRequest, aPlan, run);
+  }
   if (name == "stream") {
     return Stream(aSocket, aRequest, aPlan, run);
   }
@@ -302,15 +354,9 @@
   const bool spared = !after.empty() && NumberOf(aPlan, "once", 0) > 0;
   const int cut = spared ? 0 : NumberOf(aPlan, "cut", 0);
   const int first = after.empty() ? 1 : std::stoi(after) + 1;
-  Write(aSocket,
-        Head(aRequest,
-             200,
-             true,
-             "Content-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\n"));
+  Write(aSocket, Head(aRequest, 200, true, kEventFraming));
   for (int event = first; event <= count; ++event) {
-    const std::string text = "id: " + std::to_string(event) + "\ndata: event " +
-                             std::to_string(event) + "\n\n";
+    const std::string text = EventText(event);
     if (cut > 0 && event - first == cut) {
       Write(aSocket, Chunk(text.substr(0, text.size() / 2)));
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -327,6 +373,39 @@
   return Write(aSocket, "0\r\n\r\n");
 }
 
+bool
+Worker::StreamFromEngine(Tcp::socket& aSocket,
+                         const Request& aRequest,
+                         const Plan& aPlan,
+                         size_t aRun)
+{
+  const size_t output = static_cast<size_t>(NumberOf(aPlan, "out", 40));
+  const uint64_t id = mEngine.Add(SequenceOf(aRequest, output));
+  bool begun = false;
+  size_t events = 0;
+  while (events * kEventTokens < output) {
+    const size_t wanted = std::min(output, (events + 1) * kEventTokens);
+    if (mEngine.AwaitTokens(id, wanted, 2) < wanted) {
+      if (PeerLeft(aSocket)) {
+        break;
+      }
+      continue;
+    }
+    if (!begun) {
+      begun = true;
+      Write(aSocket, Head(aRequest, 200, true, kEventFraming));
+    }
+    events++;
+    if (!Write(aSocket, Chunk(EventText(static_cast<int>(events))))) {
+      break;
+    }
+  }
+  mEngine.Remove(id);
+  const bool whole = events * kEventTokens >= output;
+  End(aRun, whole ? "engine" : "left");
+  return whole && Write(aSocket, "0\r\n\r\n");
+}
+
 Worker::Plan
 Worker::PlanFor(const Request& aRequest)
 {
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "workerengine.h"
+
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,6 +33,9 @@
  *   no_length_cut the same, but reset
  *   hang          no answer for as long as the client stays
  *   early         answers before it has read the body
+ *   engine        events as the worker's engine makes them: out (tokens,
+ *                 four in an event); the prompt, its parts and the rank are
+ *                 read from the request
  *   stream        events: count, gap (ms), cut (break after so many events,
  *                 in the middle of the next), once=1 (a run that goes on
  *                 after an event is not cut)
@@ -61,6 +66,10 @@
               const Request& aRequest,
               const Plan& aPlan,
               size_t aRun);
+  bool StreamFromEngine(Tcp::socket& aSocket,
+                        const Request& aRequest,
+                        const Plan& aPlan,
+                        size_t aRun);
   Plan PlanFor(const Request& aRequest);
   size_t Begin(const Request& aRequest);
   void End(size_t aRun, const char* aHow);
@@ -77,6 +86,7 @@
   std::string mOwnPlan;
   int mOwnTimes = 0;
   std::atomic<int> mRunning = 0;
+  WorkerEngine mEngine;
 };
 
 } // namespace standin
