Find a session's last engine in one step

Cause: the record was searched by upstream, thousands of look-ups for each request before a large fleet.

Change: a map from the session's last shared part to where it was sent; the same answers, by the same tests.

--- a/src/libtrefoilarch/prefixmemory.cpp
+++ b/src/libtrefoilarch/prefixmemory.cpp
@@ -32,12 +32,21 @@
   if (parts.size() > mOptions.mMostParts) {
     Trim(parts, aNow);
   }
+  mLast[aPrompt.mParts[aPrompt.mShared - 1].mId] = { aUpstream, aNow };
+  if (mLast.size() > mOptions.mMostSessions) {
+    std::erase_if(mLast, [&](const auto& aSent) {
+      return aNow - aSent.second.mAt > mOptions.mSpan / 2;
+    });
+  }
 }
 
 void
 PrefixMemory::Forget(const UpstreamId& aUpstream)
 {
   mHeld.erase(aUpstream);
+  std::erase_if(mLast, [&](const auto& aSent) {
+    return aSent.second.mUpstream == aUpstream;
+  });
 }
 
 uint32_t
@@ -62,18 +71,18 @@
 }
 
 std::optional<UpstreamId>
-PrefixMemory::LastHolder(uint64_t aPart, Millis aSpan, Millis aNow) const
+PrefixMemory::LastHolder(const PromptShape& aPrompt,
+                         Millis aSpan,
+                         Millis aNow) const
 {
-  std::optional<UpstreamId> last;
-  Millis newest = aNow - aSpan;
-  for (const auto& [upstream, parts] : mHeld) {
-    const auto place = parts.find(aPart);
-    if (place != parts.end() && place->second > newest) {
-      newest = place->second;
-      last = upstream;
-    }
+  if (aPrompt.mShared == 0) {
+    return std::nullopt;
+  }
+  const auto place = mLast.find(aPrompt.mParts[aPrompt.mShared - 1].mId);
+  if (place == mLast.end() || aNow - place->second.mAt >= aSpan) {
+    return std::nullopt;
   }
-  return last;
+  return place->second.mUpstream;
 }
 
 void
--- a/src/libtrefoilarch/prefixmemory.h
+++ b/src/libtrefoilarch/prefixmemory.h
@@ -19,6 +19,9 @@
   Millis mSpan{ 20000 };
   /** Parts that are remembered for one upstream. */
   size_t mMostParts = 4000;
+  /** Sessions whose last upstream is remembered; beyond these, those that
+   * have not come for half the span are forgotten. */
+  size_t mMostSessions = 20000;
 };
 
 /**
@@ -43,18 +46,26 @@
                 const PromptShape& aPrompt,
                 Millis aNow) const;
 
-  /** Where the part was sent last, if that was within the span. */
-  std::optional<UpstreamId> LastHolder(uint64_t aPart,
+  /** Where the prompt's last shared part was sent last, if that was within
+   * the span. */
+  std::optional<UpstreamId> LastHolder(const PromptShape& aPrompt,
                                        Millis aSpan,
                                        Millis aNow) const;
 
 private:
   using Parts = std::unordered_map<uint64_t, Millis>;
+  struct Sent
+  {
+    UpstreamId mUpstream;
+    Millis mAt;
+  };
 
   void Trim(Parts& aParts, Millis aNow) const;
 
   PrefixMemoryOptions mOptions;
   std::unordered_map<UpstreamId, Parts> mHeld;
+  /** By a session's last shared part. */
+  std::unordered_map<uint64_t, Sent> mLast;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -56,7 +56,7 @@
   const bool engine = aPrompt.mPromptTokens > 0;
   const SessionEngines session(aCandidates, aPrompt);
   const uint32_t shared = aPrompt.SharedTokens();
-  const std::optional<UpstreamId> last = LastEngine(aPrompt, aNow);
+  const auto last = mMemory.LastHolder(aPrompt, kSureSpan, aNow);
   Placed best;
   double bestCost = std::numeric_limits<double>::max();
   for (const PlacementCandidate& each : aCandidates) {
@@ -86,16 +86,6 @@
   return best;
 }
 
-std::optional<UpstreamId>
-WorkPlacement::LastEngine(const PromptShape& aPrompt, Millis aNow) const
-{
-  if (aPrompt.mShared == 0) {
-    return std::nullopt;
-  }
-  const uint64_t part = aPrompt.mParts[aPrompt.mShared - 1].mId;
-  return mMemory.LastHolder(part, kSureSpan, aNow);
-}
-
 UpstreamId
 WorkPlacement::HolderFor(const SessionEngines& aSession,
                          const std::optional<UpstreamId>& aLast,
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -95,9 +95,6 @@
   static UpstreamId HolderFor(const SessionEngines& aSession,
                               const std::optional<UpstreamId>& aLast,
                               const UpstreamId& aChosen);
-  /** Where this entry sent the session last, if that was lately. */
-  std::optional<UpstreamId> LastEngine(const PromptShape& aPrompt,
-                                       Millis aNow) const;
   double CostOf(const PlacementCandidate& aCandidate,
                 const Placed& aPlaced,
                 bool aEngine,
