Place prompts that are called shorter than their parts like others

Cause: the tokens of a prompt's own were found by a subtraction without sign; for a caller that names fewer prompt tokens than its parts hold, every engine but the session's first cost millions, however long the queue there.

Change: no less than none. workplacementtest holds it, and failed before.

--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -117,7 +117,10 @@
                           Millis aNow) const
 {
   const double busy = aCandidate.mWork->Busy(aNow);
-  const double own = aPlaced.mWork.mPrefill - aPlaced.mMissing;
+  // A caller may call its prompt shorter than its parts are.
+  const double own = std::max(0.0,
+                              static_cast<double>(aPlaced.mWork.mPrefill) -
+                                static_cast<double>(aPlaced.mMissing));
   const double read = own / mOptions.mPrefillPerMs;
   const double again =
     aPlaced.mMissing *
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -191,6 +191,21 @@
   }
 }
 
+Test(workplacement, a_prompt_shorter_than_its_parts_is_placed_like_others)
+{
+  Engines engines(12);
+  WorkPlacement placement({ .mDataCentre = "here" });
+  PromptShape prompt = Session(5, 1);
+  prompt.mPromptTokens = 100;
+  const auto usual = placement.Choose(engines.Candidates(), prompt, Millis(0));
+  const size_t busy = std::stoul(usual.mUpstream.substr(1));
+  for (int each = 0; each < 100; ++each) {
+    engines.mWork[busy].OnSent({ .mPrefill = 9000 }, Millis(0));
+  }
+  const auto next = placement.Choose(engines.Candidates(), prompt, Millis(100));
+  cr_expect(next.mUpstream != usual.mUpstream);
+}
+
 Test(workplacement, a_session_leaves_an_engine_that_is_far_too_busy)
 {
   Engines engines(12);
