--- a/src/libtrefoilarch/sessionengines.cpp
+++ b/src/libtrefoilarch/sessionengines.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/** Boundaries of lanes differ among entries by less than one engine in so
- * many: of 2, 3 and 4 times that and all, this found most of the engines that
- * held what was missing, at 12 engines and at 42. */
+/** Boundaries of lanes are taken to differ among entries by less than one
+ * engine in so many. Of one to five engines, two left least to be read again
+ * at 12 engines; at 42, four left a tenth more than five. */
 constexpr uint32_t kEdgePart = 10;
 
 /** ...and by one engine at the least, on either side. */
