--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -110,6 +110,20 @@
   }
 }
 
+/** The workspace that an upstream is told must be the key's holder then. */
+Test(directrouter, a_key_that_moved_while_a_request_waits_sends_it_nowhere)
+{
+  DirectRouter router = MakeRouter(2);
+  const BoundRequest request = Bound(router, "/safe/x");
+  cr_expect(router.StillAllowed(request, Millis(10)));
+  RoutePolicy policy = router.Index()->Policy();
+  policy.mVersion = 2;
+  policy.mWorkspaces = { { .mName = "another", .mKeys = { "k" } } };
+  router.SetPolicy(std::make_shared<const RoutePolicy>(std::move(policy)));
+  router.ConfirmPolicy(Millis(20));
+  cr_expect(!router.StillAllowed(request, Millis(30)));
+}
+
 Test(directrouter, an_upstream_that_has_just_started_is_avoided_while_slow)
 {
   DirectRouter router = MakeRouter(1);
