Drop what nobody asks for, and say once what stood twice

Read once more as a whole: ChangeSettings worked out the changed names a second time for a result that no caller took; the log counted written lines that nobody read; whether an upstream's results speak against it was spelled out in three places; two tests fetched metrics by a function each, and two others built the same session. The gauges' order, which their look-up relies on, is now checked when the program is built. Behaviour and assertions are as they were.

Left: Lanes::WorkOut is long, and UpstreamDirectory::NextExpiry serves a test alone.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -225,8 +225,8 @@
   const auto tracked = mTracked.find(aHolder);
   const bool silent = tracked != mTracked.end() &&
                       tracked->second.mWork.Silence(aNow) > kSilentHolder;
-  const bool healthy = mOutliers.State(aHolder, aNow) == OutlierState::Healthy;
-  return healthy && !silent ? mDirectory.Find(aHolder) : nullptr;
+  return IsHealthy(aHolder, aNow) && !silent ? mDirectory.Find(aHolder)
+                                             : nullptr;
 }
 
 void
@@ -311,7 +311,7 @@
     each["open"] = tracked.mWork.Open();
     each["busy"] = tracked.mWork.Busy(aNow);
     each["silent_ms"] = tracked.mWork.Silence(aNow).Count();
-    each["outlier"] = mOutliers.State(id, aNow) != OutlierState::Healthy;
+    each["outlier"] = !IsHealthy(id, aNow);
   }
   return dump.dump();
 }
@@ -354,9 +354,13 @@
   if (aListed.mLeaving) {
     return "draining";
   }
-  const bool healthy =
-    mOutliers.State(aListed.mId, aNow) == OutlierState::Healthy;
-  return healthy ? "ready" : "ejected";
+  return IsHealthy(aListed.mId, aNow) ? "ready" : "ejected";
+}
+
+bool
+DirectRouter::IsHealthy(const UpstreamId& aUpstream, Millis aNow) const
+{
+  return mOutliers.State(aUpstream, aNow) == OutlierState::Healthy;
 }
 
 const std::string&
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -209,6 +209,8 @@
   };
   using Candidates = std::vector<PlacementCandidate>;
 
+  /** Its results give no reason to avoid it. */
+  bool IsHealthy(const UpstreamId& aUpstream, Millis aNow) const;
   const char* StateName(const ListedUpstream& aListed, Millis aNow) const;
   const std::string& ServiceFor(const Route& aRoute);
   Candidates CandidatesFor(const BoundRequest& aRequest,
--- a/src/libtrefoilgate/decisionlog.cpp
+++ b/src/libtrefoilgate/decisionlog.cpp
@@ -124,17 +124,14 @@
       continue;
     }
     std::string batch = std::move(*line);
-    uint64_t lines = 1;
     while (batch.size() < kMostBatchBytes) {
       std::optional<std::string> next = mRing.PopFor(Millis(0));
       if (!next) {
         break;
       }
       batch += *next;
-      lines++;
     }
     WriteOut(batch);
-    mWritten += lines;
   }
 }
 
--- a/src/libtrefoilgate/decisionlog.h
+++ b/src/libtrefoilgate/decisionlog.h
@@ -3,7 +3,6 @@
 #include "libtrefoilarch/millis.h"
 #include "libtrefoilio/boundedring.h"
 
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -51,7 +50,6 @@
              const char* aEvent,
              const nlohmann::ordered_json& aFields);
 
-  uint64_t Written() const { return mWritten; }
   uint64_t LeftOut() const { return mLeftOut; }
 
 private:
@@ -70,7 +68,6 @@
   std::string mProcess;
   std::map<LineKind, Budget> mBudgets;
   trefoilio::BoundedRing<std::string> mRing;
-  std::atomic<uint64_t> mWritten = 0;
   uint64_t mLeftOut = 0;
   uint64_t mUnreported = 0;
   std::thread mWriter;
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -104,6 +104,18 @@
               "Listed upstreams: ready, ejected or draining." },
 };
 
+constexpr bool
+InOrder()
+{
+  for (size_t each = 0; each < kGauges.size(); ++each) {
+    if (kGauges[each].mGauge != static_cast<Gauge>(each)) {
+      return false;
+    }
+  }
+  return true;
+}
+static_assert(InOrder(), "EntryOf() finds a gauge by its place");
+
 const GaugeEntry&
 EntryOf(Gauge aGauge)
 {
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -164,7 +164,7 @@
   mRouter.ConfirmPolicy(aAt);
 }
 
-std::vector<std::string>
+void
 Gateway::ChangeSettings(const GateSettings& aSettings)
 {
   const GateSettings before = mOptions.mSettings;
@@ -181,7 +181,6 @@
     { { "changed", ChangedNames(before, mOptions.mSettings) },
       { "needs_restart", ChangedNames(mOptions.mSettings, aSettings) } });
   mMetrics.OnReload("taken");
-  return ChangedNames(before, mOptions.mSettings);
 }
 
 void
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -73,8 +73,8 @@
   void ConfirmList(trefoilarch::Millis aAt) { mListFreshness.Confirm(aAt); }
 
   /** Takes over what a running process can change, and says in the log what
-   * needs a restart. Returns the names of the settings that changed. */
-  std::vector<std::string> ChangeSettings(const GateSettings& aSettings);
+   * needs a restart. */
+  void ChangeSettings(const GateSettings& aSettings);
   /** Settings that were read again have faults: the old ones stay. */
   void RefuseSettings(const std::vector<std::string>& aFaults);
 
--- a/tests/platform/metricstexttest.cpp
+++ b/tests/platform/metricstexttest.cpp
@@ -15,14 +15,6 @@
 /** What a scraper gets from a gate. */
 namespace {
 
-std::string
-MetricsOf(const PlatformFleet& aFleet)
-{
-  return integration::CallHttp(
-           "GET", "http://" + aFleet.OperatorAddress(0) + "/metrics")
-    .mBody;
-}
-
 /** The text by the rules of the Prometheus format: each sample belongs to the
  * type declared before it, and each metric has a type and a meaning. */
 void
@@ -73,7 +65,7 @@
   const PlatformFleet fleet;
   fleet.Call({ .mPlan = "ok,delay=20" });
   fleet.Call({ .mKey = "unknown" });
-  CheckFormat(MetricsOf(fleet));
+  CheckFormat(fleet.Metrics());
 }
 
 Test(metricstext, requests_count_by_route_priority_and_outcome)
@@ -82,7 +74,7 @@
   fleet.Call({ .mPlan = "ok,delay=20" });
   fleet.Call({ .mMethod = "POST", .mPath = "/once/x", .mPlan = "cut_head" });
   fleet.Call({ .mKey = "unknown" });
-  const std::string text = MetricsOf(fleet);
+  const std::string text = fleet.Metrics();
   cr_expect(ValueOf(text,
                     "trefoilarch_gate_requests_total{route=\"safe\","
                     "priority=\"1\",outcome=\"served\"}") == 1);
@@ -101,10 +93,10 @@
   fleet.List(2, "draining");
   fleet.Call({});
   cr_expect(Await([&] {
-    return ValueOf(MetricsOf(fleet),
+    return ValueOf(fleet.Metrics(),
                    "trefoilarch_gate_upstreams{state=\"draining\"}") == 1;
   }));
-  const std::string text = MetricsOf(fleet);
+  const std::string text = fleet.Metrics();
   cr_expect(ValueOf(text, "trefoilarch_gate_upstreams{state=\"ready\"}") == 2);
   const double left =
     ValueOf(text, "trefoilarch_gate_retries_left{service=\"svc\"}");
@@ -120,7 +112,7 @@
 {
   const PlatformFleet fleet;
   cr_expect(Await([&] {
-    return ValueOf(MetricsOf(fleet), "trefoilarch_gate_loop_lag_ms_count") >= 1;
+    return ValueOf(fleet.Metrics(), "trefoilarch_gate_loop_lag_ms_count") >= 1;
   }));
 }
 
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -267,6 +267,12 @@
   return mWorkers[aWorker]->Address("worker");
 }
 
+std::string
+PlatformFleet::Metrics(size_t aGate) const
+{
+  return CallHttp("GET", "http://" + OperatorAddress(aGate) + "/metrics").mBody;
+}
+
 int
 PlatformFleet::ReadyStatus(size_t aGate) const
 {
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -97,6 +97,8 @@
   std::string OperatorAddress(size_t aGate) const;
   std::string WorkerAddress(size_t aWorker) const;
   int ReadyStatus(size_t aGate) const;
+  /** What a scraper gets from the gate. */
+  std::string Metrics(size_t aGate = 0) const;
   /** The gate's log lines of that event, parsed. */
   std::vector<nlohmann::json> LogOf(size_t aGate,
                                     const std::string& aEvent) const;
--- a/tests/platform/reloadtest.cpp
+++ b/tests/platform/reloadtest.cpp
@@ -41,14 +41,6 @@
   TemporaryFolder mFolder;
 };
 
-std::string
-MetricsOf(const PlatformFleet& aFleet)
-{
-  return integration::CallHttp(
-           "GET", "http://" + aFleet.OperatorAddress(0) + "/metrics")
-    .mBody;
-}
-
 /** The status of a keyed request once the store has been away for 3 s. */
 int
 StatusAfterAnOutage(const PlatformFleet& aFleet)
@@ -86,7 +78,7 @@
   cr_assert(faults.size() == 1);
   cr_expect(faults.front().get<std::string>().find("retry-share") !=
             std::string::npos);
-  cr_expect(MetricsOf(fleet).find(
+  cr_expect(fleet.Metrics().find(
               "trefoilarch_gate_reloads_total{result=\"refused\"} 1\n") !=
             std::string::npos);
   cr_expect(StatusAfterAnOutage(fleet) == 200, "keys by the old span");
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -61,6 +61,18 @@
   return bound;
 }
 
+/** A request whose first 5,000 prompt tokens are a session's. */
+BoundRequest
+BoundSession(DirectRouter& aRouter)
+{
+  BoundRequest request = Bound(aRouter, "/safe/x");
+  request.mPrompt = { .mPromptTokens = 9000,
+                      .mParts = { { .mId = 1, .mTokens = 5000 },
+                                  { .mId = 2, .mTokens = 4000 } },
+                      .mShared = 1 };
+  return request;
+}
+
 ErrorKind
 BindError(DirectRouter& aRouter, const RequestFacts& aFacts, Millis aNow)
 {
@@ -77,11 +89,7 @@
 {
   for (const bool fails : { false, true }) {
     DirectRouter router = MakeRouter(8);
-    BoundRequest request = Bound(router, "/safe/x");
-    request.mPrompt = { .mPromptTokens = 9000,
-                        .mParts = { { .mId = 1, .mTokens = 5000 },
-                                    { .mId = 2, .mTokens = 4000 } },
-                        .mShared = 1 };
+    const BoundRequest request = BoundSession(router);
     const auto first = router.Place(request, {}, Millis(0));
     router.OnEnded(*first, AttemptOutcome::Good, Millis(10));
     for (int64_t each = 0; fails && each < 6; ++each) {
@@ -96,11 +104,7 @@
 {
   for (const bool silent : { false, true }) {
     DirectRouter router = MakeRouter(8);
-    BoundRequest request = Bound(router, "/safe/x");
-    request.mPrompt = { .mPromptTokens = 9000,
-                        .mParts = { { .mId = 1, .mTokens = 5000 },
-                                    { .mId = 2, .mTokens = 4000 } },
-                        .mShared = 1 };
+    const BoundRequest request = BoundSession(router);
     const auto first = router.Place(request, {}, Millis(0));
     if (!silent) {
       router.OnHeard(*first, Millis(1400));
