--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace trefoilarch {
 
@@ -40,6 +41,10 @@
 /** An engine may say nothing for so long while it reads a long prompt. */
 constexpr Millis kSilentHolder{ 800 };
 
+/** Prompts that are kept to be told to other entries; what is beyond these
+ * others read again at worst. */
+constexpr size_t kMostSent = 64;
+
 /** A lane's distance in open attempts, when a copy's place is chosen. */
 constexpr double kLaneLoad = 20;
 
@@ -55,6 +60,7 @@
   , mRetries(mOptions.mRetries)
   , mRandom(mOptions.mSeed)
 {
+  mProcess = mRandom();
 }
 
 bool
@@ -67,9 +73,10 @@
   return true;
 }
 
-void
+std::vector<UpstreamId>
 DirectRouter::OnDirectoryChanged(Millis aNow)
 {
+  std::vector<UpstreamId> startedAgain;
   for (auto& [id, tracked] : mTracked) {
     tracked.mListed = false;
   }
@@ -77,7 +84,12 @@
     const auto [place, fresh] = mTracked.try_emplace(id);
     Tracked& tracked = place->second;
     tracked.mListed = true;
-    if (fresh) {
+    if (!fresh && tracked.mLife != listed.mLife) {
+      ForgetLife(id, tracked);
+      startedAgain.push_back(id);
+    }
+    if (tracked.mLife != listed.mLife) {
+      tracked.mLife = listed.mLife;
       tracked.mColdUntil = aNow + listed.mColdFor;
     }
     tracked.mService = listed.mService;
@@ -89,9 +101,29 @@
       return false;
     }
     mOutliers.Remove(id);
+    mEngines.Forget(id);
     mPlacement.Memory().Forget(id);
     return tracked.mWork.Open() == 0;
   });
+  return startedAgain;
+}
+
+void
+DirectRouter::ForgetLife(const UpstreamId& aUpstream, Tracked& aTracked)
+{
+  mOutliers.Reset(aUpstream);
+  mEngines.Forget(aUpstream);
+  mPlacement.Memory().Forget(aUpstream);
+  aTracked.mWork = UpstreamWork();
+}
+
+DirectRouter::Tracked*
+DirectRouter::TrackedFor(const PlacedAttempt& aAttempt)
+{
+  const auto tracked = mTracked.find(aAttempt.mUpstream);
+  const bool same =
+    tracked != mTracked.end() && tracked->second.mLife == aAttempt.mLife;
+  return same ? &tracked->second : nullptr;
 }
 
 Result<BoundRequest>
@@ -131,8 +163,7 @@
   bound.mService = ServiceFor(*route);
   bound.mPrompt.mShared = mShared.OnPrompt(route->mName, bound.mPrompt);
   mLanes.OnRequest(bound.mService, *route, bound.mPrompt, aNow);
-  const auto comeBack = mMeters[route->mName].Refuse(
-    route->mFirstTokenTarget, span, FavourOf(bound.mPriority), aNow);
+  const auto comeBack = Overload(bound, aNow);
   if (mTiers.Refuses(
         bound.mService, route->mPriority, comeBack.has_value(), aNow)) {
     return Fail(Refusal{ .mKind = ErrorKind::Shed,
@@ -155,19 +186,127 @@
          workspace != nullptr && workspace->mName == aRequest.mWorkspace;
 }
 
+std::optional<Millis>
+DirectRouter::Overload(const BoundRequest& aRequest, Millis aNow)
+{
+  const Route& route = *aRequest.mRoute;
+  const Millis limit = aRequest.mEnd - aRequest.mArrived;
+  const double favour = FavourOf(aRequest.mRoutePriority);
+  if (aRequest.mPrompt.mPromptTokens == 0) {
+    return mMeters[route.mName].Refuse(
+      route.mFirstTokenTarget, limit, favour, aNow);
+  }
+  return mEngineAdmission.Refuse(
+    ForecastFor(aRequest, aNow),
+    { .mTarget = route.mFirstTokenTarget, .mLimit = limit, .mFavour = favour });
+}
+
+ForecastStart
+DirectRouter::ForecastFor(const BoundRequest& aRequest, Millis aNow)
+{
+  const Candidates candidates = CandidatesFor(aRequest, {}, aNow);
+  if (candidates.empty()) {
+    return {};
+  }
+  const EngineFacts facts = FactsOf(aRequest.mService);
+  const uint8_t urgency = aRequest.mRoutePriority;
+  const Placed placed =
+    mPlacement.Choose(candidates, aRequest.mPrompt, urgency, facts, aNow);
+  const auto chosen =
+    std::find_if(candidates.begin(), candidates.end(), [&](const auto& aEach) {
+      return aEach.mListed->mId == placed.mUpstream;
+    });
+  return { .mWaitMs = mPlacement.WaitMs(*chosen, urgency, facts, aNow),
+           .mReadMs = placed.mWork.mPrefill / facts.mReadPerMs +
+                      mEngines.LeastWaitMs(aRequest.mService),
+           .mAnswerMs = mMeters[aRequest.mRoute->mName].AnswerMs() };
+}
+
+EngineFacts
+DirectRouter::FactsOf(const std::string& aService) const
+{
+  const RoutedService* service =
+    mIndex ? mIndex->ServiceNamed(aService) : nullptr;
+  const bool engine = service != nullptr && service->mEngine.has_value();
+  const double perMs = mEngines.ReadPerMs(aService);
+  return { .mReadPerMs = perMs,
+           .mBehindShare =
+             mEngines.ReadingMs(aService, { .mBehind = 1 }) * perMs,
+           .mMemoryTokens = engine ? service->mEngine->mMemoryTokens : 0,
+           .mPeersHeard = mPeers.Peers() > 0 };
+}
+
+void
+DirectRouter::TakeNote(const PromptShape& aPrompt,
+                       const Placed& aPlaced,
+                       Millis aNow)
+{
+  if (aPrompt.mPromptTokens == 0) {
+    return;
+  }
+  SentPrompt sent{ .mUpstream = aPlaced.mUpstream,
+                   .mParts = aPrompt.SharedIds(),
+                   .mTokens = aPlaced.mWork.mPrefill + aPlaced.mWork.mOutput };
+  mPlacement.Memory().OnSent(sent.mUpstream, sent.mParts, sent.mTokens, aNow);
+  mHasNotes = true;
+  if (mSent.size() < kMostSent) {
+    mSent.push_back(std::move(sent));
+  }
+}
+
+PeerNotes
+DirectRouter::TakeNotes()
+{
+  PeerNotes notes{ .mFrom = mOptions.mName,
+                   .mProcess = mProcess,
+                   .mSequence = ++mNotes,
+                   .mSent = std::exchange(mSent, {}) };
+  for (const auto& [id, tracked] : mTracked) {
+    if (tracked.mWork.Pending().All() > 0) {
+      notes.mPending.push_back({ id, tracked.mWork.Pending() });
+    }
+  }
+  mHasNotes = false;
+  return notes;
+}
+
+void
+DirectRouter::OnPeerNotes(const PeerNotes& aNotes, Millis aNow)
+{
+  mPeers.Expire(aNow);
+  if (!mPeers.Take(aNotes, aNow)) {
+    return;
+  }
+  for (const SentPrompt& each : aNotes.mSent) {
+    if (mDirectory.Find(each.mUpstream) != nullptr) {
+      mPlacement.Memory().OnSent(
+        each.mUpstream, each.mParts, each.mTokens, aNow);
+    }
+  }
+}
+
+void
+DirectRouter::OnPause(const PlacedAttempt& aAttempt, Millis aPause, Millis aNow)
+{
+  mPauses.OnPause(aAttempt.mRoute, aPause, aNow);
+}
+
 std::optional<PlacedAttempt>
 DirectRouter::PlaceAtBackup(const BoundRequest& aRequest,
                             const PlacedAttempt& aBroken,
                             Millis aNow)
 {
   const ListedUpstream* backup = mDirectory.Find(aBroken.mBackup);
-  if (backup == nullptr || backup->mLeaving) {
+  const bool gone = backup == nullptr || backup->mLeaving ||
+                    backup->mLife != aBroken.mBackupLife;
+  if (gone) {
     return std::nullopt;
   }
   const AttemptWork work{ .mOutput = aBroken.mWork.mOutput };
   mTracked[backup->mId].mWork.OnSent(work, aNow);
   mMeters[aRequest.mRoute->mName].OnSent(aNow);
   return PlacedAttempt{ .mUpstream = backup->mId,
+                        .mLife = backup->mLife,
                         .mService = backup->mService,
                         .mRoute = aRequest.mRoute->mName,
                         .mAddress = backup->mAddress,
@@ -185,22 +324,31 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const Placed placed = mPlacement.Choose(candidates, aRequest.mPrompt, aNow);
+  const uint8_t urgency = aRequest.mRoutePriority;
+  const Placed placed = mPlacement.Choose(
+    candidates, aRequest.mPrompt, urgency, FactsOf(aRequest.mService), aNow);
   const ListedUpstream* listed = mDirectory.Find(placed.mUpstream);
-  mTracked[placed.mUpstream].mWork.OnSent(placed.mWork, aNow);
-  mPlacement.Memory().OnSent(placed.mUpstream, aRequest.mPrompt, aNow);
+  UpstreamWork& work = mTracked[placed.mUpstream].mWork;
+  work.OnSent(placed.mWork, aNow);
+  PendingReads pending = work.Pending();
+  pending += mPeers.Pending(placed.mUpstream);
+  TakeNote(aRequest.mPrompt, placed, aNow);
   mMeters[aRequest.mRoute->mName].OnSent(aNow);
   const ListedUpstream* backup =
     BackupFor(aRequest, candidates, placed.mUpstream);
   const ListedUpstream* holder = HolderAt(placed.mHolder, aNow);
   return PlacedAttempt{ .mUpstream = placed.mUpstream,
+                        .mLife = listed->mLife,
                         .mService = listed->mService,
                         .mRoute = aRequest.mRoute->mName,
                         .mAddress = listed->mAddress,
                         .mWork = placed.mWork,
+                        .mReads = { .mAhead = pending.Ahead(urgency),
+                                    .mBehind = pending.Behind(urgency) },
                         .mHolderAddress =
                           holder != nullptr ? holder->mAddress : "",
                         .mBackup = backup != nullptr ? backup->mId : "",
+                        .mBackupLife = backup != nullptr ? backup->mLife : 0,
                         .mBackupAddress =
                           backup != nullptr ? backup->mAddress : "",
                         .mSentAt = aNow };
@@ -232,9 +380,8 @@
 void
 DirectRouter::OnHeard(const PlacedAttempt& aAttempt, Millis aNow)
 {
-  const auto tracked = mTracked.find(aAttempt.mUpstream);
-  if (tracked != mTracked.end()) {
-    tracked->second.mWork.OnHeard(aNow);
+  if (Tracked* tracked = TrackedFor(aAttempt)) {
+    tracked->mWork.OnHeard(aNow);
   }
 }
 
@@ -247,21 +394,25 @@
   aAttempt.mStarted = true;
   aAttempt.mStartedAt = aNow;
   mMeters[aAttempt.mRoute].OnStarted(aAttempt.mSentAt, aNow);
-  const auto tracked = mTracked.find(aAttempt.mUpstream);
-  if (tracked != mTracked.end()) {
-    tracked->second.mWork.OnStarted(aAttempt.mWork);
+  if (Tracked* tracked = TrackedFor(aAttempt)) {
+    tracked->mWork.OnStarted(aAttempt.mWork);
+    const Millis took = aNow - aAttempt.mSentAt;
+    mOutliers.OnFirstToken(aAttempt.mUpstream, took, aNow);
+    if (aAttempt.mWork.mPrefill > 0) {
+      mEngines.OnStarted(
+        aAttempt.mService, aAttempt.mUpstream, aAttempt.mReads, took, aNow);
+      mHasNotes = true;
+    }
   }
-  mOutliers.OnFirstToken(aAttempt.mUpstream, aNow - aAttempt.mSentAt, aNow);
 }
 
 void
-DirectRouter::OnReport(const UpstreamId& aUpstream,
+DirectRouter::OnReport(const PlacedAttempt& aAttempt,
                        const ReportedLoad& aLoad,
                        Millis aNow)
 {
-  const auto tracked = mTracked.find(aUpstream);
-  if (tracked != mTracked.end()) {
-    tracked->second.mWork.OnReport(aLoad, aNow);
+  if (Tracked* tracked = TrackedFor(aAttempt)) {
+    tracked->mWork.OnReport(aLoad, aNow);
   }
 }
 
@@ -270,23 +421,25 @@
                       AttemptOutcome aOutcome,
                       Millis aNow)
 {
-  const auto tracked = mTracked.find(aAttempt.mUpstream);
-  if (tracked != mTracked.end()) {
-    tracked->second.mWork.OnEnded(aAttempt.mWork, aAttempt.mStarted);
-    if (!tracked->second.mListed && tracked->second.mWork.Open() == 0) {
-      mTracked.erase(tracked);
+  Tracked* tracked = TrackedFor(aAttempt);
+  if (tracked != nullptr) {
+    mHasNotes = mHasNotes || !aAttempt.mStarted;
+    tracked->mWork.OnEnded(aAttempt.mWork, aAttempt.mStarted);
+    if (!tracked->mListed && tracked->mWork.Open() == 0) {
+      mTracked.erase(aAttempt.mUpstream);
     }
   }
   if (aAttempt.mStarted) {
     mMeters[aAttempt.mRoute].OnEnded(aAttempt.mStartedAt, aNow);
+    mPauses.OnStream(aAttempt.mRoute, aNow);
   } else {
     mMeters[aAttempt.mRoute].OnGivenUp(aAttempt.mSentAt);
   }
-  if (aOutcome == AttemptOutcome::Good ||
-      aOutcome == AttemptOutcome::Withdrawn) {
-    return;
+  const bool speaksAgainst =
+    aOutcome != AttemptOutcome::Good && aOutcome != AttemptOutcome::Withdrawn;
+  if (speaksAgainst && tracked != nullptr) {
+    mOutliers.OnFailure(aAttempt.mUpstream, aNow);
   }
-  mOutliers.OnFailure(aAttempt.mUpstream, aNow);
 }
 
 OutlierState
@@ -394,8 +547,12 @@
   Candidates healthy;
   Candidates others;
   const auto& all = mDirectory.OfService(aRequest.mService);
-  const LanePlaces& lanes =
-    mLanes.PlacesFor(aRequest.mService, *aRequest.mRoute, all, aNow);
+  const LanePlaces& lanes = mLanes.PlacesFor(
+    aRequest.mService,
+    *aRequest.mRoute,
+    all,
+    { .mPauses = mPauses, .mReadPerMs = mEngines.ReadPerMs(aRequest.mService) },
+    aNow);
   for (const ListedUpstream* each : all) {
     if (each->mLeaving || aTried.contains(each->mId)) {
       continue;
@@ -406,12 +563,14 @@
       continue;
     }
     const auto lane = lanes.find(each->mId);
-    const PlacementCandidate candidate{ .mListed = each,
-                                        .mWork = &work,
-                                        .mCold = aNow < tracked.mColdUntil,
-                                        .mLane = lane == lanes.end()
-                                                   ? LanePlace{}
-                                                   : lane->second };
+    const PlacementCandidate candidate{
+      .mListed = each,
+      .mWork = &work,
+      .mCold = aNow < tracked.mColdUntil,
+      .mOthersPending = mPeers.Pending(each->mId),
+      .mSlowness = mEngines.Slowness(each->mId, aNow),
+      .mLane = lane == lanes.end() ? LanePlace{} : lane->second
+    };
     const OutlierState state = mOutliers.State(each->mId, aNow);
     const bool tries = repeatable || mTrialChance(mRandom);
     if (state == OutlierState::Trial && tries && work.Open() == 0) {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "engineadmission.h"
+#include "enginemodel.h"
 #include "errors.h"
 #include "freshness.h"
 #include "lanes.h"
 #include "outlierdetector.h"
+#include "pauserecord.h"
+#include "peerwork.h"
 #include "prompt.h"
 #include "retrybudget.h"
 #include "routeindex.h"
@@ -23,6 +27,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace trefoilarch {
 
@@ -48,6 +53,8 @@
                             .mFirstEjection = Millis(1500),
                             .mLongestEjection = Millis(6000),
                             .mMostEjected = 0.5 };
+  /** This entry's name to others. */
+  std::string mName;
   /** See WorkPlacementOptions::mCost. */
   PlacementCost mPlacementCost;
   uint64_t mSeed = 1;
@@ -89,14 +96,19 @@
 struct PlacedAttempt
 {
   UpstreamId mUpstream;
+  /** The start of the upstream that it was meant for. */
+  uint64_t mLife = 0;
   std::string mService;
   std::string mRoute;
   std::string mAddress;
   AttemptWork mWork;
+  /** What the engine had to read, as it was known when this was sent. */
+  ReadsBefore mReads;
   /** Empty, or the address of an upstream that holds more of the prompt. */
   std::string mHolderAddress;
   /** Empty, or an upstream that keeps a copy of the running request. */
   UpstreamId mBackup;
+  uint64_t mBackupLife = 0;
   std::string mBackupAddress;
   /** Empty, or the address of the upstream that ran the request before and
    * left a copy of it at this one. */
@@ -137,8 +149,12 @@
 
   UpstreamDirectory& Directory() { return mDirectory; }
   const UpstreamDirectory& Directory() const { return mDirectory; }
-  /** To be called after each change of the directory. */
-  void OnDirectoryChanged(Millis aNow);
+  /**
+   * To be called after each change of the directory. Returns the upstreams
+   * that have started again under their ids: whatever was known of them is
+   * forgotten.
+   */
+  std::vector<UpstreamId> OnDirectoryChanged(Millis aNow);
 
   /**
    * Fails with PolicyUnknown, PolicyStale, UnknownRoute, BadToken, or Shed
@@ -182,13 +198,25 @@
   void OnHeard(const PlacedAttempt& aAttempt, Millis aNow);
   /** The first byte of the answer's content came. */
   void OnStarted(PlacedAttempt& aAttempt, Millis aNow);
-  void OnReport(const UpstreamId& aUpstream,
+  void OnReport(const PlacedAttempt& aAttempt,
                 const ReportedLoad& aLoad,
                 Millis aNow);
   void OnEnded(const PlacedAttempt& aAttempt,
                AttemptOutcome aOutcome,
                Millis aNow);
 
+  /** A part of a stream came so long after the one before. */
+  void OnPause(const PlacedAttempt& aAttempt, Millis aPause, Millis aNow);
+
+  /** Something is to be told that other entries do not know yet. */
+  bool HasNotes() const { return mHasNotes; }
+  /** What is to be told, whole; it is told then. */
+  PeerNotes TakeNotes();
+  /** What another entry tells. */
+  void OnPeerNotes(const PeerNotes& aNotes, Millis aNow);
+  /** Entries that were heard lately. */
+  size_t Peers() const { return mPeers.Peers(); }
+
   uint64_t Ejections() const { return mOutliers.Ejections(); }
   OutlierState StateOf(const UpstreamId& aUpstream, Millis aNow) const;
   /** How many listed upstreams are "ready", "ejected" and "draining". */
@@ -203,12 +231,17 @@
   {
     std::string mService;
     UpstreamWork mWork;
+    uint64_t mLife = 0;
     bool mListed = false;
     /** It is slow until then, after its start. */
     Millis mColdUntil;
   };
   using Candidates = std::vector<PlacementCandidate>;
 
+  /** The upstream as the attempt knew it, or null where that start is over. */
+  Tracked* TrackedFor(const PlacedAttempt& aAttempt);
+  /** Another process has taken the upstream's place. */
+  void ForgetLife(const UpstreamId& aUpstream, Tracked& aTracked);
   /** Its results give no reason to avoid it. */
   bool IsHealthy(const UpstreamId& aUpstream, Millis aNow) const;
   const char* StateName(const ListedUpstream& aListed, Millis aNow) const;
@@ -216,6 +249,12 @@
   Candidates CandidatesFor(const BoundRequest& aRequest,
                            const std::set<UpstreamId>& aTried,
                            Millis aNow);
+  /** What is sent where, for this entry's memory and for the others. */
+  void TakeNote(const PromptShape& aPrompt, const Placed& aPlaced, Millis aNow);
+  EngineFacts FactsOf(const std::string& aService) const;
+  /** Why the request should come back later, or empty: when. */
+  std::optional<Millis> Overload(const BoundRequest& aRequest, Millis aNow);
+  ForecastStart ForecastFor(const BoundRequest& aRequest, Millis aNow);
   /** The upstream, if something may be fetched from it, or null. */
   const ListedUpstream* HolderAt(const UpstreamId& aHolder, Millis aNow) const;
   uint32_t ConnectionsFor(const BoundRequest& aRequest) const;
@@ -231,10 +270,19 @@
   std::unordered_map<UpstreamId, Tracked> mTracked;
   OutlierDetector mOutliers;
   WorkPlacement mPlacement;
+  EngineModel mEngines;
+  PauseRecord mPauses;
+  EngineAdmission mEngineAdmission;
   Lanes mLanes;
   SharedParts mShared;
   /** By route. */
   std::unordered_map<std::string, StartMeter> mMeters;
+  PeerWork mPeers;
+  bool mHasNotes = false;
+  std::vector<SentPrompt> mSent;
+  uint64_t mNotes = 0;
+  /** Tells this process from the next of its name. */
+  uint64_t mProcess = 0;
   TierGuard mTiers;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
--- /dev/null
+++ b/src/libtrefoilarch/engineadmission.cpp
@@ -0,0 +1,40 @@
+#include "engineadmission.h"
+
+#include <algorithm>
+
+namespace trefoilarch {
+
+namespace {
+
+/** Sooner than this the same queue would still stand there. */
+constexpr double kLeastReturnMs = 250;
+constexpr double kLongestReturnMs = 2500;
+
+} // namespace
+
+EngineAdmission::EngineAdmission(EngineAdmissionOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+std::optional<Millis>
+EngineAdmission::Refuse(const ForecastStart& aForecast,
+                        const StartTerms& aTerms) const
+{
+  const Millis judged = std::max(aTerms.mTarget, mOptions.mLeastTarget);
+  const double mostWait =
+    mOptions.mMostWait * aTerms.mFavour * static_cast<double>(judged.Count());
+  const double mostEnd = mOptions.mMostTime * aTerms.mFavour *
+                         static_cast<double>(aTerms.mLimit.Count());
+  const double most =
+    std::min(mostWait, mostEnd - aForecast.mReadMs - aForecast.mAnswerMs);
+  // Where nothing waits, to come back later changes nothing.
+  if (aForecast.mWaitMs <= std::max(0.0, most)) {
+    return std::nullopt;
+  }
+  const double over = aForecast.mWaitMs - std::max(0.0, most);
+  return Millis(
+    static_cast<int64_t>(std::clamp(over, kLeastReturnMs, kLongestReturnMs)));
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/engineadmission.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "millis.h"
+
+#include <optional>
+
+namespace trefoilarch {
+
+/** When a request is refused rather than taken too late. */
+struct EngineAdmissionOptions
+{
+  /** A wait of more than this many times the target is too long... */
+  double mMostWait = 0.8;
+  /** ...where a target below this is judged as if it were this: a request that
+   * comes back after a refusal is no sooner. */
+  Millis mLeastTarget{ 800 };
+  /** An answer whose expected end takes more than this share of the time that
+   * its caller has is too late as well. */
+  double mMostTime = 0.9;
+};
+
+/** What a request would get at the engine that it would be sent to. */
+struct ForecastStart
+{
+  /** Until its own prompt's turn, in milliseconds. */
+  double mWaitMs = 0;
+  /** From there to its first token: a long prompt is no overload. */
+  double mReadMs = 0;
+  /** From there to its end, as answers of its route take on average. */
+  double mAnswerMs = 0;
+};
+
+/** What a request is owed. */
+struct StartTerms
+{
+  Millis mTarget;
+  /** The time that its caller has. */
+  Millis mLimit;
+  /** Above 1 for the more urgent. */
+  double mFavour = 1;
+};
+
+/**
+ * Refuses requests that engines could not begin or end in time. It answers
+ * a load that stands in front of every engine: while one of them is free,
+ * nothing is refused, however many requests come.
+ */
+class EngineAdmission
+{
+public:
+  explicit EngineAdmission(EngineAdmissionOptions aOptions = {});
+
+  /** When to come back, where the request can't be taken: about when the wait
+   * will have become short enough. */
+  std::optional<Millis> Refuse(const ForecastStart& aForecast,
+                               const StartTerms& aTerms) const;
+
+private:
+  EngineAdmissionOptions mOptions;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -86,25 +86,25 @@
   }
   Demand& demand = mServices[aService].mRoutes[aRoute.mName];
   Fade(demand, aNow);
-  const double own = aPrompt.mPromptTokens -
-                     std::min(aPrompt.SharedTokens(), aPrompt.mPromptTokens);
+  // Whole prompts: shared parts are read too, wherever they are not held, and
+  // a lane that has no room for that refuses while others idle.
   demand.mCount += 1;
   demand.mPromptTokens += aPrompt.mPromptTokens;
-  demand.mWorkMs +=
-    own / mOptions.mPrefillPerMs + OutputOf(aPrompt) * mOptions.mTokenMs;
-  demand.mPauseMs = static_cast<double>(aRoute.mGapTarget.Count());
+  demand.mOutputTokens += OutputOf(aPrompt);
+  demand.mPause = aRoute.mGapTarget;
 }
 
 const LanePlaces&
 Lanes::PlacesFor(const std::string& aService,
                  const Route& aRoute,
                  const std::vector<const ListedUpstream*>& aAll,
+                 const LaneFacts& aFacts,
                  Millis aNow)
 {
   Service& service = mServices[aService];
   Known& known = service.mKnown[aRoute.mName];
   if (aNow >= known.mUntil) {
-    known.mPlaces = WorkOut(service, aRoute, aAll, aNow);
+    known.mPlaces = WorkOut(service, aRoute, aAll, aFacts, aNow);
     // After the work: moved boundaries void what is known of every route.
     known.mUntil = aNow + kKnownSpan;
   }
@@ -115,13 +115,14 @@
 Lanes::WorkOut(Service& aService,
                const Route& aRoute,
                const std::vector<const ListedUpstream*>& aAll,
+               const LaneFacts& aFacts,
                Millis aNow) const
 {
   LanePlaces places;
   for (auto& [name, demand] : aService.mRoutes) {
     Fade(demand, aNow);
   }
-  const std::vector<Lane> lanes = LanesOf(aService);
+  const std::vector<Lane> lanes = LanesOf(aService, aFacts);
   const std::vector<const ListedUpstream*> order = InOrder(aAll);
   size_t own = lanes.size();
   for (size_t lane = 0; lane < lanes.size(); ++lane) {
@@ -175,17 +176,17 @@
     std::exp(-span / static_cast<double>(mOptions.mMemory.Count()));
   aDemand.mCount *= kept;
   aDemand.mPromptTokens *= kept;
-  aDemand.mWorkMs *= kept;
+  aDemand.mOutputTokens *= kept;
   aDemand.mAt = aNow;
 }
 
 std::vector<Lanes::Lane>
-Lanes::LanesOf(const Service& aService) const
+Lanes::LanesOf(Service& aService, const LaneFacts& aFacts) const
 {
-  std::vector<std::pair<double, std::string>> byPause;
+  std::vector<std::pair<Millis, std::string>> byPause;
   for (const auto& [name, demand] : aService.mRoutes) {
     if (demand.mCount >= kLeastCount) {
-      byPause.emplace_back(demand.mPauseMs, name);
+      byPause.emplace_back(demand.mPause, name);
     }
   }
   std::sort(byPause.begin(), byPause.end());
@@ -193,20 +194,47 @@
   for (const auto& [pause, name] : byPause) {
     const Demand& demand = aService.mRoutes.at(name);
     const double prompt = demand.mPromptTokens / demand.mCount;
-    const bool apart =
-      lanes.empty() ||
-      (pause >= mOptions.mPauseFactor * lanes.back().mPauseMs &&
-       prompt >= mOptions.mPromptFactor * lanes.back().mPrompt);
-    if (apart) {
-      lanes.push_back({ .mPauseMs = pause, .mPrompt = prompt });
+    if (lanes.empty() || IsApart(aService, name, lanes.back(), aFacts)) {
+      lanes.push_back({ .mPause = pause, .mPrompt = prompt });
     }
     lanes.back().mRoutes.push_back(name);
-    lanes.back().mWorkMs += demand.mWorkMs;
+    lanes.back().mWorkMs += demand.mPromptTokens / aFacts.mReadPerMs +
+                            demand.mOutputTokens * mOptions.mTokenMs;
   }
   std::reverse(lanes.begin(), lanes.end());
   return lanes;
 }
 
+bool
+Lanes::IsApart(Service& aService,
+               const std::string& aRoute,
+               const Lane& aStricter,
+               const LaneFacts& aFacts) const
+{
+  const Demand& demand = aService.mRoutes.at(aRoute);
+  const double prompt = demand.mPromptTokens / demand.mCount;
+  if (prompt < mOptions.mPromptFactor * aStricter.mPrompt) {
+    return false;
+  }
+  const std::string& strict = aStricter.mRoutes.front();
+  if (!aFacts.mPauses.Knows(strict, aRoute)) {
+    return static_cast<double>(demand.mPause.Count()) >=
+           mOptions.mPauseFactor *
+             static_cast<double>(aStricter.mPause.Count());
+  }
+  const double late =
+    aFacts.mPauses.LateShare(strict, aRoute, aStricter.mPause);
+  const bool before = aService.mApart.contains(aRoute);
+  const bool apart =
+    late >= (before ? mOptions.mKeptShare : mOptions.mLateShare);
+  if (apart) {
+    aService.mApart.insert(aRoute);
+  } else {
+    aService.mApart.erase(aRoute);
+  }
+  return apart;
+}
+
 void
 Lanes::MoveEnds(Service& aService,
                 const std::vector<Lane>& aLanes,
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "millis.h"
+#include "pauserecord.h"
 #include "prompt.h"
 #include "routepolicy.h"
 #include "upstreamdirectory.h"
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,12 +22,17 @@
   /** Demand fades by this time constant; an entry of many sees some twenty
    * requests a second, too few for a shorter one. */
   Millis mMemory{ 6000 };
-  /** A route has a lane of its own beside a stricter one if it allows this
-   * many times its pause... */
-  double mPauseFactor = 1.4;
-  /** ...and its prompts are this many times as long. */
+  /** A route may have a lane of its own beside a stricter one if its prompts
+   * are this many times as long... */
   double mPromptFactor = 2;
-  double mPrefillPerMs = 80;
+  /** ...and this share of the stricter one's streams would be late by a pause
+   * beside it. */
+  double mLateShare = 0.25;
+  /** It keeps the lane until the share is below this. */
+  double mKeptShare = 0.12;
+  /** While too little was seen of pauses: it has a lane of its own if it
+   * allows this many times the pause. */
+  double mPauseFactor = 1.4;
   /** An output token's share of a step in a well filled batch, in ms. */
   double mTokenMs = 0.3;
   /** Every lane has at least this share of the engines. */
@@ -49,15 +56,25 @@
   static constexpr uint32_t kFarFromEdge = 1000000;
 };
 
+/** What lanes are worked out from, besides the demand. */
+struct LaneFacts
+{
+  const PauseRecord& mPauses;
+  /** Prompt tokens that an engine reads in a millisecond. */
+  double mReadPerMs = 0;
+};
+
 /** By engine. */
 using LanePlaces = std::unordered_map<UpstreamId, LanePlace>;
 
 /**
  * Keeps long prompts away from streams that allow no long pause: an engine
  * reads prompts between the tokens of the requests beside them, so a few long
- * ones in a row are a pause for all. A service's engines are put in an order
- * that all entries work out alike, and are dealt to the lanes in that order,
- * longest prompts first, by the work that this entry sees for each.
+ * ones in a row are a pause for all. How long a pause is the engines show:
+ * where they read in chunks that are short enough, there are no lanes, and any
+ * engine may take what the others have no room for. A service's engines are put
+ * in an order that all entries work out alike, and are dealt to the lanes in
+ * that order, longest prompts first, by the work that this entry sees for each.
  */
 class Lanes
 {
@@ -78,6 +95,7 @@
   const LanePlaces& PlacesFor(const std::string& aService,
                               const Route& aRoute,
                               const std::vector<const ListedUpstream*>& aAll,
+                              const LaneFacts& aFacts,
                               Millis aNow);
 
 private:
@@ -86,15 +104,15 @@
   {
     double mCount = 0;
     double mPromptTokens = 0;
-    double mWorkMs = 0;
-    double mPauseMs = 0;
+    double mOutputTokens = 0;
+    Millis mPause;
     Millis mAt;
   };
   /** Routes that share engines, and their work. */
   struct Lane
   {
     std::vector<std::string> mRoutes;
-    double mPauseMs = 0;
+    Millis mPause;
     double mPrompt = 0;
     double mWorkMs = 0;
   };
@@ -110,18 +128,26 @@
     /** Where each lane but the last ends, as shares of the engines. */
     std::vector<double> mEnds;
     std::map<std::string, Known> mKnown;
+    /** Routes with a lane of their own beside a stricter one. */
+    std::set<std::string> mApart;
   };
 
   LanePlaces WorkOut(Service& aService,
                      const Route& aRoute,
                      const std::vector<const ListedUpstream*>& aAll,
+                     const LaneFacts& aFacts,
                      Millis aNow) const;
   /** The lane of each place in the order. */
   static std::vector<size_t> LanesInOrder(const Service& aService,
                                           size_t aEngines);
   void Fade(Demand& aDemand, Millis aNow) const;
   /** From the longest prompts to the strictest streams. */
-  std::vector<Lane> LanesOf(const Service& aService) const;
+  std::vector<Lane> LanesOf(Service& aService, const LaneFacts& aFacts) const;
+  /** The route's prompts hold up the lane's streams. */
+  bool IsApart(Service& aService,
+               const std::string& aRoute,
+               const Lane& aStricter,
+               const LaneFacts& aFacts) const;
   void MoveEnds(Service& aService,
                 const std::vector<Lane>& aLanes,
                 size_t aEngines) const;
--- /dev/null
+++ b/src/libtrefoilarch/peernotes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "ids.h"
+#include "pendingreads.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace trefoilarch {
+
+/** Prompt tokens of one entry that an upstream has yet to read. */
+struct PendingRead
+{
+  UpstreamId mUpstream;
+  PendingReads mReads;
+
+  bool operator==(const PendingRead&) const = default;
+};
+
+/** A prompt that an entry has sent to an upstream. */
+struct SentPrompt
+{
+  UpstreamId mUpstream;
+  /** Ids of the parts that others may share, in the prompt's order. */
+  std::vector<uint64_t> mParts;
+  /** What the request adds to the upstream's memory, prompt and answer. */
+  uint32_t mTokens = 0;
+
+  bool operator==(const SentPrompt&) const = default;
+};
+
+/**
+ * What an entry tells the others. What is pending is told as a whole, so that
+ * a lost message is made good by the next one; prompts are told once.
+ */
+struct PeerNotes
+{
+  std::string mFrom;
+  /** Tells one process of that name from the next. */
+  uint64_t mProcess = 0;
+  /** Rises with each message of a process. */
+  uint64_t mSequence = 0;
+  std::vector<PendingRead> mPending;
+  std::vector<SentPrompt> mSent;
+
+  bool operator==(const PeerNotes&) const = default;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/peerwork.cpp
@@ -0,0 +1,64 @@
+#include "peerwork.h"
+
+namespace trefoilarch {
+
+namespace {
+
+/** Entries say something every half second at the least; three messages in a
+ * row are rarely lost. */
+constexpr Millis kSilentSpan{ 1800 };
+
+} // namespace
+
+bool
+PeerWork::Take(const PeerNotes& aNotes, Millis aNow)
+{
+  Peer& peer = mPeers[aNotes.mFrom];
+  const bool late =
+    peer.mProcess == aNotes.mProcess && aNotes.mSequence <= peer.mSequence;
+  if (late) {
+    return false;
+  }
+  Subtract(peer);
+  peer = { .mProcess = aNotes.mProcess,
+           .mSequence = aNotes.mSequence,
+           .mPending = aNotes.mPending,
+           .mHeard = aNow };
+  for (const PendingRead& each : peer.mPending) {
+    mPending[each.mUpstream] += each.mReads;
+  }
+  return true;
+}
+
+void
+PeerWork::Expire(Millis aNow)
+{
+  std::erase_if(mPeers, [&](const auto& aEntry) {
+    const bool silent = aNow - aEntry.second.mHeard > kSilentSpan;
+    if (silent) {
+      Subtract(aEntry.second);
+    }
+    return silent;
+  });
+}
+
+PendingReads
+PeerWork::Pending(const UpstreamId& aUpstream) const
+{
+  const auto place = mPending.find(aUpstream);
+  return place == mPending.end() ? PendingReads() : place->second;
+}
+
+void
+PeerWork::Subtract(const Peer& aPeer)
+{
+  for (const PendingRead& each : aPeer.mPending) {
+    const auto place = mPending.find(each.mUpstream);
+    place->second -= each.mReads;
+    if (place->second.All() == 0) {
+      mPending.erase(place);
+    }
+  }
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/pendingreads.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace trefoilarch {
+
+/** Prompt tokens that wait to be read at an upstream, by urgency: an engine
+ * reads more urgent prompts first. */
+class PendingReads
+{
+public:
+  /** Urgencies that are told apart; all beyond count as the last. */
+  static constexpr size_t kUrgencies = 3;
+
+  void Add(uint8_t aUrgency, uint64_t aTokens)
+  {
+    mTokens[IndexOf(aUrgency)] += aTokens;
+  }
+  void Subtract(uint8_t aUrgency, uint64_t aTokens)
+  {
+    uint64_t& tokens = mTokens[IndexOf(aUrgency)];
+    tokens -= std::min(tokens, aTokens);
+  }
+
+  /** Tokens that are read before a new prompt of that urgency. */
+  uint64_t Ahead(uint8_t aUrgency) const
+  {
+    uint64_t tokens = 0;
+    for (size_t each = 0; each <= IndexOf(aUrgency); ++each) {
+      tokens += mTokens[each];
+    }
+    return tokens;
+  }
+  /** Tokens of prompts that are less urgent. */
+  uint64_t Behind(uint8_t aUrgency) const { return All() - Ahead(aUrgency); }
+  uint64_t All() const
+  {
+    uint64_t tokens = 0;
+    for (const uint64_t each : mTokens) {
+      tokens += each;
+    }
+    return tokens;
+  }
+  uint64_t Of(uint8_t aUrgency) const { return mTokens[IndexOf(aUrgency)]; }
+
+  PendingReads& operator+=(const PendingReads& aOther)
+  {
+    for (size_t each = 0; each < kUrgencies; ++each) {
+      mTokens[each] += aOther.mTokens[each];
+    }
+    return *this;
+  }
+  PendingReads& operator-=(const PendingReads& aOther)
+  {
+    for (size_t each = 0; each < kUrgencies; ++each) {
+      mTokens[each] -= std::min(mTokens[each], aOther.mTokens[each]);
+    }
+    return *this;
+  }
+
+  bool operator==(const PendingReads&) const = default;
+
+private:
+  static size_t IndexOf(uint8_t aUrgency)
+  {
+    return std::min<size_t>(aUrgency, kUrgencies - 1);
+  }
+
+  std::array<uint64_t, kUrgencies> mTokens{};
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/placementcandidate.h
+++ b/src/libtrefoilarch/placementcandidate.h
@@ -13,6 +13,10 @@
   const UpstreamWork* mWork = nullptr;
   /** It has just started and is still slow. */
   bool mCold = false;
+  /** Prompt tokens that wait there to be read for other entries. */
+  PendingReads mOthersPending{};
+  /** How many times as long as its peers it takes to begin an answer. */
+  double mSlowness = 1;
   /** Where it is as seen from the request's route. */
   LanePlace mLane{};
 };
--- a/src/libtrefoilarch/prefixmemory.cpp
+++ b/src/libtrefoilarch/prefixmemory.cpp
@@ -1,7 +1,6 @@
 #include "prefixmemory.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace trefoilarch {
 
@@ -19,20 +18,22 @@
 
 void
 PrefixMemory::OnSent(const UpstreamId& aUpstream,
-                     const PromptShape& aPrompt,
+                     const std::vector<uint64_t>& aParts,
+                     uint32_t aTokens,
                      Millis aNow)
 {
-  if (aPrompt.mShared == 0) {
+  Upstream& upstream = mHeld[aUpstream];
+  upstream.mTokens += aTokens;
+  if (aParts.empty()) {
     return;
   }
-  Parts& parts = mHeld[aUpstream];
-  for (size_t each = 0; each < aPrompt.mShared; ++each) {
-    parts[aPrompt.mParts[each].mId] = aNow;
+  for (const uint64_t part : aParts) {
+    upstream.mParts[part] = { .mAt = aNow, .mTokens = upstream.mTokens };
   }
-  if (parts.size() > mOptions.mMostParts) {
-    Trim(parts, aNow);
+  if (upstream.mParts.size() > mOptions.mMostParts) {
+    Trim(upstream, aNow);
   }
-  mLast[aPrompt.mParts[aPrompt.mShared - 1].mId] = { aUpstream, aNow };
+  mLast[aParts.back()] = { aUpstream, aNow };
   if (mLast.size() > mOptions.mMostSessions) {
     std::erase_if(mLast, [&](const auto& aSent) {
       return aNow - aSent.second.mAt > mOptions.mSpan / 2;
@@ -52,17 +53,21 @@
 uint32_t
 PrefixMemory::Held(const UpstreamId& aUpstream,
                    const PromptShape& aPrompt,
+                   uint64_t aMemoryTokens,
                    Millis aNow) const
 {
-  const auto parts = mHeld.find(aUpstream);
-  if (parts == mHeld.end()) {
+  const auto upstream = mHeld.find(aUpstream);
+  if (upstream == mHeld.end()) {
     return 0;
   }
   uint32_t held = 0;
   for (size_t each = 0; each < aPrompt.mShared; ++each) {
     const PromptPart& part = aPrompt.mParts[each];
-    const auto place = parts->second.find(part.mId);
-    if (place == parts->second.end() || aNow - place->second > mOptions.mSpan) {
+    const auto use = upstream->second.mParts.find(part.mId);
+    const bool there =
+      use != upstream->second.mParts.end() &&
+      IsHeld(upstream->second, use->second, aMemoryTokens, aNow);
+    if (!there) {
       break;
     }
     held += part.mTokens;
@@ -72,39 +77,58 @@
 
 std::optional<UpstreamId>
 PrefixMemory::LastHolder(const PromptShape& aPrompt,
-                         Millis aSpan,
+                         uint64_t aMemoryTokens,
                          Millis aNow) const
 {
   if (aPrompt.mShared == 0) {
     return std::nullopt;
   }
   const auto place = mLast.find(aPrompt.mParts[aPrompt.mShared - 1].mId);
-  if (place == mLast.end() || aNow - place->second.mAt >= aSpan) {
+  if (place == mLast.end()) {
     return std::nullopt;
   }
-  return place->second.mUpstream;
+  const UpstreamId& upstream = place->second.mUpstream;
+  const uint32_t held = Held(upstream, aPrompt, aMemoryTokens, aNow);
+  return held >= aPrompt.SharedTokens() ? std::optional(upstream)
+                                        : std::nullopt;
+}
+
+bool
+PrefixMemory::IsHeld(const Upstream& aUpstream,
+                     const Use& aUse,
+                     uint64_t aMemoryTokens,
+                     Millis aNow) const
+{
+  const Millis idle = aNow - aUse.mAt;
+  if (aMemoryTokens == 0) {
+    return idle <= mOptions.mSpan;
+  }
+  const auto since = static_cast<double>(aUpstream.mTokens - aUse.mTokens);
+  return idle <= mOptions.mLongestSpan &&
+         since <= mOptions.mHeldShare * static_cast<double>(aMemoryTokens);
 }
 
 void
-PrefixMemory::Trim(Parts& aParts, Millis aNow) const
+PrefixMemory::Trim(Upstream& aUpstream, Millis aNow) const
 {
-  std::erase_if(aParts, [&](const auto& aPart) {
-    return aNow - aPart.second > mOptions.mSpan;
+  auto& parts = aUpstream.mParts;
+  std::erase_if(parts, [&](const auto& aPart) {
+    return aNow - aPart.second.mAt > mOptions.mLongestSpan;
   });
   const auto kept =
     static_cast<size_t>(kKeptShare * static_cast<double>(mOptions.mMostParts));
-  if (aParts.size() <= kept) {
+  if (parts.size() <= kept) {
     return;
   }
   std::vector<Millis> used;
-  used.reserve(aParts.size());
-  for (const auto& [id, at] : aParts) {
-    used.push_back(at);
+  used.reserve(parts.size());
+  for (const auto& [id, use] : parts) {
+    used.push_back(use.mAt);
   }
   const auto oldest = used.end() - static_cast<std::ptrdiff_t>(kept);
   std::nth_element(used.begin(), oldest, used.end());
-  std::erase_if(aParts,
-                [&](const auto& aPart) { return aPart.second < *oldest; });
+  std::erase_if(parts,
+                [&](const auto& aPart) { return aPart.second.mAt < *oldest; });
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/prompt.h
+++ b/src/libtrefoilarch/prompt.h
@@ -40,6 +40,17 @@
     return tokens;
   }
 
+  /** Ids of the parts that others are likely to share. */
+  std::vector<uint64_t> SharedIds() const
+  {
+    std::vector<uint64_t> ids;
+    ids.reserve(mShared);
+    for (size_t each = 0; each < mShared; ++each) {
+      ids.push_back(mParts[each].mId);
+    }
+    return ids;
+  }
+
   bool operator==(const PromptShape&) const = default;
 };
 
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -141,6 +141,7 @@
     return std::nullopt;
   }
   mTried.insert(attempt->mUpstream);
+  mMayHaveRunBefore = mMayHaveRun;
   mCurrent = *attempt;
   return SendRequest{ .mAttempt = std::move(*attempt) };
 }
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -60,6 +60,8 @@
   /** The wait of a request sent now, by the rate of starts. */
   Millis ExpectedWait(Millis aNow);
   uint32_t Pending() const { return mPending; }
+  /** Mean time from the start of an answer to its end, in milliseconds. */
+  double AnswerMs() const { return mAnswer; }
 
 private:
   double Rate(Millis aNow);
--- a/src/libtrefoilarch/upstreamdirectory.cpp
+++ b/src/libtrefoilarch/upstreamdirectory.cpp
@@ -14,9 +14,12 @@
 UpstreamDirectory::Put(ListedUpstream aUpstream)
 {
   mMissing.erase(aUpstream.mId);
-  ListedUpstream& place = mAll[aUpstream.mId];
-  if (place == aUpstream) {
-    return;
+  const auto [entry, fresh] = mAll.try_emplace(aUpstream.mId);
+  ListedUpstream& place = entry->second;
+  const bool another = fresh || IsAnotherStart(place, aUpstream);
+  aUpstream.mLife = another ? ++mLives : place.mLife;
+  if (!another && !aUpstream.mBorn) {
+    aUpstream.mBorn = place.mBorn;
   }
   const bool moved = place.mService != aUpstream.mService;
   place = std::move(aUpstream);
@@ -25,6 +28,22 @@
   }
 }
 
+bool
+UpstreamDirectory::IsAnotherStart(const ListedUpstream& aBefore,
+                                  const ListedUpstream& aNow)
+{
+  if (aBefore.mAddress != aNow.mAddress) {
+    return true;
+  }
+  if (aBefore.mBorn && aNow.mBorn) {
+    // One that is earlier is another start too: a start has one time, and the
+    // list is read in order, but the clock that tells it may be set back.
+    return aBefore.mBorn != aNow.mBorn;
+  }
+  return aBefore.mSequence && aNow.mSequence &&
+         *aNow.mSequence < *aBefore.mSequence;
+}
+
 void
 UpstreamDirectory::Remove(const UpstreamId& aId, Millis aNow)
 {
--- a/src/libtrefoilarch/upstreamdirectory.h
+++ b/src/libtrefoilarch/upstreamdirectory.h
@@ -14,7 +14,7 @@
 /** An upstream as the platform lists it. */
 struct ListedUpstream
 {
-  UpstreamId mId; /**< one start of one process; never used again */
+  UpstreamId mId;
   std::string mService;
   std::string mAddress; /**< IP and port; another upstream may get it later */
   std::string mDataCentre;
@@ -22,6 +22,13 @@
   bool mLeaving = false;
   /** How much longer it is slow after its start. */
   Millis mColdFor;
+  /** When its process started, Unix milliseconds; a process may start again
+   * under its id. */
+  std::optional<int64_t> mBorn;
+  /** Its count of what it has said; begins anew with each start. */
+  std::optional<uint64_t> mSequence;
+  /** Set by the directory: tells one start under an id from another. */
+  uint64_t mLife = 0;
 
   bool operator==(const ListedUpstream&) const = default;
 };
@@ -45,6 +52,7 @@
 public:
   explicit UpstreamDirectory(DirectoryOptions aOptions = {});
 
+  /** Lists an upstream, or takes what it says now. */
   void Put(ListedUpstream aUpstream);
   void Remove(const UpstreamId& aId, Millis aNow);
   /** The whole list; what is not in it is removed. */
@@ -67,6 +75,9 @@
   const std::map<UpstreamId, ListedUpstream>& All() const { return mAll; }
 
 private:
+  /** What the entry says now comes from another start than what it said. */
+  static bool IsAnotherStart(const ListedUpstream& aBefore,
+                             const ListedUpstream& aNow);
   void Drop(const UpstreamId& aId);
   void Rebuild();
 
@@ -78,6 +89,7 @@
   std::map<UpstreamId, Millis> mMissing;
   bool mLost = false;
   std::optional<Millis> mBackAt;
+  uint64_t mLives = 0;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/upstreamwork.cpp
+++ b/src/libtrefoilarch/upstreamwork.cpp
@@ -19,13 +19,13 @@
   }
   mOpen++;
   mSinceReport++;
-  mPendingPrefill += aWork.mPrefill;
+  mPending.Add(aWork.mUrgency, aWork.mPrefill);
 }
 
 void
 UpstreamWork::OnStarted(const AttemptWork& aWork)
 {
-  mPendingPrefill -= std::min<uint64_t>(mPendingPrefill, aWork.mPrefill);
+  mPending.Subtract(aWork.mUrgency, aWork.mPrefill);
 }
 
 void
--- a/src/libtrefoilarch/upstreamwork.h
+++ b/src/libtrefoilarch/upstreamwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "millis.h"
+#include "pendingreads.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,6 +14,8 @@
   /** Prompt tokens that the upstream has to read. */
   uint32_t mPrefill = 0;
   uint32_t mOutput = 0;
+  /** 0 is read first. */
+  uint8_t mUrgency = 0;
 
   bool operator==(const AttemptWork&) const = default;
 };
@@ -45,7 +48,7 @@
   /** This entry's attempts there. */
   uint32_t Open() const { return mOpen; }
   /** Prompt tokens of this entry that wait to be read there. */
-  uint64_t PendingPrefill() const { return mPendingPrefill; }
+  const PendingReads& Pending() const { return mPending; }
   /** Attempts of all entries that run or wait there. */
   double Busy(Millis aNow) const;
   /** How long nothing has come though an answer is due; zero otherwise. */
@@ -53,7 +56,7 @@
 
 private:
   uint32_t mOpen = 0;
-  uint64_t mPendingPrefill = 0;
+  PendingReads mPending;
   std::optional<ReportedLoad> mReport;
   Millis mReportedAt;
   /** Attempts sent less attempts ended since the report. */
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -26,9 +26,6 @@
  * nothing to give costs some milliseconds all the same. */
 constexpr uint32_t kLeastFetch = 150;
 
-/** What this entry sent within this span is still held where it was sent. */
-constexpr Millis kSureSpan{ 8000 };
-
 uint32_t
 OutputOf(const PromptShape& aPrompt)
 {
@@ -50,19 +47,25 @@
 Placed
 WorkPlacement::Choose(const std::vector<PlacementCandidate>& aCandidates,
                       const PromptShape& aPrompt,
+                      uint8_t aUrgency,
+                      const EngineFacts& aFacts,
                       Millis aNow)
 {
   std::uniform_real_distribution<double> chance(0, kChanceMs);
-  const bool engine = aPrompt.mPromptTokens > 0;
+  const EngineFacts* engine = aPrompt.mPromptTokens > 0 ? &aFacts : nullptr;
   const SessionEngines session(aCandidates, aPrompt);
   const uint32_t shared = aPrompt.SharedTokens();
-  const auto last = mMemory.LastHolder(aPrompt, kSureSpan, aNow);
+  const auto last = mMemory.LastHolder(aPrompt, aFacts.mMemoryTokens, aNow);
   Placed best;
   double bestCost = std::numeric_limits<double>::max();
+  uint32_t bestHeld = 0;
   for (const PlacementCandidate& each : aCandidates) {
     Placed placed{ .mUpstream = each.mListed->mId };
-    if (engine) {
-      uint32_t held = mMemory.Held(each.mListed->mId, aPrompt, aNow);
+    uint32_t known = 0;
+    if (engine != nullptr) {
+      known =
+        mMemory.Held(each.mListed->mId, aPrompt, aFacts.mMemoryTokens, aNow);
+      uint32_t held = known;
       if (each.mListed == session.First()) {
         held = shared;
       } else if (each.mListed == session.Second()) {
@@ -71,18 +74,25 @@
       placed.mWork.mPrefill =
         aPrompt.mPromptTokens - std::min(held, aPrompt.mPromptTokens);
       placed.mWork.mOutput = OutputOf(aPrompt);
+      placed.mWork.mUrgency = aUrgency;
       placed.mMissing = shared - std::min(held, shared);
       placed.mFetchable = last.has_value();
     }
     const double cost = CostOf(each, placed, engine, aNow) + chance(mRandom);
     if (cost < bestCost) {
       bestCost = cost;
+      bestHeld = known;
       best = std::move(placed);
     }
   }
-  if (shared >= kLeastFetch) {
+  if (shared >= kLeastFetch && bestHeld < shared) {
     best.mHolder = HolderFor(session, last, best.mUpstream);
   }
+  if (engine != nullptr && aFacts.mPeersHeard && best.mHolder.empty()) {
+    // What nobody is known to hold has to be read, wherever it is sent.
+    best.mWork.mPrefill =
+      aPrompt.mPromptTokens - std::min(bestHeld, aPrompt.mPromptTokens);
+  }
   return best;
 }
 
@@ -101,43 +111,59 @@
 double
 WorkPlacement::CostOf(const PlacementCandidate& aCandidate,
                       const Placed& aPlaced,
-                      bool aEngine,
+                      const EngineFacts* aEngine,
                       Millis aNow) const
 {
   if (mOptions.mCost) {
     return mOptions.mCost(aCandidate, aPlaced, aNow);
   }
-  return aEngine ? EngineCost(aCandidate, aPlaced, aNow)
-                 : PlainCost(aCandidate, aNow);
+  return aEngine != nullptr ? EngineCost(aCandidate, aPlaced, *aEngine, aNow)
+                            : PlainCost(aCandidate, aNow);
 }
 
 double
 WorkPlacement::EngineCost(const PlacementCandidate& aCandidate,
                           const Placed& aPlaced,
+                          const EngineFacts& aFacts,
                           Millis aNow) const
 {
-  const double busy = aCandidate.mWork->Busy(aNow);
   // A caller may call its prompt shorter than its parts are.
   const double own = std::max(0.0,
                               static_cast<double>(aPlaced.mWork.mPrefill) -
                                 static_cast<double>(aPlaced.mMissing));
-  const double read = own / mOptions.mPrefillPerMs;
   const double again =
     aPlaced.mMissing *
-    (aPlaced.mFetchable ? mOptions.mFetchedTokenMs : mOptions.mSharedTokenMs);
-  const double before =
-    mOptions.mOthersFactor *
-    static_cast<double>(aCandidate.mWork->PendingPrefill()) /
-    mOptions.mPrefillPerMs;
-  const double over =
-    std::max(0.0, busy - static_cast<double>(aCandidate.mListed->mSlots));
-  return read + again + before + busy * mOptions.mBusyMs + over * kOverSlotsMs +
+    (aPlaced.mFetchable ? mOptions.mFetchedWeight : mOptions.mSharedWeight);
+  const double read = (own + again) / aFacts.mReadPerMs * aCandidate.mSlowness;
+  const double wait = WaitMs(aCandidate, aPlaced.mWork.mUrgency, aFacts, aNow);
+  return read + wait * mOptions.mWaitWeight +
+         aCandidate.mWork->Busy(aNow) * mOptions.mBusyMs +
          aCandidate.mLane.mDistance * mOptions.mOtherLaneMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(*aCandidate.mWork, aNow) +
          (aCandidate.mCold ? mOptions.mColdMs : 0);
 }
 
+double
+WorkPlacement::WaitMs(const PlacementCandidate& aCandidate,
+                      uint8_t aUrgency,
+                      const EngineFacts& aFacts,
+                      Millis aNow) const
+{
+  PendingReads pending = aCandidate.mWork->Pending();
+  pending += aCandidate.mOthersPending;
+  const double tokens =
+    static_cast<double>(pending.Ahead(aUrgency)) +
+    static_cast<double>(pending.Behind(aUrgency)) * aFacts.mBehindShare;
+  const double all =
+    aFacts.mPeersHeard ? tokens : tokens * mOptions.mOthersFactor;
+  const double over =
+    std::max(0.0,
+             aCandidate.mWork->Busy(aNow) -
+               static_cast<double>(aCandidate.mListed->mSlots));
+  return all / aFacts.mReadPerMs * aCandidate.mSlowness + over * kOverSlotsMs;
+}
+
 double
 WorkPlacement::PlainCost(const PlacementCandidate& aCandidate,
                          Millis aNow) const
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "enginemodel.h"
 #include "millis.h"
 #include "placementcandidate.h"
 #include "prefixmemory.h"
@@ -36,23 +37,36 @@
 using PlacementCost =
   std::function<double(const PlacementCandidate&, const Placed&, Millis)>;
 
+/** What is known of a service's engines when one is chosen. */
+struct EngineFacts
+{
+  /** Prompt tokens that an engine reads in a millisecond, as learnt. */
+  double mReadPerMs = EngineModelOptions{}.mPriorPerMs;
+  /** What a less urgent token that waits there costs beside one that is read
+   * first, as learnt. */
+  double mBehindShare = EngineModelOptions{}.mPriorBehind;
+  /** What an engine keeps; 0: not told. */
+  uint64_t mMemoryTokens = 0;
+  /** Other entries tell what they send where. */
+  bool mPeersHeard = false;
+};
+
 /** The weights by which upstreams are compared. */
 struct WorkPlacementOptions
 {
   std::string mDataCentre;
-  /** Prompt tokens that an engine reads in a millisecond; engines in use
-   * today read 75 to 94. */
-  double mPrefillPerMs = 80;
-  /** What a shared prompt token weighs that has to be read again, in
-   * milliseconds, its reading included: 6,000 of them weigh as much as 375 ms
-   * of the caller's time. */
-  double mSharedTokenMs = 0.0625;
+  /** What a shared prompt token weighs that has to be read again, in tokens
+   * of the request's own: its reading holds up all others at the engine. */
+  double mSharedWeight = 5;
   /** The same where another engine surely holds it, so that it is fetched. */
-  double mFetchedTokenMs = 0.024;
+  double mFetchedWeight = 2;
+  /** What a millisecond of waiting weighs beside one of reading: the reading
+   * holds up all others at the engine, the waiting this request alone. */
+  double mWaitWeight = 0.4;
   /** Each request that runs at an engine weighs as much as this. */
   double mBusyMs = 1.5;
   /** This entry's prompts that wait to be read, times this, stand for those
-   * of all entries. */
+   * of all entries where the others are not heard. */
   double mOthersFactor = 2;
   /** Each lane between weighs as much as this. */
   double mOtherLaneMs = 200;
@@ -86,8 +100,17 @@
   /** aCandidates must not be empty. */
   Placed Choose(const std::vector<PlacementCandidate>& aCandidates,
                 const PromptShape& aPrompt,
+                uint8_t aUrgency,
+                const EngineFacts& aFacts,
                 Millis aNow);
 
+  /** How long a request waits at the engine before its own prompt is read, in
+   * milliseconds. */
+  double WaitMs(const PlacementCandidate& aCandidate,
+                uint8_t aUrgency,
+                const EngineFacts& aFacts,
+                Millis aNow) const;
+
   PrefixMemory& Memory() { return mMemory; }
 
 private:
@@ -97,10 +120,11 @@
                               const UpstreamId& aChosen);
   double CostOf(const PlacementCandidate& aCandidate,
                 const Placed& aPlaced,
-                bool aEngine,
+                const EngineFacts* aEngine,
                 Millis aNow) const;
   double EngineCost(const PlacementCandidate& aCandidate,
                     const Placed& aPlaced,
+                    const EngineFacts& aFacts,
                     Millis aNow) const;
   double PlainCost(const PlacementCandidate& aCandidate, Millis aNow) const;
   double Distance(const PlacementCandidate& aCandidate, double aMs) const;
--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -104,6 +104,19 @@
                 [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
+void
+ConnectionPool::CloseIdle(const UpstreamId& aUpstream)
+{
+  const auto place = mIdle.find(aUpstream);
+  if (place == mIdle.end()) {
+    return;
+  }
+  for (const Kept& each : place->second) {
+    each.mConnection->Close();
+  }
+  mIdle.erase(place);
+}
+
 void
 ConnectionPool::CloseAll()
 {
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -57,6 +57,8 @@
    * not on the list any more. */
   void Sweep(const std::function<bool(const trefoilarch::UpstreamId&)>& aListed,
              trefoilarch::Millis aNow);
+  /** Closes what is idle to that upstream: its process is another one now. */
+  void CloseIdle(const trefoilarch::UpstreamId& aUpstream);
   void CloseAll();
 
   size_t IdleCount() const;
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -176,7 +176,7 @@
   const Millis now = BootNow();
   mContext.mRouter.OnHeard(*mAttempt, now);
   if (const auto load = mContext.mDialect.mLoad(aAnswer)) {
-    mContext.mRouter.OnReport(mAttempt->mUpstream, *load, now);
+    mContext.mRouter.OnReport(*mAttempt, *load, now);
   }
   const AnswerMeaning meaning = mContext.mDialect.mMeaning(aAnswer, mId);
   if (meaning == AnswerMeaning::NotRun) {
@@ -218,6 +218,7 @@
     mFirstByteAt = now;
   } else {
     mLongestPause = std::max(mLongestPause, now - mLastByteAt);
+    mContext.mRouter.OnPause(*mAttempt, now - mLastByteAt, now);
   }
   mLastByteAt = now;
   if (mPlan.Request().mRoute->mStream && mAnswer->mStatus < kAfterSuccess) {
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -19,6 +19,7 @@
 constexpr const char* kAttempts = "trefoilarch_gate_attempts_total";
 constexpr const char* kPolicies = "trefoilarch_gate_policies_total";
 constexpr const char* kReloads = "trefoilarch_gate_reloads_total";
+constexpr const char* kUnreadable = "trefoilarch_gate_unreadable_rows_total";
 constexpr const char* kLoopLag = "trefoilarch_gate_loop_lag_ms";
 
 /** A metric that is not a gauge. */
@@ -35,6 +36,7 @@
   Described{ kRefusals, "Answers of the gate's own, by kind of error." },
   Described{ kAttempts, "Attempts at upstreams that ended." },
   Described{ kPolicies, "Policies that came from the store." },
+  Described{ kUnreadable, "Rows of the store that could not be read." },
   Described{ kReloads, "Times that the settings were read again." },
   Described{ kLoopLag, "How late a timer of the event loop fired." },
 };
@@ -210,6 +212,12 @@
   mMetrics.Count(kReloads, Label("result", aResult));
 }
 
+void
+GateMetrics::OnUnreadableRow(std::string_view aTable)
+{
+  mMetrics.Count(kUnreadable, Label("table", aTable));
+}
+
 void
 GateMetrics::OnLoopLag(Millis aLag)
 {
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -52,6 +52,7 @@
   void OnRefusal(std::string_view aKind);
   void OnAttempt(trefoilarch::AttemptOutcome aOutcome);
   void OnPolicy(std::string_view aResult);
+  void OnUnreadableRow(std::string_view aTable);
   void OnReload(std::string_view aResult);
   /** A timer of the loop fired so much after its time. */
   void OnLoopLag(trefoilarch::Millis aLag);
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -49,6 +49,14 @@
   };
 }
 
+std::function<std::string(const std::string&)>
+EmptyOrEndpoint()
+{
+  return [](const std::string& aText) -> std::string {
+    return aText.empty() ? "" : NumericEndpoint()(aText);
+  };
+}
+
 double
 NumberOf(const std::string& aText)
 {
@@ -84,6 +92,10 @@
       .mHelp = "the platform's store (ADDRESS:PORT)",
       .mRequired = true,
       .mCheck = NumericEndpoint() },
+    { .mName = "peer-listen",
+      .mHelp = "UDP port for what entries tell each other (ADDRESS:PORT); "
+               "empty: none",
+      .mCheck = EmptyOrEndpoint() },
     { .mName = "revoke-ms",
       .mHelp = "a revoked key is honoured no longer than this (ms)",
       .mDefault = "5000",
@@ -126,6 +138,7 @@
   compare("listen", &GateSettings::mListen);
   compare("operator-listen", &GateSettings::mOperatorListen);
   compare("platform", &GateSettings::mPlatform);
+  compare("peer-listen", &GateSettings::mPeerListen);
   compare("revoke-ms", &GateSettings::mKeySpan);
   compare("retry-share", &GateSettings::mRetryPercent);
   compare("retry-slack", &GateSettings::mRetryBurst);
@@ -145,6 +158,7 @@
     .mListen = aSettings.Text("listen"),
     .mOperatorListen = aSettings.Text("operator-listen"),
     .mPlatform = aSettings.Text("platform"),
+    .mPeerListen = aSettings.Text("peer-listen"),
     .mKeySpan = Millis(aSettings.Integer("revoke-ms")) - kKeyMargin,
     .mRetryPercent =
       NumberOf(aSettings.Text("retry-share")) * kRetryPart * kHundred,
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -17,6 +17,8 @@
   std::string mListen;
   std::string mOperatorListen;
   std::string mPlatform;
+  /** Empty: other entries are neither told anything nor heard. */
+  std::string mPeerListen;
   trefoilarch::Millis mKeySpan;
   double mRetryPercent = 0;
   double mRetryBurst = 0;
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -60,6 +60,7 @@
   , mRouter({ .mDataCentre = mOptions.mSettings.mDataCentre,
               .mKeySpan = mOptions.mSettings.mKeySpan,
               .mRetries = RetriesOf(mOptions.mSettings),
+              .mName = mOptions.mSettings.mName,
               .mSeed = mOptions.mSeed })
   , mPool(aLoop, {})
   , mContext{ .mLoop = aLoop,
@@ -78,6 +79,7 @@
   , mOperators(aLoop,
                { .mAddress = mOptions.mSettings.mOperatorListen },
                OperatorHooks())
+  , mPeers(aLoop, mOptions.mSettings.mPeerListen, HooksForPeers())
   , mTimer(aLoop)
   , mPages(OperatorPages())
 {
@@ -88,11 +90,13 @@
 {
   mOperators.Open();
   mCallers.Open();
+  mPeers.Open();
   mLog.Write(LineKind::Process,
              "started",
              { { "listen", mCallers.Address() },
                { "operator_listen", mOperators.Address() },
                { "platform", mOptions.mSettings.mPlatform },
+               { "peer_listen", mPeers.Address() },
                { "data_centre", mOptions.mSettings.mDataCentre } });
   Tick();
 }
@@ -113,6 +117,7 @@
              "stopped",
              { { "cut", open.size() }, { "lines_dropped", mLog.LeftOut() } });
   mCallers.CloseAll();
+  mPeers.Close();
   mOperators.Close();
   mOperators.CloseAll();
   mPool.CloseAll();
@@ -194,7 +199,43 @@
 Gateway::ChangeDirectory(const std::function<void(UpstreamDirectory&)>& aChange)
 {
   aChange(mRouter.Directory());
-  mRouter.OnDirectoryChanged(BootNow());
+  OnDirectoryChanged();
+}
+
+void
+Gateway::OnDirectoryChanged()
+{
+  for (const UpstreamId& id : mRouter.OnDirectoryChanged(BootNow())) {
+    mPool.CloseIdle(id);
+    mLog.Write(
+      LineKind::Belief, "upstream_started_again", { { "upstream", id } });
+  }
+}
+
+void
+Gateway::SetPeers(const std::vector<std::string>& aAddresses)
+{
+  mPeers.SetPeers(aAddresses);
+  mLog.Write(LineKind::Belief, "peers", { { "listed", aAddresses.size() } });
+}
+
+Millis
+Gateway::HeardAt(const std::string& aName) const
+{
+  const auto place = mHeardAt.find(aName);
+  return place == mHeardAt.end() ? Millis(0) : place->second;
+}
+
+PeerHooks
+Gateway::HooksForPeers()
+{
+  return PeerHooks{ .mHasNotes = [this] { return mRouter.HasNotes(); },
+                    .mTakeNotes = [this] { return mRouter.TakeNotes(); },
+                    .mOnNotes =
+                      [this](const PeerNotes& aNotes) {
+                        mHeardAt[aNotes.mFrom] = BootNow();
+                        mRouter.OnPeerNotes(aNotes, BootNow());
+                      } };
 }
 
 CallerHooks
@@ -310,7 +351,7 @@
 {
   const Millis now = BootNow();
   if (mRouter.Directory().Expire(now)) {
-    mRouter.OnDirectoryChanged(now);
+    OnDirectoryChanged();
   }
   mCallers.CheckTimes(now);
   mOperators.CheckTimes(now);
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -7,6 +7,7 @@
 #include "exchange.h"
 #include "gatemetrics.h"
 #include "gatesettings.h"
+#include "peerlink.h"
 
 #include "libtrefoilarch/directrouter.h"
 #include "libtrefoilio/service.h"
@@ -18,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -72,6 +74,14 @@
   /** The list was the newest at that instant. */
   void ConfirmList(trefoilarch::Millis aAt) { mListFreshness.Confirm(aAt); }
 
+  /** The other entries' addresses. */
+  void SetPeers(const std::vector<std::string>& aAddresses);
+  /** Where other entries reach this one; empty where they can't. */
+  std::string PeerAddress() const { return mPeers.Address(); }
+  /** When that entry was last heard; 0 for never. */
+  trefoilarch::Millis HeardAt(const std::string& aName) const;
+  const std::string& EntryName() const { return mOptions.mSettings.mName; }
+
   /** Takes over what a running process can change, and says in the log what
    * needs a restart. */
   void ChangeSettings(const GateSettings& aSettings);
@@ -81,10 +91,16 @@
   /** Where callers connect, once it is started. */
   std::string CallersAddress() const { return mCallers.Address(); }
   DecisionLog& Log() { return mLog; }
+  /** A row of that table could not be read. */
+  void CountUnreadableRow(std::string_view aTable)
+  {
+    mMetrics.OnUnreadableRow(aTable);
+  }
 
 private:
   using Millis = trefoilarch::Millis;
 
+  PeerHooks HooksForPeers();
   CallerHooks CallersHooks();
   CallerHooks OperatorHooks();
   void OnRequest(const std::shared_ptr<CallerConnection>& aCaller,
@@ -107,6 +123,7 @@
   std::string MetricsText();
   /** The fleet as this gate sees it, in the form of an entry's status. */
   std::string StatusText() const;
+  void OnDirectoryChanged();
   void Tick();
   void ContinueDrain();
 
@@ -119,6 +136,7 @@
   ExchangeContext mContext;
   CallerListener mCallers;
   CallerListener mOperators;
+  PeerLink mPeers;
   boost::asio::steady_timer mTimer;
   /** By path. */
   std::map<std::string, std::function<OperatorPage()>, std::less<>> mPages;
@@ -128,6 +146,8 @@
   std::string mLastReason = "starting";
   bool mListKnown = false;
   trefoilarch::Freshness mListFreshness;
+  /** When each other entry was last heard. */
+  std::map<std::string, Millis> mHeardAt;
   bool mDraining = false;
   Millis mDrainingSince;
 };
--- /dev/null
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -0,0 +1,159 @@
+#include "peerlink.h"
+
+#include "bootclock.h"
+#include "connectionpool.h"
+#include "peerdatagram.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace trefoilgate {
+
+using trefoilarch::Millis;
+
+namespace {
+
+/** An entry that has nothing new says so this often: others take what it said
+ * last for true no longer than a few of these. */
+constexpr Millis kHeartbeat{ 500 };
+
+/** Between two messages to few entries; a request is placed in far less than
+ * an engine takes to begin it. */
+constexpr Millis kLeastPause{ 20 };
+
+/** Each further entry stretches the pause by so much, so that what an entry
+ * sends and hears stays below some 700 messages a second together. */
+constexpr Millis kPausePerPeer{ 3 };
+
+/** Entries to which this one tells what it does; beyond, it would cost more
+ * bytes than an entry has for control (docs/CAPACITY.md). */
+constexpr size_t kMostPeers = 96;
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context& aLoop,
+                   std::string aAddress,
+                   PeerHooks aHooks)
+  : mAddress(std::move(aAddress))
+  , mHooks(std::move(aHooks))
+  , mSocket(aLoop)
+  , mTimer(aLoop)
+{
+}
+
+void
+PeerLink::Open()
+{
+  if (mAddress.empty()) {
+    return;
+  }
+  const auto endpoint = EndpointOf(mAddress);
+  const Udp::endpoint own(endpoint.address(), endpoint.port());
+  mSocket.open(own.protocol());
+  mSocket.bind(own);
+  mSocket.non_blocking(true);
+  Listen();
+  Tick();
+}
+
+void
+PeerLink::Close()
+{
+  boost::system::error_code ignored;
+  mSocket.close(ignored);
+  mTimer.cancel();
+}
+
+void
+PeerLink::SetPeers(const std::vector<std::string>& aAddresses)
+{
+  mPeers.clear();
+  for (const std::string& each : aAddresses) {
+    const auto endpoint = EndpointOf(each);
+    const bool other = endpoint.port() != 0 && each != Address();
+    if (other && mPeers.size() < kMostPeers) {
+      mPeers.emplace(endpoint.address(), endpoint.port());
+    }
+  }
+}
+
+std::string
+PeerLink::Address() const
+{
+  if (!mSocket.is_open()) {
+    return "";
+  }
+  const Udp::endpoint own = mSocket.local_endpoint();
+  return own.address().to_string() + ":" + std::to_string(own.port());
+}
+
+void
+PeerLink::Listen()
+{
+  mSocket.async_receive_from(
+    boost::asio::buffer(mBuffer),
+    mSender,
+    [this](const boost::system::error_code& aError, size_t aBytes) {
+      if (aError == boost::asio::error::operation_aborted ||
+          !mSocket.is_open()) {
+        return;
+      }
+      // Any other error tells of a datagram that reached nobody.
+      if (!aError) {
+        OnDatagram(aBytes);
+      }
+      Listen();
+    });
+}
+
+void
+PeerLink::OnDatagram(size_t aBytes)
+{
+  if (!mPeers.contains(mSender)) {
+    return;
+  }
+  const std::vector<uint8_t> bytes(
+    mBuffer.begin(), mBuffer.begin() + static_cast<std::ptrdiff_t>(aBytes));
+  if (const auto notes = DecodeNotes(bytes)) {
+    mHeard++;
+    mHooks.mOnNotes(*notes);
+  }
+}
+
+void
+PeerLink::Tick()
+{
+  const Millis now = BootNow();
+  const bool due = mHooks.mHasNotes() || now - mToldAt >= kHeartbeat;
+  if (due && !mPeers.empty()) {
+    Tell();
+    mToldAt = now;
+  }
+  mTimer.expires_after(std::chrono::milliseconds(Pause().Count()));
+  mTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void
+PeerLink::Tell()
+{
+  const std::vector<uint8_t> bytes = EncodeNotes(mHooks.mTakeNotes());
+  for (const Udp::endpoint& each : mPeers) {
+    // What finds no room in the kernel's buffer is lost: the next one tells it.
+    boost::system::error_code ignored;
+    mSocket.send_to(boost::asio::buffer(bytes), each, 0, ignored);
+    mSent++;
+  }
+}
+
+Millis
+PeerLink::Pause() const
+{
+  return std::max(kLeastPause,
+                  kPausePerPeer * static_cast<int64_t>(mPeers.size()));
+}
+
+} // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/peerlink.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "libtrefoilarch/millis.h"
+#include "libtrefoilarch/peernotes.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace trefoilgate {
+
+/** What a PeerLink asks and tells. */
+struct PeerHooks
+{
+  /** Whether there is something new to be told. */
+  std::function<bool()> mHasNotes;
+  std::function<trefoilarch::PeerNotes()> mTakeNotes;
+  std::function<void(const trefoilarch::PeerNotes&)> mOnNotes;
+};
+
+/**
+ * Tells the other entries what this one sends where, and hears them: small
+ * datagrams, none of which is waited for or sent again, as each one tells the
+ * whole of what is pending. Addresses that aren't listed are not listened to.
+ */
+class PeerLink
+{
+public:
+  PeerLink(boost::asio::io_context& aLoop,
+           std::string aAddress,
+           PeerHooks aHooks);
+
+  /** Opens the port; without an address it does nothing. */
+  void Open();
+  void Close();
+  /** Every other entry's address. */
+  void SetPeers(const std::vector<std::string>& aAddresses);
+
+  /** Where it listens; empty where it does not. */
+  std::string Address() const;
+  uint64_t Sent() const { return mSent; }
+  uint64_t Heard() const { return mHeard; }
+
+private:
+  using Udp = boost::asio::ip::udp;
+  using Millis = trefoilarch::Millis;
+
+  void Listen();
+  void OnDatagram(size_t aBytes);
+  void Tick();
+  void Tell();
+  /** Between two messages: the fewer the more there are to tell it to. */
+  Millis Pause() const;
+
+  std::string mAddress;
+  PeerHooks mHooks;
+  Udp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  std::set<Udp::endpoint> mPeers;
+  std::array<uint8_t, 4096> mBuffer{};
+  Udp::endpoint mSender;
+  Millis mToldAt;
+  uint64_t mSent = 0;
+  uint64_t mHeard = 0;
+};
+
+} // namespace trefoilgate
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -100,6 +100,9 @@
   if (!mOptions.mSettingsFromFile) {
     flags.insert(flags.end(), bounds.begin(), bounds.end());
   }
+  if (mOptions.mPeers) {
+    flags.insert(flags.end(), { "--peer-listen", "127.0.0.1:0" });
+  }
   return std::make_unique<ChildProcess>("trefoilarch-gate", flags);
 }
 
@@ -236,6 +239,27 @@
         { { { "table", "servers" }, { "key", aId }, { "value", entry } } } } });
 }
 
+void
+PlatformFleet::PutRow(const std::string& aTable,
+                      const std::string& aKey,
+                      const json& aValue) const
+{
+  Control(
+    { { "put",
+        { { { "table", aTable }, { "key", aKey }, { "value", aValue } } } } });
+}
+
+json
+PlatformFleet::EntryOf(const std::string& aAddress,
+                       int64_t aBorn,
+                       uint64_t aSequence)
+{
+  return { { "service", "svc" }, { "address", aAddress },
+           { "zone", "here" },   { "slots", 8 },
+           { "state", "ready" }, { "coldRemainingMs", 0 },
+           { "born", aBorn },    { "sequence", aSequence } };
+}
+
 void
 PlatformFleet::Unlist(const std::string& aId) const
 {
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -27,6 +27,8 @@
   bool mProxied = false;
   /** Whether gates read spans and budgets from the settings file alone. */
   bool mSettingsFromFile = false;
+  /** Whether gates tell each other what they send. */
+  bool mPeers = false;
 };
 
 /** One request to a gate. */
@@ -75,6 +77,14 @@
   void ListAs(const std::string& aId,
               const std::string& aAddress,
               const std::string& aState = "ready") const;
+  /** Puts whatever that is into the store, past its rules. */
+  void PutRow(const std::string& aTable,
+              const std::string& aKey,
+              const nlohmann::json& aValue) const;
+  /** The entry of a worker that started at that Unix millisecond. */
+  static nlohmann::json EntryOf(const std::string& aAddress,
+                                int64_t aBorn,
+                                uint64_t aSequence = 1);
   void Unlist(const std::string& aId) const;
   /** `{"fault":...}` and so on; returns the store's counts. */
   nlohmann::json Control(const nlohmann::json& aOrder) const;
--- a/tests/unit/upstreamdirectorytest.cpp
+++ b/tests/unit/upstreamdirectorytest.cpp
@@ -83,3 +83,77 @@
   cr_expect(Count(directory) == 0);
   cr_expect(directory.OfService("other").size() == 1);
 }
+
+namespace {
+
+/** The life that the directory gives the entry. */
+uint64_t
+LifeAfter(UpstreamDirectory& aDirectory, ListedUpstream aUpstream)
+{
+  const UpstreamId id = aUpstream.mId;
+  aDirectory.Put(std::move(aUpstream));
+  return aDirectory.Find(id)->mLife;
+}
+
+ListedUpstream
+Born(int64_t aBorn, uint64_t aSequence)
+{
+  ListedUpstream upstream = Make("a");
+  upstream.mBorn = aBorn;
+  upstream.mSequence = aSequence;
+  return upstream;
+}
+
+} // namespace
+
+Test(upstreamdirectory, another_time_of_birth_is_another_start)
+{
+  UpstreamDirectory directory;
+  const uint64_t first = LifeAfter(directory, Born(1000, 7));
+  cr_expect(LifeAfter(directory, Born(1000, 8)) == first);
+  ListedUpstream leaving = Born(1000, 9);
+  leaving.mLeaving = true;
+  cr_expect(LifeAfter(directory, leaving) == first, "the same process leaves");
+  const uint64_t second = LifeAfter(directory, Born(5000, 1));
+  cr_expect(second != first);
+  cr_expect(LifeAfter(directory, Born(4000, 2)) != second, "its clock is back");
+}
+
+Test(upstreamdirectory, without_a_birth_a_count_that_begins_anew_is_a_start)
+{
+  UpstreamDirectory directory;
+  ListedUpstream plain = Make("a");
+  plain.mSequence = 40;
+  const uint64_t first = LifeAfter(directory, plain);
+  plain.mSequence = 41;
+  cr_expect(LifeAfter(directory, plain) == first);
+  plain.mSequence = 2;
+  const uint64_t second = LifeAfter(directory, plain);
+  cr_expect(second != first);
+  // A birth that is told for the first time contradicts nothing.
+  cr_expect(LifeAfter(directory, Born(9000, 3)) == second);
+  // One that is left out is still known.
+  plain.mSequence = 4;
+  cr_expect(LifeAfter(directory, plain) == second);
+  cr_expect(LifeAfter(directory, Born(9000, 5)) == second);
+}
+
+Test(upstreamdirectory, a_start_while_the_list_was_away_is_seen_on_its_return)
+{
+  UpstreamDirectory directory;
+  const uint64_t first = LifeAfter(directory, Born(1000, 7));
+  directory.OnListLost();
+  directory.Remove("a", Millis(10));
+  directory.OnListBack(Millis(5000));
+  directory.ReplaceAll({ Born(4000, 1) }, Millis(5000));
+  cr_expect(directory.Find("a")->mLife != first);
+  cr_expect(!directory.Expire(Millis(9000)));
+}
+
+Test(upstreamdirectory, one_that_comes_back_after_its_removal_is_another)
+{
+  UpstreamDirectory directory;
+  const uint64_t first = LifeAfter(directory, Born(1000, 7));
+  directory.Remove("a", Millis(10));
+  cr_expect(LifeAfter(directory, Born(1000, 8)) != first);
+}
