--- /dev/null
+++ b/src/libtrefoilarch/directdump.cpp
@@ -0,0 +1,70 @@
+#include "directrouter.h"
+
+#include <nlohmann/json.hpp>
+
+/** What DirectRouter shows of itself. */
+namespace trefoilarch {
+
+std::string
+DirectRouter::DumpState(Millis aNow) const
+{
+  nlohmann::json dump;
+  dump["policy_version"] = mIndex ? mIndex->Version() : 0;
+  dump["policy_age_ms"] = mPolicyFreshness.Age(aNow).Count();
+  nlohmann::json& upstreams = dump["upstreams"] = nlohmann::json::object();
+  for (const auto& [id, tracked] : mTracked) {
+    const ListedUpstream* listed = mDirectory.Find(id);
+    nlohmann::json& each = upstreams[id];
+    each["service"] = tracked.mService;
+    each["listed"] = tracked.mListed;
+    each["leaving"] = listed != nullptr && listed->mLeaving;
+    each["open"] = tracked.mWork.Open();
+    each["busy"] = tracked.mWork.Busy(aNow);
+    each["silent_ms"] = tracked.mWork.Silence(aNow).Count();
+    each["outlier"] = !IsHealthy(id, aNow);
+  }
+  return dump.dump();
+}
+
+nlohmann::json
+DirectRouter::Status(Millis aNow) const
+{
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const auto& [id, listed] : mDirectory.All()) {
+    const auto tracked = mTracked.find(id);
+    const bool known = tracked != mTracked.end();
+    upstreams.push_back(
+      { { "name", id },
+        { "data_centre", listed.mDataCentre },
+        { "state", StateName(listed, aNow) },
+        { "labels", { { "service", listed.mService } } },
+        { "load",
+          { { "open", known ? tracked->second.mWork.Open() : 0 },
+            { "busy", known ? tracked->second.mWork.Busy(aNow) : 0 } } } });
+  }
+  return { { "policy_version", mIndex ? mIndex->Version() : 0 },
+           { "upstreams", std::move(upstreams) } };
+}
+
+std::map<std::string, uint32_t>
+DirectRouter::UpstreamsByState(Millis aNow) const
+{
+  std::map<std::string, uint32_t> counts{ { "ready", 0 },
+                                          { "ejected", 0 },
+                                          { "draining", 0 } };
+  for (const auto& [id, listed] : mDirectory.All()) {
+    counts[StateName(listed, aNow)]++;
+  }
+  return counts;
+}
+
+const char*
+DirectRouter::StateName(const ListedUpstream& aListed, Millis aNow) const
+{
+  if (aListed.mLeaving) {
+    return "draining";
+  }
+  return IsHealthy(aListed.mId, aNow) ? "ready" : "ejected";
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -0,0 +1,261 @@
+#include "directrouter.h"
+
+#include <algorithm>
+#include <array>
+
+/** Where DirectRouter sends requests, and when it takes none. */
+namespace trefoilarch {
+
+namespace {
+
+/** How much longer a wait than others' a request of that priority may face
+ * before it is refused, so that the less urgent are refused first. */
+double
+FavourOf(uint8_t aPriority)
+{
+  constexpr std::array kFavours = { 1.3, 1.0, 0.8, 0.65 };
+  return kFavours[std::min<size_t>(aPriority, kFavours.size() - 1)];
+}
+
+/** A copy of a running request costs its prompt's memory on the links; it is
+ * made where the answer may be at least so long beside the prompt. */
+constexpr double kBackupOutputShare = 0.5;
+
+/** An engine may say nothing for so long while it reads a long prompt. */
+constexpr Millis kSilentHolder{ 800 };
+
+/** An entry that hears the others refuses by its own rate of starts only at
+ * so many times the wait: beyond what waits to be read, which it knows, there
+ * are slots and memory, which it does not. */
+constexpr double kHeardFavour = 1.8;
+
+/** Callers come back when they are told to, if that is within a third of the
+ * time that they have. */
+constexpr int64_t kReturnPart = 3;
+
+/** A lane's distance in open attempts, when a copy's place is chosen. */
+constexpr double kLaneLoad = 20;
+
+} // namespace
+
+std::optional<Millis>
+DirectRouter::Overload(const BoundRequest& aRequest, Millis aNow)
+{
+  const Route& route = *aRequest.mRoute;
+  const Millis limit = aRequest.mEnd - aRequest.mArrived;
+  const double favour = FavourOf(aRequest.mRoutePriority);
+  // An entry that hears no other knows its own part of the work alone: then
+  // the rate at which its requests start says more than any forecast.
+  const bool knows = aRequest.mPrompt.mPromptTokens > 0 && mPeers.Peers() > 0;
+  StartMeter& meter = mMeters[route.mName];
+  if (!knows) {
+    return meter.Refuse(route.mFirstTokenTarget, limit, favour, aNow);
+  }
+  if (const auto late = meter.Refuse(
+        route.mFirstTokenTarget, limit, favour * kHeardFavour, aNow)) {
+    return late;
+  }
+  const StartTerms terms{ .mTarget = route.mFirstTokenTarget,
+                          .mLimit = limit,
+                          .mFavour = favour };
+  const auto late = mEngineAdmission.Refuse(ForecastFor(aRequest, aNow), terms);
+  if (!late) {
+    return std::nullopt;
+  }
+  // Those that are refused together do not come back together.
+  std::uniform_int_distribution<int64_t> spread(0, late->Count() / 2);
+  return std::min(*late + Millis(spread(mRandom)), limit / kReturnPart);
+}
+
+ForecastStart
+DirectRouter::ForecastFor(const BoundRequest& aRequest, Millis aNow)
+{
+  const Candidates candidates = CandidatesFor(aRequest, {}, aNow);
+  if (candidates.empty()) {
+    return {};
+  }
+  const EngineFacts facts = FactsOf(aRequest.mService);
+  const uint8_t urgency = aRequest.mRoutePriority;
+  const Placed placed =
+    mPlacement.Choose(candidates, aRequest.mPrompt, urgency, facts, aNow);
+  const auto chosen =
+    std::find_if(candidates.begin(), candidates.end(), [&](const auto& aEach) {
+      return aEach.mListed->mId == placed.mUpstream;
+    });
+  return { .mWaitMs = mPlacement.WaitMs(*chosen, urgency, facts, aNow),
+           .mReadMs = placed.mWork.mPrefill / facts.mReadPerMs +
+                      mEngines.LeastWaitMs(aRequest.mService),
+           .mAnswerMs = mMeters[aRequest.mRoute->mName].AnswerMs() };
+}
+
+EngineFacts
+DirectRouter::FactsOf(const std::string& aService) const
+{
+  const RoutedService* service =
+    mIndex ? mIndex->ServiceNamed(aService) : nullptr;
+  const bool engine = service != nullptr && service->mEngine.has_value();
+  const double perMs = mEngines.ReadPerMs(aService);
+  return { .mReadPerMs = perMs,
+           .mBehindShare =
+             mEngines.ReadingMs(aService, { .mBehind = 1 }) * perMs,
+           .mMemoryTokens = engine ? service->mEngine->mMemoryTokens : 0,
+           .mPeersHeard = mPeers.Peers() > 0 };
+}
+
+std::optional<PlacedAttempt>
+DirectRouter::PlaceAtBackup(const BoundRequest& aRequest,
+                            const PlacedAttempt& aBroken,
+                            Millis aNow)
+{
+  const ListedUpstream* backup = mDirectory.Find(aBroken.mBackup);
+  const bool gone = backup == nullptr || backup->mLeaving ||
+                    backup->mLife != aBroken.mBackupLife;
+  if (gone) {
+    return std::nullopt;
+  }
+  const AttemptWork work{ .mOutput = aBroken.mWork.mOutput };
+  mTracked[backup->mId].mWork.OnSent(work, aNow);
+  mMeters[aRequest.mRoute->mName].OnSent(aNow);
+  return PlacedAttempt{ .mUpstream = backup->mId,
+                        .mLife = backup->mLife,
+                        .mService = backup->mService,
+                        .mRoute = aRequest.mRoute->mName,
+                        .mAddress = backup->mAddress,
+                        .mWork = work,
+                        .mCopyOf = aBroken.mAddress,
+                        .mSentAt = aNow };
+}
+
+std::optional<PlacedAttempt>
+DirectRouter::Place(const BoundRequest& aRequest,
+                    const std::set<UpstreamId>& aTried,
+                    Millis aNow)
+{
+  const Candidates candidates = CandidatesFor(aRequest, aTried, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const uint8_t urgency = aRequest.mRoutePriority;
+  const Placed placed = mPlacement.Choose(
+    candidates, aRequest.mPrompt, urgency, FactsOf(aRequest.mService), aNow);
+  const ListedUpstream* listed = mDirectory.Find(placed.mUpstream);
+  UpstreamWork& work = mTracked[placed.mUpstream].mWork;
+  work.OnSent(placed.mWork, aNow);
+  PendingReads pending = work.Pending();
+  pending += mPeers.Pending(placed.mUpstream);
+  TakeNote(aRequest.mPrompt, placed, aNow);
+  mMeters[aRequest.mRoute->mName].OnSent(aNow);
+  const ListedUpstream* backup =
+    BackupFor(aRequest, candidates, placed.mUpstream);
+  const ListedUpstream* holder = HolderAt(placed.mHolder, aNow);
+  return PlacedAttempt{ .mUpstream = placed.mUpstream,
+                        .mLife = listed->mLife,
+                        .mService = listed->mService,
+                        .mRoute = aRequest.mRoute->mName,
+                        .mAddress = listed->mAddress,
+                        .mWork = placed.mWork,
+                        .mReads = { .mAhead = pending.Ahead(urgency),
+                                    .mBehind = pending.Behind(urgency) },
+                        .mHolderAddress =
+                          holder != nullptr ? holder->mAddress : "",
+                        .mBackup = backup != nullptr ? backup->mId : "",
+                        .mBackupLife = backup != nullptr ? backup->mLife : 0,
+                        .mBackupAddress =
+                          backup != nullptr ? backup->mAddress : "",
+                        .mSentAt = aNow };
+}
+
+const ListedUpstream*
+DirectRouter::HolderAt(const UpstreamId& aHolder, Millis aNow) const
+{
+  // One that gives no answer would hold the request up.
+  const auto tracked = mTracked.find(aHolder);
+  const bool silent = tracked != mTracked.end() &&
+                      tracked->second.mWork.Silence(aNow) > kSilentHolder;
+  return IsHealthy(aHolder, aNow) && !silent ? mDirectory.Find(aHolder)
+                                             : nullptr;
+}
+
+DirectRouter::Candidates
+DirectRouter::CandidatesFor(const BoundRequest& aRequest,
+                            const std::set<UpstreamId>& aTried,
+                            Millis aNow)
+{
+  const bool repeatable = aRequest.mRoute->mRepeat != RepeatRule::AtMostOnce;
+  const uint32_t most = ConnectionsFor(aRequest);
+  Candidates healthy;
+  Candidates others;
+  const auto& all = mDirectory.OfService(aRequest.mService);
+  const LanePlaces& lanes = mLanes.PlacesFor(
+    aRequest.mService,
+    *aRequest.mRoute,
+    all,
+    { .mPauses = mPauses, .mReadPerMs = mEngines.ReadPerMs(aRequest.mService) },
+    aNow);
+  for (const ListedUpstream* each : all) {
+    if (each->mLeaving || aTried.contains(each->mId)) {
+      continue;
+    }
+    const Tracked& tracked = mTracked[each->mId];
+    const UpstreamWork& work = tracked.mWork;
+    if (work.Open() >= most) {
+      continue;
+    }
+    const auto lane = lanes.find(each->mId);
+    const PlacementCandidate candidate{
+      .mListed = each,
+      .mWork = &work,
+      .mCold = aNow < tracked.mColdUntil,
+      .mOthersPending = mPeers.Pending(each->mId),
+      .mSlowness = mEngines.Slowness(each->mId, aNow),
+      .mLane = lane == lanes.end() ? LanePlace{} : lane->second
+    };
+    const OutlierState state = mOutliers.State(each->mId, aNow);
+    const bool tries = repeatable || mTrialChance(mRandom);
+    if (state == OutlierState::Trial && tries && work.Open() == 0) {
+      return { candidate };
+    }
+    (state == OutlierState::Healthy ? healthy : others).push_back(candidate);
+  }
+  return healthy.empty() ? others : healthy;
+}
+
+const ListedUpstream*
+DirectRouter::BackupFor(const BoundRequest& aRequest,
+                        const Candidates& aCandidates,
+                        const UpstreamId& aChosen) const
+{
+  const RoutedService* service =
+    aRequest.mIndex->ServiceNamed(aRequest.mService);
+  const PromptShape& prompt = aRequest.mPrompt;
+  const bool worthIt =
+    service != nullptr && service->mEngine && service->mEngine->mBackups &&
+    aRequest.mRoute->mStream && prompt.mPromptTokens > 0 &&
+    static_cast<double>(prompt.mMostOutput) >=
+      kBackupOutputShare * static_cast<double>(prompt.mPromptTokens);
+  if (!worthIt) {
+    return nullptr;
+  }
+  const ListedUpstream* best = nullptr;
+  double least = 0;
+  for (const PlacementCandidate& each : aCandidates) {
+    const double load = each.mWork->Open() + each.mLane.mDistance * kLaneLoad;
+    if (each.mListed->mId != aChosen && (best == nullptr || load < least)) {
+      best = each.mListed;
+      least = load;
+    }
+  }
+  return best;
+}
+
+uint32_t
+DirectRouter::ConnectionsFor(const BoundRequest& aRequest) const
+{
+  const RoutedService* service =
+    aRequest.mIndex->ServiceNamed(aRequest.mService);
+  const uint32_t all = service == nullptr ? RoutedService{}.mMostConnections
+                                          : service->mMostConnections;
+  return std::max(1U, all / mOptions.mConnectionShare);
+}
+
+} // namespace trefoilarch
