--- a/tests/unit/pauserecordtest.cpp
+++ b/tests/unit/pauserecordtest.cpp
@@ -32,13 +32,11 @@
   const Route longer{ .mName = "long",
                       .mStream = true,
                       .mGapTarget = Millis(800) };
-  std::vector<ListedUpstream> listed;
-  for (int each = 0; each < 12; ++each) {
-    listed.push_back({ .mId = "e" + std::to_string(each) });
-  }
-  std::vector<const ListedUpstream*> all;
-  for (const ListedUpstream& each : listed) {
-    all.push_back(&each);
+  std::vector<ListedUpstream> listed(12);
+  std::vector<const ListedUpstream*> all(listed.size());
+  for (size_t each = 0; each < listed.size(); ++each) {
+    listed[each].mId = "e" + std::to_string(each);
+    all[each] = &listed[each];
   }
   for (int each = 0; each < 100; ++each) {
     const Millis now(each * 10);
