Forget what others told once nobody is heard

An entry cut off from all others went on by their last word: expiry was worked out only when a message came. Test first: it failed with one peer and 5,000 tokens pending after 2.5 s of silence.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -111,6 +111,7 @@
   if (!mIndex) {
     return Fail(Refuse(ErrorKind::PolicyUnknown, "no policy yet"));
   }
+  mPeers.Expire(aNow);
   const bool recent = mPolicyFreshness.IsWithin(mOptions.mPolicySpan, aNow);
   const Route* route = mIndex->Find(aFacts.mHost, aFacts.mPath);
   if (route == nullptr) {
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -576,6 +576,27 @@
   cr_expect(holds);
 }
 
+/** An entry that is cut off from all others goes by its own work again. */
+Test(directrouter, what_others_told_is_forgotten_when_nobody_is_heard)
+{
+  DirectRouter router = MakeRouter(1);
+  PendingReads reads;
+  reads.Add(0, 5000);
+  router.OnPeerNotes({ .mFrom = "other",
+                       .mSequence = 1,
+                       .mPending = { { .mUpstream = "u0", .mReads = reads } } },
+                     Millis(0));
+  const auto before = router.Place(BoundSession(router), {}, Millis(10));
+  cr_assert(before.has_value());
+  cr_expect(before->mReads.mAhead > 5000);
+  router.OnEnded(*before, AttemptOutcome::Good, Millis(20));
+  const BoundRequest later = Bound(router, "/safe/x", Millis(2500));
+  const auto after = router.Place(later, {}, Millis(2500));
+  cr_assert(after.has_value());
+  cr_expect(router.Peers() == 0);
+  cr_expect(after->mReads.mAhead == 0);
+}
+
 /** What one entry sends where is known to the other, and counts there. */
 Test(directrouter, entries_go_by_what_others_have_sent)
 {
