--- a/src/libtrefoilarch/engineadmission.h
+++ b/src/libtrefoilarch/engineadmission.h
@@ -9,10 +9,11 @@
 /** When a request is refused rather than taken too late. */
 struct EngineAdmissionOptions
 {
-  /** A wait of more than this many times the target is too long: at 0.7 and
-   * 1.5 the mean worth of days with trouble was 0.771 and 0.797 at 18 engines,
-   * 0.634 and 0.530 at 56 that were overloaded throughout... */
-  double mMostWait = 0.9;
+  /** A wait of more than this many times the target is too long: at 0.5 and
+   * 1.5 the mean worth of days with trouble was 0.768 and 0.797 at 18 engines;
+   * at 0.5 and 0.9 it was 0.600 and 0.551 at 40 that were overloaded
+   * throughout (one run each)... */
+  double mMostWait = 0.5;
   /** ...where a target below this is judged as if it were this: a request that
    * comes back after a refusal is no sooner. */
   Millis mLeastTarget{ 800 };
