Remove only rows of entries that should have been heard

In a fleet of more than 41 entries each hears 40 of the others, and every entry removed the rows of all that it never hears once a minute had passed, so that rows would have been removed and written again without end. Who tells whom stands in PeerRing now, which placing and removing both ask.

--- /dev/null
+++ b/src/libtrefoilarch/peerring.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace trefoilarch {
+
+/**
+ * Which entries tell which others what they do. Entries stand in a ring by
+ * their names, and each tells the next ones: in a fleet of any size each is
+ * told by as many as it tells.
+ */
+class PeerRing
+{
+public:
+  /** Entries that each one tells. */
+  static constexpr size_t kMostTold = 40;
+
+  /** aNames are all entries' names in order; aOwn may be among them. */
+  PeerRing(const std::string& aOwn, const std::vector<std::string>& aNames);
+
+  /** All others, the next one first: the first kMostTold of them are told. */
+  const std::vector<std::string>& Others() const { return mOthers; }
+  /** Those that tell this one; the rest are never heard here. */
+  std::vector<std::string> Tellers() const;
+
+private:
+  std::vector<std::string> mOthers;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -2,10 +2,12 @@
 
 #include "bootclock.h"
 #include "connectionpool.h"
+#include "looptimer.h"
 #include "peerdatagram.h"
 
+#include "libtrefoilarch/peerring.h"
+
 #include <algorithm>
-#include <chrono>
 
 namespace trefoilgate {
 
@@ -25,10 +27,8 @@
  * sends and hears stays below some 700 messages a second together. */
 constexpr Millis kPausePerPeer{ 3 };
 
-/** Entries to which this one tells what it does. In a larger fleet each tells
- * so many others, more slowly, so that what an entry sends and hears stays
- * below its 18 KB a second (docs/CAPACITY.md). */
-constexpr size_t kMostTold = 40;
+/** In a larger fleet each entry tells some of the others, more slowly. */
+constexpr size_t kMostTold = trefoilarch::PeerRing::kMostTold;
 constexpr Millis kLongPause{ 640 };
 
 } // namespace
@@ -136,12 +136,7 @@
     Tell();
     mToldAt = now;
   }
-  mTimer.expires_after(std::chrono::milliseconds(Pause().Count()));
-  mTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      Tick();
-    }
-  });
+  RunAfter(mTimer, Pause(), [this] { Tick(); });
 }
 
 void
