Take a platform's figures with fractions, and share retries by the entries listed

Beside it, each entry saved up to 8 retries as if 24 entries shared the slack: 103 of them could save 824 where 246 are allowed.

Ruled out: rounding in the template (it has no such means); reading the slack alone as a number (any figure may come with a fraction).

Change: every figure that the platform fills in is a number with a range and is rounded down where it must be whole. An entry's part of the slack is that by the number of entries listed; one before it knows their number.

--- a/src/libtrefoilarch/retrybudget.cpp
+++ b/src/libtrefoilarch/retrybudget.cpp
@@ -8,8 +8,24 @@
 
 constexpr double kHundred = 100;
 
+/** Retries that one entry saves up at the most: more of them in one moment
+ * would fall on upstreams that fail together. */
+constexpr double kMostSaved = 8;
+
+/** What an entry has that does not know how many share the slack. */
+constexpr double kAlone = 1;
+
 } // namespace
 
+double
+RetriesOfEntry(double aSlack, size_t aEntries)
+{
+  if (aEntries == 0) {
+    return std::min(aSlack, kAlone);
+  }
+  return std::min(aSlack / static_cast<double>(aEntries), kMostSaved);
+}
+
 RetryBudget::RetryBudget(RetryBudgetOptions aOptions)
   : mOptions(aOptions)
 {
--- a/src/libtrefoilarch/retrybudget.h
+++ b/src/libtrefoilarch/retrybudget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 
@@ -16,6 +17,15 @@
   double mMost = 20;
 };
 
+/**
+ * One entry's part of the retries that a fleet may make beside the share of
+ * its requests. aEntries, itself included, have the same part each, so that
+ * all of them together stay within aSlack however many they are; 0 entries
+ * stands for a number that is not known yet.
+ */
+double
+RetriesOfEntry(double aSlack, size_t aEntries);
+
 /**
  * Bounds retries to a share of first attempts, class by class, so that
  * retries cannot multiply the load when many upstreams fail at once.
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -1,13 +1,12 @@
 #include "gatesettings.h"
 
-#include <algorithm>
-#include <charconv>
+#include <cmath>
 
 namespace trefoilgate {
 
 using trefoilarch::Millis;
-using trefoilio::IntegerBetween;
 using trefoilio::NotEmpty;
+using trefoilio::NumberBetween;
 using trefoilio::NumericEndpoint;
 using trefoilio::SettingSpec;
 
@@ -20,35 +19,19 @@
 /** Taken off the time in which a process has to end. */
 constexpr Millis kStopMargin{ 300 };
 
-/** Entries that may share the burst of retries: a fleet's entries at most. */
-constexpr double kMostEntries = 24;
-
-constexpr double kMostBurst = 8;
 constexpr double kHundred = 100;
 
 /** The part of the allowed share of retries that is used: what is sent and
  * lost on the way counts as well. */
 constexpr double kRetryPart = 0.9;
 
-constexpr uint64_t kBytesPerMb = 1048576;
+constexpr double kBytesPerMb = 1048576;
+constexpr double kMillisInSecond = 1000;
 
 /** One part in so many of the memory may hold callers' bodies; answers, which
  * are held for slow callers, and the rest have the others. */
 constexpr uint64_t kBodyPart = 3;
 
-std::function<std::string(const std::string&)>
-Share()
-{
-  return [](const std::string& aText) -> std::string {
-    double value = 0;
-    const char* end = aText.data() + aText.size();
-    const auto parsed = std::from_chars(aText.data(), end, value);
-    const bool fine =
-      parsed.ec == std::errc() && parsed.ptr == end && value >= 0 && value <= 1;
-    return fine ? "" : "a number from 0 to 1";
-  };
-}
-
 std::function<std::string(const std::string&)>
 EmptyOrEndpoint()
 {
@@ -57,12 +40,12 @@
   };
 }
 
-double
-NumberOf(const std::string& aText)
+/** A whole number that is no more than the setting: what a fraction stands
+ * for is never exceeded, be it a span, a count or a size. */
+int64_t
+Floor(double aValue)
 {
-  double value = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  return value;
+  return static_cast<int64_t>(std::floor(aValue));
 }
 
 } // namespace
@@ -70,7 +53,7 @@
 std::vector<SettingSpec>
 GateSettingSpecs()
 {
-  constexpr int64_t kMostMillis = 3600L * 1000;
+  constexpr double kMostMillis = 3600.0 * 1000;
   return {
     { .mName = "name",
       .mHelp = "name of this process, for logs",
@@ -99,28 +82,29 @@
     { .mName = "revoke-ms",
       .mHelp = "a revoked key is honoured no longer than this (ms)",
       .mDefault = "5000",
-      .mCheck = IntegerBetween(1000, kMostMillis) },
+      .mCheck = NumberBetween(1000, kMostMillis) },
     { .mName = "retry-share",
       .mHelp = "retries that all entries together may make, as a share of "
                "requests (0 to 1)",
       .mDefault = "0.2",
-      .mCheck = Share() },
+      .mCheck = NumberBetween(0, 1) },
     { .mName = "retry-slack",
-      .mHelp = "retries besides, of all entries together (a number)",
+      .mHelp = "retries besides, of all entries together; of this one where no "
+               "peer-listen is set (a number)",
       .mDefault = "50",
-      .mCheck = IntegerBetween(0, 100000) },
+      .mCheck = NumberBetween(0, 100000) },
     { .mName = "stop-seconds",
       .mHelp = "how long a planned stop may take (s)",
       .mDefault = "8",
-      .mCheck = IntegerBetween(1, 3600) },
+      .mCheck = NumberBetween(1, 3600) },
     { .mName = "most-descriptors",
       .mHelp = "file descriptors that the process may use",
       .mDefault = "4096",
-      .mCheck = IntegerBetween(64, 1 << 20) },
+      .mCheck = NumberBetween(64, 1 << 20) },
     { .mName = "memory-mb",
       .mHelp = "memory that the process may use (MB)",
       .mDefault = "512",
-      .mCheck = IntegerBetween(32, 1 << 20) },
+      .mCheck = NumberBetween(32, 1 << 20) },
   };
 }
 
@@ -141,7 +125,7 @@
   compare("peer-listen", &GateSettings::mPeerListen);
   compare("revoke-ms", &GateSettings::mKeySpan);
   compare("retry-share", &GateSettings::mRetryPercent);
-  compare("retry-slack", &GateSettings::mRetryBurst);
+  compare("retry-slack", &GateSettings::mRetrySlack);
   compare("stop-seconds", &GateSettings::mStopSpan);
   compare("most-descriptors", &GateSettings::mMostDescriptors);
   compare("memory-mb", &GateSettings::mMostBodyBytes);
@@ -151,7 +135,8 @@
 GateSettings
 ReadGateSettings(const trefoilio::Settings& aSettings)
 {
-  const double slack = static_cast<double>(aSettings.Integer("retry-slack"));
+  const double stopMillis = aSettings.Number("stop-seconds") * kMillisInSecond;
+  const double memory = aSettings.Number("memory-mb") * kBytesPerMb;
   return GateSettings{
     .mName = aSettings.Text("name"),
     .mDataCentre = aSettings.Text("data-centre"),
@@ -159,15 +144,13 @@
     .mOperatorListen = aSettings.Text("operator-listen"),
     .mPlatform = aSettings.Text("platform"),
     .mPeerListen = aSettings.Text("peer-listen"),
-    .mKeySpan = Millis(aSettings.Integer("revoke-ms")) - kKeyMargin,
-    .mRetryPercent =
-      NumberOf(aSettings.Text("retry-share")) * kRetryPart * kHundred,
-    .mRetryBurst = std::min(slack / kMostEntries, kMostBurst),
-    .mStopSpan = Millis(aSettings.Integer("stop-seconds") * 1000) - kStopMargin,
+    .mKeySpan = Millis(Floor(aSettings.Number("revoke-ms"))) - kKeyMargin,
+    .mRetryPercent = aSettings.Number("retry-share") * kRetryPart * kHundred,
+    .mRetrySlack = aSettings.Number("retry-slack"),
+    .mStopSpan = Millis(Floor(stopMillis)) - kStopMargin,
     .mMostDescriptors =
-      static_cast<uint32_t>(aSettings.Integer("most-descriptors")),
-    .mMostBodyBytes = static_cast<uint64_t>(aSettings.Integer("memory-mb")) *
-                      kBytesPerMb / kBodyPart
+      static_cast<uint32_t>(Floor(aSettings.Number("most-descriptors"))),
+    .mMostBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyPart
   };
 }
 
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -21,7 +21,8 @@
   std::string mPeerListen;
   trefoilarch::Millis mKeySpan;
   double mRetryPercent = 0;
-  double mRetryBurst = 0;
+  /** Retries beside the share, of all entries together. */
+  double mRetrySlack = 0;
   trefoilarch::Millis mStopSpan;
   uint32_t mMostDescriptors = 0;
   /** Bytes of callers' bodies that may be held at a time. */
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -37,11 +37,20 @@
 constexpr size_t kOtherDescriptors = 800;
 
 RetryBudgetOptions
-RetriesOf(const GateSettings& aSettings)
+RetriesOf(const GateSettings& aSettings, size_t aEntries)
 {
+  const double saved = RetriesOfEntry(aSettings.mRetrySlack, aEntries);
   return { .mPercent = aSettings.mRetryPercent,
-           .mFirst = aSettings.mRetryBurst,
-           .mMost = aSettings.mRetryBurst };
+           .mFirst = saved,
+           .mMost = saved };
+}
+
+/** Entries that share the fleet's retries, before others are listed: one that
+ * is never told of others has the slack for itself. */
+size_t
+EntriesAtStart(const GateSettings& aSettings)
+{
+  return aSettings.mPeerListen.empty() ? 1 : 0;
 }
 
 size_t
@@ -59,7 +68,8 @@
   , mLog({ .mProcess = mOptions.mSettings.mName })
   , mRouter({ .mDataCentre = mOptions.mSettings.mDataCentre,
               .mKeySpan = mOptions.mSettings.mKeySpan,
-              .mRetries = RetriesOf(mOptions.mSettings),
+              .mRetries = RetriesOf(mOptions.mSettings,
+                                    EntriesAtStart(mOptions.mSettings)),
               .mName = mOptions.mSettings.mName,
               .mSeed = mOptions.mSeed })
   , mPool(aLoop, {})
@@ -82,6 +92,7 @@
   , mPeers(aLoop, mOptions.mSettings.mPeerListen, HooksForPeers())
   , mTimer(aLoop)
   , mPages(OperatorPages())
+  , mEntries(EntriesAtStart(mOptions.mSettings))
 {
 }
 
@@ -175,11 +186,11 @@
   const GateSettings before = mOptions.mSettings;
   mOptions.mSettings.mKeySpan = aSettings.mKeySpan;
   mOptions.mSettings.mRetryPercent = aSettings.mRetryPercent;
-  mOptions.mSettings.mRetryBurst = aSettings.mRetryBurst;
+  mOptions.mSettings.mRetrySlack = aSettings.mRetrySlack;
   mOptions.mSettings.mStopSpan = aSettings.mStopSpan;
   mOptions.mSettings.mMostBodyBytes = aSettings.mMostBodyBytes;
   mRouter.SetKeySpan(aSettings.mKeySpan);
-  mRouter.SetRetries(RetriesOf(aSettings));
+  mRouter.SetRetries(RetriesOf(aSettings, mEntries));
   mLog.Write(
     LineKind::Process,
     "reloaded",
@@ -216,6 +227,8 @@
 Gateway::SetPeers(const std::vector<std::string>& aAddresses)
 {
   mPeers.SetPeers(aAddresses);
+  mEntries = mPeers.Listed() + 1;
+  mRouter.SetRetries(RetriesOf(mOptions.mSettings, mEntries));
   mLog.Write(LineKind::Belief, "peers", { { "listed", aAddresses.size() } });
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -148,6 +148,8 @@
   trefoilarch::Freshness mListFreshness;
   /** When each other entry was last heard. */
   std::map<std::string, Millis> mHeardAt;
+  /** This one and the others that are listed; 0 before the list is known. */
+  size_t mEntries;
   bool mDraining = false;
   Millis mDrainingSince;
 };
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -44,6 +44,8 @@
 
   /** Where it listens; empty where it does not. */
   std::string Address() const;
+  /** Other entries that are known. */
+  size_t Listed() const { return mListed.size(); }
   uint64_t Sent() const { return mSent; }
   uint64_t Heard() const { return mHeard; }
 
--- a/src/libtrefoilio/settings.cpp
+++ b/src/libtrefoilio/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -135,6 +136,17 @@
   return error == std::errc() && stop == end;
 }
 
+/** The text as a decimal number; nothing for any other text. */
+std::optional<double>
+ReadNumber(const std::string& aText)
+{
+  double value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, value);
+  const bool whole = error == std::errc() && stop == end;
+  return whole ? std::optional(value) : std::nullopt;
+}
+
 bool
 IsNumericAddress(std::string_view aText)
 {
@@ -251,6 +263,22 @@
   };
 }
 
+std::function<std::string(const std::string&)>
+NumberBetween(double aLeast, double aMost)
+{
+  return [=](const std::string& aText) -> std::string {
+    // An infinity is beyond every bound, and no comparison holds for NaN.
+    const std::optional<double> value = ReadNumber(aText);
+    if (value && *value >= aLeast && *value <= aMost) {
+      return "";
+    }
+    std::ostringstream range;
+    range.precision(std::numeric_limits<double>::digits10);
+    range << "a number from " << aLeast << " to " << aMost;
+    return range.str();
+  };
+}
+
 std::function<std::string(const std::string&)>
 OneOf(std::vector<std::string> aChoices)
 {
@@ -324,6 +352,16 @@
   return value;
 }
 
+double
+Settings::Number(const std::string& aName) const
+{
+  const std::optional<double> value = ReadNumber(mValues.at(aName));
+  if (!value) {
+    throw std::logic_error(aName + " is not checked to be a number");
+  }
+  return *value;
+}
+
 std::map<std::string, std::string>
 Settings::LabelMap(const std::string& aName) const
 {
--- a/src/libtrefoilio/settings.h
+++ b/src/libtrefoilio/settings.h
@@ -23,6 +23,9 @@
 /** Ready checks for SettingSpec::mCheck. */
 std::function<std::string(const std::string&)>
 IntegerBetween(int64_t aLeast, int64_t aMost);
+/** A finite decimal number, perhaps with a fraction. */
+std::function<std::string(const std::string&)>
+NumberBetween(double aLeast, double aMost);
 std::function<std::string(const std::string&)>
 OneOf(std::vector<std::string> aChoices);
 /** `ADDRESS:PORT` with a numeric IP. */
@@ -43,6 +46,7 @@
 public:
   std::string Text(const std::string& aName) const;
   int64_t Integer(const std::string& aName) const;
+  double Number(const std::string& aName) const;
   std::map<std::string, std::string> LabelMap(const std::string& aName) const;
   /** `--check` was given: report and exit. */
   bool CheckOnly() const { return mCheckOnly; }
--- /dev/null
+++ b/tests/platform/gatesettingstest.cpp
@@ -0,0 +1,162 @@
+#include "platformfleet.h"
+
+#include "libtrefoilgate/gatesettings.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace trefoilgate;
+using platformtest::PlatformFleet;
+using trefoilarch::Millis;
+
+/** The settings that a platform fills in, whatever numbers it has. */
+namespace {
+
+using Variables = std::map<std::string, std::string>;
+
+/** As deploy/gate.env names them, with plain figures. */
+Variables
+Filled()
+{
+  return { { "TREFOILARCH_NAME", "gate-1" },
+           { "TREFOILARCH_LISTEN", "10.0.0.3:8080" },
+           { "TREFOILARCH_OPERATOR_LISTEN", "10.0.0.3:8081" },
+           { "TREFOILARCH_PLATFORM", "10.0.0.2:8223" },
+           { "TREFOILARCH_REVOKE_MS", "5000" },
+           { "TREFOILARCH_RETRY_SHARE", "0.2" },
+           { "TREFOILARCH_RETRY_SLACK", "54" },
+           { "TREFOILARCH_STOP_SECONDS", "8" },
+           { "TREFOILARCH_MOST_DESCRIPTORS", "4100" },
+           { "TREFOILARCH_MEMORY_MB", "110" } };
+}
+
+trefoilio::SettingsOutcome
+Read(const Variables& aVariables)
+{
+  const trefoilio::SettingsReader reader("gate", "a test", GateSettingSpecs());
+  const std::vector<const char*> arguments = { "gate" };
+  return reader.Read(static_cast<int>(arguments.size()),
+                     arguments.data(),
+                     [&](const char* aName) -> const char* {
+                       const auto place = aVariables.find(aName);
+                       return place == aVariables.end() ? nullptr
+                                                        : place->second.c_str();
+                     });
+}
+
+trefoilio::SettingsOutcome
+ReadWith(const std::string& aName, const std::string& aText)
+{
+  Variables variables = Filled();
+  variables[aName] = aText;
+  return Read(variables);
+}
+
+/** The settings with one of them set to that. */
+GateSettings
+SettingsWith(const std::string& aName, const std::string& aText)
+{
+  const auto outcome = ReadWith(aName, aText);
+  cr_assert(
+    outcome.mSettings, "%s=%s is refused", aName.c_str(), aText.c_str());
+  return ReadGateSettings(*outcome.mSettings);
+}
+
+/** Refused, in one fault that names the flag and the variable. */
+bool
+IsRefused(const std::string& aName,
+          const std::string& aFlag,
+          const std::string& aText)
+{
+  const auto outcome = ReadWith(aName, aText);
+  return !outcome.mSettings && outcome.mFaults.size() == 1 &&
+         outcome.mFaults.front().starts_with("--" + aFlag + " (" + aName + ")");
+}
+
+/** A figure that the platform fills in, and what is beyond its range. */
+struct Figure
+{
+  std::string mName;
+  std::string mFlag;
+  std::string mWithFraction;
+  std::string mTooSmall;
+  std::string mTooLarge;
+};
+
+std::vector<Figure>
+Figures()
+{
+  return { { "TREFOILARCH_REVOKE_MS", "revoke-ms", "5000.9", "0", "3600000.5" },
+           { "TREFOILARCH_RETRY_SHARE", "retry-share", "0.25", "-0.1", "1.1" },
+           { "TREFOILARCH_RETRY_SLACK",
+             "retry-slack",
+             "36.1764705882353",
+             "-1",
+             "100000.5" },
+           { "TREFOILARCH_STOP_SECONDS", "stop-seconds", "8.5", "0", "3600.1" },
+           { "TREFOILARCH_MOST_DESCRIPTORS",
+             "most-descriptors",
+             "4100.5",
+             "0",
+             "1048577" },
+           { "TREFOILARCH_MEMORY_MB", "memory-mb", "88.5", "0", "1048577" } };
+}
+
+} // namespace
+
+Test(gatesettings, each_figure_may_have_a_fraction)
+{
+  for (const Figure& each : Figures()) {
+    cr_expect(ReadWith(each.mName, each.mWithFraction).mSettings,
+              "%s",
+              each.mFlag.c_str());
+  }
+}
+
+Test(gatesettings, what_is_out_of_range_or_no_number_is_refused_by_its_flag)
+{
+  for (const Figure& each : Figures()) {
+    for (const std::string& text : { each.mTooSmall,
+                                     each.mTooLarge,
+                                     std::string("nan"),
+                                     std::string("inf"),
+                                     std::string("five"),
+                                     std::string("8 "),
+                                     std::string() }) {
+      cr_expect(IsRefused(each.mName, each.mFlag, text),
+                "%s=%s",
+                each.mFlag.c_str(),
+                text.c_str());
+    }
+  }
+}
+
+Test(gatesettings, zero_retries_are_a_choice)
+{
+  cr_expect(SettingsWith("TREFOILARCH_RETRY_SLACK", "0").mRetrySlack == 0);
+  cr_expect(SettingsWith("TREFOILARCH_RETRY_SHARE", "0").mRetryPercent == 0);
+}
+
+Test(gatesettings, what_must_be_whole_is_rounded_down)
+{
+  const GateSettings plain = SettingsWith("TREFOILARCH_REVOKE_MS", "5000");
+  cr_expect(SettingsWith("TREFOILARCH_REVOKE_MS", "5000.9") == plain,
+            "a revoked key is honoured no longer");
+  cr_expect(SettingsWith("TREFOILARCH_MOST_DESCRIPTORS", "4100.9") == plain,
+            "no descriptor more");
+  cr_expect(SettingsWith("TREFOILARCH_STOP_SECONDS", "8.0009").mStopSpan ==
+            plain.mStopSpan);
+  cr_expect(SettingsWith("TREFOILARCH_STOP_SECONDS", "8.5").mStopSpan ==
+            plain.mStopSpan + Millis(500));
+  cr_expect(SettingsWith("TREFOILARCH_MEMORY_MB", "110.5").mMostBodyBytes >
+            plain.mMostBodyBytes);
+}
+
+Test(gatesettings, a_gate_starts_and_serves_with_fractions, .timeout = 30)
+{
+  PlatformFleet fleet({ .mRetrySlack = 36.1764705882353, .mMemoryMb = 88.5 });
+  cr_expect(fleet.Call({}).mStatus == 200);
+}
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -20,8 +20,8 @@
   int mRevokeMs = 5000;
   int mStopSeconds = 8;
   /** Retries of all gates together besides the share of requests. */
-  int mRetrySlack = 50;
-  int mMemoryMb = 512;
+  double mRetrySlack = 50;
+  double mMemoryMb = 512;
   /** Whether a fault proxy stands before each worker, and before the store
    * for each gate. */
   bool mProxied = false;
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -86,3 +86,22 @@
   const int running = 60;
   cr_assert_leq(lost, running, "only what ran when they went");
 }
+
+Test(retrybudget, entries_together_stay_within_the_slack_whatever_their_number)
+{
+  for (const double slack : { 0.0, 36.2, 54.0, 246.0, 1000.0 }) {
+    for (const size_t entries : { 1U, 4U, 5U, 31U, 103U, 340U }) {
+      const double each = RetriesOfEntry(slack, entries);
+      cr_expect(each * static_cast<double>(entries) <= slack + 1e-9,
+                "%g of %zu entries",
+                slack,
+                entries);
+    }
+  }
+}
+
+Test(retrybudget, an_entry_that_knows_of_no_others_yet_saves_one)
+{
+  cr_expect(RetriesOfEntry(246, 0) == 1);
+  cr_expect(RetriesOfEntry(0, 0) == 0);
+}
