--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -76,32 +76,41 @@
   if (candidates.empty()) {
     return {};
   }
-  const EngineFacts facts = FactsOf(aRequest.mService);
+  const EngineFacts facts = FactsOf(aRequest, aNow);
   const uint8_t urgency = aRequest.mRoutePriority;
   const Placed placed =
     mPlacement.Choose(candidates, aRequest.mPrompt, urgency, facts, aNow);
-  const auto chosen =
-    std::find_if(candidates.begin(), candidates.end(), [&](const auto& aEach) {
-      return aEach.mListed->mId == placed.mUpstream;
-    });
-  return { .mWaitMs = mPlacement.WaitMs(*chosen, urgency, facts, aNow),
+  return { .mWaitMs = placed.mWaitMs,
            .mReadMs = placed.mWork.mPrefill / facts.mReadPerMs +
                       mEngines.LeastWaitMs(aRequest.mService),
            .mAnswerMs = mMeters[aRequest.mRoute->mName].AnswerMs() };
 }
 
 EngineFacts
-DirectRouter::FactsOf(const std::string& aService) const
+DirectRouter::FactsOf(const BoundRequest& aRequest, Millis aNow) const
 {
-  const RoutedService* service =
-    mIndex ? mIndex->ServiceNamed(aService) : nullptr;
-  const bool engine = service != nullptr && service->mEngine.has_value();
-  const double perMs = mEngines.ReadPerMs(aService);
+  const std::string& service = aRequest.mService;
+  const RoutedService* listed =
+    mIndex ? mIndex->ServiceNamed(service) : nullptr;
+  const bool engine = listed != nullptr && listed->mEngine.has_value();
+  const double perMs = mEngines.ReadPerMs(service);
+  const auto arrivals = mArrivals.find(service);
+  const double rate =
+    arrivals == mArrivals.end() ? 0 : arrivals->second.PerMs(aNow);
+  const size_t engines =
+    std::max<size_t>(1, mDirectory.OfService(service).size());
+  const double perEngine = rate / static_cast<double>(engines);
+  const size_t heard = mPeers.Peers();
+  const size_t others = std::max(heard, mEntries - 1);
   return { .mReadPerMs = perMs,
            .mBehindShare =
-             mEngines.ReadingMs(aService, { .mBehind = 1 }) * perMs,
-           .mMemoryTokens = engine ? service->mEngine->mMemoryTokens : 0,
-           .mPeersHeard = mPeers.Peers() > 0 };
+             mEngines.ReadingMs(service, { .mBehind = 1 }) * perMs,
+           .mMemoryTokens = engine ? listed->mEngine->mMemoryTokens : 0,
+           .mAnswerMs = mEngines.AnswerMs(service),
+           .mPeersHeard = heard > 0,
+           .mHeardPerMs = perEngine * static_cast<double>(heard),
+           .mUnheardPerMs = perEngine * static_cast<double>(others - heard),
+           .mTellMs = mPeers.PauseMs() };
 }
 
 std::optional<PlacedAttempt>
@@ -139,13 +148,16 @@
   }
   const uint8_t urgency = aRequest.mRoutePriority;
   const Placed placed = mPlacement.Choose(
-    candidates, aRequest.mPrompt, urgency, FactsOf(aRequest.mService), aNow);
+    candidates, aRequest.mPrompt, urgency, FactsOf(aRequest, aNow), aNow);
   const ListedUpstream* listed = mDirectory.Find(placed.mUpstream);
   UpstreamWork& work = mTracked[placed.mUpstream].mWork;
   work.OnSent(placed.mWork, aNow);
   PendingReads pending = work.Pending();
   pending += mPeers.Pending(placed.mUpstream);
   TakeNote(aRequest.mPrompt, placed, aNow);
+  if (aRequest.mPrompt.mPromptTokens > 0) {
+    mArrivals[aRequest.mService].OnArrival(aNow);
+  }
   mMeters[aRequest.mRoute->mName].OnSent(aNow);
   const ListedUpstream* backup =
     BackupFor(aRequest, candidates, placed.mUpstream);
@@ -178,6 +190,13 @@
                                              : nullptr;
 }
 
+double
+DirectRouter::WholeDemand() const
+{
+  const auto known = static_cast<double>(mPeers.Peers() + 1);
+  return std::max(1.0, static_cast<double>(mEntries) / known);
+}
+
 DirectRouter::Candidates
 DirectRouter::CandidatesFor(const BoundRequest& aRequest,
                             const std::set<UpstreamId>& aTried,
@@ -188,12 +207,15 @@
   Candidates healthy;
   Candidates others;
   const auto& all = mDirectory.OfService(aRequest.mService);
-  const LanePlaces& lanes = mLanes.PlacesFor(
-    aRequest.mService,
-    *aRequest.mRoute,
-    all,
-    { .mPauses = mPauses, .mReadPerMs = mEngines.ReadPerMs(aRequest.mService) },
-    aNow);
+  const LanePlaces& lanes =
+    mLanes.PlacesFor(aRequest.mService,
+                     *aRequest.mRoute,
+                     all,
+                     { .mPauses = mPauses,
+                       .mReadPerMs = mEngines.ReadPerMs(aRequest.mService),
+                       .mSlots = all.empty() ? 0 : all.front()->mSlots,
+                       .mWholeDemand = WholeDemand() },
+                     aNow);
   for (const ListedUpstream* each : all) {
     if (each->mLeaving || aTried.contains(each->mId)) {
       continue;
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -142,10 +142,16 @@
   bound.mEnd = aFacts.mArrived + span;
   bound.mService = ServiceFor(*route);
   bound.mPrompt.mShared = mShared.OnPrompt(route->mName, bound.mPrompt);
-  mLanes.OnRequest(bound.mService, *route, bound.mPrompt, aNow);
+  mLanes.OnRequest(
+    bound.mService, *route, bound.mPrompt, aNow, mMeters[route->mName].Open());
   const auto comeBack = Overload(bound, aNow);
-  if (mTiers.Refuses(
-        bound.mService, route->mPriority, comeBack.has_value(), aNow)) {
+  const bool othersTakeLess =
+    mLanes.OthersSendLessUrgent(bound.mService, route->mPriority, aNow);
+  if (mTiers.Refuses(bound.mService,
+                     route->mPriority,
+                     comeBack.has_value(),
+                     aNow,
+                     othersTakeLess)) {
     return Fail(Refusal{ .mKind = ErrorKind::Shed,
                          .mRan = Ran::No,
                          .mRetryAfter = comeBack.value_or(kPressedReturn),
@@ -185,21 +191,38 @@
 }
 
 PeerNotes
-DirectRouter::TakeNotes()
+DirectRouter::TakeNotes(Millis aNow)
 {
   PeerNotes notes{ .mFrom = mOptions.mName,
                    .mProcess = mProcess,
                    .mSequence = ++mNotes,
-                   .mSent = std::exchange(mSent, {}) };
+                   .mSent = std::exchange(mSent, {}),
+                   .mDemands = mLanes.Demands(aNow) };
   for (const auto& [id, tracked] : mTracked) {
     if (tracked.mWork.Pending().All() > 0) {
       notes.mPending.push_back({ id, tracked.mWork.Pending() });
     }
   }
+  const auto reports = std::exchange(mReports, {});
+  if (AllHeard()) {
+    for (const auto& [id, report] : reports) {
+      notes.mReports.push_back(
+        { .mUpstream = id, .mLoad = report.mLoad, .mAge = aNow - report.mAt });
+    }
+  }
+  for (auto& [id, results] : std::exchange(mResults, {})) {
+    notes.mResults.push_back(std::move(results));
+  }
   mHasNotes = false;
   return notes;
 }
 
+bool
+DirectRouter::AllHeard() const
+{
+  return mPeers.Peers() + 1 >= mEntries;
+}
+
 void
 DirectRouter::OnPeerNotes(const PeerNotes& aNotes, Millis aNow)
 {
@@ -207,12 +230,28 @@
   if (!mPeers.Take(aNotes, aNow)) {
     return;
   }
+  const bool allHeard = AllHeard();
   for (const SentPrompt& each : aNotes.mSent) {
-    if (mDirectory.Find(each.mUpstream) != nullptr) {
+    const auto tracked = mTracked.find(each.mUpstream);
+    if (tracked != mTracked.end()) {
+      if (allHeard) {
+        tracked->second.mWork.OnSentByOther(aNow);
+      }
       mPlacement.Memory().OnSent(
         each.mUpstream, each.mParts, each.mTokens, aNow);
     }
   }
+  mLanes.OnDemands(aNotes.mFrom, aNotes.mDemands, aNow);
+  for (const UpstreamResults& each : aNotes.mResults) {
+    mOutliers.OnResultsElsewhere(
+      each.mUpstream, each.mGood, each.mFailed, aNow);
+  }
+  for (const HeardReport& each : aNotes.mReports) {
+    const auto tracked = mTracked.find(each.mUpstream);
+    if (allHeard && tracked != mTracked.end()) {
+      tracked->second.mWork.OnReport(each.mLoad, aNow - each.mAge);
+    }
+  }
 }
 
 void
@@ -254,6 +293,7 @@
     tracked->mWork.OnStarted(aAttempt.mWork);
     const Millis took = aNow - aAttempt.mSentAt;
     mOutliers.OnFirstToken(aAttempt.mUpstream, took, aNow);
+    NoteResult(aAttempt.mUpstream, false);
     if (aAttempt.mWork.mPrefill > 0) {
       mEngines.OnStarted(
         aAttempt.mService, aAttempt.mUpstream, aAttempt.mReads, took, aNow);
@@ -269,6 +309,9 @@
 {
   if (Tracked* tracked = TrackedFor(aAttempt)) {
     tracked->mWork.OnReport(aLoad, aNow);
+    if (aAttempt.mWork.mOutput > 0) {
+      mReports[aAttempt.mUpstream] = { .mLoad = aLoad, .mAt = aNow };
+    }
   }
 }
 
@@ -280,7 +323,7 @@
   Tracked* tracked = TrackedFor(aAttempt);
   if (tracked != nullptr) {
     mHasNotes = mHasNotes || !aAttempt.mStarted;
-    tracked->mWork.OnEnded(aAttempt.mWork, aAttempt.mStarted);
+    tracked->mWork.OnEnded(aAttempt.mWork, aAttempt.mStarted, aNow);
     if (!tracked->mListed && tracked->mWork.Open() == 0) {
       mTracked.erase(aAttempt.mUpstream);
     }
@@ -288,6 +331,9 @@
   if (aAttempt.mStarted) {
     mMeters[aAttempt.mRoute].OnEnded(aAttempt.mStartedAt, aNow);
     mPauses.OnStream(aAttempt.mRoute, aNow);
+    if (aAttempt.mWork.mOutput > 0) {
+      mEngines.OnEnded(aAttempt.mService, aNow - aAttempt.mStartedAt);
+    }
   } else {
     mMeters[aAttempt.mRoute].OnGivenUp(aAttempt.mSentAt);
   }
@@ -296,6 +342,18 @@
   if (speaksAgainst && tracked != nullptr) {
     mOutliers.OnFailure(aAttempt.mUpstream, aNow);
   }
+  if (aOutcome == AttemptOutcome::Failed && tracked != nullptr) {
+    NoteResult(aAttempt.mUpstream, true);
+  }
+}
+
+void
+DirectRouter::NoteResult(const UpstreamId& aUpstream, bool aFailed)
+{
+  UpstreamResults& results = mResults[aUpstream];
+  results.mUpstream = aUpstream;
+  (aFailed ? results.mFailed : results.mGood)++;
+  mHasNotes = mHasNotes || aFailed;
 }
 
 OutlierState
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arrivalrate.h"
 #include "engineadmission.h"
 #include "enginemodel.h"
 #include "errors.h"
@@ -211,11 +212,13 @@
   /** Something is to be told that other entries do not know yet. */
   bool HasNotes() const { return mHasNotes; }
   /** What is to be told, whole; it is told then. */
-  PeerNotes TakeNotes();
+  PeerNotes TakeNotes(Millis aNow);
   /** What another entry tells. */
   void OnPeerNotes(const PeerNotes& aNotes, Millis aNow);
   /** Entries that were heard lately. */
   size_t Peers() const { return mPeers.Peers(); }
+  /** How many entries there are, this one included. */
+  void SetEntries(size_t aEntries) { mEntries = aEntries; }
 
   uint64_t Ejections() const { return mOutliers.Ejections(); }
   OutlierState StateOf(const UpstreamId& aUpstream, Millis aNow) const;
@@ -236,6 +239,11 @@
     /** It is slow until then, after its start. */
     Millis mColdUntil;
   };
+  struct TimedReport
+  {
+    ReportedLoad mLoad;
+    Millis mAt;
+  };
   using Candidates = std::vector<PlacementCandidate>;
 
   /** The upstream as the attempt knew it, or null where that start is over. */
@@ -249,9 +257,21 @@
   Candidates CandidatesFor(const BoundRequest& aRequest,
                            const std::set<UpstreamId>& aTried,
                            Millis aNow);
+  /** How many times what entries that are heard tell the whole is. */
+  double WholeDemand() const;
+  /**
+   * No entry's word is missing. What engines reported to others is news only
+   * together with all that was sent there since: a hundred entries that went
+   * by a part of it, late, all sent to the same engines, and the most urgent
+   * route earned 0.63 of its credit in an overload of slots where it earns 0.80
+   * without (one run each).
+   */
+  bool AllHeard() const;
+  /** How an upstream answered, for the others to know. */
+  void NoteResult(const UpstreamId& aUpstream, bool aFailed);
   /** What is sent where, for this entry's memory and for the others. */
   void TakeNote(const PromptShape& aPrompt, const Placed& aPlaced, Millis aNow);
-  EngineFacts FactsOf(const std::string& aService) const;
+  EngineFacts FactsOf(const BoundRequest& aRequest, Millis aNow) const;
   /** Why the request should come back later, or empty: when. */
   std::optional<Millis> Overload(const BoundRequest& aRequest, Millis aNow);
   ForecastStart ForecastFor(const BoundRequest& aRequest, Millis aNow);
@@ -278,8 +298,15 @@
   /** By route. */
   std::unordered_map<std::string, StartMeter> mMeters;
   PeerWork mPeers;
+  size_t mEntries = 1;
+  /** Requests with a prompt that come to this entry, by service. */
+  std::unordered_map<std::string, ArrivalRate> mArrivals;
   bool mHasNotes = false;
   std::vector<SentPrompt> mSent;
+  /** Reports that were not told yet, with the instant at which they came. */
+  std::unordered_map<UpstreamId, TimedReport> mReports;
+  /** Results that were not told yet. */
+  std::unordered_map<UpstreamId, UpstreamResults> mResults;
   uint64_t mNotes = 0;
   /** Tells this process from the next of its name. */
   uint64_t mProcess = 0;
--- a/src/libtrefoilarch/enginemodel.h
+++ b/src/libtrefoilarch/enginemodel.h
@@ -61,6 +61,8 @@
                  const ReadsBefore& aReads,
                  Millis aWait,
                  Millis aNow);
+  /** An answer that began so long ago has ended. */
+  void OnEnded(const std::string& aService, Millis aTook);
   void Forget(const UpstreamId& aEngine) { mEngines.erase(aEngine); }
 
   /** Prompt tokens in a millisecond, beside the answers that are under way. */
@@ -70,6 +72,9 @@
                    const ReadsBefore& aReads) const;
   /** How long a first token takes where nothing has to be read. */
   double LeastWaitMs(const std::string& aService) const;
+  /** How long an answer holds a slot on average, in milliseconds; 0: not known
+   * yet. */
+  double AnswerMs(const std::string& aService) const;
   /** How many times as long as its peers the engine takes; 1 where nothing is
    * known or it is not much slower, and again once it was not asked for
    * a while. */
@@ -85,6 +90,8 @@
     double mAheadWait = 0;
     double mBehindWait = 0;
     double mLeastWait = 0;
+    double mAnswerMs = 0;
+    uint32_t mAnswers = 0;
     bool mSeen = false;
   };
   /** Milliseconds for a token. */
--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <xxhash.h>
 
 namespace trefoilarch {
@@ -14,6 +15,13 @@
 /** Less demand than this many requests says nothing. */
 constexpr double kLeastCount = 1;
 
+/** Less of a route than this is not worth telling. */
+constexpr double kLeastTold = 0.05;
+
+/** What others told of open requests says so much of now for so long: three
+ * messages of a large fleet's entry. */
+constexpr Millis kFreshSpan{ 1800 };
+
 /** How long a route's distances are good for. */
 constexpr Millis kKnownSpan{ 250 };
 
@@ -49,6 +57,21 @@
   return static_cast<uint32_t>(nearest);
 }
 
+/** Adds a demand to what is known of its route. */
+void
+Add(std::map<std::string, RouteDemand>& aWhole, const RouteDemand& aMore)
+{
+  const auto [place, fresh] = aWhole.try_emplace(aMore.mRoute, aMore);
+  if (fresh) {
+    return;
+  }
+  RouteDemand& sums = place->second;
+  sums.mCount += aMore.mCount;
+  sums.mPromptTokens += aMore.mPromptTokens;
+  sums.mOutputTokens += aMore.mOutputTokens;
+  sums.mOpen += aMore.mOpen;
+}
+
 std::vector<const ListedUpstream*>
 InOrder(const std::vector<const ListedUpstream*>& aAll)
 {
@@ -79,7 +102,8 @@
 Lanes::OnRequest(const std::string& aService,
                  const Route& aRoute,
                  const PromptShape& aPrompt,
-                 Millis aNow)
+                 Millis aNow,
+                 double aOpen)
 {
   if (!aRoute.mStream || aPrompt.mPromptTokens == 0) {
     return;
@@ -88,10 +112,61 @@
   Fade(demand, aNow);
   // Whole prompts: shared parts are read too, wherever they are not held, and
   // a lane that has no room for that refuses while others idle.
-  demand.mCount += 1;
-  demand.mPromptTokens += aPrompt.mPromptTokens;
-  demand.mOutputTokens += OutputOf(aPrompt);
-  demand.mPause = aRoute.mGapTarget;
+  RouteDemand& sums = demand.mSums;
+  sums.mService = aService;
+  sums.mRoute = aRoute.mName;
+  sums.mCount += 1;
+  sums.mPromptTokens += aPrompt.mPromptTokens;
+  sums.mOutputTokens += OutputOf(aPrompt);
+  sums.mOpen = aOpen;
+  sums.mPause = aRoute.mGapTarget;
+  sums.mUrgency = aRoute.mPriority;
+}
+
+std::vector<RouteDemand>
+Lanes::Demands(Millis aNow)
+{
+  std::vector<RouteDemand> demands;
+  for (auto& [service, known] : mServices) {
+    for (auto& [route, demand] : known.mRoutes) {
+      Fade(demand, aNow);
+      if (demand.mSums.mCount >= kLeastTold) {
+        demands.push_back(demand.mSums);
+      }
+    }
+  }
+  return demands;
+}
+
+void
+Lanes::OnDemands(const std::string& aFrom,
+                 const std::vector<RouteDemand>& aDemands,
+                 Millis aNow)
+{
+  Told& told = mTold[aFrom];
+  told = { .mAt = aNow };
+  for (const RouteDemand& each : aDemands) {
+    told.mDemands.push_back({ .mSums = each, .mAt = aNow });
+  }
+}
+
+bool
+Lanes::OthersSendLessUrgent(const std::string& aService,
+                            uint8_t aUrgency,
+                            Millis aNow) const
+{
+  double less = 0;
+  double asUrgent = 0;
+  for (const auto& [entry, told] : mTold) {
+    const bool fresh = aNow - told.mAt < kFreshSpan;
+    for (const Demand& demand : told.mDemands) {
+      const RouteDemand& sums = demand.mSums;
+      if (fresh && sums.mService == aService) {
+        (sums.mUrgency > aUrgency ? less : asUrgent) += sums.mOpen;
+      }
+    }
+  }
+  return less * 3 > asUrgent;
 }
 
 const LanePlaces&
@@ -101,28 +176,49 @@
                  const LaneFacts& aFacts,
                  Millis aNow)
 {
-  Service& service = mServices[aService];
-  Known& known = service.mKnown[aRoute.mName];
+  Known& known = mServices[aService].mKnown[aRoute.mName];
   if (aNow >= known.mUntil) {
-    known.mPlaces = WorkOut(service, aRoute, aAll, aFacts, aNow);
+    known.mPlaces = WorkOut(aService, aRoute, aAll, aFacts, aNow);
     // After the work: moved boundaries void what is known of every route.
     known.mUntil = aNow + kKnownSpan;
   }
   return known.mPlaces;
 }
 
+std::map<std::string, RouteDemand>
+Lanes::WholeDemand(const std::string& aService, Millis aNow)
+{
+  std::map<std::string, RouteDemand> whole;
+  for (auto& [name, demand] : mServices[aService].mRoutes) {
+    Fade(demand, aNow);
+    whole[name] = demand.mSums;
+  }
+  // Of entries that have gone silent, what they told last fades away.
+  for (auto told = mTold.begin(); told != mTold.end();) {
+    double count = 0;
+    for (Demand& demand : told->second.mDemands) {
+      Fade(demand, aNow);
+      count += demand.mSums.mCount;
+      if (demand.mSums.mService == aService) {
+        Add(whole, demand.mSums);
+      }
+    }
+    told = count < kLeastTold ? mTold.erase(told) : std::next(told);
+  }
+  return whole;
+}
+
 LanePlaces
-Lanes::WorkOut(Service& aService,
+Lanes::WorkOut(const std::string& aService,
                const Route& aRoute,
                const std::vector<const ListedUpstream*>& aAll,
                const LaneFacts& aFacts,
-               Millis aNow) const
+               Millis aNow)
 {
   LanePlaces places;
-  for (auto& [name, demand] : aService.mRoutes) {
-    Fade(demand, aNow);
-  }
-  const std::vector<Lane> lanes = LanesOf(aService, aFacts);
+  Service& service = mServices[aService];
+  const auto demands = WholeDemand(aService, aNow);
+  const std::vector<Lane> lanes = LanesOf(service, demands, aFacts);
   const std::vector<const ListedUpstream*> order = InOrder(aAll);
   size_t own = lanes.size();
   for (size_t lane = 0; lane < lanes.size(); ++lane) {
@@ -135,8 +231,8 @@
       order.size() < kLeastEngines * lanes.size()) {
     return places;
   }
-  MoveEnds(aService, lanes, order.size());
-  const std::vector<size_t> laneOf = LanesInOrder(aService, order.size());
+  MoveEnds(service, SharesOf(lanes, order.size()), order.size());
+  const std::vector<size_t> laneOf = LanesInOrder(service, order.size());
   const auto begin = std::find(laneOf.begin(), laneOf.end(), own);
   const auto end = std::find_if(
     begin, laneOf.end(), [own](size_t aLane) { return aLane != own; });
@@ -174,32 +270,51 @@
   const double span = static_cast<double>((aNow - aDemand.mAt).Count());
   const double kept =
     std::exp(-span / static_cast<double>(mOptions.mMemory.Count()));
-  aDemand.mCount *= kept;
-  aDemand.mPromptTokens *= kept;
-  aDemand.mOutputTokens *= kept;
+  RouteDemand& sums = aDemand.mSums;
+  sums.mCount *= kept;
+  sums.mPromptTokens *= kept;
+  sums.mOutputTokens *= kept;
+  sums.mOpen *= kept;
   aDemand.mAt = aNow;
 }
 
+double
+Lanes::EnginesFor(const RouteDemand& aDemand, const LaneFacts& aFacts) const
+{
+  const double workMs = aDemand.mPromptTokens / aFacts.mReadPerMs +
+                        aDemand.mOutputTokens * mOptions.mTokenMs;
+  const double byWork = workMs / static_cast<double>(mOptions.mMemory.Count());
+  const double bySlots = aFacts.mSlots > 0 ? aDemand.mOpen / aFacts.mSlots : 0;
+  return std::max(byWork, bySlots) * aFacts.mWholeDemand;
+}
+
 std::vector<Lanes::Lane>
-Lanes::LanesOf(Service& aService, const LaneFacts& aFacts) const
+Lanes::LanesOf(Service& aService,
+               const std::map<std::string, RouteDemand>& aDemands,
+               const LaneFacts& aFacts) const
 {
-  std::vector<std::pair<Millis, std::string>> byPause;
-  for (const auto& [name, demand] : aService.mRoutes) {
+  std::vector<const RouteDemand*> byPause;
+  for (const auto& [name, demand] : aDemands) {
     if (demand.mCount >= kLeastCount) {
-      byPause.emplace_back(demand.mPause, name);
+      byPause.push_back(&demand);
     }
   }
-  std::sort(byPause.begin(), byPause.end());
+  std::stable_sort(
+    byPause.begin(), byPause.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->mPause < aRight->mPause;
+    });
   std::vector<Lane> lanes;
-  for (const auto& [pause, name] : byPause) {
-    const Demand& demand = aService.mRoutes.at(name);
-    const double prompt = demand.mPromptTokens / demand.mCount;
-    if (lanes.empty() || IsApart(aService, name, lanes.back(), aFacts)) {
-      lanes.push_back({ .mPause = pause, .mPrompt = prompt });
+  for (const RouteDemand* demand : byPause) {
+    const double prompt = demand->mPromptTokens / demand->mCount;
+    if (lanes.empty() || IsApart(aService, *demand, lanes.back(), aFacts)) {
+      lanes.push_back({ .mPause = demand->mPause,
+                        .mPrompt = prompt,
+                        .mUrgency = demand->mUrgency });
     }
-    lanes.back().mRoutes.push_back(name);
-    lanes.back().mWorkMs += demand.mPromptTokens / aFacts.mReadPerMs +
-                            demand.mOutputTokens * mOptions.mTokenMs;
+    Lane& lane = lanes.back();
+    lane.mRoutes.push_back(demand->mRoute);
+    lane.mUrgency = std::min(lane.mUrgency, demand->mUrgency);
+    lane.mEngines += EnginesFor(*demand, aFacts);
   }
   std::reverse(lanes.begin(), lanes.end());
   return lanes;
@@ -207,51 +322,76 @@
 
 bool
 Lanes::IsApart(Service& aService,
-               const std::string& aRoute,
+               const RouteDemand& aDemand,
                const Lane& aStricter,
                const LaneFacts& aFacts) const
 {
-  const Demand& demand = aService.mRoutes.at(aRoute);
-  const double prompt = demand.mPromptTokens / demand.mCount;
+  const double prompt = aDemand.mPromptTokens / aDemand.mCount;
   if (prompt < mOptions.mPromptFactor * aStricter.mPrompt) {
     return false;
   }
   const std::string& strict = aStricter.mRoutes.front();
-  if (!aFacts.mPauses.Knows(strict, aRoute)) {
-    return static_cast<double>(demand.mPause.Count()) >=
+  if (!aFacts.mPauses.Knows(strict, aDemand.mRoute)) {
+    return static_cast<double>(aDemand.mPause.Count()) >=
            mOptions.mPauseFactor *
              static_cast<double>(aStricter.mPause.Count());
   }
   const double late =
-    aFacts.mPauses.LateShare(strict, aRoute, aStricter.mPause);
-  const bool before = aService.mApart.contains(aRoute);
+    aFacts.mPauses.LateShare(strict, aDemand.mRoute, aStricter.mPause);
+  const bool before = aService.mApart.contains(aDemand.mRoute);
   const bool apart =
     late >= (before ? mOptions.mKeptShare : mOptions.mLateShare);
   if (apart) {
-    aService.mApart.insert(aRoute);
+    aService.mApart.insert(aDemand.mRoute);
   } else {
-    aService.mApart.erase(aRoute);
+    aService.mApart.erase(aDemand.mRoute);
   }
   return apart;
 }
 
+std::vector<double>
+Lanes::SharesOf(const std::vector<Lane>& aLanes, size_t aEngines) const
+{
+  double left = 0;
+  for (const Lane& lane : aLanes) {
+    left += lane.mEngines;
+  }
+  std::vector<size_t> order(aLanes.size());
+  std::iota(order.begin(), order.end(), size_t{ 0 });
+  std::stable_sort(
+    order.begin(), order.end(), [&](size_t aLeft, size_t aRight) {
+      return aLanes[aLeft].mUrgency < aLanes[aRight].mUrgency;
+    });
+  std::vector<double> shares(aLanes.size());
+  double free = 1 - mOptions.mLeastShare * static_cast<double>(aLanes.size());
+  for (size_t each = 0; each < order.size(); ++each) {
+    const Lane& lane = aLanes[order[each]];
+    const double even = left > 0 ? free * lane.mEngines / left : 0;
+    const bool urgent = each + 1 < order.size() &&
+                        lane.mUrgency < aLanes[order[each + 1]].mUrgency;
+    const double enough =
+      lane.mEngines / mOptions.mFullLoad / static_cast<double>(aEngines) -
+      mOptions.mLeastShare;
+    const double extra =
+      urgent ? std::clamp(enough, even, std::max(even, free)) : even;
+    shares[order[each]] = mOptions.mLeastShare + extra;
+    free -= extra;
+    left -= lane.mEngines;
+  }
+  return shares;
+}
+
 void
 Lanes::MoveEnds(Service& aService,
-                const std::vector<Lane>& aLanes,
+                const std::vector<double>& aShares,
                 size_t aEngines) const
 {
   const double slack = std::max(
     mOptions.mSlack, mOptions.mSlackEngines / static_cast<double>(aEngines));
-  double all = 0;
-  for (const Lane& lane : aLanes) {
-    all += lane.mWorkMs;
-  }
-  const double free =
-    1 - mOptions.mLeastShare * static_cast<double>(aLanes.size());
   std::vector<double> wanted;
   double end = 0;
-  for (size_t lane = 0; lane + 1 < aLanes.size(); ++lane) {
-    end += mOptions.mLeastShare + free * aLanes[lane].mWorkMs / all;
+  for (size_t lane = 0; lane + 1 < aShares.size(); ++lane) {
+    end += aShares[lane];
     wanted.push_back(end);
   }
   bool moves = wanted.size() != aService.mEnds.size();
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -3,6 +3,7 @@
 #include "millis.h"
 #include "pauserecord.h"
 #include "prompt.h"
+#include "routedemand.h"
 #include "routepolicy.h"
 #include "upstreamdirectory.h"
 
@@ -37,6 +38,10 @@
   double mTokenMs = 0.3;
   /** Every lane has at least this share of the engines. */
   double mLeastShare = 0.12;
+  /** Where there are too few engines for all, a lane has enough if it is busy
+   * for this share of the time; the most urgent lane is the first to have it.
+   * Beyond it, waits grow faster than the load. */
+  double mFullLoad = 0.75;
   /** A boundary moves when it is off by this share of the engines: a session
    * whose engine changes lanes is read again elsewhere. */
   double mSlack = 0.06;
@@ -62,6 +67,11 @@
   const PauseRecord& mPauses;
   /** Prompt tokens that an engine reads in a millisecond. */
   double mReadPerMs = 0;
+  /** Requests that an engine runs at once; 0: not known. */
+  uint32_t mSlots = 0;
+  /** How many times what is known of the demand the whole is: entries for each
+   * one whose demand is known here. */
+  double mWholeDemand = 1;
 };
 
 /** By engine. */
@@ -81,11 +91,23 @@
 public:
   explicit Lanes(LanesOptions aOptions = {});
 
-  /** A request of the route came. */
+  /** A request of the route came; aOpen: those that have not ended. */
   void OnRequest(const std::string& aService,
                  const Route& aRoute,
                  const PromptShape& aPrompt,
+                 Millis aNow,
+                 double aOpen = 0);
+  /** What came to this entry, for others to know. */
+  std::vector<RouteDemand> Demands(Millis aNow);
+  /** What came to another entry, by its own word. */
+  void OnDemands(const std::string& aFrom,
+                 const std::vector<RouteDemand>& aDemands,
                  Millis aNow);
+  /** By what others told of late, most of their requests at upstreams of the
+   * service are less urgent. */
+  bool OthersSendLessUrgent(const std::string& aService,
+                            uint8_t aUrgency,
+                            Millis aNow) const;
 
   /**
    * How far each engine is from the route's lane. Worked out four times
@@ -99,13 +121,16 @@
                               Millis aNow);
 
 private:
-  /** What came of one route, fading. */
+  /** A demand as of that instant. */
   struct Demand
   {
-    double mCount = 0;
-    double mPromptTokens = 0;
-    double mOutputTokens = 0;
-    Millis mPause;
+    RouteDemand mSums;
+    Millis mAt;
+  };
+  /** What another entry told, and when. */
+  struct Told
+  {
+    std::vector<Demand> mDemands;
     Millis mAt;
   };
   /** Routes that share engines, and their work. */
@@ -114,7 +139,10 @@
     std::vector<std::string> mRoutes;
     Millis mPause;
     double mPrompt = 0;
-    double mWorkMs = 0;
+    /** Engines that it would keep busy without a break. */
+    double mEngines = 0;
+    /** Of its most urgent route. */
+    uint8_t mUrgency = 0;
   };
   /** A route's distances and until when they are good. */
   struct Known
@@ -132,28 +160,41 @@
     std::set<std::string> mApart;
   };
 
-  LanePlaces WorkOut(Service& aService,
+  LanePlaces WorkOut(const std::string& aService,
                      const Route& aRoute,
                      const std::vector<const ListedUpstream*>& aAll,
                      const LaneFacts& aFacts,
-                     Millis aNow) const;
+                     Millis aNow);
   /** The lane of each place in the order. */
   static std::vector<size_t> LanesInOrder(const Service& aService,
                                           size_t aEngines);
   void Fade(Demand& aDemand, Millis aNow) const;
+  /** The service's routes with what came of them here and elsewhere. */
+  std::map<std::string, RouteDemand> WholeDemand(const std::string& aService,
+                                                 Millis aNow);
+  /** Each lane's share of the engines. */
+  std::vector<double> SharesOf(const std::vector<Lane>& aLanes,
+                               size_t aEngines) const;
+  /** Engines that a route would keep busy without a break: by what they have to
+   * do for it, or by the slots that it holds, whichever is scarcer. */
+  double EnginesFor(const RouteDemand& aDemand, const LaneFacts& aFacts) const;
   /** From the longest prompts to the strictest streams. */
-  std::vector<Lane> LanesOf(Service& aService, const LaneFacts& aFacts) const;
+  std::vector<Lane> LanesOf(Service& aService,
+                            const std::map<std::string, RouteDemand>& aDemands,
+                            const LaneFacts& aFacts) const;
   /** The route's prompts hold up the lane's streams. */
   bool IsApart(Service& aService,
-               const std::string& aRoute,
+               const RouteDemand& aDemand,
                const Lane& aStricter,
                const LaneFacts& aFacts) const;
   void MoveEnds(Service& aService,
-                const std::vector<Lane>& aLanes,
+                const std::vector<double>& aShares,
                 size_t aEngines) const;
 
   LanesOptions mOptions;
   std::map<std::string, Service> mServices;
+  /** By entry. */
+  std::map<std::string, Told> mTold;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/peernotes.h
+++ b/src/libtrefoilarch/peernotes.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "ids.h"
+#include "millis.h"
 #include "pendingreads.h"
+#include "routedemand.h"
+#include "upstreamwork.h"
 
 #include <cstdint>
 #include <string>
@@ -30,6 +33,29 @@
   bool operator==(const SentPrompt&) const = default;
 };
 
+/** An upstream's report of its own load, as an entry got it. */
+struct HeardReport
+{
+  UpstreamId mUpstream;
+  ReportedLoad mLoad;
+  /** Since it came. */
+  Millis mAge;
+
+  bool operator==(const HeardReport&) const = default;
+};
+
+/** How an upstream answered an entry of late. */
+struct UpstreamResults
+{
+  UpstreamId mUpstream;
+  uint32_t mGood = 0;
+  /** Failures that the upstream itself answered with: what broke on the way may
+   * have been the entry's own fault. */
+  uint32_t mFailed = 0;
+
+  bool operator==(const UpstreamResults&) const = default;
+};
+
 /**
  * What an entry tells the others. What is pending is told as a whole, so that
  * a lost message is made good by the next one; prompts are told once.
@@ -43,6 +69,9 @@
   uint64_t mSequence = 0;
   std::vector<PendingRead> mPending;
   std::vector<SentPrompt> mSent;
+  std::vector<HeardReport> mReports;
+  std::vector<RouteDemand> mDemands;
+  std::vector<UpstreamResults> mResults;
 
   bool operator==(const PeerNotes&) const = default;
 };
--- a/src/libtrefoilarch/peerwork.cpp
+++ b/src/libtrefoilarch/peerwork.cpp
@@ -8,6 +8,9 @@
  * row are rarely lost. */
 constexpr Millis kSilentSpan{ 1800 };
 
+/** Weight of the newest pause between messages. */
+constexpr double kNewestPause = 0.05;
+
 } // namespace
 
 bool
@@ -19,6 +22,10 @@
   if (late) {
     return false;
   }
+  if (peer.mProcess == aNotes.mProcess) {
+    const auto pause = static_cast<double>((aNow - peer.mHeard).Count());
+    mPauseMs += kNewestPause * (pause - mPauseMs);
+  }
   Subtract(peer);
   peer = { .mProcess = aNotes.mProcess,
            .mSequence = aNotes.mSequence,
--- a/src/libtrefoilarch/peerwork.h
+++ b/src/libtrefoilarch/peerwork.h
@@ -28,6 +28,8 @@
   PendingReads Pending(const UpstreamId& aUpstream) const;
   /** Entries that were heard lately. */
   size_t Peers() const { return mPeers.size(); }
+  /** Mean time between two messages of an entry, in milliseconds. */
+  double PauseMs() const { return mPauseMs; }
 
 private:
   struct Peer
@@ -41,6 +43,7 @@
   void Subtract(const Peer& aPeer);
 
   std::map<std::string, Peer> mPeers;
+  double mPauseMs = 0;
   std::unordered_map<UpstreamId, PendingReads> mPending;
 };
 
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -13,7 +13,8 @@
 /** Weight of the newest start's wait. */
 constexpr double kNewest = 0.2;
 
-/** Weight of the newest answer's time; answers vary more than waits. */
+/** Weight of the newest answer's time; answers vary more than waits. The first
+ * ones count alike: an entry of a hundred sees one a second. */
 constexpr double kNewestAnswer = 0.05;
 
 /** The memory of waits fades by this time constant while nothing starts. */
@@ -44,6 +45,7 @@
 StartMeter::OnStarted(Millis aSentAt, Millis aNow)
 {
   Leave(aSentAt);
+  mRunning++;
   mStarts.push_back(aNow);
   mWait += kNewest * (static_cast<double>((aNow - aSentAt).Count()) - mWait);
   mWaitAt = aNow;
@@ -59,7 +61,10 @@
 StartMeter::OnEnded(Millis aStartedAt, Millis aNow)
 {
   const auto took = static_cast<double>((aNow - aStartedAt).Count());
-  mAnswer += kNewestAnswer * (took - mAnswer);
+  mRunning -= std::min(mRunning, 1U);
+  mAnswers++;
+  const double newest = std::max(kNewestAnswer, 1.0 / mAnswers);
+  mAnswer += newest * (took - mAnswer);
 }
 
 std::optional<Millis>
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -60,6 +60,8 @@
   /** The wait of a request sent now, by the rate of starts. */
   Millis ExpectedWait(Millis aNow);
   uint32_t Pending() const { return mPending; }
+  /** Sent and not ended, whether started or not. */
+  uint32_t Open() const { return mPending + mRunning; }
   /** Mean time from the start of an answer to its end, in milliseconds. */
   double AnswerMs() const { return mAnswer; }
 
@@ -72,12 +74,14 @@
 
   StartMeterOptions mOptions;
   uint32_t mPending = 0;
+  uint32_t mRunning = 0;
   /** Sum of the pending ones' send times, for their mean age. */
   int64_t mSentSum = 0;
   std::deque<Millis> mStarts;
   double mWait = 0;
   /** Mean time from the start of an answer to its end. */
   double mAnswer = 0;
+  uint32_t mAnswers = 0;
   Millis mWaitAt;
 };
 
--- a/src/libtrefoilarch/tierguard.cpp
+++ b/src/libtrefoilarch/tierguard.cpp
@@ -24,12 +24,14 @@
 TierGuard::Refuses(const std::string& aService,
                    uint8_t aPriority,
                    bool aOverloaded,
-                   Millis aNow)
+                   Millis aNow,
+                   bool aOthersTakeLess)
 {
   Service& service = mServices[aService];
   const bool othersFirst = LessUrgentTaken(service, aPriority, aNow);
-  bool refuses = aOverloaded && !othersFirst;
-  if (aOverloaded && othersFirst) {
+  const bool lessTaken = othersFirst || aOthersTakeLess;
+  bool refuses = aOverloaded && !lessTaken;
+  if (aOverloaded && lessTaken) {
     service.mPressedUntil = aNow + kPressSpan;
     service.mPressedBy = aPriority;
   }
--- a/src/libtrefoilarch/upstreamwork.cpp
+++ b/src/libtrefoilarch/upstreamwork.cpp
@@ -18,7 +18,7 @@
     mBusySince = aNow;
   }
   mOpen++;
-  mSinceReport++;
+  Change(+1, aNow);
   mPending.Add(aWork.mUrgency, aWork.mPrefill);
 }
 
@@ -29,21 +29,37 @@
 }
 
 void
-UpstreamWork::OnEnded(const AttemptWork& aWork, bool aStarted)
+UpstreamWork::OnEnded(const AttemptWork& aWork, bool aStarted, Millis aNow)
 {
   if (!aStarted) {
     OnStarted(aWork);
   }
   mOpen -= std::min(mOpen, 1U);
-  mSinceReport--;
+  Change(-1, aNow);
 }
 
 void
-UpstreamWork::OnReport(const ReportedLoad& aLoad, Millis aNow)
+UpstreamWork::OnReport(const ReportedLoad& aLoad, Millis aAt)
 {
+  if (mReport && aAt < mReportedAt) {
+    return;
+  }
   mReport = aLoad;
-  mReportedAt = aNow;
-  mSinceReport = 0;
+  mReportedAt = aAt;
+  while (!mSinceReport.empty() && mSinceReport.front().mAt <= aAt) {
+    mSinceReport.pop_front();
+  }
+}
+
+void
+UpstreamWork::Change(int aBy, Millis aNow)
+{
+  // What no report that still counts can be older than is forgotten.
+  while (!mSinceReport.empty() &&
+         aNow - mSinceReport.front().mAt > kReportSpan) {
+    mSinceReport.pop_front();
+  }
+  mSinceReport.push_back({ .mAt = aNow, .mBy = aBy });
 }
 
 double
@@ -52,11 +68,20 @@
   if (!mReport || aNow - mReportedAt > kReportSpan) {
     return mOpen;
   }
-  const double busy = static_cast<double>(mReport->mRunning) +
-                      static_cast<double>(mReport->mWaiting) + mSinceReport;
+  double busy = static_cast<double>(mReport->mRunning) +
+                static_cast<double>(mReport->mWaiting);
+  for (const LoadChange& each : mSinceReport) {
+    busy += each.mBy;
+  }
   return std::max<double>(busy, mOpen);
 }
 
+Millis
+UpstreamWork::ReportAge(Millis aNow) const
+{
+  return mReport ? std::min(aNow - mReportedAt, kReportSpan) : kReportSpan;
+}
+
 Millis
 UpstreamWork::Silence(Millis aNow) const
 {
--- a/src/libtrefoilarch/upstreamwork.h
+++ b/src/libtrefoilarch/upstreamwork.h
@@ -4,6 +4,7 @@
 #include "pendingreads.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace trefoilarch {
@@ -32,7 +33,8 @@
 
 /**
  * What one entry believes of the work at one upstream: its own attempts
- * there, exactly, and the others' by the upstream's last report.
+ * there, exactly, and the others' by the upstream's last report, whichever
+ * entry got it.
  */
 class UpstreamWork
 {
@@ -40,10 +42,13 @@
   void OnSent(const AttemptWork& aWork, Millis aNow);
   /** The first byte of an answer: its prompt has been read. */
   void OnStarted(const AttemptWork& aWork);
-  void OnEnded(const AttemptWork& aWork, bool aStarted);
+  void OnEnded(const AttemptWork& aWork, bool aStarted, Millis aNow);
   /** Any byte came from the upstream. */
   void OnHeard(Millis aNow) { mHeard = aNow; }
-  void OnReport(const ReportedLoad& aLoad, Millis aNow);
+  /** Made at that instant; an older one than the last says nothing. */
+  void OnReport(const ReportedLoad& aLoad, Millis aAt);
+  /** Another entry sent a request there. */
+  void OnSentByOther(Millis aNow) { Change(+1, aNow); }
 
   /** This entry's attempts there. */
   uint32_t Open() const { return mOpen; }
@@ -51,16 +56,27 @@
   const PendingReads& Pending() const { return mPending; }
   /** Attempts of all entries that run or wait there. */
   double Busy(Millis aNow) const;
+  /** How old Busy() is but for what was told since. */
+  Millis ReportAge(Millis aNow) const;
   /** How long nothing has come though an answer is due; zero otherwise. */
   Millis Silence(Millis aNow) const;
 
 private:
+  /** An attempt that came (1) or went (-1). */
+  struct LoadChange
+  {
+    Millis mAt;
+    int mBy = 0;
+  };
+
+  void Change(int aBy, Millis aNow);
+
   uint32_t mOpen = 0;
   PendingReads mPending;
   std::optional<ReportedLoad> mReport;
   Millis mReportedAt;
-  /** Attempts sent less attempts ended since the report. */
-  int32_t mSinceReport = 0;
+  /** What came and went since the report, oldest first. */
+  std::deque<LoadChange> mSinceReport;
   Millis mHeard;
   /** When the first of the attempts that are open now was sent. */
   Millis mBusySince;
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -3,6 +3,7 @@
 #include "sessionengines.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace trefoilarch {
@@ -19,8 +20,9 @@
 /** Weight of a silent millisecond: silence soon outweighs every other cost. */
 constexpr double kSilenceWeight = 2;
 
-/** What a request beyond the engine's slots waits for, in milliseconds. */
-constexpr double kOverSlotsMs = 50;
+/** What a request beyond the engine's slots waits for, in milliseconds, while
+ * it isn't known how long answers take. */
+constexpr double kUsualSlotMs = 50;
 
 /** Less than this is not worth fetching from another engine: one that has
  * nothing to give costs some milliseconds all the same. */
@@ -36,6 +38,16 @@
   return output;
 }
 
+double
+MeanBusy(const std::vector<PlacementCandidate>& aCandidates, Millis aNow)
+{
+  double busy = 0;
+  for (const PlacementCandidate& each : aCandidates) {
+    busy += each.mWork->Busy(aNow);
+  }
+  return busy / static_cast<double>(aCandidates.size());
+}
+
 } // namespace
 
 WorkPlacement::WorkPlacement(WorkPlacementOptions aOptions)
@@ -48,24 +60,24 @@
 WorkPlacement::Choose(const std::vector<PlacementCandidate>& aCandidates,
                       const PromptShape& aPrompt,
                       uint8_t aUrgency,
-                      const EngineFacts& aFacts,
+                      EngineFacts aFacts,
                       Millis aNow)
 {
-  std::uniform_real_distribution<double> chance(0, kChanceMs);
+  aFacts.mUsualBusy = MeanBusy(aCandidates, aNow);
   const EngineFacts* engine = aPrompt.mPromptTokens > 0 ? &aFacts : nullptr;
   const SessionEngines session(aCandidates, aPrompt);
   const uint32_t shared = aPrompt.SharedTokens();
   const auto last = mMemory.LastHolder(aPrompt, aFacts.mMemoryTokens, aNow);
-  Placed best;
-  double bestCost = std::numeric_limits<double>::max();
-  uint32_t bestHeld = 0;
+  std::vector<Option> options;
+  options.reserve(aCandidates.size());
   for (const PlacementCandidate& each : aCandidates) {
-    Placed placed{ .mUpstream = each.mListed->mId };
-    uint32_t known = 0;
+    Option option{ .mCandidate = &each,
+                   .mPlaced = { .mUpstream = each.mListed->mId } };
+    Placed& placed = option.mPlaced;
     if (engine != nullptr) {
-      known =
+      option.mKnown =
         mMemory.Held(each.mListed->mId, aPrompt, aFacts.mMemoryTokens, aNow);
-      uint32_t held = known;
+      uint32_t held = option.mKnown;
       if (each.mListed == session.First()) {
         held = shared;
       } else if (each.mListed == session.Second()) {
@@ -78,16 +90,18 @@
       placed.mMissing = shared - std::min(held, shared);
       placed.mFetchable = last.has_value();
     }
-    const double cost = CostOf(each, placed, engine, aNow) + chance(mRandom);
-    if (cost < bestCost) {
-      bestCost = cost;
-      bestHeld = known;
-      best = std::move(placed);
-    }
+    option.mCost = CostOf(each, placed, engine, aNow);
+    options.push_back(std::move(option));
   }
+  const Option& chosen = Pick(options, engine, aNow);
+  Placed best = chosen.mPlaced;
+  const uint32_t bestHeld = chosen.mKnown;
   if (shared >= kLeastFetch && bestHeld < shared) {
     best.mHolder = HolderFor(session, last, best.mUpstream);
   }
+  if (engine != nullptr) {
+    best.mWaitMs = WaitMs(*chosen.mCandidate, aUrgency, aFacts, aNow);
+  }
   if (engine != nullptr && aFacts.mPeersHeard && best.mHolder.empty()) {
     // What nobody is known to hold has to be read, wherever it is sent.
     best.mWork.mPrefill =
@@ -96,6 +110,56 @@
   return best;
 }
 
+const WorkPlacement::Option&
+WorkPlacement::Pick(const std::vector<Option>& aOptions,
+                    const EngineFacts* aEngine,
+                    Millis aNow)
+{
+  const auto least =
+    std::min_element(aOptions.begin(),
+                     aOptions.end(),
+                     [](const Option& aLeft, const Option& aRight) {
+                       return aLeft.mCost < aRight.mCost;
+                     });
+  const double spread =
+    aEngine == nullptr || mOptions.mCost
+      ? kChanceMs
+      : std::max(kChanceMs, Uncertainty(*least->mCandidate, *aEngine, aNow));
+  std::uniform_real_distribution<double> chance(0, spread);
+  const uint32_t lane = least->mCandidate->mLane.mDistance;
+  const Option* best = &*least;
+  double bestCost = std::numeric_limits<double>::max();
+  for (const Option& each : aOptions) {
+    const bool near = each.mCost <= least->mCost + spread &&
+                      each.mCandidate->mLane.mDistance == lane;
+    const double cost = near ? each.mCost + chance(mRandom) : bestCost;
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = &each;
+    }
+  }
+  return *best;
+}
+
+double
+WorkPlacement::Uncertainty(const PlacementCandidate& aCandidate,
+                           const EngineFacts& aFacts,
+                           Millis aNow) const
+{
+  const UpstreamWork& work = *aCandidate.mWork;
+  // What was sent longer ago than an answer takes has ended again.
+  const double age = std::min(static_cast<double>(work.ReportAge(aNow).Count()),
+                              aFacts.mAnswerMs);
+  const double sent =
+    aFacts.mHeardPerMs * aFacts.mTellMs / 2 + aFacts.mUnheardPerMs * age;
+  const double over =
+    std::max(0.0,
+             BusyAt(aCandidate, aFacts, aNow) + sent -
+               static_cast<double>(aCandidate.mListed->mSlots));
+  return std::min(sent, over) * SlotMs(*aCandidate.mListed, aFacts) *
+         mOptions.mWaitWeight;
+}
+
 UpstreamId
 WorkPlacement::HolderFor(const SessionEngines& aSession,
                          const std::optional<UpstreamId>& aLast,
@@ -137,7 +201,7 @@
   const double read = (own + again) / aFacts.mReadPerMs * aCandidate.mSlowness;
   const double wait = WaitMs(aCandidate, aPlaced.mWork.mUrgency, aFacts, aNow);
   return read + wait * mOptions.mWaitWeight +
-         aCandidate.mWork->Busy(aNow) * mOptions.mBusyMs +
+         BusyAt(aCandidate, aFacts, aNow) * mOptions.mBusyMs +
          aCandidate.mLane.mDistance * mOptions.mOtherLaneMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(*aCandidate.mWork, aNow) +
@@ -152,16 +216,46 @@
 {
   PendingReads pending = aCandidate.mWork->Pending();
   pending += aCandidate.mOthersPending;
-  const double tokens =
-    static_cast<double>(pending.Ahead(aUrgency)) +
-    static_cast<double>(pending.Behind(aUrgency)) * aFacts.mBehindShare;
+  const auto before = static_cast<double>(pending.Ahead(aUrgency));
+  const auto after = static_cast<double>(pending.Behind(aUrgency));
+  const double tokens = before + after * aFacts.mBehindShare;
   const double all =
     aFacts.mPeersHeard ? tokens : tokens * mOptions.mOthersFactor;
+  // Of what waits for a slot, only what is as urgent goes before.
+  const double waiting = before + after;
+  const double ahead = waiting > 0 ? before / waiting : 1;
   const double over =
-    std::max(0.0,
-             aCandidate.mWork->Busy(aNow) -
-               static_cast<double>(aCandidate.mListed->mSlots));
-  return all / aFacts.mReadPerMs * aCandidate.mSlowness + over * kOverSlotsMs;
+    ahead * std::max(0.0,
+                     BusyAt(aCandidate, aFacts, aNow) -
+                       static_cast<double>(aCandidate.mListed->mSlots));
+  return all / aFacts.mReadPerMs * aCandidate.mSlowness +
+         over * SlotMs(*aCandidate.mListed, aFacts);
+}
+
+double
+WorkPlacement::BusyAt(const PlacementCandidate& aCandidate,
+                      const EngineFacts& aFacts,
+                      Millis aNow)
+{
+  const UpstreamWork& work = *aCandidate.mWork;
+  if (!aFacts.mPeersHeard || aFacts.mAnswerMs <= 0) {
+    return work.Busy(aNow);
+  }
+  // Entries that go by the same old news all send where it was best then. Of
+  // what an engine had, as much is still there as of the answers of that time.
+  const auto age = static_cast<double>(work.ReportAge(aNow).Count());
+  const double left = std::exp(-age / aFacts.mAnswerMs);
+  const double busy =
+    aFacts.mUsualBusy + left * (work.Busy(aNow) - aFacts.mUsualBusy);
+  return std::max<double>(busy, work.Open());
+}
+
+double
+WorkPlacement::SlotMs(const ListedUpstream& aListed, const EngineFacts& aFacts)
+{
+  // One of the answers that fill an engine ends each so often.
+  return aFacts.mAnswerMs > 0 ? aFacts.mAnswerMs / std::max(1U, aListed.mSlots)
+                              : kUsualSlotMs;
 }
 
 double
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -25,6 +25,9 @@
   AttemptWork mWork;
   /** Shared prompt tokens that the upstream seems not to hold. */
   uint32_t mMissing = 0;
+  /** How long the request waits there before its own prompt is read, in
+   * milliseconds. */
+  double mWaitMs = 0;
   /** Some other upstream surely holds them. */
   bool mFetchable = false;
   /** Empty, or another upstream that may hold what this one lacks. */
@@ -47,8 +50,20 @@
   double mBehindShare = EngineModelOptions{}.mPriorBehind;
   /** What an engine keeps; 0: not told. */
   uint64_t mMemoryTokens = 0;
+  /** How long an answer holds one of an engine's slots, as learnt; 0: not
+   * known. */
+  double mAnswerMs = 0;
   /** Other entries tell what they send where. */
   bool mPeersHeard = false;
+  /** Requests that entries which tell, and entries which do not, send to each
+   * engine in a millisecond, by what comes here. */
+  double mHeardPerMs = 0;
+  double mUnheardPerMs = 0;
+  /** Between two messages of an entry that tells. */
+  double mTellMs = 0;
+  /** Requests that an engine of the service has on average, as far as known;
+   * worked out by WorkPlacement::Choose(). */
+  double mUsualBusy = 0;
 };
 
 /** The weights by which upstreams are compared. */
@@ -103,19 +118,49 @@
   Placed Choose(const std::vector<PlacementCandidate>& aCandidates,
                 const PromptShape& aPrompt,
                 uint8_t aUrgency,
-                const EngineFacts& aFacts,
+                EngineFacts aFacts,
                 Millis aNow);
 
+  PrefixMemory& Memory() { return mMemory; }
+
+private:
+  /** An upstream with what it would be sent. */
+  struct Option
+  {
+    const PlacementCandidate* mCandidate = nullptr;
+    Placed mPlaced;
+    /** Shared tokens that it surely holds. */
+    uint32_t mKnown = 0;
+    double mCost = 0;
+  };
+
+  /**
+   * The one that costs least, or one that may cost no more as far as anybody
+   * here can know: entries that all went by the same old news would all send
+   * to the same engine.
+   */
+  const Option& Pick(const std::vector<Option>& aOptions,
+                     const EngineFacts* aEngine,
+                     Millis aNow);
   /** How long a request waits at the engine before its own prompt is read, in
    * milliseconds. */
   double WaitMs(const PlacementCandidate& aCandidate,
                 uint8_t aUrgency,
                 const EngineFacts& aFacts,
                 Millis aNow) const;
-
-  PrefixMemory& Memory() { return mMemory; }
-
-private:
+  /** Requests at the engine: what is known of it, or what is usual where that
+   * is older than an answer takes. */
+  static double BusyAt(const PlacementCandidate& aCandidate,
+                       const EngineFacts& aFacts,
+                       Millis aNow);
+  /** How long a request waits for each one before it that waits for a slot. */
+  static double SlotMs(const ListedUpstream& aListed,
+                       const EngineFacts& aFacts);
+  /** What the requests cost that others may have sent to that engine since it
+   * was last told of: so much its cost may be off. */
+  double Uncertainty(const PlacementCandidate& aCandidate,
+                     const EngineFacts& aFacts,
+                     Millis aNow) const;
   /** Empty, or an engine that may hold what the chosen one lacks. */
   static UpstreamId HolderFor(const SessionEngines& aSession,
                               const std::optional<UpstreamId>& aLast,
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -213,7 +213,7 @@
 {
   const Millis now = BootNow();
   mContext.mRouter.OnHeard(*mAttempt, now);
-  mContext.mRouter.OnStarted(*mAttempt, now);
+  MarkStarted(now);
   if (mFirstByteAt == Millis(0)) {
     mFirstByteAt = now;
   } else {
@@ -231,6 +231,15 @@
   }
 }
 
+void
+Exchange::MarkStarted(Millis aNow)
+{
+  // A failure's body is no start: it would speak for the upstream.
+  if (!mAnswer || mAnswer->mStatus < kLeastFailure) {
+    mContext.mRouter.OnStarted(*mAttempt, aNow);
+  }
+}
+
 void
 Exchange::PassData(const std::string& aData)
 {
@@ -300,7 +309,7 @@
 Exchange::OnEnd()
 {
   const Millis now = BootNow();
-  mContext.mRouter.OnStarted(*mAttempt, now);
+  MarkStarted(now);
   const int status = mAnswer ? mAnswer->mStatus : 0;
   mContext.mPool.Release(mAttempt->mUpstream, mConnection);
   mConnection.reset();
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -77,6 +77,8 @@
   bool HasNoBody() const;
   /** The upstream's head, as it goes to the caller. */
   AnswerHeadOut HeadWith(std::optional<uint64_t> aLength) const;
+  /** The answer's content has begun to come. */
+  void MarkStarted(trefoilarch::Millis aNow);
   void PassData(const std::string& aData);
   void Refuse(const trefoilarch::Refusal& aRefusal);
   void Cut(trefoilarch::ErrorKind aKind);
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -229,6 +229,7 @@
   mPeers.SetPeers(aAddresses);
   mEntries = mPeers.Listed() + 1;
   mRouter.SetRetries(RetriesOf(mOptions.mSettings, mEntries));
+  mRouter.SetEntries(mEntries);
   mLog.Write(LineKind::Belief, "peers", { { "listed", aAddresses.size() } });
 }
 
@@ -243,7 +244,8 @@
 Gateway::HooksForPeers()
 {
   return PeerHooks{ .mHasNotes = [this] { return mRouter.HasNotes(); },
-                    .mTakeNotes = [this] { return mRouter.TakeNotes(); },
+                    .mTakeNotes =
+                      [this] { return mRouter.TakeNotes(BootNow()); },
                     .mOnNotes =
                       [this](const PeerNotes& aNotes) {
                         mHeardAt[aNotes.mFrom] = BootNow();
--- a/src/libtrefoilgate/peerdatagram.cpp
+++ b/src/libtrefoilgate/peerdatagram.cpp
@@ -11,12 +11,24 @@
 namespace {
 
 /** The first element: the kind of message and its version. */
-constexpr const char* kFormat = "trefoil-notes-1";
+constexpr const char* kFormat = "trefoil-notes-2";
 
 /** What one datagram may hold, so that no link has to split it. */
 constexpr size_t kMostPending = 48;
 constexpr size_t kMostSent = 16;
 constexpr size_t kMostParts = 16;
+constexpr size_t kMostReports = 40;
+constexpr size_t kMostDemands = 8;
+constexpr size_t kMostResults = 24;
+
+/** Requests are told in hundredths. */
+constexpr double kHundred = 100;
+
+/** An older report says nothing any more; a longer age is a mistake. */
+constexpr int64_t kMostAgeMs = 10000;
+
+/** More requests at one upstream are a mistake. */
+constexpr uint64_t kMostRequests = 1000000;
 
 /** More tokens than any engine holds are a mistake. */
 constexpr uint64_t kMostTokens = 1000000000;
@@ -49,16 +61,89 @@
   return sent;
 }
 
+Json
+ReportsOf(const PeerNotes& aNotes)
+{
+  Json reports = Json::array();
+  for (const HeardReport& each : aNotes.mReports) {
+    const ReportedLoad& load = each.mLoad;
+    const uint32_t most =
+      std::max({ load.mRunning, load.mWaiting, load.mSlots });
+    if (reports.size() < kMostReports && most <= kMostRequests) {
+      reports.push_back(
+        { each.mUpstream,
+          load.mRunning,
+          load.mWaiting,
+          load.mSlots,
+          std::clamp<int64_t>(each.mAge.Count(), 0, kMostAgeMs) });
+    }
+  }
+  return reports;
+}
+
+uint64_t
+Whole(double aValue)
+{
+  const double most = static_cast<double>(kMostTokens);
+  return static_cast<uint64_t>(std::clamp(aValue, 0.0, most));
+}
+
+Json
+DemandsOf(const PeerNotes& aNotes)
+{
+  Json demands = Json::array();
+  for (const RouteDemand& each : aNotes.mDemands) {
+    if (demands.size() < kMostDemands) {
+      demands.push_back({ each.mService,
+                          each.mRoute,
+                          Whole(each.mCount * kHundred),
+                          Whole(each.mPromptTokens),
+                          Whole(each.mOutputTokens),
+                          Whole(each.mOpen * kHundred),
+                          Whole(static_cast<double>(each.mPause.Count())),
+                          each.mUrgency });
+    }
+  }
+  return demands;
+}
+
+/** Those with failures first: others eject by them. */
+Json
+ResultsOf(const PeerNotes& aNotes)
+{
+  std::vector<const UpstreamResults*> order;
+  for (const UpstreamResults& each : aNotes.mResults) {
+    order.push_back(&each);
+  }
+  std::stable_sort(
+    order.begin(), order.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->mFailed > aRight->mFailed;
+    });
+  Json results = Json::array();
+  for (const UpstreamResults* each : order) {
+    if (results.size() < kMostResults) {
+      results.push_back({ each->mUpstream, each->mGood, each->mFailed });
+    }
+  }
+  return results;
+}
+
 bool
 IsCount(const Json& aValue)
 {
   return aValue.is_number_unsigned();
 }
 
+bool
+IsAtMost(const Json& aValue, uint64_t aMost)
+{
+  return IsCount(aValue) && aValue.get<uint64_t>() <= aMost;
+}
+
 bool
 IsTokens(const Json& aValue)
 {
-  return IsCount(aValue) && aValue.get<uint64_t>() <= kMostTokens;
+  return IsAtMost(aValue, kMostTokens);
 }
 
 bool
@@ -78,15 +163,47 @@
          IsTokens(aValue[2]);
 }
 
+bool
+IsReport(const Json& aValue)
+{
+  return aValue.is_array() && aValue.size() == 5 && aValue[0].is_string() &&
+         IsAtMost(aValue[1], kMostRequests) &&
+         IsAtMost(aValue[2], kMostRequests) &&
+         IsAtMost(aValue[3], kMostRequests) && IsAtMost(aValue[4], kMostAgeMs);
+}
+
+bool
+IsDemand(const Json& aValue)
+{
+  return aValue.is_array() && aValue.size() == 8 && aValue[0].is_string() &&
+         aValue[1].is_string() &&
+         std::all_of(aValue.begin() + 2, aValue.end(), IsTokens) &&
+         IsAtMost(aValue[7], UINT8_MAX);
+}
+
+bool
+IsResult(const Json& aValue)
+{
+  return aValue.is_array() && aValue.size() == 3 && aValue[0].is_string() &&
+         IsAtMost(aValue[1], kMostRequests) &&
+         IsAtMost(aValue[2], kMostRequests);
+}
+
 bool
 AreNotes(const Json& aValue)
 {
-  return aValue.is_array() && aValue.size() == 6 && aValue[0] == kFormat &&
+  return aValue.is_array() && aValue.size() == 9 && aValue[0] == kFormat &&
          aValue[1].is_string() && IsCount(aValue[2]) && IsCount(aValue[3]) &&
          aValue[4].is_array() &&
          std::all_of(aValue[4].begin(), aValue[4].end(), IsPending) &&
          aValue[5].is_array() &&
-         std::all_of(aValue[5].begin(), aValue[5].end(), IsSent);
+         std::all_of(aValue[5].begin(), aValue[5].end(), IsSent) &&
+         aValue[6].is_array() &&
+         std::all_of(aValue[6].begin(), aValue[6].end(), IsReport) &&
+         aValue[7].is_array() &&
+         std::all_of(aValue[7].begin(), aValue[7].end(), IsDemand) &&
+         aValue[8].is_array() &&
+         std::all_of(aValue[8].begin(), aValue[8].end(), IsResult);
 }
 
 } // namespace
@@ -99,7 +216,10 @@
                                         aNotes.mProcess,
                                         aNotes.mSequence,
                                         PendingOf(aNotes),
-                                        SentOf(aNotes) }));
+                                        SentOf(aNotes),
+                                        ReportsOf(aNotes),
+                                        DemandsOf(aNotes),
+                                        ResultsOf(aNotes) }));
 }
 
 std::optional<PeerNotes>
@@ -124,6 +244,29 @@
                             .mParts = each[1].get<std::vector<uint64_t>>(),
                             .mTokens = each[2].get<uint32_t>() });
   }
+  for (const Json& each : json[6]) {
+    notes.mReports.push_back({ .mUpstream = each[0].get<std::string>(),
+                               .mLoad = { .mRunning = each[1].get<uint32_t>(),
+                                          .mWaiting = each[2].get<uint32_t>(),
+                                          .mSlots = each[3].get<uint32_t>() },
+                               .mAge = Millis(each[4].get<int64_t>()) });
+  }
+  for (const Json& each : json[7]) {
+    notes.mDemands.push_back(
+      { .mService = each[0].get<std::string>(),
+        .mRoute = each[1].get<std::string>(),
+        .mCount = static_cast<double>(each[2].get<uint64_t>()) / kHundred,
+        .mPromptTokens = static_cast<double>(each[3].get<uint64_t>()),
+        .mOutputTokens = static_cast<double>(each[4].get<uint64_t>()),
+        .mOpen = static_cast<double>(each[5].get<uint64_t>()) / kHundred,
+        .mPause = Millis(each[6].get<int64_t>()),
+        .mUrgency = each[7].get<uint8_t>() });
+  }
+  for (const Json& each : json[8]) {
+    notes.mResults.push_back({ .mUpstream = each[0].get<std::string>(),
+                               .mGood = each[1].get<uint32_t>(),
+                               .mFailed = each[2].get<uint32_t>() });
+  }
   return notes;
 }
 
--- a/tests/platform/adaptertest.cpp
+++ b/tests/platform/adaptertest.cpp
@@ -264,14 +264,26 @@
   PendingReads reads;
   reads.Add(0, 10);
   reads.Add(2, 3000);
-  const PeerNotes notes{ .mFrom = "gate-1",
-                         .mProcess = UINT64_MAX,
-                         .mSequence = 7,
-                         .mPending = { { .mUpstream = "i-1",
-                                         .mReads = reads } },
-                         .mSent = { { .mUpstream = "i-2",
-                                      .mParts = { 1, UINT64_MAX },
-                                      .mTokens = 17000 } } };
+  const PeerNotes notes{
+    .mFrom = "gate-1",
+    .mProcess = UINT64_MAX,
+    .mSequence = 7,
+    .mPending = { { .mUpstream = "i-1", .mReads = reads } },
+    .mSent = { { .mUpstream = "i-2",
+                 .mParts = { 1, UINT64_MAX },
+                 .mTokens = 17000 } },
+    .mReports = { { .mUpstream = "i-3",
+                    .mLoad = { .mRunning = 16, .mWaiting = 48, .mSlots = 16 },
+                    .mAge = Millis(640) } },
+    .mDemands = { { .mService = "llm",
+                    .mRoute = "drafts",
+                    .mCount = 12.25,
+                    .mPromptTokens = 110000,
+                    .mOutputTokens = 600,
+                    .mOpen = 4.5,
+                    .mPause = Millis(1000),
+                    .mUrgency = 2 } }
+  };
   const std::vector<uint8_t> bytes = EncodeNotes(notes);
   const auto read = DecodeNotes(bytes);
   cr_assert(read.has_value());
@@ -292,10 +304,33 @@
     notes.mPending.push_back({ .mUpstream = "i-" + std::to_string(each) });
     notes.mSent.push_back(
       { .mUpstream = "i-" + std::to_string(each), .mParts = { 1, 2, 3 } });
+    notes.mReports.push_back({ .mUpstream = "i-" + std::to_string(each),
+                               .mLoad = { .mRunning = 16, .mSlots = 16 },
+                               .mAge = Millis(640) });
+    notes.mResults.push_back(
+      { .mUpstream = "i-" + std::to_string(each), .mGood = 3 });
+    notes.mDemands.push_back(
+      { .mService = "llm", .mRoute = "route-" + std::to_string(each) });
   }
   cr_expect(EncodeNotes(notes).size() < 2000);
 }
 
+/** One upstream's word must not make others drop all that an entry tells. */
+Test(adapter, an_upstream_that_reports_nonsense_spoils_no_message)
+{
+  const PeerNotes notes{ .mFrom = "gate-1",
+                         .mReports = { { .mUpstream = "i-1",
+                                         .mLoad = { .mRunning = UINT32_MAX } },
+                                       { .mUpstream = "i-2",
+                                         .mLoad = { .mRunning = 3 },
+                                         .mAge = Millis(-5) } } };
+  const auto read = DecodeNotes(EncodeNotes(notes));
+  cr_assert(read.has_value());
+  cr_assert(read->mReports.size() == 1);
+  cr_expect(read->mReports[0].mUpstream == "i-2");
+  cr_expect(read->mReports[0].mAge == Millis(0));
+}
+
 /** An engine preempts by rank: the route's goes first, as in admission. */
 Test(adapter, a_workspaces_rank_decides_between_requests_of_one_route_alone)
 {
--- a/tests/replay/gates.cpp
+++ b/tests/replay/gates.cpp
@@ -17,8 +17,6 @@
 constexpr Millis kNetwork{ 1 };
 /** The list tells of a lost host after this. */
 constexpr Millis kNoticeLoss{ 1000 };
-/** Entries tell each other what they send within this. */
-constexpr Millis kTellSpan{ 20 };
 constexpr const char* kHost = "h";
 constexpr const char* kService = "engines";
 constexpr uint32_t kMostAttempts = 3;
@@ -103,6 +101,8 @@
         const GatesOptions& aOptions)
     : mTime(aTime)
     , mPeers(aOptions.mPeers)
+    , mMostTold(aOptions.mMostTold)
+    , mTellSpan(aOptions.mTellSpan)
     , mTrace(aTrace)
     , mHooks(std::move(aHooks))
     , mEngines(aTrace.mEngines)
@@ -217,6 +217,8 @@
   {
     CallerRequest mRequest{};
     size_t mEngine = 0;
+    /** An engine from which it is to fetch what it lacks of the prompt. */
+    std::optional<size_t> mHolder{};
     bool mOver = false;
     bool mWhole = false;
   };
@@ -230,6 +232,7 @@
                            .mSeed = mTrace.mSeed + aEach }));
     DirectRouter& router = *mRouters.back();
     router.SetPolicy(PolicyFor(mTrace));
+    router.SetEntries(mTrace.mEntries);
     for (size_t engine = 0; engine < mEngines.size(); ++engine) {
       router.Directory().Put(
         { .mId = NameOf(engine),
@@ -275,6 +278,9 @@
     const uint64_t id = mNextId++;
     const size_t engine = std::stoul(aAttempt.mAddress);
     mCalls[id] = { .mRequest = aOpen.mRequest, .mEngine = engine };
+    if (!aAttempt.mHolderAddress.empty()) {
+      mCalls[id].mHolder = std::stoul(aAttempt.mHolderAddress);
+    }
     aOpen.mAttempt = aAttempt;
     aOpen.mCall = id;
     aOpen.mPlan.OnSending();
@@ -293,13 +299,18 @@
       return;
     }
     const TraceRequest& request = mTrace.mRequests[call.mRequest.mIndex];
-    mEngines[call.mEngine].mModel->Start(
-      { .mId = aId,
-        .mPriority = mTrace.ClassOf(request).mTier,
-        .mPrefix = request.mPrefix,
-        .mPrefixTokens = request.mPrefixTokens,
-        .mPromptTokens = request.mPromptTokens,
-        .mOutputTokens = request.mOutputTokens });
+    const EngineCall sent{ .mId = aId,
+                           .mPriority = mTrace.ClassOf(request).mTier,
+                           .mPrefix = request.mPrefix,
+                           .mPrefixTokens = request.mPrefixTokens,
+                           .mPromptTokens = request.mPromptTokens,
+                           .mOutputTokens = request.mOutputTokens };
+    VirtualEngine& engine = *mEngines[call.mEngine].mModel;
+    if (call.mHolder && mEngines[*call.mHolder].mUp) {
+      engine.StartWith(sent, *mEngines[*call.mHolder].mModel);
+    } else {
+      engine.Start(sent);
+    }
   }
 
   /** The open request whose newest attempt that is, or null. */
@@ -387,25 +398,41 @@
     });
   }
 
+  /** The entries that stand next to this one in the ring of all. */
+  std::vector<DirectRouter*> ToldBy(const DirectRouter& aRouter) const
+  {
+    const size_t all = mRouters.size();
+    const auto own =
+      std::find_if(mRouters.begin(), mRouters.end(), [&](const auto& aEach) {
+        return aEach.get() == &aRouter;
+      });
+    const auto first = static_cast<size_t>(own - mRouters.begin());
+    std::vector<DirectRouter*> told;
+    for (size_t each = 1; each < all && told.size() < mMostTold; ++each) {
+      told.push_back(mRouters[(first + each) % all].get());
+    }
+    return told;
+  }
+
   /** Tells the others what is new here, a little later. */
   void TellOthers(DirectRouter& aRouter)
   {
     if (!mPeers || !aRouter.HasNotes() || !mTelling.insert(&aRouter).second) {
       return;
     }
-    mTime.After(kTellSpan, [this, from = &aRouter] {
+    mTime.After(mTellSpan, [this, from = &aRouter] {
       mTelling.erase(from);
-      const PeerNotes notes = from->TakeNotes();
-      for (const auto& router : mRouters) {
-        if (router.get() != from) {
-          router->OnPeerNotes(notes, mTime.Now());
-        }
+      const PeerNotes notes = from->TakeNotes(mTime.Now());
+      for (DirectRouter* router : ToldBy(*from)) {
+        router->OnPeerNotes(notes, mTime.Now());
       }
     });
   }
 
   VirtualTime& mTime;
   bool mPeers = false;
+  size_t mMostTold;
+  Millis mTellSpan;
   std::set<DirectRouter*> mTelling;
   const Trace& mTrace;
   CallerHooks mHooks;
--- a/tests/replay/router.h
+++ b/tests/replay/router.h
@@ -67,6 +67,10 @@
 {
   /** Whether entries tell each other what they send. */
   bool mPeers = false;
+  /** How many of the next entries each one tells, and how often at the most: a
+   * large fleet's entries tell some, less often. */
+  size_t mMostTold = SIZE_MAX;
+  Millis mTellSpan{ 20 };
   /** Empty for the gates' own way to place requests. */
   trefoilarch::PlacementCost mPlacementCost;
 };
--- a/tests/replay/virtualengine.cpp
+++ b/tests/replay/virtualengine.cpp
@@ -16,13 +16,43 @@
 {
 }
 
-void
-VirtualEngine::Start(const EngineCall& aCall)
+std::vector<uint64_t>
+VirtualEngine::BlocksOf(const EngineCall& aCall)
 {
   std::vector<uint64_t> blocks;
   for (uint32_t i = 0; i < aCall.mPrefixTokens / standin::kBlockTokens; ++i) {
     blocks.push_back(aCall.mPrefix * 1000003 + i);
   }
+  return blocks;
+}
+
+void
+VirtualEngine::StartWith(const EngineCall& aCall, const VirtualEngine& aHolder)
+{
+  std::vector<uint64_t> blocks = BlocksOf(aCall);
+  const size_t here = mBatch.Held(blocks);
+  const size_t there = aHolder.mBatch.Held(blocks);
+  if (there <= here) {
+    return Start(aCall);
+  }
+  blocks.resize(there);
+  constexpr double kFetchShare = 1.0 / 9;
+  const double tokens =
+    static_cast<double>((there - here) * standin::kBlockTokens);
+  const Millis span(static_cast<int64_t>(
+    std::ceil(tokens * mOptions.mPrefillMillis * kFetchShare)));
+  mTime.After(span, [this, aCall, blocks, life = mLife] {
+    if (life == mLife) {
+      mBatch.Bring(blocks);
+      Start(aCall);
+    }
+  });
+}
+
+void
+VirtualEngine::Start(const EngineCall& aCall)
+{
+  std::vector<uint64_t> blocks = BlocksOf(aCall);
   mCalls[aCall.mId] = { .mPrompt = aCall.mPromptTokens,
                         .mOutput = aCall.mOutputTokens };
   mBatch.Add({ .mId = aCall.mId,
--- a/tests/replay/virtualengine.h
+++ b/tests/replay/virtualengine.h
@@ -44,6 +44,9 @@
                 OnToken aOnToken);
 
   void Start(const EngineCall& aCall);
+  /** Starts it once what aHolder has of its prompt beyond what is here has been
+   * brought, at a ninth of the time that reading takes. */
+  void StartWith(const EngineCall& aCall, const VirtualEngine& aHolder);
   void Cancel(uint64_t aId);
   /** Loses all that runs; nobody is told. */
   void Crash();
@@ -69,6 +72,7 @@
   void Close(uint64_t aId);
 
   void Step();
+  static std::vector<uint64_t> BlocksOf(const EngineCall& aCall);
   void Deliver(const standin::BatchStep& aStep);
 
   VirtualTime& mTime;
--- a/tests/standins/engine/batchmodel.h
+++ b/tests/standins/engine/batchmodel.h
@@ -55,6 +55,14 @@
   void Remove(uint64_t aId);
   BatchStep Step();
 
+  /** Leading blocks of a prompt that need not be read. */
+  size_t Held(const std::vector<uint64_t>& aBlocks) const
+  {
+    return mCache.Held(aBlocks);
+  }
+  /** Puts blocks that another engine has read into the cache. */
+  void Bring(const std::vector<uint64_t>& aBlocks) { mCache.Take(aBlocks); }
+
   bool Idle() const { return mRunning.empty() && mWaiting.empty(); }
   size_t Running() const { return mRunning.size(); }
   size_t Waiting() const { return mWaiting.size(); }
--- a/tests/standins/engine/prefixcache.cpp
+++ b/tests/standins/engine/prefixcache.cpp
@@ -12,12 +12,19 @@
 }
 
 size_t
-PrefixCache::Take(const std::vector<uint64_t>& aBlocks)
+PrefixCache::Held(const std::vector<uint64_t>& aBlocks) const
 {
   size_t hits = 0;
   while (hits < aBlocks.size() && mPlaces.contains(aBlocks[hits])) {
     ++hits;
   }
+  return hits;
+}
+
+size_t
+PrefixCache::Take(const std::vector<uint64_t>& aBlocks)
+{
+  const size_t hits = Held(aBlocks);
   for (const uint64_t block : aBlocks) {
     Touch(block);
   }
--- a/tests/unit/outlierdetectortest.cpp
+++ b/tests/unit/outlierdetectortest.cpp
@@ -153,3 +153,41 @@
   fleet.Run(Millis(4100));
   cr_assert_gt(fleet.Calls().at(NameOf(0)), before);
 }
+
+/** Forty entries tell of one answer each; none has seen three. */
+Test(outliers, results_of_many_entries_eject_together)
+{
+  OutlierDetector outliers({ .mFailureShare = 0.3, .mLeastResults = 10 });
+  for (const char* each : { "grey", "sound", "other" }) {
+    outliers.Add(each, "svc");
+  }
+  for (int64_t now = 0; now < 2000; now += 50) {
+    const bool failed = now % 100 == 0;
+    outliers.OnResultsElsewhere(
+      "grey", failed ? 0 : 1, failed ? 1 : 0, Millis(now));
+    outliers.OnResultsElsewhere("sound", 1, 0, Millis(now));
+  }
+  cr_expect(outliers.State("grey", Millis(2000)) != OutlierState::Healthy);
+  cr_expect(outliers.State("sound", Millis(2000)) == OutlierState::Healthy);
+  cr_expect(outliers.Ejections() == 1);
+}
+
+/** What others get from an upstream that is on trial here is no trial. */
+Test(outliers, results_elsewhere_end_no_ejection)
+{
+  OutlierDetector outliers(
+    { .mFailuresInRow = 3, .mFirstEjection = Millis(1000) });
+  outliers.Add("a", "svc");
+  outliers.Add("b", "svc");
+  outliers.OnResultsElsewhere("a", 0, 3, Millis(0));
+  cr_assert(outliers.State("a", Millis(0)) == OutlierState::Ejected);
+  outliers.OnResultsElsewhere("a", 50, 0, Millis(1500));
+  cr_expect(outliers.State("a", Millis(1500)) == OutlierState::Trial);
+}
+
+Test(outliers, a_word_of_an_upstream_that_is_not_listed_says_nothing)
+{
+  OutlierDetector outliers({});
+  outliers.OnResultsElsewhere("gone", 0, 100, Millis(0));
+  cr_expect(outliers.State("gone", Millis(0)) == OutlierState::Healthy);
+}
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -606,7 +606,7 @@
   const auto sent = one.Place(session, {}, Millis(0));
   cr_assert(sent.has_value());
   cr_expect(one.HasNotes());
-  const PeerNotes notes = one.TakeNotes();
+  const PeerNotes notes = one.TakeNotes(Millis(0));
   cr_expect(!one.HasNotes());
   cr_assert(notes.mPending.size() == 1 && notes.mSent.size() == 1);
   cr_expect(notes.mSent[0].mParts == std::vector<uint64_t>{ 1 });
--- a/tests/unit/tierguardtest.cpp
+++ b/tests/unit/tierguardtest.cpp
@@ -48,3 +48,25 @@
   cr_expect(!guard.Refuses("svc", 1, false, Millis(1)));
   cr_expect(!guard.Refuses("other", 1, false, Millis(2)));
 }
+
+/** An entry that sees few requests has no less urgent one of its own. */
+Test(tierguard, the_more_urgent_are_not_refused_while_others_take_less_urgent)
+{
+  TierGuard guard(1);
+  for (int64_t now = 0; now < 5000; now += 250) {
+    cr_expect(!guard.Refuses("svc", 0, true, Millis(now), true));
+  }
+  cr_expect(guard.Refuses("svc", 0, true, Millis(5000), false));
+}
+
+/** Its pressure falls on the less urgent that come to the entry itself. */
+Test(tierguard, what_others_take_presses_the_less_urgent_here)
+{
+  TierGuard guard(1);
+  int refused = 0;
+  for (int64_t now = 0; now < 10000; now += 100) {
+    guard.Refuses("svc", 0, true, Millis(now), true);
+    refused += guard.Refuses("svc", 2, false, Millis(now + 50)) ? 1 : 0;
+  }
+  cr_expect(refused > 50);
+}
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -456,3 +456,145 @@
   }
   cr_expect(shared == 3);
 }
+
+namespace {
+
+PromptShape
+Small()
+{
+  return PromptShape{ .mPromptTokens = 700, .mMostOutput = 900 };
+}
+
+/** Engines of the strict route's lane by what those lanes know. */
+std::set<UpstreamId>
+StrictLane(Lanes& aLanes,
+           const Engines& aEngines,
+           const LaneFacts& aFacts,
+           Millis aNow)
+{
+  std::set<UpstreamId> own;
+  for (const auto& [id, place] : aLanes.PlacesFor(
+         "llm", MakeRoute("strict", 200), aEngines.Listed(), aFacts, aNow)) {
+    if (place.mDistance == 0) {
+      own.insert(id);
+    }
+  }
+  return own;
+}
+
+} // namespace
+
+/** Forty entries, each of which sees few requests, and one of them mostly
+ * drafts, another mostly strict streams. */
+Test(lanes, entries_that_tell_their_demand_have_the_same_boundaries)
+{
+  const Engines engines(160);
+  const Route strict = MakeRoute("strict", 200);
+  const Route longer = MakeRoute("longer", 800);
+  std::vector<Lanes> entries(40);
+  for (uint64_t each = 0; each < entries.size(); ++each) {
+    for (uint64_t request = 0; request < 20; ++request) {
+      const Millis now = At(request * 100);
+      if (request % 20 < each % 20 + 1) {
+        entries[each].OnRequest("llm", longer, Session(each, request), now);
+      }
+      entries[each].OnRequest("llm", strict, Small(), now);
+    }
+  }
+  const Millis now(2000);
+  for (uint64_t from = 0; from < entries.size(); ++from) {
+    for (uint64_t to = 0; to < entries.size(); ++to) {
+      if (from != to) {
+        entries[to].OnDemands(
+          "entry-" + std::to_string(from), entries[from].Demands(now), now);
+      }
+    }
+  }
+  const PauseRecord pauses;
+  const LaneFacts facts{ .mPauses = pauses, .mReadPerMs = 80 };
+  const auto first = StrictLane(entries[0], engines, facts, now);
+  cr_expect(first.size() > 19 && first.size() < 120);
+  for (Lanes& each : entries) {
+    cr_expect(StrictLane(each, engines, facts, now) == first);
+  }
+}
+
+/** Drafts for three times the engines that there are, beside strict streams
+ * that hold 600 slots of 16 an engine. */
+Test(lanes, the_most_urgent_have_engines_enough_where_there_are_too_few)
+{
+  const Engines engines(160);
+  Lanes lanes;
+  Route strict = MakeRoute("strict", 200);
+  strict.mPriority = 0;
+  Route longer = MakeRoute("longer", 800);
+  longer.mPriority = 2;
+  constexpr double kHeld = 600;
+  for (uint64_t each = 0; each < 24000; ++each) {
+    lanes.OnRequest("llm", longer, Session(each, each), At(each / 4), 900);
+    if (each % 10 == 0) {
+      lanes.OnRequest("llm", strict, Small(), At(each / 4), kHeld);
+    }
+  }
+  const PauseRecord pauses;
+  const LaneFacts facts{ .mPauses = pauses, .mReadPerMs = 80, .mSlots = 16 };
+  const auto own = StrictLane(lanes, engines, facts, Millis(6000));
+  cr_expect(static_cast<double>(own.size()) * 16 * 0.8 >= kHeld,
+            "%zu engines",
+            own.size());
+  cr_expect(own.size() < 80, "%zu engines", own.size());
+}
+
+/** A hundred entries hear late, all the same, that one engine has a slot left
+ * and the others none: not all may send there. */
+Test(workplacement,
+     entries_with_the_same_old_news_do_not_all_send_to_one_engine)
+{
+  Engines engines(20);
+  for (size_t each = 0; each < engines.mWork.size(); ++each) {
+    engines.mListed[each].mSlots = 16;
+    engines.mListed[each].mDataCentre = "here";
+    const uint32_t waiting = each == 7 ? 0 : 2;
+    engines.mWork[each].OnReport(
+      { .mRunning = 15, .mWaiting = waiting, .mSlots = 16 }, Millis(0));
+  }
+  const EngineFacts facts{ .mReadPerMs = 80,
+                           .mAnswerMs = 1000,
+                           .mPeersHeard = true,
+                           .mUnheardPerMs = 0.02 };
+  const PromptShape plain{ .mPromptTokens = 700, .mMostOutput = 500 };
+  std::map<UpstreamId, int> counts;
+  for (uint64_t entry = 0; entry < 100; ++entry) {
+    WorkPlacement placement({ .mDataCentre = "here", .mSeed = entry });
+    counts[placement.Choose(engines.Candidates(), plain, 0, facts, Millis(600))
+             .mUpstream]++;
+  }
+  cr_expect(counts["e7"] >= 5, "the news says something");
+  for (const auto& [id, count] : counts) {
+    cr_expect(count <= 32, "%s: %d", id.c_str(), count);
+  }
+}
+
+/** Entries that tell each other quickly all know where there is room. */
+Test(workplacement, the_same_news_decides_while_it_is_fresh)
+{
+  Engines engines(20);
+  for (size_t each = 0; each < engines.mWork.size(); ++each) {
+    engines.mListed[each].mSlots = 16;
+    engines.mListed[each].mDataCentre = "here";
+    engines.mWork[each].OnReport(
+      { .mRunning = 16, .mWaiting = each == 7 ? 0U : 20U }, Millis(0));
+  }
+  const EngineFacts facts{ .mReadPerMs = 80,
+                           .mAnswerMs = 1000,
+                           .mPeersHeard = true,
+                           .mHeardPerMs = 0.02,
+                           .mTellMs = 20 };
+  const PromptShape plain{ .mPromptTokens = 700, .mMostOutput = 500 };
+  for (uint64_t entry = 0; entry < 100; ++entry) {
+    WorkPlacement placement({ .mDataCentre = "here", .mSeed = entry });
+    cr_expect(
+      placement.Choose(engines.Candidates(), plain, 0, facts, Millis(20))
+        .mUpstream == "e7");
+  }
+}
