Avoid upstreams that are silent to others; take back that failures are told

Ruled out: the removal from the list (3.6 s after the crash, by the platform's heartbeats); telling requests sent by others, which had the same effect by chance and drew entries to the same engines.

Change: entries tell for which upstreams they wait in vain, and which have answered. Two have to say so, as one may be cut off itself; an answer to anybody ends it.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -231,6 +231,7 @@
       .mWork = &work,
       .mCold = aNow < tracked.mColdUntil,
       .mOthersPending = mPeers.Pending(each->mId),
+      .mOthersSilence = tracked.mOthersSilence.Silence(aNow),
       .mSlowness = mEngines.Slowness(each->mId, aNow),
       .mLane = lane == lanes.end() ? LanePlace{} : lane->second
     };
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -23,6 +23,10 @@
                   .mMessage = std::move(aMessage) };
 }
 
+/** An upstream that has been silent for this long is told of: the time that
+ * one is silent at most while it reads a long prompt. */
+constexpr Millis kToldSilence{ 350 };
+
 /** Prompts that are kept to be told to other entries; what is beyond these
  * others read again at worst. */
 constexpr size_t kMostSent = 64;
@@ -94,6 +98,7 @@
   mEngines.Forget(aUpstream);
   mPlacement.Memory().Forget(aUpstream);
   aTracked.mWork = UpstreamWork();
+  aTracked.mOthersSilence = PeerSilence();
 }
 
 DirectRouter::Tracked*
@@ -202,6 +207,10 @@
     if (tracked.mWork.Pending().All() > 0) {
       notes.mPending.push_back({ id, tracked.mWork.Pending() });
     }
+    const Millis silence = tracked.mWork.Silence(aNow);
+    if (silence >= kToldSilence) {
+      notes.mSilent.push_back({ .mUpstream = id, .mSilence = silence });
+    }
   }
   const auto reports = std::exchange(mReports, {});
   if (AllHeard()) {
@@ -210,9 +219,8 @@
         { .mUpstream = id, .mLoad = report.mLoad, .mAge = aNow - report.mAt });
     }
   }
-  for (auto& [id, results] : std::exchange(mResults, {})) {
-    notes.mResults.push_back(std::move(results));
-  }
+  const auto answered = std::exchange(mAnswered, {});
+  notes.mAnswered.assign(answered.begin(), answered.end());
   mHasNotes = false;
   return notes;
 }
@@ -242,10 +250,7 @@
     }
   }
   mLanes.OnDemands(aNotes.mFrom, aNotes.mDemands, aNow);
-  for (const UpstreamResults& each : aNotes.mResults) {
-    mOutliers.OnResultsElsewhere(
-      each.mUpstream, each.mGood, each.mFailed, aNow);
-  }
+  TakeSilence(aNotes, aNow);
   for (const HeardReport& each : aNotes.mReports) {
     const auto tracked = mTracked.find(each.mUpstream);
     if (allHeard && tracked != mTracked.end()) {
@@ -254,6 +259,24 @@
   }
 }
 
+void
+DirectRouter::TakeSilence(const PeerNotes& aNotes, Millis aNow)
+{
+  for (const SilentUpstream& each : aNotes.mSilent) {
+    const auto tracked = mTracked.find(each.mUpstream);
+    if (tracked != mTracked.end()) {
+      tracked->second.mOthersSilence.OnTold(
+        aNotes.mFrom, aNow - each.mSilence, aNow);
+    }
+  }
+  for (const UpstreamId& each : aNotes.mAnswered) {
+    const auto tracked = mTracked.find(each);
+    if (tracked != mTracked.end()) {
+      tracked->second.mOthersSilence.OnAnswered();
+    }
+  }
+}
+
 void
 DirectRouter::OnPause(const PlacedAttempt& aAttempt, Millis aPause, Millis aNow)
 {
@@ -293,7 +316,7 @@
     tracked->mWork.OnStarted(aAttempt.mWork);
     const Millis took = aNow - aAttempt.mSentAt;
     mOutliers.OnFirstToken(aAttempt.mUpstream, took, aNow);
-    NoteResult(aAttempt.mUpstream, false);
+    mAnswered.insert(aAttempt.mUpstream);
     if (aAttempt.mWork.mPrefill > 0) {
       mEngines.OnStarted(
         aAttempt.mService, aAttempt.mUpstream, aAttempt.mReads, took, aNow);
@@ -342,18 +365,6 @@
   if (speaksAgainst && tracked != nullptr) {
     mOutliers.OnFailure(aAttempt.mUpstream, aNow);
   }
-  if (aOutcome == AttemptOutcome::Failed && tracked != nullptr) {
-    NoteResult(aAttempt.mUpstream, true);
-  }
-}
-
-void
-DirectRouter::NoteResult(const UpstreamId& aUpstream, bool aFailed)
-{
-  UpstreamResults& results = mResults[aUpstream];
-  results.mUpstream = aUpstream;
-  (aFailed ? results.mFailed : results.mGood)++;
-  mHasNotes = mHasNotes || aFailed;
 }
 
 OutlierState
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -8,6 +8,7 @@
 #include "lanes.h"
 #include "outlierdetector.h"
 #include "pauserecord.h"
+#include "peersilence.h"
 #include "peerwork.h"
 #include "prompt.h"
 #include "retrybudget.h"
@@ -234,6 +235,7 @@
   {
     std::string mService;
     UpstreamWork mWork;
+    PeerSilence mOthersSilence;
     uint64_t mLife = 0;
     bool mListed = false;
     /** It is slow until then, after its start. */
@@ -267,8 +269,8 @@
    * without (one run each).
    */
   bool AllHeard() const;
-  /** How an upstream answered, for the others to know. */
-  void NoteResult(const UpstreamId& aUpstream, bool aFailed);
+  /** Who is silent to others, and who is not. */
+  void TakeSilence(const PeerNotes& aNotes, Millis aNow);
   /** What is sent where, for this entry's memory and for the others. */
   void TakeNote(const PromptShape& aPrompt, const Placed& aPlaced, Millis aNow);
   EngineFacts FactsOf(const BoundRequest& aRequest, Millis aNow) const;
@@ -305,8 +307,8 @@
   std::vector<SentPrompt> mSent;
   /** Reports that were not told yet, with the instant at which they came. */
   std::unordered_map<UpstreamId, TimedReport> mReports;
-  /** Results that were not told yet. */
-  std::unordered_map<UpstreamId, UpstreamResults> mResults;
+  /** Upstreams that have answered, to be told. */
+  std::set<UpstreamId> mAnswered;
   uint64_t mNotes = 0;
   /** Tells this process from the next of its name. */
   uint64_t mProcess = 0;
--- a/src/libtrefoilarch/lanes.cpp
+++ b/src/libtrefoilarch/lanes.cpp
@@ -22,6 +22,12 @@
  * messages of a large fleet's entry. */
 constexpr Millis kFreshSpan{ 1800 };
 
+/** Of what is at upstreams, one part less urgent to so many as urgent is enough
+ * to bear an overload. At 1 the most urgent class of a morning at twice what
+ * the engines can do was whole in 0.983, at 3 in 1.000 and the third class in
+ * 0.86 and 1.00, at 6 the least urgent got 0.19 for 0.22 (virtual time). */
+constexpr double kShareToShed = 3;
+
 /** How long a route's distances are good for. */
 constexpr Millis kKnownSpan{ 250 };
 
@@ -166,7 +172,7 @@
       }
     }
   }
-  return less * 3 > asUrgent;
+  return less * kShareToShed > asUrgent;
 }
 
 const LanePlaces&
--- a/src/libtrefoilarch/lanes.h
+++ b/src/libtrefoilarch/lanes.h
@@ -103,8 +103,8 @@
   void OnDemands(const std::string& aFrom,
                  const std::vector<RouteDemand>& aDemands,
                  Millis aNow);
-  /** By what others told of late, most of their requests at upstreams of the
-   * service are less urgent. */
+  /** By what others told of late, enough of their requests at upstreams of the
+   * service are less urgent to be refused first. */
   bool OthersSendLessUrgent(const std::string& aService,
                             uint8_t aUrgency,
                             Millis aNow) const;
--- a/src/libtrefoilarch/outlierdetector.cpp
+++ b/src/libtrefoilarch/outlierdetector.cpp
@@ -12,9 +12,6 @@
 
 constexpr Millis kLookSpan{ 1000 };
 
-/** More results of one kind in one message say no more. */
-constexpr uint32_t kMostElsewhere = 50;
-
 /** Ejections after which the span stays as it is. */
 constexpr uint32_t kMostDoublings = 10;
 
@@ -74,40 +71,10 @@
   if (EndTrial(member, false, aNow)) {
     return;
   }
-  JudgeFailures(member, aNow);
-}
-
-void
-OutlierDetector::OnResultsElsewhere(const UpstreamId& aUpstream,
-                                    uint32_t aGood,
-                                    uint32_t aFailed,
-                                    Millis aNow)
-{
-  const auto place = mMembers.find(aUpstream);
-  if (place == mMembers.end() || place->second.mUntil) {
-    return;
-  }
-  Member& member = place->second;
-  // The order in which they came is not known; a good one ends any row.
-  member.mFailuresInRow = aGood > 0 ? 0 : member.mFailuresInRow + aFailed;
-  for (uint32_t each = 0; each < std::min(aGood, kMostElsewhere); ++each) {
-    AddResult(member, false);
-  }
-  for (uint32_t each = 0; each < std::min(aFailed, kMostElsewhere); ++each) {
-    AddResult(member, true);
-  }
-  if (aFailed > 0) {
-    JudgeFailures(member, aNow);
-  }
-}
-
-void
-OutlierDetector::JudgeFailures(Member& aMember, Millis aNow)
-{
-  const bool often = aMember.mResults >= mOptions.mLeastResults &&
-                     aMember.mFailures >= mOptions.mFailureShare;
-  if (often || aMember.mFailuresInRow >= mOptions.mFailuresInRow) {
-    Eject(aMember, aNow);
+  const bool often = member.mResults >= mOptions.mLeastResults &&
+                     member.mFailures >= mOptions.mFailureShare;
+  if (often || member.mFailuresInRow >= mOptions.mFailuresInRow) {
+    Eject(member, aNow);
   }
 }
 
--- a/src/libtrefoilarch/outlierdetector.h
+++ b/src/libtrefoilarch/outlierdetector.h
@@ -59,16 +59,6 @@
   /** A first token came, or is known to take at least that long. */
   void OnFirstToken(const UpstreamId& aUpstream, Millis aTook, Millis aNow);
 
-  /**
-   * What others got from the upstream: it counts like one's own results, so
-   * that an upstream which each of many entries asks now and then is known by
-   * all of them together. It neither makes nor ends a trial.
-   */
-  void OnResultsElsewhere(const UpstreamId& aUpstream,
-                          uint32_t aGood,
-                          uint32_t aFailed,
-                          Millis aNow);
-
   OutlierState State(const UpstreamId& aUpstream, Millis aNow) const;
   /** Ejections since the start. */
   uint64_t Ejections() const { return mEjections; }
@@ -98,8 +88,6 @@
 
   void AddResult(Member& aMember, bool aFailed);
   bool EndTrial(Member& aMember, bool aSound, Millis aNow);
-  /** Ejects it where its failures are too many. */
-  void JudgeFailures(Member& aMember, Millis aNow);
   bool Slow(const Member& aMember, Millis aNow);
   double Median(const std::string& aGroup, Millis aNow);
   void Eject(Member& aMember, Millis aNow);
--- a/src/libtrefoilarch/peernotes.h
+++ b/src/libtrefoilarch/peernotes.h
@@ -44,16 +44,14 @@
   bool operator==(const HeardReport&) const = default;
 };
 
-/** How an upstream answered an entry of late. */
-struct UpstreamResults
+/** An upstream from which an entry waits for an answer in vain. */
+struct SilentUpstream
 {
   UpstreamId mUpstream;
-  uint32_t mGood = 0;
-  /** Failures that the upstream itself answered with: what broke on the way may
-   * have been the entry's own fault. */
-  uint32_t mFailed = 0;
+  /** Since its last byte, or since the entry began to wait. */
+  Millis mSilence;
 
-  bool operator==(const UpstreamResults&) const = default;
+  bool operator==(const SilentUpstream&) const = default;
 };
 
 /**
@@ -71,7 +69,9 @@
   std::vector<SentPrompt> mSent;
   std::vector<HeardReport> mReports;
   std::vector<RouteDemand> mDemands;
-  std::vector<UpstreamResults> mResults;
+  std::vector<SilentUpstream> mSilent;
+  /** Upstreams that have answered since the last message. */
+  std::vector<UpstreamId> mAnswered;
 
   bool operator==(const PeerNotes&) const = default;
 };
--- a/src/libtrefoilarch/placementcandidate.h
+++ b/src/libtrefoilarch/placementcandidate.h
@@ -15,6 +15,8 @@
   bool mCold = false;
   /** Prompt tokens that wait there to be read for other entries. */
   PendingReads mOthersPending{};
+  /** How long it has been silent to other entries, by their word. */
+  Millis mOthersSilence{};
   /** How many times as long as its peers it takes to begin an answer. */
   double mSlowness = 1;
   /** Where it is as seen from the request's route. */
--- a/src/libtrefoilarch/tierguard.h
+++ b/src/libtrefoilarch/tierguard.h
@@ -22,7 +22,7 @@
   /**
    * Whether to refuse a request of a route with that priority (0 is the most
    * urgent); aOverloaded: its own route starts or ends too late;
-   * aOthersTakeLess: other entries send mostly less urgent ones.
+   * aOthersTakeLess: other entries send enough of less urgent ones.
    */
   bool Refuses(const std::string& aService,
                uint8_t aPriority,
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -204,7 +204,7 @@
          BusyAt(aCandidate, aFacts, aNow) * mOptions.mBusyMs +
          aCandidate.mLane.mDistance * mOptions.mOtherLaneMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
-         SilenceCost(*aCandidate.mWork, aNow) +
+         SilenceCost(aCandidate, aNow) +
          (aCandidate.mCold ? mOptions.mColdMs : 0);
 }
 
@@ -266,7 +266,7 @@
   const double share = aCandidate.mWork->Busy(aNow) / slots;
   return share * mOptions.mPlainCallMs +
          Distance(aCandidate, mOptions.mPlainOtherDataCentreMs) +
-         SilenceCost(*aCandidate.mWork, aNow) +
+         SilenceCost(aCandidate, aNow) +
          (aCandidate.mCold ? mOptions.mColdMs : 0);
 }
 
@@ -277,9 +277,12 @@
 }
 
 double
-WorkPlacement::SilenceCost(const UpstreamWork& aWork, Millis aNow) const
+WorkPlacement::SilenceCost(const PlacementCandidate& aCandidate,
+                           Millis aNow) const
 {
-  const Millis over = aWork.Silence(aNow) - mOptions.mUsualSilence;
+  const Millis silence =
+    std::max(aCandidate.mWork->Silence(aNow), aCandidate.mOthersSilence);
+  const Millis over = silence - mOptions.mUsualSilence;
   return std::max(0.0, kSilenceWeight * static_cast<double>(over.Count()));
 }
 
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -175,7 +175,7 @@
                     Millis aNow) const;
   double PlainCost(const PlacementCandidate& aCandidate, Millis aNow) const;
   double Distance(const PlacementCandidate& aCandidate, double aMs) const;
-  double SilenceCost(const UpstreamWork& aWork, Millis aNow) const;
+  double SilenceCost(const PlacementCandidate& aCandidate, Millis aNow) const;
 
   WorkPlacementOptions mOptions;
   PrefixMemory mMemory;
--- a/src/libtrefoilgate/peerdatagram.cpp
+++ b/src/libtrefoilgate/peerdatagram.cpp
@@ -19,7 +19,8 @@
 constexpr size_t kMostParts = 16;
 constexpr size_t kMostReports = 40;
 constexpr size_t kMostDemands = 8;
-constexpr size_t kMostResults = 24;
+constexpr size_t kMostAnswered = 32;
+constexpr size_t kMostSilent = 16;
 
 /** Requests are told in hundredths. */
 constexpr double kHundred = 100;
@@ -107,25 +108,30 @@
   return demands;
 }
 
-/** Those with failures first: others eject by them. */
 Json
-ResultsOf(const PeerNotes& aNotes)
+SilentOf(const PeerNotes& aNotes)
 {
-  std::vector<const UpstreamResults*> order;
-  for (const UpstreamResults& each : aNotes.mResults) {
-    order.push_back(&each);
+  Json silent = Json::array();
+  for (const SilentUpstream& each : aNotes.mSilent) {
+    if (silent.size() < kMostSilent) {
+      silent.push_back(
+        { each.mUpstream,
+          std::clamp<int64_t>(each.mSilence.Count(), 0, kMostAgeMs) });
+    }
   }
-  std::stable_sort(
-    order.begin(), order.end(), [](const auto* aLeft, const auto* aRight) {
-      return aLeft->mFailed > aRight->mFailed;
-    });
-  Json results = Json::array();
-  for (const UpstreamResults* each : order) {
-    if (results.size() < kMostResults) {
-      results.push_back({ each->mUpstream, each->mGood, each->mFailed });
+  return silent;
+}
+
+Json
+AnsweredOf(const PeerNotes& aNotes)
+{
+  Json answered = Json::array();
+  for (const UpstreamId& each : aNotes.mAnswered) {
+    if (answered.size() < kMostAnswered) {
+      answered.push_back(each);
     }
   }
-  return results;
+  return answered;
 }
 
 bool
@@ -182,17 +188,16 @@
 }
 
 bool
-IsResult(const Json& aValue)
+IsSilent(const Json& aValue)
 {
-  return aValue.is_array() && aValue.size() == 3 && aValue[0].is_string() &&
-         IsAtMost(aValue[1], kMostRequests) &&
-         IsAtMost(aValue[2], kMostRequests);
+  return aValue.is_array() && aValue.size() == 2 && aValue[0].is_string() &&
+         IsAtMost(aValue[1], kMostAgeMs);
 }
 
 bool
 AreNotes(const Json& aValue)
 {
-  return aValue.is_array() && aValue.size() == 9 && aValue[0] == kFormat &&
+  return aValue.is_array() && aValue.size() == 10 && aValue[0] == kFormat &&
          aValue[1].is_string() && IsCount(aValue[2]) && IsCount(aValue[3]) &&
          aValue[4].is_array() &&
          std::all_of(aValue[4].begin(), aValue[4].end(), IsPending) &&
@@ -203,7 +208,11 @@
          aValue[7].is_array() &&
          std::all_of(aValue[7].begin(), aValue[7].end(), IsDemand) &&
          aValue[8].is_array() &&
-         std::all_of(aValue[8].begin(), aValue[8].end(), IsResult);
+         std::all_of(aValue[8].begin(),
+                     aValue[8].end(),
+                     [](const Json& aId) { return aId.is_string(); }) &&
+         aValue[9].is_array() &&
+         std::all_of(aValue[9].begin(), aValue[9].end(), IsSilent);
 }
 
 } // namespace
@@ -219,7 +228,8 @@
                                         SentOf(aNotes),
                                         ReportsOf(aNotes),
                                         DemandsOf(aNotes),
-                                        ResultsOf(aNotes) }));
+                                        AnsweredOf(aNotes),
+                                        SilentOf(aNotes) }));
 }
 
 std::optional<PeerNotes>
@@ -263,9 +273,11 @@
         .mUrgency = each[7].get<uint8_t>() });
   }
   for (const Json& each : json[8]) {
-    notes.mResults.push_back({ .mUpstream = each[0].get<std::string>(),
-                               .mGood = each[1].get<uint32_t>(),
-                               .mFailed = each[2].get<uint32_t>() });
+    notes.mAnswered.push_back(each.get<std::string>());
+  }
+  for (const Json& each : json[9]) {
+    notes.mSilent.push_back({ .mUpstream = each[0].get<std::string>(),
+                              .mSilence = Millis(each[1].get<int64_t>()) });
   }
   return notes;
 }
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -619,3 +619,30 @@
   cr_expect(next->mWork.mPrefill == 4000);
   cr_expect(next->mReads.mAhead == sent->mWork.mPrefill + 4000);
 }
+
+/** Two others wait in vain at an upstream to which this entry has sent nothing:
+ * it is avoided until it answers somebody. */
+Test(directrouter, an_upstream_that_is_silent_to_others_is_avoided)
+{
+  DirectRouter router = MakeRouter(2);
+  const BoundRequest session = BoundSession(router);
+  const auto first = router.Place(session, {}, Millis(0));
+  cr_assert(first.has_value());
+  router.OnEnded(*first, AttemptOutcome::Withdrawn, Millis(10));
+  const std::vector<SilentUpstream> silent{ { .mUpstream = first->mUpstream,
+                                              .mSilence = Millis(1200) } };
+  for (const char* from : { "one", "two" }) {
+    router.OnPeerNotes({ .mFrom = from, .mSequence = 1, .mSilent = silent },
+                       Millis(2000));
+  }
+  const auto second = router.Place(session, {}, Millis(2010));
+  cr_assert(second.has_value());
+  cr_expect(second->mUpstream != first->mUpstream);
+  router.OnEnded(*second, AttemptOutcome::Withdrawn, Millis(2020));
+  router.OnPeerNotes(
+    { .mFrom = "one", .mSequence = 2, .mAnswered = { first->mUpstream } },
+    Millis(2030));
+  const auto third = router.Place(session, {}, Millis(2040));
+  cr_assert(third.has_value());
+  cr_expect(third->mUpstream == first->mUpstream);
+}
