--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -264,9 +264,9 @@
   /**
    * No entry's word is missing. What engines reported to others is news only
    * together with all that was sent there since: a hundred entries that went
-   * by a part of it, late, all sent to the same engines, and the most urgent
-   * route earned 0.63 of its credit in an overload of slots where it earns 0.80
-   * without (one run each).
+   * by a part of it, late, all sent to the same engines. In an overload of
+   * slots the most urgent route earned 0.63 of its credit with such reports and
+   * with failures told, and 0.80 with neither (one run each).
    */
   bool AllHeard() const;
   /** Who is silent to others, and who is not. */
