Say once what stood twice: running means, the usual silence, lanes in tests

From reading the whole change again. What other entries send is looked through under an overload alone, as nothing else asks for it: not on each request.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -23,10 +23,6 @@
                   .mMessage = std::move(aMessage) };
 }
 
-/** An upstream that has been silent for this long is told of: the time that
- * one is silent at most while it reads a long prompt. */
-constexpr Millis kToldSilence{ 350 };
-
 /** Prompts that are kept to be told to other entries; what is beyond these
  * others read again at worst. */
 constexpr size_t kMostSent = 64;
@@ -150,7 +146,9 @@
   mLanes.OnRequest(
     bound.mService, *route, bound.mPrompt, aNow, mMeters[route->mName].Open());
   const auto comeBack = Overload(bound, aNow);
+  // Asked under an overload alone, as it looks through all entries' demand.
   const bool othersTakeLess =
+    comeBack &&
     mLanes.OthersSendLessUrgent(bound.mService, route->mPriority, aNow);
   if (mTiers.Refuses(bound.mService,
                      route->mPriority,
@@ -208,7 +206,7 @@
       notes.mPending.push_back({ id, tracked.mWork.Pending() });
     }
     const Millis silence = tracked.mWork.Silence(aNow);
-    if (silence >= kToldSilence) {
+    if (silence >= mPlacement.UsualSilence()) {
       notes.mSilent.push_back({ .mUpstream = id, .mSilence = silence });
     }
   }
--- a/src/libtrefoilarch/enginemodel.cpp
+++ b/src/libtrefoilarch/enginemodel.cpp
@@ -10,9 +10,6 @@
 /** Weight of an engine's newest sample: four make most of its factor. */
 constexpr double kNewest = 0.3;
 
-/** Weight of the newest answer's time, once there were some. */
-constexpr double kNewestAnswer = 0.02;
-
 /** An engine's factor fades by this time constant while it is not asked. */
 constexpr double kFadeMs = 6000;
 
@@ -82,18 +79,14 @@
 void
 EngineModel::OnEnded(const std::string& aService, Millis aTook)
 {
-  Service& service = mServices[aService];
-  service.mAnswers++;
-  const double weight = std::max(kNewestAnswer, 1.0 / service.mAnswers);
-  const auto took = static_cast<double>(aTook.Count());
-  service.mAnswerMs += weight * (took - service.mAnswerMs);
+  mServices[aService].mAnswerMs.Add(static_cast<double>(aTook.Count()));
 }
 
 double
 EngineModel::AnswerMs(const std::string& aService) const
 {
   const auto place = mServices.find(aService);
-  return place == mServices.end() ? 0 : place->second.mAnswerMs;
+  return place == mServices.end() ? 0 : place->second.mAnswerMs.Value();
 }
 
 EngineModel::Costs
--- a/src/libtrefoilarch/enginemodel.h
+++ b/src/libtrefoilarch/enginemodel.h
@@ -2,6 +2,7 @@
 
 #include "ids.h"
 #include "millis.h"
+#include "runningmean.h"
 
 #include <cstdint>
 #include <string>
@@ -81,6 +82,9 @@
   double Slowness(const UpstreamId& aEngine, Millis aNow) const;
 
 private:
+  /** Weight of the newest answer's time, once there were some. */
+  static constexpr double kNewestAnswer = 0.02;
+
   struct Service
   {
     /** Sums of products of tokens ahead, tokens behind and the wait. */
@@ -90,8 +94,7 @@
     double mAheadWait = 0;
     double mBehindWait = 0;
     double mLeastWait = 0;
-    double mAnswerMs = 0;
-    uint32_t mAnswers = 0;
+    RunningMean mAnswerMs{ kNewestAnswer };
     bool mSeen = false;
   };
   /** Milliseconds for a token. */
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -13,10 +13,6 @@
 /** Weight of the newest start's wait. */
 constexpr double kNewest = 0.2;
 
-/** Weight of the newest answer's time; answers vary more than waits. The first
- * ones count alike: an entry of a hundred sees one a second. */
-constexpr double kNewestAnswer = 0.05;
-
 /** The memory of waits fades by this time constant while nothing starts. */
 constexpr double kWaitMemoryMs = 3000;
 
@@ -60,11 +56,8 @@
 void
 StartMeter::OnEnded(Millis aStartedAt, Millis aNow)
 {
-  const auto took = static_cast<double>((aNow - aStartedAt).Count());
   mRunning -= std::min(mRunning, 1U);
-  mAnswers++;
-  const double newest = std::max(kNewestAnswer, 1.0 / mAnswers);
-  mAnswer += newest * (took - mAnswer);
+  mAnswer.Add(static_cast<double>((aNow - aStartedAt).Count()));
 }
 
 std::optional<Millis>
@@ -94,7 +87,7 @@
 StartMeter::EndsTooLate(Millis aLimit, double aFavour, Millis aNow)
 {
   const double limit = static_cast<double>(aLimit.Count()) * aFavour;
-  const double end = RecentWait(aNow) + mOptions.mAnswerSpread * mAnswer;
+  const double end = RecentWait(aNow) + mOptions.mAnswerSpread * AnswerMs();
   return end > mOptions.mMostTime * limit;
 }
 
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "millis.h"
+#include "runningmean.h"
 
 #include <cstdint>
 #include <deque>
@@ -63,9 +64,13 @@
   /** Sent and not ended, whether started or not. */
   uint32_t Open() const { return mPending + mRunning; }
   /** Mean time from the start of an answer to its end, in milliseconds. */
-  double AnswerMs() const { return mAnswer; }
+  double AnswerMs() const { return mAnswer.Value(); }
 
 private:
+  /** Weight of the newest answer's time; answers vary more than waits, and an
+   * entry of a hundred sees one a second. */
+  static constexpr double kNewestAnswer = 0.05;
+
   double Rate(Millis aNow);
   double RecentWait(Millis aNow) const;
   bool StartsTooLate(Millis aTarget, double aFavour, Millis aNow);
@@ -80,8 +85,7 @@
   std::deque<Millis> mStarts;
   double mWait = 0;
   /** Mean time from the start of an answer to its end. */
-  double mAnswer = 0;
-  uint32_t mAnswers = 0;
+  RunningMean mAnswer{ kNewestAnswer };
   Millis mWaitAt;
 };
 
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -122,6 +122,8 @@
                 Millis aNow);
 
   PrefixMemory& Memory() { return mMemory; }
+  /** See WorkPlacementOptions::mUsualSilence. */
+  Millis UsualSilence() const { return mOptions.mUsualSilence; }
 
 private:
   /** An upstream with what it would be sent. */
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -87,14 +87,16 @@
 PlacesFor(Lanes& aLanes,
           const Route& aRoute,
           const Engines& aEngines,
-          Millis aNow)
+          Millis aNow,
+          uint32_t aSlots = 0)
 {
   static const PauseRecord kNone;
-  return aLanes.PlacesFor("llm",
-                          aRoute,
-                          aEngines.Listed(),
-                          { .mPauses = kNone, .mReadPerMs = 80 },
-                          aNow);
+  return aLanes.PlacesFor(
+    "llm",
+    aRoute,
+    aEngines.Listed(),
+    { .mPauses = kNone, .mReadPerMs = 80, .mSlots = aSlots },
+    aNow);
 }
 
 Millis
@@ -114,10 +116,12 @@
 OwnLane(Lanes& aLanes,
         const Route& aRoute,
         const Engines& aEngines,
-        Millis aNow)
+        Millis aNow,
+        uint32_t aSlots = 0)
 {
   std::set<UpstreamId> own;
-  for (const auto& [id, place] : PlacesFor(aLanes, aRoute, aEngines, aNow)) {
+  for (const auto& [id, place] :
+       PlacesFor(aLanes, aRoute, aEngines, aNow, aSlots)) {
     if (place.mDistance == 0) {
       own.insert(id);
     }
@@ -465,23 +469,6 @@
   return PromptShape{ .mPromptTokens = 700, .mMostOutput = 900 };
 }
 
-/** Engines of the strict route's lane by what those lanes know. */
-std::set<UpstreamId>
-StrictLane(Lanes& aLanes,
-           const Engines& aEngines,
-           const LaneFacts& aFacts,
-           Millis aNow)
-{
-  std::set<UpstreamId> own;
-  for (const auto& [id, place] : aLanes.PlacesFor(
-         "llm", MakeRoute("strict", 200), aEngines.Listed(), aFacts, aNow)) {
-    if (place.mDistance == 0) {
-      own.insert(id);
-    }
-  }
-  return own;
-}
-
 } // namespace
 
 /** Forty entries, each of which sees few requests, and one of them mostly
@@ -510,12 +497,10 @@
       }
     }
   }
-  const PauseRecord pauses;
-  const LaneFacts facts{ .mPauses = pauses, .mReadPerMs = 80 };
-  const auto first = StrictLane(entries[0], engines, facts, now);
+  const auto first = OwnLane(entries[0], strict, engines, now);
   cr_expect(first.size() > 19 && first.size() < 120);
   for (Lanes& each : entries) {
-    cr_expect(StrictLane(each, engines, facts, now) == first);
+    cr_expect(OwnLane(each, strict, engines, now) == first);
   }
 }
 
@@ -536,9 +521,7 @@
       lanes.OnRequest("llm", strict, Small(), At(each / 4), kHeld);
     }
   }
-  const PauseRecord pauses;
-  const LaneFacts facts{ .mPauses = pauses, .mReadPerMs = 80, .mSlots = 16 };
-  const auto own = StrictLane(lanes, engines, facts, Millis(6000));
+  const auto own = OwnLane(lanes, strict, engines, Millis(6000), 16);
   cr_expect(static_cast<double>(own.size()) * 16 * 0.8 >= kHeld,
             "%zu engines",
             own.size());
