--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -148,6 +148,9 @@
   /** Null before the first. */
   const std::shared_ptr<const RouteIndex>& Index() const { return mIndex; }
   const Freshness& PolicyFreshness() const { return mPolicyFreshness; }
+  /** The list of upstreams was the newest at that instant. */
+  void ConfirmList(Millis aAt) { mListFreshness.Confirm(aAt); }
+  const Freshness& ListFreshness() const { return mListFreshness; }
 
   UpstreamDirectory& Directory() { return mDirectory; }
   const UpstreamDirectory& Directory() const { return mDirectory; }
@@ -288,6 +291,7 @@
   DirectRouterOptions mOptions;
   std::shared_ptr<const RouteIndex> mIndex;
   Freshness mPolicyFreshness;
+  Freshness mListFreshness;
   UpstreamDirectory mDirectory;
   std::unordered_map<UpstreamId, Tracked> mTracked;
   OutlierDetector mOutliers;
--- a/src/libtrefoilarch/freshness.h
+++ b/src/libtrefoilarch/freshness.h
@@ -31,6 +31,9 @@
   /** Never() where it was never confirmed. */
   Millis Age(Millis aNow) const { return mAt ? aNow - *mAt : Millis::Never(); }
 
+  /** The age for logs and gauges, in milliseconds; -1 for never. */
+  int64_t AgeMs(Millis aNow) const { return mAt ? Age(aNow).Count() : -1; }
+
 private:
   std::optional<Millis> mAt;
 };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -120,6 +120,7 @@
     return;
   }
   mConnection = aConnection;
+  mListAgeMs = mContext.mRouter.ListFreshness().AgeMs(now);
   mPlan.OnSending();
   mConnection->Send(MakeCall(mPlan.Request().mEnd - now), MakeHandlers());
 }
@@ -445,6 +446,7 @@
       { "policy_version", bound.mIndex->Version() },
       { "attempts", mPlan.Attempts() },
       { "upstream", mLastPlaced.mUpstream },
+      { "list_age_ms", mListAgeMs },
       { "prompt_tokens", bound.mPrompt.mPromptTokens },
       { "prefill_tokens", mLastPlaced.mWork.mPrefill },
       { "most_output_tokens", bound.mPrompt.mMostOutput },
@@ -473,6 +475,7 @@
       { "why", aWhy },
       { "upstream", mAttempt ? mAttempt->mUpstream : "" },
       { "address", mAttempt ? mAttempt->mAddress : "" },
+      { "list_age_ms", mListAgeMs },
       { "attempt", mPlan.Attempts() },
       { "after_ms", mAttempt ? (now - mAttempt->mSentAt).Count() : 0 },
       { "started", mAttempt && mAttempt->mStarted },
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -100,6 +100,8 @@
   std::optional<trefoilarch::PlacedAttempt> mAttempt;
   /** The newest attempt, for the log. */
   trefoilarch::PlacedAttempt mLastPlaced;
+  /** How old the list of upstreams was when it was sent; -1 for unknown. */
+  int64_t mListAgeMs = -1;
   ConnectionPool::Connection mConnection;
   std::optional<UpstreamAnswer> mAnswer;
   EventTracker mEvents;
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -357,7 +357,7 @@
       { "host", aRequest.mHost },
       { "path", aRequest.mTarget },
       { "policy_version", mRouter.Index() ? mRouter.Index()->Version() : 0 },
-      { "policy_age_ms", AgeMs(mRouter.PolicyFreshness()) } });
+      { "policy_age_ms", mRouter.PolicyFreshness().AgeMs(BootNow()) } });
   aCaller->Answer(RefusalHead(aRefusal), RefusalBody(aRefusal));
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -72,7 +72,7 @@
   /** The list has been read as a whole once. */
   void SetListKnown() { mListKnown = true; }
   /** The list was the newest at that instant. */
-  void ConfirmList(trefoilarch::Millis aAt) { mListFreshness.Confirm(aAt); }
+  void ConfirmList(trefoilarch::Millis aAt) { mRouter.ConfirmList(aAt); }
 
   /** The other entries' addresses. */
   void SetPeers(const std::vector<std::string>& aAddresses);
@@ -115,8 +115,6 @@
                      const std::string& aId,
                      const trefoilarch::Refusal& aRefusal);
   OperatorPage ReadyPage();
-  /** -1 where it was never confirmed. */
-  static int64_t AgeMs(const trefoilarch::Freshness& aBelief);
   /** Empty where requests can be served, else the reason. */
   std::string NotReady() const;
   void LogReadiness(const std::string& aReason);
@@ -145,7 +143,6 @@
   uint64_t mBodyBytes = 0;
   std::string mLastReason = "starting";
   bool mListKnown = false;
-  trefoilarch::Freshness mListFreshness;
   /** When each other entry was last heard. */
   std::map<std::string, Millis> mHeardAt;
   /** This one and the others that are listed; 0 before the list is known. */
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -67,13 +67,6 @@
   return { .mStatus = reason.empty() ? kOk : kUnavailable, .mText = reason };
 }
 
-int64_t
-Gateway::AgeMs(const Freshness& aBelief)
-{
-  const Millis age = aBelief.Age(BootNow());
-  return age == Millis::Never() ? -1 : age.Count();
-}
-
 std::string
 Gateway::NotReady() const
 {
@@ -99,10 +92,11 @@
     return;
   }
   mLastReason = aReason;
-  mLog.Write(LineKind::Process,
-             aReason.empty() ? "ready" : "not_ready",
-             { { "reason", aReason },
-               { "policy_age_ms", AgeMs(mRouter.PolicyFreshness()) } });
+  mLog.Write(
+    LineKind::Process,
+    aReason.empty() ? "ready" : "not_ready",
+    { { "reason", aReason },
+      { "policy_age_ms", mRouter.PolicyFreshness().AgeMs(BootNow()) } });
 }
 
 std::string
@@ -118,9 +112,9 @@
   count(Gauge::IdleUpstreamConnections, mPool.IdleCount());
   count(Gauge::UpstreamConnectionsMade, mPool.Made());
   count(Gauge::UpstreamConnectionsFailed, mPool.Failed());
-  count(Gauge::PolicyAgeMs, AgeMs(mRouter.PolicyFreshness()));
+  count(Gauge::PolicyAgeMs, mRouter.PolicyFreshness().AgeMs(now));
   count(Gauge::PolicyVersion, mRouter.Index() ? mRouter.Index()->Version() : 0);
-  count(Gauge::ListAgeMs, AgeMs(mListFreshness));
+  count(Gauge::ListAgeMs, mRouter.ListFreshness().AgeMs(now));
   count(Gauge::Ejections, mRouter.Ejections());
   count(Gauge::LogLinesLeftOut, mLog.LeftOut());
   for (const auto& [service, left] : mRouter.RetriesLeft()) {
--- a/tests/platform/operationstest.cpp
+++ b/tests/platform/operationstest.cpp
@@ -140,6 +140,19 @@
   }));
 }
 
+/** What tells a list that is old from a leaving upstream that was ignored. */
+Test(operations, how_old_the_list_was_when_a_request_was_sent)
+{
+  PlatformFleet fleet;
+  fleet.Control({ { "fault", "down" } });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  fleet.Call({ .mId = "old" });
+  cr_expect(LineOf(fleet, "old", "request_ended").at("list_age_ms") >= 1500);
+  cr_assert(Await([&] { return !fleet.LogOf(0, "dependency_lost").empty(); }));
+  const json lost = fleet.LogOf(0, "dependency_lost").front();
+  cr_expect(lost.at("waited_ms") >= 0);
+}
+
 Test(operations, a_revoked_key)
 {
   PlatformFleet fleet;
