Reproduce requests to an upstream that had said it leaves

The store falls silent for a moment just as an entry asks for changes; the question is never answered, new ones are. Upstreams that leave in the ten seconds after it go unnoticed.

The stand-in's new fault, deaf, never answers what was asked or due while it lasts; silent answers late, which hid this.

--- a/tests/platform/beliefstest.cpp
+++ b/tests/platform/beliefstest.cpp
@@ -111,6 +111,32 @@
   cr_expect(StatusFor(fleet, "key-1") == 503);
 }
 
+/**
+ * Callers' requests were served by an upstream that had said it leaves, for
+ * seconds. In order: upstreams came and went, each entry read the changes and
+ * asked for the next ones; the store had just fallen silent and never answered
+ * that question, though it served new ones a second later; an upstream left.
+ */
+Test(beliefs, a_question_that_is_never_answered_hides_no_leaving_upstream)
+{
+  constexpr int kDrainMs = 2000;
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  fleet.ListAs("i-2", fleet.WorkerAddress(1));
+  cr_assert(Await([&] { return fleet.LogOf(0, "upstream_listed").size() > 2; },
+                  Millis(2000)));
+  fleet.Control({ { "fault", "deaf" } });
+  Pause(1500);
+  fleet.Control({ { "fault", "up" } });
+  Pause(100);
+  fleet.List(0, "draining");
+  Pause(kDrainMs);
+  const size_t before = fleet.Runs(0).size();
+  for (int each = 0; each < 20; ++each) {
+    cr_expect(StatusFor(fleet, "key-1") == 200);
+  }
+  cr_expect(fleet.Runs(0).size() == before);
+}
+
 Test(beliefs, entries_that_lapse_with_the_store_are_kept_until_it_is_back)
 {
   const PlatformFleet fleet;
--- a/tests/standins/rowstore/main.cpp
+++ b/tests/standins/rowstore/main.cpp
@@ -23,8 +23,9 @@
 
 /**
  * The store's faults: `up`; `down` (503); `busy` (429); `reset`; `silent` (no
- * answer while it lasts); `slow` (delay_ms before each answer); `lost`
- * (writes take effect and the connection is cut).
+ * answer while it lasts); `deaf` (what is asked or due while it lasts is never
+ * answered); `slow` (delay_ms before each answer); `lost` (writes take effect
+ * and the connection is cut).
  */
 class Faults
 {
@@ -47,7 +48,8 @@
   bool Pass(Exchange& aExchange)
   {
     std::unique_lock lock(mMutex);
-    while (mMode == "silent" && !aExchange.ClientLeft()) {
+    const bool deaf = mMode == "deaf";
+    while ((deaf || mMode == "silent") && !aExchange.ClientLeft()) {
       mChanged.wait_for(lock, std::chrono::milliseconds(20));
     }
     const std::string mode = mMode;
