Date answers of another clock for the time in which they were held back

Found while the list's age was given a bound. A date allowed for drift between the measurement and the question, not until the answer was made: held back for 25 s, an answer of a clock that is fast by 100 parts in a million was dated up to 3 ms too late; and an answer to an older question than the measurement was dated later than it was made, by a two-thousandth of the time between.

--- a/src/libtrefoilarch/freshness.h
+++ b/src/libtrefoilarch/freshness.h
@@ -3,6 +3,7 @@
 #include "millis.h"
 
 #include <cstdint>
+#include <cstdlib>
 #include <optional>
 
 namespace trefoilarch {
@@ -28,6 +29,9 @@
     return mAt && aNow - *mAt < aSpan;
   }
 
+  /** Empty where it was never confirmed. */
+  std::optional<Millis> At() const { return mAt; }
+
   /** Never() where it was never confirmed. */
   Millis Age(Millis aNow) const { return mAt ? aNow - *mAt : Millis::Never(); }
 
@@ -53,20 +57,36 @@
    */
   Millis DateOf(Millis aAsked, Millis aReading)
   {
-    const Millis offset = aAsked - aReading;
-    if (!mOffset || aReading < mLastReading || Offset(aAsked) <= offset) {
-      mOffset = offset;
+    const bool jumpedBack = aReading < mLastReading;
+    if (!mOffset || jumpedBack || Estimate(aReading) <= aAsked) {
+      mOffset = aAsked - aReading;
       mMeasuredAt = aAsked;
     }
     mLastReading = aReading;
-    return aReading + Offset(aAsked);
+    return Estimate(aReading);
+  }
+
+  /**
+   * The earliest instant at which the other clock can have shown that, for a
+   * reading that came by others' hands. Empty where nothing is known of the
+   * clock, or the reading can't be of the same one.
+   */
+  std::optional<Millis> DateOfReading(Millis aReading, Millis aNow) const
+  {
+    if (!mOffset || Estimate(aReading) > aNow) {
+      return std::nullopt;
+    }
+    return Estimate(aReading);
   }
 
   /** Whether an answer that is not held back is due: nothing is known of the
    * other clock, or it is so long ago that much drift has to be allowed for. */
-  bool WantsQuickAnswer(Millis aNow) const
+  bool WantsQuickAnswer(Millis aNow) const { return aNow > QuickAnswerDue(); }
+
+  /** Until then no such answer is wanted. */
+  Millis QuickAnswerDue() const
   {
-    return !mOffset || aNow - mMeasuredAt > kMeasureSpan;
+    return mOffset ? mMeasuredAt + kMeasureSpan : Millis(-1);
   }
 
   /** Forgets everything, for instance once the other side was lost. */
@@ -80,10 +100,13 @@
   /** By this, 150 ms are allowed for drift. */
   static constexpr Millis kMeasureSpan{ 300000 };
 
-  /** What was measured, less what the clocks may have drifted since. */
-  Millis Offset(Millis aNow) const
+  /** By what was measured, less what the clocks may have drifted between then
+   * and the reading. */
+  Millis Estimate(Millis aReading) const
   {
-    return *mOffset - Millis((aNow - mMeasuredAt).Count() / kDriftPart);
+    const Millis made = aReading + *mOffset;
+    const int64_t between = std::abs((made - mMeasuredAt).Count());
+    return made - Millis(between / kDriftPart);
   }
 
   /** Own time less the other's, at the least, when it was measured. */
