Bound the age of what an entry believes of the store's tables

What callers saw: requests served by an upstream more than two seconds after it had said that it leaves.

Cause: an entry asked for changes with a question that the store may hold back for 10 s, and took its silence for 'nothing has changed'. A question that falls into a short silence of the store is never answered, and the entry was blind until 10.8 s had passed, though the store was well again. The copy's age was known (its last confirmation) and nobody acted on it. The class: an answer that is waited for taken as a promise.

Ruled out: a row that was read and ignored, and a sum of small waits: no entry had read any row of the upstream between its start and its removal, and all five told of the loss 10.8 s after their last changes, within 1 ms. The kernel's probes do not help: the other end's kernel answers them.

Mend: TableWatch, free of I/O, decides when to ask what. A copy that was not confirmed for half of the time in which a change has to be obeyed (drain-ms, apply-ms, new settings that the platform fills in) is proved by a question of its own, to be answered at once, over a second connection; where that brings changes, the waiting question is given up.

--- /dev/null
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -0,0 +1,257 @@
+#include "tablewatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilarch {
+
+namespace {
+
+/** For an answer that the store need not hold back; one that is slow by a
+ * factor of sixty still makes it. */
+constexpr Millis kAnswerSpan{ 800 };
+
+/** An answer that was held back and comes this much too late was held up by
+ * an outage: rows may have lapsed in it. */
+constexpr Millis kLateAnswer{ 300 };
+
+constexpr Millis kFirstPause{ 100 };
+constexpr Millis kLongestPause{ 400 };
+constexpr uint32_t kMostDoublings = 2;
+
+} // namespace
+
+TableWatch::TableWatch(TableWatchOptions aOptions, TableWatchHooks aHooks)
+  : mOptions(aOptions)
+  , mHooks(std::move(aHooks))
+  , mRandom(mOptions.mSeed)
+{
+  DrawProofAge();
+}
+
+void
+TableWatch::Start()
+{
+  Read();
+}
+
+void
+TableWatch::OnPage(const TableAnswer& aPage)
+{
+  if (aPage.mHasMore) {
+    return;
+  }
+  NoteBack();
+  mVersion = aPage.mVersion;
+  // A row that was removed before is not among them: its version is unknown,
+  // and no higher than this.
+  mLastChange = aPage.mVersion;
+  Confirm(aPage);
+  Follow();
+}
+
+void
+TableWatch::OnChanges(const TableAnswer& aAnswer)
+{
+  const Millis took = aAnswer.mAnswered - aAnswer.mAsked;
+  if (mFailures == 0 && took > mOptions.mWait + kLateAnswer) {
+    mFailures = 1;
+    mHooks.mOnLost("late answer", took);
+  }
+  NoteBack();
+  TakeVersions(aAnswer);
+  if (std::exchange(mProofAsked, false)) {
+    // Its answer may be older than this one, and must not come after it.
+    mHooks.mAbandon();
+  }
+  if (aAnswer.mHasRows && !aAnswer.mHasMore) {
+    Gather(aAnswer.mAnswered);
+  } else {
+    Follow();
+  }
+}
+
+void
+TableWatch::OnProof(const TableAnswer& aAnswer)
+{
+  mProofAsked = false;
+  const bool wasLost = mPhase == Phase::Asking;
+  NoteBack();
+  TakeVersions(aAnswer);
+  if (aAnswer.mHasRows) {
+    // The waiting question should have told of them: it was lost.
+    mHooks.mAbandon();
+    Gather(aAnswer.mAnswered);
+  } else if (wasLost) {
+    Follow();
+  }
+}
+
+void
+TableWatch::OnHistoryGone()
+{
+  mHooks.mAbandon();
+  mProofAsked = false;
+  Read();
+}
+
+void
+TableWatch::OnFailed(const std::string& aWhy, Millis aAsked, Millis aNow)
+{
+  if (mFailures == 0) {
+    mHooks.mOnLost(aWhy, aNow - aAsked);
+  }
+  mHooks.mAbandon();
+  mProofAsked = false;
+  mClock.Reset();
+  const Millis longest = std::min(
+    kFirstPause * (int64_t{ 1 } << std::min(mFailures, kMostDoublings)),
+    kLongestPause);
+  mFailures++;
+  std::uniform_int_distribution<int64_t> span(longest.Count() / 2,
+                                              longest.Count());
+  mPhase = Phase::Lost;
+  mPhaseEnds = aNow + Millis(span(mRandom));
+}
+
+void
+TableWatch::OnWord(const TableWord& aWord, Millis aNow)
+{
+  const bool older = mReading && aWord.mReading <= *mReading;
+  if (mVersion == 0 || aWord.mLastChange > mVersion || older) {
+    return;
+  }
+  const auto made = mClock.DateOfReading(aWord.mReading, aNow);
+  if (!made) {
+    return;
+  }
+  mReading = aWord.mReading;
+  mFreshness.Confirm(*made);
+  mHooks.mOnConfirmed(*made);
+  DrawProofAge();
+}
+
+std::optional<TableWord>
+TableWatch::Word() const
+{
+  if (mVersion == 0 || !mReading) {
+    return std::nullopt;
+  }
+  return TableWord{ .mLastChange = mLastChange, .mReading = *mReading };
+}
+
+void
+TableWatch::Tick(Millis aNow)
+{
+  if (aNow < NextTick()) {
+    return;
+  }
+  if (mPhase == Phase::Gathering) {
+    Follow();
+  } else if (mPhase == Phase::Lost && mVersion == 0) {
+    Read();
+  } else if (mPhase == Phase::Lost) {
+    mPhase = Phase::Asking;
+    mPhaseEnds = Millis::Never();
+    AskProof();
+  } else if (mPhase == Phase::Following) {
+    AskProof();
+  }
+}
+
+Millis
+TableWatch::NextTick() const
+{
+  if (mPhase != Phase::Following) {
+    return mPhaseEnds;
+  }
+  if (mProofAsked) {
+    return Millis::Never();
+  }
+  return std::min(mFreshness.At().value_or(Millis(0)) + mProofAge,
+                  mClock.QuickAnswerDue());
+}
+
+void
+TableWatch::Read()
+{
+  mPhase = Phase::Reading;
+  mPhaseEnds = Millis::Never();
+  mHooks.mAsk({ .mKind = TableQuestion::Kind::Whole, .mSpan = kAnswerSpan });
+}
+
+void
+TableWatch::Follow()
+{
+  mPhase = Phase::Following;
+  mPhaseEnds = Millis::Never();
+  mHooks.mAsk({ .mKind = TableQuestion::Kind::Changes,
+                .mAfter = mVersion,
+                .mWait = mOptions.mWait,
+                .mSpan = mOptions.mWait + kAnswerSpan });
+}
+
+void
+TableWatch::Gather(Millis aNow)
+{
+  if (mOptions.mGather == Millis(0)) {
+    Follow();
+    return;
+  }
+  mPhase = Phase::Gathering;
+  mPhaseEnds = aNow + mOptions.mGather;
+}
+
+void
+TableWatch::AskProof()
+{
+  mProofAsked = true;
+  mHooks.mAsk({ .mKind = TableQuestion::Kind::Proof,
+                .mAfter = mVersion,
+                .mSpan = kAnswerSpan });
+}
+
+void
+TableWatch::TakeVersions(const TableAnswer& aAnswer)
+{
+  mVersion = std::max(mVersion, aAnswer.mVersion);
+  if (aAnswer.mHasRows) {
+    const uint64_t newest =
+      aAnswer.mNewestRow > 0 ? aAnswer.mNewestRow : aAnswer.mVersion;
+    mLastChange = std::max(mLastChange, newest);
+  }
+  if (!aAnswer.mHasMore) {
+    Confirm(aAnswer);
+  }
+}
+
+void
+TableWatch::Confirm(const TableAnswer& aAnswer)
+{
+  const Millis made = mClock.DateOf(aAnswer.mAsked, aAnswer.mReading);
+  const Millis at = std::clamp(made, aAnswer.mAsked, aAnswer.mAnswered);
+  mReading = aAnswer.mReading;
+  mFreshness.Confirm(at);
+  mHooks.mOnConfirmed(at);
+  DrawProofAge();
+}
+
+void
+TableWatch::DrawProofAge()
+{
+  // Entries that hear each other do not all ask at once: the first one's
+  // answer serves the others.
+  std::uniform_int_distribution<int64_t> age(mOptions.mBound.Count() / 2,
+                                             mOptions.mBound.Count());
+  mProofAge = Millis(age(mRandom));
+}
+
+void
+TableWatch::NoteBack()
+{
+  if (std::exchange(mFailures, 0) > 0) {
+    mHooks.mOnBack();
+  }
+}
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/tablewatch.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "freshness.h"
+#include "millis.h"
+#include "tableword.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace trefoilarch {
+
+/** What a TableWatch asks the store. */
+struct TableQuestion
+{
+  enum class Kind : uint8_t
+  {
+    Whole,   /**< all rows, in as many pages as it takes */
+    Changes, /**< what has changed; the store may hold the answer back */
+    Proof,   /**< the same, to be answered at once */
+  };
+
+  Kind mKind = Kind::Whole;
+  /** Changes after this version are asked for. */
+  uint64_t mAfter = 0;
+  /** How long the store may hold the answer back. */
+  Millis mWait;
+  /** Without an answer for this long there will be none. */
+  Millis mSpan;
+
+  bool operator==(const TableQuestion&) const = default;
+};
+
+/** What an answer of the store tells, its rows aside. */
+struct TableAnswer
+{
+  Millis mAsked;
+  Millis mAnswered;
+  /** The newest version that the answer goes up to. */
+  uint64_t mVersion = 0;
+  /** The newest version of the rows in it; 0 where that is not told. */
+  uint64_t mNewestRow = 0;
+  bool mHasRows = false;
+  /** It does not tell all: there is more behind. */
+  bool mHasMore = false;
+  /** The store's clock. */
+  Millis mReading;
+};
+
+/** How a TableWatch carries out what it decides. */
+struct TableWatchHooks
+{
+  /** Asks. A question for a proof is asked beside the others; any other one
+   * takes the place of what was asked before. */
+  std::function<void(const TableQuestion&)> mAsk;
+  /** Drops every question that is under way, and its connection. */
+  std::function<void()> mAbandon;
+  /** The copy was the newest at that instant. */
+  std::function<void(Millis)> mOnConfirmed;
+  /** The table can't be read: why, and how long an answer was waited for. */
+  std::function<void(const std::string&, Millis)> mOnLost;
+  /** It can be read again. */
+  std::function<void()> mOnBack;
+};
+
+/** How a table is watched. */
+struct TableWatchOptions
+{
+  /** A copy that was not confirmed for this long has to be proved. */
+  Millis mBound{ 1000 };
+  /** How long the store may hold an answer back while nothing changes. */
+  Millis mWait{ 25000 };
+  /** Between an answer with changes and the next question, so that changes
+   * that come in numbers are told together. */
+  Millis mGather{ 0 };
+  uint64_t mSeed = 1;
+};
+
+/**
+ * Keeps an entry's copy of a table of the store fresh: decides when to ask
+ * for what, and what an answer or another entry's word is worth.
+ *
+ * A question that waits for changes tells of them at once, but its silence
+ * proves nothing: it may have been lost, and the store be well. So the age of
+ * the copy is bounded by itself. Where neither an answer nor another entry has
+ * confirmed it within the bound, the store is asked beside the waiting
+ * question, over a connection of its own.
+ */
+class TableWatch
+{
+public:
+  TableWatch(TableWatchOptions aOptions, TableWatchHooks aHooks);
+
+  void Start();
+
+  /** A page of the whole table; the rows are all there where none follows. */
+  void OnPage(const TableAnswer& aPage);
+  /** The answer to the question for changes. */
+  void OnChanges(const TableAnswer& aAnswer);
+  void OnProof(const TableAnswer& aAnswer);
+  /** The store no longer has the history that was asked for. */
+  void OnHistoryGone();
+  /** A question failed, whichever. */
+  void OnFailed(const std::string& aWhy, Millis aAsked, Millis aNow);
+
+  /** What another entry knows. */
+  void OnWord(const TableWord& aWord, Millis aNow);
+  /** What this one knows; empty before the first answer. */
+  std::optional<TableWord> Word() const;
+
+  /** Does what is due. */
+  void Tick(Millis aNow);
+  /** When Tick() is next due. */
+  Millis NextTick() const;
+
+  Millis Age(Millis aNow) const { return mFreshness.Age(aNow); }
+
+private:
+  enum class Phase : uint8_t
+  {
+    Reading,   /**< the whole table is asked for */
+    Following, /**< changes are asked for */
+    Gathering, /**< changes have come, and more may follow */
+    Lost,      /**< the next question waits for its time */
+    Asking,    /**< the table is lost, and a proof is asked for */
+  };
+
+  void Read();
+  void Follow();
+  void Gather(Millis aNow);
+  void AskProof();
+  void TakeVersions(const TableAnswer& aAnswer);
+  void Confirm(const TableAnswer& aAnswer);
+  void DrawProofAge();
+  void NoteBack();
+
+  TableWatchOptions mOptions;
+  TableWatchHooks mHooks;
+  std::mt19937_64 mRandom;
+  Phase mPhase = Phase::Reading;
+  /** When the phase ends by itself. */
+  Millis mPhaseEnds = Millis::Never();
+  /** The copy has every change up to here; 0: it has yet to be read. */
+  uint64_t mVersion = 0;
+  uint64_t mLastChange = 0;
+  RemoteClock mClock;
+  Freshness mFreshness;
+  /** The store's clock when the copy was last confirmed. */
+  std::optional<Millis> mReading;
+  /** The age at which this entry asks for a proof. */
+  Millis mProofAge;
+  bool mProofAsked = false;
+  uint32_t mFailures = 0;
+};
+
+} // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/tableword.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "millis.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace trefoilarch {
+
+/**
+ * What entries tell each other of a table of the store: every change of it
+ * that was made before the store's clock read mReading has a version of
+ * mLastChange or less. An entry whose copy goes that far missed nothing.
+ */
+struct TableWord
+{
+  uint64_t mLastChange = 0;
+  /** The store's own clock, not the teller's. */
+  Millis mReading;
+
+  auto operator<=>(const TableWord&) const = default;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -83,6 +83,15 @@
       .mHelp = "a revoked key is honoured no longer than this (ms)",
       .mDefault = "5000",
       .mCheck = NumberBetween(1000, kMostMillis) },
+    { .mName = "apply-ms",
+      .mHelp = "a policy is in force this long after it was put (ms)",
+      .mDefault = "2000",
+      .mCheck = NumberBetween(500, kMostMillis) },
+    { .mName = "drain-ms",
+      .mHelp = "an upstream gets no request later than this after it said that "
+               "it leaves (ms)",
+      .mDefault = "2000",
+      .mCheck = NumberBetween(500, kMostMillis) },
     { .mName = "retry-share",
       .mHelp = "retries that all entries together may make, as a share of "
                "requests (0 to 1)",
@@ -124,6 +133,8 @@
   compare("platform", &GateSettings::mPlatform);
   compare("peer-listen", &GateSettings::mPeerListen);
   compare("revoke-ms", &GateSettings::mKeySpan);
+  compare("apply-ms", &GateSettings::mApplySpan);
+  compare("drain-ms", &GateSettings::mDrainSpan);
   compare("retry-share", &GateSettings::mRetryPercent);
   compare("retry-slack", &GateSettings::mRetrySlack);
   compare("stop-seconds", &GateSettings::mStopSpan);
@@ -145,6 +156,8 @@
     .mPlatform = aSettings.Text("platform"),
     .mPeerListen = aSettings.Text("peer-listen"),
     .mKeySpan = Millis(Floor(aSettings.Number("revoke-ms"))) - kKeyMargin,
+    .mApplySpan = Millis(Floor(aSettings.Number("apply-ms"))),
+    .mDrainSpan = Millis(Floor(aSettings.Number("drain-ms"))),
     .mRetryPercent = aSettings.Number("retry-share") * kRetryPart * kHundred,
     .mRetrySlack = aSettings.Number("retry-slack"),
     .mStopSpan = Millis(Floor(stopMillis)) - kStopMargin,
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -20,6 +20,10 @@
   /** Empty: other entries are neither told anything nor heard. */
   std::string mPeerListen;
   trefoilarch::Millis mKeySpan;
+  /** A policy is in force within this. */
+  trefoilarch::Millis mApplySpan;
+  /** An upstream that leaves gets no request later than this. */
+  trefoilarch::Millis mDrainSpan;
   double mRetryPercent = 0;
   /** Retries beside the share, of all entries together. */
   double mRetrySlack = 0;
--- a/tests/platform/gatesettingstest.cpp
+++ b/tests/platform/gatesettingstest.cpp
@@ -26,6 +26,8 @@
            { "TREFOILARCH_OPERATOR_LISTEN", "10.0.0.3:8081" },
            { "TREFOILARCH_PLATFORM", "10.0.0.2:8223" },
            { "TREFOILARCH_REVOKE_MS", "5000" },
+           { "TREFOILARCH_APPLY_MS", "2000" },
+           { "TREFOILARCH_DRAIN_MS", "2000" },
            { "TREFOILARCH_RETRY_SHARE", "0.2" },
            { "TREFOILARCH_RETRY_SLACK", "54" },
            { "TREFOILARCH_STOP_SECONDS", "8" },
@@ -90,6 +92,8 @@
 Figures()
 {
   return { { "TREFOILARCH_REVOKE_MS", "revoke-ms", "5000.9", "0", "3600000.5" },
+           { "TREFOILARCH_APPLY_MS", "apply-ms", "1999.5", "0", "3600000.5" },
+           { "TREFOILARCH_DRAIN_MS", "drain-ms", "1999.5", "0", "3600000.5" },
            { "TREFOILARCH_RETRY_SHARE", "retry-share", "0.25", "-0.1", "1.1" },
            { "TREFOILARCH_RETRY_SLACK",
              "retry-slack",
@@ -145,6 +149,8 @@
   const GateSettings plain = SettingsWith("TREFOILARCH_REVOKE_MS", "5000");
   cr_expect(SettingsWith("TREFOILARCH_REVOKE_MS", "5000.9") == plain,
             "a revoked key is honoured no longer");
+  cr_expect(SettingsWith("TREFOILARCH_DRAIN_MS", "2000.9") == plain,
+            "a leaving upstream gets no request later");
   cr_expect(SettingsWith("TREFOILARCH_MOST_DESCRIPTORS", "4100.9") == plain,
             "no descriptor more");
   cr_expect(SettingsWith("TREFOILARCH_STOP_SECONDS", "8.0009").mStopSpan ==
--- /dev/null
+++ b/tests/unit/tablewatchtest.cpp
@@ -0,0 +1,365 @@
+#include "modelchance.h"
+
+#include "libtrefoilarch/tablewatch.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+using namespace trefoilarch;
+
+/**
+ * Callers' requests were served by upstreams that had said they leave: an
+ * entry's question for changes was lost in a short outage of the store, and
+ * its silence was taken for "nothing has changed" for ten seconds.
+ *
+ * The model: a store that falls silent for moments, loses and delays answers;
+ * entries that follow one table of it, over two connections each, and tell
+ * each other what they know; in virtual time. What has to hold: a change that
+ * the store acknowledged while all is well is in every entry's copy in time to
+ * be obeyed, and no entry ever claims that its copy was the newest when it was
+ * not.
+ */
+namespace {
+
+/** A change has to be obeyed within this, the way to an upstream included. */
+constexpr Millis kInForce{ 2000 };
+constexpr Millis kWayToUpstream{ 300 };
+/** After the last trouble an entry may take this long to find its way. */
+constexpr Millis kRecovery{ 3000 };
+constexpr Millis kEnd{ 3 * 60 * 1000 };
+constexpr size_t kEntries = 4;
+
+using Kind = TableQuestion::Kind;
+
+class TableModel : private ModelChance
+{
+public:
+  TableModel(uint32_t aSeed, bool aTells)
+    : ModelChance(aSeed)
+    , mTells(aTells)
+    , mDrift(static_cast<int64_t>(Draw(201)) - 100)
+  {
+    mChangedAt.push_back(Millis(0));
+  }
+
+  void Play()
+  {
+    for (size_t each = 0; each < kEntries; ++each) {
+      mEntries.push_back(std::make_unique<Entry>());
+      Entry& entry = *mEntries.back();
+      entry.mWatch.emplace(
+        TableWatchOptions{ .mBound = kInForce / 2,
+                           .mGather = Millis(Chance(50) ? 600 : 0),
+                           .mSeed = mRandom() },
+        HooksOf(entry));
+      entry.mWatch->Start();
+      Plan(entry);
+      After(Draw(500), [this, &entry] { Tell(entry); });
+    }
+    After(1000, [this] { Change(); });
+    After(2000, [this] { Disturb(); });
+    while (!mEvents.empty() && mNow < kEnd) {
+      auto event = mEvents.extract(mEvents.begin());
+      mNow = event.key();
+      event.mapped()();
+    }
+    RC_ASSERT(mChecked > 0U);
+  }
+
+private:
+  struct Entry
+  {
+    std::optional<TableWatch> mWatch;
+    /** Every change up to here is known. */
+    size_t mCopy = 0;
+    /** Of the questions by channel, the newest. */
+    uint64_t mFeed = 0;
+    uint64_t mProof = 0;
+    uint64_t mPlanned = 0;
+    std::optional<Millis> mClaim;
+  };
+
+  void At(Millis aWhen, std::function<void()> aWhat)
+  {
+    mEvents.emplace(aWhen, std::move(aWhat));
+  }
+
+  void After(int64_t aMillis, std::function<void()> aWhat)
+  {
+    At(mNow + Millis(aMillis), std::move(aWhat));
+  }
+
+  TableWatchHooks HooksOf(Entry& aEntry)
+  {
+    return { .mAsk =
+               [this, &aEntry](const TableQuestion& aQuestion) {
+                 Ask(aEntry, aQuestion);
+               },
+             .mAbandon =
+               [&aEntry] {
+                 aEntry.mFeed++;
+                 aEntry.mProof++;
+               },
+             .mOnConfirmed = [&aEntry](Millis aAt) { aEntry.mClaim = aAt; },
+             .mOnLost = [](const std::string&, Millis) {},
+             .mOnBack = [] {} };
+  }
+
+  Millis Reading() const
+  {
+    constexpr int64_t kMillion = 1000000;
+    return Millis(77000 + mNow.Count() + mNow.Count() * mDrift / kMillion);
+  }
+
+  static uint64_t& ChannelOf(Entry& aEntry, Kind aKind)
+  {
+    return aKind == Kind::Proof ? aEntry.mProof : aEntry.mFeed;
+  }
+
+  /** In troubled times a moment of the store's silence. */
+  bool Silent() const { return mNow < mSilentUntil; }
+  bool Troubled() const { return mNow < mTroubledUntil; }
+
+  void Ask(Entry& aEntry, const TableQuestion& aQuestion)
+  {
+    const uint64_t number = ++ChannelOf(aEntry, aQuestion.mKind);
+    const Millis asked = mNow;
+    const int64_t way = Troubled() && Fault(10) ? Draw(700) : 1 + Draw(4);
+    After(way, [this, &aEntry, aQuestion, number, asked] {
+      if (!Silent()) {
+        Hold(aEntry, aQuestion, number, asked, mNow + aQuestion.mWait);
+      }
+    });
+    At(asked + aQuestion.mSpan, [this, &aEntry, aQuestion, number, asked] {
+      if (ChannelOf(aEntry, aQuestion.mKind) == number) {
+        aEntry.mWatch->OnFailed("no answer in time", asked, mNow);
+        Plan(aEntry);
+      }
+    });
+  }
+
+  /** The store holds the answer back until something changes. */
+  void Hold(Entry& aEntry,
+            const TableQuestion& aQuestion,
+            uint64_t aNumber,
+            Millis aAsked,
+            Millis aUntil)
+  {
+    const uint64_t newest = mChangedAt.size();
+    const bool waits = aQuestion.mKind != Kind::Whole &&
+                       newest <= aQuestion.mAfter && mNow < aUntil;
+    if (waits) {
+      After(15, [this, &aEntry, aQuestion, aNumber, aAsked, aUntil] {
+        Hold(aEntry, aQuestion, aNumber, aAsked, aUntil);
+      });
+      return;
+    }
+    if (Silent() || (Troubled() && Fault(10))) {
+      return;
+    }
+    const TableAnswer answer{ .mAsked = aAsked,
+                              .mVersion = newest,
+                              .mNewestRow = newest,
+                              .mHasRows = newest > aQuestion.mAfter,
+                              .mReading = Reading() };
+    const int64_t way = Troubled() && Fault(10) ? Draw(700) : 1 + Draw(4);
+    After(way, [this, &aEntry, kind = aQuestion.mKind, aNumber, answer] {
+      Take(aEntry, kind, aNumber, answer);
+    });
+  }
+
+  void Take(Entry& aEntry, Kind aKind, uint64_t aNumber, TableAnswer aAnswer)
+  {
+    if (ChannelOf(aEntry, aKind) != aNumber) {
+      return;
+    }
+    ChannelOf(aEntry, aKind)++;
+    aAnswer.mAnswered = mNow;
+    aEntry.mCopy = std::max(aEntry.mCopy, size_t{ aAnswer.mVersion });
+    if (aKind == Kind::Whole) {
+      aEntry.mWatch->OnPage(aAnswer);
+    } else if (aKind == Kind::Changes) {
+      aEntry.mWatch->OnChanges(aAnswer);
+    } else {
+      aEntry.mWatch->OnProof(aAnswer);
+    }
+    CheckClaim(aEntry);
+    Plan(aEntry);
+  }
+
+  void Plan(Entry& aEntry)
+  {
+    const Millis next = aEntry.mWatch->NextTick();
+    if (next == Millis::Never()) {
+      return;
+    }
+    const uint64_t number = ++aEntry.mPlanned;
+    At(std::max(next, mNow + Millis(1)), [this, &aEntry, number] {
+      if (number == aEntry.mPlanned) {
+        aEntry.mWatch->Tick(mNow);
+        Plan(aEntry);
+      }
+    });
+  }
+
+  void Tell(Entry& aEntry)
+  {
+    const auto word = aEntry.mWatch->Word();
+    for (const auto& other : mEntries) {
+      if (mTells && word && other.get() != &aEntry && !Chance(20)) {
+        const int64_t way = Chance(5) ? Draw(3000) : 1 + Draw(5);
+        After(way, [this, &other = *other, word] {
+          other.mWatch->OnWord(*word, mNow);
+          CheckClaim(other);
+        });
+      }
+    }
+    After(20 + Draw(620), [this, &aEntry] { Tell(aEntry); });
+  }
+
+  /** What was made before the claimed instant is in the copy. */
+  void CheckClaim(Entry& aEntry)
+  {
+    const auto claim = std::exchange(aEntry.mClaim, std::nullopt);
+    if (!claim) {
+      return;
+    }
+    RC_ASSERT(*claim <= mNow);
+    const bool missed =
+      aEntry.mCopy < mChangedAt.size() && mChangedAt[aEntry.mCopy] < *claim;
+    RC_ASSERT(!missed);
+  }
+
+  void Change()
+  {
+    mChangedAt.push_back(mNow);
+    const size_t version = mChangedAt.size();
+    const bool calm = mNow >= mTroubledUntil + kRecovery;
+    if (calm && mNow + kInForce < mNextTrouble) {
+      After((kInForce - kWayToUpstream).Count(), [this, version] {
+        for (const auto& entry : mEntries) {
+          RC_ASSERT(entry->mCopy >= version);
+        }
+        mChecked++;
+      });
+    }
+    After(Chance(50) ? 1 + Draw(200) : Draw(4000), [this] { Change(); });
+  }
+
+  void Disturb()
+  {
+    mTroubledUntil = mNow + Millis(200 + Draw(2000));
+    mSilentUntil = Chance(70) ? mTroubledUntil : mNow;
+    const int64_t pause = 6000 + Draw(9000);
+    mNextTrouble = mNow + Millis(pause);
+    After(pause, [this] { Disturb(); });
+  }
+
+  bool mTells;
+  /** Of the store's clock, in millionths. */
+  int64_t mDrift;
+  std::multimap<Millis, std::function<void()>> mEvents;
+  Millis mNow;
+  /** When each version was made, from 1 on. */
+  std::vector<Millis> mChangedAt;
+  std::vector<std::unique_ptr<Entry>> mEntries;
+  Millis mSilentUntil;
+  Millis mTroubledUntil;
+  Millis mNextTrouble;
+  uint64_t mChecked = 0;
+};
+
+/** A watch whose questions are written down. */
+class Written
+{
+public:
+  Written()
+    : mWatch({ .mBound = Millis(1000) },
+             { .mAsk =
+                 [this](const TableQuestion& aQuestion) {
+                   mAsked.push_back(aQuestion);
+                 },
+               .mAbandon = [this] { mAbandoned++; },
+               .mOnConfirmed = [this](Millis aAt) { mConfirmed = aAt; },
+               .mOnLost = [this](const std::string&, Millis) { mLost++; },
+               .mOnBack = [] {} })
+  {
+    mWatch.Start();
+    mWatch.OnPage(AnswerAt(Millis(100), 10));
+  }
+
+  static TableAnswer AnswerAt(Millis aAt, uint64_t aVersion)
+  {
+    return { .mAsked = aAt,
+             .mAnswered = aAt + Millis(4),
+             .mVersion = aVersion,
+             .mReading = aAt + Millis(5000) };
+  }
+
+  TableWatch mWatch;
+  std::vector<TableQuestion> mAsked;
+  Millis mConfirmed;
+  int mAbandoned = 0;
+  int mLost = 0;
+};
+
+} // namespace
+
+Test(tablewatch, a_change_is_known_in_time_whatever_was_lost, .timeout = 200)
+{
+  for (const bool tells : { false, true }) {
+    cr_assert(rc::check("a change is known in time", [tells](uint32_t aSeed) {
+      TableModel(aSeed, tells).Play();
+    }));
+  }
+}
+
+Test(tablewatch, silence_is_doubted_within_the_bound)
+{
+  Written written;
+  cr_assert(written.mAsked.back().mKind == Kind::Changes);
+  const Millis due = written.mWatch.NextTick();
+  cr_expect(due > Millis(100) && due <= Millis(1100));
+  written.mWatch.Tick(due);
+  cr_expect(written.mAsked.back().mKind == Kind::Proof);
+  cr_expect(written.mAsked.back().mWait == Millis(0));
+  written.mWatch.OnProof(Written::AnswerAt(due, 10));
+  cr_expect(written.mConfirmed == due);
+  cr_expect(written.mAbandoned == 0, "the question that waits goes on");
+}
+
+Test(tablewatch, a_proof_that_brings_changes_ends_the_question_that_waits)
+{
+  Written written;
+  TableAnswer news = Written::AnswerAt(Millis(900), 12);
+  news.mHasRows = true;
+  news.mNewestRow = 12;
+  written.mWatch.Tick(Millis(1200));
+  written.mWatch.OnProof(news);
+  cr_expect(written.mAbandoned == 1);
+  cr_expect(written.mAsked.back().mKind == Kind::Changes);
+  cr_expect(written.mAsked.back().mAfter == 12);
+}
+
+Test(tablewatch, a_word_counts_only_for_a_copy_that_goes_as_far)
+{
+  Written written;
+  const Millis reading(5700);
+  written.mWatch.OnWord({ .mLastChange = 11, .mReading = reading },
+                        Millis(800));
+  cr_expect(written.mConfirmed == Millis(100));
+  written.mWatch.OnWord({ .mLastChange = 10, .mReading = reading },
+                        Millis(800));
+  cr_expect(written.mConfirmed == Millis(700));
+  cr_expect(written.mWatch.Word()->mReading == reading, "it is passed on");
+  written.mWatch.OnWord({ .mLastChange = 10, .mReading = Millis(9000) },
+                        Millis(800));
+  cr_expect(written.mConfirmed == Millis(700), "no reading of that clock yet");
+}
