Follow a table that was read in pages from its first page on

A table of over 500 rows is read in pages; the entry went on from the version of the last one, so a row of an earlier page that changed between the two was missed until its next change. The copy is now as old as its first page, and what changed since is told again.

--- a/src/libtrefoilarch/tablewatch.cpp
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -38,15 +38,21 @@
 void
 TableWatch::OnPage(const TableAnswer& aPage)
 {
+  if (!mFirstPage) {
+    mFirstPage = aPage;
+  }
   if (aPage.mHasMore) {
     return;
   }
+  // A row of the first page may have changed before the last one was read: the
+  // copy is as old as its oldest page.
+  const TableAnswer oldest = *std::exchange(mFirstPage, std::nullopt);
   NoteBack();
-  mVersion = aPage.mVersion;
+  mVersion = oldest.mVersion;
   // A row that was removed before is not among them: its version is unknown,
   // and no higher than this.
-  mLastChange = aPage.mVersion;
-  Confirm(aPage);
+  mLastChange = oldest.mVersion;
+  Confirm(oldest);
   Follow();
 }
 
@@ -177,6 +183,7 @@
 {
   mPhase = Phase::Reading;
   mPhaseEnds = Millis::Never();
+  mFirstPage.reset();
   mHooks.mAsk({ .mKind = TableQuestion::Kind::Whole, .mSpan = kAnswerSpan });
 }
 
--- a/src/libtrefoilarch/tablewatch.h
+++ b/src/libtrefoilarch/tablewatch.h
@@ -145,6 +145,8 @@
   /** The copy has every change up to here; 0: it has yet to be read. */
   uint64_t mVersion = 0;
   uint64_t mLastChange = 0;
+  /** The first page of a table that is being read. */
+  std::optional<TableAnswer> mFirstPage;
   RemoteClock mClock;
   Freshness mFreshness;
   /** The store's clock when the copy was last confirmed. */
--- a/tests/unit/tablewatchtest.cpp
+++ b/tests/unit/tablewatchtest.cpp
@@ -348,6 +348,18 @@
   cr_expect(written.mAsked.back().mAfter == 12);
 }
 
+Test(tablewatch, changes_between_two_pages_are_asked_for)
+{
+  Written written;
+  written.mWatch.OnHistoryGone();
+  TableAnswer first = Written::AnswerAt(Millis(2000), 20);
+  first.mHasMore = true;
+  written.mWatch.OnPage(first);
+  written.mWatch.OnPage(Written::AnswerAt(Millis(2010), 25));
+  cr_expect(written.mAsked.back().mAfter == 20);
+  cr_expect(written.mConfirmed == Millis(2000));
+}
+
 Test(tablewatch, a_word_counts_only_for_a_copy_that_goes_as_far)
 {
   Written written;
