Let entries tell each other how far their copies of the store's tables go

A copy's age is bounded now, and a hundred entries that each prove theirs every second cost the store a hundred calls a second. Entries tell each other, in the datagrams that they send anyway, through which change their copy of each table goes and what the store's clock read when nothing newer was there.

--- a/src/libtrefoilarch/peernotes.h
+++ b/src/libtrefoilarch/peernotes.h
@@ -4,6 +4,7 @@
 #include "millis.h"
 #include "pendingreads.h"
 #include "routedemand.h"
+#include "tableword.h"
 #include "upstreamwork.h"
 
 #include <cstdint>
@@ -54,6 +55,16 @@
   bool operator==(const SilentUpstream&) const = default;
 };
 
+/** Which of the store's tables a word is of; the numbers are its sender's and
+ * its receiver's to agree on. */
+struct TableNote
+{
+  uint8_t mTable = 0;
+  TableWord mWord;
+
+  bool operator==(const TableNote&) const = default;
+};
+
 /**
  * What an entry tells the others. What is pending is told as a whole, so that
  * a lost message is made good by the next one; prompts are told once.
@@ -72,6 +83,7 @@
   std::vector<SilentUpstream> mSilent;
   /** Upstreams that have answered since the last message. */
   std::vector<UpstreamId> mAnswered;
+  std::vector<TableNote> mTables;
 
   bool operator==(const PeerNotes&) const = default;
 };
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -245,11 +245,16 @@
 {
   return PeerHooks{ .mHasNotes = [this] { return mRouter.HasNotes(); },
                     .mTakeNotes =
-                      [this] { return mRouter.TakeNotes(BootNow()); },
+                      [this] {
+                        PeerNotes notes = mRouter.TakeNotes(BootNow());
+                        notes.mTables = mTables.mTell();
+                        return notes;
+                      },
                     .mOnNotes =
                       [this](const PeerNotes& aNotes) {
                         mHeardAt[aNotes.mFrom] = BootNow();
                         mRouter.OnPeerNotes(aNotes, BootNow());
+                        mTables.mOnTold(aNotes.mTables);
                       } };
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -35,6 +35,13 @@
   uint64_t mSeed = 1;
 };
 
+/** What a Gateway's notes to other entries say of the store's tables. */
+struct TableHooks
+{
+  std::function<std::vector<trefoilarch::TableNote>()> mTell;
+  std::function<void(const std::vector<trefoilarch::TableNote>&)> mOnTold;
+};
+
 /** What the operator port answers. */
 struct OperatorPage
 {
@@ -76,6 +83,8 @@
 
   /** The other entries' addresses. */
   void SetPeers(const std::vector<std::string>& aAddresses);
+  /** Until then nothing is told or taken. */
+  void SetTableHooks(TableHooks aHooks) { mTables = std::move(aHooks); }
   /** Where other entries reach this one; empty where they can't. */
   std::string PeerAddress() const { return mPeers.Address(); }
   /** When that entry was last heard; 0 for never. */
@@ -135,6 +144,9 @@
   CallerListener mCallers;
   CallerListener mOperators;
   PeerLink mPeers;
+  TableHooks mTables{ .mTell =
+                        [] { return std::vector<trefoilarch::TableNote>(); },
+                      .mOnTold = [](const auto&) {} };
   boost::asio::steady_timer mTimer;
   /** By path. */
   std::map<std::string, std::function<OperatorPage()>, std::less<>> mPages;
--- a/src/libtrefoilgate/peerdatagram.cpp
+++ b/src/libtrefoilgate/peerdatagram.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /** The first element: the kind of message and its version. */
-constexpr const char* kFormat = "trefoil-notes-2";
+constexpr const char* kFormat = "trefoil-notes-3";
 
 /** What one datagram may hold, so that no link has to split it. */
 constexpr size_t kMostPending = 48;
@@ -21,6 +21,7 @@
 constexpr size_t kMostDemands = 8;
 constexpr size_t kMostAnswered = 32;
 constexpr size_t kMostSilent = 16;
+constexpr size_t kMostTables = 8;
 
 /** Requests are told in hundredths. */
 constexpr double kHundred = 100;
@@ -31,6 +32,9 @@
 /** More requests at one upstream are a mistake. */
 constexpr uint64_t kMostRequests = 1000000;
 
+/** A later reading of the store's clock, in milliseconds, is a mistake. */
+constexpr uint64_t kLatestReading = 1000000000000000;
+
 /** More tokens than any engine holds are a mistake. */
 constexpr uint64_t kMostTokens = 1000000000;
 
@@ -134,6 +138,21 @@
   return answered;
 }
 
+Json
+TablesOf(const PeerNotes& aNotes)
+{
+  Json tables = Json::array();
+  for (const TableNote& each : aNotes.mTables) {
+    const int64_t reading = each.mWord.mReading.Count();
+    if (tables.size() < kMostTables && reading >= 0) {
+      tables.push_back({ each.mTable,
+                         each.mWord.mLastChange,
+                         static_cast<uint64_t>(reading) });
+    }
+  }
+  return tables;
+}
+
 bool
 IsCount(const Json& aValue)
 {
@@ -194,10 +213,18 @@
          IsAtMost(aValue[1], kMostAgeMs);
 }
 
+bool
+IsTable(const Json& aValue)
+{
+  return aValue.is_array() && aValue.size() == 3 &&
+         IsAtMost(aValue[0], UINT8_MAX) && IsCount(aValue[1]) &&
+         IsAtMost(aValue[2], kLatestReading);
+}
+
 bool
 AreNotes(const Json& aValue)
 {
-  return aValue.is_array() && aValue.size() == 10 && aValue[0] == kFormat &&
+  return aValue.is_array() && aValue.size() == 11 && aValue[0] == kFormat &&
          aValue[1].is_string() && IsCount(aValue[2]) && IsCount(aValue[3]) &&
          aValue[4].is_array() &&
          std::all_of(aValue[4].begin(), aValue[4].end(), IsPending) &&
@@ -212,7 +239,9 @@
                      aValue[8].end(),
                      [](const Json& aId) { return aId.is_string(); }) &&
          aValue[9].is_array() &&
-         std::all_of(aValue[9].begin(), aValue[9].end(), IsSilent);
+         std::all_of(aValue[9].begin(), aValue[9].end(), IsSilent) &&
+         aValue[10].is_array() &&
+         std::all_of(aValue[10].begin(), aValue[10].end(), IsTable);
 }
 
 } // namespace
@@ -229,7 +258,8 @@
                                         ReportsOf(aNotes),
                                         DemandsOf(aNotes),
                                         AnsweredOf(aNotes),
-                                        SilentOf(aNotes) }));
+                                        SilentOf(aNotes),
+                                        TablesOf(aNotes) }));
 }
 
 std::optional<PeerNotes>
@@ -279,6 +309,12 @@
     notes.mSilent.push_back({ .mUpstream = each[0].get<std::string>(),
                               .mSilence = Millis(each[1].get<int64_t>()) });
   }
+  for (const Json& each : json[10]) {
+    notes.mTables.push_back(
+      { .mTable = each[0].get<uint8_t>(),
+        .mWord = { .mLastChange = each[1].get<uint64_t>(),
+                   .mReading = Millis(each[2].get<int64_t>()) } });
+  }
   return notes;
 }
 
--- a/tests/platform/adaptertest.cpp
+++ b/tests/platform/adaptertest.cpp
@@ -284,7 +284,10 @@
                     .mPause = Millis(1000),
                     .mUrgency = 2 } },
     .mSilent = { { .mUpstream = "i-5", .mSilence = Millis(900) } },
-    .mAnswered = { "i-4" }
+    .mAnswered = { "i-4" },
+    .mTables = { { .mTable = 1,
+                   .mWord = { .mLastChange = 4711,
+                              .mReading = Millis(98765) } } }
   };
   const std::vector<uint8_t> bytes = EncodeNotes(notes);
   const auto read = DecodeNotes(bytes);
--- a/tests/platform/beliefstest.cpp
+++ b/tests/platform/beliefstest.cpp
@@ -195,6 +195,22 @@
   cr_expect(made >= 2 * 5 && made <= 2 * 13, "%d calls", made);
 }
 
+/** One gate's proof serves the others: three of them ask little more than one
+ * alone. */
+Test(beliefs, gates_that_hear_each_other_share_their_proofs)
+{
+  const PlatformFleet fleet({ .mGates = 3, .mPeers = true });
+  cr_assert(Await([&] {
+    const auto lines = fleet.LogOf(0, "peers");
+    return !lines.empty() && lines.back().at("listed") == 2;
+  }));
+  Pause(1500);
+  const int before = CallsOf(fleet);
+  Pause(6000);
+  const int made = CallsOf(fleet) - before;
+  cr_expect(made >= 2 * 5 && made <= 2 * 3 * 7, "%d calls", made);
+}
+
 /** Measured: 5 calls; 17 while lists were gathered for 200 ms and policies not
  * at all. */
 Test(beliefs, changes_in_numbers_cost_few_calls)
