Ask again before a request goes out whether its upstream still takes it

An upstream that began to leave meanwhile got the request; so did one whose caller's key was revoked.

The request is placed anew, as where no connection could be had: nothing was sent. attempt_ended says not_sent. A copy's place is judged by the same call.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -118,10 +118,10 @@
                             const PlacedAttempt& aBroken,
                             Millis aNow)
 {
+  const PlacedAttempt copy{ .mUpstream = aBroken.mBackup,
+                            .mLife = aBroken.mBackupLife };
   const ListedUpstream* backup = mDirectory.Find(aBroken.mBackup);
-  const bool gone = backup == nullptr || backup->mLeaving ||
-                    backup->mLife != aBroken.mBackupLife;
-  if (gone) {
+  if (!TakesWork(copy)) {
     return std::nullopt;
   }
   const AttemptWork work{ .mOutput = aBroken.mWork.mOutput };
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -175,6 +175,14 @@
          workspace != nullptr && workspace->mName == aRequest.mWorkspace;
 }
 
+bool
+DirectRouter::TakesWork(const PlacedAttempt& aAttempt) const
+{
+  const ListedUpstream* listed = mDirectory.Find(aAttempt.mUpstream);
+  return listed != nullptr && !listed->mLeaving &&
+         listed->mLife == aAttempt.mLife;
+}
+
 void
 DirectRouter::TakeNote(const PromptShape& aPrompt,
                        const Placed& aPlaced,
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -170,6 +170,9 @@
   /** Whether its key may still be honoured; to be asked before each send. */
   bool StillAllowed(const BoundRequest& aRequest, Millis aNow) const;
 
+  /** Whether the upstream that was chosen is still there and takes requests. */
+  bool TakesWork(const PlacedAttempt& aAttempt) const;
+
   /** Chooses an upstream and counts the attempt, or says there is none. */
   std::optional<PlacedAttempt> Place(const BoundRequest& aRequest,
                                      const std::set<UpstreamId>& aTried,
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -34,6 +34,12 @@
   return Send(aNow);
 }
 
+bool
+RequestPlan::MaySend(Millis aNow) const
+{
+  return mRouter.TakesWork(mCurrent) && mRouter.StillAllowed(mRequest, aNow);
+}
+
 PlanStep
 RequestPlan::OnUnreachable(Millis aNow)
 {
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -51,6 +51,9 @@
   bool MayHaveRun() const { return mMayHaveRun; }
 
   PlanStep Begin(Millis aNow);
+  /** Whether the request may still go where it was to go: a connection takes
+   * time, in which an upstream may begin to leave and a key may be revoked. */
+  bool MaySend(Millis aNow) const;
   /** No connection could be had; nothing was sent. */
   PlanStep OnUnreachable(Millis aNow);
   /** The request goes out on a connection: from now on it may run. */
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -119,6 +119,14 @@
     Apply(mPlan.OnUnreachable(now));
     return;
   }
+  if (!mPlan.MaySend(now)) {
+    // It began to leave while the connection was made.
+    mContext.mPool.Release(mAttempt->mUpstream, aConnection);
+    LogAttempt("not_sent", "the upstream or the key went meanwhile");
+    EndAttempt(AttemptOutcome::Withdrawn);
+    Apply(mPlan.OnUnreachable(now));
+    return;
+  }
   mConnection = aConnection;
   mListAgeMs = mContext.mRouter.ListFreshness().AgeMs(now);
   mPlan.OnSending();
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -427,6 +427,37 @@
   cr_expect(!router.PlaceAtBackup(bound, broken, Millis(0)).has_value());
 }
 
+Test(requestplan, an_upstream_that_leaves_while_it_is_connected_to_gets_nothing)
+{
+  DirectRouter router = MakeRouter(2);
+  RequestPlan plan(router, Bound(router, "/once/x"));
+  const PlanStep first = plan.Begin(Millis(0));
+  const auto& chosen = std::get<SendRequest>(first).mAttempt;
+  cr_expect(plan.MaySend(Millis(10)));
+  ListedUpstream leaving = *router.Directory().Find(chosen.mUpstream);
+  leaving.mLeaving = true;
+  router.Directory().Put(leaving);
+  router.OnDirectoryChanged(Millis(20));
+  cr_expect(!plan.MaySend(Millis(20)));
+  const PlanStep next = plan.OnUnreachable(Millis(20));
+  cr_expect(std::get<SendRequest>(next).mAttempt.mUpstream != chosen.mUpstream);
+  cr_expect(plan.MaySend(Millis(20)));
+  cr_expect(!plan.MayHaveRun());
+}
+
+Test(requestplan, a_request_is_not_sent_once_its_upstream_or_key_is_gone)
+{
+  DirectRouter router = MakeRouter(1);
+  RequestPlan plan(router, Bound(router, "/once/x"));
+  plan.Begin(Millis(0));
+  cr_expect(!plan.MaySend(Millis(4600)), "the key can't be checked any more");
+  router.ConfirmPolicy(Millis(4600));
+  cr_expect(plan.MaySend(Millis(4600)));
+  router.Directory().Remove("u0", Millis(4600));
+  router.OnDirectoryChanged(Millis(4600));
+  cr_expect(!plan.MaySend(Millis(4600)));
+}
+
 Test(requestplan, a_copy_that_cannot_be_reached_gains_no_attempt)
 {
   DirectRouter router = MakeRouter(4);
