Tell others at once that a copy was proved

Between entries with few requests a message goes out twice a second, so that a proof was half a second old when others heard of it and they asked for their own: 44 calls in 6 s of three idle gates in one run of beliefstest (gates_that_hear_each_other_share_their_proofs, bound 42), which this mends: an answer of the store is news.

--- a/src/libtrefoilarch/tablewatch.cpp
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -238,6 +238,7 @@
   const Millis made = mClock.DateOf(aAnswer.mAsked, aAnswer.mReading);
   const Millis at = std::clamp(made, aAnswer.mAsked, aAnswer.mAnswered);
   mReading = aAnswer.mReading;
+  mHasNews = true;
   mFreshness.Confirm(at);
   mHooks.mOnConfirmed(at);
   DrawProofAge();
--- a/src/libtrefoilarch/tablewatch.h
+++ b/src/libtrefoilarch/tablewatch.h
@@ -109,6 +109,9 @@
   void OnWord(const TableWord& aWord, Millis aNow);
   /** What this one knows; empty before the first answer. */
   std::optional<TableWord> Word() const;
+  /** An answer of the store has come that was not told yet. */
+  bool HasNews() const { return mHasNews; }
+  void OnTold() { mHasNews = false; }
 
   /** Does what is due. */
   void Tick(Millis aNow);
@@ -154,6 +157,7 @@
   /** The age at which this entry asks for a proof. */
   Millis mProofAge;
   bool mProofAsked = false;
+  bool mHasNews = false;
   uint32_t mFailures = 0;
 };
 
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -243,19 +243,21 @@
 PeerHooks
 Gateway::HooksForPeers()
 {
-  return PeerHooks{ .mHasNotes = [this] { return mRouter.HasNotes(); },
-                    .mTakeNotes =
-                      [this] {
-                        PeerNotes notes = mRouter.TakeNotes(BootNow());
-                        notes.mTables = mTables.mTell();
-                        return notes;
-                      },
-                    .mOnNotes =
-                      [this](const PeerNotes& aNotes) {
-                        mHeardAt[aNotes.mFrom] = BootNow();
-                        mRouter.OnPeerNotes(aNotes, BootNow());
-                        mTables.mOnTold(aNotes.mTables);
-                      } };
+  return PeerHooks{
+    .mHasNotes = [this] { return mTables.mHasNews() || mRouter.HasNotes(); },
+    .mTakeNotes =
+      [this] {
+        PeerNotes notes = mRouter.TakeNotes(BootNow());
+        notes.mTables = mTables.mTell();
+        return notes;
+      },
+    .mOnNotes =
+      [this](const PeerNotes& aNotes) {
+        mHeardAt[aNotes.mFrom] = BootNow();
+        mRouter.OnPeerNotes(aNotes, BootNow());
+        mTables.mOnTold(aNotes.mTables);
+      }
+  };
 }
 
 CallerHooks
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -35,11 +35,16 @@
   uint64_t mSeed = 1;
 };
 
-/** What a Gateway's notes to other entries say of the store's tables. */
+/** What a Gateway's notes to other entries say of the store's tables; nothing,
+ * where the hooks are not set. */
 struct TableHooks
 {
-  std::function<std::vector<trefoilarch::TableNote>()> mTell;
-  std::function<void(const std::vector<trefoilarch::TableNote>&)> mOnTold;
+  using Notes = std::vector<trefoilarch::TableNote>;
+
+  /** Whether there is something that is worth a message of its own. */
+  std::function<bool()> mHasNews = [] { return false; };
+  std::function<Notes()> mTell = [] { return Notes(); };
+  std::function<void(const Notes&)> mOnTold = [](const Notes&) {};
 };
 
 /** What the operator port answers. */
@@ -83,7 +88,6 @@
 
   /** The other entries' addresses. */
   void SetPeers(const std::vector<std::string>& aAddresses);
-  /** Until then nothing is told or taken. */
   void SetTableHooks(TableHooks aHooks) { mTables = std::move(aHooks); }
   /** Where other entries reach this one; empty where they can't. */
   std::string PeerAddress() const { return mPeers.Address(); }
@@ -144,9 +148,7 @@
   CallerListener mCallers;
   CallerListener mOperators;
   PeerLink mPeers;
-  TableHooks mTables{ .mTell =
-                        [] { return std::vector<trefoilarch::TableNote>(); },
-                      .mOnTold = [](const auto&) {} };
+  TableHooks mTables;
   boost::asio::steady_timer mTimer;
   /** By path. */
   std::map<std::string, std::function<OperatorPage()>, std::less<>> mPages;
