Let a list that is lost again and again not keep what is gone

An upstream whose entry is removed while the list comes back is kept for 2 s, as living ones return within that. Each further loss, were it one refused call of this entry's own, began the 2 s anew, so that an entry on a poor link could use an upstream that was gone without end. A loss now adds its own length; only one that is as long as the wait begins it anew, as upstreams may lapse in it.

--- a/src/libtrefoilarch/upstreamdirectory.cpp
+++ b/src/libtrefoilarch/upstreamdirectory.cpp
@@ -50,7 +50,7 @@
   if (!mAll.contains(aId)) {
     return;
   }
-  if (mLost) {
+  if (mLostAt) {
     mMissing.try_emplace(aId, Millis::Never());
     return;
   }
@@ -82,30 +82,35 @@
 }
 
 void
-UpstreamDirectory::OnListLost()
+UpstreamDirectory::OnListLost(Millis aNow)
 {
-  mLost = true;
-  for (auto& [id, until] : mMissing) {
-    until = Millis::Never();
+  if (!mLostAt) {
+    mLostAt = aNow;
   }
 }
 
 void
 UpstreamDirectory::OnListBack(Millis aNow)
 {
-  if (!mLost) {
+  if (!mLostAt) {
     return;
   }
-  mLost = false;
+  const Millis away = aNow - *mLostAt;
+  mLostAt.reset();
   mBackAt = aNow;
+  const bool anew = away >= mOptions.mHoldSpan;
   for (auto& [id, until] : mMissing) {
-    until = aNow + mOptions.mHoldSpan;
+    const Millis longest = aNow + mOptions.mHoldSpan;
+    until = anew ? longest : std::min(until + away, longest);
   }
 }
 
 bool
 UpstreamDirectory::Expire(Millis aNow)
 {
+  if (mLostAt) {
+    return false;
+  }
   std::vector<UpstreamId> due;
   for (const auto& [id, until] : mMissing) {
     if (until <= aNow) {
@@ -122,6 +127,9 @@
 UpstreamDirectory::NextExpiry() const
 {
   Millis next = Millis::Never();
+  if (mLostAt) {
+    return next;
+  }
   for (const auto& [id, until] : mMissing) {
     next = std::min(next, until);
   }
--- a/src/libtrefoilarch/upstreamdirectory.h
+++ b/src/libtrefoilarch/upstreamdirectory.h
@@ -58,8 +58,12 @@
   /** The whole list; what is not in it is removed. */
   void ReplaceAll(std::vector<ListedUpstream> aAll, Millis aNow);
 
-  /** The list can't be read. */
-  void OnListLost();
+  /**
+   * The list can't be read. What was kept already is kept for longer by that
+   * time; only after a long loss does its wait begin anew: a list that is lost
+   * for a moment again and again keeps nothing for good.
+   */
+  void OnListLost(Millis aNow);
   /** It can be read again. */
   void OnListBack(Millis aNow);
 
@@ -87,7 +91,7 @@
     mByService;
   /** Missing from the list, and when they count as gone. */
   std::map<UpstreamId, Millis> mMissing;
-  bool mLost = false;
+  std::optional<Millis> mLostAt;
   std::optional<Millis> mBackAt;
   uint64_t mLives = 0;
 };
--- a/tests/unit/upstreamdirectorytest.cpp
+++ b/tests/unit/upstreamdirectorytest.cpp
@@ -34,7 +34,7 @@
 {
   UpstreamDirectory directory;
   directory.Put(Make("a"));
-  directory.OnListLost();
+  directory.OnListLost(Millis(0));
   directory.Remove("a", Millis(10));
   cr_expect(!directory.Expire(Millis(100000)));
   directory.OnListBack(Millis(100000));
@@ -48,7 +48,7 @@
   UpstreamDirectory directory;
   directory.Put(Make("a"));
   directory.Put(Make("b"));
-  directory.OnListLost();
+  directory.OnListLost(Millis(0));
   directory.OnListBack(Millis(1000));
   directory.ReplaceAll({ Make("b") }, Millis(1000));
   cr_expect(Count(directory) == 2);
@@ -63,16 +63,33 @@
 {
   UpstreamDirectory directory;
   directory.Put(Make("a"));
-  directory.OnListLost();
+  directory.OnListLost(Millis(0));
   directory.Remove("a", Millis(0));
   directory.OnListBack(Millis(1000));
-  directory.OnListLost();
+  directory.OnListLost(Millis(1000));
   cr_expect(!directory.Expire(Millis(9000)));
   directory.OnListBack(Millis(10000));
   cr_expect(!directory.Expire(Millis(11999)));
   cr_expect(directory.Expire(Millis(12000)));
 }
 
+Test(upstreamdirectory, a_list_lost_again_and_again_keeps_nothing_for_good)
+{
+  UpstreamDirectory directory;
+  directory.Put(Make("a"));
+  directory.OnListLost(Millis(0));
+  directory.OnListBack(Millis(100));
+  directory.Remove("a", Millis(100));
+  int64_t gone = 0;
+  for (int64_t now = 1000; gone == 0 && now < 20000; now += 1000) {
+    directory.OnListLost(Millis(now));
+    cr_expect(!directory.Expire(Millis(now + 50)));
+    directory.OnListBack(Millis(now + 100));
+    gone = directory.Expire(Millis(now + 100)) ? now : 0;
+  }
+  cr_expect(gone == 3000, "gone at %d", static_cast<int>(gone));
+}
+
 Test(upstreamdirectory, an_upstream_that_changes_service_is_found_there)
 {
   UpstreamDirectory directory;
@@ -142,7 +159,7 @@
 {
   UpstreamDirectory directory;
   const uint64_t first = LifeAfter(directory, Born(1000, 7));
-  directory.OnListLost();
+  directory.OnListLost(Millis(0));
   directory.Remove("a", Millis(10));
   directory.OnListBack(Millis(5000));
   directory.ReplaceAll({ Born(4000, 1) }, Millis(5000));
