Let a few entries ask the store for changes and tell the others

Each of a hundred entries held a question for changes open, so that each change woke and cost them all, and most of what their proofs asked had just been told to a neighbour, which spoke of it up to 640 ms later.

Change: entries tell each other at once, in a small datagram, what the store has just answered: the word of the table, and the rows that changed. Three entries of a small fleet, and one in thirteen of a large one, evenly spread in the ring, ask for changes of upstreams and entries; each entry is told by three of them at the least. Whoever misses a message is bound as before: a word that goes further than its copy confirms nothing, and the proof is due within the bound. News are taken only where nothing is missing before them and no answer is under way that may hold older rows. Policies are read by every entry, as they find no room in a datagram unless they are small.

--- a/src/libtrefoilarch/peerring.h
+++ b/src/libtrefoilarch/peerring.h
@@ -22,11 +22,18 @@
 
   /** All others, the next one first: the first kMostTold of them are told. */
   const std::vector<std::string>& Others() const { return mOthers; }
+  /**
+   * Whether this one asks the store for the changes that it tells the others.
+   * So few do that what the store has to answer for a change hardly grows with
+   * the fleet, and so many that each entry is told by several.
+   */
+  bool Listens() const { return mListens; }
   /** Those that tell this one; the rest are never heard here. */
   std::vector<std::string> Tellers() const;
 
 private:
   std::vector<std::string> mOthers;
+  bool mListens = true;
 };
 
 } // namespace trefoilarch
--- /dev/null
+++ b/src/libtrefoilarch/tablenews.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "tableword.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace trefoilarch {
+
+/** A row of a table of the store. */
+struct TableRow
+{
+  std::string mKey;
+  /** Empty where it could not be read. */
+  std::string mValue;
+  bool mRemoved = false;
+  uint64_t mVersion = 0;
+
+  bool operator==(const TableRow&) const = default;
+};
+
+/**
+ * What an entry has just been told of a table by the store. Its rows, if there
+ * are any, are all that changed after mAfter and up to mUpTo.
+ */
+struct TableNews
+{
+  /** See TableNote. */
+  uint8_t mTable = 0;
+  TableWord mWord;
+  uint64_t mAfter = 0;
+  uint64_t mUpTo = 0;
+  std::vector<TableRow> mRows;
+
+  bool operator==(const TableNews&) const = default;
+};
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/tablewatch.cpp
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -65,6 +65,7 @@
     mHooks.mOnLost("late answer", took);
   }
   NoteBack();
+  mFeedAsked = false;
   TakeVersions(aAnswer);
   if (std::exchange(mProofAsked, false)) {
     // Its answer may be older than this one, and must not come after it.
@@ -86,7 +87,7 @@
   TakeVersions(aAnswer);
   if (aAnswer.mHasRows) {
     // The waiting question should have told of them: it was lost.
-    mHooks.mAbandon();
+    Abandon();
     Gather(aAnswer.mAnswered);
   } else if (wasLost) {
     Follow();
@@ -96,8 +97,7 @@
 void
 TableWatch::OnHistoryGone()
 {
-  mHooks.mAbandon();
-  mProofAsked = false;
+  Abandon();
   Read();
 }
 
@@ -107,8 +107,7 @@
   if (mFailures == 0) {
     mHooks.mOnLost(aWhy, aNow - aAsked);
   }
-  mHooks.mAbandon();
-  mProofAsked = false;
+  Abandon();
   mClock.Reset();
   const Millis longest = std::min(
     kFirstPause * (int64_t{ 1 } << std::min(mFailures, kMostDoublings)),
@@ -137,6 +136,30 @@
   DrawProofAge();
 }
 
+void
+TableWatch::SetListening(bool aListening)
+{
+  mListening = aListening;
+  if (mListening && mPhase == Phase::Following && !mFeedAsked) {
+    Follow();
+  }
+}
+
+bool
+TableWatch::OnNews(uint64_t aAfter, uint64_t aUpTo)
+{
+  // An answer that is under way may hold older rows, which must not come after
+  // these.
+  const bool asking = mFeedAsked || mProofAsked;
+  const bool follows = aAfter <= mVersion && mVersion < aUpTo;
+  if (mPhase != Phase::Following || asking || !follows) {
+    return false;
+  }
+  mVersion = aUpTo;
+  mLastChange = aUpTo;
+  return true;
+}
+
 std::optional<TableWord>
 TableWatch::Word() const
 {
@@ -192,6 +215,10 @@
 {
   mPhase = Phase::Following;
   mPhaseEnds = Millis::Never();
+  if (!mListening) {
+    return;
+  }
+  mFeedAsked = true;
   mHooks.mAsk({ .mKind = TableQuestion::Kind::Changes,
                 .mAfter = mVersion,
                 .mWait = mOptions.mWait,
@@ -201,7 +228,7 @@
 void
 TableWatch::Gather(Millis aNow)
 {
-  if (mOptions.mGather == Millis(0)) {
+  if (mOptions.mGather == Millis(0) || !mListening) {
     Follow();
     return;
   }
@@ -209,6 +236,14 @@
   mPhaseEnds = aNow + mOptions.mGather;
 }
 
+void
+TableWatch::Abandon()
+{
+  mHooks.mAbandon();
+  mFeedAsked = false;
+  mProofAsked = false;
+}
+
 void
 TableWatch::AskProof()
 {
@@ -238,7 +273,6 @@
   const Millis made = mClock.DateOf(aAnswer.mAsked, aAnswer.mReading);
   const Millis at = std::clamp(made, aAnswer.mAsked, aAnswer.mAnswered);
   mReading = aAnswer.mReading;
-  mHasNews = true;
   mFreshness.Confirm(at);
   mHooks.mOnConfirmed(at);
   DrawProofAge();
--- a/src/libtrefoilarch/tablewatch.h
+++ b/src/libtrefoilarch/tablewatch.h
@@ -109,9 +109,18 @@
   void OnWord(const TableWord& aWord, Millis aNow);
   /** What this one knows; empty before the first answer. */
   std::optional<TableWord> Word() const;
-  /** An answer of the store has come that was not told yet. */
-  bool HasNews() const { return mHasNews; }
-  void OnTold() { mHasNews = false; }
+
+  /**
+   * Whether this entry asks for changes, or hears of them from others that do.
+   * What they do not tell shows by their words and by the next proof.
+   */
+  void SetListening(bool aListening);
+  bool Listening() const { return mListening; }
+  /** News from another entry: true where the copy takes those rows that are
+   * newer than what it had. */
+  bool OnNews(uint64_t aAfter, uint64_t aUpTo);
+  /** The copy has every change up to here. */
+  uint64_t Version() const { return mVersion; }
 
   /** Does what is due. */
   void Tick(Millis aNow);
@@ -133,6 +142,7 @@
   void Read();
   void Follow();
   void Gather(Millis aNow);
+  void Abandon();
   void AskProof();
   void TakeVersions(const TableAnswer& aAnswer);
   void Confirm(const TableAnswer& aAnswer);
@@ -156,8 +166,9 @@
   std::optional<Millis> mReading;
   /** The age at which this entry asks for a proof. */
   Millis mProofAge;
+  bool mListening = true;
+  bool mFeedAsked = false;
   bool mProofAsked = false;
-  bool mHasNews = false;
   uint32_t mFailures = 0;
 };
 
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -244,7 +244,7 @@
 Gateway::HooksForPeers()
 {
   return PeerHooks{
-    .mHasNotes = [this] { return mTables.mHasNews() || mRouter.HasNotes(); },
+    .mHasNotes = [this] { return mRouter.HasNotes(); },
     .mTakeNotes =
       [this] {
         PeerNotes notes = mRouter.TakeNotes(BootNow());
@@ -256,7 +256,8 @@
         mHeardAt[aNotes.mFrom] = BootNow();
         mRouter.OnPeerNotes(aNotes, BootNow());
         mTables.mOnTold(aNotes.mTables);
-      }
+      },
+    .mOnNews = [this](const TableNews& aNews) { mTables.mOnNews(aNews); }
   };
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -41,10 +41,10 @@
 {
   using Notes = std::vector<trefoilarch::TableNote>;
 
-  /** Whether there is something that is worth a message of its own. */
-  std::function<bool()> mHasNews = [] { return false; };
   std::function<Notes()> mTell = [] { return Notes(); };
   std::function<void(const Notes&)> mOnTold = [](const Notes&) {};
+  std::function<void(const trefoilarch::TableNews&)> mOnNews =
+    [](const trefoilarch::TableNews&) {};
 };
 
 /** What the operator port answers. */
@@ -89,6 +89,7 @@
   /** The other entries' addresses. */
   void SetPeers(const std::vector<std::string>& aAddresses);
   void SetTableHooks(TableHooks aHooks) { mTables = std::move(aHooks); }
+  void TellNews(const trefoilarch::TableNews& aNews) { mPeers.Tell(aNews); }
   /** Where other entries reach this one; empty where they can't. */
   std::string PeerAddress() const { return mPeers.Address(); }
   /** When that entry was last heard; 0 for never. */
--- a/src/libtrefoilgate/peerdatagram.cpp
+++ b/src/libtrefoilgate/peerdatagram.cpp
@@ -12,6 +12,7 @@
 
 /** The first element: the kind of message and its version. */
 constexpr const char* kFormat = "trefoil-notes-3";
+constexpr const char* kNewsFormat = "trefoil-news-1";
 
 /** What one datagram may hold, so that no link has to split it. */
 constexpr size_t kMostPending = 48;
@@ -221,6 +222,23 @@
          IsAtMost(aValue[2], kLatestReading);
 }
 
+bool
+IsRow(const Json& aValue)
+{
+  return aValue.is_array() && aValue.size() == 4 && aValue[0].is_string() &&
+         aValue[1].is_binary() && aValue[2].is_boolean() && IsCount(aValue[3]);
+}
+
+bool
+IsNews(const Json& aValue)
+{
+  return aValue.is_array() && aValue.size() == 7 && aValue[0] == kNewsFormat &&
+         IsAtMost(aValue[1], UINT8_MAX) && IsCount(aValue[2]) &&
+         IsAtMost(aValue[3], kLatestReading) && IsCount(aValue[4]) &&
+         IsCount(aValue[5]) && aValue[6].is_array() &&
+         std::all_of(aValue[6].begin(), aValue[6].end(), IsRow);
+}
+
 bool
 AreNotes(const Json& aValue)
 {
@@ -318,4 +336,52 @@
   return notes;
 }
 
+std::vector<uint8_t>
+EncodeNews(const TableNews& aNews)
+{
+  Json rows = Json::array();
+  for (const TableRow& row : aNews.mRows) {
+    rows.push_back({ row.mKey,
+                     Json::binary({ row.mValue.begin(), row.mValue.end() }),
+                     row.mRemoved,
+                     row.mVersion });
+  }
+  const int64_t reading = aNews.mWord.mReading.Count();
+  Json news =
+    Json::array({ kNewsFormat,
+                  aNews.mTable,
+                  aNews.mWord.mLastChange,
+                  static_cast<uint64_t>(std::max<int64_t>(0, reading)),
+                  aNews.mAfter,
+                  aNews.mUpTo,
+                  std::move(rows) });
+  std::vector<uint8_t> bytes = Json::to_msgpack(news);
+  if (bytes.size() > kMostDatagramBytes && !aNews.mRows.empty()) {
+    return EncodeNews({ .mTable = aNews.mTable, .mWord = aNews.mWord });
+  }
+  return bytes;
+}
+
+std::optional<TableNews>
+DecodeNews(const std::vector<uint8_t>& aBytes)
+{
+  const Json json = Json::from_msgpack(aBytes, true, false);
+  if (!IsNews(json)) {
+    return std::nullopt;
+  }
+  TableNews news{ .mTable = json[1].get<uint8_t>(),
+                  .mWord = { .mLastChange = json[2].get<uint64_t>(),
+                             .mReading = Millis(json[3].get<int64_t>()) },
+                  .mAfter = json[4].get<uint64_t>(),
+                  .mUpTo = json[5].get<uint64_t>() };
+  for (const Json& each : json[6]) {
+    const Json::binary_t& value = each[1].get_binary();
+    news.mRows.push_back({ .mKey = each[0].get<std::string>(),
+                           .mValue = std::string(value.begin(), value.end()),
+                           .mRemoved = each[2].get<bool>(),
+                           .mVersion = each[3].get<uint64_t>() });
+  }
+  return news;
+}
+
 } // namespace trefoilgate
--- a/src/libtrefoilgate/peerdatagram.h
+++ b/src/libtrefoilgate/peerdatagram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libtrefoilarch/peernotes.h"
+#include "libtrefoilarch/tablenews.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,12 +10,24 @@
 
 namespace trefoilgate {
 
+/** What an entry reads of one datagram. */
+constexpr size_t kMostDatagramBytes = 4096;
+
 /** Notes as one datagram between entries: MessagePack, arrays without names.
  * Prompts that find no room in it are left out. */
 std::vector<uint8_t>
 EncodeNotes(const trefoilarch::PeerNotes& aNotes);
 
-/** Empty where the bytes are none of ours. */
+/** News of a table as one datagram, without its rows where they find no room
+ * in it: whoever lacks them asks the store. */
+std::vector<uint8_t>
+EncodeNews(const trefoilarch::TableNews& aNews);
+
+/** Empty where the bytes are no news. */
+std::optional<trefoilarch::TableNews>
+DecodeNews(const std::vector<uint8_t>& aBytes);
+
+/** Empty where the bytes are no notes. */
 std::optional<trefoilarch::PeerNotes>
 DecodeNotes(const std::vector<uint8_t>& aBytes);
 
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -3,7 +3,6 @@
 #include "bootclock.h"
 #include "connectionpool.h"
 #include "looptimer.h"
-#include "peerdatagram.h"
 
 #include "libtrefoilarch/peerring.h"
 
@@ -124,6 +123,8 @@
   if (const auto notes = DecodeNotes(bytes)) {
     mHeard++;
     mHooks.mOnNotes(*notes);
+  } else if (const auto news = DecodeNews(bytes)) {
+    mHooks.mOnNews(*news);
   }
 }
 
@@ -133,20 +134,31 @@
   const Millis now = BootNow();
   const bool due = mHooks.mHasNotes() || now - mToldAt >= kHeartbeat;
   if (due && !mTold.empty()) {
-    Tell();
+    TellNotes();
     mToldAt = now;
   }
   RunAfter(mTimer, Pause(), [this] { Tick(); });
 }
 
 void
-PeerLink::Tell()
+PeerLink::TellNotes()
+{
+  Send(EncodeNotes(mHooks.mTakeNotes()));
+}
+
+void
+PeerLink::Tell(const trefoilarch::TableNews& aNews)
+{
+  Send(EncodeNews(aNews));
+}
+
+void
+PeerLink::Send(const std::vector<uint8_t>& aBytes)
 {
-  const std::vector<uint8_t> bytes = EncodeNotes(mHooks.mTakeNotes());
   for (const Udp::endpoint& each : mTold) {
     // What finds no room in the kernel's buffer is lost: the next one tells it.
     boost::system::error_code ignored;
-    mSocket.send_to(boost::asio::buffer(bytes), each, 0, ignored);
+    mSocket.send_to(boost::asio::buffer(aBytes), each, 0, ignored);
     mSent++;
   }
 }
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peerdatagram.h"
+
 #include "libtrefoilarch/millis.h"
 #include "libtrefoilarch/peernotes.h"
 
@@ -22,6 +24,7 @@
   std::function<bool()> mHasNotes;
   std::function<trefoilarch::PeerNotes()> mTakeNotes;
   std::function<void(const trefoilarch::PeerNotes&)> mOnNotes;
+  std::function<void(const trefoilarch::TableNews&)> mOnNews;
 };
 
 /**
@@ -42,6 +45,9 @@
   /** Every other entry's address; the first ones are told, all are heard. */
   void SetPeers(const std::vector<std::string>& aAddresses);
 
+  /** Tells what can't wait for the next notes. */
+  void Tell(const trefoilarch::TableNews& aNews);
+
   /** Where it listens; empty where it does not. */
   std::string Address() const;
   /** Other entries that are known. */
@@ -56,7 +62,8 @@
   void Listen();
   void OnDatagram(size_t aBytes);
   void Tick();
-  void Tell();
+  void TellNotes();
+  void Send(const std::vector<uint8_t>& aBytes);
   /** Between two messages: the fewer the more there are to tell it to. */
   Millis Pause() const;
 
@@ -66,7 +73,7 @@
   boost::asio::steady_timer mTimer;
   std::set<Udp::endpoint> mListed;
   std::vector<Udp::endpoint> mTold;
-  std::array<uint8_t, 4096> mBuffer{};
+  std::array<uint8_t, kMostDatagramBytes> mBuffer{};
   Udp::endpoint mSender;
   Millis mToldAt;
   uint64_t mSent = 0;
--- a/tests/platform/adaptertest.cpp
+++ b/tests/platform/adaptertest.cpp
@@ -302,6 +302,48 @@
   }
 }
 
+Test(adapter, news_of_a_table_come_through_whole)
+{
+  const TableNews news{
+    .mTable = 1,
+    .mWord = { .mLastChange = 12, .mReading = Millis(98765) },
+    .mAfter = 9,
+    .mUpTo = 12,
+    .mRows = { { .mKey = "i-1", .mValue = "{\"a\":\xff}", .mVersion = 11 },
+               { .mKey = "i-2", .mRemoved = true, .mVersion = 12 } }
+  };
+  const std::vector<uint8_t> bytes = EncodeNews(news);
+  const auto read = DecodeNews(bytes);
+  cr_assert(read.has_value());
+  cr_expect(*read == news);
+  cr_expect(!DecodeNotes(bytes).has_value());
+  std::mt19937_64 random(7);
+  for (size_t each = 0; each < 20000; ++each) {
+    std::vector<uint8_t> spoilt = bytes;
+    spoilt[random() % spoilt.size()] = static_cast<uint8_t>(random());
+    spoilt.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+    DecodeNews(spoilt);
+  }
+}
+
+Test(adapter, news_that_find_no_room_are_a_word_alone)
+{
+  TableNews news{ .mWord = { .mLastChange = 300, .mReading = Millis(5) },
+                  .mAfter = 1,
+                  .mUpTo = 300 };
+  for (uint64_t each = 2; each <= 300; ++each) {
+    news.mRows.push_back({ .mKey = "i-" + std::to_string(each),
+                           .mValue = std::string(100, 'v'),
+                           .mVersion = each });
+  }
+  const std::vector<uint8_t> bytes = EncodeNews(news);
+  cr_expect(bytes.size() <= kMostDatagramBytes);
+  const auto read = DecodeNews(bytes);
+  cr_assert(read.has_value());
+  cr_expect(read->mWord == news.mWord);
+  cr_expect(read->mRows.empty());
+}
+
 Test(adapter, many_notes_make_one_datagram)
 {
   PeerNotes notes{ .mFrom = "gate-1" };
--- a/tests/platform/peertabletest.cpp
+++ b/tests/platform/peertabletest.cpp
@@ -71,7 +71,9 @@
     [](const std::vector<std::string>&) {},
     [&](const std::string& aName) {
       return aHeard.contains(aName) ? BootNow() : Millis(0);
-    });
+    },
+    { .mOnStoreRead = [](const trefoilarch::TableWord&) {},
+      .mOnNews = [](const trefoilarch::TableNews&) {} });
   table.Start();
   loop.run_for(std::chrono::milliseconds(5000));
 }
--- a/tests/unit/peerringtest.cpp
+++ b/tests/unit/peerringtest.cpp
@@ -49,6 +49,27 @@
   }
 }
 
+/** Each entry is told of changes by three that ask the store, or all ask. */
+Test(peerring, a_few_listen_for_all)
+{
+  for (const size_t count : { 1, 2, 3, 5, 18, 41, 42, 103, 340 }) {
+    const auto names = Names(count);
+    size_t listeners = 0;
+    for (const std::string& own : names) {
+      const PeerRing ring(own, names);
+      listeners += ring.Listens() ? 1 : 0;
+      size_t heard = ring.Listens() ? 1 : 0;
+      for (const std::string& teller : ring.Tellers()) {
+        heard += PeerRing(teller, names).Listens() ? 1 : 0;
+      }
+      cr_expect(
+        heard >= std::min<size_t>(3, count), "%zu of %zu", heard, count);
+    }
+    cr_expect(listeners <= 3 + count / 13, "%zu of %zu", listeners, count);
+  }
+  cr_expect(PeerRing("new", Names(50)).Listens(), "nobody tells it yet");
+}
+
 Test(peerring, one_that_is_not_listed_yet_has_its_place)
 {
   const PeerRing ring("gate-1001x", Names(4));
