Have the urgent call at the engine before its slot falls free

Trace of the known red standins::an_engine_takes_the_urgent_first: the test sent the urgent call while the first one was running and did not wait until it was at the engine. The first call now runs until both others are there and is then left, so that the order is the engine's choice alone; what is checked is the same.

--- a/tests/integration/standinstest.cpp
+++ b/tests/integration/standinstest.cpp
@@ -119,11 +119,13 @@
 Test(standins, an_engine_takes_the_urgent_first)
 {
   EngineAlone engine({ "--max-running", "1" });
-  const auto running = engine.Send(ChatRequest("mid-call", 60), "running", 1);
+  const auto running = engine.Send(ChatRequest("mid-call", 5000), "running", 1);
   cr_assert(running->AwaitBytes(1));
   const auto later = engine.Send(ChatRequest("mid-call", 60), "later", 5);
   cr_assert(Await([&] { return engine.Execution("later").contains("id"); }));
   const auto urgent = engine.Send(ChatRequest("mid-call", 60), "urgent", 0);
+  cr_assert(Await([&] { return engine.Execution("urgent").contains("id"); }));
+  running->Leave();
   const int64_t urgentEnd = urgent->AwaitEnd().mEnded;
   cr_assert(urgentEnd < later->AwaitEnd().mFirst);
 }
