Ask a store that is away less often, and hear from others that it is back

Cause: calls during an outage. Each of a hundred entries asked for each of three tables two or three times a second until the store was back; refused calls are calls.

Change: the pause between two questions doubles from 0.2 s up to the bound (it ended at 0.4 s). An entry that hears by another's word that the store has answered since it lost it asks within 0.2 s, not all in one moment; once for a loss, as a store may serve others and turn this one away for long.

--- a/src/libtrefoilarch/tablewatch.cpp
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -15,9 +15,14 @@
  * an outage: rows may have lapsed in it. */
 constexpr Millis kLateAnswer{ 300 };
 
-constexpr Millis kFirstPause{ 100 };
-constexpr Millis kLongestPause{ 400 };
-constexpr uint32_t kMostDoublings = 2;
+/** Between two questions while the table is lost: doubled each time, up to the
+ * bound. */
+constexpr Millis kFirstPause{ 200 };
+constexpr uint32_t kMostDoublings = 8;
+
+/** Entries that hear that the store is back ask within this, not all in the
+ * same moment. */
+constexpr int64_t kReturnSpreadMs = 200;
 
 } // namespace
 
@@ -105,13 +110,15 @@
 TableWatch::OnFailed(const std::string& aWhy, Millis aAsked, Millis aNow)
 {
   if (mFailures == 0) {
+    mLostAt = aNow;
+    mHurried = false;
     mHooks.mOnLost(aWhy, aNow - aAsked);
   }
   Abandon();
   mClock.Reset();
   const Millis longest = std::min(
     kFirstPause * (int64_t{ 1 } << std::min(mFailures, kMostDoublings)),
-    kLongestPause);
+    mOptions.mBound);
   mFailures++;
   std::uniform_int_distribution<int64_t> span(longest.Count() / 2,
                                               longest.Count());
@@ -122,6 +129,12 @@
 void
 TableWatch::OnWord(const TableWord& aWord, Millis aNow)
 {
+  if (mPhase == Phase::Lost && !mHurried && WasReadSinceLost(aWord)) {
+    // Once: a store may serve others and turn this one away for long.
+    mHurried = true;
+    std::uniform_int_distribution<int64_t> pause(0, kReturnSpreadMs);
+    mPhaseEnds = std::min(mPhaseEnds, aNow + Millis(pause(mRandom)));
+  }
   const bool older = mReading && aWord.mReading <= *mReading;
   if (mVersion == 0 || aWord.mLastChange > mVersion || older) {
     return;
@@ -136,6 +149,14 @@
   DrawProofAge();
 }
 
+bool
+TableWatch::WasReadSinceLost(const TableWord& aWord) const
+{
+  const auto confirmed = mFreshness.At();
+  return mReading && confirmed &&
+         aWord.mReading > *mReading + (mLostAt - *confirmed);
+}
+
 void
 TableWatch::SetListening(bool aListening)
 {
--- a/src/libtrefoilarch/tablewatch.h
+++ b/src/libtrefoilarch/tablewatch.h
@@ -105,7 +105,8 @@
   /** A question failed, whichever. */
   void OnFailed(const std::string& aWhy, Millis aAsked, Millis aNow);
 
-  /** What another entry knows. */
+  /** What another entry knows. Where the table is lost, it may tell that the
+   * store is back: NextTick() is then due sooner. */
   void OnWord(const TableWord& aWord, Millis aNow);
   /** What this one knows; empty before the first answer. */
   std::optional<TableWord> Word() const;
@@ -143,6 +144,8 @@
   void Follow();
   void Gather(Millis aNow);
   void Abandon();
+  /** The store has answered another entry since this one lost it. */
+  bool WasReadSinceLost(const TableWord& aWord) const;
   void AskProof();
   void TakeVersions(const TableAnswer& aAnswer);
   void Confirm(const TableAnswer& aAnswer);
@@ -170,6 +173,9 @@
   bool mFeedAsked = false;
   bool mProofAsked = false;
   uint32_t mFailures = 0;
+  Millis mLostAt;
+  /** Others have told since then that the store is back. */
+  bool mHurried = false;
 };
 
 } // namespace trefoilarch
--- a/tests/unit/tablewatchtest.cpp
+++ b/tests/unit/tablewatchtest.cpp
@@ -220,6 +220,7 @@
           }
           other.mWatch->OnWord(*word, mNow);
           CheckClaim(other);
+          Plan(other);
         });
       }
     }
@@ -251,6 +252,7 @@
         After(WayToOther(), [this, &other = *other, word] {
           other.mWatch->OnWord(*word, mNow);
           CheckClaim(other);
+          Plan(other);
         });
       }
     }
@@ -410,6 +412,29 @@
   cr_expect(written.mConfirmed == Millis(700), "no reading of that clock yet");
 }
 
+Test(tablewatch, one_that_hears_that_the_store_is_back_asks_soon)
+{
+  Written written;
+  for (int64_t each = 0; each < 6; ++each) {
+    written.mWatch.OnFailed("down", Millis(1000), Millis(1000 + 1000 * each));
+  }
+  const Millis due = written.mWatch.NextTick();
+  cr_expect(due >= Millis(6500) && due <= Millis(7000), "at half the bound");
+  const Millis before(5000 + 950);
+  written.mWatch.OnWord({ .mLastChange = 10, .mReading = before },
+                        Millis(6100));
+  cr_expect(written.mWatch.NextTick() == due, "read before it was lost");
+  const Millis since(5000 + 6050);
+  written.mWatch.OnWord({ .mLastChange = 10, .mReading = since }, Millis(6100));
+  cr_expect(written.mWatch.NextTick() <= Millis(6300));
+  cr_expect(written.mConfirmed == Millis(100), "its clock has yet to be read");
+  written.mWatch.OnFailed("turned away", Millis(6300), Millis(6300));
+  const Millis next = written.mWatch.NextTick();
+  written.mWatch.OnWord({ .mLastChange = 10, .mReading = Millis(11300) },
+                        Millis(6310));
+  cr_expect(written.mWatch.NextTick() == next, "it is hurried once");
+}
+
 Test(tablewatch, news_are_taken_where_nothing_is_missing_before_them)
 {
   Written written;
