Check a datagram's format before decoding it

Cause: each datagram between entries was decoded by each decoder in turn until one accepted it, so the last kinds were decoded five times. Change: a decoder compares the format text at its place and decodes only its own. Measured: the tests of all datagrams and loopcosttest pass as before.

--- a/src/libtrefoilgate/crashdatagram.cpp
+++ b/src/libtrefoilgate/crashdatagram.cpp
@@ -117,6 +117,9 @@
 std::optional<CrashUpdate>
 DecodeCrashUpdate(const std::vector<uint8_t>& aBytes)
 {
+  if (!HasFormat(aBytes, kFormat)) {
+    return std::nullopt;
+  }
   const Json json = Json::from_msgpack(aBytes, true, false);
   if (!IsCrashUpdate(json)) {
     return std::nullopt;
--- a/src/libtrefoilgate/datagramfields.h
+++ b/src/libtrefoilgate/datagramfields.h
@@ -4,10 +4,17 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <string_view>
+#include <vector>
 
 namespace trefoilgate {
 
-/** Checked numbers, shared by the datagrams between entries. */
+/** Checked fields, shared by the datagrams between entries. */
+
+/** Whether the datagram is an array that starts with this text of fewer than 32
+ * bytes. Cheaper than decoding it. */
+bool
+HasFormat(const std::vector<uint8_t>& aBytes, std::string_view aFormat);
 
 bool
 IsUnsigned(const nlohmann::json& aValue);
--- a/src/libtrefoilgate/peerdatagram.cpp
+++ b/src/libtrefoilgate/peerdatagram.cpp
@@ -319,6 +319,9 @@
 std::optional<PeerUpdate>
 DecodePeerUpdate(const std::vector<uint8_t>& aBytes)
 {
+  if (!HasFormat(aBytes, kPeerUpdateFormat)) {
+    return std::nullopt;
+  }
   const Json json = Json::from_msgpack(aBytes, true, false);
   if (!IsPeerUpdate(json)) {
     return std::nullopt;
@@ -411,6 +414,9 @@
 std::optional<TableUpdate>
 DecodeTableUpdate(const std::vector<uint8_t>& aBytes)
 {
+  if (!HasFormat(aBytes, kTableUpdateFormat)) {
+    return std::nullopt;
+  }
   const Json json = Json::from_msgpack(aBytes, true, false);
   if (!IsTableUpdate(json)) {
     return std::nullopt;
--- a/src/libtrefoilgate/permitdatagram.cpp
+++ b/src/libtrefoilgate/permitdatagram.cpp
@@ -88,6 +88,9 @@
 std::optional<PermitRequest>
 DecodePermitRequest(const std::vector<uint8_t>& aBytes)
 {
+  if (!HasFormat(aBytes, kRequestFormat)) {
+    return std::nullopt;
+  }
   const Json json = Json::from_msgpack(aBytes, true, false);
   const bool isRequest =
     json.is_array() && json.size() == 6 && json[0] == kRequestFormat &&
@@ -107,6 +110,9 @@
 std::optional<PermitReply>
 DecodePermitReply(const std::vector<uint8_t>& aBytes)
 {
+  if (!HasFormat(aBytes, kReplyFormat)) {
+    return std::nullopt;
+  }
   const Json json = Json::from_msgpack(aBytes, true, false);
   const bool isReply =
     json.is_array() && json.size() == 5 && json[0] == kReplyFormat &&
