Add singleton duties and usage reports to the library

Cause: a deployment wants one entry to report the fleet's usage, exactly once a window; nothing in the library acts for the whole fleet. Change: SingletonDuty holds a duty by a record in the store, fixes each report there before it is sent, and keeps fencing tokens, fixed periods and past holders in the same conditional write. Lease is not reused: its holder and the last fixed report have to change in one write, and by the store's clock one read tells whether a lease has ended.

--- /dev/null
+++ b/src/libtrefoilarch/dutyrecord.cpp
@@ -0,0 +1,112 @@
+#include "dutyrecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace trefoilarch {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/** Numbers beyond these bounds are invalid, so that no calculation with them
+ * overflows. */
+constexpr int64_t kMaxTime = 1000000000000000;
+constexpr uint64_t kMaxNumber = 1ULL << 53U;
+constexpr size_t kMaxSubjects = 1000;
+constexpr size_t kMaxPastHolders = 100;
+
+/** Throws if the value is not an unsigned number within its bound. */
+uint64_t
+NumberIn(const Json& aValue)
+{
+  const auto number =
+    aValue.is_number_unsigned() ? aValue.get<uint64_t>() : kMaxNumber;
+  if (number >= kMaxNumber) {
+    throw Json::other_error::create(0, "no valid number", &aValue);
+  }
+  return number;
+}
+
+Millis
+TimeIn(const Json& aValue)
+{
+  const auto time =
+    aValue.is_number_integer() ? aValue.get<int64_t>() : kMaxTime;
+  if (time <= -kMaxTime || time >= kMaxTime) {
+    throw Json::other_error::create(0, "no valid time", &aValue);
+  }
+  return Millis(time);
+}
+
+DutyRecord
+RecordIn(const Json& aJson)
+{
+  DutyRecord record{ .mHolder = aJson.at("holder").get<std::string>(),
+                     .mHost = aJson.at("host").get<std::string>(),
+                     .mFencingToken = NumberIn(aJson.at("fence")),
+                     .mExpiresAt = TimeIn(aJson.at("expires_ms")),
+                     .mUnixOffset = TimeIn(aJson.at("unix_offset_ms")) };
+  for (const auto& [subject, period] : aJson.at("fixed").items()) {
+    record.mFixed[subject] = NumberIn(period);
+  }
+  for (const Json& past : aJson.at("past_holders")) {
+    record.mPastHolders.push_back(
+      { .mHost = past.at(0).get<std::string>(), .mUntil = TimeIn(past.at(1)) });
+  }
+  return record;
+}
+
+} // namespace
+
+std::string
+DutyRecordToText(const DutyRecord& aRecord)
+{
+  Json past = Json::array();
+  for (const PastHolder& each : aRecord.mPastHolders) {
+    past.push_back(Json::array({ each.mHost, each.mUntil.Count() }));
+  }
+  return Json{
+    { "holder", aRecord.mHolder },
+    { "host", aRecord.mHost },
+    { "fence", aRecord.mFencingToken },
+    { "expires_ms", aRecord.mExpiresAt.Count() },
+    { "fixed", Json(aRecord.mFixed) },
+    { "unix_offset_ms", aRecord.mUnixOffset.Count() },
+    { "past_holders", std::move(past) }
+  }.dump();
+}
+
+std::optional<DutyRecord>
+DutyRecordFromText(const std::string& aText)
+{
+  try {
+    DutyRecord record = RecordIn(Json::parse(aText));
+    const bool tooLarge = record.mFixed.size() > kMaxSubjects ||
+                          record.mPastHolders.size() > kMaxPastHolders;
+    return tooLarge ? std::nullopt : std::optional(std::move(record));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string
+StoredReportToText(const StoredReport& aReport)
+{
+  return Json{
+    { "body", aReport.mBody }, { "expires_ms", aReport.mExpiresAt.Count() }
+  }.dump();
+}
+
+std::optional<StoredReport>
+StoredReportFromText(const std::string& aText)
+{
+  try {
+    const Json json = Json::parse(aText);
+    return StoredReport{ .mBody = json.at("body").get<std::string>(),
+                         .mExpiresAt = TimeIn(json.at("expires_ms")) };
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace trefoilarch
--- a/src/libtrefoilarch/peerring.cpp
+++ b/src/libtrefoilarch/peerring.cpp
@@ -1,6 +1,7 @@
 #include "peerring.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace trefoilarch {
 
@@ -27,6 +28,7 @@
 
 PeerRing::PeerRing(const std::string& aOwn,
                    const std::vector<std::string>& aNames)
+  : mNames(aNames)
 {
   const auto next = std::upper_bound(aNames.begin(), aNames.end(), aOwn);
   mOthers.assign(next, aNames.end());
@@ -37,6 +39,25 @@
   mPollsStore = !listed || PollsAt(position - 1, aNames.size());
 }
 
+std::vector<std::string>
+PeerRing::Coordinators() const
+{
+  std::vector<std::string> names = mNames;
+  const auto last = names.begin() + static_cast<std::ptrdiff_t>(
+                                      std::min(kCoordinators, names.size()));
+  const auto hash = [](const std::string& aName) {
+    return XXH3_64bits(aName.data(), aName.size());
+  };
+  std::partial_sort(names.begin(),
+                    last,
+                    names.end(),
+                    [&](const std::string& aLeft, const std::string& aRight) {
+                      return hash(aLeft) > hash(aRight);
+                    });
+  names.erase(last, names.end());
+  return names;
+}
+
 std::vector<std::string>
 PeerRing::Senders() const
 {
--- a/src/libtrefoilarch/peerring.h
+++ b/src/libtrefoilarch/peerring.h
@@ -16,6 +16,8 @@
 public:
   /** Maximum number of entries that one sends to. */
   static constexpr size_t kMaxReceivers = 40;
+  /** Number of coordinators: one may be lost while another one starts. */
+  static constexpr size_t kCoordinators = 3;
 
   /** aNames are the sorted names of all entries, possibly including aOwn. */
   PeerRing(const std::string& aOwn, const std::vector<std::string>& aNames);
@@ -29,11 +31,16 @@
    * fleet, but enough that each entry receives changes from several.
    */
   bool PollsStore() const { return mPollsStore; }
+  /** The names of the entries that compete for the fleet's singleton duties and
+   * collect what these need. Few, however large the fleet is, and chosen by a
+   * hash, so that they hardly change when entries come and go. */
+  std::vector<std::string> Coordinators() const;
   /** Entries that send to this one. The others never do. */
   std::vector<std::string> Senders() const;
 
 private:
   std::vector<std::string> mOthers;
+  std::vector<std::string> mNames;
   bool mPollsStore = true;
 };
 
--- a/tests/unit/peerringtest.cpp
+++ b/tests/unit/peerringtest.cpp
@@ -80,3 +80,26 @@
   cr_expect(ring.Others() == others);
   cr_expect(PeerRing("gate", {}).Senders().empty());
 }
+
+Test(peerring, few_coordinators_change_if_an_entry_is_added)
+{
+  for (const size_t count : { 1, 2, 3, 4, 32, 340 }) {
+    const auto before = PeerRing("x", Names(count)).Coordinators();
+    const auto after = PeerRing("x", Names(count + 1)).Coordinators();
+    cr_expect(before.size() == std::min(count, PeerRing::kCoordinators));
+    const auto kept =
+      std::count_if(before.begin(), before.end(), [&](const auto& aName) {
+        return std::find(after.begin(), after.end(), aName) != after.end();
+      });
+    cr_expect(static_cast<size_t>(kept) + 1 >= before.size());
+  }
+}
+
+Test(peerring, all_entries_agree_on_the_coordinators)
+{
+  const auto names = Names(32);
+  const auto expected = PeerRing(names.front(), names).Coordinators();
+  for (const std::string& own : names) {
+    cr_expect(PeerRing(own, names).Coordinators() == expected);
+  }
+}
