Report the fleet's usage from one gate

Change: gates count requests at the first byte and send the counts to three coordinators; one of them holds the duty in the store and sends the reports. The settings name the receiver, the duties, the lease and the windows; without a receiver nothing changes. Real processes under kills, pauses, cuts, lost answers, outages, a busy receiver, foreign rows and an older gate: usagedutytest, 11 tests.

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -127,6 +127,14 @@
   mConnectTimer.cancel();
 }
 
+void
+ClientConnection::Reset()
+{
+  Error ignored;
+  mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
 void
 ClientConnection::NewParser()
 {
--- a/src/libtrefoilgate/clientconnection.h
+++ b/src/libtrefoilgate/clientconnection.h
@@ -90,6 +90,8 @@
 
   /** Closes the connection and drops the call. */
   void Close();
+  /** The same, and drops bytes that were not delivered yet. */
+  void Reset();
 
 private:
   using Parser =
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -266,9 +266,20 @@
   }
 }
 
+void
+Exchange::CountBegan()
+{
+  if (mCounted) {
+    return;
+  }
+  mCounted = true;
+  mContext.mOnBegan(mPlan.Request().mWorkspace);
+}
+
 void
 Exchange::MarkStarted(Millis aNow)
 {
+  CountBegan();
   // The body of a failure does not count as a start: it would improve the
   // upstream's record.
   if (!mAnswer || mAnswer->mStatus < kMinServerErrorStatus) {
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -30,6 +30,8 @@
   const Dialect& mDialect;
   DecisionLog& mLog;
   GateMetrics& mMetrics;
+  /** Called when an upstream has begun a request of this workspace. */
+  std::function<void(const std::string&)> mOnBegan;
   /** Called when the exchange has ended. */
   std::function<void(Exchange*)> mOnEnded;
 };
@@ -83,6 +85,8 @@
   bool HasNoBody() const;
   /** The upstream's status line and headers, as forwarded to the caller. */
   AnswerHead MakeHead(std::optional<uint64_t> aLength) const;
+  /** Counts the request once for its workspace. */
+  void CountBegan();
   /** Records that the answer's content has begun to arrive. */
   void MarkStarted(trefoilarch::Millis aNow);
   void ForwardData(const std::string& aData);
@@ -121,6 +125,8 @@
   /** The longest pause between two pieces of the answer. */
   Millis mLongestPause;
   bool mAnswerBegun = false;
+  /** Whether the request is counted. */
+  bool mCounted = false;
   bool mDone = false;
   bool mPaused = false;
 };
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -122,6 +122,28 @@
                     "state",
                     "Known upstreams: ready, ejected, draining, or kept though "
                     "unlisted." },
+  GaugeDescription{ Gauge::DutyHeld,
+                    "trefoilarch_gate_duty_held",
+                    "duty",
+                    "1 if this gate performs the duty for the fleet." },
+  GaugeDescription{ Gauge::DutyFencingToken,
+                    "trefoilarch_gate_duty_fencing_token",
+                    "duty",
+                    "The duty's fencing token, as this gate knows it." },
+  GaugeDescription{ Gauge::UsageWindowAccepted,
+                    "trefoilarch_gate_usage_window_accepted",
+                    "",
+                    "The last usage window whose report of this gate was "
+                    "accepted." },
+  GaugeDescription{ Gauge::UsageWindowsMissed,
+                    "trefoilarch_gate_usage_windows_missed",
+                    "",
+                    "Usage windows that this gate did not report in time." },
+  GaugeDescription{ Gauge::ClockCorrectionMs,
+                    "trefoilarch_gate_clock_correction_ms",
+                    "",
+                    "How far the host's clock is ahead of the time that the "
+                    "fleet has agreed on." },
 };
 
 constexpr bool
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -42,6 +42,11 @@
   LogLinesLeftOut,
   RetriesLeft, /**< by service */
   Upstreams,   /**< by state */
+  DutyHeld,
+  DutyFencingToken,
+  UsageWindowAccepted,
+  UsageWindowsMissed,
+  ClockCorrectionMs,
 };
 
 /** The gateway's metrics; names and help texts are defined in the source
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -106,6 +106,27 @@
                "peer-listen is set (a number)",
       .mDefault = "50",
       .mCheck = NumberBetween(0, 100000) },
+    { .mName = "duties",
+      .mHelp = "duties that one entry performs for the fleet, separated by "
+               "commas; those it does not know are left out" },
+    { .mName = "duty-receiver",
+      .mHelp = "receives the duties' calls (ADDRESS:PORT); empty: no duty is "
+               "performed",
+      .mCheck = EmptyOrEndpoint() },
+    { .mName = "duty-lease-ms",
+      .mHelp = "an entry that is lost is replaced in its duties after this "
+               "time (ms)",
+      .mDefault = "3000",
+      .mCheck = NumberBetween(500, kMaxMillis) },
+    { .mName = "usage-window-s",
+      .mHelp = "length of a usage window (s)",
+      .mDefault = "5",
+      .mCheck = NumberBetween(1, 86400) },
+    { .mName = "usage-late-s",
+      .mHelp = "the usage of a window is reported within this time after its "
+               "end (s)",
+      .mDefault = "10",
+      .mCheck = NumberBetween(1, 86400) },
     { .mName = "stop-seconds",
       .mHelp = "how long a planned stop may take (s)",
       .mDefault = "8",
@@ -142,6 +163,11 @@
   compare("heartbeat-ms", &GateSettings::mHeartbeatInterval);
   compare("retry-share", &GateSettings::mRetryPercent);
   compare("retry-slack", &GateSettings::mRetrySlack);
+  compare("duties", &GateSettings::mDuties);
+  compare("duty-receiver", &GateSettings::mDutyReceiver);
+  compare("duty-lease-ms", &GateSettings::mDutyLease);
+  compare("usage-window-s", &GateSettings::mUsageWindow);
+  compare("usage-late-s", &GateSettings::mUsageLateness);
   compare("stop-seconds", &GateSettings::mStopTimeout);
   compare("most-descriptors", &GateSettings::mMaxDescriptors);
   compare("memory-mb", &GateSettings::mMaxBodyBytes);
@@ -152,6 +178,10 @@
 ReadGateSettings(const trefoilio::Settings& aSettings)
 {
   const double stopMillis = aSettings.Number("stop-seconds") * kMillisInSecond;
+  const double usageWindowMillis =
+    aSettings.Number("usage-window-s") * kMillisInSecond;
+  const double usageLatenessMillis =
+    aSettings.Number("usage-late-s") * kMillisInSecond;
   const double memory = aSettings.Number("memory-mb") * kBytesPerMb;
   return GateSettings{
     .mName = aSettings.Text("name"),
@@ -171,6 +201,11 @@
     .mStopTimeout = Millis(Floor(stopMillis)) - kStopMargin,
     .mMaxDescriptors =
       static_cast<uint32_t>(Floor(aSettings.Number("most-descriptors"))),
+    .mDuties = aSettings.Text("duties"),
+    .mDutyReceiver = aSettings.Text("duty-receiver"),
+    .mUsageWindow = Millis(Floor(usageWindowMillis)),
+    .mUsageLateness = Millis(Floor(usageLatenessMillis)),
+    .mDutyLease = Millis(Floor(aSettings.Number("duty-lease-ms"))),
     .mMaxBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyMemoryDivisor
   };
 }
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -31,6 +31,15 @@
   double mRetrySlack = 0;
   trefoilarch::Millis mStopTimeout;
   uint32_t mMaxDescriptors = 0;
+  /** Duties that one entry performs for the fleet, separated by commas. */
+  std::string mDuties;
+  /** Receives the duties' calls; empty: none are performed. */
+  std::string mDutyReceiver;
+  /** Length of a usage window. */
+  trefoilarch::Millis mUsageWindow;
+  /** A window's report is due within this time after the window's end. */
+  trefoilarch::Millis mUsageLateness;
+  trefoilarch::Millis mDutyLease;
   /** Maximum size in bytes of all callers' bodies held at a time. */
   uint64_t mMaxBodyBytes = 0;
 
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -127,6 +127,10 @@
               .mDialect = mOptions.mDialect,
               .mLog = mLog,
               .mMetrics = mMetrics,
+              .mOnBegan =
+                [this](const std::string& aWorkspace) {
+                  mUsageHooks.mOnBegan(aWorkspace);
+                },
               .mOnEnded =
                 [this](Exchange* aEnded) { OnExchangeEnded(aEnded); } }
   , mCallers(aLoop,
@@ -188,7 +192,14 @@
 std::string
 Gateway::DumpState() const
 {
-  return mRouter.DumpState(BootNow());
+  const std::string state = mRouter.DumpState(BootNow());
+  nlohmann::json usage = mUsageHooks.mState();
+  if (usage.is_null()) {
+    return state;
+  }
+  nlohmann::json dump = nlohmann::json::parse(state);
+  dump["usage"] = std::move(usage);
+  return dump.dump();
 }
 
 void
@@ -313,7 +324,13 @@
     .mOnPermitReply =
       [this](const PermitReply& aReply) {
         mRouter.OnPermitReply(aReply, BootNow());
-      }
+      },
+    .mOnUsageUpdate =
+      [this](const UsageUpdate& aUpdate) {
+        return mUsageHooks.mOnUpdate(aUpdate);
+      },
+    .mOnUsageReply =
+      [this](const UsageReply& aReply) { mUsageHooks.mOnReply(aReply); }
   };
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -2,6 +2,7 @@
 
 #include "callerlistener.h"
 #include "connectionpool.h"
+#include "coordinators.h"
 #include "decisionlog.h"
 #include "dialect.h"
 #include "exchange.h"
@@ -10,6 +11,7 @@
 #include "peerlink.h"
 
 #include "libtrefoilarch/directrouter.h"
+#include "libtrefoilarch/usageupdate.h"
 #include "libtrefoilio/service.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +20,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -51,6 +55,22 @@
     [](trefoilarch::Millis) {};
 };
 
+/** The usage reports of a Gateway; nothing if the hooks are not set. */
+struct UsageHooks
+{
+  /** An upstream has begun a request of this workspace. */
+  std::function<void(const std::string&)> mOnBegan = [](const std::string&) {};
+  std::function<std::optional<trefoilarch::UsageReply>(
+    const trefoilarch::UsageUpdate&)>
+    mOnUpdate = [](const trefoilarch::UsageUpdate&) { return std::nullopt; };
+  std::function<void(const trefoilarch::UsageReply&)> mOnReply =
+    [](const trefoilarch::UsageReply&) {};
+  /** Sets the gauges of the duty. */
+  std::function<void(GateMetrics&)> mSetGauges = [](GateMetrics&) {};
+  /** The state for the dump; null without a duty. */
+  std::function<nlohmann::json()> mState = [] { return nlohmann::json(); };
+};
+
 /** A response of the operator port. */
 struct OperatorResponse
 {
@@ -99,6 +119,21 @@
   /** Sets the other entries' addresses. */
   void SetPeers(const std::vector<std::string>& aAddresses);
   void SetTableHooks(TableHooks aHooks) { mTableHooks = std::move(aHooks); }
+  void SetUsageHooks(UsageHooks aHooks) { mUsageHooks = std::move(aHooks); }
+  void SendUsage(const std::string& aAddress,
+                 const trefoilarch::UsageUpdate& aUpdate)
+  {
+    mPeers.SendUsage(aAddress, aUpdate);
+  }
+  void SetCoordinators(Coordinators aCoordinators)
+  {
+    mCoordinators = std::move(aCoordinators);
+  }
+  const Coordinators& UsageCoordinators() const { return mCoordinators; }
+  /** This entry and the other listed ones; 0 until the list is known. */
+  size_t EntryCount() const { return mEntryCount; }
+  /** Whether a planned stop has begun. */
+  bool IsDraining() const { return mDraining; }
   void SendTableUpdate(const trefoilarch::TableUpdate& aUpdate)
   {
     mPeers.SendUpdate(aUpdate);
@@ -184,6 +219,8 @@
   CallerListener mOperators;
   PeerLink mPeers;
   TableHooks mTableHooks;
+  UsageHooks mUsageHooks;
+  Coordinators mCoordinators;
   boost::asio::steady_timer mTimer;
   /** By path. */
   std::map<std::string, std::function<OperatorResponse()>, std::less<>>
@@ -197,7 +234,6 @@
   std::map<trefoilarch::UpstreamId, trefoilarch::UnlistedUpstream> mUnlisted;
   /** When the last message of each other entry was received. */
   std::map<std::string, Millis> mLastReceivedAt;
-  /** This entry and the other listed ones; 0 until the list is known. */
   size_t mEntryCount;
   bool mCrashUpdateDue = false;
   bool mExpiryDue = false;
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -170,6 +170,7 @@
   for (const auto& [state, upstreams] : mRouter.UpstreamsByState(now)) {
     mMetrics.Set(Gauge::Upstreams, state, upstreams);
   }
+  mUsageHooks.mSetGauges(mMetrics);
   return mMetrics.Text();
 }
 
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -5,6 +5,7 @@
 #include "crashdatagram.h"
 #include "looptimer.h"
 #include "permitdatagram.h"
+#include "usagedatagram.h"
 
 #include "libtrefoilarch/peerring.h"
 
@@ -140,6 +141,10 @@
     OnPermitRequest(*ask);
   } else if (const auto reply = DecodePermitReply(bytes)) {
     mHooks.mOnPermitReply(*reply);
+  } else if (const auto usage = DecodeUsageUpdate(bytes)) {
+    OnUsageUpdate(*usage);
+  } else if (const auto usageReply = DecodeUsageReply(bytes)) {
+    mHooks.mOnUsageReply(*usageReply);
   }
 }
 
@@ -152,6 +157,15 @@
   }
 }
 
+void
+PeerLink::OnUsageUpdate(const trefoilarch::UsageUpdate& aUpdate)
+{
+  const Udp::endpoint from = mSender;
+  if (const auto reply = mHooks.mOnUsageUpdate(aUpdate)) {
+    SendTo(from, EncodeUsageReply(*reply));
+  }
+}
+
 void
 PeerLink::RequestPermit(const std::string& aAddress,
                         const trefoilarch::PermitRequest& aRequest)
@@ -161,6 +175,14 @@
          EncodePermitRequest(aRequest));
 }
 
+void
+PeerLink::SendUsage(const std::string& aAddress,
+                    const trefoilarch::UsageUpdate& aUpdate)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  SendTo({ endpoint.address(), endpoint.port() }, EncodeUsageUpdate(aUpdate));
+}
+
 void
 PeerLink::Tick()
 {
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -6,6 +6,7 @@
 #include "libtrefoilarch/millis.h"
 #include "libtrefoilarch/peerupdate.h"
 #include "libtrefoilarch/permit.h"
+#include "libtrefoilarch/usageupdate.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,6 +37,11 @@
     const trefoilarch::PermitRequest&)>
     mOnPermitRequest;
   std::function<void(const trefoilarch::PermitReply&)> mOnPermitReply;
+  /** No reply is sent if the result is empty. */
+  std::function<std::optional<trefoilarch::UsageReply>(
+    const trefoilarch::UsageUpdate&)>
+    mOnUsageUpdate;
+  std::function<void(const trefoilarch::UsageReply&)> mOnUsageReply;
 };
 
 /**
@@ -65,6 +71,10 @@
   void RequestPermit(const std::string& aAddress,
                      const trefoilarch::PermitRequest& aRequest);
 
+  /** Sends an update of usage to the entry at this address. */
+  void SendUsage(const std::string& aAddress,
+                 const trefoilarch::UsageUpdate& aUpdate);
+
   /** The address it listens on; empty if it doesn't. */
   std::string Address() const;
   /** Number of other entries that are listed. */
@@ -85,6 +95,7 @@
   void Send(const std::vector<uint8_t>& aBytes);
   void SendTo(const Udp::endpoint& aPeer, const std::vector<uint8_t>& aBytes);
   void OnPermitRequest(const trefoilarch::PermitRequest& aRequest);
+  void OnUsageUpdate(const trefoilarch::UsageUpdate& aUpdate);
   /** Interval between two messages; longer the more receivers there are. */
   Millis SendInterval() const;
 
--- a/tests/platform/gatesettingstest.cpp
+++ b/tests/platform/gatesettingstest.cpp
@@ -33,7 +33,12 @@
            { "TREFOILARCH_RETRY_SLACK", "54" },
            { "TREFOILARCH_STOP_SECONDS", "8" },
            { "TREFOILARCH_MOST_DESCRIPTORS", "4100" },
-           { "TREFOILARCH_MEMORY_MB", "110" } };
+           { "TREFOILARCH_MEMORY_MB", "110" },
+           { "TREFOILARCH_DUTY_RECEIVER", "10.0.0.2:8424" },
+           { "TREFOILARCH_DUTIES", "usage_report" },
+           { "TREFOILARCH_DUTY_LEASE_MS", "3000" },
+           { "TREFOILARCH_USAGE_WINDOW_S", "5" },
+           { "TREFOILARCH_USAGE_LATE_S", "10" } };
 }
 
 trefoilio::SettingsOutcome
@@ -110,7 +115,14 @@
       "4100.5",
       "0",
       "1048577" },
-    { "TREFOILARCH_MEMORY_MB", "memory-mb", "88.5", "0", "1048577" }
+    { "TREFOILARCH_MEMORY_MB", "memory-mb", "88.5", "0", "1048577" },
+    { "TREFOILARCH_DUTY_LEASE_MS",
+      "duty-lease-ms",
+      "2999.5",
+      "0",
+      "3600000.5" },
+    { "TREFOILARCH_USAGE_WINDOW_S", "usage-window-s", "2.5", "0", "86400.5" },
+    { "TREFOILARCH_USAGE_LATE_S", "usage-late-s", "9.5", "0", "86400.5" }
   };
 }
 
@@ -168,6 +180,13 @@
             plain.mMaxBodyBytes);
 }
 
+Test(gatesettings, an_invalid_duty_receiver_is_rejected_with_its_flag)
+{
+  cr_expect(
+    IsRejected("TREFOILARCH_DUTY_RECEIVER", "duty-receiver", "10.0.0.2"));
+  cr_expect(SettingsWith("TREFOILARCH_DUTY_RECEIVER", "").mDutyReceiver == "");
+}
+
 Test(gatesettings, a_gate_starts_and_serves_with_fractions, .timeout = 30)
 {
   PlatformFleet fleet({ .mRetrySlack = 36.1764705882353, .mMemoryMb = 88.5 });
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 PlatformFleet::PlatformFleet(FleetOptions aOptions)
-  : mOptions(aOptions)
+  : mOptions(std::move(aOptions))
   , mStore(std::make_unique<ChildProcess>("trefoilarch-rowstore",
                                           std::vector<std::string>{}))
 {
@@ -100,6 +100,19 @@
   if (!mOptions.mSettingsFromFile) {
     flags.insert(flags.end(), limits.begin(), limits.end());
   }
+  if (!mOptions.mUsageReceiver.empty()) {
+    flags.insert(flags.end(),
+                 { "--duties",
+                   "usage_report,autoscale",
+                   "--duty-receiver",
+                   mOptions.mUsageReceiver,
+                   "--duty-lease-ms",
+                   "1500",
+                   "--usage-window-s",
+                   std::to_string(mOptions.mUsageWindowSeconds),
+                   "--usage-late-s",
+                   "6" });
+  }
   if (mOptions.mPeers) {
     flags.insert(flags.end(), { "--peer-listen", "127.0.0.1:0" });
   }
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -29,6 +29,9 @@
   bool mSettingsFromFile = false;
   /** Whether gates exchange updates. */
   bool mPeers = false;
+  /** The address that accepts usage reports; empty if there is none. */
+  std::string mUsageReceiver{};
+  int mUsageWindowSeconds = 1;
 };
 
 /** One request to a gate. */
--- /dev/null
+++ b/tests/platform/usagedutytest.cpp
@@ -0,0 +1,235 @@
+#include "platformfleet.h"
+#include "usagereceiver.h"
+
+#include "integration/await.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <utility>
+
+using namespace platformtest;
+using integration::Await;
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t kGates = 4;
+
+/** A successor takes over within a lease and some more. */
+constexpr trefoilarch::Millis kTimeout{ 20000 };
+
+/** Gates that report the usage of windows of one second to a receiver. */
+class ReportingFleet
+{
+public:
+  explicit ReportingFleet(size_t aGates = kGates)
+    : mFleet({ .mGates = aGates,
+               .mProxied = true,
+               .mPeers = true,
+               .mUsageReceiver = mReceiver.Address() })
+    , mGates(aGates)
+  {
+    cr_assert(mFleet.AwaitPeers());
+    cr_assert(AwaitWindows(1), "no report");
+  }
+
+  /** Sends calls to all gates in turn; returns how many were served. */
+  uint64_t Call(size_t aCalls, size_t aSpared = SIZE_MAX)
+  {
+    uint64_t served = 0;
+    for (size_t each = 0; each < aCalls; ++each) {
+      const size_t gate = each % mGates;
+      if (gate == aSpared) {
+        continue;
+      }
+      const GateCall call{ .mId = "c" + std::to_string(mCalls++) };
+      served += mFleet.Call(call, gate).mStatus == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  /** Waits for reports of this many further windows. */
+  bool AwaitWindows(size_t aMore)
+  {
+    const size_t before = mReceiver.Windows();
+    return Await([&] { return mReceiver.Windows() >= before + aMore; },
+                 kTimeout);
+  }
+
+  /** The gate that reports. */
+  size_t Holder() const
+  {
+    const std::string name = mReceiver.LastHolder();
+    return std::stoul(name.substr(name.find('-') + 1));
+  }
+
+  void ExpectNoViolation() const
+  {
+    for (const std::string& each : mReceiver.Violations()) {
+      cr_expect(false, "%s", each.c_str());
+    }
+  }
+
+  UsageReceiver mReceiver;
+  PlatformFleet mFleet;
+
+private:
+  size_t mGates;
+  uint64_t mCalls = 0;
+};
+
+} // namespace
+
+Test(usageduty, all_served_requests_are_reported, .timeout = 60)
+{
+  ReportingFleet fleet;
+  const uint64_t served = fleet.Call(200);
+  cr_assert(
+    Await([&] { return fleet.mReceiver.Total("desk") >= served; }, kTimeout));
+  fleet.AwaitWindows(2);
+  cr_expect(fleet.mReceiver.Total("desk") == served);
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, another_gate_reports_when_the_holder_is_killed, .timeout = 90)
+{
+  ReportingFleet fleet;
+  const size_t holder = fleet.Holder();
+  fleet.Call(40);
+  fleet.mFleet.Gate(holder).Kill();
+  const uint64_t before = fleet.mReceiver.Total("desk");
+  const uint64_t served = fleet.Call(80, holder);
+  cr_expect(served > 0);
+  cr_expect(
+    Await([&] { return fleet.mReceiver.Total("desk") >= before + served; },
+          kTimeout));
+  cr_expect(fleet.Holder() != holder);
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty,
+     a_holder_that_was_paused_does_not_report_beside_its_successor,
+     .timeout = 90)
+{
+  ReportingFleet fleet;
+  const size_t holder = fleet.Holder();
+  fleet.mFleet.Gate(holder).Signal(SIGSTOP);
+  cr_expect(Await([&] { return fleet.Holder() != holder; }, kTimeout));
+  fleet.mFleet.Gate(holder).Signal(SIGCONT);
+  cr_expect(fleet.AwaitWindows(3));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, a_holder_cut_off_from_the_store_is_replaced, .timeout = 90)
+{
+  ReportingFleet fleet;
+  const size_t holder = fleet.Holder();
+  fleet.mFleet.StoreProxy(holder).Order(
+    { { "refuse_new", true }, { "cut", true } });
+  cr_expect(Await([&] { return fleet.Holder() != holder; }, kTimeout));
+  cr_expect(fleet.AwaitWindows(2));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, a_planned_stop_hands_the_duty_over, .timeout = 90)
+{
+  ReportingFleet fleet;
+  const size_t holder = fleet.Holder();
+  fleet.mFleet.Gate(holder).Signal(SIGTERM);
+  cr_expect(Await([&] { return fleet.Holder() != holder; }, kTimeout));
+  cr_expect(!fleet.mFleet.LogOf(holder, "duty_released").empty());
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty,
+     lost_answers_of_store_and_receiver_cause_no_second_report,
+     .timeout = 90)
+{
+  ReportingFleet fleet;
+  fleet.mReceiver.SetMode(ReceiverMode::LosesAnswers);
+  fleet.mFleet.Control({ { "fault", "lost" } });
+  fleet.Call(40);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  fleet.mFleet.Control({ { "fault", "up" } });
+  fleet.mReceiver.SetMode(ReceiverMode::Accepts);
+  cr_expect(fleet.AwaitWindows(3));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, a_busy_receiver_gets_the_same_report_again, .timeout = 90)
+{
+  ReportingFleet fleet;
+  fleet.mReceiver.SetMode(ReceiverMode::IsBusy);
+  const uint64_t served = fleet.Call(40);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const size_t holder = fleet.Holder();
+  cr_expect(!fleet.mFleet.LogOf(holder, "report_failed").empty());
+  fleet.mReceiver.SetMode(ReceiverMode::Accepts);
+  cr_expect(
+    Await([&] { return fleet.mReceiver.Total("desk") >= served; }, kTimeout));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, an_outage_of_the_store_delays_reports_only, .timeout = 90)
+{
+  ReportingFleet fleet;
+  const uint64_t before = fleet.mReceiver.Total("desk");
+  const uint64_t served = fleet.Call(40);
+  fleet.mFleet.Control({ { "fault", "down" } });
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  fleet.mFleet.Control({ { "fault", "up" } });
+  cr_expect(
+    Await([&] { return fleet.mReceiver.Total("desk") >= before + served; },
+          kTimeout));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, rows_of_another_writer_do_no_harm, .timeout = 90)
+{
+  ReportingFleet fleet;
+  fleet.mFleet.PutRow("duties", "usage", { { "holder", 7 } });
+  fleet.mFleet.PutRow("duties", "usage//9999999999999", { { "body", 1 } });
+  cr_expect(fleet.AwaitWindows(2));
+  fleet.ExpectNoViolation();
+}
+
+/** A gate of an older build knows nothing of the duty. */
+Test(usageduty,
+     a_gate_without_the_duty_does_not_disturb_the_others,
+     .timeout = 90)
+{
+  ReportingFleet fleet;
+  integration::ChildProcess older("trefoilarch-gate",
+                                  { "--name",
+                                    "gate-9",
+                                    "--data-centre",
+                                    "here",
+                                    "--listen",
+                                    "127.0.0.1:0",
+                                    "--operator-listen",
+                                    "127.0.0.1:0",
+                                    "--platform",
+                                    fleet.mFleet.StoreProxy(0).Address(),
+                                    "--peer-listen",
+                                    "127.0.0.1:0" });
+  cr_expect(fleet.AwaitWindows(4));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty, the_dump_and_the_metrics_show_the_duty, .timeout = 60)
+{
+  ReportingFleet fleet(1);
+  const json dump = integration::GetJson(
+    "http://" + fleet.mFleet.OperatorAddress(0) + "/state");
+  cr_expect(dump.at("usage").at("held") == true);
+  cr_expect(dump.at("usage").at("window_accepted") > 0);
+  const std::string metrics = fleet.mFleet.Metrics();
+  cr_expect(metrics.find("trefoilarch_gate_duty_held{duty=\"usage\"} 1") !=
+            std::string::npos);
+  cr_expect(metrics.find("trefoilarch_gate_usage_windows_missed 0") !=
+            std::string::npos);
+}
