--- a/src/libtrefoilarch/usagereporter.cpp
+++ b/src/libtrefoilarch/usagereporter.cpp
@@ -140,8 +140,7 @@
     return false;
   }
   return mCollector.IsComplete(aWindow, aNow) ||
-         aUnixTime >=
-           end + mOptions.mMaxLateness * kMaxWaitPercent / kHundred;
+         aUnixTime >= end + mOptions.mMaxLateness * kMaxWaitPercent / kHundred;
 }
 
 DutyRecord
