Send a window's counts until its report is fixed, and less often in large fleets

Cause: ended windows were sent each second for ten seconds, and at 340 entries a coordinator would have received some 150 KB/s (computed from an update's size). Change: the holder's reply names the last fixed window, whose counts are no longer sent; a window that has ended is sent at once; the interval between updates grows by 14 ms for each entry instead of 6.

--- a/src/libtrefoilarch/usagecounter.cpp
+++ b/src/libtrefoilarch/usagecounter.cpp
@@ -21,10 +21,13 @@
 {
   const uint64_t current = mOptions.mWindows.At(aUnixTime);
   std::erase_if(mKept, [&](const auto& aEntry) {
-    return mOptions.mWindows.EndOf(aEntry.first) + mOptions.mRetention <
-           aUnixTime;
+    const Millis end = mOptions.mWindows.EndOf(aEntry.first);
+    // Only a window that has ended can be fixed.
+    const bool isFixed = aEntry.first <= mFixed && mFixed < current;
+    return isFixed || end + mOptions.mRetention < aUnixTime;
   });
   mKept[current];
+  mTakenAt = current;
   std::vector<UsageUpdate> updates;
   for (auto& [number, window] : mKept) {
     const bool closed = number < current;
--- a/src/libtrefoilarch/usagecounter.h
+++ b/src/libtrefoilarch/usagecounter.h
@@ -3,6 +3,7 @@
 #include "usageupdate.h"
 #include "usagewindows.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,6 +38,14 @@
   /** An upstream has begun a request of the workspace. */
   void Count(const std::string& aWorkspace, Millis aUnixTime);
 
+  /** The reports of all windows up to this one are fixed. */
+  void OnFixed(uint64_t aWindow) { mFixed = std::max(mFixed, aWindow); }
+  /** Whether a window has ended since the last updates were taken. */
+  bool HasEndedWindow(Millis aUnixTime) const
+  {
+    return mOptions.mWindows.At(aUnixTime) != mTakenAt;
+  }
+
   /** The updates that are due: windows with new counts, ended windows until
    * they are no longer kept, and one update at least per heartbeat interval. */
   std::vector<UsageUpdate> TakeDue(Millis aUnixTime,
@@ -62,6 +71,9 @@
   UsageCounterOptions mOptions;
   /** By number; the current one and those that are kept. */
   std::map<uint64_t, Window> mKept;
+  uint64_t mFixed = 0;
+  /** The current window when updates were last taken. */
+  uint64_t mTakenAt = 0;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/usagereporter.cpp
+++ b/src/libtrefoilarch/usagereporter.cpp
@@ -85,7 +85,8 @@
     return std::nullopt;
   }
   return UsageReply{ .mFencingToken = mDuty.Record().mFencingToken,
-                     .mUnixTime = UnixTime(aNow) };
+                     .mUnixTime = UnixTime(aNow),
+                     .mFixedWindow = mDuty.LastFixed(kSubject) };
 }
 
 Millis
--- a/src/libtrefoilarch/usageupdate.h
+++ b/src/libtrefoilarch/usageupdate.h
@@ -45,6 +45,8 @@
   uint64_t mFencingToken = 0;
   /** The Unix time that the fleet has agreed on, when the reply was sent. */
   Millis mUnixTime;
+  /** The last window whose report is fixed: its counts are of no more use. */
+  uint64_t mFixedWindow = 0;
 
   bool operator==(const UsageReply&) const = default;
 };
--- a/src/libtrefoilgate/usagedatagram.cpp
+++ b/src/libtrefoilgate/usagedatagram.cpp
@@ -107,8 +107,10 @@
 std::vector<uint8_t>
 EncodeUsageReply(const UsageReply& aReply)
 {
-  return Json::to_msgpack(Json::array(
-    { kReplyFormat, aReply.mFencingToken, UnsignedMillis(aReply.mUnixTime) }));
+  return Json::to_msgpack(Json::array({ kReplyFormat,
+                                        aReply.mFencingToken,
+                                        UnsignedMillis(aReply.mUnixTime),
+                                        aReply.mFixedWindow }));
 }
 
 std::optional<UsageReply>
@@ -118,14 +120,16 @@
     return std::nullopt;
   }
   const Json json = Json::from_msgpack(aBytes, true, false);
-  const bool valid = json.is_array() && json.size() == 3 &&
+  const bool valid = json.is_array() && json.size() == 4 &&
                      json[0] == kReplyFormat && IsAtMost(json[1], kMaxNumber) &&
-                     IsAtMost(json[2], kMaxNumber);
+                     IsAtMost(json[2], kMaxNumber) &&
+                     IsAtMost(json[3], kMaxNumber);
   if (!valid) {
     return std::nullopt;
   }
   return UsageReply{ .mFencingToken = json[1].get<uint64_t>(),
-                     .mUnixTime = Millis(json[2].get<int64_t>()) };
+                     .mUnixTime = Millis(json[2].get<int64_t>()),
+                     .mFixedWindow = json[3].get<uint64_t>() };
 }
 
 } // namespace trefoilgate
--- a/src/libtrefoilgate/usageservice.cpp
+++ b/src/libtrefoilgate/usageservice.cpp
@@ -25,9 +25,10 @@
  * not sent yet are lost with it. */
 constexpr Millis kMinSendInterval{ 200 };
 
-/** Added for each entry, so that a coordinator receives fewer than 170 updates
- * per second. */
-constexpr Millis kSendIntervalPerEntry{ 6 };
+/** In a larger fleet the interval grows by this for each entry, so that a
+ * coordinator receives some 70 updates per second. What a killed entry has not
+ * sent is then the same share of the fleet's requests. */
+constexpr Millis kSendIntervalPerEntry{ 14 };
 
 /** Share of the lease duration after which it is renewed. */
 constexpr int64_t kRenewDivisor = 3;
@@ -104,9 +105,8 @@
         [this](const UsageUpdate& aUpdate) { return OnUpdate(aUpdate); },
       .mOnReply =
         [this](const UsageReply& aReply) {
-          const Millis now = BootNow();
-          mTime.OnReply(aReply, now);
-          mReporter.Duty().OnHolderHeard(aReply.mFencingToken, now);
+          OnReply(aReply);
+          mReporter.Duty().OnHolderHeard(aReply.mFencingToken, BootNow());
         },
       .mSetGauges = [this](GateMetrics& aMetrics) { SetGauges(aMetrics); },
       .mState = [this] { return State(); } });
@@ -126,6 +126,13 @@
   return mReporter.OnUpdate(aUpdate, BootNow());
 }
 
+void
+UsageService::OnReply(const UsageReply& aReply)
+{
+  mTime.OnReply(aReply, BootNow());
+  mCounter.OnFixed(aReply.mFixedWindow);
+}
+
 void
 UsageService::Tick()
 {
@@ -138,7 +145,8 @@
   if (actions.mMissed) {
     LogMissed(*actions.mMissed);
   }
-  if (now - mSentAt >= SendInterval()) {
+  const Millis unixTime = mTime.UnixTime(WallNow(), now);
+  if (now - mSentAt >= SendInterval() || mCounter.HasEndedWindow(unixTime)) {
     SendCounts(now);
     mSentAt = now;
   }
@@ -159,7 +167,7 @@
       continue;
     }
     if (const auto reply = OnUpdate(each)) {
-      mTime.OnReply(*reply, aNow);
+      OnReply(*reply);
     }
   }
 }
--- a/src/libtrefoilgate/usageservice.h
+++ b/src/libtrefoilgate/usageservice.h
@@ -61,6 +61,7 @@
   void Count(const std::string& aWorkspace);
   std::optional<trefoilarch::UsageReply> OnUpdate(
     const trefoilarch::UsageUpdate& aUpdate);
+  void OnReply(const trefoilarch::UsageReply& aReply);
   void Tick();
   void SendCounts(Millis aNow);
   Millis SendInterval() const;
--- a/tests/platform/usagedatagramtest.cpp
+++ b/tests/platform/usagedatagramtest.cpp
@@ -31,7 +31,9 @@
 {
   cr_expect(DecodeUsageUpdate(EncodeUsageUpdate(SampleUpdate())) ==
             SampleUpdate());
-  const UsageReply reply{ .mFencingToken = 12, .mUnixTime = Millis(34) };
+  const UsageReply reply{ .mFencingToken = 12,
+                          .mUnixTime = Millis(34),
+                          .mFixedWindow = 56 };
   cr_expect(DecodeUsageReply(EncodeUsageReply(reply)) == reply);
 }
 
--- a/tests/unit/usagefleet.cpp
+++ b/tests/unit/usagefleet.cpp
@@ -205,7 +205,8 @@
       host.mReporter->OnTick(Wall(host), Local(host));
     Perform(aHost, actions.mDuty);
   }
-  if (Local(host) - host.mSentAt >= Millis(kSendInterval)) {
+  if (Local(host) - host.mSentAt >= Millis(kSendInterval) ||
+      host.mCounter->HasEndedWindow(UnixTime(host))) {
     host.mSentAt = Local(host);
     SendCounts(aHost);
   }
@@ -244,6 +245,7 @@
         return;
       }
       from.mTime.OnReply(reply, Local(from));
+      from.mCounter->OnFixed(reply.mFixedWindow);
       if (from.mReporter) {
         from.mReporter->Duty().OnHolderHeard(reply.mFencingToken, Local(from));
       }
--- a/tests/unit/usagereportertest.cpp
+++ b/tests/unit/usagereportertest.cpp
@@ -179,6 +179,22 @@
   cr_expect(counter.TakeDue(Millis(6200), Millis(0), Millis(100)).empty());
 }
 
+Test(usagereporter, a_window_is_sent_until_its_report_is_fixed)
+{
+  UsageCounter counter({ .mEntry = "e", .mProcess = 1 });
+  counter.Count("a", Millis(6000));
+  counter.TakeDue(Millis(6100), Millis(0), Millis(0));
+  cr_expect(counter.HasEndedWindow(Millis(10000)));
+  cr_expect(counter.TakeDue(Millis(10000), Millis(0), Millis(100)).size() == 2);
+  cr_expect(!counter.HasEndedWindow(Millis(10100)));
+  cr_expect(counter.TakeDue(Millis(12000), Millis(0), Millis(2000)).size() ==
+            2);
+  counter.OnFixed(1);
+  const auto updates = counter.TakeDue(Millis(14000), Millis(0), Millis(4000));
+  cr_assert(updates.size() == 1);
+  cr_expect(updates.front().mWindow == 2);
+}
+
 Test(usagereporter, the_reply_with_the_smallest_delay_sets_the_time)
 {
   AgreedTime time;
