Name the end of the pause of a limited upstream

Callers were told to return after 1666 ms with 3 s of the upstream's pause to go. Where the remaining upstreams have a rate limit, a refusal named the time of the next permit, which is cut to a third of the caller's time, before it looked at the pause. It now names the later of the two.

--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -162,11 +162,12 @@
     mPermitRequests += otherUpstream ? 1 : 0;
     return HoldRequest{ .mDelay = kPermitPollInterval };
   }
-  if (mPermit.mCapacityIn) {
-    return Refuse(ErrorKind::Shed, *mPermit.mCapacityIn, aNow);
-  }
-  if (const auto pauseEndsIn = mRouter.PauseEndsIn(mRequest, aNow)) {
-    return Refuse(ErrorKind::Shed, *pauseEndsIn, aNow);
+  const auto pauseEndsIn = mRouter.PauseEndsIn(mRequest, aNow);
+  if (mPermit.mCapacityIn || pauseEndsIn) {
+    // An upstream with a rate limit may be in a pause that ends later.
+    const Millis returnIn = std::max(mPermit.mCapacityIn.value_or(Millis(0)),
+                                     pauseEndsIn.value_or(Millis(0)));
+    return Refuse(ErrorKind::Shed, returnIn, aNow);
   }
   return Refuse(ErrorKind::NoEligibleUpstream, kNoUpstreamRetryAfter, aNow);
 }
