Read load reports of any length and count unreadable ones

A report or fourth figure that can't be read is counted and logged as load_report_unreadable, at most once a second.

--- a/src/libtrefoilgate/dialect.h
+++ b/src/libtrefoilgate/dialect.h
@@ -4,6 +4,7 @@
 #include "upstreamanswer.h"
 
 #include "libtrefoilarch/directrouter.h"
+#include "libtrefoilarch/loadstatement.h"
 
 #include <functional>
 #include <optional>
@@ -57,8 +58,7 @@
     mOutgoing;
   std::function<AnswerValidity(const UpstreamAnswer&, const std::string& aId)>
     mClassify;
-  std::function<std::optional<trefoilarch::ReportedLoad>(const UpstreamAnswer&)>
-    mLoad;
+  std::function<trefoilarch::LoadStatement(const UpstreamAnswer&)> mLoad;
   /** The upstream's rate limit; empty if the answer names none. */
   std::function<std::optional<trefoilarch::NamedLimit>(const UpstreamAnswer&)>
     mLimit = [](const UpstreamAnswer&) { return std::nullopt; };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -216,8 +216,12 @@
 {
   const Millis now = BootNow();
   mContext.mRouter.OnBytesReceived(*mAttempt, now);
-  if (const auto load = mContext.mDialect.mLoad(aAnswer)) {
-    mContext.mRouter.OnReport(*mAttempt, *load, now);
+  const LoadStatement load = mContext.mDialect.mLoad(aAnswer);
+  if (load.mLoad) {
+    mContext.mRouter.OnReport(*mAttempt, *load.mLoad, now);
+  }
+  if (load.mInvalid) {
+    mContext.mOnUnreadableLoad(mAttempt->mUpstream);
   }
   mContext.mRouter.OnRateLimit(
     *mAttempt, mContext.mDialect.mLimit(aAnswer), now);
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -32,6 +32,8 @@
   GateMetrics& mMetrics;
   /** Called when an upstream has begun a request of this workspace. */
   std::function<void(const std::string&)> mOnBegan;
+  /** Called with the upstream whose load report could not be read. */
+  std::function<void(const trefoilarch::UpstreamId&)> mOnUnreadableLoad;
   /** Called when the exchange has ended. */
   std::function<void(Exchange*)> mOnEnded;
 };
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -21,6 +21,8 @@
 constexpr const char* kPolicies = "trefoilarch_gate_policies_total";
 constexpr const char* kReloads = "trefoilarch_gate_reloads_total";
 constexpr const char* kUnreadable = "trefoilarch_gate_unreadable_rows_total";
+constexpr const char* kUnreadableLoad =
+  "trefoilarch_gate_unreadable_load_reports_total";
 constexpr const char* kLoopLag = "trefoilarch_gate_loop_lag_ms";
 
 /** A metric that is not a gauge. */
@@ -40,6 +42,8 @@
   MetricDescription{ kAttempts, "Attempts at upstreams that ended." },
   MetricDescription{ kPolicies, "Policies that came from the store." },
   MetricDescription{ kUnreadable, "Rows of the store that could not be read." },
+  MetricDescription{ kUnreadableLoad,
+                     "Load reports of upstreams that could not be read." },
   MetricDescription{ kReloads, "Times that the settings were read again." },
   MetricDescription{ kLoopLag, "How late a timer of the event loop fired." },
 };
@@ -259,6 +263,12 @@
   mMetrics.Count(kUnreadable, Label("table", aTable));
 }
 
+void
+GateMetrics::OnUnreadableLoadReport()
+{
+  mMetrics.Count(kUnreadableLoad);
+}
+
 void
 GateMetrics::OnLoopLag(Millis aLag)
 {
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -61,6 +61,7 @@
   void OnAttempt(trefoilarch::AttemptOutcome aOutcome);
   void OnPolicy(std::string_view aResult);
   void OnUnreadableRow(std::string_view aTable);
+  void OnUnreadableLoadReport();
   void OnReload(std::string_view aResult);
   /** Records how late a timer of the event loop fired. */
   void OnLoopLag(trefoilarch::Millis aLag);
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -125,18 +125,21 @@
               [this](const UpstreamId& aUpstream) {
                 mRouter.OnListening(aUpstream);
               } })
-  , mContext{ .mLoop = aLoop,
-              .mRouter = mRouter,
-              .mPool = mPool,
-              .mDialect = mOptions.mDialect,
-              .mLog = mLog,
-              .mMetrics = mMetrics,
-              .mOnBegan =
-                [this](const std::string& aWorkspace) {
-                  mUsageHooks.mOnBegan(aWorkspace);
-                },
-              .mOnEnded =
-                [this](Exchange* aEnded) { OnExchangeEnded(aEnded); } }
+  , mContext{
+    .mLoop = aLoop,
+    .mRouter = mRouter,
+    .mPool = mPool,
+    .mDialect = mOptions.mDialect,
+    .mLog = mLog,
+    .mMetrics = mMetrics,
+    .mOnBegan =
+      [this](const std::string& aWorkspace) {
+        mUsageHooks.mOnBegan(aWorkspace);
+      },
+    .mOnUnreadableLoad =
+      [this](const UpstreamId& aUpstream) { OnUnreadableLoad(aUpstream); },
+    .mOnEnded = [this](Exchange* aEnded) { OnExchangeEnded(aEnded); }
+  }
   , mCallers(aLoop,
              { .mAddress = mOptions.mSettings.mListen,
                .mMaxConnections =
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -200,6 +200,9 @@
   /** Logs changes of the upstreams that are kept although the list lacks
    * them. */
   void LogUnlisted();
+  /** Counts a load report that could not be read, and logs it at a bounded
+   * rate. */
+  void OnUnreadableLoad(const trefoilarch::UpstreamId& aUpstream);
   void LogLimit(const trefoilarch::LimitChange& aChange);
   void LogAvailability(const trefoilarch::AvailabilityChange& aChange);
   /** Sends and logs the update after the current event has been handled. */
@@ -236,6 +239,9 @@
   /** When the last message of each other entry was received. */
   std::map<std::string, Millis> mLastReceivedAt;
   size_t mEntryCount;
+  /** Load reports that could not be read since the last log line of one. */
+  uint64_t mUnreadableLoads = 0;
+  std::optional<Millis> mUnreadableLoadLoggedAt;
   bool mCrashUpdateDue = false;
   bool mExpiryDue = false;
   bool mDraining = false;
--- a/src/libtrefoilgate/gatewayupstreams.cpp
+++ b/src/libtrefoilgate/gatewayupstreams.cpp
@@ -4,11 +4,20 @@
 
 #include <boost/asio/post.hpp>
 
+#include <utility>
+
 /** The gateway's view of the upstreams, and its log lines. */
 namespace trefoilgate {
 
 using namespace trefoilarch;
 
+namespace {
+
+/** Minimum interval between log lines about unreadable load reports. */
+constexpr Millis kUnreadableLoadInterval{ 1000 };
+
+} // namespace
+
 void
 Gateway::ChangeDirectory(const std::function<void(UpstreamDirectory&)>& aChange)
 {
@@ -111,6 +120,23 @@
   mLog.Write(LineKind::StateChange, event, fields);
 }
 
+void
+Gateway::OnUnreadableLoad(const UpstreamId& aUpstream)
+{
+  const Millis now = BootNow();
+  mMetrics.OnUnreadableLoadReport();
+  mUnreadableLoads++;
+  if (mUnreadableLoadLoggedAt &&
+      now - *mUnreadableLoadLoggedAt < kUnreadableLoadInterval) {
+    return;
+  }
+  mUnreadableLoadLoggedAt = now;
+  mLog.Write(LineKind::StateChange,
+             "load_report_unreadable",
+             { { "upstream", aUpstream },
+               { "reports", std::exchange(mUnreadableLoads, 0) } });
+}
+
 void
 Gateway::LogAvailability(const AvailabilityChange& aChange)
 {
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -212,6 +212,13 @@
                         { { "plan", aPlan }, { "times", aTimes } });
 }
 
+void
+PlatformFleet::SetLoadSuffix(size_t aWorker, const std::string& aText) const
+{
+  integration::PostJson("http://" + WorkerAddress(aWorker) + "/control",
+                        { { "load_suffix", aText } });
+}
+
 void
 PlatformFleet::SetLimit(size_t aWorker, const std::string& aLimit) const
 {
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -80,6 +80,8 @@
   void SetLeaving(size_t aWorker, const std::string& aText) const;
   /** The worker refuses requests and asks for a pause; empty: no longer. */
   void SetPause(size_t aWorker, const std::string& aSeconds) const;
+  /** Sets what follows the three figures of the worker's load reports. */
+  void SetLoadSuffix(size_t aWorker, const std::string& aText) const;
   /** Sets the rate limit in the worker's answers; empty for none. */
   void SetLimit(size_t aWorker, const std::string& aLimit) const;
 
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -297,7 +297,10 @@
 Worker::SetHeader(const json& aCommand)
 {
   const std::pair<const char*, std::string*> headers[] = {
-    { "limit", &mRateLimit }, { "leaving", &mLeaving }, { "pause", &mPause }
+    { "limit", &mRateLimit },
+    { "leaving", &mLeaving },
+    { "pause", &mPause },
+    { "load_suffix", &mLoadSuffix }
   };
   bool found = false;
   for (const auto& [name, text] : headers) {
@@ -524,8 +527,9 @@
   if (aSealed) {
     head += "X-Response-Seal: seal-" + mId + "\r\n";
   }
-  head += "X-Instance-Load: " + std::to_string(mRunning.load()) + ",0,8\r\n";
   const std::lock_guard lock(mMutex);
+  head += "X-Instance-Load: " + std::to_string(mRunning.load()) + ",0,8" +
+          mLoadSuffix + "\r\n";
   if (!mRateLimit.empty()) {
     head += "Server-Limit: " + mRateLimit + "\r\n";
   }
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -44,6 +44,8 @@
  *                 in the middle of the next), once=1 (a run that resumes
  *                 after Last-Event-Id is not cut)
  *
+ * POST /control {"load_suffix":TEXT} adds that to the load report of all
+ * further responses;
  * POST /control {"limit":TEXT} adds that rate limit to all further responses;
  * an empty TEXT removes it.
  *
@@ -106,6 +108,7 @@
   std::string mPlanOverride;
   int mOverridesLeft = 0;
   std::string mRateLimit;
+  std::string mLoadSuffix;
   std::string mLeaving;
   std::string mPause;
   nlohmann::json mRefusals = nlohmann::json::array();
