Move requests, attempts and outgoing updates out of the direct router

Parts that decide about requests need BoundRequest and PlacedAttempt without depending on the router. What is collected for the next update to peers has a class of its own.

--- a/src/libtrefoilarch/directlimits.cpp
+++ b/src/libtrefoilarch/directlimits.cpp
@@ -27,7 +27,9 @@
 void
 DirectRouter::ReportLimitChanges()
 {
-  mHasPeerUpdate = mHasPeerUpdate || mLimits.HasUpdate();
+  if (mLimits.HasUpdate()) {
+    mPeerUpdates.MarkChanged();
+  }
   for (const LimitChange& change : mLimits.TakeChanges()) {
     mOptions.mOnLimitChange(change);
   }
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -23,10 +23,6 @@
                   .mMessage = std::move(aMessage) };
 }
 
-/** Maximum number of prompts kept for the next update to peers. Peers that
- * miss one may prefill its prefix again. */
-constexpr size_t kMaxSentPrompts = 64;
-
 } // namespace
 
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
@@ -40,8 +36,8 @@
   , mTiers(mOptions.mSeed)
   , mRetries(mOptions.mRetries)
   , mRandom(mOptions.mSeed)
+  , mPeerUpdates(mOptions.mName, mRandom())
 {
-  mProcess = mRandom();
 }
 
 bool
@@ -220,21 +216,15 @@
                    .mTokens = aChoice.mWork.mPrefill + aChoice.mWork.mOutput };
   mPlacement.PrefixCaches().OnSent(
     sent.mUpstream, sent.mSegments, sent.mTokens, aNow);
-  mHasPeerUpdate = true;
-  if (mSent.size() < kMaxSentPrompts) {
-    mSent.push_back(std::move(sent));
-  }
+  mPeerUpdates.OnSent(std::move(sent));
 }
 
 PeerUpdate
 DirectRouter::TakePeerUpdate(Millis aNow)
 {
-  PeerUpdate update{ .mFrom = mOptions.mName,
-                     .mProcess = mProcess,
-                     .mSequence = ++mUpdateSequence,
-                     .mSent = std::exchange(mSent, {}),
-                     .mDemands = mPools.Demands(aNow),
-                     .mLimits = mLimits.TakeReports(aNow) };
+  PeerUpdate update = mPeerUpdates.Take(AllPeersReporting(), aNow);
+  update.mDemands = mPools.Demands(aNow);
+  update.mLimits = mLimits.TakeReports(aNow);
   for (const auto& [id, tracked] : mTracked) {
     if (tracked.mWork.Pending().All() > 0) {
       update.mPending.push_back({ id, tracked.mWork.Pending() });
@@ -244,16 +234,6 @@
       update.mSilent.push_back({ .mUpstream = id, .mSilence = silence });
     }
   }
-  const auto reports = std::exchange(mReports, {});
-  if (AllPeersReporting()) {
-    for (const auto& [id, report] : reports) {
-      update.mReports.push_back(
-        { .mUpstream = id, .mLoad = report.mLoad, .mAge = aNow - report.mAt });
-    }
-  }
-  const auto answered = std::exchange(mAnswered, {});
-  update.mAnswered.assign(answered.begin(), answered.end());
-  mHasPeerUpdate = false;
   return update;
 }
 
@@ -353,14 +333,14 @@
     tracked->mWork.OnStarted(aAttempt.mWork);
     const Millis firstTokenTime = aNow - aAttempt.mSentAt;
     mOutliers.OnFirstToken(aAttempt.mUpstream, firstTokenTime, aNow);
-    mAnswered.insert(aAttempt.mUpstream);
+    mPeerUpdates.OnAnswered(aAttempt.mUpstream);
     if (aAttempt.mWork.mPrefill > 0) {
       mEngineModel.OnStarted(aAttempt.mService,
                              aAttempt.mUpstream,
                              aAttempt.mPrefillBacklog,
                              firstTokenTime,
                              aNow);
-      mHasPeerUpdate = true;
+      mPeerUpdates.MarkChanged();
     }
   }
 }
@@ -373,7 +353,7 @@
   if (TrackedUpstream* tracked = FindTracked(aAttempt)) {
     tracked->mWork.OnReport(aLoad, aNow);
     if (aAttempt.mWork.mOutput > 0) {
-      mReports[aAttempt.mUpstream] = { .mLoad = aLoad, .mAt = aNow };
+      mPeerUpdates.OnReport(aAttempt.mUpstream, aLoad, aNow);
     }
   }
 }
@@ -392,7 +372,9 @@
   }
   TrackedUpstream* tracked = FindTracked(aAttempt);
   if (tracked != nullptr) {
-    mHasPeerUpdate = mHasPeerUpdate || !aAttempt.mStarted;
+    if (!aAttempt.mStarted) {
+      mPeerUpdates.MarkChanged();
+    }
     tracked->mWork.OnEnded(aAttempt.mWork, aAttempt.mStarted, aNow);
     if (!tracked->mListed && tracked->mWork.Open() == 0) {
       mTracked.erase(aAttempt.mUpstream);
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arrivalrate.h"
+#include "boundrequest.h"
 #include "crashdetector.h"
 #include "dedicatedpools.h"
 #include "engineadmission.h"
@@ -10,12 +11,12 @@
 #include "outlierdetector.h"
 #include "pauserecord.h"
 #include "peersilence.h"
+#include "peerupdatebuilder.h"
 #include "peerwork.h"
 #include "permitissuer.h"
 #include "permitrequester.h"
-#include "prompt.h"
+#include "placedattempt.h"
 #include "quarantine.h"
-#include "requestfingerprint.h"
 #include "retrybudget.h"
 #include "routeindex.h"
 #include "sharedsegmentdetector.h"
@@ -82,40 +83,6 @@
   uint64_t mSeed = 1;
 };
 
-/** Attributes of a caller's request; views into the request. */
-struct RequestAttributes
-{
-  std::string_view mHost;
-  std::string_view mPath;
-  std::string mKey;
-  /** When its first byte was received. */
-  Millis mArrivedAt;
-  /** How long the caller waits, from mArrivedAt. */
-  std::optional<Millis> mCallerTimeout;
-  PromptShape mPrompt;
-};
-
-/** A request with its route and workspace. Keeps its policy alive. */
-struct BoundRequest
-{
-  std::shared_ptr<const RouteIndex> mIndex;
-  const Route* mRoute = nullptr;
-  std::string mService;
-  /** Empty on a public route. */
-  std::string mWorkspace;
-  std::string mKey;
-  /** The workspace's or else the route's. */
-  uint8_t mPriority = 0;
-  /** The route's, which orders requests of the same priority. */
-  uint8_t mRoutePriority = 0;
-  PromptShape mPrompt;
-  /** Zero if the caller of Bind() sets none: no crash is attributed to it. */
-  RequestFingerprint mFingerprint;
-  Millis mArrivedAt;
-  /** The earlier of the caller's deadline and the route's timeout. */
-  Millis mDeadline;
-};
-
 /** What a request that is being placed may wait for. */
 struct PermitWait
 {
@@ -128,38 +95,6 @@
   std::optional<Millis> mCapacityIn;
 };
 
-/** An attempt at an upstream, to be passed to OnEnded() when it ends. */
-struct PlacedAttempt
-{
-  UpstreamId mUpstream;
-  /** The upstream's incarnation to which the attempt is sent. */
-  uint64_t mIncarnationNumber = 0;
-  RequestFingerprint mFingerprint;
-  std::string mService;
-  std::string mRoute;
-  std::string mAddress;
-  /** The upstream's process, as listed when the attempt was placed. */
-  UpstreamProcess mProcess;
-  AttemptWork mWork;
-  /** The engine's prefill backlog, as known when the attempt was sent. */
-  PrefillBacklog mPrefillBacklog;
-  /** Of an upstream that has more of the prompt cached, or empty. */
-  std::string mHolderAddress;
-  /** The upstream that keeps a copy of the running request, or empty. */
-  UpstreamId mBackup;
-  uint64_t mBackupIncarnationNumber = 0;
-  std::string mBackupAddress;
-  /** Of the upstream that ran the request before and left a copy of it at this
-   * one, or empty. */
-  std::string mCopySourceAddress;
-  Millis mSentAt;
-  Millis mStartedAt;
-  bool mStarted = false;
-  /** Whether a complete response proves that the request doesn't crash
-   * upstreams. */
-  bool mProvesHarmless = true;
-};
-
 /** An upstream process that ended with requests in progress. */
 struct UpstreamCrash
 {
@@ -331,7 +266,7 @@
   void OnPause(const PlacedAttempt& aAttempt, Millis aPause, Millis aNow);
 
   /** Whether there is state that peers haven't received yet. */
-  bool HasPeerUpdate() const { return mHasPeerUpdate; }
+  bool HasPeerUpdate() const { return mPeerUpdates.HasChanges(); }
   /** All state that peers need; marks it as sent. */
   PeerUpdate TakePeerUpdate(Millis aNow);
   void OnPeerUpdate(const PeerUpdate& aUpdate, Millis aNow);
@@ -365,11 +300,6 @@
     /** End of its slow phase after its start. */
     Millis mColdUntil;
   };
-  struct TimedReport
-  {
-    ReportedLoad mLoad;
-    Millis mAt;
-  };
   using Candidates = std::vector<PlacementCandidate>;
 
   /** Null if the attempt's incarnation has ended. */
@@ -475,18 +405,10 @@
   size_t mEntries = 1;
   /** Arrivals of requests with a prompt at this entry, by service. */
   std::unordered_map<std::string, ArrivalRate> mArrivalRates;
-  bool mHasPeerUpdate = false;
-  std::vector<SentPrompt> mSent;
-  /** Reports not yet sent to peers, with their time of arrival. */
-  std::unordered_map<UpstreamId, TimedReport> mReports;
-  /** Upstreams that have responded, for the next update to peers. */
-  std::set<UpstreamId> mAnswered;
-  uint64_t mUpdateSequence = 0;
-  /** Distinguishes this process from its successors of the same name. */
-  uint64_t mProcess = 0;
   TierGuard mTiers;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
+  PeerUpdateBuilder mPeerUpdates;
   /** Whether a request that may run only once probes an upstream: rarely, but
    * if there are no other requests nothing else would probe it. */
   std::bernoulli_distribution mProbeProbability{ 0.2 };
--- /dev/null
+++ b/src/libtrefoilarch/placedattempt.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "enginemodel.h"
+#include "ids.h"
+#include "millis.h"
+#include "requestfingerprint.h"
+#include "upstreamprocess.h"
+#include "upstreamwork.h"
+
+#include <cstdint>
+#include <string>
+
+namespace trefoilarch {
+
+/** An attempt at an upstream, to be passed to OnEnded() when it ends. */
+struct PlacedAttempt
+{
+  UpstreamId mUpstream;
+  /** The upstream's incarnation to which the attempt is sent. */
+  uint64_t mIncarnationNumber = 0;
+  RequestFingerprint mFingerprint;
+  std::string mService;
+  std::string mRoute;
+  std::string mAddress;
+  /** The upstream's process, as listed when the attempt was placed. */
+  UpstreamProcess mProcess;
+  AttemptWork mWork;
+  /** The engine's prefill backlog, as known when the attempt was sent. */
+  PrefillBacklog mPrefillBacklog;
+  /** Of an upstream that has more of the prompt cached, or empty. */
+  std::string mHolderAddress;
+  /** The upstream that keeps a copy of the running request, or empty. */
+  UpstreamId mBackup;
+  uint64_t mBackupIncarnationNumber = 0;
+  std::string mBackupAddress;
+  /** Of the upstream that ran the request before and left a copy of it at this
+   * one, or empty. */
+  std::string mCopySourceAddress;
+  Millis mSentAt;
+  Millis mStartedAt;
+  bool mStarted = false;
+  /** Whether a complete response proves that the request doesn't crash
+   * upstreams. */
+  bool mProvesHarmless = true;
+};
+
+} // namespace trefoilarch
