Exchange load updates between entries and show them to operators

Entries had no way to tell each other how fast upstreams are, how much engine memory their requests use, and what workspaces demand. DirectRouter owns the LoadTracker; the gate serves it at /v1/upstreams/slow and /v1/workspaces, in the dump and as gauges, and trefoilarchctl shows it with slow and shares. The settings upstream-performance, engine-memory and fair-shares switch the parts.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -23,6 +23,15 @@
                   .mMessage = std::move(aMessage) };
 }
 
+LoadTrackerOptions
+LoadOptionsOf(const DirectRouterOptions& aOptions, uint64_t aProcess)
+{
+  LoadTrackerOptions options = aOptions.mLoad;
+  options.mName = aOptions.mName;
+  options.mProcess = aProcess;
+  return options;
+}
+
 /** Maximum number of prompts kept for the next update to peers. Peers that
  * miss one may prefill its prefix again. */
 constexpr size_t kMaxSentPrompts = 64;
@@ -40,8 +49,9 @@
   , mTiers(mOptions.mSeed)
   , mRetries(mOptions.mRetries)
   , mRandom(mOptions.mSeed)
+  , mProcess(mRandom())
+  , mLoad(LoadOptionsOf(mOptions, mProcess))
 {
-  mProcess = mRandom();
 }
 
 bool
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -7,6 +7,7 @@
 #include "enginemodel.h"
 #include "errors.h"
 #include "freshness.h"
+#include "loadtracker.h"
 #include "outlierdetector.h"
 #include "pauserecord.h"
 #include "peersilence.h"
@@ -68,6 +69,8 @@
   PlacementCost mPlacementCost;
   QuarantineOptions mQuarantine;
   DirectoryOptions mDirectory;
+  /** Its name and process are set by the router. */
+  LoadTrackerOptions mLoad;
   /** Called for crash updates that peers need at once, or changes to be
    * logged. */
   std::function<void()> mOnCrashUpdate = [] {};
@@ -342,6 +345,9 @@
   /** Whether there are entries to which this one doesn't send directly. */
   void SetRelays(bool aRelays) { mQuarantine.SetRelays(aRelays); }
 
+  LoadTracker& Load() { return mLoad; }
+  const LoadTracker& Load() const { return mLoad; }
+
   uint64_t Ejections() const { return mOutliers.Ejections(); }
   OutlierState StateOf(const UpstreamId& aUpstream, Millis aNow) const;
   /** Number of listed upstreams by state: "ready", "ejected", "unlisted",
@@ -482,11 +488,12 @@
   /** Upstreams that have responded, for the next update to peers. */
   std::set<UpstreamId> mAnswered;
   uint64_t mUpdateSequence = 0;
-  /** Distinguishes this process from its successors of the same name. */
-  uint64_t mProcess = 0;
   TierGuard mTiers;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
+  /** Distinguishes this process from its successors of the same name. */
+  uint64_t mProcess = 0;
+  LoadTracker mLoad;
   /** Whether a request that may run only once probes an upstream: rarely, but
    * if there are no other requests nothing else would probe it. */
   std::bernoulli_distribution mProbeProbability{ 0.2 };
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -148,6 +148,30 @@
                     "",
                     "How far the host's clock is ahead of the time that the "
                     "fleet has agreed on." },
+  GaugeDescription{ Gauge::UnreadableDatagrams,
+                    "trefoilarch_gate_unreadable_datagrams",
+                    "",
+                    "Datagrams of other gates that could not be read, since "
+                    "the start." },
+  GaugeDescription{ Gauge::SlowUpstreams,
+                    "trefoilarch_gate_slow_upstreams",
+                    "service",
+                    "Upstreams that are slower than usual for their service." },
+  GaugeDescription{ Gauge::WorkspaceDemand,
+                    "trefoilarch_gate_workspace_demand",
+                    "workspace",
+                    "What the workspace asks of the fleet, in ms of engine "
+                    "time per second." },
+  GaugeDescription{ Gauge::WorkspaceShare,
+                    "trefoilarch_gate_workspace_share",
+                    "workspace",
+                    "The workspace's fair share of the fleet, in ms of engine "
+                    "time per second." },
+  GaugeDescription{ Gauge::WorkspaceShedTotal,
+                    "trefoilarch_gate_workspace_shed_total",
+                    "workspace",
+                    "Requests of the workspace that this gate refused for its "
+                    "share." },
 };
 
 constexpr bool
@@ -288,6 +312,13 @@
   mMetrics.SetGauge(gauge.mName, aValue, Label(gauge.mLabel, aLabelValue));
 }
 
+void
+GateMetrics::Remove(Gauge aGauge, std::string_view aLabelValue)
+{
+  const GaugeDescription& gauge = DescriptionOf(aGauge);
+  mMetrics.RemoveGauge(gauge.mName, Label(gauge.mLabel, aLabelValue));
+}
+
 std::string_view
 GateMetrics::RouteLabel(const std::string& aRoute)
 {
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -47,6 +47,11 @@
   UsageWindowAccepted,
   UsageWindowsMissed,
   ClockCorrectionMs,
+  UnreadableDatagrams,
+  SlowUpstreams,      /**< by service */
+  WorkspaceDemand,    /**< by workspace */
+  WorkspaceShare,     /**< by workspace */
+  WorkspaceShedTotal, /**< by workspace */
 };
 
 /** The gateway's metrics; names and help texts are defined in the source
@@ -67,6 +72,8 @@
   void OnLoopLag(trefoilarch::Millis aLag);
   void Set(Gauge aGauge, double aValue);
   void Set(Gauge aGauge, std::string_view aLabelValue, double aValue);
+  /** Removes the gauge's series with this label. */
+  void Remove(Gauge aGauge, std::string_view aLabelValue);
 
   std::string Text() const { return mMetrics.Text(); }
 
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -5,9 +5,11 @@
 namespace trefoilgate {
 
 using trefoilarch::Millis;
+using trefoilarch::PartMode;
 using trefoilio::NotEmpty;
 using trefoilio::NumberBetween;
 using trefoilio::NumericEndpoint;
+using trefoilio::OneOf;
 using trefoilio::SettingSpec;
 
 namespace {
@@ -48,6 +50,28 @@
   return static_cast<int64_t>(std::floor(aValue));
 }
 
+/** A setting that switches a part on or off; see PartMode. */
+SettingSpec
+PartSetting(const char* aName, const std::string& aEffect)
+{
+  return { .mName = aName,
+           .mHelp = aEffect +
+                    " (auto, on or off; auto: for services whose upstreams "
+                    "state their contention)",
+           .mDefault = "auto",
+           .mCheck = OneOf({ "auto", "on", "off" }) };
+}
+
+/** Requires a value that PartSetting() accepts. */
+PartMode
+PartModeOf(const std::string& aText)
+{
+  if (aText == "on") {
+    return PartMode::On;
+  }
+  return aText == "off" ? PartMode::Off : PartMode::Auto;
+}
+
 } // namespace
 
 std::vector<SettingSpec>
@@ -139,6 +163,12 @@
       .mHelp = "memory that the process may use (MB)",
       .mDefault = "512",
       .mCheck = NumberBetween(32, 1 << 20) },
+    PartSetting("upstream-performance",
+                "choose upstreams by their measured speed"),
+    PartSetting("engine-memory",
+                "send engines only requests that fit their memory"),
+    PartSetting("fair-shares",
+                "share overloaded services fairly among workspaces"),
   };
 }
 
@@ -171,6 +201,9 @@
   compare("stop-seconds", &GateSettings::mStopTimeout);
   compare("most-descriptors", &GateSettings::mMaxDescriptors);
   compare("memory-mb", &GateSettings::mMaxBodyBytes);
+  compare("upstream-performance", &GateSettings::mUpstreamPerformance);
+  compare("engine-memory", &GateSettings::mEngineMemory);
+  compare("fair-shares", &GateSettings::mFairShares);
   return names;
 }
 
@@ -206,7 +239,10 @@
     .mUsageWindow = Millis(Floor(usageWindowMillis)),
     .mUsageLateness = Millis(Floor(usageLatenessMillis)),
     .mDutyLease = Millis(Floor(aSettings.Number("duty-lease-ms"))),
-    .mMaxBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyMemoryDivisor
+    .mMaxBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyMemoryDivisor,
+    .mUpstreamPerformance = PartModeOf(aSettings.Text("upstream-performance")),
+    .mEngineMemory = PartModeOf(aSettings.Text("engine-memory")),
+    .mFairShares = PartModeOf(aSettings.Text("fair-shares"))
   };
 }
 
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libtrefoilarch/loadtracker.h"
 #include "libtrefoilarch/millis.h"
 #include "libtrefoilio/settings.h"
 
@@ -42,6 +43,9 @@
   trefoilarch::Millis mDutyLease;
   /** Maximum size in bytes of all callers' bodies held at a time. */
   uint64_t mMaxBodyBytes = 0;
+  trefoilarch::PartMode mUpstreamPerformance = trefoilarch::PartMode::Auto;
+  trefoilarch::PartMode mEngineMemory = trefoilarch::PartMode::Auto;
+  trefoilarch::PartMode mFairShares = trefoilarch::PartMode::Auto;
 
   bool operator==(const GateSettings&) const = default;
 };
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -65,6 +65,14 @@
  * divided by this. */
 constexpr int64_t kUsualGapDivisor = 4;
 
+LoadTrackerOptions
+LoadOptionsOf(const GateSettings& aSettings)
+{
+  return { .mUpstreamPerformance = aSettings.mUpstreamPerformance,
+           .mEngineMemory = aSettings.mEngineMemory,
+           .mFairShares = aSettings.mFairShares };
+}
+
 DirectoryOptions
 DirectoryOptionsOf(const GateSettings& aSettings)
 {
@@ -104,6 +112,7 @@
                                          InitialEntryCount(mOptions.mSettings)),
               .mName = mOptions.mSettings.mName,
               .mDirectory = DirectoryOptionsOf(mOptions.mSettings),
+              .mLoad = LoadOptionsOf(mOptions.mSettings),
               .mOnCrashUpdate = [this] { OnCrashUpdate(); },
               .mOnLimitChange =
                 [this](const LimitChange& aChange) { LogLimit(aChange); },
@@ -199,13 +208,14 @@
 std::string
 Gateway::DumpState() const
 {
-  std::string state = mRouter.DumpState(BootNow());
+  const Millis now = BootNow();
+  nlohmann::json dump = nlohmann::json::parse(mRouter.DumpState(now));
+  dump["slow_upstreams"] = mRouter.Load().SlowUpstreams(now).at("slow");
+  dump["workspaces"] = mRouter.Load().Workspaces(now).at("workspaces");
   nlohmann::json usage = mUsageHooks.mState();
-  if (usage.is_null()) {
-    return state;
+  if (!usage.is_null()) {
+    dump["usage"] = std::move(usage);
   }
-  nlohmann::json dump = nlohmann::json::parse(state);
-  dump["usage"] = std::move(usage);
   return dump.dump();
 }
 
@@ -337,7 +347,13 @@
         return mUsageHooks.mOnUpdate(aUpdate);
       },
     .mOnUsageReply =
-      [this](const UsageReply& aReply) { mUsageHooks.mOnReply(aReply); }
+      [this](const UsageReply& aReply) { mUsageHooks.mOnReply(aReply); },
+    .mHasLoadUpdate = [this] { return mRouter.Load().HasUpdate(BootNow()); },
+    .mTakeLoadUpdate = [this] { return mRouter.Load().TakeUpdate(BootNow()); },
+    .mOnLoadUpdate =
+      [this](const LoadUpdate& aUpdate) {
+        mRouter.Load().OnUpdate(aUpdate, BootNow());
+      }
   };
 }
 
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -8,6 +8,7 @@
 #include "exchange.h"
 #include "gatemetrics.h"
 #include "gatesettings.h"
+#include "loadgauges.h"
 #include "peerlink.h"
 
 #include "libtrefoilarch/directrouter.h"
@@ -216,6 +217,7 @@
   GatewayOptions mOptions;
   DecisionLog mLog;
   GateMetrics mMetrics;
+  LoadGauges mLoadGauges{ mMetrics };
   trefoilarch::DirectRouter mRouter;
   ConnectionPool mPool;
   ExchangeContext mContext;
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -41,6 +41,14 @@
       } },
     { "/v1/status", [this] { return JsonResponse(StatusText()); } },
     { "/v1/quarantine", [this] { return JsonResponse(QuarantineText()); } },
+    { "/v1/upstreams/slow",
+      [this] {
+        return JsonResponse(mRouter.Load().SlowUpstreams(BootNow()).dump());
+      } },
+    { "/v1/workspaces",
+      [this] {
+        return JsonResponse(mRouter.Load().Workspaces(BootNow()).dump());
+      } },
     { "/dump", dump },
     { "/state", dump }
   };
@@ -164,12 +172,15 @@
   setGauge(Gauge::Quarantined, mRouter.CrashQuarantine().Quarantined().size());
   setGauge(Gauge::LimitedUpstreams, mRouter.Limits().Limited());
   setGauge(Gauge::LogLinesLeftOut, mLog.LeftOut());
+  setGauge(Gauge::UnreadableDatagrams, mPeers.UnreadableCount());
   for (const auto& [service, left] : mRouter.RetriesLeft()) {
     mMetrics.Set(Gauge::RetriesLeft, service, left);
   }
   for (const auto& [state, upstreams] : mRouter.UpstreamsByState(now)) {
     mMetrics.Set(Gauge::Upstreams, state, upstreams);
   }
+  mLoadGauges.SetSlowUpstreams(mRouter.Load().SlowUpstreams(now));
+  mLoadGauges.SetWorkspaces(mRouter.Load().Workspaces(now));
   mUsageHooks.mSetGauges(mMetrics);
   return mMetrics.Text();
 }
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -3,6 +3,7 @@
 #include "bootclock.h"
 #include "connectionpool.h"
 #include "crashdatagram.h"
+#include "loaddatagram.h"
 #include "looptimer.h"
 #include "permitdatagram.h"
 #include "usagedatagram.h"
@@ -34,6 +35,16 @@
 constexpr size_t kMaxReceivers = trefoilarch::PeerRing::kMaxReceivers;
 constexpr Millis kLargeFleetInterval{ 640 };
 
+/** Minimum interval between load updates; they describe averages over
+ * seconds. */
+constexpr Millis kLoadInterval{ 500 };
+/** In a larger fleet an entry sends to 40 others: 24 KB/s if all updates are
+ * of the maximum size. */
+constexpr Millis kLargeFleetLoadInterval{ 2000 };
+
+/** Interval at which the load timer checks for an update to send. */
+constexpr Millis kLoadTickInterval{ 100 };
+
 std::string
 TextOf(const boost::asio::ip::udp::endpoint& aEndpoint)
 {
@@ -50,6 +61,7 @@
   , mHooks(std::move(aHooks))
   , mSocket(aLoop)
   , mTimer(aLoop)
+  , mLoadTimer(aLoop)
 {
 }
 
@@ -66,6 +78,7 @@
   mSocket.non_blocking(true);
   Listen();
   Tick();
+  TickLoad();
 }
 
 void
@@ -74,6 +87,7 @@
   boost::system::error_code ignored;
   mSocket.close(ignored);
   mTimer.cancel();
+  mLoadTimer.cancel();
 }
 
 void
@@ -145,6 +159,10 @@
     OnUsageUpdate(*usage);
   } else if (const auto usageReply = DecodeUsageReply(bytes)) {
     mHooks.mOnUsageReply(*usageReply);
+  } else if (const auto loadUpdate = DecodeLoadUpdate(bytes)) {
+    mHooks.mOnLoadUpdate(*loadUpdate);
+  } else {
+    mUnreadableCount++;
   }
 }
 
@@ -196,6 +214,23 @@
   RunAfter(mTimer, SendInterval(), [this] { Tick(); });
 }
 
+void
+PeerLink::TickLoad()
+{
+  const Millis now = BootNow();
+  const Millis interval =
+    IsLargeFleet() ? kLargeFleetLoadInterval : kLoadInterval;
+  const bool due = !mLastLoadSentAt || now - *mLastLoadSentAt >= interval;
+  if (due && !mReceivers.empty() && mHooks.mHasLoadUpdate()) {
+    const auto bytes = EncodeLoadUpdate(mHooks.mTakeLoadUpdate());
+    if (!bytes.empty()) {
+      Send(bytes);
+    }
+    mLastLoadSentAt = now;
+  }
+  RunAfter(mLoadTimer, kLoadTickInterval, [this] { TickLoad(); });
+}
+
 void
 PeerLink::SendPeerUpdate()
 {
@@ -235,11 +270,17 @@
 Millis
 PeerLink::SendInterval() const
 {
-  if (mPeers.size() > kMaxReceivers) {
+  if (IsLargeFleet()) {
     return kLargeFleetInterval;
   }
   return std::max(kMinInterval,
                   kIntervalPerPeer * static_cast<int64_t>(mReceivers.size()));
 }
 
+bool
+PeerLink::IsLargeFleet() const
+{
+  return mPeers.size() > kMaxReceivers;
+}
+
 } // namespace trefoilgate
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -3,6 +3,7 @@
 #include "peerdatagram.h"
 
 #include "libtrefoilarch/crashupdate.h"
+#include "libtrefoilarch/loadupdate.h"
 #include "libtrefoilarch/millis.h"
 #include "libtrefoilarch/peerupdate.h"
 #include "libtrefoilarch/permit.h"
@@ -42,6 +43,10 @@
     const trefoilarch::UsageUpdate&)>
     mOnUsageUpdate;
   std::function<void(const trefoilarch::UsageReply&)> mOnUsageReply;
+  /** Whether there is a load update to send. */
+  std::function<bool()> mHasLoadUpdate;
+  std::function<trefoilarch::LoadUpdate()> mTakeLoadUpdate;
+  std::function<void(const trefoilarch::LoadUpdate&)> mOnLoadUpdate;
 };
 
 /**
@@ -83,6 +88,9 @@
   bool SendsToSubset() const { return mReceivers.size() < mPeers.size(); }
   uint64_t SentCount() const { return mSentCount; }
   uint64_t ReceivedCount() const { return mReceivedCount; }
+  /** Datagrams of listed entries that could not be read: invalid ones, and
+   * those of a newer version's type. */
+  uint64_t UnreadableCount() const { return mUnreadableCount; }
 
 private:
   using Udp = boost::asio::ip::udp;
@@ -92,24 +100,30 @@
   void OnDatagram(size_t aBytes);
   void Tick();
   void SendPeerUpdate();
+  /** Sends a load update if there is one and the last one is old enough. */
+  void TickLoad();
   void Send(const std::vector<uint8_t>& aBytes);
   void SendTo(const Udp::endpoint& aPeer, const std::vector<uint8_t>& aBytes);
   void OnPermitRequest(const trefoilarch::PermitRequest& aRequest);
   void OnUsageUpdate(const trefoilarch::UsageUpdate& aUpdate);
   /** Interval between two messages; longer the more receivers there are. */
   Millis SendInterval() const;
+  bool IsLargeFleet() const;
 
   std::string mAddress;
   PeerHooks mHooks;
   Udp::socket mSocket;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mLoadTimer;
   std::set<Udp::endpoint> mPeers;
   std::vector<Udp::endpoint> mReceivers;
   std::array<uint8_t, kMaxDatagramBytes> mBuffer{};
   Udp::endpoint mSender;
   Millis mLastSentAt;
+  std::optional<Millis> mLastLoadSentAt;
   uint64_t mSentCount = 0;
   uint64_t mReceivedCount = 0;
+  uint64_t mUnreadableCount = 0;
 };
 
 } // namespace trefoilgate
--- a/src/libtrefoilio/metrics.cpp
+++ b/src/libtrefoilio/metrics.cpp
@@ -188,6 +188,20 @@
   FindOrInsert(mImpl->mGauges, aName, aLabel) = aValue;
 }
 
+void
+Metrics::RemoveGauge(std::string_view aName, std::string_view aLabel)
+{
+  std::lock_guard lock(mImpl->mMutex);
+  const auto named = mImpl->mGauges.find(aName);
+  if (named == mImpl->mGauges.end()) {
+    return;
+  }
+  const auto labelled = named->second.find(aLabel);
+  if (labelled != named->second.end()) {
+    named->second.erase(labelled);
+  }
+}
+
 void
 Metrics::Observe(std::string_view aName, double aValue, std::string_view aLabel)
 {
--- a/src/libtrefoilio/metrics.h
+++ b/src/libtrefoilio/metrics.h
@@ -28,6 +28,8 @@
   void SetGauge(std::string_view aName,
                 double aValue,
                 std::string_view aLabel = "");
+  /** Removes a series, for labels whose values change without bound. */
+  void RemoveGauge(std::string_view aName, std::string_view aLabel);
   /** Adds a value to a histogram, usually in milliseconds. */
   void Observe(std::string_view aName,
                double aValue,
--- a/src/trefoilarchctl/command.cpp
+++ b/src/trefoilarchctl/command.cpp
@@ -115,6 +115,31 @@
   trefoilarchctl quarantine release 2e931a5e89f733e06676b2a47668df30
 )";
 
+constexpr const char* kSlowHelp =
+  R"(  slow                 upstreams that are slower than usual for their service
+
+FACTOR is the time of work relative to the service's median, 2 is twice as
+slow. SOURCE is `own` where the gate measured it, or `peers` where other gates
+report it.
+
+Examples:
+  trefoilarchctl slow --operator http://10.0.0.5:7100
+  trefoilarchctl slow --json --operator http://10.0.0.5:7100
+)";
+
+constexpr const char* kSharesHelp =
+  R"(  shares               demand and fair share of each workspace by service and
+                       tier, in ms of engine time per second
+
+OVER marks a workspace whose demand is over its share: its requests wait or are
+refused while the service is contended. BORROWED is what it uses of others'
+unused shares. SHED counts its requests that the gate has refused.
+
+Examples:
+  trefoilarchctl shares --operator http://10.0.0.5:7100
+  trefoilarchctl shares --json --operator http://10.0.0.5:7100
+)";
+
 constexpr const char* kExplainHelp =
   R"(  explain ID [FILE] [--json]   a request's lines in a gate's log, and what
                               was logged near it about its upstreams, the
@@ -147,6 +172,8 @@
       "requests that crash upstreams",
       kQuarantineHelp,
       &RunQuarantine },
+    { "slow", "upstreams that are slow", kSlowHelp, &RunSlow },
+    { "shares", "demand and share of workspaces", kSharesHelp, &RunShares },
     { "explain", "what became of a request", kExplainHelp, &RunExplain },
   };
   return kCommands;
--- a/src/trefoilarchctl/command.h
+++ b/src/trefoilarchctl/command.h
@@ -45,6 +45,10 @@
 ExitCode
 RunQuarantine(const std::vector<std::string>& aArguments);
 ExitCode
+RunSlow(const std::vector<std::string>& aArguments);
+ExitCode
+RunShares(const std::vector<std::string>& aArguments);
+ExitCode
 RunExplain(const std::vector<std::string>& aArguments);
 
 } // namespace trefoilarchctl
--- a/tests/integration/ctltest.cpp
+++ b/tests/integration/ctltest.cpp
@@ -175,6 +175,39 @@
   cr_assert(Run({ "policy", "--help" }).mExitCode == 0);
 }
 
+/** An operator can tell who causes an overload, and which upstream is slow,
+ * without reading JSON. */
+Test(ctl, slow_upstreams_and_workspaces_over_their_share_are_shown)
+{
+  FakeOperator fake([](const HttpRequest& aRequest) -> HttpReply {
+    if (aRequest.mTarget == "/v1/upstreams/slow") {
+      return { .mBody = R"({"slow":[{"upstream":"i-7","service":"chat",
+        "factor":2.375,"since_ms":4100,"source":"peers"}]})" };
+    }
+    return { .mBody = R"({"workspaces":[
+      {"service":"chat","workspace":"loud","tier":0,"share":4000,
+       "demand":9000.4,"borrowed":250,"shed":31},
+      {"service":"chat","workspace":"calm","tier":0,"share":4000,
+       "demand":null,"borrowed":0,"shed":0}]})" };
+  });
+  Run slow({ "slow", "--operator", fake.Url() });
+  cr_assert(slow.mExitCode == 0);
+  cr_expect(slow.AwaitOutput("i-7       chat     2.38    4100      peers"));
+  Run shares({ "shares", "--operator", fake.Url() });
+  cr_assert(shares.mExitCode == 0);
+  cr_expect(shares.AwaitOutput(
+    "loud       chat     0     9000    4000   250       31    over"));
+  cr_expect(shares.AwaitOutput(
+    "calm       chat     0     -       4000   0         0     "));
+  Run raw({ "shares", "--json", "--operator", fake.Url() });
+  cr_assert(raw.mExitCode == 0);
+  cr_expect(raw.AwaitOutput(R"({"workspaces":[)"));
+  cr_expect(Run({ "slow", "--operator", kUnreachableUrl }).mExitCode == 5);
+  cr_expect(Run({ "shares", "extra", "--operator", fake.Url() }).mExitCode ==
+            2);
+  cr_expect(Run({ "shares", "--help" }).mExitCode == 0);
+}
+
 Test(ctl, set_keeps_omitted_fields_and_sends_its_base)
 {
   FakeOperator fake([](const HttpRequest& aRequest) -> HttpReply {
--- a/tests/platform/gatesettingstest.cpp
+++ b/tests/platform/gatesettingstest.cpp
@@ -188,6 +188,43 @@
     SettingsWith("TREFOILARCH_DUTY_RECEIVER", "").mDutyReceiver.empty());
 }
 
+/** A mistyped value must not switch a part on or off silently. */
+Test(gatesettings, a_part_is_auto_unless_it_is_set_and_takes_no_other_value)
+{
+  using trefoilarch::PartMode;
+  const struct
+  {
+    std::string mName;
+    std::string mFlag;
+    PartMode GateSettings::*mMember;
+  } parts[] = {
+    { "TREFOILARCH_UPSTREAM_PERFORMANCE",
+      "upstream-performance",
+      &GateSettings::mUpstreamPerformance },
+    { "TREFOILARCH_ENGINE_MEMORY",
+      "engine-memory",
+      &GateSettings::mEngineMemory },
+    { "TREFOILARCH_FAIR_SHARES", "fair-shares", &GateSettings::mFairShares }
+  };
+  const GateSettings plain =
+    ReadGateSettings(*Read(DefaultVariables()).mSettings);
+  for (const auto& [name, flag, member] : parts) {
+    cr_expect(plain.*member == PartMode::Auto);
+    cr_expect(SettingsWith(name, "auto") == plain);
+    cr_expect(SettingsWith(name, "on").*member == PartMode::On);
+    const GateSettings off = SettingsWith(name, "off");
+    cr_expect(off.*member == PartMode::Off);
+    cr_expect(ChangedNames(plain, off) == std::vector<std::string>{ flag });
+    for (const char* invalid : { "", "On", "true", "1" }) {
+      cr_expect(IsRejected(name, flag, invalid), "%s", invalid);
+    }
+    const std::string fault = ReadWith(name, "yes").mFaults.at(0);
+    cr_expect(fault.find("one of auto on off") != std::string::npos,
+              "%s",
+              fault.c_str());
+  }
+}
+
 Test(gatesettings, a_gate_starts_and_serves_with_fractions, .timeout = 30)
 {
   PlatformFleet fleet({ .mRetrySlack = 36.1764705882353, .mMemoryMb = 88.5 });
--- a/tests/platform/metricstexttest.cpp
+++ b/tests/platform/metricstexttest.cpp
@@ -119,6 +119,22 @@
   }));
 }
 
+/** Operators find the cause of slow answers and refusals at any gate. */
+Test(metricstext, slow_upstreams_and_workspaces_are_at_the_operator_port)
+{
+  const PlatformFleet fleet;
+  const std::string base = "http://" + fleet.OperatorAddress(0);
+  cr_expect(
+    integration::GetJson(base + "/v1/upstreams/slow").at("slow").is_array());
+  cr_expect(
+    integration::GetJson(base + "/v1/workspaces").at("workspaces").is_array());
+  const auto dump = integration::GetJson(base + "/dump");
+  cr_expect(dump.at("slow_upstreams").is_array());
+  cr_expect(dump.at("workspaces").is_array());
+  cr_expect(ValueOf(fleet.Metrics(), "trefoilarch_gate_unreadable_datagrams") ==
+            0);
+}
+
 Test(metricstext, the_dump_shows_policy_and_upstreams)
 {
   const PlatformFleet fleet;
