--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -23,6 +23,15 @@
                   .mMessage = std::move(aMessage) };
 }
 
+LoadTrackerOptions
+LoadOptionsOf(const DirectRouterOptions& aOptions, uint64_t aProcess)
+{
+  LoadTrackerOptions options = aOptions.mLoad;
+  options.mName = aOptions.mName;
+  options.mProcess = aProcess;
+  return options;
+}
+
 } // namespace
 
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
@@ -36,7 +45,9 @@
   , mTiers(mOptions.mSeed)
   , mRetries(mOptions.mRetries)
   , mRandom(mOptions.mSeed)
-  , mPeerUpdates(mOptions.mName, mRandom())
+  , mProcess(mRandom())
+  , mPeerUpdates(mOptions.mName, mProcess)
+  , mLoad(LoadOptionsOf(mOptions, mProcess))
 {
 }
 
