--- a/src/libtrefoilarch/fairshare/fairshare.h
+++ b/src/libtrefoilarch/fairshare/fairshare.h
@@ -74,7 +74,8 @@
  * reports that of its own callers, and computes the shares from what it hears.
  * A workspace whose demand exceeds its share by more than the error of its
  * measurement is admitted at the rate of its share, each entry by its part of
- * the demand. Others are admitted always.
+ * the demand. Others are admitted always. A tier is contended if it or a more
+ * urgent tier is under pressure.
  *
  * Demand counts every request, admitted or refused. Refused ones, which include
  * repeats, count up to mMaxExcess times the share; a higher demand wouldn't
--- a/src/libtrefoilarch/fairshare/returnspread.h
+++ b/src/libtrefoilarch/fairshare/returnspread.h
@@ -25,10 +25,10 @@
  * grows with the excess of their workspace, so that they don't return at once,
  * and those of a workspace with little excess return first.
  *
- * Bound: refused work W returns at a mean rate of at most W divided by the
- * interval. For a burst, whose work W is the demand times the time constant,
- * this is at most the share's rate plus W/min(interval) if the interval is cut
- * short by the time of the caller.
+ * Bound: work that was refused returns at a mean rate of at most itself divided
+ * by the interval. For a burst of one mIntervalPerExcess, of which the excess
+ * over the share is refused, this is less than the rate of the share, unless
+ * mMaxInterval or the caller's time limit the interval.
  */
 class ReturnSpread
 {
--- a/src/libtrefoilarch/fairshare/sharecapacity.cpp
+++ b/src/libtrefoilarch/fairshare/sharecapacity.cpp
@@ -121,9 +121,10 @@
     mOptions.mIncrease * std::max(1 - 2 * mPressure / target, 0.0);
   const double decrease =
     mOptions.mDecrease * std::max(mPressure - target, 0.0);
-  mCorrection *= std::exp((increase - decrease) * aElapsedMs / kMillisPerSecond);
-  mCorrection = std::clamp(
-    mCorrection, mOptions.mMinCorrection, mOptions.mMaxCorrection);
+  mCorrection *=
+    std::exp((increase - decrease) * aElapsedMs / kMillisPerSecond);
+  mCorrection =
+    std::clamp(mCorrection, mOptions.mMinCorrection, mOptions.mMaxCorrection);
 }
 
 void
@@ -133,8 +134,7 @@
   if (pressed || aDemand > mCapacity) {
     mContendedAt = aNow;
   }
-  if (mPressure >= mOptions.mOnsetPressure &&
-      aNow - mStartedAt >= kStartTime) {
+  if (mPressure >= mOptions.mOnsetPressure && aNow - mStartedAt >= kStartTime) {
     mLimited = true;
   } else if (aNow - mContendedAt >= mOptions.mEndAfter) {
     mLimited = false;
--- a/src/libtrefoilarch/fairshare/sharecapacity.h
+++ b/src/libtrefoilarch/fairshare/sharecapacity.h
@@ -51,6 +51,8 @@
  * too much. The mean is a figure that all entries have in common and the
  * correction decays, so entries whose measured pressure differs don't drift
  * apart.
+ *
+ * Bound: the capacity is within 0.2 and 6 times the mean rate admitted.
  */
 class ShareCapacity
 {
--- a/tests/unit/fairsharetest.cpp
+++ b/tests/unit/fairsharetest.cpp
@@ -106,17 +106,17 @@
 
 } // namespace
 
-Test(fairshare, modest_are_harmed_by_a_flood_through_all_entries)
+Test(fairshare, flood_through_all_entries_does_not_harm_modest)
 {
   ExpectModestUnharmed(FloodOptions(false));
 }
 
-Test(fairshare, modest_are_harmed_by_a_flood_through_one_entry)
+Test(fairshare, flood_through_one_entry_does_not_harm_modest)
 {
   ExpectModestUnharmed(FloodOptions(true));
 }
 
-Test(fairshare, modest_are_harmed_by_a_flood_with_many_keys)
+Test(fairshare, flood_with_many_keys_does_not_harm_modest)
 {
   FleetOptions options = FloodOptions(false);
   WorkspaceLoad& loud = options.mLoads[kLoud];
@@ -127,14 +127,14 @@
   ExpectModestUnharmed(options);
 }
 
-Test(fairshare, modest_are_harmed_when_half_of_the_fleet_is_cut_off)
+Test(fairshare, flood_does_not_harm_modest_when_half_of_the_fleet_is_cut_off)
 {
   FleetOptions options = FloodOptions(false);
   options.mCutFrom = Millis(2000);
   ExpectModestUnharmed(options);
 }
 
-Test(fairshare, modest_are_harmed_when_updates_are_lost_or_doubled)
+Test(fairshare, flood_does_not_harm_modest_when_updates_are_lost_or_doubled)
 {
   FleetOptions options = FloodOptions(true);
   options.mLossPercent = 30;
@@ -142,7 +142,7 @@
   ExpectModestUnharmed(options);
 }
 
-Test(fairshare, modest_are_harmed_when_entries_are_killed_and_new)
+Test(fairshare, flood_does_not_harm_modest_when_entries_are_killed_and_new)
 {
   FleetOptions options = FloodOptions(false);
   options.mKillInterval = Millis(1000);
@@ -150,7 +150,7 @@
 }
 
 /** The size that decides the design. */
-Test(fairshare, large_fleet_with_many_workspaces_admits_over_its_capacity)
+Test(fairshare, large_fleet_with_many_workspaces_keeps_its_capacity)
 {
   FleetOptions options;
   options.mEntries = 340;
@@ -166,7 +166,7 @@
   cr_expect_leq(rate, options.mCapacity * 1.05);
 }
 
-Test(fairshare, higher_tier_is_refused_for_a_flood_in_a_lower_one)
+Test(fairshare, higher_tier_is_not_refused_for_a_flood_in_a_lower_one)
 {
   FleetOptions options = FloodOptions(false);
   for (size_t each = 5; each < options.mLoads.size(); ++each) {
@@ -183,7 +183,7 @@
 
 /** Engines that are far too slow all the time, and 40 entries; every workspace
  * asks 80 times a second. */
-Test(fairshare, workspace_starves_under_lasting_contention)
+Test(fairshare, no_workspace_starves_under_lasting_contention)
 {
   constexpr size_t kEntries = 40;
   std::vector<FairShare> entries(kEntries);
@@ -220,7 +220,7 @@
   }
 }
 
-Test(fairshare, lent_share_is_kept_after_its_owner_returns)
+Test(fairshare, lent_share_is_back_a_second_after_its_owner_returns)
 {
   FleetOptions options;
   const double all = options.mCapacity / options.mCostMs;
@@ -243,7 +243,7 @@
 
 /** A second of nearly four times the capacity; its refused callers return as
  * told. */
-Test(fairshare, refused_callers_return_in_a_second_peak)
+Test(fairshare, refused_callers_do_not_return_in_a_second_peak)
 {
   FleetOptions options = FloodOptions(false);
   options.mCallerTime = Millis(20000);
@@ -264,7 +264,7 @@
   }
 }
 
-Test(fairshare, return_times_pile_up_or_exceed_a_third_of_the_callers_time)
+Test(fairshare, return_times_spread_within_a_third_of_the_callers_time)
 {
   const bool holds = rc::check([] {
     const ReturnSpread spread;
@@ -290,7 +290,7 @@
   cr_assert(holds);
 }
 
-Test(fairshare, weights_are_ignored)
+Test(fairshare, weights_are_not_ignored)
 {
   FleetOptions options;
   const double all = options.mCapacity / options.mCostMs;
@@ -314,7 +314,7 @@
 }
 
 /** The claims are any numbers; the bound is that of MaxMinLevel(). */
-Test(fairshare, max_min_shares_exceed_the_capacity_or_take_from_the_modest)
+Test(fairshare, max_min_shares_use_the_capacity_and_spare_the_modest)
 {
   const bool holds = rc::check([](const std::vector<uint16_t>& aDemands) {
     std::vector<ShareClaim> claims;
@@ -341,7 +341,7 @@
 }
 
 /** Requests and reports in any order, true, doubled, false or absurd. */
-Test(fairshare, shares_exceed_the_capacity_whatever_is_reported)
+Test(fairshare, shares_stay_bounded_whatever_is_reported)
 {
   const bool holds = rc::check([] {
     FairShare share({ .mMaxAccounts = 10 });
@@ -392,7 +392,7 @@
   cr_assert(holds);
 }
 
-Test(fairshare, requests_are_refused_without_contention)
+Test(fairshare, nothing_is_refused_without_contention)
 {
   const bool holds = rc::check([] {
     FairShare share;
@@ -410,7 +410,7 @@
   cr_assert(holds);
 }
 
-Test(fairshare, reports_are_unbounded_or_believed_after_their_lifetime)
+Test(fairshare, reports_are_few_and_lapse)
 {
   FairShare share;
   share.SetEntries(3, 2);
