Join the load parts in the load tracker and ask it for decisions

LoadTracker owns performance, pace, engine memory and shares, exchanges their reports and knows for which services each part is on. The placement adds the cost of broken stream bounds and the factor of an upstream; pools are ordered by speed classes, faster engines towards the strictest streams, and sized by speed; a request waits, returns or is refused when no engine has memory for it; a workspace over its share is refused with its share and demand in the message. Changes are logged. Nothing changes for services whose upstreams don't state their contention.

--- a/src/libtrefoilarch/dedicatedpools.h
+++ b/src/libtrefoilarch/dedicatedpools.h
@@ -75,6 +75,10 @@
    * divided by that of the entries whose demand is known here. */
   double mDemandScale = 1;
   /** Leaving engines belong to no pool. */
+  /** Faster engines are in higher classes; they serve the strictest streams.
+   * A class is 1.4 times as fast as the one below. */
+  std::function<int(const ListedUpstream&)> mSpeedClass =
+    [](const ListedUpstream&) { return 0; };
   std::function<bool(const ListedUpstream&)> mIsLeaving =
     [](const ListedUpstream& aUpstream) { return aUpstream.mLeaving; };
 };
@@ -169,8 +173,10 @@
                                  const PoolSizingInfo& aInfo,
                                  Millis aNow);
   /** The pool of each engine in the order. */
-  static std::vector<size_t> PoolOfEachEngine(const Service& aService,
-                                              size_t aEngines);
+  static std::vector<size_t> PoolOfEachEngine(
+    const Service& aService,
+    const std::vector<const ListedUpstream*>& aEngines,
+    const PoolSizingInfo& aInfo);
   void Decay(Demand& aDemand, Millis aNow) const;
   /** The service's routes with their demand at all known entries. */
   std::map<std::string, RouteDemand> TotalDemand(const std::string& aService,
--- a/src/libtrefoilarch/directlimits.cpp
+++ b/src/libtrefoilarch/directlimits.cpp
@@ -70,7 +70,7 @@
 bool
 DirectRouter::MayHavePermit(const UpstreamId& aUpstream,
                             uint8_t aUrgency,
-                            const PermitWait& aWait,
+                            const PlacementWait& aWait,
                             Millis aNow)
 {
   if (!mLimits.Of(aUpstream)) {
--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 /** Upstream selection and overload checks of DirectRouter. */
 namespace trefoilarch {
@@ -36,35 +37,65 @@
 /** Added load per pool of distance when a copy is placed, in open attempts. */
 constexpr double kPoolDistanceLoad = 20;
 
+std::string
+ShareMessage(const BoundRequest& aRequest, const ShareVerdict& aShare)
+{
+  const auto text = [](double aMsPerSecond) {
+    return std::to_string(std::llround(aMsPerSecond));
+  };
+  return "workspace " + aRequest.mWorkspace + " requests " +
+         text(aShare.mDemand) + " ms/s of engine time, its share is " +
+         text(aShare.mShare);
+}
+
 } // namespace
 
-std::optional<Millis>
+std::optional<OverloadRejection>
 DirectRouter::Overload(const BoundRequest& aRequest, Millis aNow)
 {
   const Route& route = *aRequest.mRoute;
   const Millis limit = aRequest.mDeadline - aRequest.mArrivedAt;
   const double weight = PriorityWeightOf(aRequest.mRoutePriority);
+  const auto rejection = [](Millis aRetryAfter) {
+    return OverloadRejection{ .mRetryAfter = aRetryAfter };
+  };
   // Without updates from peers an entry knows only its own share of the load.
   // The rate of its starts is then more reliable than a forecast.
   const bool hasForecast =
     aRequest.mPrompt.mPromptTokens > 0 && mPeers.Peers() > 0;
   StartMeter& meter = mStartMeters[route.mName];
   if (!hasForecast) {
-    return meter.Refuse(route.mFirstTokenTarget, limit, weight, aNow);
-  }
-  if (const auto late = meter.Refuse(
-        route.mFirstTokenTarget, limit, weight * kReportingPeersWeight, aNow)) {
-    return late;
+    const auto late =
+      meter.Refuse(route.mFirstTokenTarget, limit, weight, aNow);
+    return late ? std::optional(rejection(*late)) : std::nullopt;
   }
   const StartRequirements requirements{ .mTarget = route.mFirstTokenTarget,
                                         .mLimit = limit,
-                                        .mPriorityWeight = weight };
-  const auto late =
-    mEngineAdmission.Refuse(ForecastFor(aRequest, aNow), requirements);
+                                        .mPriorityWeight = weight,
+                                        .mMaxPause = route.mGapTarget };
+  const StartForecast forecast = ForecastFor(aRequest, aNow);
+  auto late = meter.Refuse(
+    route.mFirstTokenTarget, limit, weight * kReportingPeersWeight, aNow);
+  if (!late) {
+    late = mEngineAdmission.Refuse(forecast, requirements);
+    if (late) {
+      late = RetryDelay(aRequest, *late, *late / 2);
+    }
+  }
+  const double pressure = late
+                            ? EngineAdmission::kMaxPressure
+                            : mEngineAdmission.Pressure(forecast, requirements);
+  const double perMs = mEngineModel.PrefillPerMs(aRequest.mService);
+  const ShareVerdict share = mLoad.CheckShare(aRequest, perMs, pressure, aNow);
+  if (!share.mAdmitted) {
+    return OverloadRejection{ .mRetryAfter = share.mReturnAfter,
+                              .mMessage = ShareMessage(aRequest, share) };
+  }
   if (!late) {
     return std::nullopt;
   }
-  return RetryDelay(aRequest, *late, *late / 2);
+  mLoad.OnShareUnused(aRequest, perMs, aNow);
+  return rejection(*late);
 }
 
 Millis
@@ -91,7 +122,8 @@
   return { .mWaitMs = choice.mWaitMs,
            .mPrefillMs = choice.mWork.mPrefill / info.mPrefillPerMs +
                          mEngineModel.MinWaitMs(aRequest.mService),
-           .mAnswerMs = mStartMeters[aRequest.mRoute->mName].AnswerMs() };
+           .mAnswerMs = mStartMeters[aRequest.mRoute->mName].AnswerMs(),
+           .mLongestPauseMs = choice.mForecast.mPace.mLongestPauseMs };
 }
 
 EngineInfo
@@ -109,16 +141,18 @@
   const double perEngine = rate / static_cast<double>(engines);
   const size_t reportingPeers = mPeers.Peers();
   const size_t peers = std::max(reportingPeers, mEntries - 1);
-  return { .mPrefillPerMs = perMs,
-           .mBehindCost =
-             mEngineModel.PrefillMs(service, { .mBehind = 1 }) * perMs,
-           .mMemoryTokens = engine ? listed->mEngine->mMemoryTokens : 0,
-           .mAnswerMs = mEngineModel.AnswerMs(service),
-           .mPeersReporting = reportingPeers > 0,
-           .mReportedPerMs = perEngine * static_cast<double>(reportingPeers),
-           .mUnreportedPerMs =
-             perEngine * static_cast<double>(peers - reportingPeers),
-           .mReportIntervalMs = mPeers.MeanIntervalMs() };
+  EngineInfo info{
+    .mPrefillPerMs = perMs,
+    .mBehindCost = mEngineModel.PrefillMs(service, { .mBehind = 1 }) * perMs,
+    .mMemoryTokens = engine ? listed->mEngine->mMemoryTokens : 0,
+    .mAnswerMs = mEngineModel.AnswerMs(service),
+    .mPeersReporting = reportingPeers > 0,
+    .mReportedPerMs = perEngine * static_cast<double>(reportingPeers),
+    .mUnreportedPerMs = perEngine * static_cast<double>(peers - reportingPeers),
+    .mReportIntervalMs = mPeers.MeanIntervalMs()
+  };
+  mLoad.SetPaceCost(aRequest, info, aNow);
+  return info;
 }
 
 std::optional<PlacedAttempt>
@@ -140,16 +174,19 @@
   ReportAvailabilityChanges();
   RecordAttempt(aRequest, aNow);
   mStartMeters[aRequest.mRoute->mName].OnSent(aNow);
-  return PlacedAttempt{ .mUpstream = backup->mId,
-                        .mIncarnationNumber = backup->mIncarnationNumber,
-                        .mFingerprint = aRequest.mFingerprint,
-                        .mService = backup->mService,
-                        .mRoute = aRequest.mRoute->mName,
-                        .mAddress = backup->mAddress,
-                        .mProcess = backup->Process(),
-                        .mWork = work,
-                        .mCopySourceAddress = aBroken.mAddress,
-                        .mSentAt = aNow };
+  PlacedAttempt attempt{ .mNumber = ++mLastAttempt,
+                         .mUpstream = backup->mId,
+                         .mIncarnationNumber = backup->mIncarnationNumber,
+                         .mFingerprint = aRequest.mFingerprint,
+                         .mService = backup->mService,
+                         .mRoute = aRequest.mRoute->mName,
+                         .mAddress = backup->mAddress,
+                         .mProcess = backup->Process(),
+                         .mWork = work,
+                         .mCopySourceAddress = aBroken.mAddress,
+                         .mSentAt = aNow };
+  mLoad.OnSent(aRequest, attempt, aNow);
+  return attempt;
 }
 
 std::optional<PlacedAttempt>
@@ -157,17 +194,19 @@
                     const std::set<UpstreamId>& aTried,
                     Millis aNow)
 {
-  PermitWait wait{ .mMayRequest = false };
+  PlacementWait wait{ .mMayRequest = false };
   return Place(aRequest, aTried, wait, aNow);
 }
 
 std::optional<PlacedAttempt>
 DirectRouter::Place(const BoundRequest& aRequest,
                     const std::set<UpstreamId>& aTried,
-                    PermitWait& aWait,
+                    PlacementWait& aWait,
                     Millis aNow)
 {
   Candidates candidates = CandidatesFor(aRequest, aTried, aWait, aNow);
+  aWait.mAttempt = aWait.mAttempt > 0 ? aWait.mAttempt : ++mLastAttempt;
+  aWait.mMemory = mLoad.CheckMemory(aRequest, aWait.mAttempt, candidates, aNow);
   const uint8_t urgency = aRequest.mRoutePriority;
   while (!candidates.empty()) {
     const PlacementChoice choice =
@@ -178,7 +217,7 @@
                         aNow);
     const UpstreamId& upstream = choice.mUpstream;
     if (TakePermit(upstream, urgency, aNow)) {
-      return Send(aRequest, choice, candidates, aNow);
+      return Send(aRequest, aWait.mAttempt, choice, candidates, aNow);
     }
     if (mPermits.StateOf(upstream, urgency, aNow) == PermitState::Requested) {
       aWait.mUpstream = upstream;
@@ -195,6 +234,7 @@
 
 PlacedAttempt
 DirectRouter::Send(const BoundRequest& aRequest,
+                   uint64_t aAttempt,
                    const PlacementChoice& aChoice,
                    const Candidates& aCandidates,
                    Millis aNow)
@@ -216,7 +256,8 @@
   const ListedUpstream* backup =
     BackupFor(aRequest, aCandidates, aChoice.mUpstream);
   const ListedUpstream* holder = HolderAt(aChoice.mHolder, aNow);
-  return PlacedAttempt{
+  PlacedAttempt attempt{
+    .mNumber = aAttempt,
     .mUpstream = aChoice.mUpstream,
     .mIncarnationNumber = listed->mIncarnationNumber,
     .mFingerprint = aRequest.mFingerprint,
@@ -234,6 +275,8 @@
     .mBackupAddress = backup != nullptr ? backup->mAddress : "",
     .mSentAt = aNow
   };
+  mLoad.OnSent(aRequest, attempt, aNow);
+  return attempt;
 }
 
 const ListedUpstream*
@@ -258,7 +301,7 @@
 DirectRouter::Candidates
 DirectRouter::CandidatesFor(const BoundRequest& aRequest,
                             const std::set<UpstreamId>& aTried,
-                            const PermitWait& aWait,
+                            const PlacementWait& aWait,
                             Millis aNow)
 {
   const bool repeatable = aRequest.mRoute->mRetryMode != RetryMode::AtMostOnce;
@@ -274,6 +317,10 @@
       .mPrefillPerMs = mEngineModel.PrefillPerMs(aRequest.mService),
       .mSlots = all.empty() ? 0 : all.front()->mSlots,
       .mDemandScale = DemandScale(),
+      .mSpeedClass =
+        [this](const ListedUpstream& aUpstream) {
+          return mLoad.SpeedClass(aUpstream);
+        },
       .mIsLeaving =
         [this](const ListedUpstream& aUpstream) {
           return IsLeaving(aUpstream);
@@ -308,7 +355,9 @@
     }
     (state == OutlierState::Healthy ? healthy : unhealthy).push_back(candidate);
   }
-  return healthy.empty() ? unhealthy : healthy;
+  Candidates& candidates = healthy.empty() ? unhealthy : healthy;
+  mLoad.Describe(aRequest.mService, candidates, aNow);
+  return std::move(candidates);
 }
 
 const ListedUpstream*
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -29,6 +29,7 @@
   LoadTrackerOptions options = aOptions.mLoad;
   options.mName = aOptions.mName;
   options.mProcess = aProcess;
+  options.mShares.mSeed = aOptions.mSeed;
   return options;
 }
 
@@ -57,6 +58,7 @@
   if (mIndex && aPolicy->mVersion <= mIndex->Version()) {
     return false;
   }
+  mLoad.SetWeights(*aPolicy);
   mIndex = std::make_shared<RouteIndex>(std::move(aPolicy));
   return true;
 }
@@ -86,6 +88,7 @@
     tracked.mIncarnation = { .mUpstream = id,
                              .mStartTime = listed.mStartTime.value_or(0) };
     mAvailability.OnListed(id, listed.Process());
+    mLoad.OnListed(listed, aNow);
     tracked.mLeaving = IsLeaving(listed);
     if (tracked.mLeaving) {
       mCrashDetector.OnLeaving(tracked.mIncarnation);
@@ -103,6 +106,7 @@
     }
     mOutliers.Remove(id);
     mEngineModel.Forget(id);
+    mLoad.OnUnlisted(id, aNow);
     mPlacement.PrefixCaches().Forget(id);
     ForgetLimit(id);
     return tracked.mWork.Open() == 0;
@@ -184,20 +188,22 @@
                    bound.mPrompt,
                    aNow,
                    mStartMeters[route->mName].Open());
-  const auto retryAfter = Overload(bound, aNow);
+  const auto overload = Overload(bound, aNow);
   // Only under overload, since it iterates over the demand of all entries.
   const bool peersSendLessUrgent =
-    retryAfter &&
+    overload &&
     mPools.PeersSendLessUrgent(bound.mService, route->mPriority, aNow);
   if (mTiers.Refuses(bound.mService,
                      route->mPriority,
-                     retryAfter.has_value(),
+                     overload.has_value(),
                      aNow,
                      peersSendLessUrgent)) {
+    const OverloadRejection rejection =
+      overload.value_or(OverloadRejection{ .mRetryAfter = kShedRetryAfter });
     return Fail(Refusal{ .mKind = ErrorKind::Shed,
                          .mRan = Ran::No,
-                         .mRetryAfter = retryAfter.value_or(kShedRetryAfter),
-                         .mMessage = "would start too late" });
+                         .mRetryAfter = rejection.mRetryAfter,
+                         .mMessage = rejection.mMessage });
   }
   mRetries.OnFirstAttempt(bound.mService);
   return bound;
@@ -308,6 +314,14 @@
 DirectRouter::OnPause(const PlacedAttempt& aAttempt, Millis aPause, Millis aNow)
 {
   mPauses.OnPause(aAttempt.mRoute, aPause, aNow);
+  if (const TrackedUpstream* tracked = FindTracked(aAttempt)) {
+    mLoad.OnEvent(aAttempt,
+                  { .mUpstream = aAttempt.mUpstream,
+                    .mWork = tracked->mWork,
+                    .mPeerPending = mPeers.Pending(aAttempt.mUpstream) },
+                  aPause,
+                  aNow);
+  }
 }
 
 bool
@@ -381,6 +395,7 @@
   if (mQuarantine.HasUpdate()) {
     mOptions.mOnCrashUpdate();
   }
+  mLoad.OnEnded(aAttempt, aOutcome == AttemptOutcome::Good, aNow);
   TrackedUpstream* tracked = FindTracked(aAttempt);
   if (tracked != nullptr) {
     if (!aAttempt.mStarted) {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -87,8 +87,13 @@
 };
 
 /** What a request that is being placed may wait for. */
-struct PermitWait
+struct PlacementWait
 {
+  /** The attempt's number, kept while the request waits; 0 before. */
+  uint64_t mAttempt = 0;
+  /** Set if all suitable engines lack memory, and why the request isn't
+   * placed. */
+  std::optional<MemoryVerdict> mMemory;
   /** Whether a permit may be requested. */
   bool mMayRequest = true;
   /** The upstream whose permit this request has requested, or empty. */
@@ -98,6 +103,13 @@
   std::optional<Millis> mCapacityIn;
 };
 
+/** A request that should be rejected as engines are overloaded. */
+struct OverloadRejection
+{
+  Millis mRetryAfter;
+  std::string mMessage = "would start too late";
+};
+
 /** An upstream process that ended with requests in progress. */
 struct UpstreamCrash
 {
@@ -168,7 +180,7 @@
    * or none before the permit in aWait arrives. */
   std::optional<PlacedAttempt> Place(const BoundRequest& aRequest,
                                      const std::set<UpstreamId>& aTried,
-                                     PermitWait& aWait,
+                                     PlacementWait& aWait,
                                      Millis aNow);
   /** The same without waiting for a permit. */
   std::optional<PlacedAttempt> Place(const BoundRequest& aRequest,
@@ -276,7 +288,11 @@
   /** Entries that have sent an update recently. */
   size_t Peers() const { return mPeers.Peers(); }
   /** The number of entries, this one included. */
-  void SetEntries(size_t aEntries) { mEntries = aEntries; }
+  void SetEntries(size_t aEntries)
+  {
+    mEntries = aEntries;
+    mLoad.SetEntries(aEntries);
+  }
   /** Whether there are entries to which this one doesn't send directly. */
   void SetRelays(bool aRelays) { mQuarantine.SetRelays(aRelays); }
 
@@ -330,7 +346,7 @@
   /** Whether the request may be sent there now or with a permit. */
   bool MayHavePermit(const UpstreamId& aUpstream,
                      uint8_t aUrgency,
-                     const PermitWait& aWait,
+                     const PlacementWait& aWait,
                      Millis aNow);
   /** The time until an upstream with a rate limit may have capacity; empty if
    * there is none that could take the request. */
@@ -347,9 +363,10 @@
   const std::string& ServiceFor(const Route& aRoute);
   Candidates CandidatesFor(const BoundRequest& aRequest,
                            const std::set<UpstreamId>& aTried,
-                           const PermitWait& aWait,
+                           const PlacementWait& aWait,
                            Millis aNow);
   PlacedAttempt Send(const BoundRequest& aRequest,
+                     uint64_t aAttempt,
                      const PlacementChoice& aChoice,
                      const Candidates& aCandidates,
                      Millis aNow);
@@ -372,8 +389,10 @@
    * so that requests rejected together aren't retried together, but within the
    * caller's timeout. */
   Millis RetryDelay(const BoundRequest& aRequest, Millis aMin, Millis aJitter);
-  /** The retry delay if the request would start too late, or empty. */
-  std::optional<Millis> Overload(const BoundRequest& aRequest, Millis aNow);
+  /** Why and for how long the request is rejected, if it would start too late
+   * or exceeds its workspace's share. */
+  std::optional<OverloadRejection> Overload(const BoundRequest& aRequest,
+                                            Millis aNow);
   StartForecast ForecastFor(const BoundRequest& aRequest, Millis aNow);
   /** The upstream, if it can be fetched from, or null. */
   const ListedUpstream* HolderAt(const UpstreamId& aHolder, Millis aNow) const;
@@ -418,6 +437,7 @@
   uint64_t mProcess;
   PeerUpdateBuilder mPeerUpdates;
   LoadTracker mLoad;
+  uint64_t mLastAttempt = 0;
   /** Whether a request that may run only once probes an upstream: rarely, but
    * if there are no other requests nothing else would probe it. */
   std::bernoulli_distribution mProbeProbability{ 0.2 };
--- a/src/libtrefoilarch/engineadmission.cpp
+++ b/src/libtrefoilarch/engineadmission.cpp
@@ -17,9 +17,9 @@
 {
 }
 
-std::optional<Millis>
-EngineAdmission::Refuse(const StartForecast& aForecast,
-                        const StartRequirements& aRequirements) const
+double
+EngineAdmission::WaitLimit(const StartForecast& aForecast,
+                           const StartRequirements& aRequirements) const
 {
   const Millis target = std::max(aRequirements.mTarget, mOptions.mMinTarget);
   const double maxWait = mOptions.mMaxWaitShare *
@@ -27,15 +27,34 @@
                          static_cast<double>(target.Count());
   const double maxEnd = mOptions.mMaxTimeShare * aRequirements.mPriorityWeight *
                         static_cast<double>(aRequirements.mLimit.Count());
-  const double limit =
-    std::min(maxWait, maxEnd - aForecast.mPrefillMs - aForecast.mAnswerMs);
+  return std::max(
+    0.0,
+    std::min(maxWait, maxEnd - aForecast.mPrefillMs - aForecast.mAnswerMs));
+}
+
+std::optional<Millis>
+EngineAdmission::Refuse(const StartForecast& aForecast,
+                        const StartRequirements& aRequirements) const
+{
+  const double limit = WaitLimit(aForecast, aRequirements);
   // If nothing is queued, a later retry changes nothing.
-  if (aForecast.mWaitMs <= std::max(0.0, limit)) {
+  if (aForecast.mWaitMs <= limit) {
     return std::nullopt;
   }
-  const double excess = aForecast.mWaitMs - std::max(0.0, limit);
+  const double excess = aForecast.mWaitMs - limit;
   return Millis(static_cast<int64_t>(
     std::clamp(excess, kMinRetryAfterMs, kMaxRetryAfterMs)));
 }
 
+double
+EngineAdmission::Pressure(const StartForecast& aForecast,
+                          const StartRequirements& aRequirements) const
+{
+  const double limit = std::max(1.0, WaitLimit(aForecast, aRequirements));
+  const double wait = aForecast.mWaitMs / limit;
+  const auto maxPause = static_cast<double>(aRequirements.mMaxPause.Count());
+  const double pause = maxPause > 0 ? aForecast.mLongestPauseMs / maxPause : 0;
+  return std::clamp(std::max(wait, pause), 0.0, kMaxPressure);
+}
+
 } // namespace trefoilarch
--- a/src/libtrefoilarch/engineadmission.h
+++ b/src/libtrefoilarch/engineadmission.h
@@ -29,6 +29,8 @@
   double mPrefillMs = 0;
   /** From there to the end of the response, by the mean of its route. */
   double mAnswerMs = 0;
+  /** The longest pause of the response's stream; 0 if unknown. */
+  double mLongestPauseMs = 0;
 };
 
 /** The limits that a request must meet. */
@@ -39,6 +41,8 @@
   Millis mLimit;
   /** Above 1 for the more urgent. */
   double mPriorityWeight = 1;
+  /** The longest pause that the stream allows; 0 if it allows any. */
+  Millis mMaxPause;
 };
 
 /**
@@ -55,8 +59,18 @@
    * which the wait is expected to be short enough. */
   std::optional<Millis> Refuse(const StartForecast& aForecast,
                                const StartRequirements& aRequirements) const;
+  /** The part of the requirements that the forecast uses up: 1 if the request
+   * just meets them, above 1, up to kMaxPressure, if it doesn't. */
+  double Pressure(const StartForecast& aForecast,
+                  const StartRequirements& aRequirements) const;
+
+  static constexpr double kMaxPressure = 4;
 
 private:
+  /** The maximum wait, in milliseconds. */
+  double WaitLimit(const StartForecast& aForecast,
+                   const StartRequirements& aRequirements) const;
+
   EngineAdmissionOptions mOptions;
 };
 
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -1,14 +1,28 @@
 #pragma once
 
+#include "boundrequest.h"
+#include "enginememory/enginememory.h"
+#include "fairshare/fairshare.h"
 #include "loadupdate.h"
 #include "millis.h"
+#include "performance/enginepace.h"
+#include "performance/upstreamperformance.h"
+#include "placedattempt.h"
+#include "placementcandidate.h"
+#include "runningmean.h"
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace trefoilarch {
 
+struct EngineInfo;
+
 /** When a part of the load tracker takes effect. */
 enum class PartMode : uint8_t
 {
@@ -26,24 +40,96 @@
   PartMode mUpstreamPerformance = PartMode::Auto;
   PartMode mEngineMemory = PartMode::Auto;
   PartMode mFairShares = PartMode::Auto;
+  PaceCostOptions mPaceCost;
+  FairShareOptions mShares;
+};
+
+/** The engine of a request, as far as its load matters to the request. */
+struct EngineView
+{
+  const UpstreamId& mUpstream;
+  const UpstreamWork& mWork;
+  PendingPrefill mPeerPending;
 };
 
 /**
  * What an entry knows of load that upstreams don't report as requests: how fast
  * they are, the engine memory in use, and the demand of workspaces. Combines
- * this entry's own observations with the updates of others.
+ * this entry's own observations with the updates of others, and applies them to
+ * the placement and admission of requests.
  */
 class LoadTracker
 {
 public:
   explicit LoadTracker(LoadTrackerOptions aOptions);
 
-  /** Whether there is anything that others haven't received yet. */
+  void OnListed(const ListedUpstream& aListed, Millis aNow);
+  void OnUnlisted(const UpstreamId& aUpstream, Millis aNow);
+  /** Sets the number of entries, this one included. */
+  void SetEntries(size_t aEntries) { mEntries = aEntries; }
+  /** See FairShare::SetWeights(). */
+  void SetWeights(const RoutePolicy& aPolicy);
+
+  bool UsesPerformance(const std::string& aService) const;
+  bool UsesMemory(const std::string& aService) const;
+  bool UsesShares(const std::string& aService) const;
+
+  /** An upstream stated its contention. */
+  void OnContention(const UpstreamId& aUpstream, double aFactor, Millis aNow);
+  void OnSent(const BoundRequest& aRequest,
+              const PlacedAttempt& aAttempt,
+              Millis aNow);
+  /** An event of a stream was received aPause after the previous one. */
+  void OnEvent(const PlacedAttempt& aAttempt,
+               const EngineView& aEngine,
+               Millis aPause,
+               Millis aNow);
+  /** aWhole: the response was complete. */
+  void OnEnded(const PlacedAttempt& aAttempt, bool aWhole, Millis aNow);
+
+  /** Sets what is known of the candidates' speed. */
+  void Describe(const std::string& aService,
+                std::vector<PlacementCandidate>& aCandidates,
+                Millis aNow) const;
+  /** How fast the upstream is, in classes of a factor of 1.4; the usual one is
+   * 0, faster ones are higher. */
+  int SpeedClass(const ListedUpstream& aListed) const;
+  /** Sets how a stream's bounds affect the cost of an engine, if they do. */
+  void SetPaceCost(const BoundRequest& aRequest,
+                   EngineInfo& aInfo,
+                   Millis aNow) const;
+  /**
+   * Removes candidates without memory for the request. If none has any, the
+   * verdict says what to do. Empty if memory does not matter.
+   */
+  std::optional<MemoryVerdict> CheckMemory(
+    const BoundRequest& aRequest,
+    uint64_t aAttempt,
+    std::vector<PlacementCandidate>& aCandidates,
+    Millis aNow);
+  /** Whether the request is within its workspace's share. aPressure: 1 if
+   * requests of its tier just meet their bounds, above 1 if they don't. */
+  ShareVerdict CheckShare(const BoundRequest& aRequest,
+                          double aPrefillPerMs,
+                          double aPressure,
+                          Millis aNow);
+  /** A request within the share was refused for another reason. */
+  void OnShareUnused(const BoundRequest& aRequest,
+                     double aPrefillPerMs,
+                     Millis aNow);
+
+  /** Whether there is anything to tell others. */
   bool HasUpdate(Millis aNow) const;
   LoadUpdate TakeUpdate(Millis aNow);
   /** Ignores an update that is older than the last one of its sender. */
   void OnUpdate(const LoadUpdate& aUpdate, Millis aNow);
 
+  /** Changes since the last call, for the log. */
+  std::vector<SlowUpstreamChange> TakeSlowChanges();
+  std::vector<WorkspaceShare> TakeShareChanges(Millis aNow);
+
+  std::vector<SlowUpstream> Slow(Millis aNow) const;
+  std::vector<WorkspaceShare> Shares(Millis aNow) const;
   /** {"slow": [{"upstream", "service", "factor", "since_ms", "source"}]}, where
    * the source is "own" or "peers". */
   nlohmann::json SlowUpstreams(Millis aNow) const;
@@ -53,7 +139,36 @@
   nlohmann::json Workspaces(Millis aNow) const;
 
 private:
+  /** The last update of another entry. */
+  struct Peer
+  {
+    uint64_t mProcess = 0;
+    uint64_t mSequence = 0;
+    Millis mReceivedAt;
+  };
+
+  bool IsOn(PartMode aMode, const std::string& aService) const;
+  bool IsEngine(const BoundRequest& aRequest) const;
+  static ShareRequest ShareRequestOf(const BoundRequest& aRequest,
+                                     double aPrefillPerMs,
+                                     Millis aNow);
+  EngineSituation SituationAt(const EngineView& aEngine, Millis aNow) const;
+  void ExpirePeers(Millis aNow);
+
   LoadTrackerOptions mOptions;
+  UpstreamPerformance mPerformance;
+  EnginePace mPace;
+  EngineMemory mMemory;
+  FairShare mShares;
+  /** Whether any upstream has stated its contention to this entry. */
+  bool mContentionStated = false;
+  size_t mEntries = 1;
+  uint64_t mSequence = 0;
+  std::map<std::string, Peer> mPeers;
+  /** Usual time of a call without a prompt, by service, in milliseconds. */
+  std::unordered_map<std::string, RunningMean> mCallMs;
+  /** Tokens per event of a stream, by service. */
+  std::unordered_map<std::string, uint32_t> mTokensPerEvent;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/placedattempt.h
+++ b/src/libtrefoilarch/placedattempt.h
@@ -15,6 +15,8 @@
 /** An attempt at an upstream, to be passed to OnEnded() when it ends. */
 struct PlacedAttempt
 {
+  /** Unique within this process. */
+  uint64_t mNumber = 0;
   UpstreamId mUpstream;
   /** The upstream's incarnation to which the attempt is sent. */
   uint64_t mIncarnationNumber = 0;
--- a/src/libtrefoilarch/placementcandidate.h
+++ b/src/libtrefoilarch/placementcandidate.h
@@ -19,6 +19,8 @@
   Millis mPeerSilence{};
   /** How many times as long as its peers it takes to start a response. */
   double mSlowness = 1;
+  /** How long its work takes now relative to the usual time; 1 if unknown. */
+  double mWorkFactor = 1;
   /** Its position relative to the pool of the request's route. */
   PoolPosition mPoolPosition{};
 };
--- a/src/libtrefoilarch/prompt.h
+++ b/src/libtrefoilarch/prompt.h
@@ -31,6 +31,15 @@
   /** Number of leading segments that other requests are likely to share. */
   size_t mSharedSegments = 0;
 
+  /** Output tokens to expect of the response. */
+  uint32_t PlannedOutput() const
+  {
+    if (mExpectedOutput > 0) {
+      return mExpectedOutput;
+    }
+    return mMaxOutput > 0 ? mMaxOutput / 2 : kDefaultOutput;
+  }
+
   /** Tokens of the shared segments. */
   uint32_t SharedTokens() const
   {
@@ -53,6 +62,10 @@
   }
 
   bool operator==(const PromptShape&) const = default;
+
+private:
+  /** Output tokens of a request without an estimate. */
+  static constexpr uint32_t kDefaultOutput = 100;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -34,6 +34,11 @@
 /** Retry delay if the outcome of an identical request is not known in time. */
 constexpr Millis kHoldRetryAfter{ 1000 };
 
+/** Interval at which a request that waits for engine memory is decided again:
+ * an answer may end earlier than expected. */
+constexpr Millis kMemoryPollInterval{ 20 };
+constexpr Millis kMinHold{ 1 };
+
 /** Interval at which the reply to a permit request is polled. */
 constexpr Millis kPermitPollInterval{ 2 };
 
@@ -162,6 +167,11 @@
     mPermitRequests += otherUpstream ? 1 : 0;
     return HoldRequest{ .mDelay = kPermitPollInterval };
   }
+  if (mPermit.mMemory) {
+    if (auto step = OnMemoryVerdict(*mPermit.mMemory, aNow)) {
+      return std::move(*step);
+    }
+  }
   const auto pauseEndsIn = mRouter.PauseEndsIn(mRequest, aNow);
   if (mPermit.mCapacityIn || pauseEndsIn) {
     // An upstream with a rate limit may be in a pause that ends later.
@@ -172,6 +182,25 @@
   return Refuse(ErrorKind::NoEligibleUpstream, kNoUpstreamRetryAfter, aNow);
 }
 
+std::optional<PlanStep>
+RequestPlan::OnMemoryVerdict(const MemoryVerdict& aVerdict, Millis aNow)
+{
+  switch (aVerdict.mKind) {
+    case MemoryVerdict::Kind::Wait:
+      return HoldRequest{ .mDelay = std::clamp(aVerdict.mUntil - aNow,
+                                               kMinHold,
+                                               kMemoryPollInterval) };
+    case MemoryVerdict::Kind::Return:
+      return Refuse(ErrorKind::Shed, aVerdict.mRetryAfter, aNow);
+    case MemoryVerdict::Kind::TooLarge:
+      return Refuse(ErrorKind::NoEligibleUpstream, kNoUpstreamRetryAfter, aNow);
+    case MemoryVerdict::Kind::Fits:
+    case MemoryVerdict::Kind::Queue:
+      break;
+  }
+  return std::nullopt;
+}
+
 std::optional<PlanStep>
 RequestPlan::HoldIfSuspected(Millis aNow)
 {
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -82,6 +82,9 @@
   std::optional<PlanStep> HoldIfSuspected(Millis aNow);
   /** No upstream was found, or none yet. */
   PlanStep OnNotPlaced(Millis aNow);
+  /** Empty if memory is not the reason. */
+  std::optional<PlanStep> OnMemoryVerdict(const MemoryVerdict& aVerdict,
+                                          Millis aNow);
   PlanStep Retry(Millis aNow, ErrorKind aFallbackKind);
   /** Continues at the upstream that keeps a copy, if there is one. */
   std::optional<PlanStep> ContinueAtBackup(Millis aNow);
@@ -101,7 +104,7 @@
   bool mMayHaveRunBefore = false;
   bool mAnswerBegun = false;
   /** What it waits for at an upstream with a rate limit. */
-  PermitWait mPermit;
+  PlacementWait mPermit;
   /** The last upstream whose permit it requested. */
   UpstreamId mPermitUpstream;
   uint32_t mPermitRequests = 0;
--- a/src/libtrefoilarch/routepolicy.h
+++ b/src/libtrefoilarch/routepolicy.h
@@ -58,6 +58,8 @@
   uint32_t mSlots = 1;
   uint64_t mMemoryTokens = 0;
   uint32_t mBytesPerToken = 0;
+  /** Tokens that an event of a stream holds. */
+  uint32_t mTokensPerEvent = 1;
   /** Engines keep copies of running requests on other engines. */
   bool mBackups = false;
   /** Running requests can migrate between engines. */
@@ -96,6 +98,8 @@
   std::vector<std::string> mKeys;
   /** Overrides the route's priority. */
   std::optional<uint8_t> mPriority;
+  /** Its share of a contended service relative to other workspaces. */
+  double mWeight = 1;
 
   bool operator==(const KeyedWorkspace&) const = default;
 };
--- a/src/libtrefoilarch/routepolicyvalidation.cpp
+++ b/src/libtrefoilarch/routepolicyvalidation.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/** Bounds of a workspace's weight, as FairShare uses it. */
+constexpr double kMinWorkspaceWeight = 0.01;
+constexpr double kMaxWorkspaceWeight = 100;
+
 using Faults = std::vector<std::string>;
 
 std::string
@@ -78,6 +82,12 @@
 {
   std::map<std::string, std::string> owners;
   for (const KeyedWorkspace& workspace : aPolicy.mWorkspaces) {
+    const bool validWeight = workspace.mWeight >= kMinWorkspaceWeight &&
+                             workspace.mWeight <= kMaxWorkspaceWeight;
+    if (!validWeight) {
+      aFaults.push_back("workspace \"" + workspace.mName +
+                        "\": weight must be 0.01 to 100");
+    }
     for (const std::string& key : workspace.mKeys) {
       const auto [existing, inserted] =
         owners.try_emplace(key, workspace.mName);
--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** Output tokens of a request without an estimate. */
-constexpr uint32_t kDefaultOutput = 100;
-
 /** Smaller differences are decided at random, so that not all entries send to
  * the same upstream. */
 constexpr double kTieBreakMs = 1;
@@ -28,16 +25,6 @@
  * milliseconds even if it has none of them. */
 constexpr uint32_t kMinFetchTokens = 150;
 
-uint32_t
-OutputOf(const PromptShape& aPrompt)
-{
-  uint32_t output = aPrompt.mExpectedOutput;
-  if (output == 0) {
-    output = aPrompt.mMaxOutput > 0 ? aPrompt.mMaxOutput / 2 : kDefaultOutput;
-  }
-  return output;
-}
-
 double
 MeanBusy(const std::vector<PlacementCandidate>& aCandidates, Millis aNow)
 {
@@ -86,11 +73,14 @@
       }
       choice.mWork.mPrefill =
         aPrompt.mPromptTokens - std::min(cached, aPrompt.mPromptTokens);
-      choice.mWork.mOutput = OutputOf(aPrompt);
+      choice.mWork.mOutput = aPrompt.PlannedOutput();
       choice.mWork.mUrgency = aUrgency;
       choice.mMissing = shared - std::min(cached, shared);
       choice.mFetchable = lastHolder.has_value();
     }
+    if (engine != nullptr && aInfo.mForecast) {
+      choice.mForecast = aInfo.mForecast(each, choice.mWork);
+    }
     option.mCost = CostOf(each, choice, engine, aNow);
     options.push_back(std::move(option));
   }
@@ -209,7 +199,7 @@
          aCandidate.mPoolPosition.mDistance * mOptions.mOtherPoolMs +
          Distance(aCandidate, mOptions.mOtherDataCentreMs) +
          SilenceCost(aCandidate, aNow) +
-         (aCandidate.mCold ? mOptions.mColdMs : 0);
+         (aCandidate.mCold ? mOptions.mColdMs : 0) + aChoice.mForecast.mCostMs;
 }
 
 double
@@ -269,7 +259,9 @@
 {
   const double slots = std::max(1U, aCandidate.mListed->mSlots);
   const double share = aCandidate.mWork->Busy(aNow) / slots;
-  return share * mOptions.mPlainCallMs +
+  // A slower upstream prolongs both the calls ahead and this one.
+  const double factor = aCandidate.mWorkFactor;
+  return (share * factor + factor - 1) * mOptions.mPlainCallMs +
          Distance(aCandidate, mOptions.mPlainOtherDataCentreMs) +
          SilenceCost(aCandidate, aNow) +
          (aCandidate.mCold ? mOptions.mColdMs : 0);
--- a/src/libtrefoilarch/workplacement.h
+++ b/src/libtrefoilarch/workplacement.h
@@ -2,6 +2,7 @@
 
 #include "enginemodel.h"
 #include "millis.h"
+#include "performance/paceforecast.h"
 #include "placementcandidate.h"
 #include "prefixcachetracker.h"
 #include "prompt.h"
@@ -18,6 +19,16 @@
 
 class SessionEngines;
 
+/** How a stream would progress at an engine, and what its broken bounds cost,
+ * in milliseconds. */
+struct PlacementForecast
+{
+  PaceForecast mPace;
+  double mCostMs = 0;
+
+  bool operator==(const PlacementForecast&) const = default;
+};
+
 /** The chosen upstream and the request's work there. */
 struct PlacementChoice
 {
@@ -32,6 +43,8 @@
   bool mFetchable = false;
   /** Another upstream that may have cached what this one lacks, or empty. */
   UpstreamId mHolder;
+  /** Zeros if there is none. */
+  PlacementForecast mForecast{};
 
   bool operator==(const PlacementChoice&) const = default;
 };
@@ -64,6 +77,11 @@
   /** Mean number of requests at an engine of the service, as far as known;
    * computed by WorkPlacement::Choose(). */
   double mMeanBusy = 0;
+  /** How the request would progress at a candidate with this work there; empty
+   * if unknown. */
+  std::function<PlacementForecast(const PlacementCandidate&,
+                                  const AttemptWork&)>
+    mForecast{};
 };
 
 struct WorkPlacementOptions
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -220,6 +220,10 @@
   if (load.mLoad) {
     mContext.mRouter.OnReport(*mAttempt, *load.mLoad, now);
   }
+  if (load.mContention) {
+    mContext.mRouter.Load().OnContention(
+      mAttempt->mUpstream, *load.mContention, now);
+  }
   if (load.mInvalid) {
     mContext.mOnUnreadableLoad(mAttempt->mUpstream);
   }
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -473,6 +473,7 @@
   const Millis now = BootNow();
   mRouter.TickCrashes(now);
   SendCrashUpdates(true);
+  LogLoadChanges(now);
   mCallers.CheckTimeouts(now);
   mOperators.CheckTimeouts(now);
   mPool.Sweep(
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -210,6 +210,7 @@
   void OnCrashUpdate();
   void SendCrashUpdates(bool aRepeat);
   void LogCrashes();
+  void LogLoadChanges(Millis aNow);
   void Tick();
   void ContinueDrain();
 
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -61,7 +61,7 @@
 }
 
 /** Engines that prefill 80 prompt tokens in a millisecond. */
-constexpr EngineInfo kEngineInfo{ .mPrefillPerMs = 80 };
+const EngineInfo kEngineInfo{ .mPrefillPerMs = 80 };
 
 PlacementChoice
 Choose(WorkPlacement& aPlacement,
