--- a/src/libtrefoilarch/loadexchange.cpp
+++ b/src/libtrefoilarch/loadexchange.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/** Maximum numbers of elements of an update. */
-constexpr size_t kMaxPerformanceReports = 24;
-constexpr size_t kMaxMemoryReports = 24;
+/** Maximum numbers of elements of an update, so that a datagram holds all. */
+constexpr size_t kMaxPerformanceReports = 18;
+constexpr size_t kMaxMemoryReports = 18;
 constexpr size_t kMaxDemandReports = 16;
 
 /** Three updates of a large fleet: losing as many in a row is rare. */
@@ -97,6 +97,29 @@
   return mShares.Shares(aNow);
 }
 
+std::map<std::string, size_t>
+LoadTracker::SlowUpstreamCounts(Millis aNow) const
+{
+  std::map<std::string, size_t> counts;
+  for (const SlowUpstream& each : Slow(aNow)) {
+    counts[each.mService]++;
+  }
+  return counts;
+}
+
+std::vector<WorkspaceLoad>
+LoadTracker::WorkspaceLoads(Millis aNow) const
+{
+  std::vector<WorkspaceLoad> loads;
+  for (const WorkspaceShare& each : Shares(aNow)) {
+    loads.push_back({ .mWorkspace = each.mWorkspace,
+                      .mDemand = each.mDemand,
+                      .mShare = each.mShare,
+                      .mShed = each.mShed });
+  }
+  return loads;
+}
+
 nlohmann::json
 LoadTracker::SlowUpstreams(Millis aNow) const
 {
