--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -3,11 +3,11 @@
 #include "bootclock.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace trefoilgate {
 
@@ -81,6 +81,9 @@
 void
 CallerConnection::Start()
 {
+  if (mHooks.mBuffers != nullptr) {
+    mStream = mHooks.mBuffers->Add(*this);
+  }
   NewParser();
   Read();
 }
@@ -123,7 +126,11 @@
   Error ignored;
   mSocket.close(ignored);
   const auto onDisconnected = std::exchange(mOnDisconnected, nullptr);
-  mOnDrained = nullptr;
+  mOnRoom = nullptr;
+  mOnCut = nullptr;
+  if (mHooks.mBuffers != nullptr) {
+    mHooks.mBuffers->Remove(mStream);
+  }
   if (serving && onDisconnected) {
     onDisconnected();
   }
@@ -224,7 +231,7 @@
   const bool expects =
     boost::beast::iequals(message[http::field::expect], "100-continue");
   if (expects && !mParser->is_done()) {
-    mUnsent += "HTTP/1.1 100 Continue\r\n\r\n";
+    mUnsent.Append("HTTP/1.1 100 Continue\r\n\r\n");
     Write();
   }
   return true;
@@ -266,7 +273,9 @@
   mNoBody = aHead.mNoBody;
   mChunked = !aHead.mLength && !aHead.mNoBody;
   mKeepAlive = KeepsAlive();
-  AppendHead(mUnsent, aHead, mKeepAlive);
+  std::string head;
+  AppendHead(head, aHead, mKeepAlive);
+  mUnsent.Append(head);
 }
 
 void
@@ -280,12 +289,12 @@
     constexpr int kHexadecimal = 16;
     const auto end = std::to_chars(
       digits.data(), digits.data() + digits.size(), aData.size(), kHexadecimal);
-    mUnsent.append(digits.data(), end.ptr);
-    mUnsent += "\r\n";
-    mUnsent += aData;
-    mUnsent += "\r\n";
+    mUnsent.Append(std::string_view(digits.data(), end.ptr));
+    mUnsent.Append("\r\n");
+    mUnsent.Append(aData);
+    mUnsent.Append("\r\n");
   } else {
-    mUnsent += aData;
+    mUnsent.Append(aData);
   }
   Write();
 }
@@ -298,10 +307,11 @@
   }
   const auto self = shared_from_this();
   if (mChunked) {
-    mUnsent += "0\r\n\r\n";
+    mUnsent.Append("0\r\n\r\n");
   }
   mOnDisconnected = nullptr;
-  mOnDrained = nullptr;
+  mOnRoom = nullptr;
+  mOnCut = nullptr;
   mState = mKeepAlive ? State::Reading : State::Closing;
   Write();
   if (mState != State::Reading) {
@@ -323,7 +333,7 @@
   }
   BeginAnswer(aHead);
   if (!mNoBody) {
-    mUnsent += aBody;
+    mUnsent.Append(aBody);
   }
   EndAnswer();
 }
@@ -338,21 +348,23 @@
 void
 CallerConnection::Write()
 {
-  if (!mInFlight.empty() || mUnsent.empty() || mState == State::Closed) {
+  CountHeldBytes();
+  if (mWritePending || mUnsent.Bytes() == 0 || mState == State::Closed) {
     return;
   }
-  mInFlight.swap(mUnsent);
-  asio::async_write(mSocket,
-                    asio::buffer(mInFlight),
-                    [self = shared_from_this()](const Error& aError, size_t) {
-                      self->OnWritten(aError);
-                    });
+  mWritePending = true;
+  const std::string_view bytes = mUnsent.Front();
+  mSocket.async_write_some(
+    asio::buffer(bytes),
+    [self = shared_from_this()](const Error& aError, size_t aBytes) {
+      self->mWritePending = false;
+      self->OnWritten(aError, aBytes);
+    });
 }
 
 void
-CallerConnection::OnWritten(const Error& aError)
+CallerConnection::OnWritten(const Error& aError, size_t aBytes)
 {
-  mInFlight.clear();
   if (mState == State::Closed) {
     return;
   }
@@ -360,20 +372,18 @@
     Close();
     return;
   }
-  if (!mUnsent.empty()) {
+  mWrittenBytes += aBytes;
+  mUnsent.Consume(aBytes);
+  if (mUnsent.Bytes() > 0) {
     Write();
     return;
   }
+  CountHeldBytes();
   if (mState == State::Closing) {
     // The caller reads everything sent before the connection closes.
     Error ignored;
     mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     Close();
-    return;
-  }
-  if (mOnDrained) {
-    const auto onDrained = mOnDrained;
-    onDrained();
   }
 }
 
--- a/src/libtrefoilgate/callerconnection.h
+++ b/src/libtrefoilgate/callerconnection.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "callerbuffers.h"
 #include "httpfields.h"
 #include "socketoptions.h"
+#include "writequeue.h"
 
 #include "libtrefoilarch/millis.h"
 #include "libtrefoilarch/routepolicy.h"
@@ -18,6 +20,12 @@
 
 namespace trefoilgate {
 
+/** A caller on a bad line may be silent for seconds. */
+inline constexpr KeepaliveOptions kCallerKeepalive{ .mUserTimeout =
+                                                      trefoilarch::Millis(8000),
+                                                    .mKeepaliveIdleSeconds = 5,
+                                                    .mKeepaliveProbes = 3 };
+
 /** A complete request of a caller. */
 struct CallerRequest
 {
@@ -63,6 +71,8 @@
   std::function<void(CallerConnection*)> mOnClosed;
   /** Called with the status and the reason when a request can't be parsed. */
   std::function<void(int, const char*)> mOnRejected;
+  /** Bounds the bytes held for callers; null: not bounded. */
+  CallerBuffers* mBuffers = nullptr;
 };
 
 /**
@@ -84,11 +94,21 @@
   {
     mOnDisconnected = std::move(aOnDisconnected);
   }
-  /** Sets the handler called when a slow caller has received all pending
-   * bytes. */
-  void OnDrained(std::function<void()> aOnDrained)
+  /** Sets the handler called when there is room for more bytes after
+   * AwaitRoom(). */
+  void OnRoom(std::function<void()> aOnRoom) { mOnRoom = std::move(aOnRoom); }
+  /** Sets the handler called if the caller is cut off before its answer is
+   * complete. */
+  void OnCut(std::function<void(CutReason)> aOnCut)
+  {
+    mOnCut = std::move(aOnCut);
+  }
+  /** Sets the request whose answer follows, and its urgency; 0 is the most
+   * urgent. */
+  void SetRequest(std::string aId, uint8_t aPriority)
   {
-    mOnDrained = std::move(aOnDrained);
+    mRequestId = std::move(aId);
+    mPriority = aPriority;
   }
 
   void BeginAnswer(const AnswerHead& aHead);
@@ -100,8 +120,21 @@
   /** Closes the connection, so that the caller sees an incomplete answer. */
   void AbortAnswer();
 
-  /** Bytes not yet written to the caller. */
-  size_t PendingBytes() const { return mUnsent.size() + mInFlight.size(); }
+  /** Whether bytes of an answer may be read for this caller. */
+  bool HasRoom() const;
+  /** Requires !HasRoom(). */
+  void AwaitRoom();
+  /** Calls the handler set by OnRoom(). */
+  void ResumeReading();
+  /** Whether the caller has read bytes since the last call, as the kernel
+   * knows. To be called while bytes are held for the caller. */
+  bool TakeProgress();
+  /** Closes the connection of a caller that is given up; drops what the kernel
+   * holds for it. */
+  void Cut(CutReason aReason);
+  /** As set by SetRequest(). */
+  const std::string& RequestId() const { return mRequestId; }
+  uint8_t Priority() const { return mPriority; }
   /** Whether no request is being read or served. */
   bool Idle() const;
   /** How long the connection has been idle; zero if it is not idle. */
@@ -135,7 +168,11 @@
   void Dispatch();
   void Reject(int aStatus, const char* aReason);
   void Write();
-  void OnWritten(const Error& aError);
+  void OnWritten(const Error& aError, size_t aBytes);
+  /** Reports what has been added to or taken from the bytes held. */
+  void CountHeldBytes();
+  /** Sets who decides how long a caller may not read; see mOwnTimeout. */
+  void SetOwnTimeout(bool aOwn);
   bool KeepsAlive() const { return mKeepAlive && !mHooks.mStopping(); }
 
   boost::asio::ip::tcp::socket mSocket;
@@ -143,9 +180,16 @@
   boost::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   std::function<void()> mOnDisconnected;
-  std::function<void()> mOnDrained;
-  std::string mUnsent;
-  std::string mInFlight;
+  std::function<void()> mOnRoom;
+  std::function<void(CutReason)> mOnCut;
+  WriteQueue mUnsent;
+  std::string mRequestId;
+  trefoilarch::StreamId mStream = 0;
+  /** As last reported by CountHeldBytes(). */
+  size_t mHeldBytes = 0;
+  /** Bytes that the kernel has taken, and those that the caller has read. */
+  uint64_t mWrittenBytes = 0;
+  uint64_t mReadBytes = 0;
   State mState = State::Reading;
   trefoilarch::Millis mPhaseStartedAt;
   trefoilarch::CallerLimits mLimits;
@@ -154,6 +198,11 @@
   bool mChunked = false;
   bool mNoBody = false;
   bool mReadPending = false;
+  bool mWritePending = false;
+  /** Whether the budget decides when a caller that does not read is cut off,
+   * and not the kernel. */
+  bool mOwnTimeout = false;
+  uint8_t mPriority = 0;
 };
 
 } // namespace trefoilgate
--- /dev/null
+++ b/src/libtrefoilgate/callerconnectionbuffers.cpp
@@ -0,0 +1,96 @@
+#include "callerconnection.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
+#include <utility>
+
+/** What a connection holds for its caller. */
+namespace trefoilgate {
+
+namespace asio = boost::asio;
+
+bool
+CallerConnection::HasRoom() const
+{
+  return mHooks.mBuffers == nullptr ||
+         mHooks.mBuffers->Budget()->MayRead(mStream);
+}
+
+void
+CallerConnection::AwaitRoom()
+{
+  if (mHooks.mBuffers != nullptr && mState != State::Closed) {
+    mHooks.mBuffers->Budget()->OnPaused(mStream);
+  }
+}
+
+void
+CallerConnection::ResumeReading()
+{
+  if (mOnRoom) {
+    // Copied, as the handler may be replaced while it runs.
+    const auto onRoom = mOnRoom;
+    onRoom();
+  }
+}
+
+bool
+CallerConnection::TakeProgress()
+{
+  SetOwnTimeout(true);
+  int unread = 0;
+  if (ioctl(mSocket.native_handle(), SIOCOUTQ, &unread) != 0) {
+    return false;
+  }
+  const uint64_t read =
+    mWrittenBytes - std::min<uint64_t>(mWrittenBytes, std::max(unread, 0));
+  return std::exchange(mReadBytes, std::max(mReadBytes, read)) < read;
+}
+
+void
+CallerConnection::Cut(CutReason aReason)
+{
+  const auto self = shared_from_this();
+  const auto onCut = std::exchange(mOnCut, nullptr);
+  mOnDisconnected = nullptr;
+  Error ignored;
+  mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
+  if (onCut) {
+    onCut(aReason);
+  }
+}
+
+void
+CallerConnection::CountHeldBytes()
+{
+  const size_t before = std::exchange(mHeldBytes, mUnsent.Bytes());
+  if (mHooks.mBuffers == nullptr || mState == State::Closed) {
+    return;
+  }
+  if (mHeldBytes > before) {
+    mHooks.mBuffers->OnHeld(mStream, mPriority, mHeldBytes - before);
+  } else if (mHeldBytes < before) {
+    mHooks.mBuffers->OnDrained(mStream, before - mHeldBytes);
+  }
+  if (mHeldBytes == 0) {
+    SetOwnTimeout(false);
+  }
+}
+
+void
+CallerConnection::SetOwnTimeout(bool aOwn)
+{
+  if (std::exchange(mOwnTimeout, aOwn) == aOwn) {
+    return;
+  }
+  // The kernel's time-out would also end the connection of a caller that reads
+  // slowly: it counts from when the window closed, until the window takes the
+  // kernel's next buffer as a whole.
+  SetUserTimeout(mSocket,
+                 aOwn ? trefoilarch::Millis(0) : kCallerKeepalive.mUserTimeout);
+}
+
+} // namespace trefoilgate
--- a/src/libtrefoilgate/callerlistener.cpp
+++ b/src/libtrefoilgate/callerlistener.cpp
@@ -18,11 +18,6 @@
 /** Delay after a failure to accept, such as too many descriptors. */
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 
-/** A caller on a bad line may be silent for seconds. */
-constexpr KeepaliveOptions kCallerKeepalive{ .mUserTimeout = Millis(8000),
-                                             .mKeepaliveIdleSeconds = 5,
-                                             .mKeepaliveProbes = 3 };
-
 } // namespace
 
 CallerListener::CallerListener(asio::io_context& aLoop,
--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr size_t kReadBytes = 8192;
+constexpr size_t kWriteBytes = 65536;
 constexpr uint32_t kMaxHeaderBytes = 65536;
 constexpr int kMinFinalStatus = 200;
 
@@ -109,9 +112,18 @@
 ClientConnection::Resume()
 {
   mPaused = false;
-  if (mOpen && !mReading) {
+  if (!mOpen || mReading) {
+    return;
+  }
+  if (mBuffer.size() == 0) {
     Read();
+    return;
   }
+  mReading = true;
+  asio::post(mSocket.get_executor(), [self = shared_from_this()] {
+    self->mReading = false;
+    self->OnRead({}, 0);
+  });
 }
 
 void
@@ -154,10 +166,20 @@
     asio::buffer(mCall.mHead),
     mCall.mBody ? asio::buffer(*mCall.mBody) : asio::const_buffer{}
   };
+  const auto transfer = mCall.mTransfer;
+  // Called before each write with the bytes written so far.
+  const auto onProgress = [transfer, headBytes = mCall.mHead.size()](
+                            const Error& aError, size_t aBytes) -> size_t {
+    if (transfer) {
+      transfer->SetWritten(aBytes - std::min(aBytes, headBytes));
+    }
+    return aError ? 0 : kWriteBytes;
+  };
   asio::async_write(mSocket,
                     buffers,
-                    [self = shared_from_this(),
-                     body = mCall.mBody](const Error& aError, size_t) {
+                    onProgress,
+                    [self = shared_from_this(), transfer, body = mCall.mBody](
+                      const Error& aError, size_t) {
                       if (!aError) {
                         self->mRequestWritten = true;
                       } else if (self->mBusy && self->mOpen) {
@@ -195,6 +217,11 @@
     return;
   }
   mBuffer.commit(aBytes);
+  if (mBusy && mBuffer.size() > 0 && mHandlers.mMayDeliver &&
+      !mHandlers.mMayDeliver()) {
+    mPaused = true;
+    return;
+  }
   Parse();
   if (mOpen && !mPaused && !mReading) {
     Read();
@@ -302,6 +329,7 @@
   mNotReusable = mNotReusable || !mParser->keep_alive() || !mRequestWritten ||
                  mBuffer.size() > 0;
   mBusy = false;
+  mPaused = false;
   const auto end = mHandlers.mOnEnd;
   mHandlers = {};
   mCall = {};
--- a/src/libtrefoilgate/clientconnection.h
+++ b/src/libtrefoilgate/clientconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bodytransfer.h"
 #include "socketoptions.h"
 #include "upstreamanswer.h"
 
@@ -23,6 +24,9 @@
 {
   /** Whether the answer belongs to this call; another one is skipped. */
   std::function<bool(const UpstreamAnswer&)> mIsOurs;
+  /** Whether bytes that were read may be delivered; otherwise the connection
+   * pauses until Resume(). */
+  std::function<bool()> mMayDeliver;
   std::function<void(UpstreamAnswer)> mOnHead;
   std::function<void(std::string)> mOnData;
   /** The answer is complete. */
@@ -36,6 +40,8 @@
 {
   std::string mHead;
   std::shared_ptr<const std::string> mBody;
+  /** Counts the bytes of the body that are written; may be null. */
+  std::shared_ptr<BodyTransfer> mTransfer;
   /** The answer has no body, whatever its Content-Length says. */
   bool mNoBody = false;
 };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -12,33 +12,6 @@
 
 using namespace trefoilarch;
 
-namespace {
-
-/** An answer that is not a stream is buffered up to this size, so that the
- * request can still be retried if the answer breaks off. */
-constexpr size_t kMaxBuffered = 65536;
-
-/** With more bytes pending than this, the caller is slow and reading from the
- * upstream pauses. */
-constexpr size_t kMaxPending = 262144;
-
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-constexpr int kMinRedirectStatus = 300;
-constexpr int kMinServerErrorStatus = 500;
-
-std::string
-NotRunReason(int aStatus, const AvailabilityStatement& aStatement)
-{
-  std::string reason = "status " + std::to_string(aStatus);
-  if (aStatement.mPause) {
-    reason += ", pause " + std::to_string(aStatement.mPause->Count()) + " ms";
-  }
-  return reason;
-}
-
-} // namespace
-
 Exchange::Exchange(ExchangeContext& aContext,
                    std::shared_ptr<CallerConnection> aCaller,
                    CallerRequest aRequest,
@@ -59,12 +32,9 @@
 {
   const auto self = shared_from_this();
   mCaller->OnDisconnected([self] { self->OnCallerDisconnected(); });
-  mCaller->OnDrained([self] {
-    if (self->mPaused && self->mConnection) {
-      self->mPaused = false;
-      self->mConnection->Resume();
-    }
-  });
+  mCaller->OnRoom([self] { self->OnRoom(); });
+  mCaller->OnCut([self](CutReason aReason) { self->OnCallerCut(aReason); });
+  mCaller->SetRequest(mId, mPlan.Request().mPriority);
   const Millis timeLeft = mPlan.Request().mDeadline - BootNow();
   mTimer.expires_after(std::chrono::milliseconds(timeLeft.Count()));
   mTimer.async_wait([self](const boost::system::error_code& aError) {
@@ -153,6 +123,13 @@
     Apply(mPlan.OnUnreachable(now));
     return;
   }
+  if (!mContext.mBuffers.Budget()->MaySend(mAttempt->mUpstream, BodyBytes())) {
+    mContext.mPool.Release(mAttempt->mUpstream, aConnection);
+    LogAttempt("not_sent", "bodies to the upstream are not yet written");
+    EndAttempt(AttemptOutcome::Withdrawn);
+    Apply(mPlan.OnUnreachable(now));
+    return;
+  }
   mConnection = aConnection;
   mListAgeMs = mContext.mRouter.ListFreshness().AgeMs(now);
   const auto& unlisted = mContext.mRouter.Directory().Unlisted();
@@ -165,7 +142,7 @@
 }
 
 OutgoingCall
-Exchange::MakeCall(Millis aTimeLeft) const
+Exchange::MakeCall(Millis aTimeLeft)
 {
   const BoundRequest& bound = mPlan.Request();
   const OutgoingRequestInfo info{ .mUpstream = mAttempt->mUpstream,
@@ -190,9 +167,21 @@
   head += "\r\n";
   return OutgoingCall{ .mHead = std::move(head),
                        .mBody = mRequest.mBody,
+                       .mTransfer = MakeTransfer(),
                        .mNoBody = mRequest.mMethod == "HEAD" };
 }
 
+std::shared_ptr<BodyTransfer>
+Exchange::MakeTransfer()
+{
+  if (BodyBytes() == 0) {
+    return nullptr;
+  }
+  mTransferId = mContext.mBuffers.NextId();
+  return std::make_shared<BodyTransfer>(
+    mContext.mBuffers.Budget(), mTransferId, mAttempt->mUpstream, BodyBytes());
+}
+
 CallHandlers
 Exchange::MakeHandlers()
 {
@@ -203,6 +192,7 @@
         return self->mContext.mDialect.mClassify(aAnswer, self->mId) !=
                AnswerValidity::Mismatched;
       },
+    .mMayDeliver = [self] { return self->MayDeliver(); },
     .mOnHead =
       [self](UpstreamAnswer aAnswer) { self->OnHead(std::move(aAnswer)); },
     .mOnData = [self](const std::string& aData) { self->OnData(aData); },
@@ -211,193 +201,6 @@
   };
 }
 
-void
-Exchange::OnHead(UpstreamAnswer aAnswer)
-{
-  const Millis now = BootNow();
-  mContext.mRouter.OnBytesReceived(*mAttempt, now);
-  const LoadStatement load = mContext.mDialect.mLoad(aAnswer);
-  if (load.mLoad) {
-    mContext.mRouter.OnReport(*mAttempt, *load.mLoad, now);
-  }
-  if (load.mInvalid) {
-    mContext.mOnUnreadableLoad(mAttempt->mUpstream);
-  }
-  mContext.mRouter.OnRateLimit(
-    *mAttempt, mContext.mDialect.mLimit(aAnswer), now);
-  const AnswerValidity validity = mContext.mDialect.mClassify(aAnswer, mId);
-  // An answer without the upstream's seal may be corrupt.
-  const AvailabilityStatement availability =
-    validity == AnswerValidity::Unsealed
-      ? AvailabilityStatement{}
-      : mContext.mDialect.mAvailability(aAnswer);
-  mContext.mRouter.OnAvailabilityStatement(*mAttempt, availability, now);
-  if (validity == AnswerValidity::NotRun) {
-    LogAttempt("not_run", NotRunReason(aAnswer.mStatus, availability));
-    DiscardAnswer();
-    EndAttempt(AttemptOutcome::Refused);
-    Apply(mPlan.OnNotRun(now));
-    return;
-  }
-  if (validity == AnswerValidity::Unsealed) {
-    DropConnection();
-    OnBroken("a success without the upstream's seal");
-    return;
-  }
-  if (mAnswerBegun && aAnswer.mStatus >= kMinRedirectStatus) {
-    DropConnection();
-    OnBroken("status " + std::to_string(aAnswer.mStatus) +
-             " instead of events");
-    return;
-  }
-  PlanStep step = mPlan.OnHead(aAnswer.mStatus, now);
-  if (std::holds_alternative<SendRequest>(step)) {
-    LogAttempt("failed", "status " + std::to_string(aAnswer.mStatus));
-    DiscardAnswer();
-    EndAttempt(AttemptOutcome::Failed);
-    Apply(std::move(step));
-    return;
-  }
-  mAnswer = std::move(aAnswer);
-}
-
-void
-Exchange::OnData(const std::string& aData)
-{
-  const Millis now = BootNow();
-  mContext.mRouter.OnBytesReceived(*mAttempt, now);
-  MarkStarted(now);
-  if (mFirstByteAt == Millis(0)) {
-    mFirstByteAt = now;
-  } else {
-    mLongestPause = std::max(mLongestPause, now - mLastByteAt);
-    mContext.mRouter.OnPause(*mAttempt, now - mLastByteAt, now);
-  }
-  mLastByteAt = now;
-  if (mPlan.Request().mRoute->mStream &&
-      mAnswer->mStatus < kMinRedirectStatus) {
-    ForwardData(mEvents.Add(aData));
-    return;
-  }
-  mBuffered += aData;
-  if (mAnswerBegun || mBuffered.size() > kMaxBuffered) {
-    Flush();
-  }
-}
-
-void
-Exchange::CountBegan()
-{
-  if (mCounted) {
-    return;
-  }
-  mCounted = true;
-  mContext.mOnBegan(mPlan.Request().mWorkspace);
-}
-
-void
-Exchange::MarkStarted(Millis aNow)
-{
-  CountBegan();
-  // The body of a failure does not count as a start: it would improve the
-  // upstream's record.
-  if (!mAnswer || mAnswer->mStatus < kMinServerErrorStatus) {
-    mContext.mRouter.OnStarted(*mAttempt, aNow);
-  }
-}
-
-void
-Exchange::ForwardData(const std::string& aData)
-{
-  if (mEvents.HasGap()) {
-    DropConnection();
-    EndAttempt(AttemptOutcome::Broken);
-    Abort(ErrorKind::AnswerCut);
-    return;
-  }
-  if (aData.empty()) {
-    return;
-  }
-  if (!mAnswerBegun) {
-    BeginAnswer();
-  }
-  mCaller->WriteAnswer(aData);
-  PauseIfCallerIsSlow();
-}
-
-void
-Exchange::Flush()
-{
-  if (!mAnswerBegun) {
-    BeginAnswer();
-  }
-  mCaller->WriteAnswer(mBuffered);
-  mBuffered.clear();
-  PauseIfCallerIsSlow();
-}
-
-void
-Exchange::PauseIfCallerIsSlow()
-{
-  if (mCaller->PendingBytes() > kMaxPending) {
-    mPaused = true;
-    mConnection->Pause();
-  }
-}
-
-bool
-Exchange::HasNoBody() const
-{
-  return mRequest.mMethod == "HEAD" || mAnswer->mStatus == kNoContent ||
-         mAnswer->mStatus == kNotModified;
-}
-
-AnswerHead
-Exchange::MakeHead(std::optional<uint64_t> aLength) const
-{
-  return { .mStatus = mAnswer->mStatus,
-           .mReason = mAnswer->mReason,
-           .mHeaders = mAnswer->mHeaders,
-           .mLength = aLength,
-           .mNoBody = HasNoBody() };
-}
-
-void
-Exchange::BeginAnswer()
-{
-  mAnswerBegun = true;
-  mPlan.OnAnswerBegun();
-  // A stream that may continue at another upstream has no known length.
-  mCaller->BeginAnswer(MakeHead(CanResume() ? std::nullopt : mAnswer->mLength));
-}
-
-void
-Exchange::OnEnd()
-{
-  const Millis now = BootNow();
-  MarkStarted(now);
-  const int status = mAnswer ? mAnswer->mStatus : 0;
-  if (mAnswer && mAnswer->mEndsWithConnection) {
-    OnUncertainEnd(now);
-  }
-  mContext.mPool.Release(mAttempt->mUpstream, mConnection);
-  mConnection.reset();
-  EndAttempt(status < kMinServerErrorStatus ? AttemptOutcome::Good
-                                            : AttemptOutcome::Failed);
-  // An incomplete event at the end of an answer is forwarded as the upstream
-  // sent it.
-  mBuffered += mEvents.Remainder();
-  if (mAnswerBegun) {
-    mCaller->WriteAnswer(mBuffered);
-    mCaller->EndAnswer();
-  } else {
-    const auto length = HasNoBody() ? mAnswer->mLength
-                                    : std::optional<uint64_t>(mBuffered.size());
-    mCaller->Answer(MakeHead(length), mBuffered);
-  }
-  Close(status < kMinServerErrorStatus ? "served" : "upstream_failed", status);
-}
-
 void
 Exchange::OnUncertainEnd(Millis aNow)
 {
@@ -414,6 +217,16 @@
   }
 }
 
+void
+Exchange::OnBodyStalled()
+{
+  if (mDone || !mConnection) {
+    return;
+  }
+  DropConnection();
+  OnBroken("the body was not read within the stall time-out");
+}
+
 void
 Exchange::OnBroken(const std::string& aReason)
 {
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callerbuffers.h"
 #include "callerconnection.h"
 #include "clientconnection.h"
 #include "connectionpool.h"
@@ -30,6 +31,7 @@
   const Dialect& mDialect;
   DecisionLog& mLog;
   GateMetrics& mMetrics;
+  CallerBuffers& mBuffers;
   /** Called when an upstream has begun a request of this workspace. */
   std::function<void(const std::string&)> mOnBegan;
   /** Called with the upstream whose load report could not be read. */
@@ -54,6 +56,10 @@
   void Start();
   /** Memory used by the caller's body. */
   size_t BodyBytes() const { return mRequest.mBody->size(); }
+  /** The id of the body that was sent last, or 0. */
+  trefoilarch::StreamId TransferId() const { return mTransferId; }
+  /** The upstream has not read the body within the stall time-out. */
+  void OnBodyStalled();
   /** Aborts the exchange, as the process ends. */
   void Abandon();
 
@@ -65,7 +71,9 @@
   void Hold(trefoilarch::Millis aDelay);
   void OnConnection(uint64_t aAttempt,
                     const ConnectionPool::Connection& aConnection);
-  OutgoingCall MakeCall(Millis aTimeLeft) const;
+  OutgoingCall MakeCall(Millis aTimeLeft);
+  /** Counts the body on its way to the upstream; null if it is empty. */
+  std::shared_ptr<BodyTransfer> MakeTransfer();
   CallHandlers MakeHandlers();
   void OnHead(UpstreamAnswer aAnswer);
   void OnData(const std::string& aData);
@@ -81,8 +89,12 @@
   /** Sends the head if necessary, and the buffered data. */
   void Flush();
   void BeginAnswer();
-  /** Pauses reading while the caller has many bytes pending. */
+  /** Pauses reading while the budget allows no more bytes for the caller. */
   void PauseIfCallerIsSlow();
+  /** Whether bytes may be read for the caller; otherwise OnRoom() follows. */
+  bool MayDeliver();
+  void OnRoom();
+  void OnCallerCut(CutReason aReason);
   /** Whether the answer has no body. */
   bool HasNoBody() const;
   /** The upstream's status line and headers, as forwarded to the caller. */
@@ -122,6 +134,9 @@
   EventTracker mEvents;
   std::string mBuffered;
   uint64_t mAttemptNumber = 0;
+  trefoilarch::StreamId mTransferId = 0;
+  /** Why the caller was cut off, or empty. */
+  std::string mCutReason;
   Millis mFirstByteAt;
   Millis mLastByteAt;
   /** The longest pause between two pieces of the answer. */
--- /dev/null
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -0,0 +1,254 @@
+#include "exchange.h"
+
+#include "bootclock.h"
+#include "gatemetrics.h"
+
+#include <algorithm>
+
+/** The upstream's answer and its way to the caller. */
+namespace trefoilgate {
+
+using namespace trefoilarch;
+
+namespace {
+
+/** An answer that is not a stream is buffered up to this size, so that the
+ * request can still be retried if the answer breaks off. */
+constexpr size_t kMaxBuffered = 65536;
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kMinRedirectStatus = 300;
+constexpr int kMinServerErrorStatus = 500;
+
+std::string
+NotRunReason(int aStatus, const AvailabilityStatement& aStatement)
+{
+  std::string reason = "status " + std::to_string(aStatus);
+  if (aStatement.mPause) {
+    reason += ", pause " + std::to_string(aStatement.mPause->Count()) + " ms";
+  }
+  return reason;
+}
+
+} // namespace
+
+void
+Exchange::OnHead(UpstreamAnswer aAnswer)
+{
+  const Millis now = BootNow();
+  mContext.mRouter.OnBytesReceived(*mAttempt, now);
+  const LoadStatement load = mContext.mDialect.mLoad(aAnswer);
+  if (load.mLoad) {
+    mContext.mRouter.OnReport(*mAttempt, *load.mLoad, now);
+  }
+  if (load.mInvalid) {
+    mContext.mOnUnreadableLoad(mAttempt->mUpstream);
+  }
+  mContext.mRouter.OnRateLimit(
+    *mAttempt, mContext.mDialect.mLimit(aAnswer), now);
+  const AnswerValidity validity = mContext.mDialect.mClassify(aAnswer, mId);
+  // An answer without the upstream's seal may be corrupt.
+  const AvailabilityStatement availability =
+    validity == AnswerValidity::Unsealed
+      ? AvailabilityStatement{}
+      : mContext.mDialect.mAvailability(aAnswer);
+  mContext.mRouter.OnAvailabilityStatement(*mAttempt, availability, now);
+  if (validity == AnswerValidity::NotRun) {
+    LogAttempt("not_run", NotRunReason(aAnswer.mStatus, availability));
+    DiscardAnswer();
+    EndAttempt(AttemptOutcome::Refused);
+    Apply(mPlan.OnNotRun(now));
+    return;
+  }
+  if (validity == AnswerValidity::Unsealed) {
+    DropConnection();
+    OnBroken("a success without the upstream's seal");
+    return;
+  }
+  if (mAnswerBegun && aAnswer.mStatus >= kMinRedirectStatus) {
+    DropConnection();
+    OnBroken("status " + std::to_string(aAnswer.mStatus) +
+             " instead of events");
+    return;
+  }
+  PlanStep step = mPlan.OnHead(aAnswer.mStatus, now);
+  if (std::holds_alternative<SendRequest>(step)) {
+    LogAttempt("failed", "status " + std::to_string(aAnswer.mStatus));
+    DiscardAnswer();
+    EndAttempt(AttemptOutcome::Failed);
+    Apply(std::move(step));
+    return;
+  }
+  mAnswer = std::move(aAnswer);
+}
+
+void
+Exchange::OnData(const std::string& aData)
+{
+  const Millis now = BootNow();
+  mContext.mRouter.OnBytesReceived(*mAttempt, now);
+  MarkStarted(now);
+  if (mFirstByteAt == Millis(0)) {
+    mFirstByteAt = now;
+  } else {
+    mLongestPause = std::max(mLongestPause, now - mLastByteAt);
+    mContext.mRouter.OnPause(*mAttempt, now - mLastByteAt, now);
+  }
+  mLastByteAt = now;
+  if (mPlan.Request().mRoute->mStream &&
+      mAnswer->mStatus < kMinRedirectStatus) {
+    ForwardData(mEvents.Add(aData));
+    return;
+  }
+  mBuffered += aData;
+  if (mAnswerBegun || mBuffered.size() > kMaxBuffered) {
+    Flush();
+  }
+}
+
+void
+Exchange::CountBegan()
+{
+  if (mCounted) {
+    return;
+  }
+  mCounted = true;
+  mContext.mOnBegan(mPlan.Request().mWorkspace);
+}
+
+void
+Exchange::MarkStarted(Millis aNow)
+{
+  CountBegan();
+  // The body of a failure does not count as a start: it would improve the
+  // upstream's record.
+  if (!mAnswer || mAnswer->mStatus < kMinServerErrorStatus) {
+    mContext.mRouter.OnStarted(*mAttempt, aNow);
+  }
+}
+
+void
+Exchange::ForwardData(const std::string& aData)
+{
+  if (mEvents.HasGap()) {
+    DropConnection();
+    EndAttempt(AttemptOutcome::Broken);
+    Abort(ErrorKind::AnswerCut);
+    return;
+  }
+  if (aData.empty()) {
+    return;
+  }
+  if (!mAnswerBegun) {
+    BeginAnswer();
+  }
+  mCaller->WriteAnswer(aData);
+  PauseIfCallerIsSlow();
+}
+
+void
+Exchange::Flush()
+{
+  if (!mAnswerBegun) {
+    BeginAnswer();
+  }
+  mCaller->WriteAnswer(mBuffered);
+  mBuffered.clear();
+  PauseIfCallerIsSlow();
+}
+
+void
+Exchange::PauseIfCallerIsSlow()
+{
+  if (!MayDeliver()) {
+    mConnection->Pause();
+  }
+}
+
+bool
+Exchange::HasNoBody() const
+{
+  return mRequest.mMethod == "HEAD" || mAnswer->mStatus == kNoContent ||
+         mAnswer->mStatus == kNotModified;
+}
+
+AnswerHead
+Exchange::MakeHead(std::optional<uint64_t> aLength) const
+{
+  return { .mStatus = mAnswer->mStatus,
+           .mReason = mAnswer->mReason,
+           .mHeaders = mAnswer->mHeaders,
+           .mLength = aLength,
+           .mNoBody = HasNoBody() };
+}
+
+void
+Exchange::BeginAnswer()
+{
+  mAnswerBegun = true;
+  mPlan.OnAnswerBegun();
+  // A stream that may continue at another upstream has no known length.
+  mCaller->BeginAnswer(MakeHead(CanResume() ? std::nullopt : mAnswer->mLength));
+}
+
+void
+Exchange::OnEnd()
+{
+  const Millis now = BootNow();
+  MarkStarted(now);
+  const int status = mAnswer ? mAnswer->mStatus : 0;
+  if (mAnswer && mAnswer->mEndsWithConnection) {
+    OnUncertainEnd(now);
+  }
+  mContext.mPool.Release(mAttempt->mUpstream, mConnection);
+  mConnection.reset();
+  EndAttempt(status < kMinServerErrorStatus ? AttemptOutcome::Good
+                                            : AttemptOutcome::Failed);
+  // An incomplete event at the end of an answer is forwarded as the upstream
+  // sent it.
+  mBuffered += mEvents.Remainder();
+  if (mAnswerBegun) {
+    mCaller->WriteAnswer(mBuffered);
+    mCaller->EndAnswer();
+  } else {
+    const auto length = HasNoBody() ? mAnswer->mLength
+                                    : std::optional<uint64_t>(mBuffered.size());
+    mCaller->Answer(MakeHead(length), mBuffered);
+  }
+  Close(status < kMinServerErrorStatus ? "served" : "upstream_failed", status);
+}
+
+bool
+Exchange::MayDeliver()
+{
+  if (mDone || mCaller->HasRoom()) {
+    return true;
+  }
+  mPaused = true;
+  mCaller->AwaitRoom();
+  return false;
+}
+
+void
+Exchange::OnRoom()
+{
+  if (mPaused && mConnection) {
+    mPaused = false;
+    mConnection->Resume();
+  }
+}
+
+void
+Exchange::OnCallerCut(CutReason aReason)
+{
+  if (mDone) {
+    return;
+  }
+  mCutReason = Name(aReason);
+  DropConnection();
+  EndAttempt(AttemptOutcome::Withdrawn);
+  Close(Name(ErrorKind::AnswerCut).data(), 0);
+}
+
+} // namespace trefoilgate
--- a/src/libtrefoilgate/exchangelog.cpp
+++ b/src/libtrefoilgate/exchangelog.cpp
@@ -28,36 +28,41 @@
                                 .mOutcome = aOutcome,
                                 .mTimeToFirstByte = firstByte,
                                 .mDuration = now - mRequest.mArrivedAt });
+  nlohmann::ordered_json fields = {
+    { "id", mId },
+    { "fingerprint", bound.mFingerprint.Text() },
+    { "outcome", aOutcome },
+    { "status", aStatus },
+    { "route", bound.mRoute->mName },
+    { "service", bound.mService },
+    { "workspace", bound.mWorkspace },
+    { "priority", bound.mPriority },
+    { "policy_version", bound.mIndex->Version() },
+    { "attempts", mPlan.Attempts() },
+    { "upstream", mLastAttempt.mUpstream },
+    { "list_age_ms", mListAgeMs },
+    { "unlisted_ms", mUnlistedMs },
+    { "prompt_tokens", bound.mPrompt.mPromptTokens },
+    { "prefill_tokens", mLastAttempt.mWork.mPrefill },
+    { "most_output_tokens", bound.mPrompt.mMaxOutput },
+    { "may_have_run", mPlan.MayHaveRun() },
+    { "events", mEvents.Events() },
+    { "first_byte_ms", firstByte.Count() },
+    { "longest_pause_ms", mLongestPause.Count() },
+    { "took_ms", (now - mRequest.mArrivedAt).Count() },
+    { "allowed_ms", (bound.mDeadline - bound.mArrivedAt).Count() }
+  };
+  if (!mCutReason.empty()) {
+    fields["why"] = mCutReason;
+  }
   mContext.mLog.Write(
-    served ? LineKind::Success : LineKind::Failure,
-    "request_ended",
-    { { "id", mId },
-      { "fingerprint", bound.mFingerprint.Text() },
-      { "outcome", aOutcome },
-      { "status", aStatus },
-      { "route", bound.mRoute->mName },
-      { "service", bound.mService },
-      { "workspace", bound.mWorkspace },
-      { "priority", bound.mPriority },
-      { "policy_version", bound.mIndex->Version() },
-      { "attempts", mPlan.Attempts() },
-      { "upstream", mLastAttempt.mUpstream },
-      { "list_age_ms", mListAgeMs },
-      { "unlisted_ms", mUnlistedMs },
-      { "prompt_tokens", bound.mPrompt.mPromptTokens },
-      { "prefill_tokens", mLastAttempt.mWork.mPrefill },
-      { "most_output_tokens", bound.mPrompt.mMaxOutput },
-      { "may_have_run", mPlan.MayHaveRun() },
-      { "events", mEvents.Events() },
-      { "first_byte_ms", firstByte.Count() },
-      { "longest_pause_ms", mLongestPause.Count() },
-      { "took_ms", (now - mRequest.mArrivedAt).Count() },
-      { "allowed_ms", (bound.mDeadline - bound.mArrivedAt).Count() } });
+    served ? LineKind::Success : LineKind::Failure, "request_ended", fields);
   // The caller's hooks may hold the last reference; keep it until they are
   // reset.
   const auto self = shared_from_this();
   mCaller->OnDisconnected(nullptr);
-  mCaller->OnDrained(nullptr);
+  mCaller->OnRoom(nullptr);
+  mCaller->OnCut(nullptr);
   mContext.mOnEnded(this);
 }
 
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -23,6 +23,7 @@
 constexpr const char* kUnreadable = "trefoilarch_gate_unreadable_rows_total";
 constexpr const char* kUnreadableLoad =
   "trefoilarch_gate_unreadable_load_reports_total";
+constexpr const char* kCutCallers = "trefoilarch_gate_cut_callers_total";
 constexpr const char* kLoopLag = "trefoilarch_gate_loop_lag_ms";
 
 /** A metric that is not a gauge. */
@@ -44,6 +45,8 @@
   MetricDescription{ kUnreadable, "Rows of the store that could not be read." },
   MetricDescription{ kUnreadableLoad,
                      "Load reports of upstreams that could not be read." },
+  MetricDescription{ kCutCallers,
+                     "Callers that were cut off, as they read too slowly." },
   MetricDescription{ kReloads, "Times that the settings were read again." },
   MetricDescription{ kLoopLag, "How late a timer of the event loop fired." },
 };
@@ -67,6 +70,10 @@
                     "trefoilarch_gate_body_bytes",
                     "",
                     "Bytes of callers' bodies that are held." },
+  GaugeDescription{ Gauge::AnswerBytes,
+                    "trefoilarch_gate_answer_bytes",
+                    "",
+                    "Bytes of answers that callers have not read yet." },
   GaugeDescription{ Gauge::CallerConnections,
                     "trefoilarch_gate_caller_connections",
                     "",
@@ -269,6 +276,12 @@
   mMetrics.Count(kUnreadableLoad);
 }
 
+void
+GateMetrics::OnCutCaller(std::string_view aReason)
+{
+  mMetrics.Count(kCutCallers, Label("reason", aReason));
+}
+
 void
 GateMetrics::OnLoopLag(Millis aLag)
 {
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -28,6 +28,7 @@
 {
   OpenRequests,
   BodyBytes,
+  AnswerBytes,
   CallerConnections,
   IdleUpstreamConnections,
   UpstreamConnectionsMade,
@@ -62,6 +63,8 @@
   void OnPolicy(std::string_view aResult);
   void OnUnreadableRow(std::string_view aTable);
   void OnUnreadableLoadReport();
+  /** A caller was cut off for this reason before its answer was complete. */
+  void OnCutCaller(std::string_view aReason);
   void OnReload(std::string_view aResult);
   /** Records how late a timer of the event loop fired. */
   void OnLoopLag(trefoilarch::Millis aLag);
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -1,5 +1,6 @@
 #include "gatesettings.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace trefoilgate {
@@ -32,6 +33,10 @@
  * buffered for slow callers and everything else. */
 constexpr uint64_t kBodyMemoryDivisor = 3;
 
+/** Answers that callers have not read may use the memory divided by this,
+ * unless a setting states how much. */
+constexpr double kAnswerMemoryDivisor = 4;
+
 std::function<std::string(const std::string&)>
 EmptyOrEndpoint()
 {
@@ -48,6 +53,17 @@
   return static_cast<int64_t>(std::floor(aValue));
 }
 
+/** In bytes. A quarter of the memory unless the setting states a size; never
+ * more than the memory, and enough for a few reads. */
+uint64_t
+AnswerBufferBytes(double aMemory, double aSetting)
+{
+  const double bytes =
+    aSetting > 0 ? aSetting * kBytesPerMb : aMemory / kAnswerMemoryDivisor;
+  return static_cast<uint64_t>(
+    Floor(std::clamp(bytes, kBytesPerMb, std::max(kBytesPerMb, aMemory))));
+}
+
 } // namespace
 
 std::vector<SettingSpec>
@@ -139,6 +155,16 @@
       .mHelp = "memory that the process may use (MB)",
       .mDefault = "512",
       .mCheck = NumberBetween(32, 1 << 20) },
+    { .mName = "caller-stall-ms",
+      .mHelp = "a caller that reads nothing for this long is cut off, and an "
+               "upstream that reads nothing of a body is given up (ms)",
+      .mDefault = "10000",
+      .mCheck = NumberBetween(500, kMaxMillis) },
+    { .mName = "answer-buffer-mb",
+      .mHelp = "memory for answers that callers have not read yet (MB); 0: a "
+               "quarter of memory-mb",
+      .mDefault = "0",
+      .mCheck = NumberBetween(0, 1 << 20) },
   };
 }
 
@@ -171,6 +197,8 @@
   compare("stop-seconds", &GateSettings::mStopTimeout);
   compare("most-descriptors", &GateSettings::mMaxDescriptors);
   compare("memory-mb", &GateSettings::mMaxBodyBytes);
+  compare("caller-stall-ms", &GateSettings::mCallerStall);
+  compare("answer-buffer-mb", &GateSettings::mAnswerBufferBytes);
   return names;
 }
 
@@ -206,7 +234,10 @@
     .mUsageWindow = Millis(Floor(usageWindowMillis)),
     .mUsageLateness = Millis(Floor(usageLatenessMillis)),
     .mDutyLease = Millis(Floor(aSettings.Number("duty-lease-ms"))),
-    .mMaxBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyMemoryDivisor
+    .mMaxBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyMemoryDivisor,
+    .mCallerStall = Millis(Floor(aSettings.Number("caller-stall-ms"))),
+    .mAnswerBufferBytes =
+      AnswerBufferBytes(memory, aSettings.Number("answer-buffer-mb"))
   };
 }
 
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -42,6 +42,11 @@
   trefoilarch::Millis mDutyLease;
   /** Maximum size in bytes of all callers' bodies held at a time. */
   uint64_t mMaxBodyBytes = 0;
+  /** A caller that reads nothing for this long is cut off, and an upstream that
+   * reads nothing of a body is given up. */
+  trefoilarch::Millis mCallerStall{ 10000 };
+  /** Maximum size in bytes of all answers held for callers at a time. */
+  uint64_t mAnswerBufferBytes = 134217728;
 
   bool operator==(const GateSettings&) const = default;
 };
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -1,7 +1,6 @@
 #include "gateway.h"
 
 #include "bootclock.h"
-#include "refusalanswer.h"
 
 #include "libtrefoilarch/routepolicyvalidation.h"
 #include "libtrefoilarch/tablewatch.h"
@@ -20,38 +19,13 @@
 constexpr Millis kTickInterval{ 500 };
 constexpr Millis kDrainTickInterval{ 50 };
 
-/**
- * After a planned stop begins, callers still arrive until the load balancer has
- * noticed; only then are idle connections closed. Requests that arrive later
- * may not end in time and are sent elsewhere.
- */
-constexpr Millis kRotationDelay{ 3000 };
-
 /** Idle timeout of connections during a stop: a caller that has just connected
  * is about to send. */
 constexpr Millis kDrainIdleTimeout{ 400 };
 
-/** Retry-After for requests that arrive during a stop: another entry serves
- * them. */
-constexpr Millis kShutdownRetryAfter{ 100 };
-
-/** Retry-After if a body exceeds the memory for bodies: others end within this
- * time. */
-constexpr Millis kMemoryRetryAfter{ 300 };
-
 /** Descriptors reserved for other purposes: upstreams, store, files. */
 constexpr size_t kReservedDescriptors = 800;
 
-RequestFingerprint
-FingerprintOf(const CallerRequest& aRequest, const std::string& aWorkspace)
-{
-  return RequestFingerprint::Of({ .mMethod = aRequest.mMethod,
-                                  .mHost = aRequest.mHost,
-                                  .mTarget = aRequest.mTarget,
-                                  .mWorkspace = aWorkspace,
-                                  .mBody = *aRequest.mBody });
-}
-
 RetryBudgetOptions
 RetryOptionsOf(const GateSettings& aSettings, size_t aEntries)
 {
@@ -125,6 +99,10 @@
               [this](const UpstreamId& aUpstream) {
                 mRouter.OnListening(aUpstream);
               } })
+  , mBuffers(aLoop,
+             { .mTotalBytes = mOptions.mSettings.mAnswerBufferBytes,
+               .mStallTimeout = mOptions.mSettings.mCallerStall },
+             [this](const CutCaller& aCut) { OnCutCaller(aCut); })
   , mContext{
     .mLoop = aLoop,
     .mRouter = mRouter,
@@ -132,6 +110,7 @@
     .mDialect = mOptions.mDialect,
     .mLog = mLog,
     .mMetrics = mMetrics,
+    .mBuffers = mBuffers,
     .mOnBegan =
       [this](const std::string& aWorkspace) {
         mUsageHooks.mOnBegan(aWorkspace);
@@ -232,6 +211,7 @@
   const size_t routes = aPolicy->mRoutes.size();
   const std::vector<std::string> faults = ValidateRoutePolicy(*aPolicy);
   const bool newer = mRouter.SetPolicy(std::move(aPolicy));
+  UpdateBufferBounds();
   mMetrics.OnPolicy(newer ? "taken" : "not_newer");
   mLog.Write(LineKind::StateChange,
              newer ? "policy_taken" : "policy_not_newer",
@@ -258,6 +238,8 @@
   mOptions.mSettings.mRetrySlack = aSettings.mRetrySlack;
   mOptions.mSettings.mStopTimeout = aSettings.mStopTimeout;
   mOptions.mSettings.mMaxBodyBytes = aSettings.mMaxBodyBytes;
+  mOptions.mSettings.mAnswerBufferBytes = aSettings.mAnswerBufferBytes;
+  UpdateBufferBounds();
   mRouter.SetKeyPolicyMaxAge(aSettings.mKeyPolicyMaxAge);
   mRouter.SetRetries(RetryOptionsOf(aSettings, mEntryCount));
   mLog.Write(
@@ -282,6 +264,7 @@
   mEntryCount = mPeers.ListedCount() + 1;
   mRouter.SetRetries(RetryOptionsOf(mOptions.mSettings, mEntryCount));
   mRouter.SetEntries(mEntryCount);
+  UpdateBufferBounds();
   mRouter.SetRelays(mPeers.SendsToSubset());
   mRouter.SetPermitEntries(PeerAddress(), aAddresses);
   mLog.Write(
@@ -341,116 +324,6 @@
   };
 }
 
-CallerHooks
-Gateway::MakeCallerHooks()
-{
-  return CallerHooks{ .mOnRequest =
-                        [this](const std::shared_ptr<CallerConnection>& aCaller,
-                               CallerRequest aRequest) {
-                          OnRequest(aCaller, std::move(aRequest));
-                        },
-                      .mLimits =
-                        [this] {
-                          return mRouter.Index()
-                                   ? mRouter.Index()->Policy().mLimits
-                                   : CallerLimits{};
-                        },
-                      .mStopping = [this] { return mDraining; },
-                      .mOnRejected =
-                        [this](int aStatus, const char* aReason) {
-                          mMetrics.OnRefusal("unreadable");
-                          mLog.Write(
-                            LineKind::Failure,
-                            "request_unreadable",
-                            { { "status", aStatus }, { "why", aReason } });
-                        } };
-}
-
-CallerHooks
-Gateway::MakeOperatorHooks()
-{
-  return CallerHooks{ .mOnRequest =
-                        [this](const std::shared_ptr<CallerConnection>& aCaller,
-                               const CallerRequest& aRequest) {
-                          OnOperatorRequest(aCaller, aRequest);
-                        },
-                      .mLimits = [] { return CallerLimits{}; },
-                      .mStopping = [] { return false; },
-                      .mOnRejected = [](int, const char*) {} };
-}
-
-void
-Gateway::OnRequest(const std::shared_ptr<CallerConnection>& aCaller,
-                   CallerRequest aRequest)
-{
-  const std::string id = mOptions.mDialect.mRequestId(aRequest);
-  if (mDraining && BootNow() - mDrainingSince >= kRotationDelay) {
-    RefuseRequest(aCaller,
-                  aRequest,
-                  id,
-                  Refusal{ .mKind = ErrorKind::ShuttingDown,
-                           .mRetryAfter = kShutdownRetryAfter,
-                           .mMessage = "could not be finished in time" });
-    return;
-  }
-  if (mBodyBytes + aRequest.mBody->size() > mOptions.mSettings.mMaxBodyBytes) {
-    RefuseRequest(aCaller,
-                  aRequest,
-                  id,
-                  Refusal{ .mKind = ErrorKind::TooManyOpen,
-                           .mRetryAfter = kMemoryRetryAfter,
-                           .mMessage = "bodies fill the memory" });
-    return;
-  }
-  const RequestAttributes attributes =
-    mOptions.mDialect.mRequestAttributes(aRequest);
-  boost::leaf::try_handle_all(
-    [&]() -> Result<void> {
-      BOOST_LEAF_AUTO(bound, mRouter.Bind(attributes, BootNow()));
-      bound.mFingerprint = FingerprintOf(aRequest, bound.mWorkspace);
-      const auto exchange = std::make_shared<Exchange>(
-        mContext, aCaller, std::move(aRequest), id, std::move(bound));
-      mExchanges[exchange.get()] = exchange;
-      mBodyBytes += exchange->BodyBytes();
-      exchange->Start();
-      return {};
-    },
-    [&](const Refusal& aRefusal) {
-      RefuseRequest(aCaller, aRequest, id, aRefusal);
-    },
-    [&] {
-      RefuseRequest(
-        aCaller, aRequest, id, Refusal{ .mKind = ErrorKind::Internal });
-    });
-}
-
-void
-Gateway::OnExchangeEnded(Exchange* aEnded)
-{
-  mBodyBytes -= std::min<uint64_t>(mBodyBytes, aEnded->BodyBytes());
-  mExchanges.erase(aEnded);
-}
-
-void
-Gateway::RefuseRequest(const std::shared_ptr<CallerConnection>& aCaller,
-                       const CallerRequest& aRequest,
-                       const std::string& aId,
-                       const Refusal& aRefusal)
-{
-  mMetrics.OnRefusal(Name(aRefusal.mKind));
-  mLog.Write(
-    LineKind::Failure,
-    "request_refused",
-    { { "id", aId },
-      { "kind", Name(aRefusal.mKind) },
-      { "why", aRefusal.mMessage },
-      { "host", aRequest.mHost },
-      { "path", aRequest.mTarget },
-      { "policy_version", mRouter.Index() ? mRouter.Index()->Version() : 0 },
-      { "policy_age_ms", mRouter.PolicyFreshness().AgeMs(BootNow()) } });
-  aCaller->Answer(RefusalHead(aRefusal), RefusalBody(aRefusal));
-}
-
 void
 Gateway::Tick()
 {
@@ -459,6 +332,7 @@
   SendCrashUpdates(true);
   mCallers.CheckTimeouts(now);
   mOperators.CheckTimeouts(now);
+  CheckBuffers(now);
   mPool.Sweep(
     [this](const UpstreamId& aUpstream) {
       return mRouter.Directory().Find(aUpstream) != nullptr;
@@ -482,7 +356,7 @@
 Gateway::ContinueDrain()
 {
   const Millis elapsed = BootNow() - mDrainingSince;
-  if (elapsed < kRotationDelay) {
+  if (elapsed < kDrainRotationDelay) {
     return;
   }
   mCallers.CloseIdle(kDrainIdleTimeout, BootNow());
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callerbuffers.h"
 #include "callerlistener.h"
 #include "connectionpool.h"
 #include "coordinators.h"
@@ -29,6 +30,13 @@
 
 namespace trefoilgate {
 
+/**
+ * After a planned stop begins, callers still arrive until the load balancer has
+ * noticed; only then are idle connections closed. Requests that arrive later
+ * may not end in time and are sent elsewhere.
+ */
+constexpr trefoilarch::Millis kDrainRotationDelay{ 3000 };
+
 /** Options of a Gateway. */
 struct GatewayOptions
 {
@@ -209,6 +217,13 @@
   void OnCrashUpdate();
   void SendCrashUpdates(bool aRepeat);
   void LogCrashes();
+  /** Logs and counts a caller that is cut off. */
+  void OnCutCaller(const CutCaller& aCut);
+  /** Cuts off callers that don't read, and gives up bodies that upstreams don't
+   * read. */
+  void CheckBuffers(Millis aNow);
+  /** Sets the bounds that depend on settings, peers and policy. */
+  void UpdateBufferBounds();
   void Tick();
   void ContinueDrain();
 
@@ -218,6 +233,7 @@
   GateMetrics mMetrics;
   trefoilarch::DirectRouter mRouter;
   ConnectionPool mPool;
+  CallerBuffers mBuffers;
   ExchangeContext mContext;
   CallerListener mCallers;
   CallerListener mOperators;
--- /dev/null
+++ b/src/libtrefoilgate/gatewaycallers.cpp
@@ -0,0 +1,197 @@
+#include "gateway.h"
+
+#include "bootclock.h"
+#include "refusalanswer.h"
+
+#include <algorithm>
+
+/** The gateway's callers: their requests, and what is held for them. */
+namespace trefoilgate {
+
+using namespace trefoilarch;
+
+namespace {
+
+/** Retry-After for requests that arrive during a stop: another entry serves
+ * them. */
+constexpr Millis kShutdownRetryAfter{ 100 };
+
+/** Retry-After if a body exceeds the memory for bodies: others end within this
+ * time. */
+constexpr Millis kMemoryRetryAfter{ 300 };
+
+/** Bytes of bodies on their way to one upstream, of all entries together; each
+ * entry uses its share. */
+constexpr size_t kUpstreamBodyBytes = 67108864;
+
+RequestFingerprint
+FingerprintOf(const CallerRequest& aRequest, const std::string& aWorkspace)
+{
+  return RequestFingerprint::Of({ .mMethod = aRequest.mMethod,
+                                  .mHost = aRequest.mHost,
+                                  .mTarget = aRequest.mTarget,
+                                  .mWorkspace = aWorkspace,
+                                  .mBody = *aRequest.mBody });
+}
+
+} // namespace
+
+CallerHooks
+Gateway::MakeCallerHooks()
+{
+  return CallerHooks{ .mOnRequest =
+                        [this](const std::shared_ptr<CallerConnection>& aCaller,
+                               CallerRequest aRequest) {
+                          OnRequest(aCaller, std::move(aRequest));
+                        },
+                      .mLimits =
+                        [this] {
+                          return mRouter.Index()
+                                   ? mRouter.Index()->Policy().mLimits
+                                   : CallerLimits{};
+                        },
+                      .mStopping = [this] { return mDraining; },
+                      .mOnRejected =
+                        [this](int aStatus, const char* aReason) {
+                          mMetrics.OnRefusal("unreadable");
+                          mLog.Write(
+                            LineKind::Failure,
+                            "request_unreadable",
+                            { { "status", aStatus }, { "why", aReason } });
+                        },
+                      .mBuffers = &mBuffers };
+}
+
+CallerHooks
+Gateway::MakeOperatorHooks()
+{
+  return CallerHooks{ .mOnRequest =
+                        [this](const std::shared_ptr<CallerConnection>& aCaller,
+                               const CallerRequest& aRequest) {
+                          OnOperatorRequest(aCaller, aRequest);
+                        },
+                      .mLimits = [] { return CallerLimits{}; },
+                      .mStopping = [] { return false; },
+                      .mOnRejected = [](int, const char*) {} };
+}
+
+void
+Gateway::OnRequest(const std::shared_ptr<CallerConnection>& aCaller,
+                   CallerRequest aRequest)
+{
+  const std::string id = mOptions.mDialect.mRequestId(aRequest);
+  if (mDraining && BootNow() - mDrainingSince >= kDrainRotationDelay) {
+    RefuseRequest(aCaller,
+                  aRequest,
+                  id,
+                  Refusal{ .mKind = ErrorKind::ShuttingDown,
+                           .mRetryAfter = kShutdownRetryAfter,
+                           .mMessage = "could not be finished in time" });
+    return;
+  }
+  if (mBodyBytes + aRequest.mBody->size() > mOptions.mSettings.mMaxBodyBytes) {
+    RefuseRequest(aCaller,
+                  aRequest,
+                  id,
+                  Refusal{ .mKind = ErrorKind::TooManyOpen,
+                           .mRetryAfter = kMemoryRetryAfter,
+                           .mMessage = "bodies fill the memory" });
+    return;
+  }
+  const RequestAttributes attributes =
+    mOptions.mDialect.mRequestAttributes(aRequest);
+  boost::leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(bound, mRouter.Bind(attributes, BootNow()));
+      bound.mFingerprint = FingerprintOf(aRequest, bound.mWorkspace);
+      const auto exchange = std::make_shared<Exchange>(
+        mContext, aCaller, std::move(aRequest), id, std::move(bound));
+      mExchanges[exchange.get()] = exchange;
+      mBodyBytes += exchange->BodyBytes();
+      exchange->Start();
+      return {};
+    },
+    [&](const Refusal& aRefusal) {
+      RefuseRequest(aCaller, aRequest, id, aRefusal);
+    },
+    [&] {
+      RefuseRequest(
+        aCaller, aRequest, id, Refusal{ .mKind = ErrorKind::Internal });
+    });
+}
+
+void
+Gateway::OnExchangeEnded(Exchange* aEnded)
+{
+  mBodyBytes -= std::min<uint64_t>(mBodyBytes, aEnded->BodyBytes());
+  mExchanges.erase(aEnded);
+}
+
+void
+Gateway::RefuseRequest(const std::shared_ptr<CallerConnection>& aCaller,
+                       const CallerRequest& aRequest,
+                       const std::string& aId,
+                       const Refusal& aRefusal)
+{
+  mMetrics.OnRefusal(Name(aRefusal.mKind));
+  mLog.Write(
+    LineKind::Failure,
+    "request_refused",
+    { { "id", aId },
+      { "kind", Name(aRefusal.mKind) },
+      { "why", aRefusal.mMessage },
+      { "host", aRequest.mHost },
+      { "path", aRequest.mTarget },
+      { "policy_version", mRouter.Index() ? mRouter.Index()->Version() : 0 },
+      { "policy_age_ms", mRouter.PolicyFreshness().AgeMs(BootNow()) } });
+  aCaller->Answer(RefusalHead(aRefusal), RefusalBody(aRefusal));
+}
+
+void
+Gateway::OnCutCaller(const CutCaller& aCut)
+{
+  mMetrics.OnCutCaller(Name(aCut.mReason));
+  const bool stalled = aCut.mReason == CutReason::Stalled;
+  mLog.Write(LineKind::Failure,
+             stalled ? "caller_stalled" : "answer_cut",
+             { { "id", aCut.mCaller.RequestId() },
+               { "why", Name(aCut.mReason) },
+               { "priority", aCut.mCaller.Priority() },
+               { "held_bytes", aCut.mHeldBytes },
+               { "stalled_ms", aCut.mStallTime.Count() },
+               { "all_held_bytes", mBuffers.Budget()->TotalBytes() } });
+}
+
+void
+Gateway::CheckBuffers(Millis aNow)
+{
+  mBuffers.CutStalled(aNow);
+  const auto stalled = mBuffers.Budget()->StalledBodies(aNow);
+  if (stalled.empty()) {
+    return;
+  }
+  std::vector<std::shared_ptr<Exchange>> affected;
+  for (const auto& [key, exchange] : mExchanges) {
+    if (std::find(stalled.begin(), stalled.end(), exchange->TransferId()) !=
+        stalled.end()) {
+      affected.push_back(exchange);
+    }
+  }
+  for (const auto& exchange : affected) {
+    exchange->OnBodyStalled();
+  }
+}
+
+void
+Gateway::UpdateBufferBounds()
+{
+  BufferBudgetOptions options = mBuffers.Budget()->Options();
+  options.mTotalBytes = mOptions.mSettings.mAnswerBufferBytes;
+  const size_t largestBody =
+    mRouter.Index() ? mRouter.Index()->Policy().mLimits.mMaxBodyBytes : 0;
+  options.mUpstreamBytes = std::max<size_t>(
+    largestBody, kUpstreamBodyBytes / std::max<size_t>(1, mEntryCount));
+  mBuffers.Budget()->SetOptions(options);
+}
+
+} // namespace trefoilgate
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -151,6 +151,7 @@
   };
   setGauge(Gauge::OpenRequests, mExchanges.size());
   setGauge(Gauge::BodyBytes, mBodyBytes);
+  setGauge(Gauge::AnswerBytes, mBuffers.Budget()->TotalBytes());
   setGauge(Gauge::CallerConnections, mCallers.Connections());
   setGauge(Gauge::IdleUpstreamConnections, mPool.IdleCount());
   setGauge(Gauge::UpstreamConnectionsMade, mPool.MadeCount());
--- a/src/libtrefoilgate/socketoptions.h
+++ b/src/libtrefoilgate/socketoptions.h
@@ -18,10 +18,16 @@
   int mKeepaliveProbes = 3;
 };
 
-/** Disables Nagle's algorithm and sets up the detection of unresponsive
- * peers. */
+/** Disables Nagle's algorithm, bounds what the kernel holds for a slow peer and
+ * sets up the detection of unresponsive peers. */
 void
 SetSocketOptions(boost::asio::ip::tcp::socket& aSocket,
                  const KeepaliveOptions& aKeepalive);
 
+/** Changes KeepaliveOptions::mUserTimeout; zero: as long as the kernel keeps
+ * trying. */
+void
+SetUserTimeout(boost::asio::ip::tcp::socket& aSocket,
+               trefoilarch::Millis aTimeout);
+
 } // namespace trefoilgate
--- a/tests/platform/gatesettingstest.cpp
+++ b/tests/platform/gatesettingstest.cpp
@@ -122,7 +122,17 @@
       "0",
       "3600000.5" },
     { "TREFOILARCH_USAGE_WINDOW_S", "usage-window-s", "2.5", "0", "86400.5" },
-    { "TREFOILARCH_USAGE_LATE_S", "usage-late-s", "9.5", "0", "86400.5" }
+    { "TREFOILARCH_USAGE_LATE_S", "usage-late-s", "9.5", "0", "86400.5" },
+    { "TREFOILARCH_CALLER_STALL_MS",
+      "caller-stall-ms",
+      "9999.5",
+      "0",
+      "3600000.5" },
+    { "TREFOILARCH_ANSWER_BUFFER_MB",
+      "answer-buffer-mb",
+      "20.5",
+      "-1",
+      "1048577" }
   };
 }
 
@@ -188,6 +198,20 @@
     SettingsWith("TREFOILARCH_DUTY_RECEIVER", "").mDutyReceiver.empty());
 }
 
+Test(gatesettings, answers_may_use_a_quarter_of_the_memory_by_default)
+{
+  constexpr uint64_t kMb = 1048576;
+  const std::string name = "TREFOILARCH_ANSWER_BUFFER_MB";
+  cr_expect(SettingsWith("TREFOILARCH_MEMORY_MB", "88").mAnswerBufferBytes ==
+            22 * kMb);
+  cr_expect(SettingsWith(name, "0").mAnswerBufferBytes == 110 * kMb / 4);
+  cr_expect(SettingsWith(name, "20.5").mAnswerBufferBytes == 41 * kMb / 2);
+  cr_expect(SettingsWith(name, "111").mAnswerBufferBytes == 110 * kMb,
+            "no more than the memory");
+  cr_expect(SettingsWith(name, "0.001").mAnswerBufferBytes == kMb,
+            "room for a few reads");
+}
+
 Test(gatesettings, a_gate_starts_and_serves_with_fractions, .timeout = 30)
 {
   PlatformFleet fleet({ .mRetrySlack = 36.1764705882353, .mMemoryMb = 88.5 });
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -92,10 +92,11 @@
                                      "--platform",
                                      store };
   const std::vector<std::string> limits = {
-    "--revoke-ms",    std::to_string(mOptions.mRevokeMs),
-    "--memory-mb",    std::to_string(mOptions.mMemoryMb),
-    "--retry-slack",  std::to_string(mOptions.mRetrySlack),
-    "--stop-seconds", std::to_string(mOptions.mStopSeconds)
+    "--revoke-ms",       std::to_string(mOptions.mRevokeMs),
+    "--memory-mb",       std::to_string(mOptions.mMemoryMb),
+    "--retry-slack",     std::to_string(mOptions.mRetrySlack),
+    "--stop-seconds",    std::to_string(mOptions.mStopSeconds),
+    "--caller-stall-ms", std::to_string(mOptions.mCallerStallMs)
   };
   if (!mOptions.mSettingsFromFile) {
     flags.insert(flags.end(), limits.begin(), limits.end());
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -22,6 +22,7 @@
   /** Retries of all gates together in addition to the share of requests. */
   double mRetrySlack = 50;
   double mMemoryMb = 512;
+  int mCallerStallMs = 10000;
   /** Whether a fault proxy is used for each worker, and for the store of each
    * gate. */
   bool mProxied = false;
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -134,10 +134,11 @@
                                       "Transfer-Encoding: chunked\r\n";
 
 std::string
-EventText(int aEvent)
+EventText(int aEvent, int aPadding = 0)
 {
   const std::string number = std::to_string(aEvent);
-  return "id: " + number + "\ndata: event " + number + "\n\n";
+  const std::string padding(static_cast<size_t>(aPadding), '.');
+  return "id: " + number + "\ndata: event " + number + padding + "\n\n";
 }
 
 /** Tokens in one event of the plan `engine`. */
@@ -232,8 +233,12 @@
     if (error) {
       return;
     }
-    const bool early =
-      std::string(parser.get()["X-Test-Plan"]).starts_with("early");
+    const Plan plan = ReadPlan(std::string(parser.get()["X-Test-Plan"]));
+    if (plan.at("name") == "unread") {
+      WaitWhileConnected(aSocket, IntOption(plan, "hold", 60000));
+      return;
+    }
+    const bool early = plan.at("name") == "early";
     if (early && !Answer(aSocket, parser.get())) {
       return;
     }
@@ -428,7 +433,7 @@
   const int first = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1;
   Write(aSocket, ResponseHead(aRequest, 200, true, kEventFraming));
   for (int event = first; event <= count; ++event) {
-    const std::string text = EventText(event);
+    const std::string text = EventText(event, IntOption(aPlan, "pad", 0));
     if (cut > 0 && event - first == cut) {
       Write(aSocket, Chunk(text.substr(0, text.size() / 2)));
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -37,12 +37,14 @@
  *   crash_body    the same, in the middle of a body delimited by the
  *                 connection close
  *   early         responds before it has read the body
+ *   unread        reads the head, but neither the body nor a further request;
+ *                 closes the connection after some time (hold, ms)
  *   engine        events paced by the WorkerEngine: out (tokens, four in an
  *                 event); the prompt segments and the priority are read
  *                 from the request headers
- *   stream        events: count, gap (ms), cut (reset after that many events,
- *                 in the middle of the next), once=1 (a run that resumes
- *                 after Last-Event-Id is not cut)
+ *   stream        events: count, gap (ms), pad (bytes added to each), cut
+ * (reset after that many events, in the middle of the next), once=1 (a run that
+ * resumes after Last-Event-Id is not cut)
  *
  * POST /control {"load_suffix":TEXT} adds that to the load report of all
  * further responses;
