--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -1,5 +1,6 @@
 #include "gatesettings.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace trefoilgate {
@@ -34,6 +35,10 @@
  * buffered for slow callers and everything else. */
 constexpr uint64_t kBodyMemoryDivisor = 3;
 
+/** Answers that callers have not read may use the memory divided by this,
+ * unless a setting states how much. */
+constexpr double kAnswerMemoryDivisor = 4;
+
 std::function<std::string(const std::string&)>
 EmptyOrEndpoint()
 {
@@ -72,6 +77,17 @@
   return aText == "off" ? PartMode::Off : PartMode::Auto;
 }
 
+/** In bytes. A quarter of the memory unless the setting states a size; never
+ * more than the memory, and enough for a few reads. */
+uint64_t
+AnswerBufferBytes(double aMemory, double aSetting)
+{
+  const double bytes =
+    aSetting > 0 ? aSetting * kBytesPerMb : aMemory / kAnswerMemoryDivisor;
+  return static_cast<uint64_t>(
+    Floor(std::clamp(bytes, kBytesPerMb, std::max(kBytesPerMb, aMemory))));
+}
+
 } // namespace
 
 std::vector<SettingSpec>
@@ -169,6 +185,16 @@
                 "send engines only requests that fit their memory"),
     PartSetting("fair-shares",
                 "share overloaded services fairly among workspaces"),
+    { .mName = "caller-stall-ms",
+      .mHelp = "a caller that reads nothing for this long is cut off, and an "
+               "upstream that reads nothing of a body is given up (ms)",
+      .mDefault = "10000",
+      .mCheck = NumberBetween(500, kMaxMillis) },
+    { .mName = "answer-buffer-mb",
+      .mHelp = "memory for answers that callers have not read yet (MB); 0: a "
+               "quarter of memory-mb",
+      .mDefault = "0",
+      .mCheck = NumberBetween(0, 1 << 20) },
   };
 }
 
@@ -204,6 +230,8 @@
   compare("upstream-performance", &GateSettings::mUpstreamPerformance);
   compare("engine-memory", &GateSettings::mEngineMemory);
   compare("fair-shares", &GateSettings::mFairShares);
+  compare("caller-stall-ms", &GateSettings::mCallerStall);
+  compare("answer-buffer-mb", &GateSettings::mAnswerBufferBytes);
   return names;
 }
 
@@ -242,7 +270,10 @@
     .mMaxBodyBytes = static_cast<uint64_t>(Floor(memory)) / kBodyMemoryDivisor,
     .mUpstreamPerformance = PartModeOf(aSettings.Text("upstream-performance")),
     .mEngineMemory = PartModeOf(aSettings.Text("engine-memory")),
-    .mFairShares = PartModeOf(aSettings.Text("fair-shares"))
+    .mFairShares = PartModeOf(aSettings.Text("fair-shares")),
+    .mCallerStall = Millis(Floor(aSettings.Number("caller-stall-ms"))),
+    .mAnswerBufferBytes =
+      AnswerBufferBytes(memory, aSettings.Number("answer-buffer-mb"))
   };
 }
 
