Estimate the shared segments that only others use

Reports leave shared segments out, so an entry counted only those that it had sent itself. The distinct segments are now estimated from this entry's own requests in progress, by the tokens that others use.

--- a/src/libtrefoilarch/enginememory/enginememory.cpp
+++ b/src/libtrefoilarch/enginememory/enginememory.cpp
@@ -70,8 +70,10 @@
 }
 
 void
-EngineMemory::SetEntries(size_t aAll, size_t aHeard)
+EngineMemory::SetEntries(size_t aAll, size_t aHeard, Millis aUpdateInterval)
 {
+  mOwn.SetUpdateInterval(aUpdateInterval);
+  mPeers.SetUpdateInterval(aUpdateInterval);
   mEntries = aAll;
   mHeard = aHeard;
 }
@@ -172,13 +174,26 @@
   }
   // Little's law: what is held is the rate of new tokens times their stay.
   const double turnover =
-    (aPeers.mTokens + aPeers.mExpected) / mOwn.Ended().mTimeMs;
+    (aPeers.mTokens + aPeers.mExpected) / mOwn.Mix().MeanTimeMs();
   const double heard = PeerScale() * std::max(turnover, aPeers.mRise);
   const auto others = static_cast<double>(std::max<size_t>(1, mEntries) - 1);
   const double likeOwn = others * mOwn.SendingRate(aUpstream, aNow);
   return aPeers.mAgeMs * std::max(heard, likeOwn);
 }
 
+int64_t
+EngineMemory::SharedTokens(const OwnUse& aOwn, double aPeersTokens) const
+{
+  if (aPeersTokens <= 0) {
+    return aOwn.mShared;
+  }
+  const double expected =
+    mOwn.Mix().SharedTokens(aPeersTokens + static_cast<double>(aOwn.mTokens));
+  return std::max<int64_t>(
+    aOwn.mShared + aOwn.mRecentShared,
+    std::llround(mOptions.mExpectedSharedWeight * expected));
+}
+
 MemoryRoom
 EngineMemory::RoomWith(const UpstreamId& aUpstream,
                        uint32_t aCapacityTokens,
@@ -188,17 +203,16 @@
   const OwnUse own = mOwn.At(aUpstream);
   const PeerUse peers = mPeers.At(aUpstream, aNow);
   const double scale = PeerScale();
-  const bool usedByPeers = peers.mTokens + peers.mExpected > 0;
   const double sent = SentSince(aUpstream, peers, aNow);
   const double variance = OutputVariance(own, scale * peers.mExpected, aAdded) +
-                          sent * mOwn.Ended().mTokens;
+                          sent * mOwn.Mix().MeanTokens();
   const double margin = mOptions.mMarginDeviations * std::sqrt(variance) + sent;
   const int64_t capacity = int64_t{ aCapacityTokens } /
                            (IsCutOff() ? static_cast<int64_t>(mEntries) : 1);
   const double maxMargin =
     mOptions.mMaxMarginShare * static_cast<double>(capacity);
   MemoryRoom room{
-    .mUsed = own.mTokens + own.mShared + (usedByPeers ? own.mRecentShared : 0) +
+    .mUsed = own.mTokens + SharedTokens(own, scale * peers.mTokens + sent) +
              std::llround(scale * peers.mTokens),
     .mExpected = own.mExpected + std::llround(scale * peers.mExpected),
     .mMargin = std::llround(std::min(margin, maxMargin)),
--- a/src/libtrefoilarch/enginememory/enginememory.h
+++ b/src/libtrefoilarch/enginememory/enginememory.h
@@ -23,6 +23,9 @@
   /** The margin is at most this share of an engine. A larger one comes from few
    * or bad data and would leave engines idle. */
   double mMaxMarginShare = 0.25;
+  /** Weight of the shared segments that others are expected to use. Less than 1
+   * if placement keeps requests with the same segments together. */
+  double mExpectedSharedWeight = 1;
   /** Up to this tier, requests may wait at a full engine. */
   uint8_t mMaxQueueTier = 0;
   /** What may wait there, as a share of the engine's memory. */
@@ -59,11 +62,14 @@
  *   see the same room at the same time, so all send there.
  * The requests of others are taken to be like those of this entry.
  *
- * A shared segment counts once per engine. Reports leave shared segments out.
- * An entry counts those that its own requests use and, while others use the
- * engine, those that it sent there within OwnMemoryOptions::mSharedRetention.
- * It counts too little by the segments that only others have sent there, and
- * too much by those that are no longer in use.
+ * A shared segment counts once per engine. Reports leave shared segments out,
+ * so an entry can't see which of them are the same. Where others use an engine,
+ * it counts the larger of two figures: the segments that it sent there within
+ * OwnMemoryOptions::mSharedRetention, and the distinct segments that requests
+ * like its own have if they use as many tokens. The latter assumes that
+ * requests are placed regardless of their segments. It counts too much by at
+ * most that figure where equal segments are kept together, and too little where
+ * others use segments that this entry's requests haven't used lately.
  *
  * An entry that hears none of the others has its share of each engine: the
  * capacity divided by the number of entries. That can be less than one request,
@@ -75,9 +81,11 @@
 public:
   explicit EngineMemory(EngineMemoryOptions aOptions = {});
 
-  /** Sets the number of entries, and of those others whose updates arrive, even
-   * if they report no memory. */
-  void SetEntries(size_t aAll, size_t aHeard);
+  /** Sets the number of entries, of those others whose updates arrive, even if
+   * they report no memory, and the time between two updates of an entry. */
+  void SetEntries(size_t aAll,
+                  size_t aHeard,
+                  Millis aUpdateInterval = Millis(500));
 
   void OnSent(const MemoryUse& aUse, Millis aNow);
   /** aTokens more tokens of the answer have arrived. */
@@ -139,6 +147,9 @@
   double SentSince(const UpstreamId& aUpstream,
                    const PeerUse& aPeers,
                    Millis aNow) const;
+  /** Shared segments at an engine where others use so many tokens without
+   * them. */
+  int64_t SharedTokens(const OwnUse& aOwn, double aPeersTokens) const;
   /** The room if the spread of aAdded is added. */
   MemoryRoom RoomWith(const UpstreamId& aUpstream,
                       uint32_t aCapacityTokens,
--- a/src/libtrefoilarch/enginememory/ownmemory.cpp
+++ b/src/libtrefoilarch/enginememory/ownmemory.cpp
@@ -20,11 +20,8 @@
  * once. */
 constexpr size_t kMaxSegments = 1000;
 
-/** Share by which earlier requests fade with each that ends. */
-constexpr double kEndedFade = 0.01;
-
-/** Of a request while none has ended: tokens, and time in ms. */
-constexpr EndedRequests kDefaultEnded{ .mTokens = 1000, .mTimeMs = 2000 };
+/** Minimum time between two samples of the segments in use. */
+constexpr Millis kSampleInterval{ 400 };
 
 uint32_t
 Clamped(uint32_t aTokens)
@@ -99,8 +96,7 @@
 double
 OwnMemory::RateWindowMs() const
 {
-  return static_cast<double>(
-    std::max<int64_t>(1, mOptions.mRateWindow.Count()));
+  return static_cast<double>(std::max<int64_t>(1, mUpdateInterval.Count()));
 }
 
 double
@@ -158,8 +154,11 @@
   if (aEnd == AnswerEnd::Whole) {
     mLengths.OnWhole(attempt.mUse.mRoute, attempt.mOutput);
   }
-  CountEnded(attempt, aNow);
-  AddTokens(engine, -(int64_t{ attempt.mUse.mPromptTokens } + attempt.mOutput));
+  const int64_t tokens =
+    int64_t{ attempt.mUse.mPromptTokens } + attempt.mOutput;
+  mMix.OnEnded(tokens,
+               static_cast<double>((aNow - attempt.mSent->mAt).Count()));
+  AddTokens(engine, -tokens);
   for (OwnUse* each : { &engine.mUse, &mSum }) {
     --each->mRequests;
     each->mExpected -= attempt.mExpected;
@@ -173,27 +172,6 @@
   engine.mAttempts.erase(ended);
 }
 
-void
-OwnMemory::CountEnded(const Attempt& aAttempt, Millis aNow)
-{
-  const double tokens = 1.0 + aAttempt.mUse.mPromptTokens + aAttempt.mOutput;
-  const auto time = static_cast<double>(
-    std::max<int64_t>(1, (aNow - aAttempt.mSent->mAt).Count()));
-  mEndedTokens += tokens - kEndedFade * mEndedTokens;
-  mEndedSquares += tokens * tokens - kEndedFade * mEndedSquares;
-  mEndedTokenMs += tokens * time - kEndedFade * mEndedTokenMs;
-}
-
-EndedRequests
-OwnMemory::Ended() const
-{
-  if (mEndedTokens <= 0) {
-    return kDefaultEnded;
-  }
-  return { .mTokens = mEndedSquares / mEndedTokens,
-           .mTimeMs = mEndedTokenMs / mEndedTokens };
-}
-
 void
 OwnMemory::AddTokens(Engine& aEngine, int64_t aTokens)
 {
@@ -336,6 +314,10 @@
   for (auto& [upstream, engine] : mEngines) {
     ExpireSegments(engine, aNow);
   }
+  if (aNow - mSampledAt >= kSampleInterval) {
+    mSampledAt = aNow;
+    SampleMix();
+  }
   std::erase_if(mEngines, [](const auto& aEntry) {
     const Engine& engine = aEntry.second;
     return engine.mAttempts.empty() && engine.mSegments.empty() &&
@@ -343,6 +325,20 @@
   });
 }
 
+void
+OwnMemory::SampleMix()
+{
+  for (const auto& [upstream, engine] : mEngines) {
+    for (const auto& [id, segment] : engine.mSegments) {
+      if (segment.mRequests > 0) {
+        mMix.OnSegmentInUse({ .mId = id, .mTokens = segment.mTokens },
+                            segment.mRequests);
+      }
+    }
+  }
+  mMix.OnSampled(mSum.mTokens);
+}
+
 void
 OwnMemory::ExpireSegments(Engine& aEngine, Millis aNow) const
 {
--- a/src/libtrefoilarch/enginememory/ownmemory.h
+++ b/src/libtrefoilarch/enginememory/ownmemory.h
@@ -3,6 +3,7 @@
 #include "../loadupdate.h"
 #include "memorytypes.h"
 #include "outputlengths.h"
+#include "requestmix.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,9 +23,6 @@
   Millis mMaxAttemptAge{ 300000 };
   /** Beyond these the oldest are forgotten. */
   size_t mMaxAttempts = 20000;
-  /** Time over which the rate of this entry's new requests is averaged: that
-   * between two updates. */
-  Millis mRateWindow{ 500 };
   /** An unchanged report is repeated after this time, before receivers let it
    * expire. */
   Millis mReportRepeat{ 1500 };
@@ -47,21 +45,14 @@
   int64_t mMilliError = 0;
 };
 
-/** Means over the requests that ended lately, in which each counts as often as
- * it had tokens. */
-struct EndedRequests
-{
-  double mTokens = 0;
-  /** Time between sending and end, in ms. */
-  double mTimeMs = 0;
-};
-
 /** The engine memory that the requests of this entry use. */
 class OwnMemory
 {
 public:
   explicit OwnMemory(OwnMemoryOptions aOptions);
 
+  void SetUpdateInterval(Millis aInterval) { mUpdateInterval = aInterval; }
+
   void OnSent(const MemoryUse& aUse, Millis aNow);
   void OnOutput(const UpstreamId& aUpstream,
                 uint64_t aAttempt,
@@ -76,8 +67,7 @@
   const OwnUse& Sum() const { return mSum; }
   /** The rate at which requests are sent to the engine, in tokens per ms. */
   double SendingRate(const UpstreamId& aUpstream, Millis aNow) const;
-  /** Defaults while none has ended. */
-  EndedRequests Ended() const;
+  const RequestMix& Mix() const { return mMix; }
   /** Tokens of the segments that are not counted at the engine. */
   int64_t MissingTokens(const UpstreamId& aUpstream,
                         const std::vector<PromptSegment>& aShared) const;
@@ -116,35 +106,34 @@
     OwnUse mUse;
     std::unordered_map<uint64_t, Attempt> mAttempts;
     std::unordered_map<uint64_t, Segment> mSegments;
-    /** Sum of the tokens sent; it fades over the rate window. */
+    /** Sum of the tokens sent; it fades over the update interval. */
     double mSent = 0;
     Millis mSentAt;
     EngineMemoryReport mReported;
     Millis mReportedAt;
   };
 
+  /** Time over which the rate of new requests is averaged. */
   double RateWindowMs() const;
   double SentRecently(const Engine& aEngine, Millis aNow) const;
   void Estimate(Engine& aEngine, Attempt& aAttempt);
-  void CountEnded(const Attempt& aAttempt, Millis aNow);
   void AddTokens(Engine& aEngine, int64_t aTokens);
   static void AddSegment(Engine& aEngine, const PromptSegment& aSegment);
   static void RemoveSegment(Engine& aEngine, uint64_t aId, Millis aNow);
+  void SampleMix();
   void ExpireSegments(Engine& aEngine, Millis aNow) const;
   static EngineMemoryReport ReportOf(const UpstreamId& aUpstream,
                                      const Engine& aEngine);
 
   OwnMemoryOptions mOptions;
+  Millis mUpdateInterval{ 500 };
   OutputLengths mLengths;
   std::unordered_map<UpstreamId, Engine> mEngines;
   /** All attempts, oldest first. */
   std::list<Sent> mSent;
   OwnUse mSum;
-  /** Of ended requests: tokens, their squares, and tokens times ms; they fade.
-   */
-  double mEndedTokens = 0;
-  double mEndedSquares = 0;
-  double mEndedTokenMs = 0;
+  RequestMix mMix;
+  Millis mSampledAt;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/enginememory/peermemory.cpp
+++ b/src/libtrefoilarch/enginememory/peermemory.cpp
@@ -93,8 +93,7 @@
 PeerMemory::At(const UpstreamId& aUpstream, Millis aNow) const
 {
   // Entries that use the engine for the first time have not reported it yet.
-  const double minAge =
-    static_cast<double>(mOptions.mUpdateInterval.Count()) / 2;
+  const double minAge = static_cast<double>(mUpdateInterval.Count()) / 2;
   const auto found = mEngines.find(aUpstream);
   if (found == mEngines.end() || found->second.mReports.empty()) {
     return { .mAgeMs = minAge };
--- a/src/libtrefoilarch/enginememory/peermemory.h
+++ b/src/libtrefoilarch/enginememory/peermemory.h
@@ -15,8 +15,6 @@
   /** A report counts for this time unless it is replaced: the entry may be gone
    * or cut off. */
   Millis mReportTimeout{ 3000 };
-  /** Mean time between two updates of an entry. */
-  Millis mUpdateInterval{ 500 };
   /** Time over which the rate of new requests is averaged. */
   Millis mRateWindow{ 2000 };
   /** Reports kept; beyond these, new ones are ignored. */
@@ -40,6 +38,8 @@
 public:
   explicit PeerMemory(PeerMemoryOptions aOptions);
 
+  void SetUpdateInterval(Millis aInterval) { mUpdateInterval = aInterval; }
+
   /** Replaces the sender's last report about the engine. Ignores absurd
    * figures. */
   void OnReport(const std::string& aFrom,
@@ -75,6 +75,7 @@
   static void Count(Engine& aEngine, const Received& aReceived, int aSign);
 
   PeerMemoryOptions mOptions;
+  Millis mUpdateInterval{ 500 };
   std::unordered_map<UpstreamId, Engine> mEngines;
   /** Oldest first. */
   Order mOrder;
