Meter workspaces over their share more exactly

The learnt capacity was the mean of what was admitted, which is less than the engines can do before a flood, so large modest workspaces were refused and their repeats kept them over their share. The capacity is now learnt from what busy engines get done, credit is added at times independent of requests, demand saturates at 16 times the share over the fleet, and entries start the floor at different times.

--- a/src/libtrefoilarch/fairshare/contention.h
+++ b/src/libtrefoilarch/fairshare/contention.h
@@ -11,7 +11,7 @@
 struct Contention
 {
   /**
-   * By tier: 0 without contention, 1 if requests of the tier just meet their
+   * By tier: 0 if nothing waits, 1 if requests of the tier just meet their
    * bounds, above 1 if they don't. Measured in what binds, engine time or
    * memory. May be noisy and differ between entries.
    */
--- a/src/libtrefoilarch/fairshare/fairshare.h
+++ b/src/libtrefoilarch/fairshare/fairshare.h
@@ -77,17 +77,19 @@
  * the demand. Others are admitted always. A tier is contended if it or a more
  * urgent tier is under pressure.
  *
- * Demand counts every request, admitted or refused. Refused ones, which include
- * repeats, count up to mMaxExcess times the share; a higher demand wouldn't
- * change any share, and admissions are metered by the share alone.
+ * Demand counts every request, admitted or refused, until it is mMaxExcess
+ * times the share: beyond it refused ones, which include repeats, aren't
+ * counted. A higher demand wouldn't change any share, and admissions are
+ * metered by the share alone.
  *
  * Bounds, whatever reports arrive, are lost, late, doubled or false:
  * - The shares of a service and tier add up to the learnt capacity at most.
  * - A share is at least the lesser of the demand and the workspace's part by
  *   weight of the capacity, among all workspaces that have demand.
  * - Without contention in the last seconds, nothing is refused.
- * - A workspace that asks gets a request from each entry within 0.9 s times the
- *   number of entries, and from the fleet about every 0.9 s.
+ * - A workspace that asks gets a request from each entry within 0.9 s divided
+ *   by the entry's part of its demand, so from the fleet at a mean rate of more
+ *   than one a second.
  * - An entry that hears nobody takes the part of its share that is its own if
  *   all entries have the same demand: the share divided by their number.
  * - State is limited by the options.
--- a/src/libtrefoilarch/fairshare/shareaccount.h
+++ b/src/libtrefoilarch/fairshare/shareaccount.h
@@ -49,10 +49,11 @@
   bool mIsMetered = false;
   /** Engine milliseconds that it may use here; negative if used in advance. */
   double mCredit = 0;
-  Millis mCreditAt;
+
+  /** When a request is admitted whatever the share, while it is metered. */
+  Millis mFloorAt;
 
   Millis mSeenAt;
-  Millis mAdmittedAt;
   Millis mRefusedAt;
   /** Requests refused. */
   uint64_t mShed = 0;
--- a/src/libtrefoilarch/fairshare/sharecapacity.cpp
+++ b/src/libtrefoilarch/fairshare/sharecapacity.cpp
@@ -16,6 +16,11 @@
 /** Without requests for this long, the pressure is unknown. */
 constexpr Millis kPressureLifetime{ 3000 };
 
+/** Limits for the growth of the backlog relative to the admitted rate, because
+ * the time that it needs isn't known well. */
+constexpr double kMinGrowth = 0.75;
+constexpr double kMaxGrowth = 1.35;
+
 constexpr double kMillisPerSecond = 1000;
 
 double
@@ -51,10 +56,7 @@
   SmoothPressure(elapsed);
   Learn(aServed, elapsed);
   Correct(elapsed);
-  const double backlogChange = AsDouble(mOptions.mBacklogAtFullPressure) /
-                               AsDouble(mOptions.mLearnTime) *
-                               (mPressure - mMeanPressure);
-  mCapacity = mMeanServed * mCorrection / std::max(1 + backlogChange, 0.5);
+  mCapacity = mLearnt * mCorrection;
   UpdateLimited(aDemand, aNow);
 }
 
@@ -66,8 +68,9 @@
   mUpdatedAt = aNow;
   mContendedAt = aNow;
   mPressure = 0;
-  mMeanPressure = 0;
-  mMeanServed = aServed;
+  mLaggedPressure = 0;
+  mLearnt = aServed;
+  mBusyMs = 0;
   mCorrection = 1;
   mCapacity = aServed;
   mLimited = false;
@@ -95,17 +98,39 @@
   mPressureSamples = 0;
 }
 
+double
+ShareCapacity::DoneRate(double aServed) const
+{
+  const double growth = (mPressure - mLaggedPressure) *
+                        AsDouble(mOptions.mBacklogAtFullPressure) /
+                        AsDouble(mOptions.mServedLag);
+  return aServed / std::clamp(1 + growth, kMinGrowth, kMaxGrowth);
+}
+
 void
 ShareCapacity::Learn(double aServed, double aElapsedMs)
 {
-  // The sums behind aServed are still filling at the start. After it, the mean
-  // is over the time since then, until the learn time has passed once.
-  const Millis learnt = mUpdatedAt - mStartedAt - kStartTime;
-  const double learnTime =
-    std::clamp(AsDouble(learnt), 1.0, AsDouble(mOptions.mLearnTime));
-  const double kept = std::exp(-aElapsedMs / learnTime);
-  mMeanServed = aServed + (mMeanServed - aServed) * kept;
-  mMeanPressure = mPressure + (mMeanPressure - mPressure) * kept;
+  mLaggedPressure +=
+    (mPressure - mLaggedPressure) *
+    (1 - std::exp(-aElapsedMs / AsDouble(mOptions.mServedLag)));
+  if (mUpdatedAt - mStartedAt < kStartTime) {
+    // The sums behind aServed are still filling.
+    mLearnt = std::max(mLearnt, aServed);
+    return;
+  }
+  const bool busy = mPressure >= mOptions.mBusyPressure;
+  mBusyMs = busy ? mBusyMs + aElapsedMs : 0;
+  const double rate = busy ? DoneRate(aServed) : aServed;
+  const Millis learning = mUpdatedAt - mStartedAt - kStartTime;
+  double time =
+    std::clamp(AsDouble(learning), 1.0, AsDouble(mOptions.mLearnTime));
+  if (busy) {
+    // What was learnt before is worth little once the engines are busy.
+    time = std::min(time, std::max(mBusyMs, AsDouble(mOptions.mServedLag)));
+  } else if (rate < mLearnt) {
+    time = AsDouble(mOptions.mForgetTime);
+  }
+  mLearnt += (rate - mLearnt) * (1 - std::exp(-aElapsedMs / time));
 }
 
 void
@@ -120,7 +145,7 @@
   const double increase =
     mOptions.mIncrease * std::max(1 - 2 * mPressure / target, 0.0);
   const double decrease =
-    mOptions.mDecrease * std::max(mPressure - target, 0.0);
+    mOptions.mDecrease * std::max(mPressure - mOptions.mDecreasePressure, 0.0);
   mCorrection *=
     std::exp((increase - decrease) * aElapsedMs / kMillisPerSecond);
   mCorrection =
--- a/src/libtrefoilarch/fairshare/sharecapacity.h
+++ b/src/libtrefoilarch/fairshare/sharecapacity.h
@@ -20,13 +20,20 @@
   Millis mEndAfter{ 1000 };
   /** Time constant by which the pressure is smoothed. */
   Millis mPressureDecayTime{ 200 };
+  /** Pressure from which on the engines are taken to be busy all the time. */
+  double mBusyPressure = 0.15;
   /** Work that waits at a pressure of 1, as the time that the engines need for
    * it. */
   Millis mBacklogAtFullPressure{ 1000 };
-  /** Time constant by which the capacity follows what the fleet admits. Several
-   * times that of the demand, so that the first second of a flood hardly counts
-   * as capacity. */
+  /** How much later than the pressure the admitted rate is known: the time
+   * constant of its sums, and half an update interval. */
+  Millis mServedLag{ 1300 };
+  /** Time constant by which the capacity follows what busy engines are sent,
+   * and by which it rises if engines that aren't busy are sent more. */
   Millis mLearnTime{ 4000 };
+  /** Time constant by which it falls if engines that aren't busy are sent less,
+   * which says little about what they can do. */
+  Millis mForgetTime{ 60000 };
   /** Proportional change of the share of those over it, by the deviation of the
    * pressure from its target, and its limits. */
   double mGain = 1.5;
@@ -35,8 +42,11 @@
   /** Relative increase of the capacity per second without pressure; none from
    * half of the target on. */
   double mIncrease = 0.3;
-  /** Relative decrease per second by the excess of pressure over the target. */
-  double mDecrease = 0.3;
+  /** Relative decrease per second by the excess of pressure over that. Above
+   * the target, since what is refused to those over their share mostly suffices
+   * and a capacity that is too low takes from the modest. */
+  double mDecrease = 0.6;
+  double mDecreasePressure = 0.8;
   /** Limits of the increase and decrease. */
   double mMinCorrection = 0.3;
   double mMaxCorrection = 3;
@@ -46,13 +56,11 @@
  * Learns the capacity of a service's engines for one tier, in engine
  * milliseconds per second, from what the whole fleet admits.
  *
- * The capacity is the mean rate of what was admitted, less the part of it that
- * still waits, with a correction that grows without pressure and falls under
- * too much. The mean is a figure that all entries have in common and the
- * correction decays, so entries whose measured pressure differs don't drift
- * apart.
- *
- * Bound: the capacity is within 0.2 and 6 times the mean rate admitted.
+ * While engines are busy, the capacity is the mean rate of what was admitted,
+ * less the growth of what waits. Otherwise it is what was admitted lately at
+ * most. A correction grows without pressure and falls under too much. The rate
+ * is a figure that all entries have in common and the correction decays, so
+ * entries whose measured pressure differs don't drift apart.
  */
 class ShareCapacity
 {
@@ -75,6 +83,8 @@
 private:
   void Start(double aServed, Millis aNow);
   void SmoothPressure(double aElapsedMs);
+  /** What the engines seem to get done, if they are busy. */
+  double DoneRate(double aServed) const;
   void Learn(double aServed, double aElapsedMs);
   void Correct(double aElapsedMs);
   void UpdateLimited(double aDemand, Millis aNow);
@@ -83,14 +93,16 @@
   double mPressureSum = 0;
   size_t mPressureSamples = 0;
   double mPressure = 0;
-  /** Means over the learn time. */
-  double mMeanPressure = 0;
-  double mMeanServed = 0;
+  /** Mean over mServedLag. */
+  double mLaggedPressure = 0;
+  double mLearnt = 0;
   double mCorrection = 1;
   double mCapacity = 0;
   bool mLimited = false;
   bool mStarted = false;
   Millis mStartedAt;
+  /** How long the engines have been busy, in milliseconds. */
+  double mBusyMs = 0;
   Millis mUpdatedAt;
   /** When there last was a reason to limit. */
   Millis mContendedAt;
--- a/src/libtrefoilarch/fairshare/sharegroup.cpp
+++ b/src/libtrefoilarch/fairshare/sharegroup.cpp
@@ -61,13 +61,20 @@
   if (!mCapacity.IsLimited() || !IsOverShare(aAccount, ownBefore, aFleet)) {
     aAccount.mIsMetered = false;
   } else {
-    const double localPart = own / aFleet.OwnScale() / demand;
-    if (!TakeCredit(aAccount, aCostMs, localPart, aRandom, aNow) &&
-        !IsFloorDue(aAccount, localPart, aFleet, aNow)) {
-      return Refuse(aAccount, aCostMs, demand, aCallerTime, aRandom, aNow);
+    const double part = own / aFleet.OwnScale() / demand;
+    if (!aAccount.mIsMetered) {
+      StartMetering(aAccount, aCostMs, part, aFleet, aRandom, aNow);
     }
+    if (!TakeCredit(aAccount, aCostMs) && aNow < aAccount.mFloorAt) {
+      const ShareVerdict verdict =
+        Refuse(aAccount, aCostMs, demand, aCallerTime, aRandom, aNow);
+      if (demand > mOptions.mMaxExcess * FlooredShare(aAccount, aCostMs)) {
+        aAccount.mDemand.LimitDemand(ownBefore, aNow);
+      }
+      return verdict;
+    }
+    aAccount.mFloorAt = aNow + FloorInterval(part, aFleet);
   }
-  aAccount.mAdmittedAt = aNow;
   aAccount.mDemand.OnServed(aCostMs, aNow);
   return { .mShare = aAccount.mShare, .mDemand = demand };
 }
@@ -85,8 +92,7 @@
   ShareAccount account{ .mDemand = WorkspaceDemand(mOptions.mDemand),
                         .mWeight = aWeight,
                         .mShare = std::numeric_limits<double>::infinity(),
-                        .mSeenAt = aNow,
-                        .mAdmittedAt = aNow };
+                        .mSeenAt = aNow };
   return mAccounts.emplace(aWorkspace, std::move(account)).first->second;
 }
 
@@ -118,6 +124,8 @@
 void
 ShareGroup::Refresh(const FleetSize& aFleet, Millis aNow)
 {
+  const Millis elapsed = std::max(aNow - mRefreshedAt, Millis(0));
+  mRefreshedAt = aNow;
   if (aNow >= mExpireAt) {
     Expire(mOptions.mForgetAfter, aNow);
     mExpireAt = aNow + kExpiryInterval;
@@ -143,6 +151,9 @@
                          : std::numeric_limits<double>::infinity();
   for (auto& [name, account] : mAccounts) {
     account.mShare = level * account.mWeight;
+    if (account.mIsMetered) {
+      AddCredit(account, elapsed, aNow);
+    }
   }
   mRefreshAt = aNow + (limited ? mOptions.mRefreshInterval
                                : mOptions.mIdleRefreshInterval);
@@ -188,30 +199,27 @@
     (own * aFleet.OwnScale() + aAccount.mOthersDemand * aFleet.HeardScale()) *
     mMeanCostMs / (2 * decaySeconds);
   const double margin = mOptions.mDeviations * std::sqrt(variance);
-  return demand - margin > aAccount.mShare;
+  return demand - margin > aAccount.mShare * (1 + mOptions.mSlack);
 }
 
-bool
-ShareGroup::TakeCredit(ShareAccount& aAccount,
-                       double aCostMs,
-                       double aLocalPart,
-                       std::minstd_rand& aRandom,
-                       Millis aNow) const
-{
-  if (!aAccount.mIsMetered) {
-    // Entries start at different points of a request, or each would admit one
-    // at the same time.
-    std::uniform_real_distribution<double> begun(0, aCostMs);
-    aAccount.mIsMetered = true;
-    aAccount.mCredit = -begun(aRandom);
-    aAccount.mCreditAt = aNow;
-  }
+void
+ShareGroup::AddCredit(ShareAccount& aAccount,
+                      Millis aElapsed,
+                      Millis aNow) const
+{
   const double ratePerMs =
-    aAccount.mShare * mCapacity.Factor() * aLocalPart / kMillisPerSecond;
-  const Millis elapsed = std::max(aNow - aAccount.mCreditAt, Millis(0));
-  aAccount.mCreditAt = std::max(aNow, aAccount.mCreditAt);
-  aAccount.mCredit = std::min(aAccount.mCredit + ratePerMs * AsDouble(elapsed),
-                              ratePerMs * AsDouble(mOptions.mCreditTime));
+    aAccount.mShare * mCapacity.Factor() * aAccount.mDemand.Own(aNow).mDemand /
+    std::max(aAccount.mFleet.mDemand, kMinDemand) / kMillisPerSecond;
+  // An entry with few requests would lose what it has saved between two of
+  // them.
+  const double most = ratePerMs * AsDouble(mOptions.mCreditTime) + mMeanCostMs;
+  aAccount.mCredit =
+    std::min(aAccount.mCredit + ratePerMs * AsDouble(aElapsed), most);
+}
+
+bool
+ShareGroup::TakeCredit(ShareAccount& aAccount, double aCostMs)
+{
   if (aAccount.mCredit < 0) {
     return false;
   }
@@ -219,16 +227,36 @@
   return true;
 }
 
-bool
-ShareGroup::IsFloorDue(const ShareAccount& aAccount,
-                       double aLocalPart,
-                       const FleetSize& aFleet,
-                       Millis aNow) const
+void
+ShareGroup::StartMetering(ShareAccount& aAccount,
+                          double aCostMs,
+                          double aLocalPart,
+                          const FleetSize& aFleet,
+                          std::minstd_rand& aRandom,
+                          Millis aNow) const
+{
+  std::uniform_real_distribution<double> part(0, 1);
+  const double interval = AsDouble(FloorInterval(aLocalPart, aFleet));
+  aAccount.mIsMetered = true;
+  aAccount.mCredit = -aCostMs * part(aRandom);
+  aAccount.mFloorAt =
+    aNow + Millis(static_cast<int64_t>(interval * part(aRandom)));
+}
+
+Millis
+ShareGroup::FloorInterval(double aLocalPart, const FleetSize& aFleet) const
 {
   const double leastPart = 1 / static_cast<double>(aFleet.mAll);
-  const double interval =
-    AsDouble(mOptions.mFloorInterval) / std::clamp(aLocalPart, leastPart, 1.0);
-  return AsDouble(aNow - aAccount.mAdmittedAt) >= interval;
+  return Millis(static_cast<int64_t>(AsDouble(mOptions.mFloorInterval) /
+                                     std::clamp(aLocalPart, leastPart, 1.0)));
+}
+
+double
+ShareGroup::FlooredShare(const ShareAccount& aAccount, double aCostMs) const
+{
+  const double floor =
+    aCostMs * kMillisPerSecond / AsDouble(mOptions.mFloorInterval);
+  return std::max(aAccount.mShare, floor);
 }
 
 ShareVerdict
@@ -239,12 +267,9 @@
                    std::minstd_rand& aRandom,
                    Millis aNow) const
 {
-  const double floor =
-    aCostMs * kMillisPerSecond / AsDouble(mOptions.mFloorInterval);
-  const double share = std::max(aAccount.mShare, floor);
+  const double share = FlooredShare(aAccount, aCostMs);
   aAccount.mShed++;
   aAccount.mRefusedAt = aNow;
-  aAccount.mDemand.LimitDemand(share * mOptions.mMaxExcess, aNow);
   return { .mAdmitted = false,
            .mReturnAfter = mReturns.Draw(aDemand / share, aCallerTime, aRandom),
            .mShare = aAccount.mShare,
--- a/src/libtrefoilarch/fairshare/sharegroup.h
+++ b/src/libtrefoilarch/fairshare/sharegroup.h
@@ -22,6 +22,9 @@
    * standard deviations of its measurement, so that one that asks for little is
    * not taken for a flood because two of its requests come together. */
   double mDeviations = 2;
+  /** It must also exceed it by this part of it, because the capacity isn't
+   * known better. */
+  double mSlack = 0.1;
   /** Shares are recomputed at most this often while they apply... */
   Millis mRefreshInterval{ 100 };
   /** ...and otherwise. */
@@ -29,9 +32,11 @@
   /** A workspace that asks gets a request from the fleet this often. Shorter
    * than a second, because its next request comes somewhat later. */
   Millis mFloorInterval{ 900 };
-  /** Refused requests count as demand up to this multiple of the share. */
-  double mMaxExcess = 8;
-  /** Credit that an unmetered time gives, as time at the rate of the share. */
+  /** A refused request doesn't count as demand if the demand is more than this
+   * multiple of the share already. */
+  double mMaxExcess = 16;
+  /** Credit that may be saved besides that of one request, as time at the rate
+   * of the share. */
   Millis mCreditTime{ 250 };
   /** Workspaces that weren't seen for this long are dropped. */
   Millis mForgetAfter{ 60000 };
@@ -92,16 +97,24 @@
   bool IsOverShare(const ShareAccount& aAccount,
                    double aOwnBefore,
                    const FleetSize& aFleet) const;
-  /** aLocalPart: this entry's part of the workspace's demand. */
-  bool TakeCredit(ShareAccount& aAccount,
-                  double aCostMs,
-                  double aLocalPart,
-                  std::minstd_rand& aRandom,
-                  Millis aNow) const;
-  bool IsFloorDue(const ShareAccount& aAccount,
-                  double aLocalPart,
-                  const FleetSize& aFleet,
-                  Millis aNow) const;
+  /** Adds this entry's part of the share. At times that don't depend on the
+   * requests, after which the demand here is at its highest. */
+  void AddCredit(ShareAccount& aAccount, Millis aElapsed, Millis aNow) const;
+  static bool TakeCredit(ShareAccount& aAccount, double aCostMs);
+  /** Starts each entry at a different point of its first request and of its
+   * first floor interval, or all would admit one at the same time and then
+   * none. */
+  void StartMetering(ShareAccount& aAccount,
+                     double aCostMs,
+                     double aLocalPart,
+                     const FleetSize& aFleet,
+                     std::minstd_rand& aRandom,
+                     Millis aNow) const;
+  /** How often this entry admits a request whatever the share. aLocalPart: its
+   * part of the workspace's demand. */
+  Millis FloorInterval(double aLocalPart, const FleetSize& aFleet) const;
+  /** The share, or the rate of the floor if that is more. */
+  double FlooredShare(const ShareAccount& aAccount, double aCostMs) const;
   ShareVerdict Refuse(ShareAccount& aAccount,
                       double aCostMs,
                       double aDemand,
@@ -116,6 +129,7 @@
   double mMeanCostMs = 0;
   /** Weights of the workspaces with demand. */
   double mActiveWeight = 0;
+  Millis mRefreshedAt;
   Millis mRefreshAt;
   Millis mExpireAt;
 };
