--- a/src/libtrefoilarch/fairshare/sharecapacity.h
+++ b/src/libtrefoilarch/fairshare/sharecapacity.h
@@ -61,6 +61,9 @@
  * most. A correction grows without pressure and falls under too much. The rate
  * is a figure that all entries have in common and the correction decays, so
  * entries whose measured pressure differs don't drift apart.
+ *
+ * Bound: the capacity is at most 4 times the highest and at least 0.2 times the
+ * lowest rate admitted.
  */
 class ShareCapacity
 {
