--- a/tests/unit/virtualmemoryfleet.h
+++ b/tests/unit/virtualmemoryfleet.h
@@ -301,7 +301,8 @@
     }
   }
 
-  /** Asks up to three engines in turn to hold a slot and tokens. */
+  /** Asks up to three engines in turn to hold a slot and tokens. The calls
+   * count as delay, but see the engines as they are, which favours them. */
   void Reserve(VirtualRequest& aRequest)
   {
     std::vector<size_t> all(kEngines);
