Release the memory of answers without planned output

A request with an output limit of one token plans an output of 0 tokens. The end is now always passed on to the memory. The new test found two of three engines with room before and finds three.

--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -169,14 +169,13 @@
 void
 LoadTracker::OnEnded(const PlacedAttempt& aAttempt, bool aWhole, Millis aNow)
 {
-  if (aAttempt.mWork.mOutput > 0) {
-    mMemory.OnEnded(aAttempt.mUpstream,
-                    aAttempt.mNumber,
-                    aNow,
-                    aWhole ? AnswerEnd::Whole : AnswerEnd::Cut);
-    return;
-  }
-  if (!aWhole || !aAttempt.mStarted || !UsesPerformance(aAttempt.mService)) {
+  // Also for an answer without planned output: its prompt uses memory.
+  mMemory.OnEnded(aAttempt.mUpstream,
+                  aAttempt.mNumber,
+                  aNow,
+                  aWhole ? AnswerEnd::Whole : AnswerEnd::Cut);
+  if (aAttempt.mWork.mOutput > 0 || !aWhole || !aAttempt.mStarted ||
+      !UsesPerformance(aAttempt.mService)) {
     return;
   }
   const auto callMs =
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -322,3 +322,18 @@
     cr_expect((candidates[2].mSlowness > 1.5) == (on == 1));
   }
 }
+
+/** Guards against memory that stays counted: an answer of one token has no
+ * planned output. */
+Test(loadtracker, the_memory_of_an_answer_of_one_token_is_released)
+{
+  Tracked tracked;
+  BoundRequest request = tracked.Request(15000);
+  request.mPrompt.mExpectedOutput = 0;
+  request.mPrompt.mMaxOutput = 1;
+  const PlacedAttempt attempt = Tracked::Attempt(request, 1, "e1");
+  tracked.mTracker.OnSent(request, attempt, Millis(0));
+  cr_assert(tracked.Fitting(9000, Millis(1)).size() == 2);
+  tracked.mTracker.OnEnded(attempt, true, Millis(2));
+  cr_expect(tracked.Fitting(9000, Millis(3)).size() == 3);
+}
