Forget the requests of an engine whose process has ended

Engine memory kept the requests and cached segments of an engine that restarted under its id until their attempts ended, up to five minutes, and the speed of an upstream without a start time was kept for its successor. DirectRouter now passes the end of an incarnation on to the load tracker. Without the call, the new test fails as the new engine counts as full.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -78,7 +78,7 @@
       if (!tracked.mLeaving) {
         OnIncarnationEnded(tracked.mIncarnation, "replaced", aNow);
       }
-      ForgetIncarnation(id, tracked);
+      ForgetIncarnation(id, tracked, aNow);
       restarted.push_back(id);
     }
     if (tracked.mIncarnationNumber != listed.mIncarnationNumber) {
@@ -117,11 +117,13 @@
 
 void
 DirectRouter::ForgetIncarnation(const UpstreamId& aUpstream,
-                                TrackedUpstream& aTracked)
+                                TrackedUpstream& aTracked,
+                                Millis aNow)
 {
   mOutliers.Reset(aUpstream);
   ForgetLimit(aUpstream);
   mEngineModel.Forget(aUpstream);
+  mLoad.OnIncarnationEnded(aUpstream, aNow);
   mPlacement.PrefixCaches().Forget(aUpstream);
   aTracked.mWork = UpstreamWork();
   aTracked.mPeerSilence = PeerSilence();
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -356,7 +356,8 @@
   void RecordAttempt(const BoundRequest& aRequest, Millis aNow);
   /** Another process has replaced the upstream's. */
   void ForgetIncarnation(const UpstreamId& aUpstream,
-                         TrackedUpstream& aTracked);
+                         TrackedUpstream& aTracked,
+                         Millis aNow);
   /** Whether the upstream's results give no reason to avoid it. */
   bool IsHealthy(const UpstreamId& aUpstream, Millis aNow) const;
   const char* StateName(const ListedUpstream& aListed, Millis aNow) const;
--- a/src/libtrefoilarch/enginememory/enginememory.cpp
+++ b/src/libtrefoilarch/enginememory/enginememory.cpp
@@ -102,6 +102,12 @@
   mOwn.OnEnded(aUpstream, aAttempt, aEnd, aNow);
 }
 
+void
+EngineMemory::OnEngineEnded(const UpstreamId& aUpstream, Millis aNow)
+{
+  mOwn.OnEngineEnded(aUpstream, aNow);
+}
+
 void
 EngineMemory::OnGivenUp(uint64_t aAttempt)
 {
--- a/src/libtrefoilarch/enginememory/enginememory.h
+++ b/src/libtrefoilarch/enginememory/enginememory.h
@@ -98,6 +98,10 @@
                Millis aNow,
                AnswerEnd aEnd = AnswerEnd::Whole);
 
+  /** The engine's process has ended. Later calls about its attempts are
+   * ignored. */
+  void OnEngineEnded(const UpstreamId& aUpstream, Millis aNow);
+
   MemoryRoom RoomAt(const UpstreamId& aUpstream,
                     uint32_t aCapacityTokens,
                     Millis aNow) const;
--- a/src/libtrefoilarch/enginememory/ownmemory.cpp
+++ b/src/libtrefoilarch/enginememory/ownmemory.cpp
@@ -172,6 +172,22 @@
   engine.mAttempts.erase(ended);
 }
 
+void
+OwnMemory::OnEngineEnded(const UpstreamId& aUpstream, Millis aNow)
+{
+  const auto found = mEngines.find(aUpstream);
+  if (found == mEngines.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  while (!engine.mAttempts.empty()) {
+    const uint64_t attempt = engine.mAttempts.begin()->first;
+    OnEnded(aUpstream, attempt, AnswerEnd::Cut, aNow);
+  }
+  engine.mSegments.clear();
+  engine.mUse.mRecentShared = 0;
+}
+
 void
 OwnMemory::AddTokens(Engine& aEngine, int64_t aTokens)
 {
--- a/src/libtrefoilarch/enginememory/ownmemory.h
+++ b/src/libtrefoilarch/enginememory/ownmemory.h
@@ -62,6 +62,9 @@
                AnswerEnd aEnd,
                Millis aNow);
 
+  /** Ends the engine's attempts and forgets its segments. */
+  void OnEngineEnded(const UpstreamId& aUpstream, Millis aNow);
+
   OwnUse At(const UpstreamId& aUpstream) const;
   /** The sum over all engines. */
   const OwnUse& Sum() const { return mSum; }
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -80,6 +80,13 @@
   mPerformance.OnUnlisted(aUpstream, aNow);
 }
 
+void
+LoadTracker::OnIncarnationEnded(const UpstreamId& aUpstream, Millis aNow)
+{
+  mPerformance.OnUnlisted(aUpstream, aNow);
+  mMemory.OnEngineEnded(aUpstream, aNow);
+}
+
 void
 LoadTracker::SetWeights(const RoutePolicy& aPolicy)
 {
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -77,6 +77,9 @@
 
   void OnListed(const ListedUpstream& aListed, Millis aNow);
   void OnUnlisted(const UpstreamId& aUpstream, Millis aNow);
+  /** The upstream's process has ended, and its requests with it. To be called
+   * before OnListed() states its successor. */
+  void OnIncarnationEnded(const UpstreamId& aUpstream, Millis aNow);
   /** Sets the number of entries, this one included. */
   void SetEntries(size_t aEntries) { mEntries = aEntries; }
   /** See FairShare::SetWeights(). */
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -337,3 +337,28 @@
   tracked.mTracker.OnEnded(attempt, true, Millis(2));
   cr_expect(tracked.Fitting(9000, Millis(3)).size() == 3);
 }
+
+/** Guards against a new engine that is taken to be as full as the one that ran
+ * under its id, and against ends of requests there that free memory twice. */
+Test(loadtracker, a_restarted_engine_has_no_requests)
+{
+  DirectRouter router = MakeRouter(PartMode::On);
+  const auto place = [&](Millis aNow) {
+    Tracked tracked;
+    const BoundRequest request = tracked.Request(15000, "", aNow);
+    PlacementWait wait;
+    return router.Place(request, { "u1", "u2" }, wait, aNow);
+  };
+  const std::optional<PlacedAttempt> before = place(Millis(1));
+  cr_assert(before.has_value());
+  cr_assert(!place(Millis(2)).has_value());
+  router.Directory().Put({ .mId = "u0",
+                           .mService = "llm",
+                           .mAddress = "a:0",
+                           .mSlots = 64,
+                           .mStartTime = 5000 });
+  router.OnDirectoryChanged(Millis(3));
+  cr_expect(place(Millis(4)).has_value());
+  router.OnEnded(*before, AttemptOutcome::Broken, Millis(5));
+  cr_expect(!place(Millis(6)).has_value());
+}
