Expire engine memory at entries without others

Engine memory expires when updates are sent or received. An entry without others does neither, so engines that were gone and requests without an end stayed for good. Expires also when a request is sent, at most once a second. The new test found a request without an end still counted after 301 s and finds its engine free.

--- a/src/libtrefoilarch/loadexchange.cpp
+++ b/src/libtrefoilarch/loadexchange.cpp
@@ -28,7 +28,7 @@
 LoadUpdate
 LoadTracker::TakeUpdate(Millis aNow)
 {
-  ExpirePeers(aNow);
+  Expire(aNow);
   return { .mFrom = mOptions.mName,
            .mProcess = mOptions.mProcess,
            .mSequence = ++mSequence,
@@ -59,12 +59,13 @@
   for (const WorkspaceDemandReport& each : aUpdate.mDemands) {
     mShares.OnPeerReport(aUpdate.mFrom, each, aNow);
   }
-  ExpirePeers(aNow);
+  Expire(aNow);
 }
 
 void
-LoadTracker::ExpirePeers(Millis aNow)
+LoadTracker::Expire(Millis aNow)
 {
+  mExpiredAt = aNow;
   std::erase_if(mPeers, [aNow](const auto& aEntry) {
     return aNow - aEntry.second.mReceivedAt > kPeerTimeout;
   });
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -17,6 +17,9 @@
  * milliseconds. */
 constexpr double kOutputTokenMs = 0.3;
 
+/** EngineMemory::Expire() is to be called at least this often. */
+constexpr Millis kExpireInterval{ 1000 };
+
 /** Speed classes per doubling of the speed. */
 constexpr double kClassesPerDoubling = 2;
 
@@ -143,6 +146,10 @@
   }
   mTokensPerEvent[aRequest.mService] = TokensPerEventOf(aRequest);
   if (UsesMemory(aRequest.mService)) {
+    // Without others there are no updates that call Expire().
+    if (aNow - mExpiredAt >= kExpireInterval) {
+      Expire(aNow);
+    }
     mMemory.OnSent({ .mUpstream = aAttempt.mUpstream,
                      .mAttempt = aAttempt.mNumber,
                      .mPromptTokens = OwnTokens(aRequest.mPrompt),
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -174,7 +174,8 @@
                                      double aPrefillPerMs,
                                      Millis aNow);
   EngineSituation SituationAt(const EngineView& aEngine, Millis aNow) const;
-  void ExpirePeers(Millis aNow);
+  /** Removes what is out of date. */
+  void Expire(Millis aNow);
 
   LoadTrackerOptions mOptions;
   UpstreamPerformance mPerformance;
@@ -186,6 +187,7 @@
   size_t mEntries = 1;
   uint64_t mSequence = 0;
   std::map<std::string, Peer> mPeers;
+  Millis mExpiredAt;
   /** Usual time of a call without a prompt, by service, in milliseconds. */
   std::unordered_map<std::string, RunningMean> mCallMs;
   /** Tokens per event of a stream, by service. */
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -362,3 +362,15 @@
   router.OnEnded(*before, AttemptOutcome::Broken, Millis(5));
   cr_expect(!place(Millis(6)).has_value());
 }
+
+/** Guards against state that an entry without others never removes. */
+Test(loadtracker, a_request_without_an_end_is_forgotten_without_updates)
+{
+  Tracked tracked;
+  const BoundRequest lost = tracked.Request(15000);
+  tracked.mTracker.OnSent(lost, Tracked::Attempt(lost, 1, "e1"), Millis(0));
+  const BoundRequest next = tracked.Request(100);
+  tracked.mTracker.OnSent(
+    next, Tracked::Attempt(next, 2, "e0"), Millis(301000));
+  cr_expect(tracked.Fitting(9000, Millis(301001)).size() == 3);
+}
