Tell the engine memory the interval of updates in large fleets

Entries of a fleet of more than 41 send load updates every 2 s, but the margin for what others have sent since assumed 500 ms in any fleet. The intervals move to loadupdate.h so that sender and margin use the same.

--- a/src/libtrefoilarch/loadexchange.cpp
+++ b/src/libtrefoilarch/loadexchange.cpp
@@ -1,5 +1,7 @@
 #include "loadtracker.h"
 
+#include "peerring.h"
+
 #include <nlohmann/json.hpp>
 
 /** Updates between entries, and what operators see of the load tracker. */
@@ -69,7 +71,11 @@
   std::erase_if(mPeers, [aNow](const auto& aEntry) {
     return aNow - aEntry.second.mReceivedAt > kPeerTimeout;
   });
-  mMemory.SetEntries(mEntries, mPeers.size());
+  const bool largeFleet = mEntries > PeerRing::kMaxReceivers + 1;
+  mMemory.SetEntries(mEntries,
+                     mPeers.size(),
+                     largeFleet ? kLargeFleetLoadUpdateInterval
+                                : kLoadUpdateInterval);
   mShares.SetEntries(mEntries, mPeers.size());
   mMemory.Expire(aNow);
 }
--- a/src/libtrefoilarch/loadupdate.h
+++ b/src/libtrefoilarch/loadupdate.h
@@ -74,4 +74,10 @@
   bool operator==(const LoadUpdate&) const = default;
 };
 
+/** Minimum time between two load updates of an entry, whose figures are
+ * averages over seconds. In a larger fleet an entry sends to 40 others:
+ * 24 KB/s if all updates are of the maximum size. */
+constexpr Millis kLoadUpdateInterval{ 500 };
+constexpr Millis kLargeFleetLoadUpdateInterval{ 2000 };
+
 } // namespace trefoilarch
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -35,13 +35,6 @@
 constexpr size_t kMaxReceivers = trefoilarch::PeerRing::kMaxReceivers;
 constexpr Millis kLargeFleetInterval{ 640 };
 
-/** Minimum interval between load updates; they describe averages over
- * seconds. */
-constexpr Millis kLoadInterval{ 500 };
-/** In a larger fleet an entry sends to 40 others: 24 KB/s if all updates are
- * of the maximum size. */
-constexpr Millis kLargeFleetLoadInterval{ 2000 };
-
 /** Interval at which the load timer checks for an update to send. */
 constexpr Millis kLoadTickInterval{ 100 };
 
@@ -218,8 +211,9 @@
 PeerLink::TickLoad()
 {
   const Millis now = BootNow();
-  const Millis interval =
-    IsLargeFleet() ? kLargeFleetLoadInterval : kLoadInterval;
+  const Millis interval = IsLargeFleet()
+                            ? trefoilarch::kLargeFleetLoadUpdateInterval
+                            : trefoilarch::kLoadUpdateInterval;
   const bool due = !mLastLoadSentAt || now - *mLastLoadSentAt >= interval;
   if (due && !mReceivers.empty() && mHooks.mHasLoadUpdate()) {
     const auto bytes = EncodeLoadUpdate(mHooks.mTakeLoadUpdate());
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -374,3 +374,29 @@
     next, Tracked::Attempt(next, 2, "e0"), Millis(301000));
   cr_expect(tracked.Fitting(9000, Millis(301001)).size() == 3);
 }
+
+/** Guards against a margin for what others sent in half a second, in a fleet
+ * whose entries report every two seconds. */
+Test(loadtracker, the_margin_covers_the_interval_of_updates_in_a_large_fleet)
+{
+  const auto mostTokens = [](size_t aEntries) {
+    Tracked tracked;
+    tracked.mTracker.SetEntries(aEntries);
+    tracked.mTracker.OnUpdate({ .mFrom = "there", .mSequence = 1 }, Millis(0));
+    const BoundRequest sent = tracked.Request(20);
+    tracked.mTracker.OnSent(sent, Tracked::Attempt(sent, 1, "e0"), Millis(0));
+    uint32_t most = 0;
+    const auto fits = [&](uint32_t aTokens) {
+      const auto fitting = tracked.Fitting(aTokens, Millis(1000));
+      return tracked.mVerdict->mKind == Kind::Fits && !fitting.empty() &&
+             fitting.front() == "e0";
+    };
+    while (fits(most + 100)) {
+      most += 100;
+    }
+    return most;
+  };
+  const uint32_t small = mostTokens(41);
+  const uint32_t large = mostTokens(42);
+  cr_expect(large > 0 && small > large + 500, "%u %u", small, large);
+}
