Count the first event of a stream in engine memory

Output was counted with each pause between two events, so an answer of n events counted n - 1 and learnt lengths were as much too short: by a fifth for answers of five events. The first event now counts when the answer starts. Answers that are not streams no longer count pieces of their body as events.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -183,6 +183,8 @@
                          .mAddress = backup->mAddress,
                          .mProcess = backup->Process(),
                          .mWork = work,
+                         .mTokensPerEvent =
+                           LoadTracker::TokensPerEvent(aRequest),
                          .mCopySourceAddress = aBroken.mAddress,
                          .mSentAt = aNow };
   mLoad.OnSent(aRequest, attempt, aNow);
@@ -266,6 +268,7 @@
     .mAddress = listed->mAddress,
     .mProcess = listed->Process(),
     .mWork = aChoice.mWork,
+    .mTokensPerEvent = LoadTracker::TokensPerEvent(aRequest),
     .mPrefillBacklog = { .mAhead = pending.Ahead(urgency),
                          .mBehind = pending.Behind(urgency) },
     .mHolderAddress = holder != nullptr ? holder->mAddress : "",
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -361,6 +361,7 @@
     const Millis firstTokenTime = aNow - aAttempt.mSentAt;
     mOutliers.OnFirstToken(aAttempt.mUpstream, firstTokenTime, aNow);
     mPeerUpdates.OnAnswered(aAttempt.mUpstream);
+    mLoad.OnStarted(aAttempt);
     if (aAttempt.mWork.mPrefill > 0) {
       mEngineModel.OnStarted(aAttempt.mService,
                              aAttempt.mUpstream,
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -144,7 +144,6 @@
   if (aRequest.mPrompt.mPromptTokens == 0) {
     return;
   }
-  mTokensPerEvent[aRequest.mService] = TokensPerEventOf(aRequest);
   if (UsesMemory(aRequest.mService)) {
     // Without others there are no updates that call Expire().
     if (aNow - mExpiredAt >= kExpireInterval) {
@@ -160,16 +159,32 @@
   }
 }
 
+uint32_t
+LoadTracker::TokensPerEvent(const BoundRequest& aRequest)
+{
+  return aRequest.mRoute->mStream ? TokensPerEventOf(aRequest) : 0;
+}
+
+void
+LoadTracker::OnStarted(const PlacedAttempt& aAttempt)
+{
+  if (aAttempt.mTokensPerEvent > 0) {
+    mMemory.OnOutput(
+      aAttempt.mUpstream, aAttempt.mNumber, aAttempt.mTokensPerEvent);
+  }
+}
+
 void
 LoadTracker::OnEvent(const PlacedAttempt& aAttempt,
                      const EngineView& aEngine,
                      Millis aPause,
                      Millis aNow)
 {
-  const auto tokens = mTokensPerEvent.find(aAttempt.mService);
-  mMemory.OnOutput(aAttempt.mUpstream,
-                   aAttempt.mNumber,
-                   tokens == mTokensPerEvent.end() ? 1 : tokens->second);
+  if (aAttempt.mTokensPerEvent == 0) {
+    return;
+  }
+  mMemory.OnOutput(
+    aAttempt.mUpstream, aAttempt.mNumber, aAttempt.mTokensPerEvent);
   if (!UsesPerformance(aAttempt.mService) || aAttempt.mWork.mOutput == 0) {
     return;
   }
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -91,10 +91,15 @@
 
   /** An upstream stated its contention. */
   void OnContention(const UpstreamId& aUpstream, double aFactor, Millis aNow);
+  /** Output tokens that an event of the request's stream holds; 0 if it has no
+   * events. */
+  static uint32_t TokensPerEvent(const BoundRequest& aRequest);
   void OnSent(const BoundRequest& aRequest,
               const PlacedAttempt& aAttempt,
               Millis aNow);
-  /** An event of a stream was received aPause after the previous one. */
+  /** The first event of a stream was received. */
+  void OnStarted(const PlacedAttempt& aAttempt);
+  /** A later event of a stream was received aPause after the previous one. */
   void OnEvent(const PlacedAttempt& aAttempt,
                const EngineView& aEngine,
                Millis aPause,
@@ -190,8 +195,6 @@
   Millis mExpiredAt;
   /** Usual time of a call without a prompt, by service, in milliseconds. */
   std::unordered_map<std::string, RunningMean> mCallMs;
-  /** Tokens per event of a stream, by service. */
-  std::unordered_map<std::string, uint32_t> mTokensPerEvent;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/placedattempt.h
+++ b/src/libtrefoilarch/placedattempt.h
@@ -27,6 +27,8 @@
   /** The upstream's process, as listed when the attempt was placed. */
   UpstreamProcess mProcess;
   AttemptWork mWork;
+  /** Output tokens that an event of its stream holds; 0 if it has no events. */
+  uint32_t mTokensPerEvent = 0;
   /** The engine's prefill backlog, as known when the attempt was sent. */
   PrefillBacklog mPrefillBacklog;
   /** Of an upstream that has more of the prompt cached, or empty. */
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -400,3 +400,21 @@
   const uint32_t large = mostTokens(42);
   cr_expect(large > 0 && small > large + 500, "%u %u", small, large);
 }
+
+/** Guards against answers that are taken to be shorter than they are: their
+ * first event holds tokens, too, but no pause precedes it. */
+Test(loadtracker, all_events_of_a_stream_count_in_its_memory)
+{
+  DirectRouter router = MakeRouter(PartMode::On);
+  Tracked tracked;
+  PlacementWait wait;
+  auto attempt =
+    router.Place(tracked.Request(1000), { "u1", "u2" }, wait, Millis(0));
+  router.OnStarted(*attempt, Millis(10));
+  router.OnPause(*attempt, Millis(20), Millis(30));
+  const LoadUpdate update = router.Load().TakeUpdate(Millis(40));
+  cr_assert(update.mMemory.size() == 1);
+  cr_expect(update.mMemory.front().mTokens == 1008,
+            "%u",
+            update.mMemory.front().mTokens);
+}
