Compute no forecast for requests that are refused for late starts

With fair shares, the forecast came to be computed before the start meter was asked, also for services without them. A refusal then cost as much as a placement, and drew random numbers that changed later placements. The new test counted 3 costs of candidates in a refusal and counts none.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -73,9 +73,10 @@
                                         .mLimit = limit,
                                         .mPriorityWeight = weight,
                                         .mMaxPause = route.mGapTarget };
-  const StartForecast forecast = ForecastFor(aRequest, aNow);
   auto late = meter.Refuse(
     route.mFirstTokenTarget, limit, weight * kReportingPeersWeight, aNow);
+  const StartForecast forecast =
+    late ? StartForecast() : ForecastFor(aRequest, aNow);
   if (!late) {
     late = mEngineAdmission.Refuse(forecast, requirements);
     if (late) {
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -418,3 +418,28 @@
             "%u",
             update.mMemory.front().mTokens);
 }
+
+/** Guards against refusals that cost as much as placements and draw random
+ * numbers, which changes later placements. */
+Test(loadtracker, requests_refused_for_late_starts_are_not_placed)
+{
+  size_t calls = 0;
+  DirectRouter router =
+    MakeRouter(PartMode::Auto,
+               [&](const PlacementCandidate&, const PlacementChoice&, Millis) {
+                 ++calls;
+                 return 0.0;
+               });
+  std::vector<PlacedAttempt> attempts;
+  for (size_t each = 0; each < 6; ++each) {
+    PlaceOne(router, "/chat/x", 700, Millis(1), attempts);
+  }
+  cr_assert(calls > 0);
+  router.OnPeerUpdate({ .mFrom = "there", .mProcess = 2, .mSequence = 2 },
+                      Millis(1400));
+  calls = 0;
+  const std::string last =
+    PlaceOne(router, "/chat/x", 700, Millis(1500), attempts);
+  cr_expect(last.starts_with("refused"), "%s", last.c_str());
+  cr_expect(calls == 0, "%zu", calls);
+}
