Keep the cost of plain upstreams exact at the usual speed

The term for slower upstreams was added and subtracted in an order that rounds, so that upstreams which were tied before were not. Services without stated contention should be placed as before. The new test failed in the choice between an idle upstream and one with one of 50 slots busy.

--- a/src/libtrefoilarch/workplacement.cpp
+++ b/src/libtrefoilarch/workplacement.cpp
@@ -261,7 +261,7 @@
   const double share = aCandidate.mWork->Busy(aNow) / slots;
   // A slower upstream prolongs both the calls ahead and this one.
   const double factor = aCandidate.mWorkFactor;
-  return (share * factor + factor - 1) * mOptions.mPlainCallMs +
+  return (share * factor + (factor - 1)) * mOptions.mPlainCallMs +
          Distance(aCandidate, mOptions.mPlainOtherDataCentreMs) +
          SilenceCost(aCandidate, aNow) +
          (aCandidate.mCold ? mOptions.mColdMs : 0);
--- a/tests/unit/workplacementtest.cpp
+++ b/tests/unit/workplacementtest.cpp
@@ -132,6 +132,36 @@
 
 } // namespace
 
+/** Guards against rounding that changes which plain upstreams are tied: a busy
+ * slot of 50 costs as much as a cold start of 1 ms. */
+Test(workplacement, the_usual_speed_does_not_change_the_cost_of_load)
+{
+  WorkPlacement busy({ .mDataCentre = "here" });
+  WorkPlacement cold({ .mDataCentre = "here", .mColdMs = 1 });
+  const ListedUpstream listed{ .mId = "a",
+                               .mDataCentre = "here",
+                               .mSlots = 50 };
+  ListedUpstream other = listed;
+  other.mId = "b";
+  const UpstreamWork idle;
+  UpstreamWork one;
+  one.OnSent({}, Millis(0));
+  for (size_t each = 0; each < 50; ++each) {
+    const std::vector<PlacementCandidate> withBusy{
+      { .mListed = &listed, .mWork = &idle },
+      { .mListed = &other, .mWork = &one },
+      { .mListed = &other, .mWork = &idle }
+    };
+    const std::vector<PlacementCandidate> withCold{
+      { .mListed = &listed, .mWork = &idle },
+      { .mListed = &other, .mWork = &idle, .mCold = true },
+      { .mListed = &other, .mWork = &idle }
+    };
+    cr_expect(busy.Choose(withBusy, {}, 0, {}, Millis(0)).mUpstream ==
+              cold.Choose(withCold, {}, 0, {}, Millis(0)).mUpstream);
+  }
+}
+
 Test(workplacement, a_session_goes_to_the_same_engine_from_every_entry)
 {
   const Engines engines(12);
