Count cached segments that a request brings back into use

At an entry that hears no others, segments that are cached but not in use do not count as used. A request with such a segment was taken to need no memory for it, so it could be sent 6,300 tokens more than the engine has left. They count as missing now unless the room counts them. In the new test such a request fitted a full engine before.

--- a/src/libtrefoilarch/enginememory/enginememory.cpp
+++ b/src/libtrefoilarch/enginememory/enginememory.cpp
@@ -260,8 +260,10 @@
   options.reserve(aCandidates.size());
   for (const MemoryCandidate& each : aCandidates) {
     Option option{ .mCandidate = &each };
+    // Without others, SharedTokens() counts only segments that are in use.
     option.mRequestTokens =
-      unshared + mOwn.MissingTokens(each.mUpstream, aRequest.mShared);
+      unshared +
+      mOwn.MissingTokens(each.mUpstream, aRequest.mShared, mHeard > 0);
     option.mRoom = RoomWith(each.mUpstream, each.mCapacityTokens, output, aNow);
     option.mLeft = option.mRoom.mFree - option.mRequestTokens - ahead;
     // An empty engine needs no margin.
--- a/src/libtrefoilarch/enginememory/ownmemory.cpp
+++ b/src/libtrefoilarch/enginememory/ownmemory.cpp
@@ -254,14 +254,21 @@
 
 int64_t
 OwnMemory::MissingTokens(const UpstreamId& aUpstream,
-                         const std::vector<PromptSegment>& aShared) const
+                         const std::vector<PromptSegment>& aShared,
+                         bool aCountsRecent) const
 {
   const auto engine = mEngines.find(aUpstream);
+  const auto isCounted = [&](uint64_t aId) {
+    if (engine == mEngines.end()) {
+      return false;
+    }
+    const auto found = engine->second.mSegments.find(aId);
+    return found != engine->second.mSegments.end() &&
+           (aCountsRecent || found->second.mRequests > 0);
+  };
   int64_t tokens = 0;
   for (const PromptSegment& each : aShared) {
-    const bool counted =
-      engine != mEngines.end() && engine->second.mSegments.contains(each.mId);
-    tokens += counted ? 0 : Clamped(each.mTokens);
+    tokens += isCounted(each.mId) ? 0 : Clamped(each.mTokens);
   }
   return tokens;
 }
--- a/src/libtrefoilarch/enginememory/ownmemory.h
+++ b/src/libtrefoilarch/enginememory/ownmemory.h
@@ -71,9 +71,11 @@
   /** The rate at which requests are sent to the engine, in tokens per ms. */
   double SendingRate(const UpstreamId& aUpstream, Millis aNow) const;
   const RequestMix& Mix() const { return mMix; }
-  /** Tokens of the segments that are not counted at the engine. */
+  /** Tokens of the segments that are not counted at the engine. Those that were
+   * sent recently are counted there if aCountsRecent. */
   int64_t MissingTokens(const UpstreamId& aUpstream,
-                        const std::vector<PromptSegment>& aShared) const;
+                        const std::vector<PromptSegment>& aShared,
+                        bool aCountsRecent) const;
   RemainingOutput Expected(const std::string& aRoute,
                            uint32_t aExpectedOutput) const;
 
--- a/tests/unit/enginememorytest.cpp
+++ b/tests/unit/enginememorytest.cpp
@@ -290,3 +290,23 @@
             uncounted.mPreempted);
   cr_expect(counted.mSent * 10 >= uncounted.mSent * 9);
 }
+
+/** Guards against a preemption at an entry that hears no others: a cached
+ * segment that no request uses counts once a request uses it. */
+Test(enginememory, a_request_needs_memory_for_cached_segments_not_in_use)
+{
+  const PromptSegment shared{ .mId = 1, .mTokens = 6300 };
+  EngineMemory memory;
+  MemoryUse first = Use(1, 100, 100);
+  first.mShared = { shared };
+  memory.OnSent(first, Millis(0));
+  MemoryRequest request = Request(3, 100, 2);
+  request.mShared = { shared };
+  // With a request that uses the segment the two of them fit, without it not.
+  memory.OnSent(Use(2, 12000, 100), Millis(0));
+  cr_expect(Decide(memory, request).mKind == Kind::Fits);
+  memory.OnEnded("e", 1, Millis(0));
+  memory.OnSent(Use(4, 1400, 100), Millis(0));
+  cr_expect(Decide(memory, request).mKind == Kind::Return);
+  cr_expect(Decide(memory, Request(3, 100, 2)).mKind == Kind::Fits);
+}
