--- a/src/libtrefoilarch/dedicatedpools.h
+++ b/src/libtrefoilarch/dedicatedpools.h
@@ -74,11 +74,11 @@
   /** Factor from the known to the total demand: the number of entries
    * divided by that of the entries whose demand is known here. */
   double mDemandScale = 1;
-  /** Leaving engines belong to no pool. */
   /** Faster engines are in higher classes; they serve the strictest streams.
    * A class is 1.4 times as fast as the one below. */
   std::function<int(const ListedUpstream&)> mSpeedClass =
     [](const ListedUpstream&) { return 0; };
+  /** Leaving engines belong to no pool. */
   std::function<bool(const ListedUpstream&)> mIsLeaving =
     [](const ListedUpstream& aUpstream) { return aUpstream.mLeaving; };
 };
