--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -73,9 +73,10 @@
                                         .mLimit = limit,
                                         .mPriorityWeight = weight,
                                         .mMaxPause = route.mGapTarget };
-  const StartForecast forecast = ForecastFor(aRequest, aNow);
   auto late = meter.Refuse(
     route.mFirstTokenTarget, limit, weight * kReportingPeersWeight, aNow);
+  const StartForecast forecast =
+    late ? StartForecast() : ForecastFor(aRequest, aNow);
   if (!late) {
     late = mEngineAdmission.Refuse(forecast, requirements);
     if (late) {
@@ -183,6 +184,8 @@
                          .mAddress = backup->mAddress,
                          .mProcess = backup->Process(),
                          .mWork = work,
+                         .mTokensPerEvent =
+                           LoadTracker::TokensPerEvent(aRequest),
                          .mCopySourceAddress = aBroken.mAddress,
                          .mSentAt = aNow };
   mLoad.OnSent(aRequest, attempt, aNow);
@@ -266,6 +269,7 @@
     .mAddress = listed->mAddress,
     .mProcess = listed->Process(),
     .mWork = aChoice.mWork,
+    .mTokensPerEvent = LoadTracker::TokensPerEvent(aRequest),
     .mPrefillBacklog = { .mAhead = pending.Ahead(urgency),
                          .mBehind = pending.Behind(urgency) },
     .mHolderAddress = holder != nullptr ? holder->mAddress : "",
--- a/src/libtrefoilarch/enginememory/ownmemory.cpp
+++ b/src/libtrefoilarch/enginememory/ownmemory.cpp
@@ -172,6 +172,22 @@
   engine.mAttempts.erase(ended);
 }
 
+void
+OwnMemory::OnEngineEnded(const UpstreamId& aUpstream, Millis aNow)
+{
+  const auto found = mEngines.find(aUpstream);
+  if (found == mEngines.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  while (!engine.mAttempts.empty()) {
+    const uint64_t attempt = engine.mAttempts.begin()->first;
+    OnEnded(aUpstream, attempt, AnswerEnd::Cut, aNow);
+  }
+  engine.mSegments.clear();
+  engine.mUse.mRecentShared = 0;
+}
+
 void
 OwnMemory::AddTokens(Engine& aEngine, int64_t aTokens)
 {
@@ -238,14 +254,21 @@
 
 int64_t
 OwnMemory::MissingTokens(const UpstreamId& aUpstream,
-                         const std::vector<PromptSegment>& aShared) const
+                         const std::vector<PromptSegment>& aShared,
+                         bool aCountsRecent) const
 {
   const auto engine = mEngines.find(aUpstream);
+  const auto isCounted = [&](uint64_t aId) {
+    if (engine == mEngines.end()) {
+      return false;
+    }
+    const auto found = engine->second.mSegments.find(aId);
+    return found != engine->second.mSegments.end() &&
+           (aCountsRecent || found->second.mRequests > 0);
+  };
   int64_t tokens = 0;
   for (const PromptSegment& each : aShared) {
-    const bool counted =
-      engine != mEngines.end() && engine->second.mSegments.contains(each.mId);
-    tokens += counted ? 0 : Clamped(each.mTokens);
+    tokens += isCounted(each.mId) ? 0 : Clamped(each.mTokens);
   }
   return tokens;
 }
--- a/src/libtrefoilarch/enginememory/ownmemory.h
+++ b/src/libtrefoilarch/enginememory/ownmemory.h
@@ -62,15 +62,20 @@
                AnswerEnd aEnd,
                Millis aNow);
 
+  /** Ends the engine's attempts and forgets its segments. */
+  void OnEngineEnded(const UpstreamId& aUpstream, Millis aNow);
+
   OwnUse At(const UpstreamId& aUpstream) const;
   /** The sum over all engines. */
   const OwnUse& Sum() const { return mSum; }
   /** The rate at which requests are sent to the engine, in tokens per ms. */
   double SendingRate(const UpstreamId& aUpstream, Millis aNow) const;
   const RequestMix& Mix() const { return mMix; }
-  /** Tokens of the segments that are not counted at the engine. */
+  /** Tokens of the segments that are not counted at the engine. Those that were
+   * sent recently are counted there if aCountsRecent. */
   int64_t MissingTokens(const UpstreamId& aUpstream,
-                        const std::vector<PromptSegment>& aShared) const;
+                        const std::vector<PromptSegment>& aShared,
+                        bool aCountsRecent) const;
   RemainingOutput Expected(const std::string& aRoute,
                            uint32_t aExpectedOutput) const;
 
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -18,6 +18,9 @@
  * milliseconds. */
 constexpr double kOutputTokenMs = 0.3;
 
+/** EngineMemory::Expire() is to be called at least this often. */
+constexpr Millis kExpireInterval{ 1000 };
+
 /** Speed classes per doubling of the speed. */
 constexpr double kClassesPerDoubling = 2;
 
@@ -81,6 +84,13 @@
   mPerformance.OnUnlisted(aUpstream, aNow);
 }
 
+void
+LoadTracker::OnIncarnationEnded(const UpstreamId& aUpstream, Millis aNow)
+{
+  mPerformance.OnUnlisted(aUpstream, aNow);
+  mMemory.OnEngineEnded(aUpstream, aNow);
+}
+
 void
 LoadTracker::SetWeights(const RoutePolicy& aPolicy)
 {
@@ -135,8 +145,11 @@
   if (aRequest.mPrompt.mPromptTokens == 0) {
     return;
   }
-  mTokensPerEvent[aRequest.mService] = TokensPerEventOf(aRequest);
   if (UsesMemory(aRequest.mService)) {
+    // Without others there are no updates that call Expire().
+    if (aNow - mExpiredAt >= kExpireInterval) {
+      Expire(aNow);
+    }
     mMemory.OnSent({ .mUpstream = aAttempt.mUpstream,
                      .mAttempt = aAttempt.mNumber,
                      .mPromptTokens = OwnTokens(aRequest.mPrompt),
@@ -147,16 +160,32 @@
   }
 }
 
+uint32_t
+LoadTracker::TokensPerEvent(const BoundRequest& aRequest)
+{
+  return aRequest.mRoute->mStream ? TokensPerEventOf(aRequest) : 0;
+}
+
+void
+LoadTracker::OnStarted(const PlacedAttempt& aAttempt)
+{
+  if (aAttempt.mTokensPerEvent > 0) {
+    mMemory.OnOutput(
+      aAttempt.mUpstream, aAttempt.mNumber, aAttempt.mTokensPerEvent);
+  }
+}
+
 void
 LoadTracker::OnEvent(const PlacedAttempt& aAttempt,
                      const EngineView& aEngine,
                      Millis aPause,
                      Millis aNow)
 {
-  const auto tokens = mTokensPerEvent.find(aAttempt.mService);
-  mMemory.OnOutput(aAttempt.mUpstream,
-                   aAttempt.mNumber,
-                   tokens == mTokensPerEvent.end() ? 1 : tokens->second);
+  if (aAttempt.mTokensPerEvent == 0) {
+    return;
+  }
+  mMemory.OnOutput(
+    aAttempt.mUpstream, aAttempt.mNumber, aAttempt.mTokensPerEvent);
   if (!UsesPerformance(aAttempt.mService) || aAttempt.mWork.mOutput == 0) {
     return;
   }
@@ -170,14 +199,13 @@
 void
 LoadTracker::OnEnded(const PlacedAttempt& aAttempt, bool aWhole, Millis aNow)
 {
-  if (aAttempt.mWork.mOutput > 0) {
-    mMemory.OnEnded(aAttempt.mUpstream,
-                    aAttempt.mNumber,
-                    aNow,
-                    aWhole ? AnswerEnd::Whole : AnswerEnd::Cut);
-    return;
-  }
-  if (!aWhole || !aAttempt.mStarted || !UsesPerformance(aAttempt.mService)) {
+  // Also for an answer without planned output: its prompt uses memory.
+  mMemory.OnEnded(aAttempt.mUpstream,
+                  aAttempt.mNumber,
+                  aNow,
+                  aWhole ? AnswerEnd::Whole : AnswerEnd::Cut);
+  if (aAttempt.mWork.mOutput > 0 || !aWhole || !aAttempt.mStarted ||
+      !UsesPerformance(aAttempt.mService)) {
     return;
   }
   const auto callMs =
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -77,6 +77,9 @@
 
   void OnListed(const ListedUpstream& aListed, Millis aNow);
   void OnUnlisted(const UpstreamId& aUpstream, Millis aNow);
+  /** The upstream's process has ended, and its requests with it. To be called
+   * before OnListed() states its successor. */
+  void OnIncarnationEnded(const UpstreamId& aUpstream, Millis aNow);
   /** Sets the number of entries, this one included. */
   void SetEntries(size_t aEntries) { mEntries = aEntries; }
   /** See FairShare::SetWeights(). */
@@ -88,10 +91,15 @@
 
   /** An upstream stated its contention. */
   void OnContention(const UpstreamId& aUpstream, double aFactor, Millis aNow);
+  /** Output tokens that an event of the request's stream holds; 0 if it has no
+   * events. */
+  static uint32_t TokensPerEvent(const BoundRequest& aRequest);
   void OnSent(const BoundRequest& aRequest,
               const PlacedAttempt& aAttempt,
               Millis aNow);
-  /** An event of a stream was received aPause after the previous one. */
+  /** The first event of a stream was received. */
+  void OnStarted(const PlacedAttempt& aAttempt);
+  /** A later event of a stream was received aPause after the previous one. */
   void OnEvent(const PlacedAttempt& aAttempt,
                const EngineView& aEngine,
                Millis aPause,
@@ -174,7 +182,8 @@
                                      double aPrefillPerMs,
                                      Millis aNow);
   EngineSituation SituationAt(const EngineView& aEngine, Millis aNow) const;
-  void ExpirePeers(Millis aNow);
+  /** Removes what is out of date. */
+  void Expire(Millis aNow);
 
   LoadTrackerOptions mOptions;
   UpstreamPerformance mPerformance;
@@ -186,10 +195,9 @@
   size_t mEntries = 1;
   uint64_t mSequence = 0;
   std::map<std::string, Peer> mPeers;
+  Millis mExpiredAt;
   /** Usual time of a call without a prompt, by service, in milliseconds. */
   std::unordered_map<std::string, RunningMean> mCallMs;
-  /** Tokens per event of a stream, by service. */
-  std::unordered_map<std::string, uint32_t> mTokensPerEvent;
 };
 
 } // namespace trefoilarch
