Show no demand of a workspace after it has ended

A group of shares is refreshed by requests only. When a service got no more requests, the gauges, the dump and /v1/workspaces kept the demand of the last refresh for good. The figures for operators are now limited to what is left of the demand at the time of the query; admissions are unchanged.

--- a/src/libtrefoilarch/fairshare/fairshare.cpp
+++ b/src/libtrefoilarch/fairshare/fairshare.cpp
@@ -115,10 +115,11 @@
 std::vector<WorkspaceShare>
 FairShare::Shares(Millis aNow) const
 {
+  const FleetSize fleet = Fleet(aNow);
   std::vector<WorkspaceShare> shares;
   for (const auto& [key, group] : mGroups) {
     for (const auto& [name, account] : group.All()) {
-      shares.push_back(ShareOf(key, name, account, aNow));
+      shares.push_back(ShareOf(key, name, account, fleet, aNow));
     }
   }
   std::sort(shares.begin(),
@@ -132,13 +133,14 @@
 std::vector<WorkspaceShare>
 FairShare::TakeChanges(Millis aNow)
 {
+  const FleetSize fleet = Fleet(aNow);
   std::vector<WorkspaceShare> changes;
   for (auto& [key, group] : mGroups) {
     for (auto& [name, account] : group.All()) {
       const bool over = IsOverShare(account, aNow);
       if (over != account.mAnnounced) {
         account.mAnnounced = over;
-        changes.push_back(ShareOf(key, name, account, aNow));
+        changes.push_back(ShareOf(key, name, account, fleet, aNow));
       }
     }
   }
@@ -283,11 +285,14 @@
 FairShare::ShareOf(const GroupKey& aKey,
                    const std::string& aWorkspace,
                    const ShareAccount& aAccount,
+                   const FleetSize& aFleet,
                    Millis aNow) const
 {
-  const double demand = aAccount.mFleet.mDemand;
-  const double share = std::min(aAccount.mShare, demand);
   const ShareGroup& group = mGroups.at(aKey);
+  // The group is refreshed by requests only; demand may have ended since.
+  const double demand = std::min(
+    aAccount.mFleet.mDemand, group.FleetRates(aAccount, aFleet, aNow).mDemand);
+  const double share = std::min(aAccount.mShare, demand);
   const bool limited = group.Capacity().IsLimited();
   const double part = group.PartOf(aAccount.mWeight);
   return { .mService = aKey.first,
--- a/src/libtrefoilarch/fairshare/fairshare.h
+++ b/src/libtrefoilarch/fairshare/fairshare.h
@@ -170,6 +170,7 @@
   WorkspaceShare ShareOf(const GroupKey& aKey,
                          const std::string& aWorkspace,
                          const ShareAccount& aAccount,
+                         const FleetSize& aFleet,
                          Millis aNow) const;
 
   FairShareOptions mOptions;
--- a/src/libtrefoilarch/fairshare/sharegroup.cpp
+++ b/src/libtrefoilarch/fairshare/sharegroup.cpp
@@ -148,12 +148,11 @@
                                : mOptions.mIdleRefreshInterval);
 }
 
-void
-ShareGroup::Measure(ShareAccount& aAccount,
-                    const FleetSize& aFleet,
-                    Millis aNow) const
+DemandRates
+ShareGroup::FleetRates(const ShareAccount& aAccount,
+                       const FleetSize& aFleet,
+                       Millis aNow) const
 {
-  aAccount.mDemand.Expire(aNow);
   const DemandRates own = aAccount.mDemand.Own(aNow);
   const DemandRates heard = aAccount.mDemand.Heard(aNow);
   const double heardScale = aFleet.HeardScale();
@@ -166,11 +165,19 @@
   if (!isReported && !aAccount.mDemand.IsHeard(aNow)) {
     ownScale = static_cast<double>(aFleet.mAll);
   }
-  aAccount.mOthersDemand = heard.mDemand * heardScale;
-  aAccount.mFleet = {
-    .mDemand = own.mDemand * ownScale + aAccount.mOthersDemand,
-    .mServed = own.mServed * ownScale + heard.mServed * heardScale,
-  };
+  return { .mDemand = own.mDemand * ownScale + heard.mDemand * heardScale,
+           .mServed = own.mServed * ownScale + heard.mServed * heardScale };
+}
+
+void
+ShareGroup::Measure(ShareAccount& aAccount,
+                    const FleetSize& aFleet,
+                    Millis aNow) const
+{
+  aAccount.mDemand.Expire(aNow);
+  aAccount.mOthersDemand =
+    aAccount.mDemand.Heard(aNow).mDemand * aFleet.HeardScale();
+  aAccount.mFleet = FleetRates(aAccount, aFleet, aNow);
 }
 
 bool
--- a/src/libtrefoilarch/fairshare/sharegroup.h
+++ b/src/libtrefoilarch/fairshare/sharegroup.h
@@ -80,6 +80,10 @@
   /** The part of the capacity due to a workspace of that weight if all that
    * have demand use theirs. */
   double PartOf(double aWeight) const;
+  /** The rates of the workspace at all entries, as far as known. */
+  DemandRates FleetRates(const ShareAccount& aAccount,
+                         const FleetSize& aFleet,
+                         Millis aNow) const;
 
 private:
   void Refresh(const FleetSize& aFleet, Millis aNow);
--- a/tests/unit/fairsharetest.cpp
+++ b/tests/unit/fairsharetest.cpp
@@ -431,3 +431,13 @@
   share.Admit(RequestOf("w0"), {}, now);
   cr_expect_lt(share.Shares(now).front().mDemand, 1000);
 }
+
+/** Guards against figures for operators that stay at the last request. */
+Test(fairshare, demand_that_has_ended_is_not_shown)
+{
+  FairShare share;
+  share.Admit(RequestOf("w0"), {}, Millis(1000));
+  share.Admit(RequestOf("w0"), {}, Millis(1300));
+  cr_expect_gt(share.Shares(Millis(1300)).front().mDemand, 0);
+  cr_expect_lt(share.Shares(Millis(60000)).front().mDemand, 0.1);
+}
