Count the last piece of a body as sent once it is written

asio calls the completion condition of async_write before each write, but not after the last one. The last 64 KB of a body, and so most bodies as a whole, counted as on their way to the upstream until the answer had ended. A request with a body was given up as stalled when its answer took longer than caller-stall-ms (10 s), and bodies of running requests used up the gate's share of bytes towards the upstream. The completion handler now counts the rest.

Before: a_long_answer_after_a_body_is_not_cut_off fails; with a time-out of 1 s the answer of 3 s broke off after some 1.5 s, and attempt_ended was logged.

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -166,20 +166,26 @@
     asio::buffer(mCall.mHead),
     mCall.mBody ? asio::buffer(*mCall.mBody) : asio::const_buffer{}
   };
-  const auto transfer = mCall.mTransfer;
-  // Called before each write with the bytes written so far.
-  const auto onProgress = [transfer, headBytes = mCall.mHead.size()](
-                            const Error& aError, size_t aBytes) -> size_t {
+  const auto countWritten = [transfer = mCall.mTransfer,
+                             headBytes = mCall.mHead.size()](size_t aBytes) {
     if (transfer) {
       transfer->SetWritten(aBytes - std::min(aBytes, headBytes));
     }
+  };
+  // Called before each write with the bytes written so far, but not after the
+  // last one.
+  const auto onProgress = [countWritten](const Error& aError,
+                                         size_t aBytes) -> size_t {
+    countWritten(aBytes);
     return aError ? 0 : kWriteBytes;
   };
   asio::async_write(mSocket,
                     buffers,
                     onProgress,
-                    [self = shared_from_this(), transfer, body = mCall.mBody](
-                      const Error& aError, size_t) {
+                    [self = shared_from_this(),
+                     countWritten,
+                     body = mCall.mBody](const Error& aError, size_t aBytes) {
+                      countWritten(aBytes);
                       if (!aError) {
                         self->mRequestWritten = true;
                       } else if (self->mBusy && self->mOpen) {
--- a/tests/platform/slowreaderstest.cpp
+++ b/tests/platform/slowreaderstest.cpp
@@ -295,3 +295,22 @@
   }));
   ExpectMemoryWithin(fleet, kSmallestGateMb, "an upstream that reads no body");
 }
+
+/** The load: one request with a body whose answer takes 3 s, three times the
+ * stall time-out. Guards against a written body that counts as stalled. */
+Test(slowreaders, a_long_answer_after_a_body_is_not_cut_off, .timeout = 60)
+{
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb, .mCallerStallMs = 1000 });
+  PutLongStreams(fleet);
+  integration::RawCaller caller(fleet.GateAddress(0));
+  cr_assert(
+    caller.Send(PlatformFleet::Text({ .mId = "long",
+                                      .mMethod = "POST",
+                                      .mPath = "/stream/x",
+                                      .mPlan = "stream,count=30,gap=100",
+                                      .mBody = std::string(2000, 'b'),
+                                      .mDeadlineMs = 20000 })));
+  const std::string answer = caller.ReadUntil("\r\n0\r\n\r\n");
+  cr_expect(answer.find("event 30\n") != std::string::npos);
+  cr_expect(fleet.LogOf(0, "attempt_ended").empty());
+}
