Do not take a connection for idle while an answer is being written

After the last byte of an answer had come from the upstream, the caller's connection counted as idle although up to 256 KB were not yet written to it. It was closed after the idle time-out, or after 0.4 s in a planned stop, so a caller that reads slowly lost the end of its answer. A connection is now idle once its answers are written, and the idle time counts from then.

--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -90,6 +90,12 @@
 
 bool
 CallerConnection::Idle() const
+{
+  return AwaitsRequest() && mUnsent.Bytes() == 0;
+}
+
+bool
+CallerConnection::AwaitsRequest() const
 {
   return mState == State::Reading && mBuffer.size() == 0 &&
          (!mParser || !mParser->got_some());
@@ -102,8 +108,8 @@
     return;
   }
   const Millis elapsed = aNow - mPhaseStartedAt;
-  if (Idle()) {
-    if (elapsed >= mLimits.mIdleTimeout + kIdleMargin) {
+  if (AwaitsRequest()) {
+    if (Idle() && elapsed >= mLimits.mIdleTimeout + kIdleMargin) {
       Close();
     }
     return;
@@ -176,7 +182,7 @@
     }
     return;
   }
-  if (Idle()) {
+  if (AwaitsRequest()) {
     mPhaseStartedAt = BootNow();
   }
   mBuffer.commit(aBytes);
@@ -379,6 +385,9 @@
     return;
   }
   CountHeldBytes();
+  if (AwaitsRequest()) {
+    mPhaseStartedAt = BootNow();
+  }
   if (mState == State::Closing) {
     // The caller reads everything sent before the connection closes.
     Error ignored;
--- a/src/libtrefoilgate/callerconnection.h
+++ b/src/libtrefoilgate/callerconnection.h
@@ -137,7 +137,8 @@
   /** As set by SetRequest(). */
   const std::string& RequestId() const { return mRequestId; }
   uint8_t Priority() const { return mPriority; }
-  /** Whether no request is being read or served. */
+  /** Whether no request is being read or served, and the answers are written.
+   */
   bool Idle() const;
   /** How long the connection has been idle; zero if it is not idle. */
   trefoilarch::Millis IdleTime(trefoilarch::Millis aNow) const
@@ -162,6 +163,8 @@
     Closed,
   };
 
+  /** Whether no part of the next request has been read. */
+  bool AwaitsRequest() const;
   void NewParser();
   void Read();
   void OnRead(const Error& aError, size_t aBytes);
--- a/tests/platform/slowreaderstest.cpp
+++ b/tests/platform/slowreaderstest.cpp
@@ -41,15 +41,21 @@
 }
 
 void
-PutLongStreams(PlatformFleet& aFleet)
+PutPolicy(PlatformFleet& aFleet, const json& aPolicy)
 {
-  aFleet.PutPolicy(PolicyOfLongStreams());
+  aFleet.PutPolicy(aPolicy);
   cr_assert(Await([&] {
     const auto taken = aFleet.LogOf(0, "policy_taken");
     return !taken.empty() && taken.back().at("version") == 2;
   }));
 }
 
+void
+PutLongStreams(PlatformFleet& aFleet)
+{
+  PutPolicy(aFleet, PolicyOfLongStreams());
+}
+
 std::string
 StreamCall(const std::string& aId, int aEvents, int aGapMs, int aPadding)
 {
@@ -314,3 +320,26 @@
   cr_expect(answer.find("event 30\n") != std::string::npos);
   cr_expect(fleet.LogOf(0, "attempt_ended").empty());
 }
+
+/** The load: one caller that reads 400 KB at 50 kB/s, while its connection is
+ * closed when idle for 1.5 s. Guards against taking a connection for idle while
+ * the end of an answer is not yet written. */
+Test(slowreaders, a_slow_caller_is_not_idle, .timeout = 60)
+{
+  constexpr size_t kEvents = 50;
+  constexpr size_t kPadding = 8000;
+  constexpr double kAtMostSeconds = 20;
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb });
+  json policy = PolicyOfLongStreams();
+  policy["limits"]["idleTimeoutMs"] = 500;
+  PutPolicy(fleet, policy);
+  SlowReader slow(fleet.GateAddress(0), 4 * kSmallBuffer);
+  slow.Send(StreamCall("slow", kEvents, 0, kPadding));
+  while (slow.IsOpen() && slow.Received() < kEvents * kPadding &&
+         slow.Seconds() < kAtMostSeconds) {
+    slow.ReadPaced(50000);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  cr_log_info("%zu bytes in %.1f s", slow.Received(), slow.Seconds());
+  cr_expect(slow.Received() >= kEvents * kPadding);
+}
