Do not charge an upstream with the pauses of slow callers

When reading from an upstream stopped because its caller was slow, the time until it continued was recorded as a pause of the upstream: in longest_pause_ms of request_ended, in the record of pauses by route, and as the time of work that its speed is learnt from. Pauses for the caller are now left out.

Before: a_pause_for_a_slow_caller_is_not_the_upstreams fails; longest_pause_ms is 3009 for a caller that reads nothing for 3 s. After: slowreaderstest passes, 6 of 6.

--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -143,8 +143,9 @@
   /** Why the caller was cut off, or empty. */
   std::string mCutReason;
   Millis mFirstByteAt;
+  /** Zero if reading has paused for the caller since then. */
   Millis mLastByteAt;
-  /** The longest pause between two pieces of the answer. */
+  /** The upstream's longest pause between two pieces of the answer. */
   Millis mLongestPause;
   bool mAnswerBegun = false;
   /** Whether the request is counted. */
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -95,7 +95,7 @@
   MarkStarted(now);
   if (mFirstByteAt == Millis(0)) {
     mFirstByteAt = now;
-  } else {
+  } else if (mLastByteAt != Millis(0)) {
     mLongestPause = std::max(mLongestPause, now - mLastByteAt);
     mContext.mRouter.OnPause(*mAttempt, now - mLastByteAt, now);
   }
@@ -259,6 +259,8 @@
 {
   if (mPaused && mConnection) {
     mPaused = false;
+    // The pause was the caller's, not the upstream's.
+    mLastByteAt = Millis(0);
     mConnection->Resume();
   }
 }
--- a/tests/platform/slowreaderstest.cpp
+++ b/tests/platform/slowreaderstest.cpp
@@ -343,3 +343,26 @@
   cr_log_info("%zu bytes in %.1f s", slow.Received(), slow.Seconds());
   cr_expect(slow.Received() >= kEvents * kPadding);
 }
+
+/** The load: one caller that reads nothing for 3 s and then all of 800 KB.
+ * Guards against a pause that is taken for the upstream's. */
+Test(slowreaders, a_pause_for_a_slow_caller_is_not_the_upstreams, .timeout = 60)
+{
+  constexpr double kSilentSeconds = 3;
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb });
+  PutLongStreams(fleet);
+  SlowReader slow(fleet.GateAddress(0), kSmallBuffer);
+  slow.Send(StreamCall("slow", 100, 0, 8000));
+  json ended;
+  cr_assert(Await([&] {
+    if (slow.Seconds() > kSilentSeconds) {
+      slow.ReadPaced(10000000);
+    }
+    const auto lines = fleet.LogOf(0, "request_ended");
+    ended = lines.empty() ? json() : lines.back();
+    return !lines.empty();
+  }));
+  cr_expect(ended.at("outcome") == "served");
+  cr_expect(ended.at("took_ms") >= 3000, "the upstream had to wait");
+  cr_expect(ended.at("longest_pause_ms") < 1500, "%s", ended.dump().c_str());
+}
