Never return an empty front of a write queue that has bytes

Data of more than 64 KB that came into an empty queue went behind an empty piece, so the connection made a write of no bytes first. Such data is now a piece of its own at the front.

Before: front_is_never_empty_while_there_are_bytes fails. After: it passes.

--- a/src/libtrefoilgate/writequeue.cpp
+++ b/src/libtrefoilgate/writequeue.cpp
@@ -29,7 +29,9 @@
 WriteQueue::Append(std::string_view aData)
 {
   mBytes += aData.size();
-  if (mMore.empty() && mNext.size() + aData.size() <= kPieceBytes) {
+  // Data that exceeds a piece becomes a piece of its own.
+  const bool fits = mNext.empty() || mNext.size() + aData.size() <= kPieceBytes;
+  if (mMore.empty() && fits) {
     mNext += aData;
     return;
   }
