--- a/tests/platform/slowreaderstest.cpp
+++ b/tests/platform/slowreaderstest.cpp
@@ -41,15 +41,21 @@
 }
 
 void
-PutLongStreams(PlatformFleet& aFleet)
+PutPolicy(PlatformFleet& aFleet, const json& aPolicy)
 {
-  aFleet.PutPolicy(PolicyOfLongStreams());
+  aFleet.PutPolicy(aPolicy);
   cr_assert(Await([&] {
     const auto taken = aFleet.LogOf(0, "policy_taken");
     return !taken.empty() && taken.back().at("version") == 2;
   }));
 }
 
+void
+PutLongStreams(PlatformFleet& aFleet)
+{
+  PutPolicy(aFleet, PolicyOfLongStreams());
+}
+
 std::string
 StreamCall(const std::string& aId, int aEvents, int aGapMs, int aPadding)
 {
@@ -295,3 +301,68 @@
   }));
   ExpectMemoryWithin(fleet, kSmallestGateMb, "an upstream that reads no body");
 }
+
+/** The load: one request with a body whose answer takes 3 s, three times the
+ * stall time-out. Guards against a written body that counts as stalled. */
+Test(slowreaders, a_long_answer_after_a_body_is_not_cut_off, .timeout = 60)
+{
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb, .mCallerStallMs = 1000 });
+  PutLongStreams(fleet);
+  integration::RawCaller caller(fleet.GateAddress(0));
+  cr_assert(
+    caller.Send(PlatformFleet::Text({ .mId = "long",
+                                      .mMethod = "POST",
+                                      .mPath = "/stream/x",
+                                      .mPlan = "stream,count=30,gap=100",
+                                      .mBody = std::string(2000, 'b'),
+                                      .mDeadlineMs = 20000 })));
+  const std::string answer = caller.ReadUntil("\r\n0\r\n\r\n");
+  cr_expect(answer.find("event 30\n") != std::string::npos);
+  cr_expect(fleet.LogOf(0, "attempt_ended").empty());
+}
+
+/** The load: one caller that reads 400 KB at 50 kB/s, while its connection is
+ * closed when idle for 1.5 s. Guards against taking a connection for idle while
+ * the end of an answer is not yet written. */
+Test(slowreaders, a_slow_caller_is_not_idle, .timeout = 60)
+{
+  constexpr size_t kEvents = 50;
+  constexpr size_t kPadding = 8000;
+  constexpr double kAtMostSeconds = 20;
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb });
+  json policy = PolicyOfLongStreams();
+  policy["limits"]["idleTimeoutMs"] = 500;
+  PutPolicy(fleet, policy);
+  SlowReader slow(fleet.GateAddress(0), 4 * kSmallBuffer);
+  slow.Send(StreamCall("slow", kEvents, 0, kPadding));
+  while (slow.IsOpen() && slow.Received() < kEvents * kPadding &&
+         slow.Seconds() < kAtMostSeconds) {
+    slow.ReadPaced(50000);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  cr_log_info("%zu bytes in %.1f s", slow.Received(), slow.Seconds());
+  cr_expect(slow.Received() >= kEvents * kPadding);
+}
+
+/** The load: one caller that reads nothing for 3 s and then all of 800 KB.
+ * Guards against a pause that is taken for the upstream's. */
+Test(slowreaders, a_pause_for_a_slow_caller_is_not_the_upstreams, .timeout = 60)
+{
+  constexpr double kSilentSeconds = 3;
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb });
+  PutLongStreams(fleet);
+  SlowReader slow(fleet.GateAddress(0), kSmallBuffer);
+  slow.Send(StreamCall("slow", 100, 0, 8000));
+  json ended;
+  cr_assert(Await([&] {
+    if (slow.Seconds() > kSilentSeconds) {
+      slow.ReadPaced(10000000);
+    }
+    const auto lines = fleet.LogOf(0, "request_ended");
+    ended = lines.empty() ? json() : lines.back();
+    return !lines.empty();
+  }));
+  cr_expect(ended.at("outcome") == "served");
+  cr_expect(ended.at("took_ms") >= 3000, "the upstream had to wait");
+  cr_expect(ended.at("longest_pause_ms") < 1500, "%s", ended.dump().c_str());
+}
