Size pools by the service of the request

The sizing of pools by bounded pauses takes slots and tokens per event from the policy. Less urgent streams no longer compete for the engines that keep every bound: the cost of broken bounds counts for the most urgent tier alone, and prefill isn't scaled by an engine's speed, since long prompts crowded the fast engines.

--- a/src/libtrefoilarch/dedicatedpools.h
+++ b/src/libtrefoilarch/dedicatedpools.h
@@ -71,13 +71,13 @@
   double mPrefillPerMs = 0;
   /** Requests that an engine runs concurrently; 0 if unknown. */
   uint32_t mSlots = 0;
+  /** Factor from the known to the total demand: the number of entries
+   * divided by that of the entries whose demand is known here. */
+  double mDemandScale = 1;
   /** Requests of a route that an engine can run at a time so that its pauses
    * are within their bound; 0 if unknown. */
   std::function<double(const RouteDemand&)> mStreamsPerEngine =
     [](const RouteDemand&) { return 0; };
-  /** Factor from the known to the total demand: the number of entries
-   * divided by that of the entries whose demand is known here. */
-  double mDemandScale = 1;
   /** Faster engines are in higher classes; they serve the strictest streams.
    * A class is 1.4 times as fast as the one below. */
   std::function<int(const ListedUpstream&)> mSpeedClass =
--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -323,8 +323,7 @@
       .mDemandScale = DemandScale(),
       .mStreamsPerEngine =
         [&](const RouteDemand& aDemand) {
-          return mLoad.StreamsPerEngine(aDemand,
-                                        all.empty() ? 0 : all.front()->mSlots);
+          return mLoad.StreamsPerEngine(aRequest, aDemand);
         },
       .mSpeedClass =
         [this](const ListedUpstream& aUpstream) {
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -54,6 +54,15 @@
     std::min<uint64_t>(service->mEngine->mMemoryTokens, UINT32_MAX));
 }
 
+uint32_t
+SlotsOf(const BoundRequest& aRequest)
+{
+  const RoutedService* service =
+    aRequest.mIndex->FindService(aRequest.mService);
+  const bool engine = service != nullptr && service->mEngine.has_value();
+  return engine ? service->mEngine->mSlots : 1;
+}
+
 uint32_t
 TokensPerEventOf(const BoundRequest& aRequest)
 {
@@ -238,9 +247,10 @@
   if (!UsesPerformance(aService)) {
     return;
   }
+  // The prefill isn't scaled by the factor: long prompts would crowd the fast
+  // engines, which strict streams need.
   for (PlacementCandidate& each : aCandidates) {
     each.mWorkFactor = mPerformance.WorkFactor(each.mListed->mId, aNow);
-    each.mSlowness = each.mWorkFactor;
   }
 }
 
@@ -255,31 +265,37 @@
 }
 
 double
-LoadTracker::StreamsPerEngine(const RouteDemand& aDemand, uint32_t aSlots) const
+LoadTracker::StreamsPerEngine(const BoundRequest& aRequest,
+                              const RouteDemand& aDemand) const
 {
   if (!UsesPerformance(aDemand.mService) || aDemand.mCount <= 0) {
     return 0;
   }
-  const auto tokens = mTokensPerEvent.find(aDemand.mService);
-  const double tokensPerEvent =
-    tokens == mTokensPerEvent.end() ? 1 : tokens->second;
+  const double tokensPerEvent = TokensPerEventOf(aRequest);
+  const uint32_t slots = std::max(1U, SlotsOf(aRequest));
   const PaceRequest request{ .mEvents = aDemand.mOutputTokens / aDemand.mCount /
                                         tokensPerEvent };
   const auto maxPause = static_cast<double>(aDemand.mMaxPause.Count());
   uint32_t streams = 1;
-  for (uint32_t step = std::bit_floor(std::max(1U, aSlots)); step > 0;
-       step /= 2) {
+  for (uint32_t step = std::bit_floor(slots); step > 0; step /= 2) {
     const PaceForecast forecast =
       mPace.Forecast(aDemand.mService,
                      { .mRunning = static_cast<double>(streams + step) },
                      request);
-    if (streams + step <= aSlots && forecast.mLongestPauseMs <= maxPause) {
+    if (streams + step <= slots && forecast.mLongestPauseMs <= maxPause) {
       streams += step;
     }
   }
   return streams;
 }
 
+double
+LoadTracker::PaceWeight(uint8_t aTier) const
+{
+  const auto& weights = mOptions.mPaceWeights;
+  return weights[std::min<size_t>(aTier, weights.size() - 1)];
+}
+
 void
 LoadTracker::SetPaceCost(const BoundRequest& aRequest,
                          EngineInfo& aInfo,
@@ -305,6 +321,7 @@
      tokensPerEvent,
      aNow,
      service = aRequest.mService,
+     weight = PaceWeight(route.mPriority),
      perMs = aInfo.mPrefillPerMs](const PlacementCandidate& aCandidate,
                                   const AttemptWork& aWork) {
       const EngineView engine{ .mUpstream = aCandidate.mListed->mId,
@@ -316,9 +333,10 @@
                                  .mEvents = aWork.mOutput / tokensPerEvent };
       const PaceForecast forecast =
         mPace.Forecast(service, SituationAt(engine, aNow), request);
-      return PlacementForecast{ .mPace = forecast,
-                                .mCostMs = PaceCostMs(
-                                  forecast, bounds, mOptions.mPaceCost) };
+      return PlacementForecast{
+        .mPace = forecast,
+        .mCostMs = weight * PaceCostMs(forecast, bounds, mOptions.mPaceCost)
+      };
     };
 }
 
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -11,6 +11,7 @@
 #include "placementcandidate.h"
 #include "runningmean.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -53,6 +54,9 @@
   PartMode mEngineMemory = PartMode::Auto;
   PartMode mFairShares = PartMode::Auto;
   PaceCostOptions mPaceCost;
+  /** Weight of mPaceCost by tier, the most urgent first. Less urgent streams
+   * leave the engines that keep every bound to those that need them. */
+  std::array<double, 2> mPaceWeights{ 2, 0 };
   FairShareOptions mShares;
 };
 
@@ -114,9 +118,11 @@
   /** How fast the upstream is, in classes of a factor of 1.4; the usual one is
    * 0, faster ones are higher. */
   int SpeedClass(const ListedUpstream& aListed) const;
-  /** How many requests of a route an engine of the usual speed can run at a
-   * time so that the pauses are within their bound; 0 if unknown. */
-  double StreamsPerEngine(const RouteDemand& aDemand, uint32_t aSlots) const;
+  /** How many requests of a route of the same service an engine of the usual
+   * speed can run at a time so that the pauses are within their bound; 0 if
+   * unknown. */
+  double StreamsPerEngine(const BoundRequest& aRequest,
+                          const RouteDemand& aDemand) const;
   /** Sets how a stream's bounds affect the cost of an engine, if they do. */
   void SetPaceCost(const BoundRequest& aRequest,
                    EngineInfo& aInfo,
@@ -181,6 +187,7 @@
   static ShareRequest ShareRequestOf(const BoundRequest& aRequest,
                                      double aPrefillPerMs,
                                      Millis aNow);
+  double PaceWeight(uint8_t aTier) const;
   EngineSituation SituationAt(const EngineView& aEngine, Millis aNow) const;
   /** Removes what is out of date. */
   void Expire(Millis aNow);
