Test cold starts, engine memory and floods on uneven engines

These three tests fail: - From the first request on, 0.032 of the quest-narration answers have a pause over their bound, where 0.020 is allowed (0.066 without the parts). 39 of these 43 requests arrive in the first second. - At three times the usual rate of quest-narration and 16,000 and 20,000 tokens of engine memory, 2 and 4 of 4,005 urgent requests are preempted (786 and 745 without); at 25,000 none is (628 without). - Modest workspaces lose 0.062 of their requests to the flood of the largest one, where 0.020 is allowed (0.129 without). 101 of their save-summary requests start late. 93 of these were refused first, nearly all of them because they would start too late and not for the workspace's share.

--- a/tests/unit/unevenenginestest.cpp
+++ b/tests/unit/unevenenginestest.cpp
@@ -66,6 +66,11 @@
 
 } // namespace
 
+Test(unevenengines, no_stream_has_long_pauses_from_the_first_request_on)
+{
+  ExpectPausesKept(Quest);
+}
+
 Test(unevenengines, no_stream_has_long_pauses_once_speeds_are_known)
 {
   ExpectPausesKept(LaterQuest);
@@ -85,3 +90,36 @@
               shareWithout);
   }
 }
+
+/** Engines that hold two or three of the longest prompts, and streams at three
+ * times their usual rate, which fit if less urgent requests give way. */
+Test(unevenengines, no_urgent_request_is_preempted)
+{
+  for (const int64_t tokens : { 16000, 20000, 25000 }) {
+    FleetOptions options{ .mMemoryTokens = tokens, .mQuestFactor = 3 };
+    const Outcomes with = RunAll(options);
+    options.mParts = PartMode::Off;
+    const Outcomes without = RunAll(options);
+    cr_expect(without[Quest][Preempted] > 0);
+    cr_expect(with[Quest][Preempted] == 0,
+              "%d preempted of %d, %d without, memory %ld",
+              with[Quest][Preempted],
+              with[Quest][Asked],
+              without[Quest][Preempted],
+              tokens);
+  }
+}
+
+Test(unevenengines, modest_workspaces_are_not_harmed_by_a_flood)
+{
+  const auto lost = [](PartMode aParts) {
+    const Outcomes calm = RunAll({ .mParts = aParts });
+    const Outcomes flood = RunAll({ .mParts = aParts, .mFlood = true });
+    return OnTimeShare(calm[Modest]) - OnTimeShare(flood[Modest]);
+  };
+  const double without = lost(PartMode::Off);
+  const double with = lost(PartMode::On);
+  cr_expect(without > kTolerance, "%.3f lost without", without);
+  cr_expect(
+    with <= kTolerance, "%.3f lost to the flood, %.3f without", with, without);
+}
