--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -211,7 +211,7 @@
 PeerLink::TickLoad()
 {
   const Millis now = BootNow();
-  const Millis interval = LoadUpdate::Interval(mPeers.size() + 1);
+  const Millis interval = trefoilarch::LoadUpdate::Interval(mPeers.size() + 1);
   const bool due = !mLastLoadSentAt || now - *mLastLoadSentAt >= interval;
   if (due && !mReceivers.empty() && mHooks.mHasLoadUpdate()) {
     const auto bytes = EncodeLoadUpdate(mHooks.mTakeLoadUpdate());
