Refuse a workspace over its share whatever less urgent requests do

A rejection for the share passed the tier guard, which serves an overloaded tier while less urgent requests are taken and sheds those instead. So the workspace that was over its share was served, requests of modest workspaces were shed for it, and the served ones counted as refused in the learnt capacity. Such a rejection is final now, and a share counts as unused only if the tier guard refuses the request.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -90,13 +90,10 @@
   const ShareVerdict share = mLoad.CheckShare(aRequest, perMs, pressure, aNow);
   if (!share.mAdmitted) {
     return OverloadRejection{ .mRetryAfter = share.mReturnAfter,
-                              .mMessage = ShareMessage(aRequest, share) };
+                              .mMessage = ShareMessage(aRequest, share),
+                              .mOverShare = true };
   }
-  if (!late) {
-    return std::nullopt;
-  }
-  mLoad.OnShareUnused(aRequest, perMs, aNow);
-  return rejection(*late);
+  return late ? std::optional(rejection(*late)) : std::nullopt;
 }
 
 Millis
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -191,6 +191,15 @@
                    aNow,
                    mStartMeters[route->mName].Open());
   const auto overload = Overload(bound, aNow);
+  const auto fail = [](const OverloadRejection& aRejection) {
+    return Fail(Refusal{ .mKind = ErrorKind::Shed,
+                         .mRan = Ran::No,
+                         .mRetryAfter = aRejection.mRetryAfter,
+                         .mMessage = aRejection.mMessage });
+  };
+  if (overload && overload->mOverShare) {
+    return fail(*overload);
+  }
   // Only under overload, since it iterates over the demand of all entries.
   const bool peersSendLessUrgent =
     overload &&
@@ -200,12 +209,13 @@
                      overload.has_value(),
                      aNow,
                      peersSendLessUrgent)) {
-    const OverloadRejection rejection =
-      overload.value_or(OverloadRejection{ .mRetryAfter = kShedRetryAfter });
-    return Fail(Refusal{ .mKind = ErrorKind::Shed,
-                         .mRan = Ran::No,
-                         .mRetryAfter = rejection.mRetryAfter,
-                         .mMessage = rejection.mMessage });
+    if (mPeers.Peers() > 0) {
+      // Overload() has checked the share, and granted it.
+      mLoad.OnShareUnused(
+        bound, mEngineModel.PrefillPerMs(bound.mService), aNow);
+    }
+    return fail(
+      overload.value_or(OverloadRejection{ .mRetryAfter = kShedRetryAfter }));
   }
   mRetries.OnFirstAttempt(bound.mService);
   return bound;
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -358,14 +358,20 @@
            .mCallerTime = aRequest.mDeadline - aNow };
 }
 
+bool
+LoadTracker::HasShare(const BoundRequest& aRequest) const
+{
+  return !aRequest.mWorkspace.empty() && aRequest.mPrompt.mPromptTokens > 0 &&
+         UsesShares(aRequest.mService);
+}
+
 ShareVerdict
 LoadTracker::CheckShare(const BoundRequest& aRequest,
                         double aPrefillPerMs,
                         double aPressure,
                         Millis aNow)
 {
-  if (aRequest.mWorkspace.empty() || aRequest.mPrompt.mPromptTokens == 0 ||
-      !UsesShares(aRequest.mService)) {
+  if (!HasShare(aRequest)) {
     return {};
   }
   Contention contention;
@@ -381,7 +387,7 @@
                            double aPrefillPerMs,
                            Millis aNow)
 {
-  if (UsesShares(aRequest.mService)) {
+  if (HasShare(aRequest)) {
     mShares.OnRefused(ShareRequestOf(aRequest, aPrefillPerMs, aNow), aNow);
   }
 }
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -174,7 +174,8 @@
   };
 
   bool IsOn(PartMode aMode, const std::string& aService) const;
-  bool IsEngine(const BoundRequest& aRequest) const;
+  /** Whether the request counts towards its workspace's share. */
+  bool HasShare(const BoundRequest& aRequest) const;
   static ShareRequest ShareRequestOf(const BoundRequest& aRequest,
                                      double aPrefillPerMs,
                                      Millis aNow);
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -148,13 +148,15 @@
          const std::string& aPath,
          uint32_t aTokens,
          Millis aNow,
-         std::vector<PlacedAttempt>& aAttempts)
+         std::vector<PlacedAttempt>& aAttempts,
+         const std::string& aKey = "")
 {
   return boost::leaf::try_handle_all(
     [&]() -> Result<std::string> {
       BOOST_LEAF_AUTO(bound,
                       aRouter.Bind({ .mHost = "h",
                                      .mPath = aPath,
+                                     .mKey = aKey,
                                      .mArrivedAt = aNow,
                                      .mPrompt = { .mPromptTokens = aTokens,
                                                   .mMaxOutput = 200 } },
@@ -443,3 +445,48 @@
   cr_expect(last.starts_with("refused"), "%s", last.c_str());
   cr_expect(calls == 0, "%zu", calls);
 }
+
+/** Guards against a workspace over its share that is served while others' less
+ * urgent requests are shed for it. */
+Test(loadtracker, less_urgent_requests_do_not_admit_a_workspace_over_its_share)
+{
+  DirectRouter router = MakeRouter(PartMode::On);
+  RoutePolicy policy = router.Index()->Policy();
+  policy.mVersion = 2;
+  policy.mRoutes.push_back(policy.mRoutes.front());
+  policy.mRoutes.back().mName = "bulk";
+  policy.mRoutes.back().mPathPrefix = "/bulk/";
+  policy.mRoutes.back().mPriority = 2;
+  policy.mWorkspaces = { { .mName = "greedy", .mKeys = { "g" } },
+                         { .mName = "modest", .mKeys = { "m" } } };
+  router.SetPolicy(std::make_shared<const RoutePolicy>(std::move(policy)));
+  std::vector<PlacedAttempt> attempts;
+  const auto place = [&](const char* aPath, const char* aKey, Millis aNow) {
+    return PlaceOne(router, aPath, 300, aNow, attempts, aKey);
+  };
+  // Requests that don't start make the route late.
+  for (size_t each = 0; each < 6; ++each) {
+    place("/chat/x", "m", Millis(1));
+  }
+  attempts.clear();
+  size_t refusedGreedy = 0;
+  size_t refusedBulk = 0;
+  for (int64_t each = 0; each < 300; ++each) {
+    const Millis now(1500 + each * 5);
+    router.OnPeerUpdate({ .mFrom = "there",
+                          .mProcess = 2,
+                          .mSequence = static_cast<uint64_t>(each + 2) },
+                        now);
+    if (each % 20 == 0) {
+      refusedBulk += place("/bulk/x", "m", now).starts_with("refused") ? 1 : 0;
+      place("/chat/x", "m", now);
+    }
+    refusedGreedy += place("/chat/x", "g", now).starts_with("refused") ? 1 : 0;
+    for (const PlacedAttempt& placed : attempts) {
+      router.OnEnded(placed, AttemptOutcome::Withdrawn, now);
+    }
+    attempts.clear();
+  }
+  cr_expect(refusedGreedy > 100, "%zu", refusedGreedy);
+  cr_expect(refusedBulk < 15, "%zu", refusedBulk);
+}
