Ignore the contention and time of work of processes that have ended

Answers of a process that ended can arrive after its successor under the same id is listed. Their contention, and the time of plain calls, counted for the successor. Both are now ignored like the load report in the same answers. Without the check, the new test finds the factor of the old process at the new one.

--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -396,6 +396,16 @@
   }
 }
 
+void
+DirectRouter::OnContention(const PlacedAttempt& aAttempt,
+                           double aFactor,
+                           Millis aNow)
+{
+  if (FindTracked(aAttempt) != nullptr) {
+    mLoad.OnContention(aAttempt.mUpstream, aFactor, aNow);
+  }
+}
+
 void
 DirectRouter::OnEnded(const PlacedAttempt& aAttempt,
                       AttemptOutcome aOutcome,
@@ -408,8 +418,9 @@
   if (mQuarantine.HasUpdate()) {
     mOptions.mOnCrashUpdate();
   }
-  mLoad.OnEnded(aAttempt, aOutcome == AttemptOutcome::Good, aNow);
   TrackedUpstream* tracked = FindTracked(aAttempt);
+  const bool whole = aOutcome == AttemptOutcome::Good && tracked != nullptr;
+  mLoad.OnEnded(aAttempt, whole, aNow);
   if (tracked != nullptr) {
     if (!aAttempt.mStarted) {
       mPeerUpdates.MarkChanged();
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -252,6 +252,8 @@
   void OnReport(const PlacedAttempt& aAttempt,
                 const ReportedLoad& aLoad,
                 Millis aNow);
+  /** The upstream stated its contention in the response; 1 is usual. */
+  void OnContention(const PlacedAttempt& aAttempt, double aFactor, Millis aNow);
   /** The response's head named that rate limit, or none. */
   void OnRateLimit(const PlacedAttempt& aAttempt,
                    const std::optional<NamedLimit>& aLimit,
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -43,8 +43,7 @@
     mContext.mRouter.OnReport(*mAttempt, *load.mLoad, now);
   }
   if (load.mContention) {
-    mContext.mRouter.Load().OnContention(
-      mAttempt->mUpstream, *load.mContention, now);
+    mContext.mRouter.OnContention(*mAttempt, *load.mContention, now);
   }
   if (load.mInvalid) {
     mContext.mOnUnreadableLoad(mAttempt->mUpstream);
--- a/tests/unit/directrouterloadtest.cpp
+++ b/tests/unit/directrouterloadtest.cpp
@@ -215,3 +215,25 @@
   cr_expect(refusedGreedy > 100, "%zu", refusedGreedy);
   cr_expect(refusedBulk < 15, "%zu", refusedBulk);
 }
+
+/** Guards against a new process that is taken to be as slow as the one that ran
+ * under its id, as that one's last answers arrive late. */
+Test(directrouterload, late_answers_say_nothing_about_a_restarted_upstream)
+{
+  for (const bool restarts : { false, true }) {
+    DirectRouter router = MakeRouter(PartMode::On);
+    std::vector<PlacedAttempt> attempts;
+    PlaceOne(router, "/plain/x", 0, Millis(1), attempts);
+    ListedUpstream listed{ .mId = attempts.front().mUpstream,
+                           .mService = "plain",
+                           .mAddress = attempts.front().mAddress,
+                           .mSlots = 6,
+                           .mStartTime = restarts ? 5000 : 1000 };
+    router.Directory().Put(listed);
+    router.OnDirectoryChanged(Millis(2));
+    router.OnContention(attempts.front(), 4, Millis(3));
+    std::vector<PlacementCandidate> candidates{ { .mListed = &listed } };
+    router.Load().Describe("plain", candidates, Millis(3));
+    cr_expect((candidates.front().mWorkFactor > 2) == !restarts);
+  }
+}
