Apply shares to the least urgent tier that is taken

A share that refuses whatever less urgent requests do sheds a tier while a lower one is served, which must never happen: a tier's requests are refused only when nothing less urgent is taken. The refusal passes the tier guard again. A share still counts as unused only if the guard refuses.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -90,8 +90,7 @@
   const ShareVerdict share = mLoad.CheckShare(aRequest, perMs, pressure, aNow);
   if (!share.mAdmitted) {
     return OverloadRejection{ .mRetryAfter = share.mReturnAfter,
-                              .mMessage = ShareMessage(aRequest, share),
-                              .mOverShare = true };
+                              .mMessage = ShareMessage(aRequest, share) };
   }
   return late ? std::optional(rejection(*late)) : std::nullopt;
 }
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -108,9 +108,6 @@
 {
   Millis mRetryAfter;
   std::string mMessage = "would start too late";
-  /** Whether the workspace is over its share. Other tiers have no part in it.
-   */
-  bool mOverShare = false;
 };
 
 /** An upstream process that ended with requests in progress. */
