--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -90,7 +90,8 @@
   const ShareVerdict share = mLoad.CheckShare(aRequest, perMs, pressure, aNow);
   if (!share.mAdmitted) {
     return OverloadRejection{ .mRetryAfter = share.mReturnAfter,
-                              .mMessage = ShareMessage(aRequest, share) };
+                              .mMessage = ShareMessage(aRequest, share),
+                              .mOverShare = true };
   }
   return late ? std::optional(rejection(*late)) : std::nullopt;
 }
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -206,8 +206,8 @@
                      overload.has_value(),
                      aNow,
                      peersSendLessUrgent)) {
-    if (mPeers.Peers() > 0) {
-      // Overload() has checked the share, and granted it.
+    // Overload() checks the share if there are peers.
+    if (mPeers.Peers() > 0 && !(overload && overload->mOverShare)) {
       mLoad.OnShareUnused(
         bound, mEngineModel.PrefillPerMs(bound.mService), aNow);
     }
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -108,6 +108,7 @@
 {
   Millis mRetryAfter;
   std::string mMessage = "would start too late";
+  bool mOverShare = false;
 };
 
 /** An upstream process that ended with requests in progress. */
