Keep pools independent of the speed of engines

Ordering pools by speed classes and sizing them by the streams whose pauses an engine can bound were tried and are taken back. Classes also differed between entries, so that engines moved between pools. The cost of broken bounds stays, for the most urgent tier.

A request that waits for engine memory is decided again each 50 ms: a decision takes about a millisecond with 900 upstreams.

--- a/src/libtrefoilarch/dedicatedpools.cpp
+++ b/src/libtrefoilarch/dedicatedpools.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <tuple>
 #include <xxhash.h>
 
 namespace trefoilarch {
@@ -30,9 +29,6 @@
 /** How long a route's computed positions are used. */
 constexpr Millis kPositionsLifetime{ 250 };
 
-/** See PoolSizingInfo::mSpeedClass. */
-constexpr double kSpeedClassesPerDoubling = 2;
-
 /** Output tokens of a request without an estimate. */
 constexpr double kDefaultOutput = 50;
 
@@ -81,23 +77,21 @@
   sums.mOpen += aDemand.mOpen;
 }
 
-/** Slow engines first, and those of a class by a hash, so that all entries have
- * the same order. */
 std::vector<const ListedUpstream*>
-SpeedOrder(const std::vector<const ListedUpstream*>& aAll,
-           const PoolSizingInfo& aInfo)
+HashOrder(const std::vector<const ListedUpstream*>& aAll,
+          const PoolSizingInfo& aInfo)
 {
-  std::vector<std::tuple<int, uint64_t, const ListedUpstream*>> ranked;
+  std::vector<std::pair<uint64_t, const ListedUpstream*>> ranked;
   for (const ListedUpstream* each : aAll) {
     if (!aInfo.mIsLeaving(*each)) {
       const uint64_t rank = XXH3_64bits(each->mId.data(), each->mId.size());
-      ranked.emplace_back(aInfo.mSpeedClass(*each), rank, each);
+      ranked.emplace_back(rank, each);
     }
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<const ListedUpstream*> order;
   order.reserve(ranked.size());
-  for (const auto& [speedClass, rank, each] : ranked) {
+  for (const auto& [rank, each] : ranked) {
     order.push_back(each);
   }
   return order;
@@ -234,7 +228,7 @@
   Service& service = mServices[aService];
   const auto demands = TotalDemand(aService, aNow);
   const std::vector<Pool> pools = PoolsFor(service, demands, aInfo);
-  const std::vector<const ListedUpstream*> order = SpeedOrder(aAll, aInfo);
+  const std::vector<const ListedUpstream*> order = HashOrder(aAll, aInfo);
   size_t ownPool = pools.size();
   for (size_t pool = 0; pool < pools.size(); ++pool) {
     const auto& routes = pools[pool].mRoutes;
@@ -247,7 +241,7 @@
     return positions;
   }
   MoveBoundaries(service, SharesOf(pools, order.size()), order.size());
-  const std::vector<size_t> poolOf = PoolOfEachEngine(service, order, aInfo);
+  const std::vector<size_t> poolOf = PoolOfEachEngine(service, order.size());
   const auto begin = std::find(poolOf.begin(), poolOf.end(), ownPool);
   const auto end = std::find_if(
     begin, poolOf.end(), [ownPool](size_t aPool) { return aPool != ownPool; });
@@ -265,29 +259,18 @@
 }
 
 std::vector<size_t>
-DedicatedPools::PoolOfEachEngine(
-  const Service& aService,
-  const std::vector<const ListedUpstream*>& aEngines,
-  const PoolSizingInfo& aInfo)
+DedicatedPools::PoolOfEachEngine(const Service& aService, size_t aEngines)
 {
-  std::vector<double> speeds;
-  speeds.reserve(aEngines.size());
-  for (const ListedUpstream* each : aEngines) {
-    speeds.push_back(
-      std::exp2(aInfo.mSpeedClass(*each) / kSpeedClassesPerDoubling));
-  }
-  const double total = std::accumulate(speeds.begin(), speeds.end(), 0.0);
   std::vector<size_t> pools;
   size_t pool = 0;
-  double before = 0;
-  for (const double speed : speeds) {
-    const double position = (before + speed / 2) / total;
+  for (size_t each = 0; each < aEngines; ++each) {
+    const double position =
+      (static_cast<double>(each) + 0.5) / static_cast<double>(aEngines);
     while (pool < aService.mBoundaries.size() &&
            position > aService.mBoundaries[pool]) {
       pool++;
     }
     pools.push_back(pool);
-    before += speed;
   }
   return pools;
 }
@@ -315,9 +298,7 @@
   const double byWork =
     workMs / static_cast<double>(mOptions.mDemandDecayTime.Count());
   const double bySlots = aInfo.mSlots > 0 ? aDemand.mOpen / aInfo.mSlots : 0;
-  const double streams = aInfo.mStreamsPerEngine(aDemand);
-  const double byPauses = streams > 0 ? aDemand.mOpen / streams : 0;
-  return std::max({ byWork, bySlots, byPauses }) * aInfo.mDemandScale;
+  return std::max(byWork, bySlots) * aInfo.mDemandScale;
 }
 
 std::vector<DedicatedPools::Pool>
--- a/src/libtrefoilarch/dedicatedpools.h
+++ b/src/libtrefoilarch/dedicatedpools.h
@@ -74,14 +74,6 @@
   /** Factor from the known to the total demand: the number of entries
    * divided by that of the entries whose demand is known here. */
   double mDemandScale = 1;
-  /** Requests of a route that an engine can run at a time so that its pauses
-   * are within their bound; 0 if unknown. */
-  std::function<double(const RouteDemand&)> mStreamsPerEngine =
-    [](const RouteDemand&) { return 0; };
-  /** Faster engines are in higher classes; they serve the strictest streams.
-   * A class is 1.4 times as fast as the one below. */
-  std::function<int(const ListedUpstream&)> mSpeedClass =
-    [](const ListedUpstream&) { return 0; };
   /** Leaving engines belong to no pool. */
   std::function<bool(const ListedUpstream&)> mIsLeaving =
     [](const ListedUpstream& aUpstream) { return aUpstream.mLeaving; };
@@ -177,10 +169,8 @@
                                  const PoolSizingInfo& aInfo,
                                  Millis aNow);
   /** The pool of each engine in the order. */
-  static std::vector<size_t> PoolOfEachEngine(
-    const Service& aService,
-    const std::vector<const ListedUpstream*>& aEngines,
-    const PoolSizingInfo& aInfo);
+  static std::vector<size_t> PoolOfEachEngine(const Service& aService,
+                                              size_t aEngines);
   void Decay(Demand& aDemand, Millis aNow) const;
   /** The service's routes with their demand at all known entries. */
   std::map<std::string, RouteDemand> TotalDemand(const std::string& aService,
--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -318,14 +318,6 @@
       .mPrefillPerMs = mEngineModel.PrefillPerMs(aRequest.mService),
       .mSlots = all.empty() ? 0 : all.front()->mSlots,
       .mDemandScale = DemandScale(),
-      .mStreamsPerEngine =
-        [&](const RouteDemand& aDemand) {
-          return mLoad.StreamsPerEngine(aRequest, aDemand);
-        },
-      .mSpeedClass =
-        [this](const ListedUpstream& aUpstream) {
-          return mLoad.SpeedClass(aUpstream);
-        },
       .mIsLeaving =
         [this](const ListedUpstream& aUpstream) {
           return IsLeaving(aUpstream);
--- a/src/libtrefoilarch/loadtracker.cpp
+++ b/src/libtrefoilarch/loadtracker.cpp
@@ -3,8 +3,6 @@
 #include "workplacement.h"
 
 #include <algorithm>
-#include <bit>
-#include <cmath>
 #include <utility>
 
 namespace trefoilarch {
@@ -21,9 +19,6 @@
 /** EngineMemory::Expire() is to be called at least this often. */
 constexpr Millis kExpireInterval{ 1000 };
 
-/** Speed classes per doubling of the speed. */
-constexpr double kClassesPerDoubling = 2;
-
 /** Prompt tokens of the request's own. */
 uint32_t
 OwnTokens(const PromptShape& aPrompt)
@@ -54,15 +49,6 @@
     std::min<uint64_t>(service->mEngine->mMemoryTokens, UINT32_MAX));
 }
 
-uint32_t
-SlotsOf(const BoundRequest& aRequest)
-{
-  const RoutedService* service =
-    aRequest.mIndex->FindService(aRequest.mService);
-  const bool engine = service != nullptr && service->mEngine.has_value();
-  return engine ? service->mEngine->mSlots : 1;
-}
-
 uint32_t
 TokensPerEventOf(const BoundRequest& aRequest)
 {
@@ -254,41 +240,6 @@
   }
 }
 
-int
-LoadTracker::SpeedClass(const ListedUpstream& aListed) const
-{
-  if (!UsesPerformance(aListed.mService)) {
-    return 0;
-  }
-  const double doublings = -std::log2(mPerformance.SpeedFactor(aListed.mId));
-  return static_cast<int>(std::lround(doublings * kClassesPerDoubling));
-}
-
-double
-LoadTracker::StreamsPerEngine(const BoundRequest& aRequest,
-                              const RouteDemand& aDemand) const
-{
-  if (!UsesPerformance(aDemand.mService) || aDemand.mCount <= 0) {
-    return 0;
-  }
-  const double tokensPerEvent = TokensPerEventOf(aRequest);
-  const uint32_t slots = std::max(1U, SlotsOf(aRequest));
-  const PaceRequest request{ .mEvents = aDemand.mOutputTokens / aDemand.mCount /
-                                        tokensPerEvent };
-  const auto maxPause = static_cast<double>(aDemand.mMaxPause.Count());
-  uint32_t streams = 1;
-  for (uint32_t step = std::bit_floor(slots); step > 0; step /= 2) {
-    const PaceForecast forecast =
-      mPace.Forecast(aDemand.mService,
-                     { .mRunning = static_cast<double>(streams + step) },
-                     request);
-    if (streams + step <= slots && forecast.mLongestPauseMs <= maxPause) {
-      streams += step;
-    }
-  }
-  return streams;
-}
-
 double
 LoadTracker::PaceWeight(uint8_t aTier) const
 {
--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -115,14 +115,6 @@
   void Describe(const std::string& aService,
                 std::vector<PlacementCandidate>& aCandidates,
                 Millis aNow) const;
-  /** How fast the upstream is, in classes of a factor of 1.4; the usual one is
-   * 0, faster ones are higher. */
-  int SpeedClass(const ListedUpstream& aListed) const;
-  /** How many requests of a route of the same service an engine of the usual
-   * speed can run at a time so that the pauses are within their bound; 0 if
-   * unknown. */
-  double StreamsPerEngine(const BoundRequest& aRequest,
-                          const RouteDemand& aDemand) const;
   /** Sets how a stream's bounds affect the cost of an engine, if they do. */
   void SetPaceCost(const BoundRequest& aRequest,
                    EngineInfo& aInfo,
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -35,8 +35,9 @@
 constexpr Millis kHoldRetryAfter{ 1000 };
 
 /** Interval at which a request that waits for engine memory is decided again:
- * an answer may end earlier than expected. */
-constexpr Millis kMemoryPollInterval{ 20 };
+ * an answer may end earlier than expected. A decision takes about a
+ * millisecond with 900 upstreams. */
+constexpr Millis kMemoryPollInterval{ 50 };
 constexpr Millis kMinHold{ 1 };
 
 /** Interval at which the reply to a permit request is polled. */
