--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arrivalrate.h"
+#include "attemptoutcome.h"
 #include "boundrequest.h"
 #include "crashdetector.h"
 #include "dedicatedpools.h"
@@ -10,6 +11,7 @@
 #include "freshness.h"
 #include "loadtracker.h"
 #include "outlierdetector.h"
+#include "overloadrejection.h"
 #include "pauserecord.h"
 #include "peersilence.h"
 #include "peerupdatebuilder.h"
@@ -17,6 +19,7 @@
 #include "permitissuer.h"
 #include "permitrequester.h"
 #include "placedattempt.h"
+#include "placementwait.h"
 #include "quarantine.h"
 #include "retrybudget.h"
 #include "routeindex.h"
@@ -24,6 +27,7 @@
 #include "startmeter.h"
 #include "tierguard.h"
 #include "upstreamavailability.h"
+#include "upstreamcrash.h"
 #include "upstreamdirectory.h"
 #include "upstreamlimits.h"
 #include "workplacement.h"
@@ -86,51 +90,6 @@
   uint64_t mSeed = 1;
 };
 
-/** What a request that is being placed may wait for. */
-struct PlacementWait
-{
-  /** The attempt's number, kept while the request waits; 0 before. */
-  uint64_t mAttempt = 0;
-  /** Set if all suitable engines lack memory, and why the request isn't
-   * placed. */
-  std::optional<MemoryVerdict> mMemory;
-  /** Whether a permit may be requested. */
-  bool mMayRequest = true;
-  /** The upstream whose permit this request has requested, or empty. */
-  UpstreamId mUpstream;
-  /** Set if all suitable upstreams have reached their rate limits: the time
-   * until there may be capacity. */
-  std::optional<Millis> mCapacityIn;
-};
-
-/** A request that should be rejected as engines are overloaded. */
-struct OverloadRejection
-{
-  Millis mRetryAfter;
-  std::string mMessage = "would start too late";
-  bool mOverShare = false;
-};
-
-/** An upstream process that ended with requests in progress. */
-struct UpstreamCrash
-{
-  UpstreamIncarnation mIncarnation;
-  /** The event that revealed the crash. */
-  const char* mReason = "";
-  /** The requests of this entry that were in progress. */
-  std::vector<RequestFingerprint> mSuspects;
-};
-
-enum class AttemptOutcome : uint8_t
-{
-  Good,        /**< a complete response */
-  Refused,     /**< the upstream reported that it did not run */
-  Failed,      /**< the upstream responded with an error of its own */
-  Unreachable, /**< no connection; nothing was sent */
-  Broken,      /**< the connection broke, or the response was invalid */
-  Withdrawn,   /**< ended by the gate: the caller left or the time was up */
-};
-
 /**
  * Makes an entry's decisions about requests to upstreams: route, workspace and
  * upstream, how recent the policy must be, and which requests may be retried.
