Turn the accounting of engine memory off by default

The margin holds back long prompts while 26 to 54 requests are preempted either way. The part stays for deployments that set it.

--- a/src/libtrefoilarch/loadtracker.h
+++ b/src/libtrefoilarch/loadtracker.h
@@ -51,7 +51,9 @@
   /** Distinguishes this process from its successors of the same name. */
   uint64_t mProcess = 0;
   PartMode mUpstreamPerformance = PartMode::Auto;
-  PartMode mEngineMemory = PartMode::Auto;
+  /** Off by default: the margin for what other entries send delays long prompts
+   * even where preemptions are rare. */
+  PartMode mEngineMemory = PartMode::Off;
   PartMode mFairShares = PartMode::Auto;
   PaceCostOptions mPaceCost;
   /** Weight of mPaceCost by tier, the most urgent first. Less urgent streams
--- a/src/libtrefoilgate/gatesettings.cpp
+++ b/src/libtrefoilgate/gatesettings.cpp
@@ -57,13 +57,15 @@
 
 /** A setting that switches a part on or off; see PartMode. */
 SettingSpec
-PartSetting(const char* aName, const std::string& aEffect)
+PartSetting(const char* aName,
+            const std::string& aEffect,
+            const char* aDefault = "auto")
 {
   return { .mName = aName,
            .mHelp = aEffect +
                     " (auto, on or off; auto: for services whose upstreams "
                     "state their contention)",
-           .mDefault = "auto",
+           .mDefault = aDefault,
            .mCheck = OneOf({ "auto", "on", "off" }) };
 }
 
@@ -182,7 +184,8 @@
     PartSetting("upstream-performance",
                 "choose upstreams by their measured speed"),
     PartSetting("engine-memory",
-                "send engines only requests that fit their memory"),
+                "send engines only requests that fit their memory",
+                "off"),
     PartSetting("fair-shares",
                 "share overloaded services fairly among workspaces"),
     { .mName = "caller-stall-ms",
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -44,7 +44,7 @@
   /** Maximum size in bytes of all callers' bodies held at a time. */
   uint64_t mMaxBodyBytes = 0;
   trefoilarch::PartMode mUpstreamPerformance = trefoilarch::PartMode::Auto;
-  trefoilarch::PartMode mEngineMemory = trefoilarch::PartMode::Auto;
+  trefoilarch::PartMode mEngineMemory = trefoilarch::PartMode::Off;
   trefoilarch::PartMode mFairShares = trefoilarch::PartMode::Auto;
   /** A caller that reads nothing for this long is cut off, and an upstream that
    * reads nothing of a body is given up. */
--- a/tests/platform/gatesettingstest.cpp
+++ b/tests/platform/gatesettingstest.cpp
@@ -199,7 +199,8 @@
 }
 
 /** A mistyped value must not switch a part on or off silently. */
-Test(gatesettings, a_part_is_auto_unless_it_is_set_and_takes_no_other_value)
+Test(gatesettings,
+     a_part_has_its_default_unless_it_is_set_and_takes_no_other_value)
 {
   using trefoilarch::PartMode;
   const struct
@@ -207,24 +208,33 @@
     std::string mName;
     std::string mFlag;
     PartMode GateSettings::*mMember;
-  } parts[] = {
-    { "TREFOILARCH_UPSTREAM_PERFORMANCE",
-      "upstream-performance",
-      &GateSettings::mUpstreamPerformance },
-    { "TREFOILARCH_ENGINE_MEMORY",
-      "engine-memory",
-      &GateSettings::mEngineMemory },
-    { "TREFOILARCH_FAIR_SHARES", "fair-shares", &GateSettings::mFairShares }
-  };
+    PartMode mDefault;
+    std::string mDefaultText;
+  } parts[] = { { "TREFOILARCH_UPSTREAM_PERFORMANCE",
+                  "upstream-performance",
+                  &GateSettings::mUpstreamPerformance,
+                  PartMode::Auto,
+                  "auto" },
+                { "TREFOILARCH_ENGINE_MEMORY",
+                  "engine-memory",
+                  &GateSettings::mEngineMemory,
+                  PartMode::Off,
+                  "off" },
+                { "TREFOILARCH_FAIR_SHARES",
+                  "fair-shares",
+                  &GateSettings::mFairShares,
+                  PartMode::Auto,
+                  "auto" } };
   const GateSettings plain =
     ReadGateSettings(*Read(DefaultVariables()).mSettings);
-  for (const auto& [name, flag, member] : parts) {
-    cr_expect(plain.*member == PartMode::Auto);
-    cr_expect(SettingsWith(name, "auto") == plain);
-    cr_expect(SettingsWith(name, "on").*member == PartMode::On);
-    const GateSettings off = SettingsWith(name, "off");
-    cr_expect(off.*member == PartMode::Off);
-    cr_expect(ChangedNames(plain, off) == std::vector<std::string>{ flag });
+  for (const auto& [name, flag, member, usual, text] : parts) {
+    cr_expect(plain.*member == usual);
+    cr_expect(SettingsWith(name, text) == plain);
+    cr_expect(SettingsWith(name, "auto").*member == PartMode::Auto);
+    cr_expect(SettingsWith(name, "off").*member == PartMode::Off);
+    const GateSettings on = SettingsWith(name, "on");
+    cr_expect(on.*member == PartMode::On);
+    cr_expect(ChangedNames(plain, on) == std::vector<std::string>{ flag });
     for (const char* invalid : { "", "On", "true", "1" }) {
       cr_expect(IsRejected(name, flag, invalid), "%s", invalid);
     }
