--- a/tests/unit/fairsharetest.cpp
+++ b/tests/unit/fairsharetest.cpp
@@ -246,11 +246,15 @@
 
 /** A second of nearly four times the capacity; its refused callers return as
  * told. */
-Test(fairshare, refused_callers_do_not_return_in_a_second_peak)
+namespace {
+
+/** One workspace floods for a second; its refused callers return as told. */
+void
+ExpectNoSecondPeak(double aFloodFactor)
 {
   FleetOptions options = FloodOptions(false);
   options.mCallerTime = Millis(20000);
-  options.mLoads[kLoud].mFloodFactor = 30;
+  options.mLoads[kLoud].mFloodFactor = aFloodFactor;
   options.mLoads[kLoud].mFloodUntil = kFloodFrom + Millis(1000);
   const Outcomes outcomes = Run(options, kSeed);
   const Millis half(500);
@@ -267,6 +271,18 @@
   }
 }
 
+} // namespace
+
+Test(fairshare, refused_callers_do_not_return_in_a_second_peak)
+{
+  ExpectNoSecondPeak(30);
+}
+
+Test(fairshare, refused_callers_of_a_larger_flood_do_not_return_in_a_peak)
+{
+  ExpectNoSecondPeak(120);
+}
+
 Test(fairshare, return_times_spread_within_a_third_of_the_callers_time)
 {
   const bool holds = rc::check([] {
