--- a/src/libtrefoilarch/engineadmission.cpp
+++ b/src/libtrefoilarch/engineadmission.cpp
@@ -10,6 +10,9 @@
 constexpr double kMinRetryAfterMs = 250;
 constexpr double kMaxRetryAfterMs = 2500;
 
+/** Share of the bound up to which a pause is no sign of overload. */
+constexpr double kUsualPauseShare = 0.8;
+
 } // namespace
 
 EngineAdmission::EngineAdmission(EngineAdmissionOptions aOptions)
@@ -53,7 +56,10 @@
   const double limit = std::max(1.0, WaitLimit(aForecast, aRequirements));
   const double wait = aForecast.mWaitMs / limit;
   const auto maxPause = static_cast<double>(aRequirements.mMaxPause.Count());
-  const double pause = maxPause > 0 ? aForecast.mLongestPauseMs / maxPause : 0;
+  const double used = maxPause > 0 ? aForecast.mLongestPauseMs / maxPause : 0;
+  // Pauses use up most of their bound on engines that are well filled, which is
+  // no overload.
+  const double pause = (used - kUsualPauseShare) / (1 - kUsualPauseShare);
   return std::clamp(std::max(wait, pause), 0.0, kMaxPressure);
 }
 
--- a/tests/unit/engineadmissiontest.cpp
+++ b/tests/unit/engineadmissiontest.cpp
@@ -1,5 +1,6 @@
 #include "libtrefoilarch/engineadmission.h"
 
+#include <cmath>
 #include <criterion/criterion.h>
 
 using namespace trefoilarch;
@@ -59,3 +60,19 @@
   cr_expect(!Refuses({ .mWaitMs = 300, .mAnswerMs = 3000 }));
   cr_expect(Refuses({ .mWaitMs = 300, .mAnswerMs = 7900 }));
 }
+
+/** Guards against shares that apply while no request breaks its bounds. */
+Test(engineadmission, only_used_up_bounds_are_pressure)
+{
+  const EngineAdmission admission;
+  StartRequirements strict = kRequirements;
+  strict.mMaxPause = Millis(400);
+  const auto pressure = [&](double aWaitMs, double aPauseMs) {
+    return admission.Pressure(
+      { .mWaitMs = aWaitMs, .mLongestPauseMs = aPauseMs }, strict);
+  };
+  cr_expect(pressure(0, 320) == 0);
+  cr_expect(std::abs(pressure(0, 400) - 1) < 1e-9);
+  cr_expect(pressure(0, 4000) == EngineAdmission::kMaxPressure);
+  cr_expect(pressure(100, 0) > 0 && pressure(100, 0) < 1);
+}
