--- a/src/libtrefoilarch/fairshare/sharecapacity.cpp
+++ b/src/libtrefoilarch/fairshare/sharecapacity.cpp
@@ -10,8 +10,9 @@
 /** Pressures above this make no difference. */
 constexpr double kMaxPressure = 2;
 
-/** An entry that has just started knows too little to judge shares. */
-constexpr Millis kStartTime{ 1000 };
+/** An entry that has just started knows too little to judge shares: caches are
+ * empty and the speeds of upstreams unknown, which looks like contention. */
+constexpr Millis kStartTime{ 5000 };
 
 /** Without requests for this long, the pressure is unknown. */
 constexpr Millis kPressureLifetime{ 3000 };
