--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -8,6 +8,7 @@
 #include "enginemodel.h"
 #include "errors.h"
 #include "freshness.h"
+#include "loadtracker.h"
 #include "outlierdetector.h"
 #include "pauserecord.h"
 #include "peersilence.h"
@@ -69,6 +70,8 @@
   PlacementCost mPlacementCost;
   QuarantineOptions mQuarantine;
   DirectoryOptions mDirectory;
+  /** Its name and process are set by the router. */
+  LoadTrackerOptions mLoad;
   /** Called for crash updates that peers need at once, or changes to be
    * logged. */
   std::function<void()> mOnCrashUpdate = [] {};
@@ -277,6 +280,9 @@
   /** Whether there are entries to which this one doesn't send directly. */
   void SetRelays(bool aRelays) { mQuarantine.SetRelays(aRelays); }
 
+  LoadTracker& Load() { return mLoad; }
+  const LoadTracker& Load() const { return mLoad; }
+
   uint64_t Ejections() const { return mOutliers.Ejections(); }
   OutlierState StateOf(const UpstreamId& aUpstream, Millis aNow) const;
   /** Number of listed upstreams by state: "ready", "ejected", "unlisted",
@@ -408,7 +414,10 @@
   TierGuard mTiers;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
+  /** Distinguishes this process from its successors of the same name. */
+  uint64_t mProcess;
   PeerUpdateBuilder mPeerUpdates;
+  LoadTracker mLoad;
   /** Whether a request that may run only once probes an upstream: rarely, but
    * if there are no other requests nothing else would probe it. */
   std::bernoulli_distribution mProbeProbability{ 0.2 };
