--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -29,6 +29,7 @@
   LoadTrackerOptions options = aOptions.mLoad;
   options.mName = aOptions.mName;
   options.mProcess = aProcess;
+  options.mShares.mSeed = aOptions.mSeed;
   return options;
 }
 
@@ -57,6 +58,7 @@
   if (mIndex && aPolicy->mVersion <= mIndex->Version()) {
     return false;
   }
+  mLoad.SetWeights(*aPolicy);
   mIndex = std::make_shared<RouteIndex>(std::move(aPolicy));
   return true;
 }
@@ -76,7 +78,7 @@
       if (!tracked.mLeaving) {
         OnIncarnationEnded(tracked.mIncarnation, "replaced", aNow);
       }
-      ForgetIncarnation(id, tracked);
+      ForgetIncarnation(id, tracked, aNow);
       restarted.push_back(id);
     }
     if (tracked.mIncarnationNumber != listed.mIncarnationNumber) {
@@ -86,6 +88,7 @@
     tracked.mIncarnation = { .mUpstream = id,
                              .mStartTime = listed.mStartTime.value_or(0) };
     mAvailability.OnListed(id, listed.Process());
+    mLoad.OnListed(listed, aNow);
     tracked.mLeaving = IsLeaving(listed);
     if (tracked.mLeaving) {
       mCrashDetector.OnLeaving(tracked.mIncarnation);
@@ -103,6 +106,7 @@
     }
     mOutliers.Remove(id);
     mEngineModel.Forget(id);
+    mLoad.OnUnlisted(id, aNow);
     mPlacement.PrefixCaches().Forget(id);
     ForgetLimit(id);
     return tracked.mWork.Open() == 0;
@@ -113,11 +117,13 @@
 
 void
 DirectRouter::ForgetIncarnation(const UpstreamId& aUpstream,
-                                TrackedUpstream& aTracked)
+                                TrackedUpstream& aTracked,
+                                Millis aNow)
 {
   mOutliers.Reset(aUpstream);
   ForgetLimit(aUpstream);
   mEngineModel.Forget(aUpstream);
+  mLoad.OnIncarnationEnded(aUpstream, aNow);
   mPlacement.PrefixCaches().Forget(aUpstream);
   aTracked.mWork = UpstreamWork();
   aTracked.mPeerSilence = PeerSilence();
@@ -184,20 +190,29 @@
                    bound.mPrompt,
                    aNow,
                    mStartMeters[route->mName].Open());
-  const auto retryAfter = Overload(bound, aNow);
+  const auto overload = Overload(bound, aNow);
+  const auto fail = [](const OverloadRejection& aRejection) {
+    return Fail(Refusal{ .mKind = ErrorKind::Shed,
+                         .mRan = Ran::No,
+                         .mRetryAfter = aRejection.mRetryAfter,
+                         .mMessage = aRejection.mMessage });
+  };
   // Only under overload, since it iterates over the demand of all entries.
   const bool peersSendLessUrgent =
-    retryAfter &&
+    overload &&
     mPools.PeersSendLessUrgent(bound.mService, route->mPriority, aNow);
   if (mTiers.Refuses(bound.mService,
                      route->mPriority,
-                     retryAfter.has_value(),
+                     overload.has_value(),
                      aNow,
                      peersSendLessUrgent)) {
-    return Fail(Refusal{ .mKind = ErrorKind::Shed,
-                         .mRan = Ran::No,
-                         .mRetryAfter = retryAfter.value_or(kShedRetryAfter),
-                         .mMessage = "would start too late" });
+    // Overload() checks the share if there are peers.
+    if (mPeers.Peers() > 0 && !(overload && overload->mOverShare)) {
+      mLoad.OnShareUnused(
+        bound, mEngineModel.PrefillPerMs(bound.mService), aNow);
+    }
+    return fail(
+      overload.value_or(OverloadRejection{ .mRetryAfter = kShedRetryAfter }));
   }
   mRetries.OnFirstAttempt(bound.mService);
   return bound;
@@ -308,6 +323,14 @@
 DirectRouter::OnPause(const PlacedAttempt& aAttempt, Millis aPause, Millis aNow)
 {
   mPauses.OnPause(aAttempt.mRoute, aPause, aNow);
+  if (const TrackedUpstream* tracked = FindTracked(aAttempt)) {
+    mLoad.OnEvent(aAttempt,
+                  { .mUpstream = aAttempt.mUpstream,
+                    .mWork = tracked->mWork,
+                    .mPeerPending = mPeers.Pending(aAttempt.mUpstream) },
+                  aPause,
+                  aNow);
+  }
 }
 
 bool
@@ -345,6 +368,7 @@
     const Millis firstTokenTime = aNow - aAttempt.mSentAt;
     mOutliers.OnFirstToken(aAttempt.mUpstream, firstTokenTime, aNow);
     mPeerUpdates.OnAnswered(aAttempt.mUpstream);
+    mLoad.OnStarted(aAttempt);
     if (aAttempt.mWork.mPrefill > 0) {
       mEngineModel.OnStarted(aAttempt.mService,
                              aAttempt.mUpstream,
@@ -369,6 +393,16 @@
   }
 }
 
+void
+DirectRouter::OnContention(const PlacedAttempt& aAttempt,
+                           double aFactor,
+                           Millis aNow)
+{
+  if (FindTracked(aAttempt) != nullptr) {
+    mLoad.OnContention(aAttempt.mUpstream, aFactor, aNow);
+  }
+}
+
 void
 DirectRouter::OnEnded(const PlacedAttempt& aAttempt,
                       AttemptOutcome aOutcome,
@@ -382,6 +416,8 @@
     mOptions.mOnCrashUpdate();
   }
   TrackedUpstream* tracked = FindTracked(aAttempt);
+  const bool whole = aOutcome == AttemptOutcome::Good && tracked != nullptr;
+  mLoad.OnEnded(aAttempt, whole, aNow);
   if (tracked != nullptr) {
     if (!aAttempt.mStarted) {
       mPeerUpdates.MarkChanged();
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arrivalrate.h"
+#include "attemptoutcome.h"
 #include "boundrequest.h"
 #include "crashdetector.h"
 #include "dedicatedpools.h"
@@ -10,6 +11,7 @@
 #include "freshness.h"
 #include "loadtracker.h"
 #include "outlierdetector.h"
+#include "overloadrejection.h"
 #include "pauserecord.h"
 #include "peersilence.h"
 #include "peerupdatebuilder.h"
@@ -17,6 +19,7 @@
 #include "permitissuer.h"
 #include "permitrequester.h"
 #include "placedattempt.h"
+#include "placementwait.h"
 #include "quarantine.h"
 #include "retrybudget.h"
 #include "routeindex.h"
@@ -24,6 +27,7 @@
 #include "startmeter.h"
 #include "tierguard.h"
 #include "upstreamavailability.h"
+#include "upstreamcrash.h"
 #include "upstreamdirectory.h"
 #include "upstreamlimits.h"
 #include "workplacement.h"
@@ -86,38 +90,6 @@
   uint64_t mSeed = 1;
 };
 
-/** What a request that is being placed may wait for. */
-struct PermitWait
-{
-  /** Whether a permit may be requested. */
-  bool mMayRequest = true;
-  /** The upstream whose permit this request has requested, or empty. */
-  UpstreamId mUpstream;
-  /** Set if all suitable upstreams have reached their rate limits: the time
-   * until there may be capacity. */
-  std::optional<Millis> mCapacityIn;
-};
-
-/** An upstream process that ended with requests in progress. */
-struct UpstreamCrash
-{
-  UpstreamIncarnation mIncarnation;
-  /** The event that revealed the crash. */
-  const char* mReason = "";
-  /** The requests of this entry that were in progress. */
-  std::vector<RequestFingerprint> mSuspects;
-};
-
-enum class AttemptOutcome : uint8_t
-{
-  Good,        /**< a complete response */
-  Refused,     /**< the upstream reported that it did not run */
-  Failed,      /**< the upstream responded with an error of its own */
-  Unreachable, /**< no connection; nothing was sent */
-  Broken,      /**< the connection broke, or the response was invalid */
-  Withdrawn,   /**< ended by the gate: the caller left or the time was up */
-};
-
 /**
  * Makes an entry's decisions about requests to upstreams: route, workspace and
  * upstream, how recent the policy must be, and which requests may be retried.
@@ -168,7 +140,7 @@
    * or none before the permit in aWait arrives. */
   std::optional<PlacedAttempt> Place(const BoundRequest& aRequest,
                                      const std::set<UpstreamId>& aTried,
-                                     PermitWait& aWait,
+                                     PlacementWait& aWait,
                                      Millis aNow);
   /** The same without waiting for a permit. */
   std::optional<PlacedAttempt> Place(const BoundRequest& aRequest,
@@ -237,6 +209,8 @@
   void OnReport(const PlacedAttempt& aAttempt,
                 const ReportedLoad& aLoad,
                 Millis aNow);
+  /** The upstream stated its contention in the response; 1 is usual. */
+  void OnContention(const PlacedAttempt& aAttempt, double aFactor, Millis aNow);
   /** The response's head named that rate limit, or none. */
   void OnRateLimit(const PlacedAttempt& aAttempt,
                    const std::optional<NamedLimit>& aLimit,
@@ -276,7 +250,11 @@
   /** Entries that have sent an update recently. */
   size_t Peers() const { return mPeers.Peers(); }
   /** The number of entries, this one included. */
-  void SetEntries(size_t aEntries) { mEntries = aEntries; }
+  void SetEntries(size_t aEntries)
+  {
+    mEntries = aEntries;
+    mLoad.SetEntries(aEntries);
+  }
   /** Whether there are entries to which this one doesn't send directly. */
   void SetRelays(bool aRelays) { mQuarantine.SetRelays(aRelays); }
 
@@ -330,7 +308,7 @@
   /** Whether the request may be sent there now or with a permit. */
   bool MayHavePermit(const UpstreamId& aUpstream,
                      uint8_t aUrgency,
-                     const PermitWait& aWait,
+                     const PlacementWait& aWait,
                      Millis aNow);
   /** The time until an upstream with a rate limit may have capacity; empty if
    * there is none that could take the request. */
@@ -340,16 +318,18 @@
   void RecordAttempt(const BoundRequest& aRequest, Millis aNow);
   /** Another process has replaced the upstream's. */
   void ForgetIncarnation(const UpstreamId& aUpstream,
-                         TrackedUpstream& aTracked);
+                         TrackedUpstream& aTracked,
+                         Millis aNow);
   /** Whether the upstream's results give no reason to avoid it. */
   bool IsHealthy(const UpstreamId& aUpstream, Millis aNow) const;
   const char* StateName(const ListedUpstream& aListed, Millis aNow) const;
   const std::string& ServiceFor(const Route& aRoute);
   Candidates CandidatesFor(const BoundRequest& aRequest,
                            const std::set<UpstreamId>& aTried,
-                           const PermitWait& aWait,
+                           const PlacementWait& aWait,
                            Millis aNow);
   PlacedAttempt Send(const BoundRequest& aRequest,
+                     uint64_t aAttempt,
                      const PlacementChoice& aChoice,
                      const Candidates& aCandidates,
                      Millis aNow);
@@ -372,8 +352,10 @@
    * so that requests rejected together aren't retried together, but within the
    * caller's timeout. */
   Millis RetryDelay(const BoundRequest& aRequest, Millis aMin, Millis aJitter);
-  /** The retry delay if the request would start too late, or empty. */
-  std::optional<Millis> Overload(const BoundRequest& aRequest, Millis aNow);
+  /** Why and for how long the request is rejected, if it would start too late
+   * or exceeds its workspace's share. */
+  std::optional<OverloadRejection> Overload(const BoundRequest& aRequest,
+                                            Millis aNow);
   StartForecast ForecastFor(const BoundRequest& aRequest, Millis aNow);
   /** The upstream, if it can be fetched from, or null. */
   const ListedUpstream* HolderAt(const UpstreamId& aHolder, Millis aNow) const;
@@ -418,6 +400,7 @@
   uint64_t mProcess;
   PeerUpdateBuilder mPeerUpdates;
   LoadTracker mLoad;
+  uint64_t mLastAttempt = 0;
   /** Whether a request that may run only once probes an upstream: rarely, but
    * if there are no other requests nothing else would probe it. */
   std::bernoulli_distribution mProbeProbability{ 0.2 };
--- a/src/libtrefoilgate/gatesettings.h
+++ b/src/libtrefoilgate/gatesettings.h
@@ -44,8 +44,13 @@
   /** Maximum size in bytes of all callers' bodies held at a time. */
   uint64_t mMaxBodyBytes = 0;
   trefoilarch::PartMode mUpstreamPerformance = trefoilarch::PartMode::Auto;
-  trefoilarch::PartMode mEngineMemory = trefoilarch::PartMode::Auto;
+  trefoilarch::PartMode mEngineMemory = trefoilarch::PartMode::Off;
   trefoilarch::PartMode mFairShares = trefoilarch::PartMode::Auto;
+  /** A caller that reads nothing for this long is cut off, and an upstream that
+   * reads nothing of a body is given up. */
+  trefoilarch::Millis mCallerStall{ 10000 };
+  /** Maximum size in bytes of all answers held for callers at a time. */
+  uint64_t mAnswerBufferBytes = 134217728;
 
   bool operator==(const GateSettings&) const = default;
 };
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -159,6 +159,7 @@
   };
   setGauge(Gauge::OpenRequests, mExchanges.size());
   setGauge(Gauge::BodyBytes, mBodyBytes);
+  setGauge(Gauge::AnswerBytes, mBuffers.Budget()->TotalBytes());
   setGauge(Gauge::CallerConnections, mCallers.Connections());
   setGauge(Gauge::IdleUpstreamConnections, mPool.IdleCount());
   setGauge(Gauge::UpstreamConnectionsMade, mPool.MadeCount());
@@ -179,8 +180,8 @@
   for (const auto& [state, upstreams] : mRouter.UpstreamsByState(now)) {
     mMetrics.Set(Gauge::Upstreams, state, upstreams);
   }
-  mLoadGauges.SetSlowUpstreams(mRouter.Load().SlowUpstreams(now));
-  mLoadGauges.SetWorkspaces(mRouter.Load().Workspaces(now));
+  mLoadGauges.SetSlowUpstreams(mRouter.Load().SlowUpstreamCounts(now));
+  mLoadGauges.SetWorkspaces(mRouter.Load().WorkspaceLoads(now));
   mUsageHooks.mSetGauges(mMetrics);
   return mMetrics.Text();
 }
