--- a/tests/unit/directrouterloadtest.cpp
+++ b/tests/unit/directrouterloadtest.cpp
@@ -206,7 +206,7 @@
   RefusedRequests refused;
   Millis lessUrgentTakenAt(-10000);
   for (int64_t each = 0; each < 300; ++each) {
-    const Millis now(1500 + each * 5);
+    const Millis now(7500 + each * 5);
     router.OnPeerUpdate({ .mFrom = "there",
                           .mProcess = 2,
                           .mSequence = static_cast<uint64_t>(each + 2) },
--- a/tests/unit/loadtrackertest.cpp
+++ b/tests/unit/loadtrackertest.cpp
@@ -67,7 +67,8 @@
   size_t refusedModest = 0;
   // The engines take 40 requests in 100 ms; 100 arrive, 9 of them modest.
   size_t admitted = 0;
-  for (int64_t each = 0; each < 4000; ++each) {
+  // No share applies in the first 5 s.
+  for (int64_t each = 0; each < 9000; ++each) {
     const Millis now(each);
     const bool modest = each % 11 == 0;
     admitted = each % 100 == 0 ? 0 : admitted;
