Begin the floods of the share tests after an entry's start

Since shares apply only after five seconds, a flood from the fourth to the fifth second met none, and the check of a second peak could not fail. Floods begin in the tenth second; the windows move with them, the bounds are unchanged.

--- a/tests/unit/fairsharetest.cpp
+++ b/tests/unit/fairsharetest.cpp
@@ -15,7 +15,7 @@
 
 constexpr uint32_t kSeed = 20261203;
 constexpr size_t kLoud = 1;
-constexpr Millis kFloodFrom{ 4000 };
+constexpr Millis kFloodFrom{ 9000 };
 
 /** The usual load of 24 workspaces and one of them at six times its usual. The
  * engines can do the usual load, but not the flood. */
@@ -155,14 +155,14 @@
   FleetOptions options;
   options.mEntries = 340;
   options.mCapacity = 180000;
-  options.mCountUntil = Millis(10000);
+  options.mCountUntil = Millis(15000);
   options.mCallerTime = Millis(4000);
   options.mLoads = UsualLoad(options, 0.8, 2400);
   options.mLoads[kLoud].mFloodFactor = 16;
   options.mLoads[kLoud].mFloodFrom = kFloodFrom;
   ExpectModestUnharmed(options);
   const double rate =
-    RateOf(Run(options, kSeed), options.mLoads, Millis(6000), Millis(10000));
+    RateOf(Run(options, kSeed), options.mLoads, Millis(11000), Millis(15000));
   cr_expect_leq(rate, options.mCapacity * 1.05);
 }
 
