--- a/src/libtrefoilgate/exchangelog.cpp
+++ b/src/libtrefoilgate/exchangelog.cpp
@@ -55,6 +55,10 @@
   if (!mCutReason.empty()) {
     fields["why"] = mCutReason;
   }
+  if (mAnswer && mAnswer->mEndsWithConnection) {
+    fields["framing"] = "close";
+    fields["partial_event_bytes"] = mEvents.Remainder().size();
+  }
   mContext.mLog.Write(
     served ? LineKind::Success : LineKind::Failure, "request_ended", fields);
   // The caller's hooks may hold the last reference; keep it until they are
