--- a/tests/integration/rawcaller.cpp
+++ b/tests/integration/rawcaller.cpp
@@ -46,20 +46,27 @@
 std::string
 RawCaller::ReadUntil(const std::string& aSuffix, int aIdleTimeoutMillis) const
 {
-  std::string text;
+  return ReadAnswer(aSuffix, aIdleTimeoutMillis).mText;
+}
+
+RawAnswer
+RawCaller::ReadAnswer(const std::string& aSuffix, int aIdleTimeoutMillis) const
+{
+  RawAnswer answer;
   std::array<char, 4096> bytes;
   pollfd wait{ .fd = mSocket, .events = POLLIN, .revents = 0 };
   const auto isComplete = [&] {
-    return !aSuffix.empty() && text.ends_with(aSuffix);
+    return !aSuffix.empty() && answer.mText.ends_with(aSuffix);
   };
   while (!isComplete() && poll(&wait, 1, aIdleTimeoutMillis) > 0) {
     const ssize_t count = recv(mSocket, bytes.data(), bytes.size(), 0);
     if (count <= 0) {
+      answer.mEnd = count == 0 ? ConnectionEnd::Closed : ConnectionEnd::Reset;
       break;
     }
-    text.append(bytes.data(), static_cast<size_t>(count));
+    answer.mText.append(bytes.data(), static_cast<size_t>(count));
   }
-  return text;
+  return answer;
 }
 
 } // namespace integration
--- /dev/null
+++ b/tests/platform/closedelimitedtest.cpp
@@ -0,0 +1,281 @@
+#include "platformfleet.h"
+
+#include "integration/await.h"
+#include "integration/rawcaller.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <string>
+
+using namespace platformtest;
+using integration::Await;
+using integration::ConnectionEnd;
+using integration::RawAnswer;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kLastChunk = "0\r\n\r\n";
+
+/** Long enough for retries, and for an end that a gate waits for. */
+constexpr int kReadTimeoutMs = 2000;
+
+RawAnswer
+Ask(const PlatformFleet& aFleet,
+    const std::string& aPath,
+    const std::string& aPlan,
+    const trefoilio::HttpHeaders& aHeaders = {})
+{
+  const integration::RawCaller caller(aFleet.GateAddress(0));
+  caller.Send(PlatformFleet::Text({ .mMethod = "POST",
+                                    .mPath = aPath,
+                                    .mPlan = aPlan,
+                                    .mHeaders = aHeaders }));
+  return caller.ReadAnswer(kLastChunk, kReadTimeoutMs);
+}
+
+bool
+HasText(const RawAnswer& aAnswer, const std::string& aText)
+{
+  return aAnswer.mText.find(aText) != std::string::npos;
+}
+
+bool
+IsChunked(const RawAnswer& aAnswer)
+{
+  return HasText(aAnswer, "Transfer-Encoding: chunked\r\n");
+}
+
+/** Expects an answer whose only end is that of its connection. */
+void
+ExpectCloseDelimited(const RawAnswer& aAnswer)
+{
+  cr_expect(HasText(aAnswer, "Connection: close\r\n"));
+  cr_expect(!IsChunked(aAnswer));
+  cr_expect(!HasText(aAnswer, "Content-Length:"));
+}
+
+/** Expects that the caller can tell that the answer was broken off. */
+void
+ExpectCutShort(const RawAnswer& aAnswer)
+{
+  cr_expect(!HasText(aAnswer, "Content-Length:"));
+  if (IsChunked(aAnswer)) {
+    cr_expect(!aAnswer.mText.ends_with(kLastChunk));
+    cr_expect(aAnswer.mEnd != ConnectionEnd::Open);
+  } else {
+    cr_expect(aAnswer.mEnd == ConnectionEnd::Reset);
+  }
+}
+
+void
+ExpectEventsOnce(const RawAnswer& aAnswer, int aCount)
+{
+  for (int event = 1; event <= aCount; ++event) {
+    const std::string line = "data: event " + std::to_string(event) + "\n";
+    const size_t position = aAnswer.mText.find(line);
+    cr_expect(position != std::string::npos, "event %d", event);
+    cr_expect(aAnswer.mText.find(line, position + 1) == std::string::npos,
+              "event %d twice",
+              event);
+  }
+  const std::string next = "event " + std::to_string(aCount + 1);
+  cr_expect(!HasText(aAnswer, next));
+}
+
+/** The last line of the gate's log for a request that has ended. */
+json
+EndedRequest(const PlatformFleet& aFleet)
+{
+  cr_assert(Await([&] { return !aFleet.LogOf(0, "request_ended").empty(); }));
+  return aFleet.LogOf(0, "request_ended").back();
+}
+
+} // namespace
+
+Test(closedelimited, a_complete_stream_without_framing_is_not_framed_anew)
+{
+  const PlatformFleet fleet;
+  for (const char* path : { "/stream/x", "/resume/x" }) {
+    const RawAnswer answer =
+      Ask(fleet, path, "stream,count=6,gap=2,framing=close");
+    ExpectCloseDelimited(answer);
+    ExpectEventsOnce(answer, 6);
+    cr_expect(answer.mText.ends_with("data: event 6\n\n"), "%s", path);
+    cr_expect(answer.mEnd == ConnectionEnd::Closed, "%s", path);
+  }
+}
+
+Test(closedelimited, a_stream_cut_inside_an_event_is_not_framed_as_complete)
+{
+  for (const char* how : { "reset", "close", "crash" }) {
+    const PlatformFleet fleet;
+    const RawAnswer answer =
+      Ask(fleet,
+          "/stream/x",
+          std::string("stream,count=6,gap=2,cut=3,framing=close,how=") + how);
+    ExpectEventsOnce(answer, 3);
+    ExpectCutShort(answer);
+    const json ended = EndedRequest(fleet);
+    cr_expect(ended.at("outcome") != "served", "%s", how);
+  }
+}
+
+Test(closedelimited, a_resumable_stream_cut_inside_an_event_is_continued)
+{
+  for (const char* how : { "reset", "close", "crash" }) {
+    const PlatformFleet fleet({ .mWorkers = 3 });
+    const RawAnswer answer =
+      Ask(fleet,
+          "/resume/x",
+          std::string("stream,count=8,gap=2,cut=3,once=1,framing=close,how=") +
+            how);
+    ExpectCloseDelimited(answer);
+    ExpectEventsOnce(answer, 8);
+    cr_expect(answer.mEnd == ConnectionEnd::Closed, "%s", how);
+    cr_expect(
+      fleet.RunsOf("1").size() + (how == std::string("crash") ? 1 : 0) == 2);
+  }
+}
+
+Test(closedelimited, a_copied_stream_cut_inside_an_event_is_continued)
+{
+  const PlatformFleet fleet({ .mWorkers = 3 });
+  const RawAnswer answer =
+    Ask(fleet,
+        "/stream/x",
+        "stream,count=8,gap=2,cut=3,once=1,framing=close,how=close",
+        { { "X-Token-Usage", "500,400" } });
+  ExpectCloseDelimited(answer);
+  ExpectEventsOnce(answer, 8);
+  cr_expect(answer.mEnd == ConnectionEnd::Closed);
+  cr_expect(fleet.RunsOf("1").size() == 2);
+}
+
+Test(closedelimited,
+     a_stream_that_ends_between_events_is_not_framed_as_complete)
+{
+  const PlatformFleet fleet;
+  const RawAnswer answer =
+    Ask(fleet,
+        "/stream/x",
+        "stream,count=6,gap=2,cut=3,at=between,framing=close,how=close");
+  ExpectEventsOnce(answer, 3);
+  ExpectCloseDelimited(answer);
+}
+
+Test(closedelimited, a_crash_between_events_cuts_the_answer_short)
+{
+  const PlatformFleet fleet;
+  const RawAnswer answer =
+    Ask(fleet,
+        "/stream/x",
+        "stream,count=6,gap=2,cut=3,at=between,framing=close,how=crash");
+  ExpectEventsOnce(answer, 3);
+  ExpectCutShort(answer);
+  cr_expect(EndedRequest(fleet).at("outcome") != "served");
+}
+
+Test(closedelimited,
+     a_resumable_stream_is_continued_after_a_crash_between_events)
+{
+  const PlatformFleet fleet({ .mWorkers = 3 });
+  const RawAnswer answer =
+    Ask(fleet,
+        "/resume/x",
+        "stream,count=8,gap=2,cut=3,once=1,at=between,framing=close,how=crash");
+  ExpectEventsOnce(answer, 8);
+  cr_expect(answer.mEnd == ConnectionEnd::Closed);
+}
+
+Test(closedelimited, a_stream_that_ends_before_its_first_event_is_no_success)
+{
+  const PlatformFleet fleet;
+  for (const char* at : { "inside", "between" }) {
+    const RawAnswer answer =
+      Ask(fleet,
+          "/stream/x",
+          std::string("stream,count=6,cut=0,framing=close,how=close,at=") + at);
+    cr_expect(answer.mText.starts_with("HTTP/1.1 502"), "%s", at);
+  }
+}
+
+Test(closedelimited,
+     a_resumable_stream_that_ends_before_its_first_event_is_retried)
+{
+  const PlatformFleet fleet({ .mWorkers = 2, .mRetrySlack = 200 });
+  for (const char* at : { "inside", "between" }) {
+    fleet.SetPlan(
+      0,
+      std::string("stream,count=6,cut=0,framing=close,how=close,at=") + at,
+      1);
+    for (int each = 0; each < 4; ++each) {
+      ExpectEventsOnce(Ask(fleet, "/resume/x", "stream,count=6,gap=2"), 6);
+    }
+  }
+}
+
+Test(closedelimited,
+     a_chunked_stream_is_not_ended_by_the_close_of_a_resumed_run)
+{
+  const PlatformFleet fleet({ .mWorkers = 3 });
+  const RawAnswer answer =
+    Ask(fleet,
+        "/resume/x",
+        "stream,count=8,gap=2,cut=3,once=1,resume_framing=close");
+  cr_expect(IsChunked(answer));
+  ExpectEventsOnce(answer, 8);
+  ExpectCutShort(answer);
+}
+
+Test(closedelimited, a_plain_answer_without_a_length_keeps_its_framing)
+{
+  const PlatformFleet fleet;
+  for (const char* size : { "0", "100", "200000" }) {
+    for (const char* path : { "/safe/x", "/once/x" }) {
+      const RawAnswer answer =
+        Ask(fleet, path, std::string("no_length,size=") + size);
+      ExpectCloseDelimited(answer);
+      cr_expect(answer.mText.ends_with("\r\n\r\n" +
+                                       std::string(std::stoul(size), 'b')));
+      cr_expect(answer.mEnd == ConnectionEnd::Closed, "%s of %s", path, size);
+    }
+  }
+}
+
+Test(closedelimited, a_forwarded_plain_answer_that_is_reset_is_cut_short)
+{
+  const PlatformFleet fleet;
+  const RawAnswer answer = Ask(fleet, "/once/x", "no_length_cut,size=400000");
+  cr_expect(HasText(answer, "HTTP/1.1 200"));
+  ExpectCutShort(answer);
+}
+
+Test(closedelimited, an_error_body_without_a_length_keeps_its_framing)
+{
+  const PlatformFleet fleet;
+  for (const char* path : { "/once/x", "/stream/x" }) {
+    const RawAnswer answer = Ask(fleet, path, "no_length,size=40,status=500");
+    cr_expect(answer.mText.starts_with("HTTP/1.1 500"), "%s", path);
+    ExpectCloseDelimited(answer);
+    cr_expect(answer.mText.ends_with(std::string(40, 'b')));
+    cr_expect(answer.mEnd == ConnectionEnd::Closed);
+  }
+}
+
+Test(closedelimited, a_killed_gate_cuts_the_answer_short)
+{
+  PlatformFleet fleet;
+  const integration::RawCaller caller(fleet.GateAddress(0));
+  caller.Send(
+    PlatformFleet::Text({ .mMethod = "POST",
+                          .mPath = "/stream/x",
+                          .mPlan = "stream,count=90,gap=20,framing=close" }));
+  const RawAnswer begun = caller.ReadAnswer("event 3\n\n", kReadTimeoutMs);
+  cr_assert(HasText(begun, "event 3\n\n"));
+  fleet.Gate(0).Signal(SIGKILL);
+  const RawAnswer rest = caller.ReadAnswer("", kReadTimeoutMs);
+  cr_expect(!IsChunked(begun));
+  cr_expect(rest.mEnd == ConnectionEnd::Reset);
+}
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -133,6 +133,12 @@
 constexpr const char* kEventFraming = "Content-Type: text/event-stream\r\n"
                                       "Transfer-Encoding: chunked\r\n";
 
+constexpr const char* kCloseFraming = "Content-Type: text/event-stream\r\n"
+                                      "Connection: close\r\n";
+
+/** No stream is cut after this many events. */
+constexpr int kNoCut = -1;
+
 std::string
 EventText(int aEvent, int aPadding = 0)
 {
@@ -399,9 +405,10 @@
     return false;
   }
   if (name == "no_length" || name == "no_length_cut") {
+    const int status = IntOption(aPlan, "status", 200);
     Write(
       aSocket,
-      ResponseHead(aRequest, 200, true, "Connection: close\r\n") +
+      ResponseHead(aRequest, status, true, "Connection: close\r\n") +
         body.substr(0, name == "no_length" ? body.size() : body.size() / 2));
     if (name == "no_length_cut") {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
@@ -426,28 +433,56 @@
 {
   const int count = IntOption(aPlan, "count", 5);
   const int gap = IntOption(aPlan, "gap", 10);
+  const bool cutsInside = TextOption(aPlan, "at", "inside") == "inside";
   const std::string lastEventId(aRequest["Last-Event-Id"]);
+  std::string framing = TextOption(aPlan, "framing", "chunked");
+  if (!lastEventId.empty()) {
+    framing = TextOption(aPlan, "resume_framing", framing);
+  }
+  const bool chunked = framing == "chunked";
   const bool resumedOnce =
     !lastEventId.empty() && IntOption(aPlan, "once", 0) > 0;
-  const int cut = resumedOnce ? 0 : IntOption(aPlan, "cut", 0);
+  const int cut = resumedOnce ? kNoCut : IntOption(aPlan, "cut", kNoCut);
   const int first = lastEventId.empty() ? 1 : std::stoi(lastEventId) + 1;
-  Write(aSocket, ResponseHead(aRequest, 200, true, kEventFraming));
+  const auto write = [&](const std::string& aText) {
+    return Write(aSocket, chunked ? Chunk(aText) : aText);
+  };
+  Write(
+    aSocket,
+    ResponseHead(aRequest, 200, true, chunked ? kEventFraming : kCloseFraming));
   for (int event = first; event <= count; ++event) {
     const std::string text = EventText(event, IntOption(aPlan, "pad", 0));
-    if (cut > 0 && event - first == cut) {
-      Write(aSocket, Chunk(text.substr(0, text.size() / 2)));
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-      EndRun(aRun, "cut");
-      Reset(aSocket);
+    if (event - first == cut) {
+      if (cutsInside) {
+        write(text.substr(0, text.size() / 2));
+      }
+      CutStream(aSocket, aRequest, aPlan, aRun);
       return false;
     }
-    if (!Write(aSocket, Chunk(text)) || !WaitWhileConnected(aSocket, gap)) {
+    if (!write(text) || !WaitWhileConnected(aSocket, gap)) {
       EndRun(aRun, "left");
       return false;
     }
   }
   EndRun(aRun, "stream");
-  return Write(aSocket, "0\r\n\r\n");
+  return chunked && Write(aSocket, "0\r\n\r\n");
+}
+
+void
+Worker::CutStream(Tcp::socket& aSocket,
+                  const Request& aRequest,
+                  const Plan& aPlan,
+                  size_t aRun)
+{
+  const std::string how = TextOption(aPlan, "how", "reset");
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  EndRun(aRun, "cut");
+  if (how == "crash") {
+    Crash(aRequest);
+  }
+  if (how == "reset") {
+    Reset(aSocket);
+  }
 }
 
 bool
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -29,7 +29,7 @@
  *   unsealed      200 without X-Response-Seal
  *   extra         a second response after the first
  *   stray         the response to another request first
- *   no_length     a body delimited by the connection close
+ *   no_length     a body delimited by the connection close (size, status)
  *   no_length_cut the same, but reset halfway
  *   hang          no response while the client is connected
  *   crash         the process exits (delay) after it printed
@@ -43,8 +43,12 @@
  *                 event); the prompt segments and the priority are read
  *                 from the request headers
  *   stream        events: count, gap (ms), pad (bytes added to each), cut
- * (reset after that many events, in the middle of the next), once=1 (a run that
- * resumes after Last-Event-Id is not cut)
+ *                 (ends after that many events), at (of the cut: `inside` the
+ *                 next event, or `between` two), how (of the cut: `reset`,
+ *                 `close` or `crash`), once=1 (a run that resumes after
+ *                 Last-Event-Id is not cut), framing (`chunked`, or `close`
+ *                 for a body delimited by the connection close),
+ *                 resume_framing (the same, of a run that resumes)
  *
  * POST /control {"load_suffix":TEXT} adds that to the load report of all
  * further responses;
@@ -90,6 +94,11 @@
               const Request& aRequest,
               const Plan& aPlan,
               size_t aRun);
+  /** Ends the run's stream as the plan's cut says. */
+  void CutStream(Tcp::socket& aSocket,
+                 const Request& aRequest,
+                 const Plan& aPlan,
+                 size_t aRun);
   bool StreamFromEngine(Tcp::socket& aSocket,
                         const Request& aRequest,
                         const Plan& aPlan,
