--- a/src/libtrefoilarch/crashdetector.cpp
+++ b/src/libtrefoilarch/crashdetector.cpp
@@ -81,6 +81,13 @@
   return it != mStates.end() && !it->second.mEnded && !it->second.mIsListening;
 }
 
+bool
+CrashDetector::HasEnded(const UpstreamIncarnation& aIncarnation) const
+{
+  const auto it = mStates.find(aIncarnation);
+  return it != mStates.end() && it->second.mEnded;
+}
+
 void
 CrashDetector::Expire(Millis aNow)
 {
--- a/src/libtrefoilarch/crashdetector.h
+++ b/src/libtrefoilarch/crashdetector.h
@@ -45,6 +45,9 @@
   /** Whether a connection to it broke and the cause is not known yet. */
   bool IsCrashSuspected(const UpstreamIncarnation& aIncarnation) const;
 
+  /** Whether it is known to have ended after a connection to it broke. */
+  bool HasEnded(const UpstreamIncarnation& aIncarnation) const;
+
   /** Removes connection losses that are too old to explain an end. */
   void Expire(Millis aNow);
 
--- a/src/libtrefoilarch/directcrashes.cpp
+++ b/src/libtrefoilarch/directcrashes.cpp
@@ -62,6 +62,15 @@
          mCrashDetector.IsCrashSuspected(tracked->second.mIncarnation);
 }
 
+bool
+DirectRouter::HasCrashed(const PlacedAttempt& aAttempt) const
+{
+  const auto tracked = mTracked.find(aAttempt.mUpstream);
+  return tracked != mTracked.end() &&
+         tracked->second.mIncarnationNumber == aAttempt.mIncarnationNumber &&
+         mCrashDetector.HasEnded(tracked->second.mIncarnation);
+}
+
 void
 DirectRouter::OnIncarnationEnded(const UpstreamIncarnation& aIncarnation,
                                  const char* aReason,
--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -50,7 +50,7 @@
   }
   if (aHead.mLength) {
     AppendField(aOut, "Content-Length", std::to_string(*aHead.mLength));
-  } else if (!aHead.mNoBody) {
+  } else if (!aHead.mNoBody && !aHead.mEndsWithConnection) {
     AppendField(aOut, "Transfer-Encoding", "chunked");
   }
   if (!aKeepAlive) {
@@ -277,8 +277,14 @@
 CallerConnection::BeginAnswer(const AnswerHead& aHead)
 {
   mNoBody = aHead.mNoBody;
-  mChunked = !aHead.mLength && !aHead.mNoBody;
-  mKeepAlive = KeepsAlive();
+  mEndsWithConnection = aHead.mEndsWithConnection;
+  mChunked = !aHead.mLength && !aHead.mNoBody && !mEndsWithConnection;
+  mKeepAlive = KeepsAlive() && !mEndsWithConnection;
+  if (mEndsWithConnection) {
+    // Until the body is complete any close is a reset, also the kernel's if
+    // this process is killed, as a regular one would mark the end of the body.
+    SetResetOnClose(true);
+  }
   std::string head;
   AppendHead(head, aHead, mKeepAlive);
   mUnsent.Append(head);
@@ -319,6 +325,10 @@
   mOnRoom = nullptr;
   mOnCut = nullptr;
   mState = mKeepAlive ? State::Reading : State::Closing;
+  if (mState == State::Closing && mUnsent.Bytes() == 0) {
+    CloseRegularly();
+    return;
+  }
   Write();
   if (mState != State::Reading) {
     return;
@@ -334,7 +344,7 @@
   if (mState != State::Serving) {
     return;
   }
-  if (!aHead.mLength) {
+  if (!aHead.mLength && !aHead.mEndsWithConnection) {
     aHead.mLength = aBody.size();
   }
   BeginAnswer(aHead);
@@ -351,6 +361,13 @@
   Close();
 }
 
+void
+CallerConnection::SetResetOnClose(bool aReset)
+{
+  Error ignored;
+  mSocket.set_option(asio::socket_base::linger(aReset, 0), ignored);
+}
+
 void
 CallerConnection::Write()
 {
@@ -389,11 +406,17 @@
     mPhaseStartedAt = BootNow();
   }
   if (mState == State::Closing) {
-    // The caller reads everything sent before the connection closes.
-    Error ignored;
-    mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    Close();
+    CloseRegularly();
   }
 }
 
+void
+CallerConnection::CloseRegularly()
+{
+  SetResetOnClose(false);
+  Error ignored;
+  mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Close();
+}
+
 } // namespace trefoilgate
--- a/src/libtrefoilgate/callerconnection.h
+++ b/src/libtrefoilgate/callerconnection.h
@@ -47,10 +47,13 @@
   int mStatus = 200;
   std::string mReason;
   Headers mHeaders;
-  /** Absent for a chunked body. */
+  /** Absent for a body that is chunked or ends with the connection. */
   std::optional<uint64_t> mLength;
   /** There is no body, as after HEAD or with status 204 and 304. */
   bool mNoBody = false;
+  /** Only the end of the connection marks the end of the body, as it is not
+   * known whether the body is complete. */
+  bool mEndsWithConnection = false;
 };
 
 class CallerConnection;
@@ -115,7 +118,7 @@
   void WriteAnswer(std::string_view aData);
   /** Completes the answer; the next request may be read. */
   void EndAnswer();
-  /** Sends a complete answer. */
+  /** Sends an answer that is at hand as a whole. */
   void Answer(AnswerHead aHead, std::string_view aBody);
   /** Closes the connection, so that the caller sees an incomplete answer. */
   void AbortAnswer();
@@ -173,6 +176,10 @@
   void Dispatch();
   void Reject(int aStatus, const char* aReason);
   void Write();
+  /** Whether a close resets the connection and drops unsent bytes. */
+  void SetResetOnClose(bool aReset);
+  /** Closes the connection so that the caller reads all that was written. */
+  void CloseRegularly();
   void OnWritten(const Error& aError, size_t aBytes);
   /** Reports what has been added to or taken from the bytes held. */
   void CountHeldBytes();
@@ -204,6 +211,8 @@
   bool mKeepAlive = true;
   bool mChunked = false;
   bool mNoBody = false;
+  /** See AnswerHead; of the answer that has begun. */
+  bool mEndsWithConnection = false;
   bool mReadPending = false;
   bool mWritePending = false;
   /** Whether the budget decides when a caller that does not read is cut off,
--- a/src/libtrefoilgate/callerconnectionbuffers.cpp
+++ b/src/libtrefoilgate/callerconnectionbuffers.cpp
@@ -65,8 +65,7 @@
   const auto self = shared_from_this();
   const auto onCut = std::exchange(mOnCut, nullptr);
   mOnDisconnected = nullptr;
-  Error ignored;
-  mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  SetResetOnClose(true);
   Close();
   if (onCut) {
     onCut(aReason);
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -201,14 +201,6 @@
   };
 }
 
-void
-Exchange::OnUncertainEnd(Millis aNow)
-{
-  // The kernel of a crashed upstream closes its connections in the same way.
-  mAttempt->mProvesHarmless = false;
-  CheckForCrash(aNow);
-}
-
 void
 Exchange::CheckForCrash(Millis aNow)
 {
@@ -229,10 +221,16 @@
 
 void
 Exchange::OnBroken(const std::string& aReason)
+{
+  CheckForCrash(BootNow());
+  BreakAttempt(aReason);
+}
+
+void
+Exchange::BreakAttempt(const std::string& aReason)
 {
   LogAttempt("broken", aReason);
   mConnection.reset();
-  CheckForCrash(BootNow());
   EndAttempt(AttemptOutcome::Broken);
   mBuffered.clear();
   const bool canResume = CanResume();
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -80,10 +80,22 @@
   void OnEnd();
   /** Handles an answer that ended with its connection, which does not prove
    * that it is complete. */
-  void OnUncertainEnd(Millis aNow);
+  void OnUnmarkedEnd();
+  /** Passes on an unmarked end, unless the upstream turns out to have crashed.
+   * Waits for that until then. */
+  void ResolveUnmarkedEnd(Millis aUntil);
+  /** Why the unmarked end of the answer can't be passed on; empty if it can. */
+  std::string IncompleteReason() const;
+  /** Completes the answer to the caller. */
+  void FinishAnswer();
+  /** Whether the answer consists of events. */
+  bool IsEventStream() const;
   /** Finds out whether the attempt's upstream has crashed. */
   void CheckForCrash(Millis aNow);
   void OnBroken(const std::string& aReason);
+  /** Ends an attempt whose answer is incomplete, and continues elsewhere if
+   * possible. */
+  void BreakAttempt(const std::string& aReason);
   void OnCallerDisconnected();
   void OnTimeUp();
   /** Sends the head if necessary, and the buffered data. */
@@ -148,6 +160,8 @@
   /** The upstream's longest pause between two pieces of the answer. */
   Millis mLongestPause;
   bool mAnswerBegun = false;
+  /** Whether the caller's answer ends with its connection, as it has begun. */
+  bool mEndsCallerConnection = false;
   /** Whether the request is counted. */
   bool mCounted = false;
   bool mDone = false;
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -2,6 +2,7 @@
 
 #include "bootclock.h"
 #include "gatemetrics.h"
+#include "looptimer.h"
 
 #include <algorithm>
 
@@ -21,6 +22,11 @@
 constexpr int kMinRedirectStatus = 300;
 constexpr int kMinServerErrorStatus = 500;
 
+/** Whether an upstream that closed its connection has crashed is known within a
+ * round trip: it refuses a new one. */
+constexpr Millis kCrashPollInterval{ 3 };
+constexpr Millis kMaxCrashWait{ 30 };
+
 std::string
 NotRunReason(int aStatus, const AvailabilityStatement& aStatement)
 {
@@ -99,8 +105,7 @@
     mContext.mRouter.OnPause(*mAttempt, now - mLastByteAt, now);
   }
   mLastByteAt = now;
-  if (mPlan.Request().mRoute->mStream &&
-      mAnswer->mStatus < kMinRedirectStatus) {
+  if (IsEventStream()) {
     ForwardData(mEvents.Add(aData));
     CountUnoffered();
     return;
@@ -192,13 +197,22 @@
            .mReason = mAnswer->mReason,
            .mHeaders = mAnswer->mHeaders,
            .mLength = aLength,
-           .mNoBody = HasNoBody() };
+           .mNoBody = HasNoBody(),
+           .mEndsWithConnection = mAnswer->mEndsWithConnection };
+}
+
+bool
+Exchange::IsEventStream() const
+{
+  return mPlan.Request().mRoute->mStream &&
+         mAnswer->mStatus < kMinRedirectStatus;
 }
 
 void
 Exchange::BeginAnswer()
 {
   mAnswerBegun = true;
+  mEndsCallerConnection = mAnswer->mEndsWithConnection;
   mPlan.OnAnswerBegun();
   // A stream that may continue at another upstream has no known length.
   mCaller->BeginAnswer(MakeHead(CanResume() ? std::nullopt : mAnswer->mLength));
@@ -207,14 +221,68 @@
 void
 Exchange::OnEnd()
 {
-  const Millis now = BootNow();
-  MarkStarted(now);
-  const int status = mAnswer ? mAnswer->mStatus : 0;
-  if (mAnswer && mAnswer->mEndsWithConnection) {
-    OnUncertainEnd(now);
-  }
   mContext.mPool.Release(mAttempt->mUpstream, mConnection);
   mConnection.reset();
+  if (mAnswer->mEndsWithConnection) {
+    OnUnmarkedEnd();
+  } else {
+    FinishAnswer();
+  }
+}
+
+void
+Exchange::OnUnmarkedEnd()
+{
+  // The kernel of a crashed upstream closes its connections in the same way.
+  mAttempt->mProvesHarmless = false;
+  const Millis now = BootNow();
+  CheckForCrash(now);
+  const std::string reason = IncompleteReason();
+  if (reason.empty()) {
+    ResolveUnmarkedEnd(now + kMaxCrashWait);
+  } else {
+    BreakAttempt(reason);
+  }
+}
+
+std::string
+Exchange::IncompleteReason() const
+{
+  if (IsEventStream() && !mEvents.Remainder().empty()) {
+    return "the connection ended inside an event";
+  }
+  if (IsEventStream() && !mAnswerBegun) {
+    return "the connection ended before the first event";
+  }
+  if (mAnswerBegun && !mEndsCallerConnection) {
+    return "the connection ended without the end of the answer";
+  }
+  return {};
+}
+
+void
+Exchange::ResolveUnmarkedEnd(Millis aUntil)
+{
+  if (mContext.mRouter.HasCrashed(*mAttempt)) {
+    BreakAttempt("the upstream crashed");
+    return;
+  }
+  if (!mContext.mRouter.IsCrashSuspected(*mAttempt) || BootNow() >= aUntil) {
+    FinishAnswer();
+    return;
+  }
+  RunAfter(mHoldTimer, kCrashPollInterval, [self = shared_from_this(), aUntil] {
+    if (!self->mDone && self->mAttempt) {
+      self->ResolveUnmarkedEnd(aUntil);
+    }
+  });
+}
+
+void
+Exchange::FinishAnswer()
+{
+  MarkStarted(BootNow());
+  const int status = mAnswer->mStatus;
   EndAttempt(status < kMinServerErrorStatus ? AttemptOutcome::Good
                                             : AttemptOutcome::Failed);
   // An incomplete event at the end of an answer is forwarded as the upstream
@@ -224,8 +292,9 @@
     mCaller->WriteAnswer(mBuffered);
     mCaller->EndAnswer();
   } else {
-    const auto length = HasNoBody() ? mAnswer->mLength
-                                    : std::optional<uint64_t>(mBuffered.size());
+    const bool hasLength = !HasNoBody() && !mAnswer->mEndsWithConnection;
+    const auto length =
+      hasLength ? std::optional<uint64_t>(mBuffered.size()) : mAnswer->mLength;
     mCaller->Answer(MakeHead(length), mBuffered);
   }
   Close(status < kMinServerErrorStatus ? "served" : "upstream_failed", status);
