--- a/tests/standins/common/standinserver.cpp
+++ b/tests/standins/common/standinserver.cpp
@@ -178,6 +178,17 @@
   mImpl.mResponseSent = true;
 }
 
+void
+Exchange::SendUnframed(int aStatus, const std::string& aBody)
+{
+  const std::string text =
+    "HTTP/1.1 " + std::to_string(aStatus) +
+    " Unframed\r\nContent-Type: application/json\r\n\r\n" + aBody;
+  error_code ignored;
+  net::write(mImpl.mSocket, net::buffer(text), ignored);
+  mImpl.mBroken = true;
+}
+
 void
 Exchange::SetHeader(const std::string& aName, const std::string& aValue)
 {
--- a/tests/standins/common/standinserver.h
+++ b/tests/standins/common/standinserver.h
@@ -35,6 +35,8 @@
             const std::string& aBody,
             const std::string& aType = "application/json",
             const std::string& aETag = "");
+  /** Sends a body without a length or chunks, and closes the connection. */
+  void SendUnframed(int aStatus, const std::string& aBody);
   /** Adds a header to the response that Send() writes. */
   void SetHeader(const std::string& aName, const std::string& aValue);
   void StartStream(int aStatus, const std::string& aType);
--- a/tests/standins/service/plainservice.cpp
+++ b/tests/standins/service/plainservice.cpp
@@ -40,6 +40,8 @@
   mDelay = command.value("delay_ms", mDelay.load());
   mFailStatus = command.value("fail", mFailStatus.load());
   mCut = command.value("cut", mCut.load());
+  mUnframed = command.value("unframed", mUnframed.load());
+  mHalf = command.value("half", mHalf.load());
   aExchange.Send(200, "{}");
 }
 
@@ -79,11 +81,25 @@
   }
   mExecutions.Finish(number);
   if (const int status = mFailStatus; status != 0) {
-    aExchange.Send(status, R"({"error":"told to fail"})");
+    Send(aExchange, status, R"({"error":"told to fail"})");
     return;
   }
-  aExchange.Send(
-    200, ServiceAnswer(aExchange.Method(), aExchange.Path(), body, id).dump());
+  Send(aExchange,
+       200,
+       ServiceAnswer(aExchange.Method(), aExchange.Path(), body, id).dump());
+}
+
+void
+PlainService::Send(Exchange& aExchange,
+                   int aStatus,
+                   const std::string& aBody) const
+{
+  if (mUnframed) {
+    const size_t bytes = mHalf ? aBody.size() / 2 : aBody.size();
+    aExchange.SendUnframed(aStatus, aBody.substr(0, bytes));
+  } else {
+    aExchange.Send(aStatus, aBody);
+  }
 }
 
 } // namespace standin
