--- a/src/libtrefoilio/httpmessage.h
+++ b/src/libtrefoilio/httpmessage.h
@@ -61,6 +61,9 @@
   std::string mBody{};
   /** If set, produces the body, and mBody is ignored. */
   StreamSource mStream{};
+  /** The connection's end is the end of mBody, as it is not known whether the
+   * body is complete. */
+  bool mEndsWithConnection = false;
   /** Called once when a streamed response ends, complete or not. */
   std::function<void()> mOnClosed{};
 };
--- a/src/libtrefoilio/httpserver.cpp
+++ b/src/libtrefoilio/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "connectionwatch.h"
 #include "listensocket.h"
+#include "socketwriting.h"
 #include "streamstate.h"
 
 #include <ulfius.h>
@@ -104,12 +105,17 @@
   }
 }
 
+/** The reply in HTTP format, after which the connection closes. */
 std::string
 SerializeReply(const HttpReply& aReply)
 {
-  std::string text = "HTTP/1.1 " + std::to_string(aReply.mStatus) + " Refused";
-  text += "\r\nConnection: close\r\nContent-Length: " +
-          std::to_string(aReply.mBody.size()) + "\r\n";
+  const char* status =
+    MHD_get_reason_phrase_for(static_cast<unsigned>(aReply.mStatus));
+  std::string text = "HTTP/1.1 " + std::to_string(aReply.mStatus) + " ";
+  text.append(status).append("\r\nConnection: close\r\n");
+  if (!aReply.mEndsWithConnection) {
+    text += "Content-Length: " + std::to_string(aReply.mBody.size()) + "\r\n";
+  }
   for (const auto& [name, value] : aReply.mHeaders) {
     if (SafeHeader(name, value)) {
       text.append(name).append(": ").append(value).append("\r\n");
@@ -286,6 +292,12 @@
       return PeerLeft(socket);
     };
     const HttpReply reply = self->Answer(request);
+    if (reply.mEndsWithConnection) {
+      self->SendCloseDelimited(reply, connection.mSocket);
+      ulfius_set_empty_body_response(aResponse,
+                                     static_cast<unsigned>(reply.mStatus));
+      return U_CALLBACK_COMPLETE;
+    }
     const std::string_view protocol =
       aRequest->http_protocol ? aRequest->http_protocol : "";
     Send(reply, connection, protocol == "HTTP/1.0", *aResponse);
@@ -308,6 +320,20 @@
     return mHandler(aRequest);
   }
 
+  /** Bypasses libmicrohttpd, which frames every body. What it writes after
+   * that reaches nobody. */
+  void SendCloseDelimited(const HttpReply& aReply, int aSocket) const
+  {
+    const std::chrono::milliseconds timeout(mOptions.mUnacknowledgedMillis);
+    SetResetOnClose(aSocket, true);
+    if (!WriteAll(aSocket, SerializeReply(aReply), timeout)) {
+      ResetConnection(aSocket);
+      return;
+    }
+    SetResetOnClose(aSocket, false);
+    shutdown(aSocket, SHUT_WR);
+  }
+
   static void Send(const HttpReply& aReply,
                    Connection& aConnection,
                    bool aCloseDelimited,
--- a/src/libtrefoilio/streamstate.cpp
+++ b/src/libtrefoilio/streamstate.cpp
@@ -1,32 +1,15 @@
 #include "streamstate.h"
 
 #include "connectionwatch.h"
+#include "socketwriting.h"
 
 #include <microhttpd.h>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace trefoilio {
 
-namespace {
-
-/**
- * Resets a TCP connection immediately. A zero linger time is not enough:
- * libmicrohttpd shuts down its end first, which the caller would see as a
- * regular close.
- */
-void
-Reset(int aSocket)
-{
-  const sockaddr unspecified{ .sa_family = AF_UNSPEC, .sa_data = {} };
-  (void)connect(aSocket, &unspecified, sizeof unspecified);
-}
-
-} // namespace
-
 StreamState::StreamState(StreamSource aSource,
                          std::function<void()> aOnClosed,
                          int aSocket,
@@ -75,7 +58,7 @@
 StreamState::Abort()
 {
   if (mCloseDelimited) {
-    Reset(mSocket);
+    ResetConnection(mSocket);
   }
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
--- a/src/trefoilarchd/answerwriter.cpp
+++ b/src/trefoilarchd/answerwriter.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+using trefoilio::FindHeader;
 using trefoilio::HttpReply;
 using trefoilio::SameHeaderName;
 using trefoilio::StreamStep;
@@ -23,6 +24,8 @@
 /** A response that ends within this time still determines the status. */
 constexpr Millis kStatusDelay{ 400 };
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr int kMinErrorStatus = 400;
 constexpr const char* kEventStream = "text/event-stream";
 constexpr const char* kKeepAliveComment = ": keep-alive\n\n";
@@ -44,6 +47,18 @@
   return forwarded;
 }
 
+/** Whether only the end of the upstream's connection marked the end of the
+ * body, which does not prove that it is complete. */
+bool
+EndsWithConnection(const AnswerHead& aHead)
+{
+  const bool hasBody =
+    aHead.mStatus != kNoContent && aHead.mStatus != kNotModified;
+  return hasBody && FindHeader(aHead.mHeaders, "Content-Length").empty() &&
+         !SameHeaderName(FindHeader(aHead.mHeaders, "Transfer-Encoding"),
+                         "chunked");
+}
+
 Refusal
 NoResponseRefusal()
 {
@@ -130,6 +145,7 @@
     reply.mHeaders = ForwardedHeaders(mHead->mHeaders);
     reply.mHeaders.emplace_back(kRequestIdHeader, mReader->Id().Text());
     reply.mBody = std::move(mData);
+    reply.mEndsWithConnection = EndsWithConnection(*mHead);
     return reply;
   }
 
