--- a/src/libtrefoilio/streamstate.cpp
+++ b/src/libtrefoilio/streamstate.cpp
@@ -19,6 +19,9 @@
   , mSocket(aSocket)
   , mCloseDelimited(aCloseDelimited)
 {
+  if (mCloseDelimited) {
+    SetResetOnClose(mSocket, true);
+  }
 }
 
 StreamState::~StreamState()
@@ -30,8 +33,7 @@
 StreamState::Read(char* aOut, size_t aMaxBytes)
 {
   if (mPendingOffset == mPending.size() && !Refill()) {
-    return mLastStep == StreamStep::End ? MHD_CONTENT_READER_END_OF_STREAM
-                                        : Abort();
+    return mLastStep == StreamStep::End ? End() : Abort();
   }
   const size_t count = std::min(aMaxBytes, mPending.size() - mPendingOffset);
   std::copy_n(mPending.data() + mPendingOffset, count, aOut);
@@ -54,6 +56,15 @@
   return !mPending.empty();
 }
 
+ssize_t
+StreamState::End()
+{
+  if (mCloseDelimited) {
+    SetResetOnClose(mSocket, false);
+  }
+  return MHD_CONTENT_READER_END_OF_STREAM;
+}
+
 ssize_t
 StreamState::Abort()
 {
--- a/src/libtrefoilio/streamstate.h
+++ b/src/libtrefoilio/streamstate.h
@@ -30,6 +30,7 @@
 
 private:
   bool Refill();
+  ssize_t End();
   ssize_t Abort();
 
   StreamSource mSource;
--- a/tests/integration/unframedanswertest.cpp
+++ b/tests/integration/unframedanswertest.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <csignal>
 #include <string>
 
 using namespace integration;
@@ -82,3 +83,22 @@
   const RawAnswer answer = AskService(fleet, "HTTP/1.0");
   cr_expect(answer.mText.find("Content-Length:") != std::string::npos);
 }
+
+Test(unframedanswer, a_killed_entry_cuts_an_http_1_0_stream_short)
+{
+  Fleet fleet({ .mEngines = 1 });
+  const std::string body =
+    R"({"model":"base","stream":true,"messages":[{"role":"user",)"
+    R"("content":"[[tokens=3000]]"}]})";
+  const RawCaller caller(fleet.EntryUrl());
+  caller.Send("POST /v1/chat/completions HTTP/1.0\r\nHost: entry\r\n"
+              "X-Trefoilarch-Workspace: agents\r\n"
+              "Authorization: Bearer secret-of-agents\r\n"
+              "Content-Type: application/json\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  const RawAnswer begun = caller.ReadAnswer("\n\n", kReadTimeoutMs);
+  cr_assert(
+    begun.mText.find("data:") != std::string::npos, "%s", begun.mText.c_str());
+  fleet.Entry().Signal(SIGKILL);
+  cr_expect(caller.ReadAnswer("", kReadTimeoutMs).mEnd == ConnectionEnd::Reset);
+}
