--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "connectionpool.h"
 
 #include "bootclock.h"
+#include "looptimer.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -12,6 +13,14 @@
 using trefoilarch::Millis;
 using trefoilarch::UpstreamId;
 
+namespace {
+
+/** The kernel closes all sockets of an ended process within this time. */
+constexpr Millis kProbeDuration{ 20 };
+constexpr int kMaxProbes = 3;
+
+} // namespace
+
 boost::asio::ip::tcp::endpoint
 ParseEndpoint(const std::string& aAddress)
 {
@@ -55,22 +64,56 @@
     }
     idle.mConnection->Close();
   }
-  Connect(aUpstream, aAddress, std::move(aDone));
+  Connect(aUpstream,
+          aAddress,
+          [done = std::move(aDone)](const Connection& aConnection) {
+            done(aConnection->Open() ? aConnection : nullptr);
+          });
 }
 
 void
 ConnectionPool::CheckListening(const UpstreamId& aUpstream,
                                const std::string& aAddress)
 {
-  if (!mChecking.insert(aUpstream).second) {
-    return;
+  if (mChecking.insert(aUpstream).second) {
+    Probe(aUpstream, aAddress, kMaxProbes);
   }
-  Connect(aUpstream, aAddress, [this, aUpstream](const Connection& aConnected) {
-    mChecking.erase(aUpstream);
-    if (aConnected) {
-      Release(aUpstream, aConnected);
-    }
-  });
+}
+
+void
+ConnectionPool::Probe(const UpstreamId& aUpstream,
+                      const std::string& aAddress,
+                      int aProbesLeft)
+{
+  Connect(
+    aUpstream,
+    aAddress,
+    [this, aUpstream, aAddress, aProbesLeft](const Connection& aConnection) {
+      const auto probeAgain = [this, aUpstream, aAddress, aProbesLeft] {
+        if (aProbesLeft > 1) {
+          Probe(aUpstream, aAddress, aProbesLeft - 1);
+        } else {
+          mChecking.erase(aUpstream);
+        }
+      };
+      if (aConnection->Refused()) {
+        mChecking.erase(aUpstream);
+        return;
+      }
+      if (!aConnection->Open()) {
+        probeAgain();
+        return;
+      }
+      const auto timer = std::make_shared<boost::asio::steady_timer>(mLoop);
+      aConnection->OnClosedWhileIdle([probeAgain, timer] {
+        timer->cancel();
+        probeAgain();
+      });
+      RunAfter(*timer, kProbeDuration, [this, aUpstream, aConnection, timer] {
+        mChecking.erase(aUpstream);
+        Release(aUpstream, aConnection);
+      });
+    });
 }
 
 void
@@ -90,7 +133,7 @@
       } else if (connection->Refused()) {
         mOptions.mOnRefused(aUpstream);
       }
-      done(aConnected ? connection : nullptr);
+      done(connection);
     });
 }
 
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -52,7 +52,8 @@
                std::function<void(Connection)> aDone);
 
   /** Connects to the upstream to find out whether it listens, and keeps the
-   * connection. */
+   * connection. A process that is ending may still accept a connection, so one
+   * that fails or closes at once is followed by another. */
   void CheckListening(const trefoilarch::UpstreamId& aUpstream,
                       const std::string& aAddress);
 
@@ -86,9 +87,13 @@
     trefoilarch::Millis mIdleSince;
   };
 
+  /** Passes the connection to the callback, whether it is open or not. */
   void Connect(const trefoilarch::UpstreamId& aUpstream,
                const std::string& aAddress,
                std::function<void(Connection)> aDone);
+  void Probe(const trefoilarch::UpstreamId& aUpstream,
+             const std::string& aAddress,
+             int aProbesLeft);
   bool IsExpired(const IdleConnection& aIdle, trefoilarch::Millis aNow) const;
   void RemoveIdle(const trefoilarch::UpstreamId& aUpstream,
                   const ClientConnection* aConnection);
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -201,12 +201,14 @@
   };
 }
 
-void
+bool
 Exchange::CheckForCrash(Millis aNow)
 {
-  if (mContext.mRouter.OnConnectionLost(*mAttempt, aNow)) {
+  const bool unknown = mContext.mRouter.OnConnectionLost(*mAttempt, aNow);
+  if (unknown) {
     mContext.mPool.CheckListening(mAttempt->mUpstream, mAttempt->mAddress);
   }
+  return unknown;
 }
 
 void
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -81,8 +81,8 @@
   /** Handles an answer that ended with its connection, which does not prove
    * that it is complete. */
   void OnUnmarkedEnd();
-  /** Passes on an unmarked end, unless the upstream turns out to have crashed.
-   * Waits for that until then. */
+  /** Passes on an unmarked end, unless the upstream turns out to have crashed
+   * by then. */
   void ResolveUnmarkedEnd(Millis aUntil);
   /** Why the unmarked end of the answer can't be passed on; empty if it can. */
   std::string IncompleteReason() const;
@@ -90,8 +90,9 @@
   void FinishAnswer();
   /** Whether the answer consists of events. */
   bool IsEventStream() const;
-  /** Finds out whether the attempt's upstream has crashed. */
-  void CheckForCrash(Millis aNow);
+  /** Finds out whether the attempt's upstream has crashed. False if that is
+   * known already, or does not matter. */
+  bool CheckForCrash(Millis aNow);
   void OnBroken(const std::string& aReason);
   /** Ends an attempt whose answer is incomplete, and continues elsewhere if
    * possible. */
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -22,10 +22,10 @@
 constexpr int kMinRedirectStatus = 300;
 constexpr int kMinServerErrorStatus = 500;
 
-/** Whether an upstream that closed its connection has crashed is known within a
- * round trip: it refuses a new one. */
+/** Whether an upstream that closed its connection has crashed is known within
+ * this time: it refuses a new one. */
+constexpr Millis kCrashWait{ 30 };
 constexpr Millis kCrashPollInterval{ 3 };
-constexpr Millis kMaxCrashWait{ 30 };
 
 std::string
 NotRunReason(int aStatus, const AvailabilityStatement& aStatement)
@@ -236,10 +236,10 @@
   // The kernel of a crashed upstream closes its connections in the same way.
   mAttempt->mProvesHarmless = false;
   const Millis now = BootNow();
-  CheckForCrash(now);
+  const bool checking = CheckForCrash(now);
   const std::string reason = IncompleteReason();
   if (reason.empty()) {
-    ResolveUnmarkedEnd(now + kMaxCrashWait);
+    ResolveUnmarkedEnd(checking ? now + kCrashWait : now);
   } else {
     BreakAttempt(reason);
   }
@@ -267,7 +267,7 @@
     BreakAttempt("the upstream crashed");
     return;
   }
-  if (!mContext.mRouter.IsCrashSuspected(*mAttempt) || BootNow() >= aUntil) {
+  if (BootNow() >= aUntil) {
     FinishAnswer();
     return;
   }
--- a/tests/platform/closedelimitedtest.cpp
+++ b/tests/platform/closedelimitedtest.cpp
@@ -3,10 +3,16 @@
 #include "integration/await.h"
 #include "integration/rawcaller.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 #include <csignal>
 #include <string>
+#include <thread>
 
 using namespace platformtest;
 using integration::Await;
@@ -92,6 +98,47 @@
   return aFleet.LogOf(0, "request_ended").back();
 }
 
+/** Answers one request with a part of an unframed stream and closes. Accepts
+ * one further connection, and then neither keeps it nor listens any more. */
+class DyingUpstream
+{
+public:
+  DyingUpstream()
+    : mAcceptor(mLoop, Tcp::endpoint(Tcp::v4(), 0))
+    , mThread([this] { Serve(); })
+  {
+  }
+  ~DyingUpstream() { mThread.join(); }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+
+private:
+  using Tcp = boost::asio::ip::tcp;
+
+  void Serve()
+  {
+    {
+      Tcp::socket request = mAcceptor.accept();
+      boost::asio::streambuf head;
+      boost::asio::read_until(request, head, "\r\n\r\n");
+      boost::asio::write(
+        request,
+        boost::asio::buffer(
+          std::string("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+                      "Connection: close\r\n\r\nid: 1\ndata: event 1\n\n")));
+    }
+    const Tcp::socket probe = mAcceptor.accept();
+    mAcceptor.close();
+  }
+
+  boost::asio::io_context mLoop;
+  Tcp::acceptor mAcceptor;
+  std::thread mThread;
+};
+
 } // namespace
 
 Test(closedelimited, a_complete_stream_without_framing_is_not_framed_anew)
@@ -280,3 +327,31 @@
   cr_expect(!IsChunked(begun));
   cr_expect(rest.mEnd == ConnectionEnd::Reset);
 }
+
+Test(closedelimited, a_cut_run_is_recorded_as_broken_and_its_crash_as_such)
+{
+  const PlatformFleet fleet;
+  Ask(fleet, "/stream/x", "stream,count=6,gap=2,cut=3,framing=close,how=crash");
+  const std::string metrics = fleet.Metrics();
+  cr_expect(metrics.find("attempts_total{outcome=\"broken\"} 1") !=
+              std::string::npos,
+            "%s",
+            metrics.c_str());
+  cr_expect(metrics.find("attempts_total{outcome=\"good\"}") ==
+            std::string::npos);
+  cr_expect(Await([&] { return !fleet.LogOf(0, "upstream_crashed").empty(); }));
+}
+
+Test(closedelimited,
+     a_crash_is_found_though_the_process_still_accepts_for_a_moment)
+{
+  const PlatformFleet fleet;
+  DyingUpstream upstream;
+  fleet.Unlist("i-0");
+  fleet.ListAs("i-dying", upstream.Address());
+  const auto listed = [&] { return fleet.LogOf(0, "upstream_listed").size(); };
+  cr_assert(Await([&] { return listed() >= 2; }));
+  const RawAnswer answer = Ask(fleet, "/stream/x", "ok");
+  cr_expect(HasText(answer, "event 1\n"), "%s", answer.mText.c_str());
+  ExpectCutShort(answer);
+}
