--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -215,7 +215,8 @@
   mEndsCallerConnection = mAnswer->mEndsWithConnection;
   mPlan.OnAnswerBegun();
   // A stream that may continue at another upstream has no known length.
-  mCaller->BeginAnswer(MakeHead(CanResume() ? std::nullopt : mAnswer->mLength));
+  const bool mayContinue = CanResume() || !mAttempt->mBackup.empty();
+  mCaller->BeginAnswer(MakeHead(mayContinue ? std::nullopt : mAnswer->mLength));
 }
 
 void
--- a/tests/platform/closedelimitedtest.cpp
+++ b/tests/platform/closedelimitedtest.cpp
@@ -328,6 +328,20 @@
   cr_expect(rest.mEnd == ConnectionEnd::Reset);
 }
 
+Test(closedelimited,
+     a_copied_stream_is_not_promised_the_length_of_its_first_run)
+{
+  const PlatformFleet fleet({ .mWorkers = 3 });
+  const RawAnswer answer =
+    Ask(fleet,
+        "/stream/x",
+        "stream,count=8,gap=2,cut=3,once=1,framing=length,how=close",
+        { { "X-Token-Usage", "500,400" } });
+  cr_expect(IsChunked(answer));
+  cr_expect(!HasText(answer, "Content-Length:"));
+  ExpectEventsOnce(answer, 8);
+}
+
 Test(closedelimited, a_cut_run_is_recorded_as_broken_and_its_crash_as_such)
 {
   const PlatformFleet fleet;
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -447,9 +447,15 @@
   const auto write = [&](const std::string& aText) {
     return Write(aSocket, chunked ? Chunk(aText) : aText);
   };
-  Write(
-    aSocket,
-    ResponseHead(aRequest, 200, true, chunked ? kEventFraming : kCloseFraming));
+  std::string framingFields = chunked ? kEventFraming : kCloseFraming;
+  if (framing == "length") {
+    std::string body;
+    for (int event = first; event <= count; ++event) {
+      body += EventText(event, IntOption(aPlan, "pad", 0));
+    }
+    framingFields = "Content-Type: text/event-stream\r\n" + ContentLength(body);
+  }
+  Write(aSocket, ResponseHead(aRequest, 200, true, framingFields));
   for (int event = first; event <= count; ++event) {
     const std::string text = EventText(event, IntOption(aPlan, "pad", 0));
     if (event - first == cut) {
@@ -465,7 +471,7 @@
     }
   }
   EndRun(aRun, "stream");
-  return chunked && Write(aSocket, "0\r\n\r\n");
+  return framing == "length" || (chunked && Write(aSocket, "0\r\n\r\n"));
 }
 
 void
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -46,8 +46,8 @@
  *                 (ends after that many events), at (of the cut: `inside` the
  *                 next event, or `between` two), how (of the cut: `reset`,
  *                 `close` or `crash`), once=1 (a run that resumes after
- *                 Last-Event-Id is not cut), framing (`chunked`, or `close`
- *                 for a body delimited by the connection close),
+ *                 Last-Event-Id is not cut), framing (`chunked`, `length`, or
+ *                 `close` for a body delimited by the connection close),
  *                 resume_framing (the same, of a run that resumes)
  *
  * POST /control {"load_suffix":TEXT} adds that to the load report of all
