--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <array>
@@ -281,6 +282,12 @@
     mSkippingAnswer = true;
     return;
   }
+  const auto coding = message.find(http::field::transfer_encoding);
+  if (coding != message.end() &&
+      !boost::beast::iequals(coding->value(), "chunked")) {
+    Fail("unknown transfer coding");
+    return;
+  }
   UpstreamAnswer answer{ .mStatus = static_cast<int>(message.result_int()),
                          .mReason = std::string(message.reason()),
                          .mHeaders = EndToEndHeaders(message),
--- a/tests/platform/closedelimitedtest.cpp
+++ b/tests/platform/closedelimitedtest.cpp
@@ -342,6 +342,13 @@
   ExpectEventsOnce(answer, 8);
 }
 
+Test(closedelimited, an_unknown_transfer_coding_is_no_answer)
+{
+  const PlatformFleet fleet;
+  const RawAnswer answer = Ask(fleet, "/once/x", "gzip");
+  cr_expect(answer.mText.starts_with("HTTP/1.1 502"));
+}
+
 Test(closedelimited, a_cut_run_is_recorded_as_broken_and_its_crash_as_such)
 {
   const PlatformFleet fleet;
--- a/tests/standins/worker/worker.cpp
+++ b/tests/standins/worker/worker.cpp
@@ -404,6 +404,15 @@
     Reset(aSocket);
     return false;
   }
+  if (name == "gzip") {
+    Write(aSocket,
+          ResponseHead(aRequest,
+                       200,
+                       true,
+                       "Transfer-Encoding: gzip\r\nConnection: close\r\n") +
+            body);
+    return false;
+  }
   if (name == "no_length" || name == "no_length_cut") {
     const int status = IntOption(aPlan, "status", 200);
     Write(
--- a/tests/standins/worker/worker.h
+++ b/tests/standins/worker/worker.h
@@ -31,6 +31,7 @@
  *   stray         the response to another request first
  *   no_length     a body delimited by the connection close (size, status)
  *   no_length_cut the same, but reset halfway
+ *   gzip          a body in an unknown transfer coding
  *   hang          no response while the client is connected
  *   crash         the process exits (delay) after it printed
  *                 `crashed PATH AT_MS` on standard output
