--- a/tests/soak/soakchecks.cpp
+++ b/tests/soak/soakchecks.cpp
@@ -153,6 +153,8 @@
     static_cast<int>(aRecord.mEvents.size()) == aRecord.mEventsDue;
   aChecker.Expect(!aRecord.mComplete || all,
                   "a truncated stream must not look complete");
+  aChecker.Expect(!aRecord.mEndsInsideEvent,
+                  "a stream cut inside an event must not end regularly");
 }
 
 } // namespace
@@ -200,6 +202,12 @@
                    "a request reported as not run must not have run");
     checker.Expect(!refused || record.mHasRetryAfter,
                    "a refusal must state a retry time");
+    const bool unframedByUpstream =
+      record.mPlan.starts_with("no_length") ||
+      record.mPlan.find("framing=close") != std::string::npos;
+    checker.Expect(record.mStatus != 200 || !unframedByUpstream ||
+                     record.mUnframed,
+                   "an unframed answer must not be framed anew");
     checker.Expect(record.mStatus != 200 || record.mSealed,
                    "a successful response must have the upstream's seal");
     if (record.mStatus == 200 && streams) {
--- a/tests/soak/soakrecord.h
+++ b/tests/soak/soakrecord.h
@@ -21,6 +21,10 @@
   int mStatus = 0; /**< 0 without a response */
   bool mSealed = false;
   bool mComplete = false; /**< by its framing */
+  /** Neither a length nor chunks mark the end of the body. */
+  bool mUnframed = false;
+  /** An unframed stream ended regularly, but inside an event. */
+  bool mEndsInsideEvent = false;
   bool mHasRetryAfter = false;
   int mSize = 0; /**< of a body that is not a stream */
   std::vector<int> mEvents;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <sstream>
 #include <thread>
+#include <tuple>
 
 namespace soak {
 
@@ -42,6 +43,10 @@
   "stream,count=8,gap=5,cut=3",
   "stream,count=8,gap=5,cut=2,once=1",
   "stream,count=30,gap=20",
+  "stream,count=8,gap=10,framing=close",
+  "stream,count=8,gap=5,cut=3,framing=close,how=close",
+  "stream,count=8,gap=5,cut=0,framing=close,how=close",
+  "stream,count=8,gap=5,cut=2,once=1,framing=close,how=close",
 };
 
 template<typename List>
@@ -218,13 +223,14 @@
   return record;
 }
 
-std::string
+integration::RawAnswer
 SoakRun::Exchange(SoakRecord& aRecord, GateCall aCall) const
 {
   const integration::RawCaller caller(AddressOf(aRecord.mGate));
   aCall.mHeaders.emplace_back("Connection", "close");
   caller.Send(PlatformFleet::Text(aCall));
-  const std::string text = caller.ReadAll(kDeadlineMs + 2000);
+  integration::RawAnswer answer = caller.ReadAnswer("", kDeadlineMs + 2000);
+  const std::string& text = answer.mText;
   const size_t end = text.find("\r\n\r\n");
   if (!text.starts_with("HTTP/1.1 ") || end == std::string::npos) {
     return {};
@@ -234,23 +240,32 @@
   aRecord.mSealed = head.find("X-Response-Seal:") != std::string::npos;
   aRecord.mHasRetryAfter = head.find("Retry-After:") != std::string::npos;
   const size_t length = head.find("Content-Length: ");
-  std::string body = text.substr(end + 4);
+  const bool chunked = head.find("Transfer-Encoding:") != std::string::npos;
+  aRecord.mUnframed = length == std::string::npos && !chunked;
+  const size_t bodyBytes = text.size() - end - 4;
   if (length != std::string::npos) {
-    aRecord.mSize = static_cast<int>(body.size());
+    aRecord.mSize = static_cast<int>(bodyBytes);
     aRecord.mComplete = std::stoi(head.substr(length + 16)) == aRecord.mSize;
   }
-  return body;
+  answer.mText.erase(0, end + 4);
+  return answer;
 }
 
 void
 SoakRun::CallStream(SoakRecord& aRecord, const GateCall& aCall) const
 {
-  const std::string body = Exchange(aRecord, aCall);
+  const integration::RawAnswer answer = Exchange(aRecord, aCall);
   if (aRecord.mStatus != 200) {
     return;
   }
-  const auto [data, ended] = DecodeChunked(body);
-  aRecord.mComplete = ended;
+  std::string data = answer.mText;
+  if (aRecord.mUnframed) {
+    aRecord.mEndsInsideEvent =
+      answer.mEnd == integration::ConnectionEnd::Closed &&
+      !data.ends_with("\n\n");
+  } else {
+    std::tie(data, aRecord.mComplete) = DecodeChunked(answer.mText);
+  }
   std::istringstream lines(data);
   std::string line;
   while (std::getline(lines, line)) {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "integration/rawcaller.h"
 #include "platform/platformfleet.h"
 #include "platform/usagereceiver.h"
 #include "soakrecord.h"
@@ -52,7 +53,8 @@
   void CallerLoop(size_t aCaller);
   SoakRecord MakeCall(std::mt19937_64& aRandom, size_t aCaller, int aNumber);
   /** Sends the request, records the response's head and returns its body. */
-  std::string Exchange(SoakRecord& aRecord, platformtest::GateCall aCall) const;
+  integration::RawAnswer Exchange(SoakRecord& aRecord,
+                                  platformtest::GateCall aCall) const;
   void CallStream(SoakRecord& aRecord,
                   const platformtest::GateCall& aCall) const;
   std::string AddressOf(size_t aGate) const;
