--- a/src/libtrefoilarch/placedattempt.h
+++ b/src/libtrefoilarch/placedattempt.h
@@ -24,6 +24,8 @@
   std::string mService;
   std::string mRoute;
   std::string mAddress;
+  /** The software version that the upstream was listed with; may be empty. */
+  std::string mVersion;
   /** The upstream's process, as listed when the attempt was placed. */
   UpstreamProcess mProcess;
   AttemptWork mWork;
--- a/src/libtrefoilarch/upstreamdirectory.h
+++ b/src/libtrefoilarch/upstreamdirectory.h
@@ -20,6 +20,8 @@
   std::string mService;
   std::string mAddress; /**< IP and port; another upstream may reuse it */
   std::string mDataCentre;
+  /** Of its software; empty if it names none. */
+  std::string mVersion;
   uint32_t mSlots = 1;
   bool mLeaving = false;
   /** How much longer it is slow after its start. */
--- a/src/libtrefoilgate/exchangelog.cpp
+++ b/src/libtrefoilgate/exchangelog.cpp
@@ -52,6 +52,9 @@
     { "took_ms", (now - mRequest.mArrivedAt).Count() },
     { "allowed_ms", (bound.mDeadline - bound.mArrivedAt).Count() }
   };
+  if (mPlan.Attempts() > 1) {
+    fields["version"] = mLastAttempt.mVersion;
+  }
   if (!mCutReason.empty()) {
     fields["why"] = mCutReason;
   }
@@ -84,6 +87,7 @@
       { "why", aReason },
       { "upstream", mAttempt ? mAttempt->mUpstream : "" },
       { "address", mAttempt ? mAttempt->mAddress : "" },
+      { "version", mAttempt ? mAttempt->mVersion : "" },
       { "list_age_ms", mListAgeMs },
       { "unlisted_ms", mUnlistedMs },
       { "attempt", mPlan.Attempts() },
