--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -293,6 +293,17 @@
     "servers", NameOf(aWorker), EntryOf(ListedAddress(aWorker), aStartTime));
 }
 
+void
+PlatformFleet::ListVersion(size_t aWorker,
+                           const std::string& aVersion,
+                           const std::string& aState) const
+{
+  json entry = EntryOf(ListedAddress(aWorker), 1);
+  entry["version"] = aVersion;
+  entry["state"] = aState;
+  PutRow("servers", NameOf(aWorker), entry);
+}
+
 std::string
 PlatformFleet::ListedAddress(size_t aWorker) const
 {
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -91,6 +91,10 @@
                                    const std::vector<std::string>& aKeys);
   void PutPolicy(const nlohmann::json& aPolicy) const;
   void List(size_t aWorker, const std::string& aState = "ready") const;
+  /** Lists the worker with this software version. */
+  void ListVersion(size_t aWorker,
+                   const std::string& aVersion,
+                   const std::string& aState = "ready") const;
   /** Lists a ready process of the worker with this start time. */
   void ListProcess(size_t aWorker, int64_t aStartTime) const;
   void ListAs(const std::string& aId,
--- /dev/null
+++ b/tests/platform/streamversionstest.cpp
@@ -0,0 +1,286 @@
+#include "platformfleet.h"
+
+#include "integration/await.h"
+#include "integration/rawcaller.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace platformtest;
+using integration::Await;
+using integration::RawAnswer;
+using integration::RawCaller;
+using nlohmann::json;
+using trefoilio::FindHeader;
+using trefoilio::HttpReply;
+
+namespace {
+
+constexpr int kReadTimeoutMs = 2000;
+
+/** Workers 0 and 1 run the old version, 2 and 3 the new one. */
+constexpr size_t kWorkers = 4;
+
+std::string
+VersionOf(size_t aWorker)
+{
+  return aWorker < 2 ? "v1" : "v2";
+}
+
+/** Waits until each gate has read an entry with the version of each worker. */
+void
+AwaitVersions(const PlatformFleet& aFleet, size_t aGates)
+{
+  for (size_t gate = 0; gate < aGates; ++gate) {
+    cr_assert(Await([&] {
+      std::set<std::string> read;
+      for (const json& line : aFleet.LogOf(gate, "upstream_listed")) {
+        if (!line.value("version", "").empty()) {
+          read.insert(line.at("upstream"));
+        }
+      }
+      return read.size() == kWorkers;
+    }));
+  }
+}
+
+/** A fleet of two versions, with gates that know each other. */
+class VersionFleet : public PlatformFleet
+{
+public:
+  explicit VersionFleet(size_t aGates = 1)
+    : PlatformFleet({ .mWorkers = kWorkers,
+                      .mGates = aGates,
+                      .mRetrySlack = 400,
+                      .mPeers = aGates > 1 })
+  {
+    for (size_t worker = 0; worker < kWorkers; ++worker) {
+      ListVersion(worker, VersionOf(worker));
+    }
+    AwaitVersions(*this, aGates);
+    cr_assert(aGates == 1 || AwaitPeers());
+  }
+};
+
+GateCall
+ResumableCall(const std::string& aId, const std::string& aPlan)
+{
+  return {
+    .mId = aId, .mMethod = "POST", .mPath = "/resume/x", .mPlan = aPlan
+  };
+}
+
+/** The same request, to go on after an event of an earlier try. */
+GateCall
+TakeUpCall(const std::string& aId,
+           const std::string& aBegunBy,
+           int aLastEvent,
+           const std::string& aPlan = "stream,count=8,gap=2")
+{
+  GateCall call = ResumableCall(aId, aPlan);
+  call.mHeaders = { { "Resumes", aBegunBy },
+                    { "Last-Event-Id", std::to_string(aLastEvent) } };
+  return call;
+}
+
+/** Sends a request, reads its first two events and leaves. */
+void
+BeginStream(const PlatformFleet& aFleet, const std::string& aId, size_t aGate)
+{
+  const RawCaller caller(aFleet.GateAddress(aGate));
+  caller.Send(
+    PlatformFleet::Text(ResumableCall(aId, "stream,count=90,gap=20")));
+  const std::string text =
+    caller.ReadUntil("data: event 2\n\n\r\n", kReadTimeoutMs);
+  cr_assert(text.find("event 2\n") != std::string::npos, "%s", text.c_str());
+}
+
+/** The versions of the workers that ran these requests. */
+std::set<std::string>
+VersionsOf(const PlatformFleet& aFleet, const std::vector<std::string>& aIds)
+{
+  std::set<std::string> versions;
+  for (const std::string& id : aIds) {
+    for (const json& run : aFleet.RunsOf(id)) {
+      versions.insert(VersionOf(run.at("worker").get<size_t>()));
+    }
+  }
+  return versions;
+}
+
+void
+ExpectRefused(const HttpReply& aReply, const std::string& aKind)
+{
+  cr_expect(aReply.mStatus == 503, "status %d", aReply.mStatus);
+  cr_expect(aReply.mBody.find("\"" + aKind + "\"") != std::string::npos,
+            "%s",
+            aReply.mBody.c_str());
+  cr_expect(!FindHeader(aReply.mHeaders, "Retry-After").empty());
+}
+
+} // namespace
+
+Test(streamversions, a_broken_stream_goes_on_at_its_version, .timeout = 60)
+{
+  const VersionFleet fleet;
+  for (int number = 0; number < 30; ++number) {
+    const std::string id = "b" + std::to_string(number);
+    const RawCaller caller(fleet.GateAddress(0));
+    caller.Send(PlatformFleet::Text(
+      ResumableCall(id, "stream,count=8,gap=1,cut=3,once=1")));
+    const std::string text = caller.ReadUntil("0\r\n\r\n", kReadTimeoutMs);
+    cr_expect(text.ends_with("0\r\n\r\n"), "%s", id.c_str());
+    cr_expect(fleet.RunsOf(id).size() == 2);
+    cr_expect(VersionsOf(fleet, { id }).size() == 1, "%s", id.c_str());
+  }
+}
+
+Test(streamversions,
+     a_copy_is_kept_at_an_upstream_of_the_version,
+     .timeout = 60)
+{
+  const VersionFleet fleet;
+  for (int number = 0; number < 30; ++number) {
+    const std::string id = "c" + std::to_string(number);
+    const RawCaller caller(fleet.GateAddress(0));
+    caller.Send(
+      PlatformFleet::Text({ .mId = id,
+                            .mMethod = "POST",
+                            .mPath = "/stream/x",
+                            .mPlan = "stream,count=8,gap=1,cut=3,once=1",
+                            .mHeaders = { { "X-Token-Usage", "500,400" } } }));
+    cr_expect(
+      caller.ReadUntil("0\r\n\r\n", kReadTimeoutMs).ends_with("0\r\n\r\n"));
+    cr_expect(fleet.RunsOf(id).size() == 2);
+    cr_expect(VersionsOf(fleet, { id }).size() == 1, "%s", id.c_str());
+  }
+}
+
+Test(streamversions,
+     a_stream_ends_where_its_version_has_one_upstream,
+     .timeout = 60)
+{
+  VersionFleet fleet;
+  fleet.ListVersion(1, "v1", "draining");
+  cr_assert(
+    Await([&] { return fleet.LogOf(0, "upstream_listed").back()["leaving"]; }));
+  size_t ofOld = 0;
+  for (int number = 0; number < 30; ++number) {
+    const std::string id = "o" + std::to_string(number);
+    const RawCaller caller(fleet.GateAddress(0));
+    caller.Send(PlatformFleet::Text(
+      ResumableCall(id, "stream,count=8,gap=1,cut=3,once=1")));
+    const RawAnswer answer = caller.ReadAnswer("0\r\n\r\n", kReadTimeoutMs);
+    const bool old = VersionsOf(fleet, { id }).contains("v1");
+    ofOld += old ? 1 : 0;
+    cr_expect(answer.mText.ends_with("0\r\n\r\n") != old, "%s", id.c_str());
+    cr_expect(VersionsOf(fleet, { id }).size() == 1, "%s", id.c_str());
+  }
+  cr_expect(ofOld > 0);
+}
+
+Test(streamversions, another_entry_learns_the_version, .timeout = 60)
+{
+  const VersionFleet fleet(3);
+  for (int number = 0; number < 20; ++number) {
+    const std::string begun = "t" + std::to_string(number);
+    const std::string next = begun + "-next";
+    const size_t gate = static_cast<size_t>(number) % 3;
+    BeginStream(fleet, begun, gate);
+    const HttpReply reply =
+      fleet.Call(TakeUpCall(next, begun, 2), (gate + 1) % 3);
+    cr_expect(reply.mStatus == 200, "%s: %d", next.c_str(), reply.mStatus);
+    cr_expect(reply.mBody.find("event 8\n") != std::string::npos);
+    cr_expect(VersionsOf(fleet, { begun, next }).size() == 1);
+  }
+}
+
+Test(streamversions, the_version_outlives_the_entry_that_began, .timeout = 60)
+{
+  VersionFleet fleet(3);
+  std::vector<std::string> begun;
+  for (int number = 0; number < 10; ++number) {
+    begun.push_back("k" + std::to_string(number));
+    BeginStream(fleet, begun.back(), 0);
+  }
+  fleet.Gate(0).Signal(SIGKILL);
+  for (const std::string& each : begun) {
+    const std::string next = each + "-next";
+    const HttpReply reply = fleet.Call(TakeUpCall(next, each, 2), 1);
+    cr_expect(reply.mStatus == 200, "%s: %d", next.c_str(), reply.mStatus);
+    cr_expect(VersionsOf(fleet, { each, next }).size() == 1);
+  }
+}
+
+Test(streamversions, an_unknown_version_is_refused_with_a_reason, .timeout = 60)
+{
+  const VersionFleet fleet(2);
+  const HttpReply reply = fleet.Call(TakeUpCall("u", "nobody-knows", 2));
+  ExpectRefused(reply, "stream_version_unknown");
+  GateCall unnamed = ResumableCall("n", "stream,count=8");
+  unnamed.mHeaders = { { "Last-Event-Id", "2" } };
+  ExpectRefused(fleet.Call(unnamed), "stream_version_unknown");
+  cr_expect(fleet.RunsOf("u").empty() && fleet.RunsOf("n").empty());
+}
+
+Test(streamversions,
+     a_version_that_is_gone_is_refused_with_a_reason,
+     .timeout = 60)
+{
+  const VersionFleet fleet(2);
+  std::string old;
+  for (int number = 0; old.empty(); ++number) {
+    const std::string id = "g" + std::to_string(number);
+    BeginStream(fleet, id, 0);
+    old = VersionsOf(fleet, { id }).contains("v1") ? id : "";
+  }
+  fleet.Unlist("i-0");
+  fleet.Unlist("i-1");
+  cr_assert(
+    Await([&] { return fleet.LogOf(1, "upstream_unlisted").size() == 2; }));
+  ExpectRefused(fleet.Call(TakeUpCall("next", old, 2), 1),
+                "stream_version_unavailable");
+  cr_expect(fleet.RunsOf("next").empty());
+}
+
+Test(streamversions, a_single_version_needs_no_record, .timeout = 60)
+{
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  fleet.ListVersion(0, "v1");
+  fleet.ListVersion(1, "v1");
+  // Twice the route's timeout: no stream is older.
+  std::this_thread::sleep_for(std::chrono::milliseconds(6500));
+  const HttpReply reply = fleet.Call(TakeUpCall("s", "begun-elsewhere", 2));
+  cr_expect(reply.mStatus == 200, "status %d", reply.mStatus);
+  cr_expect(reply.mBody.find("event 3\n") != std::string::npos);
+}
+
+Test(streamversions, upstreams_without_versions_go_on_as_one, .timeout = 60)
+{
+  const PlatformFleet fleet({ .mWorkers = 2 });
+  BeginStream(fleet, "a", 0);
+  const HttpReply reply = fleet.Call(TakeUpCall("a-next", "a", 2));
+  cr_expect(reply.mStatus == 200, "status %d", reply.mStatus);
+}
+
+Test(streamversions, operators_see_the_versions, .timeout = 60)
+{
+  const VersionFleet fleet;
+  const json status =
+    integration::GetJson("http://" + fleet.OperatorAddress(0) + "/v1/status");
+  std::multiset<std::string> versions;
+  for (const json& upstream : status.at("upstreams")) {
+    versions.insert(upstream.at("labels").value("version", ""));
+  }
+  cr_expect(versions.count("v1") == 2 && versions.count("v2") == 2);
+  cr_expect(fleet.Metrics().find("upstream_versions{version=\"svc/v1\"} 2") !=
+            std::string::npos);
+  const auto lines = fleet.LogOf(0, "service_versions");
+  cr_assert(!lines.empty());
+  cr_expect(lines.back().at("versions") == json({ "v1", "v2" }));
+}
