--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -31,6 +31,16 @@
            { "gapAimMs", 300 } };
 }
 
+/** An entry of a worker that does not name its process. */
+json
+RowOf(const std::string& aAddress, const std::string& aState)
+{
+  return { { "service", "svc" }, { "address", aAddress },
+           { "zone", "here" },   { "slots", 8 },
+           { "state", aState },  { "coldRemainingMs", 0 },
+           { "sequence", 1 } };
+}
+
 std::string
 NameOf(size_t aWorker)
 {
@@ -283,14 +293,17 @@
 void
 PlatformFleet::List(size_t aWorker, const std::string& aState) const
 {
-  ListAs(NameOf(aWorker), ListedAddress(aWorker), aState);
+  PutRow("servers",
+         NameOf(aWorker),
+         WithVersion(aWorker, RowOf(ListedAddress(aWorker), aState)));
 }
 
 void
 PlatformFleet::ListProcess(size_t aWorker, int64_t aStartTime) const
 {
-  PutRow(
-    "servers", NameOf(aWorker), EntryOf(ListedAddress(aWorker), aStartTime));
+  PutRow("servers",
+         NameOf(aWorker),
+         WithVersion(aWorker, EntryOf(ListedAddress(aWorker), aStartTime)));
 }
 
 void
@@ -304,6 +317,15 @@
   PutRow("servers", NameOf(aWorker), entry);
 }
 
+json
+PlatformFleet::WithVersion(size_t aWorker, json aEntry) const
+{
+  if (aWorker < mOptions.mVersions.size()) {
+    aEntry["version"] = mOptions.mVersions[aWorker];
+  }
+  return aEntry;
+}
+
 std::string
 PlatformFleet::ListedAddress(size_t aWorker) const
 {
@@ -316,13 +338,7 @@
                       const std::string& aAddress,
                       const std::string& aState) const
 {
-  const json entry = { { "service", "svc" }, { "address", aAddress },
-                       { "zone", "here" },   { "slots", 8 },
-                       { "state", aState },  { "coldRemainingMs", 0 },
-                       { "sequence", 1 } };
-  Control(
-    { { "put",
-        { { { "table", "servers" }, { "key", aId }, { "value", entry } } } } });
+  PutRow("servers", aId, RowOf(aAddress, aState));
 }
 
 void
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -33,6 +33,9 @@
   /** The address that accepts usage reports; empty if there is none. */
   std::string mUsageReceiver{};
   int mUsageWindowSeconds = 1;
+  /** Software versions of the first workers, in the entries that List() and
+   * ListProcess() write. */
+  std::vector<std::string> mVersions{};
 };
 
 /** One request to a gate. */
@@ -145,6 +148,8 @@
   std::vector<std::unique_ptr<integration::Proxy>> mStoreProxies;
   std::vector<std::unique_ptr<integration::Proxy>> mWorkerProxies;
 
+  /** The entry with the worker's software version, if it has one. */
+  nlohmann::json WithVersion(size_t aWorker, nlohmann::json aEntry) const;
   /** Where gates reach the worker. */
   std::string ListedAddress(size_t aWorker) const;
   std::unique_ptr<integration::ChildProcess> MakeGate(size_t aGate) const;
--- a/tests/soak/soakchecks.cpp
+++ b/tests/soak/soakchecks.cpp
@@ -143,14 +143,15 @@
 void
 CheckStream(const Checker& aChecker, const SoakRecord& aRecord)
 {
-  int next = 1;
+  int next = aRecord.mLastEvent + 1;
   for (const int event : aRecord.mEvents) {
     aChecker.Expect(event == next,
                     "a stream must have no missing or repeated event");
     next = event + 1;
   }
   const bool all =
-    static_cast<int>(aRecord.mEvents.size()) == aRecord.mEventsDue;
+    static_cast<int>(aRecord.mEvents.size()) + aRecord.mLastEvent ==
+    aRecord.mEventsDue;
   aChecker.Expect(!aRecord.mComplete || all,
                   "a truncated stream must not look complete");
   aChecker.Expect(!aRecord.mEndsInsideEvent,
@@ -170,6 +171,7 @@
   std::vector<std::string> violations;
   CheckWorkers(aRecords, aRuns, aIntervals, violations);
   CheckStatements(aRecords, aRuns, aRefusals, aIntervals, violations);
+  CheckVersions(aRecords, aRuns, violations);
   std::map<std::string, std::vector<const json*>> runs;
   for (const json& run : aRuns) {
     runs[run.at("id")].push_back(&run);
--- a/tests/soak/soakrecord.h
+++ b/tests/soak/soakrecord.h
@@ -27,6 +27,10 @@
   bool mEndsInsideEvent = false;
   bool mHasRetryAfter = false;
   int mSize = 0; /**< of a body that is not a stream */
+  /** The request that began the stream, if this one takes it up. */
+  std::string mBegunBy;
+  /** The last event that the caller had before. */
+  int mLastEvent = 0;
   std::vector<int> mEvents;
   int mEventsDue = 0;
 };
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -93,8 +93,24 @@
   }
 }
 
+std::vector<std::string>
+VersionsOf(size_t aWorkers)
+{
+  std::vector<std::string> versions;
+  for (size_t worker = 0; worker < aWorkers; ++worker) {
+    versions.push_back(VersionOf(worker));
+  }
+  return versions;
+}
+
 } // namespace
 
+std::string
+VersionOf(size_t aWorker)
+{
+  return aWorker % 2 == 0 ? "v1" : "v2";
+}
+
 int64_t
 SteadyNow()
 {
@@ -110,7 +126,8 @@
                          .mRetrySlack = 200,
                          .mProxied = true,
                          .mPeers = true,
-                         .mUsageReceiver = mUsageReceiver.Address() })
+                         .mUsageReceiver = mUsageReceiver.Address(),
+                         .mVersions = VersionsOf(aOptions.mWorkers) })
   , mAddresses(aOptions.mGates)
 {
   for (size_t index = 0; index < mOptions.mGates; ++index) {
@@ -178,11 +195,50 @@
   std::mt19937_64 random(mOptions.mSeed * 1000 + aCaller);
   for (int number = 0; !mStop; ++number) {
     SoakRecord record = MakeCall(random, aCaller, number);
-    const std::lock_guard lock(mMutex);
-    mRecords.push_back(std::move(record));
+    const bool broken = record.mKind == "resume" && record.mStatus == 200 &&
+                        !record.mEvents.empty() &&
+                        record.mEvents.back() < record.mEventsDue;
+    if (broken) {
+      Record(TakeUp(random, record));
+    }
+    Record(std::move(record));
   }
 }
 
+void
+SoakRun::Record(SoakRecord aRecord)
+{
+  const std::lock_guard lock(mMutex);
+  mRecords.push_back(std::move(aRecord));
+}
+
+SoakRecord
+SoakRun::TakeUp(std::mt19937_64& aRandom, const SoakRecord& aBroken)
+{
+  SoakRecord record{ .mId = aBroken.mId + "-next",
+                     .mKind = aBroken.mKind,
+                     .mKey = aBroken.mKey,
+                     .mPlan = aBroken.mPlan,
+                     .mGate = static_cast<size_t>(
+                       RandomBelow(static_cast<int>(mOptions.mGates), aRandom)),
+                     .mBegunBy = aBroken.mId,
+                     .mLastEvent = aBroken.mEvents.back(),
+                     .mEventsDue = aBroken.mEventsDue };
+  record.mSentAt = SteadyNow();
+  CallStream(
+    record,
+    { .mId = record.mId,
+      .mMethod = "POST",
+      .mPath = "/resume/x",
+      .mPlan = record.mPlan,
+      .mKey = record.mKey,
+      .mDeadlineMs = kDeadlineMs,
+      .mHeaders = { { "Resumes", record.mBegunBy },
+                    { "Last-Event-Id", std::to_string(record.mLastEvent) } } });
+  record.mEndedAt = SteadyNow();
+  return record;
+}
+
 SoakRecord
 SoakRun::MakeCall(std::mt19937_64& aRandom, size_t aCaller, int aNumber)
 {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -51,6 +51,9 @@
   friend class SoakFaults;
 
   void CallerLoop(size_t aCaller);
+  void Record(SoakRecord aRecord);
+  /** Takes up a resumable stream that broke off, at any gate. */
+  SoakRecord TakeUp(std::mt19937_64& aRandom, const SoakRecord& aBroken);
   SoakRecord MakeCall(std::mt19937_64& aRandom, size_t aCaller, int aNumber);
   /** Sends the request, records the response's head and returns its body. */
   integration::RawAnswer Exchange(SoakRecord& aRecord,
@@ -88,6 +91,17 @@
                 const std::vector<FaultInterval>& aIntervals,
                 std::vector<std::string>& aViolations);
 
+/** The software version of a worker in the soak. */
+std::string
+VersionOf(size_t aWorker);
+
+/** Checks that streams go on at the software version that began them; appends
+ * all violations. */
+void
+CheckVersions(const std::vector<SoakRecord>& aRecords,
+              const std::vector<nlohmann::json>& aRuns,
+              std::vector<std::string>& aViolations);
+
 /** A fault, and how it is undone. */
 struct SoakFault
 {
