--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -182,6 +182,10 @@
     return std::nullopt;
   }
   if (const auto origin = mRouter.FindStreamOrigin(mRequest, aNow)) {
+    if (!mRequest.mRoute->LeadsTo(origin->mService)) {
+      return Refuse(
+        ErrorKind::StreamVersionUnavailable, kNoUpstreamRetryAfter, aNow);
+    }
     mRequest.mOrigin = origin;
     mRequest.mService = origin->mService;
     return std::nullopt;
--- a/src/libtrefoilarch/routepolicy.h
+++ b/src/libtrefoilarch/routepolicy.h
@@ -2,6 +2,7 @@
 
 #include "millis.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -49,6 +50,16 @@
   /** Requests need no key. */
   bool mPublic = false;
 
+  /** Whether requests may be sent to the service. */
+  bool LeadsTo(const std::string& aService) const
+  {
+    return std::any_of(
+      mTargets.begin(), mTargets.end(), [&](const WeightedTarget& aTarget) {
+        return aTarget.mService == aService &&
+               (aTarget.mWeight > 0 || mTargets.size() == 1);
+      });
+  }
+
   bool operator==(const Route&) const = default;
 };
 
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -830,3 +830,67 @@
   const Millis delay = std::get<AnswerRefusal>(step).mRefusal.mRetryAfter;
   cr_expect(delay >= Millis(2999), "%d ms", static_cast<int>(delay.Count()));
 }
+
+namespace {
+
+/** A request that takes up a stream of the request "first". */
+BoundRequest
+BoundResumption(DirectRouter& aRouter)
+{
+  BoundRequest bound = Bound(aRouter, "/resume/x");
+  bound.mStream = StreamKeyOf("first");
+  bound.mResumes = true;
+  return bound;
+}
+
+void
+RecordStream(DirectRouter& aRouter, const std::string& aService)
+{
+  aRouter.OnStreamRecord({ .mStream = StreamKeyOf("first"),
+                           .mOrigin = { .mService = aService },
+                           .mLifetime = kTimeout },
+                         Millis(0));
+}
+
+} // namespace
+
+Test(requestplan, a_stream_goes_on_only_at_a_service_of_its_route)
+{
+  for (const bool led : { true, false }) {
+    DirectRouter router = MakeRouter(2);
+    router.Directory().Put(
+      { .mId = "other", .mService = "other", .mAddress = "a:9" });
+    router.OnDirectoryChanged(Millis(0));
+    RecordStream(router, led ? "svc" : "other");
+    RequestPlan plan(router, BoundResumption(router));
+    const PlanStep step = plan.Begin(Millis(0));
+    cr_expect(std::holds_alternative<SendRequest>(step) == led);
+    const auto* refusal = std::get_if<AnswerRefusal>(&step);
+    cr_expect(led ||
+              refusal->mRefusal.mKind == ErrorKind::StreamVersionUnavailable);
+  }
+}
+
+Test(requestplan, a_late_record_is_awaited_and_a_missing_one_refused)
+{
+  for (const bool arrives : { true, false }) {
+    DirectRouter router = MakeRouter(2);
+    RequestPlan plan(router, BoundResumption(router));
+    Millis now(0);
+    PlanStep step = plan.Begin(now);
+    while (const auto* hold = std::get_if<HoldRequest>(&step)) {
+      now += hold->mDelay;
+      if (arrives && now > Millis(200)) {
+        RecordStream(router, "svc");
+      }
+      step = plan.OnHoldElapsed(now);
+    }
+    cr_expect(std::holds_alternative<SendRequest>(step) == arrives);
+    cr_expect(now <= Millis(300));
+    const auto* refusal = std::get_if<AnswerRefusal>(&step);
+    cr_expect(arrives ||
+              (refusal->mRefusal.mKind == ErrorKind::StreamVersionUnknown &&
+               refusal->mRefusal.mRan == Ran::No &&
+               refusal->mRefusal.mRetryAfter > Millis(0)));
+  }
+}
