--- a/tests/soak/soakversions.cpp
+++ b/tests/soak/soakversions.cpp
@@ -25,20 +25,20 @@
               const std::vector<json>& aRuns,
               std::vector<std::string>& aViolations)
 {
-  std::map<std::string, std::string> streamOf;
+  std::map<std::string, const SoakRecord*> requests;
   for (const SoakRecord& record : aRecords) {
     if (record.mKind == "stream" || record.mKind == "resume") {
-      streamOf[record.mId] =
-        record.mBegunBy.empty() ? record.mId : record.mBegunBy;
+      requests[record.mId] = &record;
     }
   }
   std::map<std::string, StreamRuns> streams;
   for (const json& run : aRuns) {
-    const auto stream = streamOf.find(run.at("id").get<std::string>());
-    if (stream == streamOf.end()) {
+    const auto request = requests.find(run.at("id").get<std::string>());
+    if (request == requests.end()) {
       continue;
     }
-    StreamRuns& runs = streams[stream->second];
+    const std::string& begunBy = request->second->mBegunBy;
+    StreamRuns& runs = streams[begunBy.empty() ? request->first : begunBy];
     const auto startedAt = run.at("at_ms").get<int64_t>();
     if (run.at("headers").contains("Last-Event-Id")) {
       runs.mContinuing.push_back(&run);
@@ -50,9 +50,12 @@
   for (const auto& [id, runs] : streams) {
     for (const json* run : runs.mContinuing) {
       if (VersionOf(run->at("worker").get<size_t>()) != runs.mVersion) {
+        const std::string request = run->at("id");
         aViolations.push_back("a stream must go on at the version that began "
                               "it: " +
-                              run->at("id").get<std::string>());
+                              request + " (gate " +
+                              std::to_string(requests.at(request)->mGate) +
+                              ")");
       }
     }
   }
