Count the datagrams between gates in the metrics

Whether gates send without a pause could not be seen: neither metrics nor logs count datagrams. The gauge peer_datagrams has those sent and received since the start; received ones now include all kinds, not only updates about requests.

--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -168,6 +168,11 @@
                     "",
                     "Datagrams of other gates that could not be read, since "
                     "the start." },
+  GaugeDescription{ Gauge::PeerDatagrams,
+                    "trefoilarch_gate_peer_datagrams",
+                    "direction",
+                    "Datagrams that this gate has sent to other gates and "
+                    "received from them, since the start." },
   GaugeDescription{ Gauge::SlowUpstreams,
                     "trefoilarch_gate_slow_upstreams",
                     "service",
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -51,6 +51,7 @@
   UsageWindowsMissed,
   ClockCorrectionMs,
   UnreadableDatagrams,
+  PeerDatagrams,      /**< by direction: "sent", "received" */
   SlowUpstreams,      /**< by service */
   WorkspaceDemand,    /**< by workspace */
   WorkspaceShare,     /**< by workspace */
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -174,6 +174,11 @@
   setGauge(Gauge::LimitedUpstreams, mRouter.Limits().Limited());
   setGauge(Gauge::LogLinesLeftOut, mLog.LeftOut());
   setGauge(Gauge::UnreadableDatagrams, mPeers.UnreadableCount());
+  mMetrics.Set(
+    Gauge::PeerDatagrams, "sent", static_cast<double>(mPeers.SentCount()));
+  mMetrics.Set(Gauge::PeerDatagrams,
+               "received",
+               static_cast<double>(mPeers.ReceivedCount()));
   for (const auto& [service, left] : mRouter.RetriesLeft()) {
     mMetrics.Set(Gauge::RetriesLeft, service, left);
   }
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -138,8 +138,8 @@
   }
   const std::vector<uint8_t> bytes(
     mBuffer.begin(), mBuffer.begin() + static_cast<std::ptrdiff_t>(aBytes));
+  mReceivedCount++;
   if (const auto peerUpdate = DecodePeerUpdate(bytes)) {
-    mReceivedCount++;
     mHooks.mOnPeerUpdate(*peerUpdate);
   } else if (const auto tableUpdate = DecodeTableUpdate(bytes)) {
     mHooks.mOnTableUpdate(*tableUpdate);
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -96,7 +96,9 @@
   size_t ListedCount() const { return mPeers.size(); }
   /** Whether updates are sent to only some of the other entries. */
   bool SendsToSubset() const { return mReceivers.size() < mPeers.size(); }
+  /** Number of datagrams sent to other entries. */
   uint64_t SentCount() const { return mSentCount; }
+  /** Number of datagrams received from listed entries. */
   uint64_t ReceivedCount() const { return mReceivedCount; }
   /** Datagrams of listed entries that could not be read: invalid ones, and
    * those of a newer version's type. */
