Shed overload from the least urgent tier at all entries alike

Cause: whether less urgent requests are accepted each entry judged by itself, for 1.5 s after its own last one.

Change: while an entry is overloaded all report what is requested, late and rejected of each tier, and when they last accepted a request of it. All shed the same share of the less urgent tiers, by the share of more urgent work that is late; none rejects a tier until the others have accepted nothing less urgent for 1.5 s; less urgent requests stay rejected while a more urgent tier is being rejected. Entries without peers judge as before. Reports have a datagram of their own, which older entries ignore.

--- a/src/libtrefoilarch/dedicatedpools.cpp
+++ b/src/libtrefoilarch/dedicatedpools.cpp
@@ -158,14 +158,16 @@
 }
 
 bool
-DedicatedPools::PeersSendLessUrgent(const std::string& aService,
-                                    uint8_t aUrgency,
-                                    Millis aNow) const
+DedicatedPools::PeersSendLessUrgent(
+  const std::string& aService,
+  uint8_t aUrgency,
+  Millis aNow,
+  const std::function<bool(const std::string&)>& aIsIgnored) const
 {
   double less = 0;
   double asUrgent = 0;
   for (const auto& [entry, peer] : mPeerDemands) {
-    const bool fresh = aNow - peer.mAt < kMaxReportAge;
+    const bool fresh = aNow - peer.mAt < kMaxReportAge && !aIsIgnored(entry);
     for (const Demand& demand : peer.mDemands) {
       const RouteDemand& sums = demand.mSums;
       if (fresh && sums.mService == aService) {
--- a/src/libtrefoilarch/dedicatedpools.h
+++ b/src/libtrefoilarch/dedicatedpools.h
@@ -108,10 +108,13 @@
                      const std::vector<RouteDemand>& aDemands,
                      Millis aNow);
   /** Whether recent updates of peers show that the service's upstreams have
-   * enough less urgent requests, which can be rejected first. */
-  bool PeersSendLessUrgent(const std::string& aService,
-                           uint8_t aUrgency,
-                           Millis aNow) const;
+   * enough less urgent requests, which can be rejected first. Peers that
+   * aIsIgnored names don't count. */
+  bool PeersSendLessUrgent(
+    const std::string& aService,
+    uint8_t aUrgency,
+    Millis aNow,
+    const std::function<bool(const std::string&)>& aIsIgnored) const;
 
   /**
    * The position of each engine relative to the route's pool. Computed at most
--- a/src/libtrefoilarch/directdump.cpp
+++ b/src/libtrefoilarch/directdump.cpp
@@ -31,6 +31,14 @@
   }
   dump["service_versions"] = mVersions.Counts();
   dump["known_streams"] = mStreams.Size();
+  nlohmann::json& tiers = dump["tiers"] = nlohmann::json::array();
+  for (const TierState& each : mTiers.State(aNow)) {
+    tiers.push_back({ { "service", each.mService },
+                      { "priority", each.mPriority },
+                      { "late_share", each.mLateShare },
+                      { "rejected_share", each.mRejectedShare },
+                      { "shed_share", each.mShedShare } });
+  }
   return dump.dump();
 }
 
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -202,27 +202,41 @@
                          .mRetryAfter = aRejection.mRetryAfter,
                          .mMessage = aRejection.mMessage });
   };
-  // Only under overload, since it iterates over the demand of all entries.
-  const bool peersSendLessUrgent =
-    overload &&
-    mPools.PeersSendLessUrgent(bound.mService, route->mPriority, aNow);
-  if (mTiers.Refuses(bound.mService,
-                     route->mPriority,
-                     overload.has_value(),
-                     aNow,
-                     peersSendLessUrgent)) {
+  if (ShedsTier(bound, overload.has_value(), aNow)) {
     // Overload() checks the share if there are peers.
     if (mPeers.Peers() > 0 && !(overload && overload->mOverShare)) {
       mLoad.OnShareUnused(
         bound, mEngineModel.PrefillPerMs(bound.mService), aNow);
     }
-    return fail(
-      overload.value_or(OverloadRejection{ .mRetryAfter = kShedRetryAfter }));
+    return fail(overload.value_or(
+      OverloadRejection{ .mRetryAfter = kShedRetryAfter,
+                         .mMessage = "more urgent requests are late" }));
   }
   mRetries.OnFirstAttempt(bound.mService);
   return bound;
 }
 
+bool
+DirectRouter::ShedsTier(const BoundRequest& aRequest, bool aLate, Millis aNow)
+{
+  const TierRequest request{ .mService = aRequest.mService,
+                             .mPriority = aRequest.mRoutePriority,
+                             .mWork = std::max<double>(
+                               1, aRequest.mPrompt.mPromptTokens),
+                             .mLate = aLate };
+  const bool rejected = mTiers.Rejects(
+    request,
+    [&](const auto& aIsReporting) {
+      return mPools.PeersSendLessUrgent(
+        request.mService, request.mPriority, aNow, aIsReporting);
+    },
+    aNow);
+  if (mTiers.IsOverloaded(aNow)) {
+    mPeerUpdates.MarkChanged();
+  }
+  return rejected;
+}
+
 bool
 DirectRouter::StillAllowed(const BoundRequest& aRequest, Millis aNow) const
 {
@@ -256,6 +270,7 @@
   PeerUpdate update = mPeerUpdates.Take(AllPeersReporting(), aNow);
   update.mDemands = mPools.Demands(aNow);
   update.mLimits = mLimits.TakeReports(aNow);
+  update.mTiers = mTiers.Reports(aNow);
   for (const auto& [id, tracked] : mTracked) {
     if (tracked.mWork.Pending().All() > 0) {
       update.mPending.push_back({ id, tracked.mWork.Pending() });
@@ -297,6 +312,13 @@
   }
   ReportLimitChanges();
   mPools.OnPeerDemands(aUpdate.mFrom, aUpdate.mDemands, aNow);
+  if (!aUpdate.mTiers.empty()) {
+    OnTierUpdate({ .mFrom = aUpdate.mFrom,
+                   .mProcess = aUpdate.mProcess,
+                   .mSequence = aUpdate.mSequence,
+                   .mReports = aUpdate.mTiers },
+                 aNow);
+  }
   ApplyPeerSilence(aUpdate, aNow);
   for (const ReceivedLoadReport& each : aUpdate.mReports) {
     const auto tracked = mTracked.find(each.mUpstream);
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -28,7 +28,7 @@
 #include "streams/serviceversions.h"
 #include "streams/streamkeepers.h"
 #include "streams/streamorigins.h"
-#include "tierguard.h"
+#include "tieradmission.h"
 #include "upstreamavailability.h"
 #include "upstreamcrash.h"
 #include "upstreamdirectory.h"
@@ -294,6 +294,11 @@
   /** All state that peers need; marks it as sent. */
   PeerUpdate TakePeerUpdate(Millis aNow);
   void OnPeerUpdate(const PeerUpdate& aUpdate, Millis aNow);
+  /** A peer update's reports of tiers, which have a datagram of their own. */
+  void OnTierUpdate(const TierUpdate& aUpdate, Millis aNow)
+  {
+    mTiers.OnPeerUpdate(aUpdate, aNow);
+  }
   /** Entries that have sent an update recently. */
   size_t Peers() const { return mPeers.Peers(); }
   /** The number of entries, this one included. */
@@ -407,6 +412,9 @@
   std::optional<OverloadRejection> Overload(const BoundRequest& aRequest,
                                             Millis aNow);
   StartForecast ForecastFor(const BoundRequest& aRequest, Millis aNow);
+  /** Whether to reject the request so that overload is shed from the least
+   * urgent requests. aLate: it is expected to start or end too late. */
+  bool ShedsTier(const BoundRequest& aRequest, bool aLate, Millis aNow);
   /** The upstream, if it can be fetched from, or null. */
   const ListedUpstream* HolderAt(const UpstreamId& aHolder, Millis aNow) const;
   uint32_t ConnectionsFor(const BoundRequest& aRequest) const;
@@ -446,7 +454,7 @@
   size_t mEntries = 1;
   /** Arrivals of requests with a prompt at this entry, by service. */
   std::unordered_map<std::string, ArrivalRate> mArrivalRates;
-  TierGuard mTiers;
+  TierAdmission mTiers;
   RetryBudget mRetries;
   std::mt19937_64 mRandom;
   /** Distinguishes this process from its successors of the same name. */
--- a/src/libtrefoilarch/peerupdate.h
+++ b/src/libtrefoilarch/peerupdate.h
@@ -6,6 +6,7 @@
 #include "routedemand.h"
 #include "storeservinginterval.h"
 #include "tablecheckpoint.h"
+#include "tierreport.h"
 #include "upstreamlimits.h"
 #include "upstreamwork.h"
 
@@ -89,6 +90,8 @@
   std::vector<UpstreamId> mAnswered;
   std::vector<PeerTableCheckpoint> mTables;
   std::vector<LimitReport> mLimits;
+  /** Empty if no entry is overloaded. Sent as a TierUpdate. */
+  std::vector<TierReport> mTiers;
   /** The store's serving interval; see StoreUptime. */
   std::optional<StoreServingInterval> mStoreServing;
 
--- a/src/libtrefoilarch/tierguard.cpp
+++ b/src/libtrefoilarch/tierguard.cpp
@@ -1,5 +1,7 @@
 #include "tierguard.h"
 
+#include <algorithm>
+
 namespace trefoilarch {
 
 namespace {
@@ -26,7 +28,8 @@
                    uint8_t aPriority,
                    bool aOverloaded,
                    Millis aNow,
-                   bool aPeersTakeLessUrgent)
+                   bool aPeersTakeLessUrgent,
+                   double aShedShare)
 {
   Service& service = mServices[aService];
   const bool lessUrgentTakenHere = TakesLessUrgent(service, aPriority, aNow);
@@ -38,8 +41,10 @@
   }
   const bool moreUrgentOverloaded =
     aNow < service.mOverloadedUntil && service.mOverloadedPriority < aPriority;
-  if (moreUrgentOverloaded && !lessUrgentTakenHere) {
-    std::bernoulli_distribution refusal(kRefusedShare);
+  const double share =
+    std::max(moreUrgentOverloaded ? kRefusedShare : 0, aShedShare);
+  if (share > 0 && !lessUrgentTaken) {
+    std::bernoulli_distribution refusal(share);
     refuses = refuses || refusal(mRandom);
   }
   if (!refuses) {
--- a/src/libtrefoilarch/tierguard.h
+++ b/src/libtrefoilarch/tierguard.h
@@ -23,12 +23,14 @@
    * Whether to reject a request of a route with that priority (0 is the most
    * urgent). aOverloaded: requests of its own route start or end too late.
    * aPeersTakeLessUrgent: other entries send enough less urgent requests.
+   * aShedShare: the share that all entries reject for more urgent requests.
    */
   bool Refuses(const std::string& aService,
                uint8_t aPriority,
                bool aOverloaded,
                Millis aNow,
-               bool aPeersTakeLessUrgent = false);
+               bool aPeersTakeLessUrgent = false,
+               double aShedShare = 0);
 
 private:
   struct Service
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -319,6 +319,10 @@
         }
         mTableHooks.mOnCheckpoints(aPeerUpdate.mTables);
       },
+    .mOnTierUpdate =
+      [this](const TierUpdate& aUpdate) {
+        mRouter.OnTierUpdate(aUpdate, BootNow());
+      },
     .mOnTableUpdate =
       [this](const TableUpdate& aUpdate) {
         mTableHooks.mOnTableUpdate(aUpdate);
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -7,6 +7,7 @@
 #include "looptimer.h"
 #include "permitdatagram.h"
 #include "streamdatagram.h"
+#include "tierdatagram.h"
 #include "usagedatagram.h"
 
 #include "libtrefoilarch/peerring.h"
@@ -36,6 +37,11 @@
 constexpr size_t kMaxReceivers = trefoilarch::PeerRing::kMaxReceivers;
 constexpr Millis kLargeFleetInterval{ 640 };
 
+/** Minimum interval between two reports of tiers, and its increase for each
+ * receiver: at most 13 KB/s, and only while entries are overloaded. */
+constexpr Millis kMinTierInterval{ 40 };
+constexpr Millis kTierIntervalPerPeer{ 8 };
+
 /** Interval at which the load timer checks for an update to send. */
 constexpr Millis kLoadTickInterval{ 100 };
 
@@ -141,6 +147,8 @@
   mReceivedCount++;
   if (const auto peerUpdate = DecodePeerUpdate(bytes)) {
     mHooks.mOnPeerUpdate(*peerUpdate);
+  } else if (const auto tierUpdate = DecodeTierUpdate(bytes)) {
+    mHooks.mOnTierUpdate(*tierUpdate);
   } else if (const auto tableUpdate = DecodeTableUpdate(bytes)) {
     mHooks.mOnTableUpdate(*tableUpdate);
   } else if (const auto crashUpdate = DecodeCrashUpdate(bytes)) {
@@ -249,7 +257,29 @@
 void
 PeerLink::SendPeerUpdate()
 {
-  Send(EncodePeerUpdate(mHooks.mTakePeerUpdate()));
+  const trefoilarch::PeerUpdate update = mHooks.mTakePeerUpdate();
+  Send(EncodePeerUpdate(update));
+  SendTiers(update);
+}
+
+void
+PeerLink::SendTiers(const trefoilarch::PeerUpdate& aUpdate)
+{
+  const Millis now = BootNow();
+  const Millis interval =
+    std::max(kMinTierInterval,
+             kTierIntervalPerPeer * static_cast<int64_t>(mReceivers.size()));
+  if (aUpdate.mTiers.empty() || now - mLastTiersSentAt < interval) {
+    return;
+  }
+  mLastTiersSentAt = now;
+  const auto bytes = EncodeTierUpdate({ .mFrom = aUpdate.mFrom,
+                                        .mProcess = aUpdate.mProcess,
+                                        .mSequence = aUpdate.mSequence,
+                                        .mReports = aUpdate.mTiers });
+  if (!bytes.empty()) {
+    Send(bytes);
+  }
 }
 
 void
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -8,6 +8,7 @@
 #include "libtrefoilarch/peerupdate.h"
 #include "libtrefoilarch/permit.h"
 #include "libtrefoilarch/streams/streamorigin.h"
+#include "libtrefoilarch/tierupdate.h"
 #include "libtrefoilarch/usageupdate.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -30,6 +31,7 @@
   std::function<bool()> mHasPeerUpdate;
   std::function<trefoilarch::PeerUpdate()> mTakePeerUpdate;
   std::function<void(const trefoilarch::PeerUpdate&)> mOnPeerUpdate;
+  std::function<void(const trefoilarch::TierUpdate&)> mOnTierUpdate;
   std::function<void(const trefoilarch::TableUpdate&)> mOnTableUpdate;
   std::function<void(const trefoilarch::CrashUpdate&)> mOnCrashUpdate;
   /** The entry at this address requests a permit; no reply is sent if the
@@ -112,6 +114,9 @@
   void OnDatagram(size_t aBytes);
   void Tick();
   void SendPeerUpdate();
+  /** Sends a peer update's reports of tiers, which entries of older versions
+   * ignore, if there are any and the last ones are old enough. */
+  void SendTiers(const trefoilarch::PeerUpdate& aUpdate);
   /** Sends a load update if there is one and the last one is old enough. */
   void TickLoad();
   void Send(const std::vector<uint8_t>& aBytes);
@@ -134,6 +139,7 @@
   std::array<uint8_t, kMaxDatagramBytes> mBuffer{};
   Udp::endpoint mSender;
   Millis mLastSentAt;
+  Millis mLastTiersSentAt;
   std::optional<Millis> mLastLoadSentAt;
   uint64_t mSentCount = 0;
   uint64_t mReceivedCount = 0;
