Test that a busy receiver and a cut holder cause no busy loop

A gate that calls without a pause, or has a timer that is always due, would be an outage.

The test counts, for real gates, calls of the store and of the receiver, wake-ups and datagrams in each of eight seconds of that state. It passes: the product does not do so there.

--- a/tests/platform/usagedutytest.cpp
+++ b/tests/platform/usagedutytest.cpp
@@ -5,11 +5,14 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace platformtest;
 using integration::Await;
@@ -82,6 +85,78 @@
   uint64_t mCalls = 0;
 };
 
+/** What the gates have done so far, as the kernel, the store, the receiver and
+ * their metrics count it. */
+struct Activity
+{
+  double mStoreCalls = 0;
+  double mReceiverCalls = 0;
+  /** The most of a gate. */
+  double mWakeups = 0;
+  double mDatagrams = 0;
+};
+
+/** How often a process has waited for events: its timers and its sockets. */
+double
+WakeupsOf(pid_t aProcess)
+{
+  std::ifstream status("/proc/" + std::to_string(aProcess) + "/status");
+  double switches = 0;
+  for (std::string word; status >> word;) {
+    if (word == "voluntary_ctxt_switches:") {
+      status >> switches;
+    }
+  }
+  return switches;
+}
+
+double
+SentDatagramsOf(const ReportingFleet& aFleet, size_t aGate)
+{
+  const std::string metrics = aFleet.mFleet.Metrics(aGate);
+  const std::string name =
+    "trefoilarch_gate_peer_datagrams{direction=\"sent\"} ";
+  const size_t at = metrics.find(name);
+  cr_assert(at != std::string::npos);
+  return std::stod(metrics.substr(at + name.size()));
+}
+
+/** Activity a second over that time. */
+Activity
+ActivityDuring(ReportingFleet& aFleet, std::chrono::seconds aTime)
+{
+  const auto read = [&](Activity& aTotal, std::vector<Activity>& aGates) {
+    aTotal.mStoreCalls =
+      aFleet.mFleet.Control(json::object()).at("calls").get<double>();
+    aTotal.mReceiverCalls = static_cast<double>(aFleet.mReceiver.Requests());
+    for (size_t gate = 0; gate < kGates; ++gate) {
+      aGates.push_back({ .mWakeups = WakeupsOf(aFleet.mFleet.Gate(gate).Id()),
+                         .mDatagrams = SentDatagramsOf(aFleet, gate) });
+    }
+  };
+  Activity before;
+  Activity after;
+  std::vector<Activity> gatesBefore;
+  std::vector<Activity> gatesAfter;
+  read(before, gatesBefore);
+  std::this_thread::sleep_for(aTime);
+  read(after, gatesAfter);
+  const auto seconds = static_cast<double>(aTime.count());
+  Activity rate{ .mStoreCalls =
+                   (after.mStoreCalls - before.mStoreCalls) / seconds,
+                 .mReceiverCalls =
+                   (after.mReceiverCalls - before.mReceiverCalls) / seconds };
+  for (size_t gate = 0; gate < kGates; ++gate) {
+    const Activity& from = gatesBefore[gate];
+    const Activity& to = gatesAfter[gate];
+    rate.mWakeups =
+      std::max(rate.mWakeups, (to.mWakeups - from.mWakeups) / seconds);
+    rate.mDatagrams =
+      std::max(rate.mDatagrams, (to.mDatagrams - from.mDatagrams) / seconds);
+  }
+  return rate;
+}
+
 } // namespace
 
 Test(usageduty, all_served_requests_are_reported, .timeout = 60)
@@ -174,6 +249,38 @@
   fleet.ExpectNoViolation();
 }
 
+/** Guards against calls without a pause and timers that are always due. */
+Test(usageduty,
+     a_busy_receiver_and_a_cut_holder_cause_no_busy_loop,
+     .timeout = 90)
+{
+  // Ticks of all duties, and updates to three others every 20 ms at most.
+  constexpr double kMaxWakeups = 400;
+  constexpr double kMaxDatagrams = 300;
+  // A call of each gate every 100 ms.
+  constexpr double kMaxStoreCalls = 40;
+  constexpr double kMaxReceiverCalls = 10;
+  ReportingFleet fleet;
+  fleet.Call(40);
+  fleet.mReceiver.SetMode(ReceiverMode::IsBusy);
+  const size_t holder = fleet.Holder();
+  fleet.mFleet.StoreProxy(holder).Order(
+    { { "refuse_new", true }, { "cut", true } });
+  for (int second = 0; second < 8; ++second) {
+    const Activity rate = ActivityDuring(fleet, std::chrono::seconds(1));
+    cr_expect(rate.mStoreCalls <= kMaxStoreCalls, "%.0f", rate.mStoreCalls);
+    cr_expect(
+      rate.mReceiverCalls <= kMaxReceiverCalls, "%.0f", rate.mReceiverCalls);
+    cr_expect(rate.mWakeups <= kMaxWakeups, "%.0f", rate.mWakeups);
+    cr_expect(rate.mDatagrams <= kMaxDatagrams, "%.0f", rate.mDatagrams);
+  }
+  fleet.mFleet.StoreProxy(holder).Order(
+    { { "refuse_new", false }, { "cut", false } });
+  fleet.mReceiver.SetMode(ReceiverMode::Accepts);
+  cr_expect(fleet.AwaitWindows(3));
+  fleet.ExpectNoViolation();
+}
+
 Test(usageduty, an_outage_of_the_store_delays_reports_only, .timeout = 90)
 {
   ReportingFleet fleet;
--- a/tests/platform/usagereceiver.cpp
+++ b/tests/platform/usagereceiver.cpp
@@ -35,6 +35,13 @@
   return mCounts.size();
 }
 
+size_t
+UsageReceiver::Requests() const
+{
+  const std::lock_guard lock(mMutex);
+  return mRequests;
+}
+
 std::string
 UsageReceiver::LastHolder() const
 {
@@ -53,6 +60,7 @@
 UsageReceiver::Serve(standin::Exchange& aExchange)
 {
   const std::lock_guard lock(mMutex);
+  mRequests++;
   if (mMode == ReceiverMode::IsBusy) {
     aExchange.Send(429, "{}");
     return;
--- a/tests/platform/usagereceiver.h
+++ b/tests/platform/usagereceiver.h
@@ -36,6 +36,8 @@
   /** All requests of the workspace in accepted reports. */
   uint64_t Total(const std::string& aWorkspace) const;
   size_t Windows() const;
+  /** Requests so far, whether accepted or not. */
+  size_t Requests() const;
   /** The holder of the last accepted report. */
   std::string LastHolder() const;
   std::vector<std::string> Violations() const;
@@ -49,6 +51,7 @@
   std::map<uint64_t, nlohmann::json> mCounts;
   std::map<uint64_t, std::string> mHolders;
   std::string mLastHolder;
+  size_t mRequests = 0;
   std::vector<std::string> mViolations;
   standin::StandinServer mServer;
 };
