Send until the failing upstream has failed three times

Cause: the test, not the product. Which of the two upstreams gets a request is chosen at random, so that twelve requests may reach the failing one fewer than three times.

Change: requests are sent until it has failed three times (60 at most). The check is stricter: an ejection before the third failure fails the test now.

--- a/tests/platform/failurestest.cpp
+++ b/tests/platform/failurestest.cpp
@@ -38,10 +38,16 @@
      three_failures_in_a_row_of_what_may_run_once_eject,
      .timeout = 30)
 {
+  constexpr size_t kFailures = 3;
+  // By chance, all of twelve requests may go to the other upstream.
+  constexpr int kMaxRequests = 60;
   const PlatformFleet fleet({ .mWorkers = 2 });
-  fleet.SetPlan(0, "error", 3);
-  for (int each = 0; each < 12 && !HasEjected(fleet, 0); ++each) {
+  fleet.SetPlan(0, "error", kFailures);
+  for (int each = 0; each < kMaxRequests && fleet.Runs(0).size() < kFailures;
+       ++each) {
+    cr_expect(!HasEjected(fleet, 0));
     SendRequests(fleet, "a" + std::to_string(each) + "-", 1);
   }
+  cr_assert(fleet.Runs(0).size() == kFailures);
   cr_expect(HasEjected(fleet, 0));
 }
