Send no requests to upstreams that are known to have crashed

Cause: the row of a crashed upstream stays listed for up to three heartbeats, and placement ignored what the crash detector knew. Where another process had taken the address, it answered 421, and two such answers used up the request's attempts. Evidence: the gates' logs of a failing run; both attempts went to upstreams whose crash the gate, or another one that told it, had logged two seconds before.

Change: an upstream whose process is known to have ended is a candidate only if there is no other, until its row names another process.

Measured: crashedupstreamstest failed before and passes.

--- a/src/libtrefoilarch/crashdetector.cpp
+++ b/src/libtrefoilarch/crashdetector.cpp
@@ -59,6 +59,15 @@
   return suspects;
 }
 
+void
+CrashDetector::OnEndReported(const UpstreamIncarnation& aIncarnation,
+                             Millis aNow)
+{
+  IncarnationState& state = mStates[aIncarnation];
+  state.mEnded = true;
+  state.mChangedAt = aNow;
+}
+
 void
 CrashDetector::OnLeaving(const UpstreamIncarnation& aIncarnation)
 {
--- a/src/libtrefoilarch/crashdetector.h
+++ b/src/libtrefoilarch/crashdetector.h
@@ -36,6 +36,9 @@
    */
   Suspects OnEnded(const UpstreamIncarnation& aIncarnation, Millis aNow);
 
+  /** Another entry has found that the incarnation has ended. */
+  void OnEndReported(const UpstreamIncarnation& aIncarnation, Millis aNow);
+
   /** The upstream is being drained, so its end is no crash. */
   void OnLeaving(const UpstreamIncarnation& aIncarnation);
 
@@ -45,7 +48,8 @@
   /** Whether a connection to it broke and the cause is not known yet. */
   bool IsCrashSuspected(const UpstreamIncarnation& aIncarnation) const;
 
-  /** Whether it is known to have ended after a connection to it broke. */
+  /** Whether it is known to have ended after a connection to it broke, here or
+   * at another entry. */
   bool HasEnded(const UpstreamIncarnation& aIncarnation) const;
 
   /** Removes connection losses that are too old to explain an end. */
--- a/src/libtrefoilarch/directcrashes.cpp
+++ b/src/libtrefoilarch/directcrashes.cpp
@@ -100,6 +100,7 @@
   mQuarantine.OnUpdate(aUpdate, aNow);
   for (const CrashReport& each : aUpdate.mReports) {
     OnIncarnationEnded(each.mIncarnation, "told", aNow);
+    mCrashDetector.OnEndReported(each.mIncarnation, aNow);
   }
   if (mQuarantine.HasUpdate()) {
     mOptions.mOnCrashUpdate();
--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -351,12 +351,16 @@
       .mPoolPosition =
         position == positions.end() ? PoolPosition{} : position->second
     };
+    // The address of a process that has ended may belong to another one.
+    const bool ended = mCrashDetector.HasEnded(tracked.mIncarnation);
     const OutlierState state = mOutliers.State(each->mId, aNow);
     const bool mayProbe = repeatable || mProbeProbability(mRandom);
-    if (state == OutlierState::Probing && mayProbe && work.Open() == 0) {
+    if (state == OutlierState::Probing && mayProbe && work.Open() == 0 &&
+        !ended) {
       return { candidate };
     }
-    (state == OutlierState::Healthy ? healthy : unhealthy).push_back(candidate);
+    const bool isHealthy = state == OutlierState::Healthy && !ended;
+    (isHealthy ? healthy : unhealthy).push_back(candidate);
   }
   Candidates& candidates = healthy.empty() ? unhealthy : healthy;
   mLoad.Describe(aRequest.mService, candidates, aNow);
