Log the shared segments of prompts

Two requests with different contents may share the segment that crashes upstreams; no line told that. request_ended and attempt_ended name the segments of the prompt except the last, which is the request's own: the first eight, so that lines stay bounded.

--- a/src/libtrefoilarch/prompt.h
+++ b/src/libtrefoilarch/prompt.h
@@ -16,6 +16,10 @@
   bool operator==(const PromptSegment&) const = default;
 };
 
+/** The segment's id as callers write it: hexadecimal, in lower case. */
+std::string
+SegmentName(uint64_t aId);
+
 /** What a caller states about its prompt and the expected response. */
 struct PromptShape
 {
--- a/src/libtrefoilgate/exchangelog.cpp
+++ b/src/libtrefoilgate/exchangelog.cpp
@@ -9,6 +9,27 @@
 
 using namespace trefoilarch;
 
+namespace {
+
+/** Maximum number of prompt segments named in a log line. */
+constexpr size_t kMaxNamedSegments = 8;
+
+/** Ids of the prompt's segments except the last, which belongs to the request
+ * alone. */
+std::vector<std::string>
+SegmentNames(const PromptShape& aPrompt)
+{
+  std::vector<std::string> names;
+  const size_t segments = aPrompt.mSegments.size();
+  for (size_t each = 0; each + 1 < segments && each < kMaxNamedSegments;
+       ++each) {
+    names.push_back(SegmentName(aPrompt.mSegments[each].mId));
+  }
+  return names;
+}
+
+} // namespace
+
 void
 Exchange::Close(const char* aOutcome, int aStatus)
 {
@@ -43,6 +64,7 @@
     { "list_age_ms", mListAgeMs },
     { "unlisted_ms", mUnlistedMs },
     { "prompt_tokens", bound.mPrompt.mPromptTokens },
+    { "segments", SegmentNames(bound.mPrompt) },
     { "prefill_tokens", mLastAttempt.mWork.mPrefill },
     { "most_output_tokens", bound.mPrompt.mMaxOutput },
     { "may_have_run", mPlan.MayHaveRun() },
@@ -83,6 +105,7 @@
     "attempt_ended",
     { { "id", mId },
       { "fingerprint", mPlan.Request().mFingerprint.Text() },
+      { "segments", SegmentNames(mPlan.Request().mPrompt) },
       { "outcome", aOutcome },
       { "why", aReason },
       { "upstream", mAttempt ? mAttempt->mUpstream : "" },
