--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -199,6 +199,13 @@
     .value("runs", json::array());
 }
 
+int
+PlatformFleet::Running(size_t aWorker) const
+{
+  return integration::GetJson("http://" + WorkerAddress(aWorker) + "/control")
+    .value("running", 0);
+}
+
 std::vector<json>
 PlatformFleet::RunsOf(const std::string& aId) const
 {
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -73,6 +73,8 @@
 
   /** All runs that a worker has recorded. */
   nlohmann::json Runs(size_t aWorker) const;
+  /** Number of requests that a worker is running. */
+  int Running(size_t aWorker) const;
   /** The runs of this request at all workers. */
   std::vector<nlohmann::json> RunsOf(const std::string& aId) const;
   /** Sets what the worker does with its next requests. */
--- a/tests/platform/repeatload.cpp
+++ b/tests/platform/repeatload.cpp
@@ -39,7 +39,11 @@
   uint64_t seed = aSeed;
   for (const Repeater& each : aRepeaters) {
     mThreads.emplace_back([this, each, own = ++seed] {
-      Send(each.mPerSecond, own, [each](int) { return each.mCall; });
+      Send(each.mPerSecond, own, [each](int aNumber) {
+        GateCall call = each.mCall;
+        each.mVary(call, aNumber);
+        return call;
+      });
     });
   }
   mThreads.emplace_back([this, aOthersPerSecond, own = ++seed] {
--- a/tests/platform/repeatload.h
+++ b/tests/platform/repeatload.h
@@ -19,6 +19,8 @@
 {
   GateCall mCall;
   double mPerSecond = 1;
+  /** Changes each repeat, which has this number. */
+  std::function<void(GateCall&, int)> mVary = [](GateCall&, int) {};
 };
 
 /** The result of one call. */
