--- a/src/libtrefoilarch/boundrequest.h
+++ b/src/libtrefoilarch/boundrequest.h
@@ -2,7 +2,7 @@
 
 #include "millis.h"
 #include "prompt.h"
-#include "requestfingerprint.h"
+#include "requestfeatures.h"
 #include "routeindex.h"
 #include "streams/streamorigin.h"
 
@@ -54,8 +54,8 @@
   bool mResumes = false;
   /** Where its stream began, once that is known. */
   std::optional<StreamOrigin> mOrigin;
-  /** Zero if the caller of Bind() sets none: no crash is attributed to it. */
-  RequestFingerprint mFingerprint;
+  /** Empty if the caller of Bind() sets none: no crash is attributed to it. */
+  RequestFeatures mFeatures;
   Millis mArrivedAt;
   /** The earlier of the caller's deadline and the route's timeout. */
   Millis mDeadline;
--- a/src/libtrefoilarch/crashdetector.cpp
+++ b/src/libtrefoilarch/crashdetector.cpp
@@ -1,6 +1,5 @@
 #include "crashdetector.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace trefoilarch {
@@ -21,7 +20,7 @@
 
 bool
 CrashDetector::OnConnectionLost(const UpstreamIncarnation& aIncarnation,
-                                const RequestFingerprint& aRequest,
+                                const RequestFeatures& aRequest,
                                 Millis aNow)
 {
   IncarnationState& state = mStates[aIncarnation];
@@ -48,15 +47,13 @@
   state.mChangedAt = aNow;
   const std::vector<LostConnection> lostConnections =
     std::exchange(state.mLostConnections, {});
-  Suspects suspects;
+  std::vector<RequestFeatures> requests;
   for (const LostConnection& each : lostConnections) {
     if (lostConnections.back().mLostAt - each.mLostAt <= kSimultaneousWindow) {
-      suspects.push_back(each.mRequest);
+      requests.push_back(each.mRequest);
     }
   }
-  std::sort(suspects.begin(), suspects.end());
-  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
-  return suspects;
+  return DistinctFeatures(requests);
 }
 
 void
--- a/src/libtrefoilarch/crashdetector.h
+++ b/src/libtrefoilarch/crashdetector.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "millis.h"
-#include "requestfingerprint.h"
+#include "requestfeatures.h"
 #include "upstreamincarnation.h"
 
 #include <map>
@@ -19,6 +19,7 @@
 class CrashDetector
 {
 public:
+  /** Features of the requests, without duplicates. */
   using Suspects = std::vector<RequestFingerprint>;
 
   /**
@@ -27,7 +28,7 @@
    * the request is another suspect.
    */
   bool OnConnectionLost(const UpstreamIncarnation& aIncarnation,
-                        const RequestFingerprint& aRequest,
+                        const RequestFeatures& aRequest,
                         Millis aNow);
 
   /**
@@ -58,7 +59,7 @@
 private:
   struct LostConnection
   {
-    RequestFingerprint mRequest;
+    RequestFeatures mRequest;
     Millis mLostAt;
   };
   struct IncarnationState
--- a/src/libtrefoilarch/crashevidence.cpp
+++ b/src/libtrefoilarch/crashevidence.cpp
@@ -1,9 +1,17 @@
 #include "crashevidence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trefoilarch {
 
+namespace {
+
+/** The part of the pairs that is removed when there are too many. */
+constexpr size_t kTrimDivisor = 4;
+
+} // namespace
+
 CrashEvidence::CrashEvidence(CrashEvidenceOptions aOptions)
   : mOptions(aOptions)
 {
@@ -11,19 +19,22 @@
 
 bool
 CrashEvidence::Add(const UpstreamIncarnation& aIncarnation,
-                   const RequestFingerprint& aRequest,
+                   const RequestFingerprint& aFeature,
                    Millis aAt)
 {
-  Suspect& suspect = mSuspects[aRequest];
+  Suspect& suspect = mSuspects[aFeature];
   if (aAt <= suspect.mClearedAt || suspect.mCrashes.contains(aIncarnation)) {
     return false;
   }
   suspect.mCrashes[aIncarnation] = aAt;
   const auto [crash, inserted] = mCrashes.try_emplace(aIncarnation);
-  crash->second.mSuspects.insert(aRequest);
+  crash->second.mSuspects.insert(aFeature);
   crash->second.mCrashedAt =
     inserted ? aAt : std::min(crash->second.mCrashedAt, aAt);
   mPairCount++;
+  if (mPairCount > mOptions.mMaxPairs) {
+    RemoveSingles();
+  }
   while (mPairCount > mOptions.mMaxPairs && mCrashes.size() > 1) {
     RemoveOldestCrash();
   }
@@ -31,9 +42,9 @@
 }
 
 void
-CrashEvidence::Clear(const RequestFingerprint& aRequest, Millis aAt)
+CrashEvidence::Clear(const RequestFingerprint& aFeature, Millis aAt)
 {
-  const auto it = mSuspects.find(aRequest);
+  const auto it = mSuspects.find(aFeature);
   if (it == mSuspects.end()) {
     return;
   }
@@ -45,7 +56,7 @@
       return false;
     }
     const auto crash = mCrashes.find(incarnation);
-    crash->second.mSuspects.erase(aRequest);
+    crash->second.mSuspects.erase(aFeature);
     if (crash->second.mSuspects.empty()) {
       mCrashes.erase(crash);
     }
@@ -55,30 +66,67 @@
 }
 
 size_t
-CrashEvidence::UnexplainedCrashes(const RequestFingerprint& aRequest,
-                                  const IsExplanation& aIsExplanation) const
+CrashEvidence::UnexplainedCrashes(const RequestFingerprint& aFeature,
+                                  const IsExplanation& aIsExplanation,
+                                  Millis aSpacing) const
 {
-  const auto it = mSuspects.find(aRequest);
+  const auto it = mSuspects.find(aFeature);
   if (it == mSuspects.end()) {
     return 0;
   }
-  const auto isUnexplained = [&](const auto& aEntry) {
-    const auto& suspects = mCrashes.at(aEntry.first).mSuspects;
-    return std::none_of(
+  std::vector<Millis> unexplained;
+  for (const auto& [incarnation, at] : it->second.mCrashes) {
+    const auto& suspects = mCrashes.at(incarnation).mSuspects;
+    const bool explained = std::any_of(
       suspects.begin(), suspects.end(), [&](const RequestFingerprint& aOther) {
-        return aOther != aRequest && aIsExplanation(aOther);
+        return aOther != aFeature && aIsExplanation(aOther);
       });
-  };
-  const auto& crashes = it->second.mCrashes;
-  return static_cast<size_t>(
-    std::count_if(crashes.begin(), crashes.end(), isUnexplained));
+    if (!explained) {
+      unexplained.push_back(at);
+    }
+  }
+  std::sort(unexplained.begin(), unexplained.end());
+  size_t count = 0;
+  Millis last;
+  for (const Millis at : unexplained) {
+    if (count == 0 || at - last >= aSpacing) {
+      count++;
+      last = at;
+    }
+  }
+  return count;
+}
+
+bool
+CrashEvidence::HasCompanion(const RequestFingerprint& aFeature,
+                            const IsCompanion& aIsCompanion) const
+{
+  const auto it = mSuspects.find(aFeature);
+  return it != mSuspects.end() &&
+         std::any_of(it->second.mCrashes.begin(),
+                     it->second.mCrashes.end(),
+                     [&](const auto& aEntry) {
+                       const auto& all = mCrashes.at(aEntry.first).mSuspects;
+                       return std::any_of(
+                         all.begin(), all.end(), [&](const auto& aOther) {
+                           return aOther != aFeature && aIsCompanion(aOther);
+                         });
+                     });
+}
+
+std::map<UpstreamIncarnation, Millis>
+CrashEvidence::CrashesOf(const RequestFingerprint& aFeature) const
+{
+  const auto it = mSuspects.find(aFeature);
+  return it == mSuspects.end() ? std::map<UpstreamIncarnation, Millis>()
+                               : it->second.mCrashes;
 }
 
 std::vector<UpstreamIncarnation>
-CrashEvidence::IncarnationsOf(const RequestFingerprint& aRequest) const
+CrashEvidence::IncarnationsOf(const RequestFingerprint& aFeature) const
 {
   std::vector<UpstreamIncarnation> incarnations;
-  const auto it = mSuspects.find(aRequest);
+  const auto it = mSuspects.find(aFeature);
   if (it != mSuspects.end()) {
     for (const auto& [incarnation, at] : it->second.mCrashes) {
       incarnations.push_back(incarnation);
@@ -88,9 +136,9 @@
 }
 
 Millis
-CrashEvidence::FirstCrashAt(const RequestFingerprint& aRequest) const
+CrashEvidence::FirstCrashAt(const RequestFingerprint& aFeature) const
 {
-  const auto it = mSuspects.find(aRequest);
+  const auto it = mSuspects.find(aFeature);
   if (it == mSuspects.end() || it->second.mCrashes.empty()) {
     return {};
   }
@@ -103,6 +151,27 @@
     ->second;
 }
 
+Millis
+CrashEvidence::SinceLast(const RequestFingerprint& aFeature,
+                         size_t aCount,
+                         Millis aSpacing) const
+{
+  std::vector<Millis> times;
+  for (const auto& [incarnation, at] : CrashesOf(aFeature)) {
+    times.push_back(at);
+  }
+  std::sort(times.rbegin(), times.rend());
+  Millis since;
+  size_t count = 0;
+  for (const Millis at : times) {
+    if (count < aCount && (count == 0 || since - at >= aSpacing)) {
+      count++;
+      since = at;
+    }
+  }
+  return since;
+}
+
 void
 CrashEvidence::Expire(Millis aNow)
 {
@@ -123,9 +192,9 @@
 }
 
 size_t
-CrashEvidence::TotalCrashes(const RequestFingerprint& aRequest) const
+CrashEvidence::TotalCrashes(const RequestFingerprint& aFeature) const
 {
-  const auto it = mSuspects.find(aRequest);
+  const auto it = mSuspects.find(aFeature);
   return it == mSuspects.end() ? 0 : it->second.mCrashes.size();
 }
 
@@ -145,6 +214,39 @@
   mCrashes.erase(crash);
 }
 
+void
+CrashEvidence::RemoveSingles()
+{
+  std::vector<std::pair<Millis, UpstreamIncarnation>> oldest;
+  for (const auto& [incarnation, crash] : mCrashes) {
+    oldest.emplace_back(crash.mCrashedAt, incarnation);
+  }
+  std::sort(oldest.begin(), oldest.end());
+  // The latest crash is still being reported.
+  oldest.pop_back();
+  for (const auto& [at, incarnation] : oldest) {
+    if (mPairCount <= mOptions.mMaxPairs - mOptions.mMaxPairs / kTrimDivisor) {
+      return;
+    }
+    const auto crash = mCrashes.find(incarnation);
+    std::erase_if(crash->second.mSuspects, [&](const auto& aFeature) {
+      const auto suspect = mSuspects.find(aFeature);
+      if (suspect->second.mCrashes.size() > 1) {
+        return false;
+      }
+      suspect->second.mCrashes.clear();
+      if (suspect->second.mClearedAt == Millis(0)) {
+        mSuspects.erase(suspect);
+      }
+      mPairCount--;
+      return true;
+    });
+    if (crash->second.mSuspects.empty()) {
+      mCrashes.erase(crash);
+    }
+  }
+}
+
 void
 CrashEvidence::RemoveOldestCrash()
 {
--- a/src/libtrefoilarch/crashupdate.h
+++ b/src/libtrefoilarch/crashupdate.h
@@ -33,7 +33,7 @@
 struct QuarantineReport
 {
   RequestFingerprint mRequest;
-  /** Time since the first crash attributed to it. */
+  /** Time since the first of the crashes that suffice. */
   Millis mSuspectFor;
   /** Time since a caller last sent it. */
   Millis mIdleFor;
--- a/src/libtrefoilarch/directcrashes.cpp
+++ b/src/libtrefoilarch/directcrashes.cpp
@@ -8,7 +8,7 @@
 void
 DirectRouter::RecordAttempt(const BoundRequest& aRequest, Millis aNow)
 {
-  mQuarantine.OnSent(aRequest.mFingerprint, aNow);
+  mQuarantine.OnSent(aRequest.mFeatures, aNow);
   if (mQuarantine.HasUpdate()) {
     mOptions.mOnCrashUpdate();
   }
@@ -18,16 +18,15 @@
 DirectRouter::OnConnectionLost(const PlacedAttempt& aAttempt, Millis aNow)
 {
   const TrackedUpstream* tracked = FindTracked(aAttempt);
-  const bool hasFingerprint = aAttempt.mFingerprint != RequestFingerprint{};
-  if (!hasFingerprint || tracked == nullptr || !IsInService(aAttempt)) {
+  if (aAttempt.mFeatures.IsEmpty() || tracked == nullptr ||
+      !IsInService(aAttempt)) {
     return false;
   }
   const UpstreamIncarnation& incarnation = tracked->mIncarnation;
-  if (mCrashDetector.OnConnectionLost(
-        incarnation, aAttempt.mFingerprint, aNow)) {
+  if (mCrashDetector.OnConnectionLost(incarnation, aAttempt.mFeatures, aNow)) {
     TakeCrash({ .mIncarnation = incarnation,
                 .mReason = "known",
-                .mSuspects = { aAttempt.mFingerprint } },
+                .mSuspects = DistinctFeatures({ aAttempt.mFeatures }) },
               aNow);
     return false;
   }
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -23,6 +23,14 @@
                   .mMessage = std::move(aMessage) };
 }
 
+QuarantineOptions
+QuarantineOptionsOf(const DirectRouterOptions& aOptions)
+{
+  QuarantineOptions options = aOptions.mQuarantine;
+  options.mSeed = aOptions.mSeed;
+  return options;
+}
+
 LoadTrackerOptions
 LoadOptionsOf(const DirectRouterOptions& aOptions, uint64_t aProcess)
 {
@@ -38,7 +46,7 @@
 DirectRouter::DirectRouter(DirectRouterOptions aOptions)
   : mOptions(std::move(aOptions))
   , mDirectory(mOptions.mDirectory)
-  , mQuarantine(mOptions.mQuarantine)
+  , mQuarantine(QuarantineOptionsOf(mOptions))
   , mOutliers(mOptions.mOutliers)
   , mPlacement({ .mDataCentre = mOptions.mDataCentre,
                  .mCost = mOptions.mPlacementCost,
@@ -435,9 +443,9 @@
                       AttemptOutcome aOutcome,
                       Millis aNow)
 {
-  mQuarantine.OnAttemptEnded(aAttempt.mFingerprint);
+  mQuarantine.OnAttemptEnded(aAttempt.mFeatures);
   if (aOutcome == AttemptOutcome::Good && aAttempt.mProvesHarmless) {
-    mQuarantine.OnAnswered(aAttempt.mFingerprint, aNow);
+    mQuarantine.OnAnswered(aAttempt.mFeatures, aNow);
   }
   if (mQuarantine.HasUpdate()) {
     mOptions.mOnCrashUpdate();
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -204,7 +204,12 @@
                           Millis aWaited,
                           Millis aNow)
   {
-    return mQuarantine.Admit(aRequest.mFingerprint, aWaited, aNow);
+    return mQuarantine.Admit(aRequest.mFeatures, aWaited, aNow);
+  }
+  /** Whether the request, or a segment of its prompt, is in quarantine. */
+  bool IsQuarantined(const BoundRequest& aRequest) const
+  {
+    return mQuarantine.QuarantinedFeature(aRequest.mFeatures) != nullptr;
   }
   /** Whether it is not yet known if the attempt's upstream has crashed. */
   bool IsCrashSuspected(const PlacedAttempt& aAttempt) const;
@@ -305,6 +310,7 @@
   void SetEntries(size_t aEntries)
   {
     mEntries = aEntries;
+    mQuarantine.SetEntries(aEntries);
     mLoad.SetEntries(aEntries);
   }
   /** Whether there are entries to which this one doesn't send directly. */
--- a/src/libtrefoilarch/placedattempt.h
+++ b/src/libtrefoilarch/placedattempt.h
@@ -3,7 +3,7 @@
 #include "enginemodel.h"
 #include "ids.h"
 #include "millis.h"
-#include "requestfingerprint.h"
+#include "requestfeatures.h"
 #include "upstreamprocess.h"
 #include "upstreamwork.h"
 
@@ -20,7 +20,7 @@
   UpstreamId mUpstream;
   /** The upstream's incarnation to which the attempt is sent. */
   uint64_t mIncarnationNumber = 0;
-  RequestFingerprint mFingerprint;
+  RequestFeatures mFeatures;
   std::string mService;
   std::string mRoute;
   std::string mAddress;
--- a/src/libtrefoilarch/quarantine.cpp
+++ b/src/libtrefoilarch/quarantine.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/** Each crash has many suspects. A large fleet receives reports only of those
- * with at least this many crashes. */
-constexpr size_t kMinRelayedCrashes = 2;
+/** Reports of cleared features are at most this far apart. */
+constexpr Millis kMaxClearedInterval{ 500 };
+
+/** A row that is older than this has been read by all entries. */
+constexpr Millis kMaxRowDelay{ 10000 };
 
 /** Maximum number of reports that are sent again. */
 constexpr size_t kMaxRecentReports = 64;
@@ -19,20 +21,81 @@
 Quarantine::Quarantine(QuarantineOptions aOptions)
   : mOptions(aOptions)
   , mEvidence(aOptions.mEvidence)
+  , mRandom(aOptions.mSeed)
 {
 }
 
 QuarantineVerdict
-Quarantine::Admit(const RequestFingerprint& aRequest,
-                  Millis aWaited,
-                  Millis aNow)
-{
-  const auto quarantined = mQuarantinedRequests.find(aRequest);
-  if (quarantined != mQuarantinedRequests.end()) {
-    quarantined->second.mLastSent = aNow;
-    return StartsProbe(quarantined->second, aNow) ? QuarantineVerdict::Run
-                                                  : QuarantineVerdict::Refuse;
+Quarantine::Admit(const RequestFeatures& aRequest, Millis aWaited, Millis aNow)
+{
+  if (const auto verdict = AdmitQuarantined(aRequest, aNow)) {
+    return *verdict;
+  }
+  QuarantineVerdict verdict = AdmitContent(aRequest.mContent, aWaited, aNow);
+  for (const RequestFingerprint& each : aRequest.mSegments) {
+    verdict = std::max(verdict, AdmitSegment(each, aRequest, aNow));
+  }
+  return verdict;
+}
+
+std::optional<QuarantineVerdict>
+Quarantine::AdmitQuarantined(const RequestFeatures& aRequest, Millis aNow)
+{
+  std::vector<QuarantinedRequest*> found;
+  const auto look = [&](const RequestFingerprint& aFeature) {
+    const auto quarantined = mQuarantinedRequests.find(aFeature);
+    if (quarantined != mQuarantinedRequests.end()) {
+      quarantined->second.mLastSent = aNow;
+      found.push_back(&quarantined->second);
+    }
+  };
+  look(aRequest.mContent);
+  std::for_each(aRequest.mSegments.begin(), aRequest.mSegments.end(), look);
+  if (found.empty()) {
+    return std::nullopt;
+  }
+  const bool probes =
+    found.size() == 1 && StartsProbe(*found.front(), aRequest, aNow);
+  return probes ? QuarantineVerdict::Run : QuarantineVerdict::Refuse;
+}
+
+const RequestFingerprint*
+Quarantine::QuarantinedFeature(const RequestFeatures& aRequest) const
+{
+  if (mQuarantinedRequests.contains(aRequest.mContent)) {
+    return &aRequest.mContent;
   }
+  const auto segment = std::find_if(
+    aRequest.mSegments.begin(),
+    aRequest.mSegments.end(),
+    [this](const auto& aOne) { return mQuarantinedRequests.contains(aOne); });
+  return segment == aRequest.mSegments.end() ? nullptr : &*segment;
+}
+
+Millis
+Quarantine::RetryDelay(const RequestFeatures& aRequest, Millis aNow) const
+{
+  Millis delay = mOptions.mUncertainProbeDelay;
+  const auto add = [&](const RequestFingerprint& aFeature) {
+    const auto quarantined = mQuarantinedRequests.find(aFeature);
+    if (quarantined == mQuarantinedRequests.end()) {
+      return;
+    }
+    const Millis probeAt = quarantined->second.mProbeAt;
+    delay = std::max(delay,
+                     probeAt == Millis::Never() ? mOptions.mIdleTimeout
+                                                : probeAt - aNow);
+  };
+  add(aRequest.mContent);
+  std::for_each(aRequest.mSegments.begin(), aRequest.mSegments.end(), add);
+  return delay;
+}
+
+QuarantineVerdict
+Quarantine::AdmitContent(const RequestFingerprint& aRequest,
+                         Millis aWaited,
+                         Millis aNow)
+{
   const size_t crashes = AttributedCrashes(aRequest);
   if (crashes == 0) {
     return QuarantineVerdict::Run;
@@ -47,12 +110,17 @@
 }
 
 bool
-Quarantine::StartsProbe(QuarantinedRequest& aQuarantined, Millis aNow) const
+Quarantine::StartsProbe(QuarantinedRequest& aQuarantined,
+                        const RequestFeatures& aRequest,
+                        Millis aNow)
 {
   if (aNow < aQuarantined.mProbeAt ||
       aNow - mLastCrashAt < mOptions.mCrashFreeInterval) {
     return false;
   }
+  if (aQuarantined.mRequest.IsSegment()) {
+    return IsSegmentProbe(aQuarantined.mRequest, aRequest);
+  }
   aQuarantined.mProbeAt = Millis::Never();
   const size_t own = mEvidence.UnexplainedCrashes(
     aQuarantined.mRequest, [this](const auto& aOther) {
@@ -76,48 +144,71 @@
 }
 
 void
-Quarantine::OnSent(const RequestFingerprint& aRequest, Millis aNow)
+Quarantine::OnSent(const RequestFeatures& aRequest, Millis aNow)
 {
-  if (aRequest == RequestFingerprint{}) {
+  if (aRequest.IsEmpty()) {
     return;
   }
-  OpenAttempts& attempts = mOpenAttempts[aRequest];
+  OpenAttempts& attempts = mOpenAttempts[aRequest.mContent];
   attempts.mCount++;
   attempts.mLastSent = aNow;
-  if (IsWorthReporting(aRequest)) {
-    mPendingUpdate.mProbes.push_back(aRequest);
+  if (IsWorthReporting(aRequest.mContent)) {
+    mPendingUpdate.mProbes.push_back(aRequest.mContent);
+  }
+  for (const RequestFingerprint& each : aRequest.mSegments) {
+    const auto quarantined = mQuarantinedRequests.find(each);
+    if (quarantined != mQuarantinedRequests.end()) {
+      OnProbe(quarantined->second, aNow);
+      mPendingUpdate.mProbes.push_back(each);
+    }
   }
 }
 
 void
-Quarantine::OnAttemptEnded(const RequestFingerprint& aRequest)
+Quarantine::OnAttemptEnded(const RequestFeatures& aRequest)
 {
-  const auto attempts = mOpenAttempts.find(aRequest);
+  const auto attempts = mOpenAttempts.find(aRequest.mContent);
   if (attempts != mOpenAttempts.end() && --attempts->second.mCount == 0) {
     mOpenAttempts.erase(attempts);
   }
 }
 
 void
-Quarantine::OnAnswered(const RequestFingerprint& aRequest, Millis aNow)
+Quarantine::OnAnswered(const RequestFeatures& aRequest, Millis aNow)
 {
-  if (aRequest == RequestFingerprint{}) {
+  if (aRequest.IsEmpty()) {
     return;
   }
-  mAnswers.Record(aRequest, aNow, aNow);
-  const bool suspected =
-    IsWorthReporting(aRequest) || mQuarantinedRequests.contains(aRequest);
-  Clear(aRequest, aNow, "answered");
-  if (suspected) {
-    mPendingUpdate.mCleared.push_back({ .mRequest = aRequest });
-  }
+  const auto clear = [&](const RequestFingerprint& aFeature) {
+    AnswersOf(aFeature).Record(aFeature, aNow, aNow);
+    const bool suspected =
+      IsWorthReporting(aFeature) || mQuarantinedRequests.contains(aFeature);
+    Clear(aFeature, aNow, "answered");
+    if (suspected) {
+      ReportCleared(aFeature, aNow);
+    }
+  };
+  clear(aRequest.mContent);
+  std::for_each(aRequest.mSegments.begin(), aRequest.mSegments.end(), clear);
+}
+
+RecentAnswers&
+Quarantine::AnswersOf(const RequestFingerprint& aFeature)
+{
+  return aFeature.IsSegment() ? mSegmentAnswers : mAnswers;
+}
+
+const RecentAnswers&
+Quarantine::AnswersOf(const RequestFingerprint& aFeature) const
+{
+  return aFeature.IsSegment() ? mSegmentAnswers : mAnswers;
 }
 
 Millis
 Quarantine::LastClearedAt(const RequestFingerprint& aRequest) const
 {
   const auto cleared = mCleared.find(aRequest);
-  const Millis at = mAnswers.At(aRequest);
+  const Millis at = AnswersOf(aRequest).At(aRequest);
   return cleared == mCleared.end() ? at : std::max(at, cleared->second);
 }
 
@@ -142,7 +233,13 @@
 void
 Quarantine::OnStoreHold(const RequestFingerprint& aRequest, Millis aNow)
 {
-  if (LastClearedAt(aRequest) == Millis(0)) {
+  // A row that was read before its release is late by seconds. A response
+  // before the quarantine does not void it.
+  const auto cleared = mCleared.find(aRequest);
+  const bool isLate = cleared != mCleared.end() &&
+                      aNow - cleared->second < kMaxRowDelay &&
+                      mEvidence.TotalCrashes(aRequest) == 0;
+  if (!isLate) {
     AddToQuarantine(
       { .mRequest = aRequest, .mSuspectSince = aNow, .mLastSent = aNow },
       "read in the store");
@@ -160,7 +257,7 @@
 bool
 Quarantine::IsReleased(const RequestFingerprint& aRequest) const
 {
-  return !IsQuarantined(aRequest) && LastClearedAt(aRequest) > Millis(0);
+  return !IsQuarantined(aRequest) && mCleared.contains(aRequest);
 }
 
 std::vector<RequestFingerprint>
@@ -198,10 +295,11 @@
     const auto quarantined = mQuarantinedRequests.find(each);
     if (quarantined != mQuarantinedRequests.end()) {
       // An entry that still sends it missed the quarantine.
-      mPendingUpdate.mQuarantined.push_back(
-        ReportOf(quarantined->second, aNow));
+      ReportQuarantined(quarantined->second, aNow);
+      OnCrashOfQuarantined(quarantined->second);
     } else if (IsCulprit(each)) {
-      mSettling[each] = aNow;
+      const auto [settling, isNew] = mSettling.try_emplace(each, aNow);
+      settling->second = each.IsSegment() && !isNew ? settling->second : aNow;
     }
   }
 }
@@ -212,7 +310,9 @@
                   const char* aReason)
 {
   mEvidence.Clear(aRequest, aAt);
-  mSettling.erase(aRequest);
+  if (!aRequest.IsSegment() || !IsCulprit(aRequest)) {
+    mSettling.erase(aRequest);
+  }
   mProbes.erase(aRequest);
   if (mQuarantinedRequests.erase(aRequest) > 0) {
     mCleared[aRequest] = aAt;
@@ -255,12 +355,10 @@
     if (!IsCulprit(each)) {
       continue;
     }
-    const QuarantinedRequest quarantined{
-      .mRequest = each,
-      .mSuspectSince = mEvidence.FirstCrashAt(each),
-      .mLastSent = aNow,
-      .mProbeAt = aNow + mOptions.mUncertainProbeDelay
-    };
+    const QuarantinedRequest quarantined{ .mRequest = each,
+                                          .mSuspectSince = SuspectSince(each),
+                                          .mLastSent = aNow,
+                                          .mProbeAt = aNow + ProbeDelay(each) };
     AddToQuarantine(quarantined, "crashes");
     mPendingUpdate.mQuarantined.push_back(ReportOf(quarantined, aNow));
   }
@@ -268,7 +366,7 @@
     return aNow - aEntry.second > mOptions.mProbeTimeout;
   });
   std::erase_if(mClearedReportedAt, [&](const auto& aEntry) {
-    return aNow - aEntry.second > mOptions.mSettleDelay;
+    return aNow - aEntry.second > kMaxClearedInterval;
   });
   ReleaseIdle(aNow);
   std::erase_if(mCleared, [&](const auto& aEntry) {
@@ -282,9 +380,13 @@
 {
   std::vector<std::pair<size_t, RequestFingerprint>> settled;
   std::erase_if(mSettling, [&](const auto& aEntry) {
-    const bool due = aNow - aEntry.second >= mOptions.mSettleDelay;
+    const RequestFingerprint& request = aEntry.first;
+    const bool due = aNow - aEntry.second >= SettleDelayOf(request);
     if (due) {
-      settled.emplace_back(UnambiguousCrashes(aEntry.first), aEntry.first);
+      settled.emplace_back(request.IsSegment()
+                             ? SegmentCrashes(request, {}, true)
+                             : UnambiguousCrashes(request),
+                           request);
     }
     return due;
   });
@@ -331,13 +433,16 @@
 Quarantine::IsWorthReporting(const RequestFingerprint& aRequest) const
 {
   const size_t minCrashes = mRelays ? kMinRelayedCrashes : 1;
-  return AttributedCrashes(aRequest) >= minCrashes;
+  const size_t crashes = aRequest.IsSegment() ? mEvidence.TotalCrashes(aRequest)
+                                              : AttributedCrashes(aRequest);
+  return crashes >= minCrashes;
 }
 
 bool
 Quarantine::IsSuspect(const RequestFingerprint& aRequest) const
 {
-  return AttributedCrashes(aRequest) > 0;
+  return aRequest.IsSegment() ? mEvidence.TotalCrashes(aRequest) > 0
+                              : AttributedCrashes(aRequest) > 0;
 }
 
 size_t
@@ -347,7 +452,7 @@
   return mEvidence.UnexplainedCrashes(
     aRequest, [&](const RequestFingerprint& aOther) {
       return mQuarantinedRequests.contains(aOther) ||
-             mEvidence.TotalCrashes(aOther) > total;
+             (!aOther.IsSegment() && mEvidence.TotalCrashes(aOther) > total);
     });
 }
 
@@ -358,13 +463,16 @@
   return mEvidence.UnexplainedCrashes(
     aRequest, [&](const RequestFingerprint& aOther) {
       return mQuarantinedRequests.contains(aOther) ||
-             mEvidence.TotalCrashes(aOther) >= total;
+             (!aOther.IsSegment() && mEvidence.TotalCrashes(aOther) >= total);
     });
 }
 
 bool
 Quarantine::IsCulprit(const RequestFingerprint& aRequest) const
 {
+  if (aRequest.IsSegment()) {
+    return IsSegmentCulprit(aRequest);
+  }
   const size_t crashes = AttributedCrashes(aRequest);
   const size_t threshold = mAnswers.At(aRequest) > Millis(0)
                              ? mOptions.mAnsweredCrashThreshold
--- a/src/libtrefoilarch/quarantineupdates.cpp
+++ b/src/libtrefoilarch/quarantineupdates.cpp
@@ -15,6 +15,15 @@
 
 /** Reports come repeatedly from many entries; one reply serves all of them. */
 constexpr Millis kClearedReportInterval{ 50 };
+constexpr Millis kQuarantinedReplyInterval{ 50 };
+
+/** Ages exclude the time that a message takes, so that the same response seems
+ * to be later at each entry that is told. That matters for segments, of which
+ * many entries tell each other. */
+constexpr Millis kMaxMessageDelay{ 100 };
+
+/** In a large fleet most entries get a response to a suspected segment. */
+constexpr Millis kSegmentClearedInterval{ 500 };
 
 /** Interval at which the quarantined requests are sent to entries that were
  * started later or isolated and missed them. */
@@ -30,7 +39,10 @@
 Quarantine::ReportCleared(const RequestFingerprint& aRequest, Millis aNow)
 {
   const auto [reported, first] = mClearedReportedAt.try_emplace(aRequest, aNow);
-  if (!first && aNow - reported->second < kClearedReportInterval) {
+  const Millis interval = mRelays && aRequest.IsSegment()
+                            ? kSegmentClearedInterval
+                            : kClearedReportInterval;
+  if (!first && aNow - reported->second < interval) {
     return;
   }
   reported->second = aNow;
@@ -50,6 +62,8 @@
 void
 Quarantine::RepeatReports(Millis aNow)
 {
+  mContentRelays = kMaxRelays;
+  mSegmentRelays = kMaxRelays;
   std::erase_if(mRecentReports, [&](const SentReport& aSent) {
     return aNow - aSent.mCrashedAt > kRepeatWindow;
   });
@@ -106,19 +120,36 @@
       quarantined->second.mSuspectSince >= at) {
     return;
   }
+  const Millis delay =
+    aCleared.mRequest.IsSegment() ? kMaxMessageDelay : Millis(0);
   const bool isNew =
-    at > LastClearedAt(aCleared.mRequest) &&
+    at > LastClearedAt(aCleared.mRequest) + delay &&
     (quarantined != mQuarantinedRequests.end() || IsSuspect(aCleared.mRequest));
   if (!isNew) {
     return;
   }
   const bool relays = mRelays && (quarantined != mQuarantinedRequests.end() ||
                                   IsWorthReporting(aCleared.mRequest));
-  mAnswers.Record(aCleared.mRequest, at, aNow);
-  Clear(aCleared.mRequest, at, "let go by another entry");
+  AnswersOf(aCleared.mRequest).Record(aCleared.mRequest, at, aNow);
+  if (quarantined == mQuarantinedRequests.end() ||
+      !StaysQuarantined(quarantined->second, at)) {
+    Clear(aCleared.mRequest, at, "let go by another entry");
+  }
   if (relays) {
-    mPendingUpdate.mCleared.push_back(aCleared);
+    ReportCleared(aCleared.mRequest, aNow);
+  }
+}
+
+bool
+Quarantine::StaysQuarantined(QuarantinedRequest& aQuarantined,
+                             Millis aClearedAt)
+{
+  mEvidence.Clear(aQuarantined.mRequest, aClearedAt);
+  if (!IsCulprit(aQuarantined.mRequest)) {
+    return false;
   }
+  aQuarantined.mSuspectSince = SuspectSince(aQuarantined.mRequest);
+  return true;
 }
 
 void
@@ -136,8 +167,8 @@
   }
   const auto quarantined = mQuarantinedRequests.find(aRequest);
   if (quarantined != mQuarantinedRequests.end()) {
-    quarantined->second.mProbeAt = Millis::Never();
-    mPendingUpdate.mQuarantined.push_back(ReportOf(quarantined->second, aNow));
+    OnProbe(quarantined->second, aNow);
+    ReportQuarantined(quarantined->second, aNow);
   }
 }
 
@@ -163,22 +194,28 @@
   }
   AddEvidence(newReport, at, aNow);
   if (mRelays) {
-    Relay(newReport.mSuspects, aNow);
+    Relay(newReport, aNow);
   }
 }
 
 void
-Quarantine::Relay(const std::vector<RequestFingerprint>& aSuspects, Millis aNow)
+Quarantine::Relay(const CrashReport& aReport, Millis aNow)
 {
-  for (const RequestFingerprint& each : aSuspects) {
-    if (!IsWorthReporting(each)) {
+  for (const RequestFingerprint& each : aReport.mSuspects) {
+    size_t& relays = each.IsSegment() ? mSegmentRelays : mContentRelays;
+    if (!IsWorthReporting(each) || relays == 0) {
       continue;
     }
-    const Millis age = aNow - mEvidence.FirstCrashAt(each);
-    for (const UpstreamIncarnation& incarnation :
-         mEvidence.IncarnationsOf(each)) {
-      mPendingUpdate.mReports.push_back(
-        { .mIncarnation = incarnation, .mSuspects = { each }, .mAge = age });
+    relays--;
+    // Earlier crashes were forwarded when there were enough of them.
+    const auto crashes = mEvidence.CrashesOf(each);
+    const bool isFirst = crashes.size() <= kMinRelayedCrashes;
+    for (const auto& [incarnation, at] : crashes) {
+      if (isFirst || incarnation == aReport.mIncarnation) {
+        mPendingUpdate.mReports.push_back({ .mIncarnation = incarnation,
+                                            .mSuspects = { each },
+                                            .mAge = aNow - at });
+      }
     }
   }
 }
@@ -195,7 +232,7 @@
   const auto quarantined = mQuarantinedRequests.find(aQuarantined.mRequest);
   if (quarantined != mQuarantinedRequests.end()) {
     quarantined->second.mSuspectSince =
-      std::min(quarantined->second.mSuspectSince, since);
+      std::max(quarantined->second.mSuspectSince, since);
     quarantined->second.mLastSent =
       std::max(quarantined->second.mLastSent, lastSent);
     return;
@@ -212,6 +249,15 @@
   }
 }
 
+void
+Quarantine::ReportQuarantined(QuarantinedRequest& aQuarantined, Millis aNow)
+{
+  if (aNow - aQuarantined.mReportedAt >= kQuarantinedReplyInterval) {
+    aQuarantined.mReportedAt = aNow;
+    mPendingUpdate.mQuarantined.push_back(ReportOf(aQuarantined, aNow));
+  }
+}
+
 QuarantineReport
 Quarantine::ReportOf(const QuarantinedRequest& aQuarantined, Millis aNow) const
 {
--- a/src/libtrefoilarch/requestfingerprint.cpp
+++ b/src/libtrefoilarch/requestfingerprint.cpp
@@ -16,6 +16,9 @@
   void operator()(XXH3_state_t* aState) const { XXH3_freeState(aState); }
 };
 
+/** "segment" in ASCII: the upper half of all fingerprints of segments. */
+constexpr uint64_t kSegmentTag = 0x7365676d656e7400;
+
 using State = std::unique_ptr<XXH3_state_t, FreeState>;
 
 /** Adds the part, preceded by its length so that different lists of parts never
@@ -60,6 +63,18 @@
   return { .mHigh = hash.high64, .mLow = hash.low64 };
 }
 
+RequestFingerprint
+RequestFingerprint::OfSegment(uint64_t aId)
+{
+  return { .mHigh = kSegmentTag, .mLow = aId };
+}
+
+bool
+RequestFingerprint::IsSegment() const
+{
+  return mHigh == kSegmentTag;
+}
+
 std::string
 RequestFingerprint::Text() const
 {
--- a/src/libtrefoilarch/requestfingerprint.h
+++ b/src/libtrefoilarch/requestfingerprint.h
@@ -23,10 +23,10 @@
 };
 
 /**
- * Identifies a request, alike at every entry. A caller's repeat has another
- * request id and the same fingerprint. Entries exchange fingerprints and keep
- * them in the store, so they must not change between versions. 128 bits, since
- * a collision could reject another caller's request.
+ * Identifies a request or a prompt segment, alike at every entry. A caller's
+ * repeat has another request id and the same fingerprint. Entries exchange
+ * fingerprints and keep them in the store, so they must not change between
+ * versions. 128 bits, since a collision could reject another caller's request.
  */
 struct RequestFingerprint
 {
@@ -36,7 +36,11 @@
   auto operator<=>(const RequestFingerprint&) const = default;
 
   static RequestFingerprint Of(const RequestIdentity& aRequest);
+  /** The fingerprint of a prompt segment with this id. */
+  static RequestFingerprint OfSegment(uint64_t aId);
 
+  /** Whether it identifies a prompt segment instead of a whole request. */
+  bool IsSegment() const;
   /** 32 lower-case hexadecimal digits. */
   std::string Text() const;
   /** Parses the output of Text(). Returns all zeros for anything else. */
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -80,7 +80,8 @@
 RequestPlan::MaySend(Millis aNow) const
 {
   return mRouter.TakesWork(mCurrent, aNow) &&
-         mRouter.StillAllowed(mRequest, aNow);
+         mRouter.StillAllowed(mRequest, aNow) &&
+         (mIsProbe || !mRouter.IsQuarantined(mRequest));
 }
 
 PlanStep
@@ -272,12 +273,13 @@
   switch (mRouter.Admit(mRequest, aNow - since, aNow)) {
     case QuarantineVerdict::Run:
       mHeldSince.reset();
+      mIsProbe = mRouter.IsQuarantined(mRequest);
       return std::nullopt;
     case QuarantineVerdict::Refuse:
-      // The quarantine ends after an hour without the request, so an earlier
-      // retry can't succeed.
       return Refuse(
-        ErrorKind::Quarantined, mRouter.CrashQuarantine().IdleTimeout(), aNow);
+        ErrorKind::Quarantined,
+        mRouter.CrashQuarantine().RetryDelay(mRequest.mFeatures, aNow),
+        aNow);
     case QuarantineVerdict::Wait:
       break;
   }
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -59,7 +59,8 @@
 
   PlanStep Begin(Millis aNow);
   /** Whether the request may still be sent: while the connection is established
-   * the upstream may start to leave, or the key may be revoked. */
+   * the upstream may start to leave, the key may be revoked, or the request may
+   * be quarantined. */
   bool MaySend(Millis aNow) const;
   PlanStep OnHoldElapsed(Millis aNow) { return Send(aNow); }
   /** No connection could be established; nothing was sent. */
@@ -107,6 +108,9 @@
   /** Whether an attempt before the current one may have run. */
   bool mMayHaveRunBefore = false;
   bool mAnswerBegun = false;
+  /** Whether it is sent though it is quarantined, to find out if it still
+   * crashes upstreams. */
+  bool mIsProbe = false;
   /** What it waits for at an upstream with a rate limit. */
   PlacementWait mPermit;
   /** The last upstream whose permit it requested. */
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -284,6 +284,10 @@
 {
   MarkStarted(BootNow());
   const int status = mAnswer->mStatus;
+  if (status >= kMinRedirectStatus) {
+    // Nothing was generated from the prompt.
+    mAttempt->mFeatures.mSegments.clear();
+  }
   EndAttempt(status < kMinServerErrorStatus ? AttemptOutcome::Good
                                             : AttemptOutcome::Failed);
   // An incomplete event at the end of an answer is forwarded as the upstream
--- a/src/libtrefoilgate/exchangelog.cpp
+++ b/src/libtrefoilgate/exchangelog.cpp
@@ -51,7 +51,7 @@
                                 .mDuration = now - mRequest.mArrivedAt });
   nlohmann::ordered_json fields = {
     { "id", mId },
-    { "fingerprint", bound.mFingerprint.Text() },
+    { "fingerprint", bound.mFeatures.mContent.Text() },
     { "outcome", aOutcome },
     { "status", aStatus },
     { "route", bound.mRoute->mName },
@@ -80,6 +80,15 @@
   if (!mCutReason.empty()) {
     fields["why"] = mCutReason;
   }
+  const RequestFingerprint* quarantined =
+    mContext.mRouter.CrashQuarantine().QuarantinedFeature(bound.mFeatures);
+  if (std::string_view(aOutcome) == Name(ErrorKind::Quarantined) &&
+      quarantined != nullptr) {
+    fields["quarantined"] = quarantined->Text();
+    if (quarantined->IsSegment()) {
+      fields["quarantined_segment"] = SegmentName(quarantined->mLow);
+    }
+  }
   if (mAnswer && mAnswer->mEndsWithConnection) {
     fields["framing"] = "close";
     fields["partial_event_bytes"] = mEvents.Remainder().size();
@@ -104,7 +113,7 @@
     LineKind::Failure,
     "attempt_ended",
     { { "id", mId },
-      { "fingerprint", mPlan.Request().mFingerprint.Text() },
+      { "fingerprint", mPlan.Request().mFeatures.mContent.Text() },
       { "segments", SegmentNames(mPlan.Request().mPrompt) },
       { "outcome", aOutcome },
       { "why", aReason },
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -115,7 +115,12 @@
   GaugeDescription{ Gauge::Quarantined,
                     "trefoilarch_gate_quarantined_requests",
                     "",
-                    "Requests that are not run, as they crash upstreams." },
+                    "Requests that are not run, as they crash upstreams, and "
+                    "prompt segments with which none is." },
+  GaugeDescription{ Gauge::QuarantinedSegments,
+                    "trefoilarch_gate_quarantined_segments",
+                    "",
+                    "Prompt segments with which no request is run." },
   GaugeDescription{ Gauge::LimitedUpstreams,
                     "trefoilarch_gate_limited_upstreams",
                     "",
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -39,6 +39,7 @@
   Ejections,
   UpstreamCrashes,
   Quarantined,
+  QuarantinedSegments,
   LimitedUpstreams,
   LogLinesLeftOut,
   RetriesLeft,      /**< by service */
--- a/src/libtrefoilgate/gatewaycallers.cpp
+++ b/src/libtrefoilgate/gatewaycallers.cpp
@@ -103,7 +103,8 @@
   boost::leaf::try_handle_all(
     [&]() -> Result<void> {
       BOOST_LEAF_AUTO(bound, mRouter.Bind(attributes, BootNow()));
-      bound.mFingerprint = FingerprintOf(aRequest, bound.mWorkspace);
+      bound.mFeatures = RequestFeatures::Of(
+        FingerprintOf(aRequest, bound.mWorkspace), bound.mPrompt);
       const auto exchange = std::make_shared<Exchange>(
         mContext, aCaller, std::move(aRequest), id, std::move(bound));
       mExchanges[exchange.get()] = exchange;
--- a/src/libtrefoilgate/gatewaycrashes.cpp
+++ b/src/libtrefoilgate/gatewaycrashes.cpp
@@ -76,11 +76,14 @@
                  { "fingerprints", FingerprintTexts(each.mSuspects) } });
   }
   for (const QuarantineChange& each : mRouter.CrashQuarantine().TakeChanges()) {
-    mLog.Write(LineKind::StateChange,
-               each.mHeld ? "request_quarantined" : "request_let_go",
-               { { "fingerprint", each.mRequest.Text() },
-                 { "why", each.mReason },
-                 { "crashes", UpstreamNames(each.mCrashes) } });
+    mLog.Write(
+      LineKind::StateChange,
+      each.mHeld ? "request_quarantined" : "request_let_go",
+      { { "fingerprint", each.mRequest.Text() },
+        { "segment",
+          each.mRequest.IsSegment() ? SegmentName(each.mRequest.mLow) : "" },
+        { "why", each.mReason },
+        { "crashes", UpstreamNames(each.mCrashes) } });
   }
 }
 
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -2,6 +2,8 @@
 
 #include "bootclock.h"
 
+#include <algorithm>
+
 /** The gateway's operator port: readiness, metrics, status and the dump. */
 namespace trefoilgate {
 
@@ -89,11 +91,16 @@
       crashes.push_back({ { "upstream", incarnation.mUpstream },
                           { "born", incarnation.mStartTime } });
     }
-    requests.push_back(
-      { { "fingerprint", each.mRequest.Text() },
-        { "suspect_for_ms", (now - each.mSuspectSince).Count() },
-        { "last_sent_ms_ago", (now - each.mLastSent).Count() },
-        { "crashes", std::move(crashes) } });
+    nlohmann::json request = {
+      { "fingerprint", each.mRequest.Text() },
+      { "suspect_for_ms", (now - each.mSuspectSince).Count() },
+      { "last_sent_ms_ago", (now - each.mLastSent).Count() },
+      { "crashes", std::move(crashes) }
+    };
+    if (each.mRequest.IsSegment()) {
+      request["segment"] = SegmentName(each.mRequest.mLow);
+    }
+    requests.push_back(std::move(request));
   }
   return nlohmann::json{ { "quarantined", std::move(requests) } }.dump();
 }
@@ -170,7 +177,12 @@
   setGauge(Gauge::ListAgeMs, mRouter.ListFreshness().AgeMs(now));
   setGauge(Gauge::Ejections, mRouter.Ejections());
   setGauge(Gauge::UpstreamCrashes, mRouter.Crashes());
-  setGauge(Gauge::Quarantined, mRouter.CrashQuarantine().Quarantined().size());
+  const auto quarantined = mRouter.CrashQuarantine().Requests();
+  setGauge(Gauge::Quarantined, quarantined.size());
+  setGauge(Gauge::QuarantinedSegments,
+           std::count_if(quarantined.begin(),
+                         quarantined.end(),
+                         [](const auto& aOne) { return aOne.IsSegment(); }));
   setGauge(Gauge::LimitedUpstreams, mRouter.Limits().Limited());
   setGauge(Gauge::LogLinesLeftOut, mLog.LeftOut());
   setGauge(Gauge::UnreadableDatagrams, mPeers.UnreadableCount());
--- a/src/trefoilarchctl/command.cpp
+++ b/src/trefoilarchctl/command.cpp
@@ -107,7 +107,8 @@
 
 constexpr const char* kQuarantineHelp =
   R"(  quarantine                       requests that a gate does not run, as they
-                                   crash each upstream that runs them
+                                   crash each upstream that runs them, and
+                                   prompt segments with which it runs none
   quarantine release FINGERPRINT   run it again, at all gates
 
 Examples:
--- a/src/trefoilarchctl/fleetcommands.cpp
+++ b/src/trefoilarchctl/fleetcommands.cpp
@@ -75,9 +75,11 @@
 void
 PrintQuarantine(const json& aQuarantine)
 {
-  Table rows{
-    { "FINGERPRINT", "SUSPECT FOR MS", "LAST SENT MS AGO", "CRASHED" }
-  };
+  Table rows{ { "FINGERPRINT",
+                "SEGMENT",
+                "SUSPECT FOR MS",
+                "LAST SENT MS AGO",
+                "CRASHED" } };
   for (const json& request : aQuarantine.value("quarantined", json::array())) {
     std::string crashed;
     for (const json& crash : request.value("crashes", json::array())) {
@@ -85,6 +87,7 @@
     }
     rows.push_back(
       { request.value("fingerprint", ""),
+        request.value("segment", ""),
         std::to_string(request.value("suspect_for_ms", int64_t{ 0 })),
         std::to_string(request.value("last_sent_ms_ago", int64_t{ 0 })),
         crashed });
--- a/tests/unit/crashdetectortest.cpp
+++ b/tests/unit/crashdetectortest.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 const UpstreamIncarnation kIncarnation{ .mUpstream = "u", .mStartTime = 1 };
-constexpr RequestFingerprint kOne{ 1, 1 };
-constexpr RequestFingerprint kTwo{ 2, 2 };
+const RequestFeatures kOne{ .mContent = { 1, 1 } };
+const RequestFeatures kTwo{ .mContent = { 2, 2 } };
 
 } // namespace
 
@@ -28,7 +28,8 @@
   detector.OnConnectionLost(kIncarnation, kOne, Millis(1000));
   detector.OnConnectionLost(kIncarnation, kTwo, Millis(1003));
   const auto suspects = detector.OnEnded(kIncarnation, Millis(1005));
-  cr_expect(suspects == CrashDetector::Suspects({ kOne, kTwo }));
+  cr_expect(suspects ==
+            CrashDetector::Suspects({ kOne.mContent, kTwo.mContent }));
   // The same end reported again, for example by the list.
   cr_expect(detector.OnEnded(kIncarnation, Millis(3000)).empty());
 }
@@ -39,7 +40,7 @@
   detector.OnConnectionLost(kIncarnation, kOne, Millis(1000));
   detector.OnConnectionLost(kIncarnation, kTwo, Millis(5000));
   cr_expect(detector.OnEnded(kIncarnation, Millis(5001)) ==
-            CrashDetector::Suspects({ kTwo }));
+            CrashDetector::Suspects({ kTwo.mContent }));
 }
 
 Test(crashdetector, a_failure_detected_after_the_end_is_a_suspect_at_once)
--- a/tests/unit/crashedupstreamstest.cpp
+++ b/tests/unit/crashedupstreamstest.cpp
@@ -55,7 +55,7 @@
     auto bound = mRouter.Bind(attributes, mNow);
     cr_assert(bound.has_value());
     BoundRequest request = std::move(*bound);
-    request.mFingerprint = { .mHigh = 1, .mLow = 2 };
+    request.mFeatures.mContent = { .mHigh = 1, .mLow = 2 };
     auto attempt = mRouter.Place(request, {}, mNow);
     cr_assert(attempt.has_value());
     if (aEnds) {
--- a/tests/unit/quarantinefleet.cpp
+++ b/tests/unit/quarantinefleet.cpp
@@ -15,6 +15,10 @@
 constexpr int kMaxAttempts = 3;
 constexpr Millis kStableWindow{ 3000 };
 
+/** Segments of the requests with a prompt. */
+constexpr uint64_t kSharedSegment = 0x5a;
+constexpr uint64_t kFirstDeadSegment = 0xdead00;
+
 /** Each entry detects a broken connection within this time. */
 constexpr int64_t kMaxDetectionMs = 10;
 
@@ -32,7 +36,9 @@
     Restart(each);
   }
   for (size_t each = 0; each < mOptions.mEntries; ++each) {
+    mEntries[each] = Quarantine({ .mSeed = mOptions.mSeed * 1000 + each });
     mEntries[each].SetRelays(mOptions.mEntries > mOptions.mReceivers + 1);
+    mEntries[each].SetEntries(mOptions.mEntries);
     At(mNow + Millis(RandomBelow(kTickInterval.Count())),
        [this, each] { TickEntry(each); });
   }
@@ -43,7 +49,10 @@
   }
   mResult.mCrashes.resize(mOptions.mPoisons);
   mResult.mLateRetries.resize(mOptions.mPoisons);
-  mThirdCrashAt.resize(mOptions.mPoisons);
+  mResult.mSegmentCrashes.resize(mOptions.mDeadSegments);
+  mResult.mLateSegmentAttempts.resize(mOptions.mDeadSegments);
+  mThirdCrashAt.resize(mOptions.mPoisons + mOptions.mDeadSegments);
+  mReplacedAt.resize(mOptions.mEntries);
 }
 
 FleetResult
@@ -52,19 +61,26 @@
   At(mNow + Millis(mOptions.mPoisonsFromMs), [this] {
     for (size_t each = 0; each < mOptions.mPoisons; ++each) {
       Every(mOptions.mPoisonsPerSecond, [this, each] {
-        Arrive(
-          { .mFingerprint = { 1, each }, .mPoison = static_cast<int>(each) });
+        Arrive({ .mFeatures = { .mContent = { 1, each } },
+                 .mPoison = static_cast<int>(each) });
       });
     }
   });
   for (size_t each = 0; each < mOptions.mFrequentRequests; ++each) {
     Every(mOptions.mFrequentPerSecond, [this, each] {
-      Arrive({ .mFingerprint = { 2, each } });
+      Arrive({ .mFeatures = { .mContent = { 2, each } } });
     });
   }
   Every(mOptions.mOthersPerSecond, [this] {
-    Arrive({ .mFingerprint = { 3, ++mLastNumber } });
+    Arrive({ .mFeatures = { .mContent = { 3, ++mLastNumber } } });
   });
+  SendPrompts();
+  if (mOptions.mReplacesEntries) {
+    for (size_t each = 0; each < mOptions.mEntries; ++each) {
+      const auto turn = static_cast<int64_t>(each) + 1;
+      At(mNow + Millis(4000 * turn), [this, each] { ReplaceEntry(each); });
+    }
+  }
   Every(mOptions.mCrashesPerSecond, [this] {
     Crash(static_cast<size_t>(
       RandomBelow(static_cast<int64_t>(mUpstreams.size()))));
@@ -106,6 +122,64 @@
      });
 }
 
+void
+QuarantineFleet::SendPrompts()
+{
+  if (mOptions.mDeadSegments == 0) {
+    return;
+  }
+  for (size_t each = 0; each < mOptions.mDeadSegments; ++each) {
+    Every(mOptions.mDeadPerSecond, [this, each] {
+      Request request = NewPrompt(kFirstDeadSegment + each);
+      request.mPoison = static_cast<int>(mOptions.mPoisons + each);
+      Arrive(request);
+    });
+  }
+  Every(mOptions.mOthersPerSecond, [this] {
+    Arrive(NewPrompt(static_cast<uint64_t>(
+      RandomBelow(static_cast<int64_t>(mOptions.mSoundSegments)))));
+  });
+}
+
+QuarantineFleet::Request
+QuarantineFleet::NewPrompt(uint64_t aSecondSegment)
+{
+  const uint64_t first =
+    mOptions.mSharedIsDead ? kFirstDeadSegment : kSharedSegment;
+  const trefoilarch::PromptShape prompt{
+    .mSegments = { { .mId = first }, { .mId = aSecondSegment }, { .mId = 0 } }
+  };
+  Request request{ .mFeatures = trefoilarch::RequestFeatures::Of(
+                     { 4, ++mLastNumber }, prompt) };
+  if (mOptions.mSharedIsDead) {
+    request.mPoison = static_cast<int>(mOptions.mPoisons);
+  }
+  return request;
+}
+
+bool
+QuarantineFleet::Crashes(const Request& aRequest) const
+{
+  const bool isSegment =
+    aRequest.mPoison >= static_cast<int>(mOptions.mPoisons);
+  return aRequest.mPoison >= 0 &&
+         (!isSegment || mNow >= Millis(1000 + mOptions.mHarmlessUntilMs));
+}
+
+void
+QuarantineFleet::ReplaceEntry(size_t aEntry)
+{
+  for (Upstream& upstream : mUpstreams) {
+    std::erase_if(upstream.mRunning, [&](const Running& aOne) {
+      return aOne.mRequest.mEntry == aEntry;
+    });
+  }
+  mEntries[aEntry] = Quarantine({ .mSeed = mOptions.mSeed });
+  mEntries[aEntry].SetRelays(mOptions.mEntries > mOptions.mReceivers + 1);
+  mEntries[aEntry].SetEntries(mOptions.mEntries);
+  mReplacedAt[aEntry] = mNow;
+}
+
 void
 QuarantineFleet::Arrive(Request aRequest)
 {
@@ -115,6 +189,9 @@
   } while (!mStarted[aRequest.mEntry]);
   aRequest.mArrivedAt = mNow;
   aRequest.mHeldSince = mNow;
+  if (aRequest.mEntry < mOptions.mOldEntries) {
+    aRequest.mFeatures.mSegments.clear();
+  }
   mResult.mInnocents += aRequest.mPoison < 0 ? 1 : 0;
   Dispatch(aRequest);
 }
@@ -124,11 +201,12 @@
 {
   const Millis waited = mNow - aRequest.mHeldSince;
   const QuarantineVerdict verdict =
-    mEntries[aRequest.mEntry].Admit(aRequest.mFingerprint, waited, mNow);
+    mEntries[aRequest.mEntry].Admit(aRequest.mFeatures, waited, mNow);
   const bool innocent = aRequest.mPoison < 0;
   if (verdict == QuarantineVerdict::Refuse ||
       (verdict == QuarantineVerdict::Wait && waited >= kMaxHold)) {
     mResult.mRefused += innocent ? 1 : 0;
+    CountLateInnocent(aRequest, true);
     return;
   }
   if (verdict == QuarantineVerdict::Wait) {
@@ -139,6 +217,7 @@
   }
   if (innocent) {
     mResult.mMaxWait = std::max(mResult.mMaxWait, waited);
+    CountLateInnocent(aRequest, false);
   }
   std::vector<size_t> running;
   for (size_t each = 0; each < mUpstreams.size(); ++each) {
@@ -158,7 +237,7 @@
 {
   aRequest.mAttempts++;
   CountRetry(aRequest);
-  mEntries[aRequest.mEntry].OnSent(aRequest.mFingerprint, mNow);
+  mEntries[aRequest.mEntry].OnSent(aRequest.mFeatures, mNow);
   SendUpdates(aRequest.mEntry, false);
   const uint64_t number = ++mLastNumber;
   const int64_t duration = aRequest.mPoison < 0
@@ -181,7 +260,7 @@
   if (place == running.end()) {
     return;
   }
-  if (place->mRequest.mPoison >= 0) {
+  if (Crashes(place->mRequest)) {
     CountCrash(static_cast<size_t>(place->mRequest.mPoison));
     Crash(aUpstream);
     return;
@@ -189,8 +268,8 @@
   const Request request = place->mRequest;
   running.erase(place);
   Quarantine& entry = mEntries[request.mEntry];
-  entry.OnAttemptEnded(request.mFingerprint);
-  entry.OnAnswered(request.mFingerprint, mNow);
+  entry.OnAttemptEnded(request.mFeatures);
+  entry.OnAnswered(request.mFeatures, mNow);
   SendUpdates(request.mEntry, false);
 }
 
@@ -211,12 +290,13 @@
   for (const auto& [entry, requests] : byEntry) {
     At(mNow + Millis(1 + RandomBelow(kMaxDetectionMs)),
        [this, entry = entry, requests = requests, incarnation] {
-         std::vector<RequestFingerprint> suspects;
+         std::vector<trefoilarch::RequestFeatures> suspects;
          for (const Request& each : requests) {
-           mEntries[entry].OnAttemptEnded(each.mFingerprint);
-           suspects.push_back(each.mFingerprint);
+           mEntries[entry].OnAttemptEnded(each.mFeatures);
+           suspects.push_back(each.mFeatures);
          }
-         mEntries[entry].OnCrash(incarnation, suspects, mNow);
+         mEntries[entry].OnCrash(
+           incarnation, trefoilarch::DistinctFeatures(suspects), mNow);
          SendUpdates(entry, false);
          for (Request each : requests) {
            if (each.mAttempts < kMaxAttempts) {
@@ -248,6 +328,7 @@
     for (size_t each = 1; each <= receivers; ++each) {
       const size_t other = (aEntry + each) % mEntries.size();
       mResult.mMessages++;
+      mResult.mNames += part.Size();
       const bool lost = IsIsolated(aEntry) || IsIsolated(other) ||
                         !mStarted[aEntry] || !mStarted[other] ||
                         RandomBool(mOptions.mLoss);
@@ -274,21 +355,44 @@
 void
 QuarantineFleet::CountRetry(const Request& aRequest)
 {
-  if (aRequest.mPoison < 0 || !IsConnected(aRequest.mEntry)) {
+  if (aRequest.mPoison < 0 || !IsConnected(aRequest.mEntry) ||
+      aRequest.mEntry < mOptions.mOldEntries) {
     return;
   }
   const auto poison = static_cast<size_t>(aRequest.mPoison);
   const Millis third = mThirdCrashAt[poison];
   const bool late = third > Millis(0) && mNow - third > kStableWindow;
-  mResult.mLateRetries[poison] += late ? 1 : 0;
+  if (poison < mOptions.mPoisons) {
+    mResult.mLateRetries[poison] += late ? 1 : 0;
+  } else {
+    mResult.mLateSegmentAttempts[poison - mOptions.mPoisons] += late ? 1 : 0;
+  }
+}
+
+void
+QuarantineFleet::CountLateInnocent(const Request& aRequest, bool aRefused)
+{
+  const bool late =
+    aRequest.mPoison < 0 && aRequest.mAttempts == 0 &&
+    mLastFifthCrashAt > Millis(0) &&
+    aRequest.mArrivedAt - mLastFifthCrashAt > kStableWindow + kStableWindow &&
+    IsConnected(aRequest.mEntry);
+  mResult.mLateInnocents += late ? 1 : 0;
+  mResult.mLateRefused += late && aRefused ? 1 : 0;
 }
 
 void
 QuarantineFleet::CountCrash(size_t aPoison)
 {
   constexpr size_t kThird = 3;
-  if (++mResult.mCrashes[aPoison] == kThird) {
+  constexpr size_t kFifth = 5;
+  if (aPoison < mOptions.mPoisons) {
+    if (++mResult.mCrashes[aPoison] == kThird) {
+      mThirdCrashAt[aPoison] = mNow;
+    }
+  } else if (++mResult.mSegmentCrashes[aPoison - mOptions.mPoisons] == kFifth) {
     mThirdCrashAt[aPoison] = mNow;
+    mLastFifthCrashAt = mNow;
   }
 }
 
@@ -300,7 +404,9 @@
                            mNow > third && mNow < third + third + kStableWindow;
   const bool isNew =
     mOptions.mLateEntry && aEntry == 0 && mNow < mLateEntryAt + kStableWindow;
-  return !wasIsolated && !isNew;
+  const bool wasReplaced = mReplacedAt[aEntry] > Millis(0) &&
+                           mNow < mReplacedAt[aEntry] + kStableWindow;
+  return !wasIsolated && !isNew && !wasReplaced;
 }
 
 bool
--- a/tests/unit/quarantinefleet.h
+++ b/tests/unit/quarantinefleet.h
@@ -41,6 +41,21 @@
   /** Maximum time for which an upstream runs a poison request before it
    * crashes. */
   int64_t mMaxCrashDelayMs = 400;
+  /** Prompt segments that crash upstreams, each in requests that are never
+   * repeated, and the rate of these requests per segment. */
+  size_t mDeadSegments = 0;
+  double mDeadPerSecond = 6;
+  /** Before this time the dead segments are harmless. */
+  int64_t mHarmlessUntilMs = 0;
+  /** The first segment of all requests is the first dead one, instead of one
+   * that is sound. */
+  bool mSharedIsDead = false;
+  /** Sound second segments of the other requests. */
+  size_t mSoundSegments = 7;
+  /** Entries that don't know of segments. */
+  size_t mOldEntries = 0;
+  /** Whether an entry is replaced by a new one every four seconds. */
+  bool mReplacesEntries = false;
   size_t mFrequentRequests = 1;
   double mFrequentPerSecond = 15;
   double mOthersPerSecond = 60;
@@ -59,13 +74,23 @@
   /** Number of attempts of each that were sent later than the stable window
    * after its third crash, by entries that were connected for that long. */
   std::vector<size_t> mLateRetries;
+  /** The same for each dead segment, with its fifth crash. */
+  std::vector<size_t> mSegmentCrashes;
+  std::vector<size_t> mLateSegmentAttempts;
   size_t mInnocents = 0;
+  /** Innocent requests that arrived at connected entries later than twice the
+   * stable window after the last fifth crash, and those of them that were not
+   * sent at the first attempt. */
+  size_t mLateInnocents = 0;
+  size_t mLateRefused = 0;
   /** Innocent requests that were rejected because of the quarantine. */
   size_t mRefused = 0;
   /** Innocent requests that waited for the outcome of the same request. */
   size_t mWaited = 0;
   Millis mMaxWait;
   size_t mMessages = 0;
+  /** Features named in all messages. */
+  size_t mNames = 0;
 };
 
 /**
@@ -83,8 +108,9 @@
 private:
   struct Request
   {
-    RequestFingerprint mFingerprint;
-    /** Index of the poison request; -1 for an innocent one. */
+    trefoilarch::RequestFeatures mFeatures;
+    /** Index of the poison request, or of the dead segment behind all poison
+     * requests; -1 for an innocent one. */
     int mPoison = -1;
     size_t mEntry = 0;
     Millis mArrivedAt;
@@ -114,8 +140,15 @@
   void Restart(size_t aUpstream);
   void SendUpdates(size_t aEntry, bool aRepeat);
   void TickEntry(size_t aEntry);
+  void SendPrompts();
+  /** A request that no other one resembles but by its segments. */
+  Request NewPrompt(uint64_t aSecondSegment);
+  void ReplaceEntry(size_t aEntry);
+  /** Whether segments of that request crash upstreams now. */
+  bool Crashes(const Request& aRequest) const;
   void CountRetry(const Request& aRequest);
   void CountCrash(size_t aPoison);
+  void CountLateInnocent(const Request& aRequest, bool aRefused);
   bool IsIsolated(size_t aEntry) const;
   bool IsConnected(size_t aEntry) const;
   int64_t RandomBelow(int64_t aBound);
@@ -131,6 +164,8 @@
   Millis mLateEntryAt;
   /** Of each poison request; 0 before it. */
   std::vector<Millis> mThirdCrashAt;
+  std::vector<Millis> mReplacedAt;
+  Millis mLastFifthCrashAt;
   std::vector<Upstream> mUpstreams;
   uint64_t mLastNumber = 0;
   int64_t mStartTime = 1;
--- a/tests/unit/quarantinetest.cpp
+++ b/tests/unit/quarantinetest.cpp
@@ -18,6 +18,13 @@
 constexpr RequestFingerprint kPoison{ 1, 1 };
 constexpr RequestFingerprint kOther{ 2, 2 };
 
+/** A request without a prompt. */
+RequestFeatures
+Plain(const RequestFingerprint& aContent)
+{
+  return { .mContent = aContent };
+}
+
 UpstreamIncarnation
 IncarnationOf(int aNumber)
 {
@@ -87,19 +94,20 @@
   Quarantine quarantine;
   Millis now(1000);
   for (int each = 0; each < 3; ++each) {
-    cr_expect(quarantine.Admit(kPoison, Millis(0), now) ==
+    cr_expect(quarantine.Admit(Plain(kPoison), Millis(0), now) ==
               QuarantineVerdict::Run);
-    quarantine.OnSent(kPoison, now);
-    quarantine.OnAttemptEnded(kPoison);
+    quarantine.OnSent(Plain(kPoison), now);
+    quarantine.OnAttemptEnded(Plain(kPoison));
     quarantine.OnCrash(IncarnationOf(each), { kPoison }, now);
     now += Millis(100);
   }
-  cr_expect(quarantine.Admit(kPoison, Millis(0), now) ==
+  cr_expect(quarantine.Admit(Plain(kPoison), Millis(0), now) ==
             QuarantineVerdict::Wait);
   quarantine.Tick(now + Millis(1000));
-  cr_expect(quarantine.Admit(kPoison, Millis(0), now) ==
+  cr_expect(quarantine.Admit(Plain(kPoison), Millis(0), now) ==
             QuarantineVerdict::Refuse);
-  cr_expect(quarantine.Admit(kOther, Millis(0), now) == QuarantineVerdict::Run);
+  cr_expect(quarantine.Admit(Plain(kOther), Millis(0), now) ==
+            QuarantineVerdict::Run);
 }
 
 Test(quarantine, counts_a_repeatedly_reported_crash_once)
@@ -121,7 +129,7 @@
   for (int each = 0; each < 3; ++each) {
     quarantine.OnCrash(IncarnationOf(each), { kOther }, Millis(1000 + each));
     if (each == 1) {
-      quarantine.OnAnswered(kOther, Millis(1002));
+      quarantine.OnAnswered(Plain(kOther), Millis(1002));
     }
   }
   quarantine.Tick(Millis(5000));
@@ -135,7 +143,7 @@
   quarantine.OnCrash(IncarnationOf(1), { kPoison, kOther }, Millis(1000));
   quarantine.OnCrash(IncarnationOf(2), { kPoison, kOther }, Millis(1001));
   quarantine.OnCrash(IncarnationOf(3), { kPoison }, Millis(1002));
-  cr_expect(quarantine.Admit(kOther, Millis(0), Millis(1003)) ==
+  cr_expect(quarantine.Admit(Plain(kOther), Millis(0), Millis(1003)) ==
             QuarantineVerdict::Run);
   quarantine.OnCrash(IncarnationOf(4), { kPoison }, Millis(1003));
   quarantine.OnCrash(IncarnationOf(5), { kOther }, Millis(1004));
@@ -165,12 +173,12 @@
 {
   Quarantine quarantine;
   quarantine.OnCrash(IncarnationOf(1), { kPoison }, Millis(1000));
-  quarantine.OnSent(kPoison, Millis(1010));
-  cr_expect(quarantine.Admit(kPoison, Millis(0), Millis(1020)) ==
+  quarantine.OnSent(Plain(kPoison), Millis(1010));
+  cr_expect(quarantine.Admit(Plain(kPoison), Millis(0), Millis(1020)) ==
             QuarantineVerdict::Wait);
-  quarantine.OnAttemptEnded(kPoison);
-  quarantine.OnAnswered(kPoison, Millis(1100));
-  cr_expect(quarantine.Admit(kPoison, Millis(0), Millis(1101)) ==
+  quarantine.OnAttemptEnded(Plain(kPoison));
+  quarantine.OnAnswered(Plain(kPoison), Millis(1100));
+  cr_expect(quarantine.Admit(Plain(kPoison), Millis(0), Millis(1101)) ==
             QuarantineVerdict::Run);
 }
 
@@ -209,12 +217,12 @@
   }
   quarantine.Tick(Millis(2000));
   const Millis idle = quarantine.IdleTimeout();
-  quarantine.Admit(kPoison, Millis(0), Millis(3000));
+  quarantine.Admit(Plain(kPoison), Millis(0), Millis(3000));
   quarantine.Tick(Millis(3000) + idle);
   cr_expect(quarantine.IsQuarantined(kPoison));
   quarantine.Tick(Millis(3001) + idle);
   cr_expect(!quarantine.IsQuarantined(kPoison));
-  cr_expect(quarantine.Admit(kPoison, Millis(0), Millis(3002) + idle) ==
+  cr_expect(quarantine.Admit(Plain(kPoison), Millis(0), Millis(3002) + idle) ==
             QuarantineVerdict::Run);
 }
 
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -701,7 +701,7 @@
 BoundSuspect(DirectRouter& aRouter, Millis aNow)
 {
   BoundRequest request = Bound(aRouter, "/safe/x", aNow);
-  request.mFingerprint = { 1, 2 };
+  request.mFeatures.mContent = { 1, 2 };
   return request;
 }
 
