Let an entry with most callers use the connections that others leave

What callers saw: with nine in ten callers at one of four entries and three quarters of the upstreams' 24 connections wanted, that entry refused most calls (503) though every upstream had room.

Cause: each entry used a sixth of an upstream's connections at most, whatever the others used. The class: a limit of the whole fleet split evenly among entries, though their callers are not.

An entry that uses half of its sixth tells the others its connections to each upstream, in use and idle, five times a second, and they tell theirs meanwhile. Its limit is what it reported last plus its part of what is free. Idle connections beyond the sixth are closed after a second, and all but one while another entry uses more than its sixth. Fleets of more than twelve entries keep the sixth and report nothing.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -311,7 +311,8 @@
                             Millis aNow)
 {
   const bool repeatable = aRequest.mRoute->mRetryMode != RetryMode::AtMostOnce;
-  const uint32_t maxOpen = ConnectionsFor(aRequest);
+  const ConnectionLimits limits =
+    ConnectionLimitsOf(*aRequest.mIndex, aRequest.mService);
   Candidates healthy;
   Candidates unhealthy;
   const auto& all = mDirectory.OfService(aRequest.mService);
@@ -335,7 +336,7 @@
     }
     const TrackedUpstream& tracked = mTracked[each->mId];
     const UpstreamWork& work = tracked.mWork;
-    if (work.Open() >= maxOpen ||
+    if (!HasFreeConnection(each->mId, work.Open(), limits, aNow) ||
         mAvailability.WaitFor(each->mId, aNow) > Millis(0) ||
         !MayHavePermit(each->mId, aRequest.mRoutePriority, aWait, aNow)) {
       continue;
@@ -403,14 +404,4 @@
   return best;
 }
 
-uint32_t
-DirectRouter::ConnectionsFor(const BoundRequest& aRequest) const
-{
-  const RoutedService* service =
-    aRequest.mIndex->FindService(aRequest.mService);
-  const uint32_t all = service == nullptr ? RoutedService{}.mMaxConnections
-                                          : service->mMaxConnections;
-  return std::max(1U, all / mOptions.mConnectionShare);
-}
-
 } // namespace trefoilarch
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -3,6 +3,7 @@
 #include "arrivalrate.h"
 #include "attemptoutcome.h"
 #include "boundrequest.h"
+#include "connectionshares.h"
 #include "crashdetector.h"
 #include "dedicatedpools.h"
 #include "engineadmission.h"
@@ -59,9 +60,12 @@
   /** Without a confirmation within this time, an unknown route or key is
    * reported as a stale policy: the policy may have changed. */
   Millis mPolicyMaxAge{ 3000 };
-  /** Entries share an upstream's connections. Each uses at most one in this
-   * many. */
+  /** Entries share an upstream's connections. Each may always use one in this
+   * many; see ConnectionShares. */
   uint32_t mConnectionShare = 6;
+  /** Number of idle connections to the upstream. */
+  std::function<size_t(const UpstreamId&)> mIdleConnections =
+    [](const UpstreamId&) { return size_t{ 0 }; };
   RetryBudgetOptions mRetries{ .mPercent = 15, .mInitial = 2, .mMax = 5 };
   OutlierOptions mOutliers{ .mFailuresInRow = 3,
                             .mFailureShare = 0.3,
@@ -311,11 +315,26 @@
   {
     mEntries = aEntries;
     mQuarantine.SetEntries(aEntries);
+    mConnectionShares.SetEntries(aEntries);
     mLoad.SetEntries(aEntries);
   }
   /** Whether there are entries to which this one doesn't send directly. */
   void SetRelays(bool aRelays) { mQuarantine.SetRelays(aRelays); }
 
+  /** Whether entries have to know the connections of this one. */
+  bool HasConnectionUse(Millis aNow) const
+  {
+    return mConnectionShares.IsReporting(aNow);
+  }
+  ConnectionUseUpdate TakeConnectionUse(Millis aNow);
+  void OnConnectionUse(const ConnectionUseUpdate& aUpdate, Millis aNow)
+  {
+    mConnectionShares.OnPeerUpdate(aUpdate, aNow);
+  }
+  /** More idle connections to the upstream are not kept: other entries may need
+   * them. */
+  size_t MaxIdleConnections(const UpstreamId& aUpstream, Millis aNow) const;
+
   LoadTracker& Load() { return mLoad; }
   const LoadTracker& Load() const { return mLoad; }
 
@@ -423,7 +442,14 @@
   bool ShedsTier(const BoundRequest& aRequest, bool aLate, Millis aNow);
   /** The upstream, if it can be fetched from, or null. */
   const ListedUpstream* HolderAt(const UpstreamId& aHolder, Millis aNow) const;
-  uint32_t ConnectionsFor(const BoundRequest& aRequest) const;
+  ConnectionLimits ConnectionLimitsOf(const RouteIndex& aIndex,
+                                      const std::string& aService) const;
+  /** Whether this entry, with aOpen requests at the upstream, may send another
+   * one there. */
+  bool HasFreeConnection(const UpstreamId& aUpstream,
+                         uint32_t aOpen,
+                         const ConnectionLimits& aLimits,
+                         Millis aNow);
   /** An upstream that can keep a copy, or null if a copy isn't worth its
    * cost. */
   const ListedUpstream* BackupFor(const BoundRequest& aRequest,
@@ -458,6 +484,8 @@
   std::unordered_map<std::string, StartMeter> mStartMeters;
   PeerWork mPeers;
   size_t mEntries = 1;
+  ConnectionShares mConnectionShares;
+  uint64_t mConnectionSequence = 0;
   /** Arrivals of requests with a prompt at this entry, by service. */
   std::unordered_map<std::string, ArrivalRate> mArrivalRates;
   TierAdmission mTiers;
--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -19,6 +19,9 @@
 constexpr Millis kProbeDuration{ 20 };
 constexpr int kMaxProbes = 3;
 
+/** Surplus connections are kept for this long, as bursts return. */
+constexpr Millis kMinSurplusAge{ 1000 };
+
 } // namespace
 
 boost::asio::ip::tcp::endpoint
@@ -161,10 +164,18 @@
 
 void
 ConnectionPool::Sweep(const std::function<bool(const UpstreamId&)>& aListed,
+                      const std::function<size_t(const UpstreamId&)>& aMaxIdle,
                       Millis aNow)
 {
   for (auto& [upstream, idle] : mIdle) {
     const bool listed = aListed(upstream);
+    const size_t maxIdle = aMaxIdle(upstream);
+    // The first ones have been idle for the longest time.
+    while (idle.size() > maxIdle &&
+           aNow - idle.front().mIdleSince >= kMinSurplusAge) {
+      idle.front().mConnection->Close();
+      idle.erase(idle.begin());
+    }
     std::erase_if(idle, [&](const IdleConnection& aIdle) {
       if (listed && !IsExpired(aIdle, aNow)) {
         return false;
@@ -211,6 +222,13 @@
   return count;
 }
 
+size_t
+ConnectionPool::IdleCount(const UpstreamId& aUpstream) const
+{
+  const auto found = mIdle.find(aUpstream);
+  return found == mIdle.end() ? 0 : found->second.size();
+}
+
 bool
 ConnectionPool::IsExpired(const IdleConnection& aIdle, Millis aNow) const
 {
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -67,15 +67,18 @@
                                       const trefoilarch::UpstreamId& aUpstream,
                                       const Connection& aConnection);
 
-  /** Closes expired idle connections, and all to upstreams no longer on the
-   * list. */
-  void Sweep(const std::function<bool(const trefoilarch::UpstreamId&)>& aListed,
-             trefoilarch::Millis aNow);
+  /** Closes expired idle connections, all to upstreams no longer on the list,
+   * and those beyond the maximum that have not been used for a while. */
+  void Sweep(
+    const std::function<bool(const trefoilarch::UpstreamId&)>& aListed,
+    const std::function<size_t(const trefoilarch::UpstreamId&)>& aMaxIdle,
+    trefoilarch::Millis aNow);
   /** Closes idle connections to an upstream whose process was restarted. */
   void CloseIdle(const trefoilarch::UpstreamId& aUpstream);
   void CloseAll();
 
   size_t IdleCount() const;
+  size_t IdleCount(const trefoilarch::UpstreamId& aUpstream) const;
   /** Connections established since the start. */
   uint64_t MadeCount() const { return mMadeCount; }
   uint64_t FailedCount() const { return mFailedCount; }
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -82,6 +82,10 @@
   , mLog({ .mProcess = mOptions.mSettings.mName })
   , mRouter({ .mDataCentre = mOptions.mSettings.mDataCentre,
               .mKeyPolicyMaxAge = mOptions.mSettings.mKeyPolicyMaxAge,
+              .mIdleConnections =
+                [this](const UpstreamId& aUpstream) {
+                  return mPool.IdleCount(aUpstream);
+                },
               .mRetries = RetryOptionsOf(mOptions.mSettings,
                                          InitialEntryCount(mOptions.mSettings)),
               .mName = mOptions.mSettings.mName,
@@ -358,6 +362,13 @@
     .mOnLoadUpdate =
       [this](const LoadUpdate& aUpdate) {
         mRouter.Load().OnUpdate(aUpdate, BootNow());
+      },
+    .mHasConnectionUse = [this] { return mRouter.HasConnectionUse(BootNow()); },
+    .mTakeConnectionUse =
+      [this] { return mRouter.TakeConnectionUse(BootNow()); },
+    .mOnConnectionUse =
+      [this](const ConnectionUseUpdate& aUpdate) {
+        mRouter.OnConnectionUse(aUpdate, BootNow());
       }
   };
 }
@@ -376,6 +387,9 @@
     [this](const UpstreamId& aUpstream) {
       return mRouter.Directory().Find(aUpstream) != nullptr;
     },
+    [this, now](const UpstreamId& aUpstream) {
+      return mRouter.MaxIdleConnections(aUpstream, now);
+    },
     now);
   if (mDraining) {
     ContinueDrain();
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "peerlink.h"
 
 #include "bootclock.h"
+#include "connectiondatagram.h"
 #include "connectionpool.h"
 #include "crashdatagram.h"
 #include "loaddatagram.h"
@@ -42,6 +43,9 @@
 constexpr Millis kMinTierInterval{ 40 };
 constexpr Millis kTierIntervalPerPeer{ 8 };
 
+/** Interval between two reports of connections, while an entry needs many. */
+constexpr Millis kConnectionInterval{ 200 };
+
 /** Interval at which the load timer checks for an update to send. */
 constexpr Millis kLoadTickInterval{ 100 };
 
@@ -167,6 +171,8 @@
     mHooks.mOnUsageReply(*usageReply);
   } else if (const auto loadUpdate = DecodeLoadUpdate(bytes)) {
     mHooks.mOnLoadUpdate(*loadUpdate);
+  } else if (const auto connections = DecodeConnectionUse(bytes)) {
+    mHooks.mOnConnectionUse(*connections);
   } else {
     mUnreadableCount++;
   }
@@ -251,6 +257,12 @@
     }
     mLastLoadSentAt = now;
   }
+  const bool connectionsDue =
+    now - mLastConnectionsSentAt >= kConnectionInterval;
+  if (connectionsDue && !mReceivers.empty() && mHooks.mHasConnectionUse()) {
+    Send(EncodeConnectionUse(mHooks.mTakeConnectionUse()));
+    mLastConnectionsSentAt = now;
+  }
   RunAfter(mLoadTimer, kLoadTickInterval, [this] { TickLoad(); });
 }
 
--- a/src/libtrefoilgate/peerlink.h
+++ b/src/libtrefoilgate/peerlink.h
@@ -2,6 +2,7 @@
 
 #include "peerdatagram.h"
 
+#include "libtrefoilarch/connectionuseupdate.h"
 #include "libtrefoilarch/crashupdate.h"
 #include "libtrefoilarch/loadupdate.h"
 #include "libtrefoilarch/millis.h"
@@ -55,6 +56,9 @@
   std::function<bool()> mHasLoadUpdate;
   std::function<trefoilarch::LoadUpdate()> mTakeLoadUpdate;
   std::function<void(const trefoilarch::LoadUpdate&)> mOnLoadUpdate;
+  std::function<bool()> mHasConnectionUse = [] { return false; };
+  std::function<trefoilarch::ConnectionUseUpdate()> mTakeConnectionUse;
+  std::function<void(const trefoilarch::ConnectionUseUpdate&)> mOnConnectionUse;
 };
 
 /**
@@ -141,6 +145,7 @@
   Millis mLastSentAt;
   Millis mLastTiersSentAt;
   std::optional<Millis> mLastLoadSentAt;
+  Millis mLastConnectionsSentAt;
   uint64_t mSentCount = 0;
   uint64_t mReceivedCount = 0;
   uint64_t mUnreadableCount = 0;
