--- a/tests/unit/quarantinesegmenttest.cpp
+++ b/tests/unit/quarantinesegmenttest.cpp
@@ -167,10 +167,8 @@
 /** Upstreams go on crashing by requests of the old entry. */
 Test(quarantinesegments, an_old_entry_does_not_harm_sound_segments)
 {
-  ExpectBounded({ .mEntries = 5,
-                  .mPoisons = 0,
-                  .mDeadSegments = 1,
-                  .mOldEntries = 1 });
+  ExpectBounded(
+    { .mEntries = 5, .mPoisons = 0, .mDeadSegments = 1, .mOldEntries = 1 });
 }
 
 Test(quarantinesegments, a_large_fleet_keeps_the_bound, .timeout = 200)
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -785,6 +785,53 @@
   }
 }
 
+namespace {
+
+const RequestFingerprint kSegment = RequestFingerprint::OfSegment(7);
+
+BoundRequest
+BoundWithSegment(DirectRouter& aRouter, const std::string& aPath, uint64_t aId)
+{
+  BoundRequest request = Bound(aRouter, aPath);
+  request.mFeatures = { .mContent = { 5, aId }, .mSegments = { kSegment } };
+  return request;
+}
+
+/** Whether the request is refused for its quarantine as not run. */
+bool
+IsQuarantinedNotRun(const PlanStep& aStep)
+{
+  const auto* answer = std::get_if<AnswerRefusal>(&aStep);
+  return answer != nullptr &&
+         answer->mRefusal.mKind == ErrorKind::Quarantined &&
+         answer->mRefusal.mRan == Ran::No;
+}
+
+} // namespace
+
+Test(requestplan, no_attempt_with_a_quarantined_segment_is_sent)
+{
+  for (const char* path : { "/once/x", "/safe/x", "/resume/x" }) {
+    DirectRouter router = MakeRouter(4);
+    RequestPlan running(router, BoundWithSegment(router, path, 1));
+    const PlacedAttempt attempt = AttemptOf(running.Begin(Millis(100)));
+    running.OnSending();
+    RequestPlan connecting(router, BoundWithSegment(router, path, 2));
+    const PlacedAttempt unsent = AttemptOf(connecting.Begin(Millis(100)));
+    router.OnCrashUpdate({ .mQuarantined = { { .mRequest = kSegment,
+                                               .mSuspectFor = Millis(50) } } },
+                         Millis(110));
+    RequestPlan later(router, BoundWithSegment(router, path, 3));
+    cr_expect(IsQuarantinedNotRun(later.Begin(Millis(120))));
+    cr_expect(!connecting.MaySend(Millis(120)));
+    router.OnEnded(unsent, AttemptOutcome::Withdrawn, Millis(120));
+    cr_expect(IsQuarantinedNotRun(connecting.OnUnreachable(Millis(120))));
+    router.OnEnded(attempt, AttemptOutcome::Broken, Millis(130));
+    const PlanStep retry = running.OnBroken(true, Millis(130));
+    cr_expect(std::holds_alternative<AnswerRefusal>(retry));
+  }
+}
+
 Test(directrouter, an_upstream_that_was_leaving_has_not_crashed)
 {
   DirectRouter router = MakeRouter(2);
