--- a/src/libtrefoilarch/crashupdate.h
+++ b/src/libtrefoilarch/crashupdate.h
@@ -9,7 +9,8 @@
 
 namespace trefoilarch {
 
-/** An upstream's crash and the requests that failed with it at one entry. */
+/** An upstream's crash, and the requests and prompt segments that failed with
+ * it at one entry. */
 struct CrashReport
 {
   UpstreamIncarnation mIncarnation;
@@ -20,7 +21,7 @@
   bool operator==(const CrashReport&) const = default;
 };
 
-/** A request and the time since an event concerning it. */
+/** A request or prompt segment, and the time since an event concerning it. */
 struct AgedRequest
 {
   RequestFingerprint mRequest;
@@ -29,7 +30,7 @@
   bool operator==(const AgedRequest&) const = default;
 };
 
-/** A quarantined request at an entry. */
+/** A quarantined request or prompt segment at an entry. */
 struct QuarantineReport
 {
   RequestFingerprint mRequest;
@@ -41,14 +42,15 @@
   bool operator==(const QuarantineReport&) const = default;
 };
 
-/** Information that entries exchange about requests that may crash upstreams.
- * Messages may be lost, duplicated or delayed. */
+/** Information that entries exchange about requests and prompt segments that
+ * may crash upstreams. Messages may be lost, duplicated or delayed. */
 struct CrashUpdate
 {
   std::vector<CrashReport> mReports;
-  /** Requests that got a complete response or were released by an operator. */
+  /** What got a complete response or was released by an operator. */
   std::vector<AgedRequest> mCleared;
-  /** Suspects that were just sent to an upstream. */
+  /** Suspected requests, and quarantined segments, that were just sent to an
+   * upstream. */
   std::vector<RequestFingerprint> mProbes;
   std::vector<QuarantineReport> mQuarantined;
 
@@ -57,7 +59,7 @@
     return mReports.empty() && mCleared.empty() && mProbes.empty() &&
            mQuarantined.empty();
   }
-  /** Number of requests in the update, as a measure of the message size. */
+  /** Number of fingerprints in the update, as a measure of the message size. */
   size_t Size() const
   {
     size_t size = mCleared.size() + mProbes.size() + mQuarantined.size();
--- a/src/libtrefoilarch/crashupdateparts.cpp
+++ b/src/libtrefoilarch/crashupdateparts.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/** Maximum number of requests in a message. */
+/** Maximum number of fingerprints in a message. */
 constexpr size_t kMaxRequests = 40;
 
-/** Size of an incarnation in a message, in requests. */
+/** Size of an incarnation in a message, in fingerprints. */
 constexpr size_t kIncarnationSize = 2;
 
 } // namespace
--- a/src/libtrefoilarch/quarantine.cpp
+++ b/src/libtrefoilarch/quarantine.cpp
@@ -299,7 +299,10 @@
       OnCrashOfQuarantined(quarantined->second);
     } else if (IsCulprit(each)) {
       const auto [settling, isNew] = mSettling.try_emplace(each, aNow);
-      settling->second = each.IsSegment() && !isNew ? settling->second : aNow;
+      // Some requests with a suspected segment go on, and so may its crashes.
+      if (!each.IsSegment()) {
+        settling->second = aNow;
+      }
     }
   }
 }
