Name the end of the quarantine to callers of a quarantined request

Since a probe of a segment gives an earlier time to return, a request that was quarantined for its content got that of its probe too, in the first second, though it is probed only where its crashes are uncertain. requestplantest, a_request_that_crashed_three_upstreams_is_rejected_as_not_run, failed for it and passes.

--- a/src/libtrefoilarch/quarantine.cpp
+++ b/src/libtrefoilarch/quarantine.cpp
@@ -82,9 +82,8 @@
       return;
     }
     const Millis probeAt = quarantined->second.mProbeAt;
-    delay = std::max(delay,
-                     probeAt == Millis::Never() ? mOptions.mIdleTimeout
-                                                : probeAt - aNow);
+    const bool probes = aFeature.IsSegment() && probeAt != Millis::Never();
+    delay = std::max(delay, probes ? probeAt - aNow : mOptions.mIdleTimeout);
   };
   add(aRequest.mContent);
   std::for_each(aRequest.mSegments.begin(), aRequest.mSegments.end(), add);
--- a/src/libtrefoilarch/quarantine.h
+++ b/src/libtrefoilarch/quarantine.h
@@ -158,8 +158,8 @@
   /** The first feature of the request that is quarantined, or null. */
   const RequestFingerprint* QuarantinedFeature(
     const RequestFeatures& aRequest) const;
-  /** When a caller may retry a request that was refused: the next probe, if
-   * there will be one. */
+  /** When a caller may retry a request that was refused: at the next probe of a
+   * segment, if there will be one. */
   Millis RetryDelay(const RequestFeatures& aRequest, Millis aNow) const;
   /** Whether it was quarantined here and has been released since. */
   bool IsReleased(const RequestFingerprint& aRequest) const;
