--- a/tests/platform/poisonsegmenttest.cpp
+++ b/tests/platform/poisonsegmenttest.cpp
@@ -312,9 +312,14 @@
   GateCall call{ .mId = "last", .mPath = "/resume/dead", .mPlan = "ok" };
   SetPrompt(call, kDeadSegment, 1000);
   cr_expect(fleet.Call(call, 1).mStatus == 503);
-  const auto ended = fleet.LogOf(1, "request_ended");
-  cr_assert(!ended.empty());
-  cr_expect(ended.back().value("quarantined_segment", "") == "dead01");
+  nlohmann::json ended;
+  cr_assert(Await([&] {
+    for (const auto& each : fleet.LogOf(1, "request_ended")) {
+      ended = each.at("id") == call.mId ? each : ended;
+    }
+    return !ended.is_null();
+  }));
+  cr_expect(ended.value("quarantined_segment", "") == "dead01");
   std::string fingerprint;
   for (const auto& each : QuarantinedAt(fleet, 1)) {
     if (each.value("segment", "") == "dead01") {
