--- a/review/standins/gate.cpp
+++ b/review/standins/gate.cpp
@@ -131,6 +131,21 @@
   }
 }
 
+long
+Gate::MemoryKb() const
+{
+  std::ifstream status("/proc/" + std::to_string(mProcess) + "/status");
+  std::string word;
+  while (status >> word) {
+    if (word == "VmRSS:") {
+      long kilobytes = 0;
+      status >> kilobytes;
+      return kilobytes;
+    }
+  }
+  return 0;
+}
+
 bool
 Gate::HasEnded()
 {
--- a/review/standins/gate.h
+++ b/review/standins/gate.h
@@ -29,6 +29,8 @@
   void Signal(int aSignal) const;
   /** Ends the process and waits for it. */
   void Stop();
+  /** Memory that the process uses now; 0 if it does not run. */
+  long MemoryKb() const;
   /** Whether the process has ended by itself. */
   bool HasEnded();
 
