--- a/src/libtrefoilarch/dutyactions.h
+++ b/src/libtrefoilarch/dutyactions.h
@@ -42,6 +42,16 @@
   bool operator==(const DutyRow&) const = default;
 };
 
+/** A row, and the version that a write expects it to have; 0 if it must not
+ * exist. */
+struct ExpectedRow
+{
+  std::string mKey;
+  uint64_t mVersion = 0;
+
+  bool operator==(const ExpectedRow&) const = default;
+};
+
 /** Read all rows of the duty's table; ends with OnRead(). */
 struct ReadDutyRows
 {
@@ -50,11 +60,13 @@
 
 /**
  * Write and remove these rows in one transaction, provided that the duty's
- * record is at that version; ends with OnWritten().
+ * record and the other expected rows are at their versions; ends with
+ * OnWritten().
  */
 struct WriteDutyRows
 {
   uint64_t mRecordVersion = 0;
+  std::vector<ExpectedRow> mExpected;
   std::vector<DutyRow> mRows;
   std::vector<std::string> mRemoved;
 
@@ -78,16 +90,18 @@
 /** What has changed, for the log. */
 enum class DutyEventKind : uint8_t
 {
-  Gained,       /**< this process holds the duty */
-  Lost,         /**< the lease has expired, or another process holds it */
-  Released,     /**< this process stops holding it */
-  Unreadable,   /**< a row is invalid and is ignored */
-  ReportFixed,  /**< the store keeps the report */
-  ReportSent,   /**< a call to the receiver starts */
-  CallFailed,   /**< the call is to be repeated */
-  Accepted,     /**< the receiver has accepted the report */
-  Rejected,     /**< the receiver rejects the report for good */
-  ReportGivenUp /**< the report was not accepted in time */
+  Gained,        /**< this process holds the duty */
+  Lost,          /**< the lease has expired, or another process holds it */
+  Released,      /**< this process stops holding it */
+  Unreadable,    /**< a row is invalid and is ignored */
+  ReportFixed,   /**< the store keeps the report */
+  ReportSent,    /**< a call to the receiver starts */
+  CallFailed,    /**< the call is to be repeated */
+  Accepted,      /**< the receiver has accepted the report */
+  Rejected,      /**< the receiver rejects the report for good */
+  ReportGivenUp, /**< the report was not accepted in time */
+  EraChanged,    /**< the store has come back from an older copy */
+  PeriodsSkipped /**< periods that the store may have lost the reports of */
 };
 
 struct DutyEvent
@@ -124,6 +138,8 @@
   StoreClockReading mClock;
   /** The store's newest version. */
   uint64_t mVersion = 0;
+  /** The store's era; see StoreVersion. */
+  uint64_t mEra = 0;
   std::vector<DutyRow> mRows;
 };
 
@@ -140,6 +156,8 @@
   DutyWriteOutcome mOutcome = DutyWriteOutcome::Unknown;
   /** The version of the written rows, if done. */
   uint64_t mVersion = 0;
+  /** The store's era, unless the outcome is unknown. */
+  uint64_t mEra = 0;
   /** Empty if the response does not contain the store's time. */
   std::optional<StoreClockReading> mClock{};
 };
--- a/src/libtrefoilarch/dutyrecord.cpp
+++ b/src/libtrefoilarch/dutyrecord.cpp
@@ -1,5 +1,7 @@
 #include "dutyrecord.h"
 
+#include "storeversion.h"
+
 #include <nlohmann/json.hpp>
 
 namespace trefoilarch {
@@ -53,9 +55,31 @@
     record.mPastHolders.push_back(
       { .mHost = past.at(0).get<std::string>(), .mUntil = TimeIn(past.at(1)) });
   }
+  if (aJson.contains("era")) {
+    record.mEra = NumberIn(aJson.at("era"));
+    record.mEraSince = TimeIn(aJson.at("era_since_ms"));
+    record.mHolder = aJson.at("held_by").get<std::string>();
+    record.mFencingToken = NumberIn(aJson.at("token"));
+    record.mExpiresAt = TimeIn(aJson.at("lease_end_ms"));
+  }
   return record;
 }
 
+/** Adds the fields of an era, and hides the holder's end from releases that
+ * don't know them. */
+void
+AddEra(Json& aJson, const DutyRecord& aRecord)
+{
+  aJson["era"] = aRecord.mEra;
+  aJson["era_since_ms"] = aRecord.mEraSince.Count();
+  aJson["held_by"] = aRecord.mHolder;
+  aJson["token"] = aRecord.mFencingToken;
+  aJson["lease_end_ms"] = aRecord.mExpiresAt.Count();
+  aJson["holder"] = aRecord.mHolder.empty() ? "released" : aRecord.mHolder;
+  aJson["fence"] = StoreVersion::FromNumber(aRecord.mFencingToken).mVersion;
+  aJson["expires_ms"] = (aRecord.mExpiresAt + kOlderReleaseLockout).Count();
+}
+
 } // namespace
 
 std::string
@@ -65,15 +89,17 @@
   for (const PastHolder& each : aRecord.mPastHolders) {
     past.push_back(Json::array({ each.mHost, each.mUntil.Count() }));
   }
-  return Json{
-    { "holder", aRecord.mHolder },
-    { "host", aRecord.mHost },
-    { "fence", aRecord.mFencingToken },
-    { "expires_ms", aRecord.mExpiresAt.Count() },
-    { "fixed", Json(aRecord.mFixed) },
-    { "unix_offset_ms", aRecord.mUnixOffset.Count() },
-    { "past_holders", std::move(past) }
-  }.dump();
+  Json json{ { "holder", aRecord.mHolder },
+             { "host", aRecord.mHost },
+             { "fence", aRecord.mFencingToken },
+             { "expires_ms", aRecord.mExpiresAt.Count() },
+             { "fixed", Json(aRecord.mFixed) },
+             { "unix_offset_ms", aRecord.mUnixOffset.Count() },
+             { "past_holders", std::move(past) } };
+  if (aRecord.mEra > 0) {
+    AddEra(json, aRecord);
+  }
+  return json.dump();
 }
 
 std::optional<DutyRecord>
--- a/src/libtrefoilarch/dutyrecord.h
+++ b/src/libtrefoilarch/dutyrecord.h
@@ -10,6 +10,10 @@
 
 namespace trefoilarch {
 
+/** How long a holder may be gone before a release that knows no eras takes its
+ * duty over. */
+constexpr Millis kOlderReleaseLockout{ 40000 };
+
 /** A host that held a duty, and the store time at which its lease ended. */
 struct PastHolder
 {
@@ -38,6 +42,11 @@
   Millis mUnixOffset;
   /** Earlier holders, the oldest first. */
   std::vector<PastHolder> mPastHolders;
+  /** The store's era, as the writer knew it. A record of an earlier era comes
+   * from a copy, or from a release that knew no eras. */
+  uint64_t mEra = 0;
+  /** The store time at which a holder first found the store in that era. */
+  Millis mEraSince;
 
   bool operator==(const DutyRecord&) const = default;
 };
@@ -52,6 +61,11 @@
   bool operator==(const StoredReport&) const = default;
 };
 
+/**
+ * A record of an era after 0 keeps releases that know no eras from taking the
+ * duty over with a lower token: to them its lease ends kOlderReleaseLockout
+ * later.
+ */
 std::string
 DutyRecordToText(const DutyRecord& aRecord);
 
--- a/src/libtrefoilarch/singletonduty.cpp
+++ b/src/libtrefoilarch/singletonduty.cpp
@@ -42,7 +42,7 @@
   DutyActions out;
   mState.mStoreBusy = false;
   mState.mNextStoreAt = aNow + mOptions.mRetryInterval;
-  if (aRead.mReached) {
+  if (aRead.mReached && AcceptEra(out, aRead.mEra, aNow)) {
     mState.mClock = aRead.mClock;
     ApplyRead(out, aRead, aNow);
   }
@@ -58,16 +58,21 @@
   // Unless the write is done, the store is read before the next one.
   mState.mRecordVersion = 0;
   mState.mNextStoreAt = aNow;
-  if (aWritten.mClock) {
-    mState.mClock = aWritten.mClock;
-  }
-  if (aWritten.mOutcome == DutyWriteOutcome::Done) {
-    OnWriteDone(out, aWritten.mVersion, aNow);
-  } else if (aWritten.mOutcome == DutyWriteOutcome::Unknown) {
+  const bool isUnknown = aWritten.mOutcome == DutyWriteOutcome::Unknown;
+  const uint64_t era = Era();
+  if (isUnknown || !AcceptEra(out, aWritten.mEra, aNow)) {
     mState.mNextStoreAt = aNow + mOptions.mRetryInterval;
+  } else {
+    mState.mClock = aWritten.mClock ? aWritten.mClock : mState.mClock;
+    // In a new era the record has to be written anew.
+    if (aWritten.mOutcome == DutyWriteOutcome::Done && Era() == era) {
+      OnWriteDone(out, aWritten.mVersion, aNow);
+    }
   }
   mState.mWrittenReport.reset();
   mState.mWrittenRemovals.clear();
+  mState.mWrittenSkips.clear();
+  mState.mWritesHolderRow = false;
   Advance(out, aNow);
   return out;
 }
@@ -115,6 +120,13 @@
     std::max(mState.mNextStoreAt, std::min(leaseEnd, nextReading));
 }
 
+void
+SingletonDuty::OnFixedHeard(const std::string& aSubject, uint64_t aPeriod)
+{
+  uint64_t& highest = mState.mHighestFixed[aSubject];
+  highest = std::max(highest, aPeriod);
+}
+
 bool
 SingletonDuty::MayPropose(const std::string& aSubject,
                           uint64_t aPeriod,
--- a/src/libtrefoilarch/singletonduty.h
+++ b/src/libtrefoilarch/singletonduty.h
@@ -15,6 +15,8 @@
 
 namespace trefoilarch {
 
+using PeriodsBySubject = std::map<std::string, uint64_t>;
+
 struct DutyOptions
 {
   /** Key of the record and prefix of the reports' keys. */
@@ -42,6 +44,13 @@
   /** The contents of a first record, when there is none that can be read. */
   std::function<DutyRecord(const StoreClockReading&)> mFirstRecord =
     [](const StoreClockReading&) { return DutyRecord{}; };
+  /** By subject: the last period that may have been fixed before that local
+   * time by a holder whose record the store has lost. */
+  std::function<
+    PeriodsBySubject(const DutyRecord&, const StoreClockReading&, Millis)>
+    mLastBefore = [](const DutyRecord&, const StoreClockReading&, Millis) {
+      return PeriodsBySubject{};
+    };
 };
 
 /**
@@ -52,6 +61,14 @@
  * changed it. A report is first stored by such a write and only then sent, so
  * that a successor can send the same bytes or none.
  *
+ * The store may come back from an older copy of itself, under a new era.
+ * Fencing tokens contain the era, and a record of an earlier era is no proof
+ * that nothing was fixed or granted after it: only a process that has held the
+ * duty throughout goes on; any other waits until leases of the earlier era have
+ * ended, and skips the periods that may have been fixed in it. As versions are
+ * given out again, a write of the holder also expects the row that the holder
+ * wrote at its takeover.
+ *
  * Leases end by the store's clock, and local clocks are never compared with one
  * another: the holder counts from the earliest time at which the store may have
  * read its clock, a successor from the latest one.
@@ -76,6 +93,8 @@
   /** The holder with this fencing token has just said that it holds the duty,
    * so the store need not be read before that lease may end. */
   void OnHolderHeard(uint64_t aFencingToken, Millis aNow);
+  /** The holder has said that the period is fixed. */
+  void OnFixedHeard(const std::string& aSubject, uint64_t aPeriod);
 
   /** Whether a report of that period may be proposed now. */
   bool MayPropose(const std::string& aSubject,
@@ -97,6 +116,10 @@
   uint64_t LastFixed(const std::string& aSubject) const;
   /** The last accepted period, as far as this process knows; 0 for none. */
   uint64_t LastAccepted(const std::string& aSubject) const;
+  /** Periods skipped because the store may have lost their reports. */
+  uint64_t SkippedCount() const { return mState.mSkippedCount; }
+  /** The newest era of the store. */
+  uint64_t Era() const { return mState.mEra.value_or(0); }
   /** Fixed reports that are not yet accepted. */
   const std::vector<DutyReport>& Unaccepted() const
   {
@@ -119,8 +142,17 @@
   void AdvanceCalls(DutyActions& aOut, Millis aNow);
   void Renew(DutyActions& aOut, Millis aNow);
   void Release(DutyActions& aOut, Millis aNow);
+  /** Returns false for a response of an earlier era. */
+  bool AcceptEra(DutyActions& aOut, uint64_t aEra, Millis aNow);
+  /** When no lease of an earlier era is valid any more. */
+  Millis EarlierLeasesEndAt() const;
+  uint64_t NextFencingToken(uint64_t aStoreVersion) const;
   void TakeOver(DutyActions& aOut, DutyRecord aRecord, Millis aNow);
+  /** Writes the held record into a store that came back from a copy. */
+  void RestoreRecord(DutyActions& aOut, Millis aNow);
   void Write(DutyActions& aOut, uint64_t aRecordVersion, DutyRecord aRecord);
+  /** Lets the write claim the duty for the record's holder. */
+  void AddHolderRow(WriteDutyRows& aWrite, const DutyRecord& aRecord) const;
   void ApplyRead(DutyActions& aOut, const DutyRowsRead& aRead, Millis aNow);
   void OnOwnRecord(DutyActions& aOut,
                    DutyRecord aRecord,
@@ -131,6 +163,12 @@
                      const DutyRowsRead& aRead,
                      Millis aNow);
   void OnNoRecord(DutyActions& aOut, uint64_t aStoreVersion, Millis aNow);
+  /** The record is of an earlier era. */
+  void OnPastRecord(DutyActions& aOut,
+                    const DutyRecord& aRecord,
+                    const DutyRowsRead& aRead,
+                    Millis aNow);
+  void SkipUnknownPeriods(DutyRecord& aRecord);
   void CollectReports(DutyActions& aOut, const std::vector<DutyRow>& aRows);
   void CollectReport(DutyActions& aOut, const DutyRow& aRow);
   void OnWriteDone(DutyActions& aOut, uint64_t aVersion, Millis aNow);
@@ -146,6 +184,8 @@
   Millis FirstCallAt() const;
   DutyRow RowOf(const DutyReport& aReport) const;
   std::string KeyOf(const DutyReport& aReport) const;
+  /** The key of the row that a holder writes at its takeover. */
+  std::string HolderRowKey(uint64_t aFencingToken) const;
   /** The report without its body; empty if it is not a report's key. */
   std::optional<DutyReport> ReportOfKey(const std::string& aKey) const;
 
--- a/src/libtrefoilarch/singletondutyrecord.cpp
+++ b/src/libtrefoilarch/singletondutyrecord.cpp
@@ -1,6 +1,9 @@
 #include "singletonduty.h"
 
+#include "storeversion.h"
+
 #include <algorithm>
+#include <iterator>
 
 /** The record of a SingletonDuty in the store. */
 namespace trefoilarch {
@@ -14,6 +17,9 @@
  * that went back to an older copy makes it larger by no more than this. */
 constexpr uint64_t kMaxTokenLead = 10000000;
 
+/** Between the duty's name and the fencing token in the key of a holder row. */
+constexpr char kHolderSeparator = '#';
+
 } // namespace
 
 void
@@ -28,6 +34,21 @@
   const bool exists = row != aRead.mRows.end();
   const auto record = exists ? RecordOf(*row) : std::nullopt;
   mState.mReadVersion = exists ? row->mVersion : 0;
+  mState.mHolderRows.clear();
+  std::copy_if(aRead.mRows.begin(),
+               aRead.mRows.end(),
+               std::back_inserter(mState.mHolderRows),
+               [this](const DutyRow& aRow) {
+                 return aRow.mKey.starts_with(mOptions.mName +
+                                              kHolderSeparator);
+               });
+  const bool holdsSinceEarlier =
+    mState.mHolding && aNow < mState.mHeldUntil && mState.mRecord.mEra < Era();
+  const bool isPast = record && record->mEra < Era();
+  if (holdsSinceEarlier && (isPast || !exists)) {
+    RestoreRecord(aOut, aNow);
+    return;
+  }
   if (!record) {
     if (exists) {
       aOut.emplace_back(DutyEvent{ .mKind = DutyEventKind::Unreadable,
@@ -36,6 +57,10 @@
     OnNoRecord(aOut, aRead.mVersion, aNow);
     return;
   }
+  if (isPast) {
+    OnPastRecord(aOut, *record, aRead, aNow);
+    return;
+  }
   // A token below the highest one is from an older copy of the store.
   const bool isOwn = record->mHolder == mOptions.mHolder &&
                      record->mFencingToken >= mState.mHighestFencingToken;
@@ -50,10 +75,12 @@
 SingletonDuty::RecordOf(const DutyRow& aRow) const
 {
   auto record = DutyRecordFromText(aRow.mText);
+  const StoreVersion newest{ .mEra = Era(), .mVersion = aRow.mVersion };
   const bool plausible =
     record &&
     record->mExpiresAt <= mState.mClock->mStoreTime + kMaxLeaseDuration &&
-    record->mFencingToken <= aRow.mVersion + kMaxTokenLead &&
+    record->mEra <= Era() &&
+    record->mFencingToken <= newest.Number() + kMaxTokenLead &&
     mOptions.mIsPlausible(*record);
   return plausible ? std::move(record) : std::nullopt;
 }
@@ -93,9 +120,27 @@
   aRecord.mHolder = mOptions.mHolder;
   aRecord.mHost = mOptions.mHost;
   aRecord.mExpiresAt = mState.mClock->Latest(aNow) + mOptions.mLeaseDuration;
+  if (aRecord.mEra < Era()) {
+    aRecord.mEra = Era();
+    aRecord.mEraSince = mState.mClock->Latest(mState.mEraSeenAt);
+  }
+  mState.mWritesHolderRow = true;
   Write(aOut, mState.mReadVersion, std::move(aRecord));
 }
 
+void
+SingletonDuty::RestoreRecord(DutyActions& aOut, Millis aNow)
+{
+  mState.mNoRecordSince.reset();
+  DutyRecord record = mState.mRecord;
+  PrunePastHolders(record, aNow);
+  record.mExpiresAt = mState.mClock->Latest(aNow) + mOptions.mLeaseDuration;
+  record.mEra = Era();
+  record.mEraSince = mState.mClock->Latest(mState.mEraSeenAt);
+  mState.mWritesHolderRow = true;
+  Write(aOut, mState.mReadVersion, std::move(record));
+}
+
 void
 SingletonDuty::Write(DutyActions& aOut,
                      uint64_t aRecordVersion,
@@ -118,9 +163,44 @@
   if (mState.mWrittenReport) {
     write.mRows.push_back(RowOf(*mState.mWrittenReport));
   }
+  if (mState.mWritesHolderRow) {
+    AddHolderRow(write, mState.mWrittenRecord);
+  } else if (mState.mWrittenRecord.mEra > 0) {
+    write.mExpected.push_back(
+      { .mKey = HolderRowKey(mState.mWrittenRecord.mFencingToken),
+        .mVersion = mState.mHolderRowVersion });
+  }
   aOut.emplace_back(std::move(write));
 }
 
+void
+SingletonDuty::AddHolderRow(WriteDutyRows& aWrite,
+                            const DutyRecord& aRecord) const
+{
+  if (aRecord.mEra == 0) {
+    return; // a store without eras doesn't go back
+  }
+  const std::string key = HolderRowKey(aRecord.mFencingToken);
+  for (const DutyRow& each : mState.mHolderRows) {
+    aWrite.mExpected.push_back(
+      { .mKey = each.mKey, .mVersion = each.mVersion });
+    if (each.mKey != key) {
+      aWrite.mRemoved.push_back(each.mKey);
+    }
+  }
+  aWrite.mRows.push_back({ .mKey = key, .mText = aRecord.mHolder });
+  // The store may have lost them with the record.
+  for (const DutyReport& each : mState.mUnaccepted) {
+    aWrite.mRows.push_back(RowOf(each));
+  }
+}
+
+std::string
+SingletonDuty::HolderRowKey(uint64_t aFencingToken) const
+{
+  return mOptions.mName + kHolderSeparator + std::to_string(aFencingToken);
+}
+
 void
 SingletonDuty::OnOwnRecord(DutyActions& aOut,
                            DutyRecord aRecord,
@@ -131,6 +211,13 @@
   mState.mRecordVersion = mState.mReadVersion;
   mState.mRecord = std::move(aRecord);
   Remember(mState.mRecord);
+  const std::string holderRow = HolderRowKey(mState.mRecord.mFencingToken);
+  mState.mHolderRowVersion = 0;
+  for (const DutyRow& each : mState.mHolderRows) {
+    if (each.mKey == holderRow) {
+      mState.mHolderRowVersion = each.mVersion;
+    }
+  }
   if (mState.mProposed &&
       mState.mProposed->mPeriod <= LastFixed(mState.mProposed->mSubject)) {
     mState.mProposed.reset(); // written, though the response was lost
@@ -169,12 +256,92 @@
     return;
   }
   DutyRecord record = aRecord;
-  record.mFencingToken =
-    std::max(mState.mHighestFencingToken, aRead.mVersion) + 1;
+  record.mFencingToken = NextFencingToken(aRead.mVersion);
   CollectReports(aOut, aRead.mRows);
   TakeOver(aOut, std::move(record), aNow);
 }
 
+void
+SingletonDuty::OnPastRecord(DutyActions& aOut,
+                            const DutyRecord& aRecord,
+                            const DutyRowsRead& aRead,
+                            Millis aNow)
+{
+  mState.mNoRecordSince.reset();
+  mState.mRecordVersion = 0;
+  mState.mProposed.reset();
+  mState.mRemovals.clear();
+  if (mState.mHolding) {
+    StopHolding(aOut, DutyEventKind::Lost, "the store has lost the record");
+  }
+  mState.mRecord = aRecord;
+  Remember(aRecord);
+  if (!mState.mWanted) {
+    return;
+  }
+  const bool isFree =
+    aRecord.mHolder.empty() || mState.mClock->mStoreTime >= aRecord.mExpiresAt;
+  const Millis leaseEnd =
+    isFree ? aNow : mState.mClock->ReachedAt(aRecord.mExpiresAt);
+  const Millis free = std::max(EarlierLeasesEndAt(), leaseEnd);
+  if (aNow < free) {
+    mState.mNextStoreAt =
+      std::min(free, aNow + mOptions.mLeaseDuration + mOptions.mMargin);
+    return;
+  }
+  DutyRecord record = aRecord;
+  record.mFencingToken = NextFencingToken(aRead.mVersion);
+  SkipUnknownPeriods(record);
+  CollectReports(aOut, aRead.mRows);
+  TakeOver(aOut, std::move(record), aNow);
+}
+
+void
+SingletonDuty::SkipUnknownPeriods(DutyRecord& aRecord)
+{
+  const PeriodsBySubject last =
+    mOptions.mLastBefore(aRecord, *mState.mClock, mState.mEraSeenAt);
+  for (const auto& [subject, period] : last) {
+    uint64_t& fixed = aRecord.mFixed[subject];
+    fixed = std::max(fixed, LastFixed(subject));
+    if (fixed < period) {
+      mState.mWrittenSkips.push_back(
+        { .mSubject = subject, .mFirst = fixed + 1, .mLast = period });
+      fixed = period;
+    }
+  }
+}
+
+bool
+SingletonDuty::AcceptEra(DutyActions& aOut, uint64_t aEra, Millis aNow)
+{
+  if (mState.mEra && aEra <= *mState.mEra) {
+    return aEra == *mState.mEra;
+  }
+  if (mState.mEra) {
+    aOut.emplace_back(DutyEvent{ .mKind = DutyEventKind::EraChanged,
+                                 .mDetail = "from era " +
+                                            std::to_string(*mState.mEra) +
+                                            " to " + std::to_string(aEra) });
+  }
+  mState.mEra = aEra;
+  mState.mEraSeenAt = aNow;
+  return true;
+}
+
+Millis
+SingletonDuty::EarlierLeasesEndAt() const
+{
+  return mState.mEraSeenAt + mOptions.mLeaseDuration + mOptions.mMargin;
+}
+
+uint64_t
+SingletonDuty::NextFencingToken(uint64_t aStoreVersion) const
+{
+  const StoreVersion newest{ .mEra = Era(), .mVersion = aStoreVersion };
+  return std::max(mState.mHighestFencingToken, newest.Number()) + 1;
+}
+
 void
 SingletonDuty::OnNoRecord(DutyActions& aOut,
                           uint64_t aStoreVersion,
@@ -195,8 +362,7 @@
     return;
   }
   DutyRecord record = mOptions.mFirstRecord(*mState.mClock);
-  record.mFencingToken =
-    std::max(mState.mHighestFencingToken, aStoreVersion) + 1;
+  record.mFencingToken = NextFencingToken(aStoreVersion);
   TakeOver(aOut, std::move(record), aNow);
 }
 
@@ -214,6 +380,17 @@
     return; // released
   }
   mState.mRecordVersion = aVersion;
+  if (mState.mWritesHolderRow) {
+    mState.mHolderRowVersion = aVersion;
+  }
+  for (const SkippedPeriods& each : mState.mWrittenSkips) {
+    mState.mSkippedCount += each.mLast - each.mFirst + 1;
+    aOut.emplace_back(
+      DutyEvent{ .mKind = DutyEventKind::PeriodsSkipped,
+                 .mSubject = each.mSubject,
+                 .mPeriod = each.mLast,
+                 .mDetail = "from period " + std::to_string(each.mFirst) });
+  }
   if (mState.mWrittenReport) {
     mState.mUnaccepted.push_back(*mState.mWrittenReport);
     mState.mProposed.reset();
@@ -254,6 +431,11 @@
   const auto& past = mState.mRecord.mPastHolders;
   const auto lastOther = std::find_if_not(past.rbegin(), past.rend(), isOwn);
   Millis first;
+  if (mState.mRecord.mEra > 0) {
+    // The store may have lost that this host held the duty.
+    first = mState.mClock->ReachedAt(mState.mRecord.mEraSince) +
+            mOptions.mLeaseDuration + mOptions.mMargin + mOptions.mReturnDelay;
+  }
   std::for_each(past.begin(), lastOther.base(), [&](const PastHolder& aPast) {
     if (isOwn(aPast)) {
       const Millis end = aPast.mUntil + mOptions.mReturnDelay;
--- a/src/libtrefoilarch/usagereporter.cpp
+++ b/src/libtrefoilarch/usagereporter.cpp
@@ -42,6 +42,11 @@
     options.mIsPlausible = [this](const DutyRecord& aRecord) {
       return IsPlausible(aRecord);
     };
+    options.mLastBefore = [this](const DutyRecord& aRecord,
+                                 const StoreClockReading& aClock,
+                                 Millis aAt) {
+      return LastBefore(aRecord, aClock, aAt);
+    };
     return options;
   }())
   , mCollector({ .mWindows = mOptions.mWindows })
@@ -77,6 +82,17 @@
   return actions;
 }
 
+void
+UsageReporter::OnReply(const UsageReply& aReply, Millis aNow)
+{
+  mDuty.OnHolderHeard(aReply.mFencingToken, aNow);
+  // A window that has not ended can't be fixed.
+  const Millis limit = aNow + mWallOffset + kMaxClockError;
+  if (aReply.mFixedWindow < mOptions.mWindows.At(limit)) {
+    mDuty.OnFixedHeard(kSubject, aReply.mFixedWindow);
+  }
+}
+
 std::optional<UsageReply>
 UsageReporter::OnUpdate(const UsageUpdate& aUpdate, Millis aNow)
 {
@@ -167,6 +183,17 @@
          fixed->second <= mOptions.mWindows.At(limit);
 }
 
+PeriodsBySubject
+UsageReporter::LastBefore(const DutyRecord& aRecord,
+                          const StoreClockReading& aClock,
+                          Millis aAt) const
+{
+  // The wait after a window's end is for clocks that differ.
+  const Millis unixTime =
+    StoreTime(aClock, aAt) + aRecord.mUnixOffset + kMinWait;
+  return { { kSubject, mOptions.mWindows.At(unixTime) - 1 } };
+}
+
 Millis
 UsageReporter::StoreTime(const StoreClockReading& aClock, Millis aNow)
 {
--- a/src/libtrefoilarch/usagereporter.h
+++ b/src/libtrefoilarch/usagereporter.h
@@ -60,6 +60,8 @@
   const UsageCollector& Collector() const { return mCollector; }
 
   UsageActions OnTick(Millis aWallTime, Millis aNow);
+  /** The holder has replied to this process. */
+  void OnReply(const UsageReply& aReply, Millis aNow);
   /** Returns the reply for the sender, if this process holds the duty. */
   std::optional<UsageReply> OnUpdate(const UsageUpdate& aUpdate, Millis aNow);
 
@@ -78,6 +80,10 @@
   bool MayFix(uint64_t aWindow, Millis aUnixTime, Millis aNow) const;
   DutyRecord FirstRecord(const StoreClockReading& aClock);
   bool IsPlausible(const DutyRecord& aRecord) const;
+  /** See DutyOptions::mLastBefore. */
+  PeriodsBySubject LastBefore(const DutyRecord& aRecord,
+                              const StoreClockReading& aClock,
+                              Millis aAt) const;
   static Millis StoreTime(const StoreClockReading& aClock, Millis aNow);
 
   UsageReporterOptions mOptions;
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -163,6 +163,16 @@
                     "trefoilarch_gate_usage_windows_missed",
                     "",
                     "Usage windows that this gate did not report in time." },
+  GaugeDescription{ Gauge::UsageWindowsSkipped,
+                    "trefoilarch_gate_usage_windows_skipped",
+                    "",
+                    "Usage windows that this gate did not report, as the "
+                    "store may have lost an earlier report of them." },
+  GaugeDescription{ Gauge::StoreEra,
+                    "trefoilarch_gate_store_era",
+                    "",
+                    "How often the store has come back from an older copy, "
+                    "as this gate's duty knows it." },
   GaugeDescription{ Gauge::ClockCorrectionMs,
                     "trefoilarch_gate_clock_correction_ms",
                     "",
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -50,6 +50,8 @@
   DutyFencingToken,
   UsageWindowAccepted,
   UsageWindowsMissed,
+  UsageWindowsSkipped,
+  StoreEra,
   ClockCorrectionMs,
   UnreadableDatagrams,
   PeerDatagrams,      /**< by direction: "sent", "received" */
--- a/src/libtrefoilgate/usageservice.cpp
+++ b/src/libtrefoilgate/usageservice.cpp
@@ -36,11 +36,11 @@
 constexpr int64_t kMarginDivisor = 10;
 
 /** In the order of DutyEventKind. */
-constexpr std::array kEventNames{ "duty_gained",     "duty_lost",
-                                  "duty_released",   "duty_unreadable",
-                                  "report_fixed",    "report_sent",
-                                  "report_failed",   "report_accepted",
-                                  "report_rejected", "report_given_up" };
+constexpr std::array kEventNames{
+  "duty_gained",     "duty_lost",       "duty_released",    "duty_unreadable",
+  "report_fixed",    "report_sent",     "report_failed",    "report_accepted",
+  "report_rejected", "report_given_up", "duty_era_changed", "report_skipped"
+};
 
 const char*
 NameOf(DutyEventKind aKind)
@@ -106,7 +106,7 @@
       .mOnReply =
         [this](const UsageReply& aReply) {
           OnReply(aReply);
-          mReporter.Duty().OnHolderHeard(aReply.mFencingToken, BootNow());
+          mReporter.OnReply(aReply, BootNow());
         },
       .mSetGauges = [this](GateMetrics& aMetrics) { SetGauges(aMetrics); },
       .mState = [this] { return State(); } });
@@ -224,6 +224,7 @@
   nlohmann::ordered_json fields{ { "duty", mOptions.mDuty },
                                  { "holder", record.mHolder },
                                  { "fence", record.mFencingToken },
+                                 { "store_era", mReporter.Duty().Era() },
                                  { "why", aEvent.mDetail } };
   if (aEvent.mPeriod != 0) {
     const Millis end = UsageWindows(mOptions.mWindow).EndOf(aEvent.mPeriod);
@@ -257,6 +258,8 @@
                number(duty.Record().mFencingToken));
   aMetrics.Set(Gauge::UsageWindowAccepted, number(duty.LastAccepted("")));
   aMetrics.Set(Gauge::UsageWindowsMissed, number(mReporter.Missed()));
+  aMetrics.Set(Gauge::UsageWindowsSkipped, number(duty.SkippedCount()));
+  aMetrics.Set(Gauge::StoreEra, number(duty.Era()));
   aMetrics.Set(Gauge::ClockCorrectionMs,
                number((WallNow() - mTime.UnixTime(WallNow(), now)).Count()));
 }
@@ -275,6 +278,9 @@
            { "fence", record.mFencingToken },
            { "window_fixed", duty.LastFixed("") },
            { "window_accepted", duty.LastAccepted("") },
+           { "store_era", duty.Era() },
+           { "record_era", record.mEra },
+           { "windows_skipped", duty.SkippedCount() },
            { "unaccepted", duty.Unaccepted().size() },
            { "windows_missed", mReporter.Missed() },
            { "time_agreed", mTime.IsKnown() },
--- a/tests/platform/usagedutytest.cpp
+++ b/tests/platform/usagedutytest.cpp
@@ -304,6 +304,50 @@
   fleet.ExpectNoViolation();
 }
 
+Test(usageduty,
+     a_window_is_not_reported_again_after_the_store_lost_its_report,
+     .timeout = 90)
+{
+  ReportingFleet fleet;
+  fleet.Call(40);
+  const size_t first = fleet.Holder();
+  fleet.mFleet.Control({ { "copy", true } });
+  fleet.mFleet.Gate(first).Signal(SIGTERM);
+  fleet.Call(40, first);
+  cr_assert(Await([&] { return fleet.Holder() != first; }, kTimeout));
+  const size_t second = fleet.Holder();
+  fleet.mFleet.Control({ { "fault", "down" } });
+  fleet.mFleet.Gate(second).Kill();
+  fleet.mFleet.RestartGate(first);
+  fleet.mFleet.Control({ { "restore", true }, { "fault", "up" } });
+  cr_expect(fleet.AwaitWindows(5));
+  fleet.ExpectNoViolation();
+}
+
+Test(usageduty,
+     a_holder_goes_on_when_the_store_comes_back_from_a_copy,
+     .timeout = 60)
+{
+  ReportingFleet fleet;
+  const size_t holder = fleet.Holder();
+  fleet.mFleet.Control({ { "copy", true } });
+  cr_assert(fleet.AwaitWindows(2));
+  fleet.mFleet.Control({ { "restore", true } });
+  const uint64_t before = fleet.mReceiver.Total("desk");
+  const uint64_t served = fleet.Call(40);
+  cr_expect(
+    Await([&] { return fleet.mReceiver.Total("desk") >= before + served; },
+          kTimeout));
+  cr_expect(fleet.Holder() == holder);
+  cr_expect(!fleet.mFleet.LogOf(holder, "duty_era_changed").empty());
+  const std::string metrics = fleet.mFleet.Metrics(holder);
+  for (const char* line : { "trefoilarch_gate_store_era 2",
+                            "trefoilarch_gate_usage_windows_skipped 0" }) {
+    cr_expect(metrics.find(line) != std::string::npos, "%s", line);
+  }
+  fleet.ExpectNoViolation();
+}
+
 /** A gate of an older build knows nothing of the duty. */
 Test(usageduty,
      a_gate_without_the_duty_does_not_disturb_the_others,
--- a/tests/standins/rowstore/main.cpp
+++ b/tests/standins/rowstore/main.cpp
@@ -112,9 +112,21 @@
   if (command.value("drop_history", false)) {
     aRows.DropHistory();
   }
+  if (command.value("copy", false)) {
+    aRows.TakeCopy();
+  }
+  if (command.value("restore", false)) {
+    aRows.Restore();
+  }
   aExchange.Send(200, json{ { "calls", aFaultInjector.Calls() } }.dump());
 }
 
+void
+SetEra(const RowTable& aRows, Exchange& aExchange)
+{
+  aExchange.SetHeader("Store-Era", std::to_string(aRows.Era()));
+}
+
 void
 Write(RowTable& aRows, const FaultInjector& aFaultInjector, Exchange& aExchange)
 {
@@ -129,6 +141,7 @@
     }
   }
   const TransactionResult result = aRows.Transact(transaction);
+  SetEra(aRows, aExchange);
   if (aFaultInjector.Mode() == "lost") {
     aExchange.Cut();
     return;
@@ -141,6 +154,7 @@
 {
   const auto limit = std::min<uint64_t>(
     kMaxRows, ParseNumber(aExchange.Parameter("limit"), kMaxRows));
+  SetEra(aRows, aExchange);
   aExchange.Send(200,
                  aRows
                    .Read(aExchange.Parameter("table"),
@@ -166,6 +180,7 @@
   if (!aFaultInjector.Admit(aExchange)) {
     return;
   }
+  SetEra(aRows, aExchange);
   if (changes) {
     aExchange.Send(200, changes->dump());
   } else {
--- a/tests/standins/rowstore/rowtable.cpp
+++ b/tests/standins/rowstore/rowtable.cpp
@@ -30,11 +30,11 @@
   json current = json::array();
   bool versionsMatch = true;
   for (const json& each : aTransaction.value("expectedRev", json::array())) {
-    const auto row = mRows.find(ToRowKey(each));
-    const uint64_t version = row == mRows.end() ? 0 : row->second.mVersion;
+    const auto row = mNow.mRows.find(ToRowKey(each));
+    const uint64_t version = row == mNow.mRows.end() ? 0 : row->second.mVersion;
     versionsMatch =
       versionsMatch && version == each.value("ver", uint64_t{ 0 });
-    if (row != mRows.end()) {
+    if (row != mNow.mRows.end()) {
       current.push_back(ToJson(row->first, row->second));
     }
   }
@@ -42,7 +42,7 @@
     return { .mStatus = kConflict,
              .mBody = WithVersionAndTime(std::move(current)) };
   }
-  mVersion++;
+  mNow.mVersion++;
   for (const json& each : aTransaction.value("setKeys", json::array())) {
     const std::string value = each.value("value", "");
     Apply(ToRowKey(each), &value);
@@ -51,7 +51,7 @@
     Apply(ToRowKey(each), nullptr);
   }
   mChanged.notify_all();
-  return { .mBody = { { "ver", mVersion }, { "nowMs", NowMillis() } } };
+  return { .mBody = { { "ver", mNow.mVersion }, { "nowMs", NowMillis() } } };
 }
 
 json
@@ -64,8 +64,8 @@
   const std::lock_guard lock(mMutex);
   json rows = json::array();
   bool more = false;
-  for (auto row = mRows.lower_bound({ aTable, aPart, aFrom });
-       row != mRows.end();
+  for (auto row = mNow.mRows.lower_bound({ aTable, aPart, aFrom });
+       row != mNow.mRows.end();
        ++row) {
     const auto& [table, part, key] = row->first;
     if (table != aTable || part != aPart || (!aTo.empty() && key >= aTo)) {
@@ -90,11 +90,11 @@
   const auto end = std::chrono::steady_clock::now() + aWait;
   std::unique_lock lock(mMutex);
   for (;;) {
-    if (aAfter < mDroppedVersion) {
+    if (aAfter < mNow.mDroppedVersion || aAfter > mNow.mVersion) {
       return std::nullopt;
     }
     json rows = json::array();
-    for (const Change& change : mHistory) {
+    for (const Change& change : mNow.mHistory) {
       if (change.mVersion <= aAfter || std::get<0>(change.mKey) != aTable) {
         continue;
       }
@@ -118,7 +118,7 @@
               const std::string& aValue)
 {
   const std::lock_guard lock(mMutex);
-  mVersion++;
+  mNow.mVersion++;
   const std::string encoded = trefoilio::ToBase64(aValue);
   Apply({ aTable, "", aKey }, &encoded);
   mChanged.notify_all();
@@ -128,7 +128,7 @@
 RowTable::Remove(const std::string& aTable, const std::string& aKey)
 {
   const std::lock_guard lock(mMutex);
-  mVersion++;
+  mNow.mVersion++;
   Apply({ aTable, "", aKey }, nullptr);
   mChanged.notify_all();
 }
@@ -137,11 +137,34 @@
 RowTable::DropHistory()
 {
   const std::lock_guard lock(mMutex);
-  mDroppedVersion = mVersion;
-  mHistory.clear();
+  mNow.mDroppedVersion = mNow.mVersion;
+  mNow.mHistory.clear();
   mChanged.notify_all();
 }
 
+void
+RowTable::TakeCopy()
+{
+  const std::lock_guard lock(mMutex);
+  mCopy = mNow;
+}
+
+void
+RowTable::Restore()
+{
+  const std::lock_guard lock(mMutex);
+  mNow = mCopy;
+  mEra++;
+  mChanged.notify_all();
+}
+
+uint64_t
+RowTable::Era() const
+{
+  const std::lock_guard lock(mMutex);
+  return mEra;
+}
+
 RowTable::RowKey
 RowTable::ToRowKey(const json& aRow)
 {
@@ -165,7 +188,7 @@
 RowTable::WithVersionAndTime(json aRows) const
 {
   return { { "rows", std::move(aRows) },
-           { "ver", mVersion },
+           { "ver", mNow.mVersion },
            { "nowMs", NowMillis() } };
 }
 
@@ -173,17 +196,17 @@
 RowTable::Apply(const RowKey& aKey, const std::string* aValue)
 {
   if (aValue != nullptr) {
-    mRows[aKey] = { .mValue = *aValue, .mVersion = mVersion };
-  } else if (mRows.erase(aKey) == 0) {
+    mNow.mRows[aKey] = { .mValue = *aValue, .mVersion = mNow.mVersion };
+  } else if (mNow.mRows.erase(aKey) == 0) {
     return;
   }
-  mHistory.push_back({ .mKey = aKey,
-                       .mVersion = mVersion,
-                       .mRemoved = aValue == nullptr,
-                       .mValue = aValue != nullptr ? *aValue : "" });
-  if (mHistory.size() > kMaxHistory) {
-    mDroppedVersion = mHistory.front().mVersion;
-    mHistory.pop_front();
+  mNow.mHistory.push_back({ .mKey = aKey,
+                            .mVersion = mNow.mVersion,
+                            .mRemoved = aValue == nullptr,
+                            .mValue = aValue != nullptr ? *aValue : "" });
+  if (mNow.mHistory.size() > kMaxHistory) {
+    mNow.mDroppedVersion = mNow.mHistory.front().mVersion;
+    mNow.mHistory.pop_front();
   }
 }
 
--- a/tests/standins/rowstore/rowtable.h
+++ b/tests/standins/rowstore/rowtable.h
@@ -44,6 +44,11 @@
   void Remove(const std::string& aTable, const std::string& aKey);
   /** Drops all changes up to now from the history. */
   void DropHistory();
+  /** Keeps a copy of the rows, their history and the version. */
+  void TakeCopy();
+  /** Goes back to the copy; the era rises by one. */
+  void Restore();
+  uint64_t Era() const;
 
 private:
   using RowKey = std::tuple<std::string, std::string, std::string>;
@@ -65,12 +70,20 @@
   nlohmann::json WithVersionAndTime(nlohmann::json aRows) const;
   void Apply(const RowKey& aKey, const std::string* aValue);
 
+  /** What a copy holds. */
+  struct Contents
+  {
+    std::map<RowKey, StoredRow> mRows;
+    std::deque<Change> mHistory;
+    uint64_t mVersion = 1;
+    uint64_t mDroppedVersion = 0;
+  };
+
   mutable std::mutex mMutex;
   mutable std::condition_variable mChanged;
-  std::map<RowKey, StoredRow> mRows;
-  std::deque<Change> mHistory;
-  uint64_t mVersion = 1;
-  uint64_t mDroppedVersion = 0;
+  Contents mNow;
+  Contents mCopy;
+  uint64_t mEra = 1;
 };
 
 } // namespace standin
--- a/tests/unit/dutymodel.cpp
+++ b/tests/unit/dutymodel.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <functional>
+#include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -15,8 +17,19 @@
 
 namespace {
 
-/** Reports up to this period are proposed. */
+/** Reports up to this period are proposed, without and with restores. */
 constexpr uint64_t kLastPeriod = 3;
+constexpr uint64_t kLastEndedPeriod = 12;
+
+/** In a model with restores. */
+constexpr Millis kPeriodLength{ 2000 };
+
+/** The last period that has ended; the first has at the start. */
+uint64_t
+LastEnded(Millis aNow)
+{
+  return static_cast<uint64_t>(aNow.Count() / kPeriodLength.Count()) + 1;
+}
 
 /** Explores depth first; a state that is reached again by no shorter path is
  * not explored again. */
@@ -29,23 +42,63 @@
   }
 
   Exploration Run()
+  {
+    Visit(FirstWorld(), 0);
+    return mResult;
+  }
+
+  Exploration RunWalks(uint32_t aSeed, int aHistories)
+  {
+    mRandom.seed(aSeed);
+    mIsWalking = true;
+    for (int each = 0; each < aHistories && mResult.mViolation.empty();
+         ++each) {
+      WalkOnce();
+    }
+    return mResult;
+  }
+
+private:
+  using Step = std::function<void(World&)>;
+
+  void WalkOnce()
+  {
+    World world = FirstWorld();
+    mPath.clear();
+    for (int step = 0; step < mOptions.mDepth; ++step) {
+      mEnabled.clear();
+      VisitSteps(world, 0);
+      if (mEnabled.empty()) {
+        break;
+      }
+      const auto& [name, apply] = mEnabled[mRandom() % mEnabled.size()];
+      mPath.push_back(name);
+      apply(world);
+      mResult.mStates++;
+      if (!world.mReceiver.Violation().empty()) {
+        Report(world);
+        return;
+      }
+    }
+    mResult.mAccepted += world.mReceiver.Periods();
+    mResult.mTakeovers += world.mTakeovers;
+  }
+
+  World FirstWorld()
   {
     World world;
+    const DutyRecord first{ .mEra = ToldEra(world) };
     world.mStore.mRows["duty"] = { .mKey = "duty",
-                                   .mText = DutyRecordToText(DutyRecord{}),
+                                   .mText = DutyRecordToText(first),
                                    .mVersion = 1 };
     for (size_t host = 0; host < kHosts; ++host) {
       if (host < mOptions.mCompetitors) {
         Start(world, host);
       }
     }
-    Visit(world, 0);
-    return mResult;
+    return world;
   }
 
-private:
-  using Step = std::function<void(World&)>;
-
   void Start(World& aWorld, size_t aHost)
   {
     Host& host = aWorld.mHosts[aHost];
@@ -58,7 +111,13 @@
       .mRenewInterval = kSecond,
       .mRetryInterval = Millis(300),
       .mCallTimeout = Millis(700),
-      .mReturnDelay = mOptions.mWaitsToReturn ? kLease : Millis(0) });
+      .mReturnDelay = mOptions.mWaitsToReturn ? kLease : Millis(0),
+      .mLastBefore =
+        [this](const DutyRecord&, const StoreClockReading&, Millis aAt) {
+          return mOptions.mSkipsUnknown
+                   ? PeriodsBySubject{ { "", LastEnded(aAt) } }
+                   : PeriodsBySubject{};
+        } });
     Perform(aWorld, aHost, host.mDuty->SetWanted(true, aWorld.mNow));
   }
 
@@ -96,9 +155,13 @@
     mResult.mAccepted =
       std::max<uint64_t>(mResult.mAccepted, aWorld.mReceiver.Periods());
     mResult.mTakeovers = std::max(mResult.mTakeovers, aWorld.mTakeovers);
-    if (aDepth >= mOptions.mDepth) {
-      return;
+    if (aDepth < mOptions.mDepth) {
+      VisitSteps(aWorld, aDepth);
     }
+  }
+
+  void VisitSteps(const World& aWorld, int aDepth)
+  {
     for (size_t host = 0; host < kHosts; ++host) {
       VisitHost(aWorld, host, aDepth);
     }
@@ -110,6 +173,19 @@
         Apply(aNext, write);
       });
     }
+    if (aWorld.mRestores < mOptions.mRestores) {
+      Take(aWorld, aDepth, "copy", [](World& aNext) {
+        aNext.mCopy = aNext.mStore;
+      });
+    }
+    if (aWorld.mRestores < mOptions.mRestores && aWorld.mCopy) {
+      Take(aWorld, aDepth, "restore", [](World& aNext) {
+        const uint64_t era = aNext.mStore.mEra + 1;
+        aNext.mStore = *aNext.mCopy;
+        aNext.mStore.mEra = era;
+        aNext.mRestores++;
+      });
+    }
     if (aWorld.mNow < kSecond * mOptions.mSeconds) {
       Take(aWorld, aDepth, "second", [this](World& aNext) { Pass(aNext); });
     }
@@ -218,6 +294,10 @@
             const std::string& aName,
             const Step& aStep)
   {
+    if (mIsWalking) {
+      mEnabled.emplace_back(aName, aStep);
+      return;
+    }
     World next = aWorld;
     aStep(next);
     mPath.push_back(aName);
@@ -244,12 +324,29 @@
     return taken;
   }
 
+  static uint64_t VersionOf(const Store& aStore, const std::string& aKey)
+  {
+    const auto row = aStore.mRows.find(aKey);
+    return row == aStore.mRows.end() ? 0 : row->second.mVersion;
+  }
+
+  uint64_t ToldEra(const World& aWorld) const
+  {
+    const bool told = mOptions.mTellsEra && mOptions.mRestores > 0;
+    return told ? aWorld.mStore.mEra : 0;
+  }
+
   bool Apply(World& aWorld, const WriteDutyRows& aWrite) const
   {
     Store& store = aWorld.mStore;
-    if (store.mRows["duty"].mVersion != aWrite.mRecordVersion) {
+    if (VersionOf(store, "duty") != aWrite.mRecordVersion) {
       return false;
     }
+    for (const ExpectedRow& each : aWrite.mExpected) {
+      if (VersionOf(store, each.mKey) != each.mVersion) {
+        return false;
+      }
+    }
     store.mVersion++;
     for (DutyRow row : aWrite.mRows) {
       if (!mOptions.mKeepsReports && row.mKey != "duty") {
@@ -282,14 +379,16 @@
               aHost,
               duty.OnWritten({ .mOutcome = done ? DutyWriteOutcome::Done
                                                 : DutyWriteOutcome::Refused,
-                               .mVersion = aWorld.mStore.mVersion },
+                               .mVersion = aWorld.mStore.mVersion,
+                               .mEra = ToldEra(aWorld) },
                              aWorld.mNow));
       Propose(aWorld, aHost);
       return;
     }
     DutyRowsRead read{ .mReached = true,
                        .mClock = clock,
-                       .mVersion = aWorld.mStore.mVersion };
+                       .mVersion = aWorld.mStore.mVersion,
+                       .mEra = ToldEra(aWorld) };
     for (const auto& [key, row] : aWorld.mStore.mRows) {
       read.mRows.push_back(row);
     }
@@ -361,8 +460,10 @@
   {
     Host& host = aWorld.mHosts[aHost];
     const uint64_t period = host.mDuty->LastFixed("") + 1;
-    if (period > kLastPeriod ||
-        !host.mDuty->MayPropose("", period, aWorld.mNow)) {
+    const uint64_t last = mOptions.mRestores > 0
+                            ? std::min(LastEnded(aWorld.mNow), kLastEndedPeriod)
+                            : kLastPeriod;
+    if (period > last || !host.mDuty->MayPropose("", period, aWorld.mNow)) {
       return;
     }
     const std::string body = NameOf(aHost) + std::to_string(host.mProcess) +
@@ -388,6 +489,10 @@
   Exploration mResult;
   std::unordered_map<uint64_t, int> mSeen;
   std::vector<std::string> mPath;
+  /** In a walk: the steps that may be taken next. */
+  bool mIsWalking = false;
+  std::vector<std::pair<std::string, Step>> mEnabled;
+  std::mt19937 mRandom;
 };
 
 } // namespace
@@ -398,4 +503,10 @@
   return Explorer(aOptions).Run();
 }
 
+Exploration
+Walk(const ModelOptions& aOptions, uint32_t aSeed, int aHistories)
+{
+  return Explorer(aOptions).RunWalks(aSeed, aHistories);
+}
+
 } // namespace dutymodel
--- a/tests/unit/dutymodel.h
+++ b/tests/unit/dutymodel.h
@@ -23,6 +23,13 @@
   int mLostCalls = 0;
   /** Planned stops, which release the duty. */
   int mStops = 0;
+  /** Returns of the store from an older copy. Periods then last two seconds,
+   * and the first has ended at the start. */
+  int mRestores = 0;
+  /** Whether the store's responses contain its era. */
+  bool mTellsEra = true;
+  /** Whether periods are skipped whose reports the store may have lost. */
+  bool mSkipsUnknown = true;
   /** Hosts that compete from the start. */
   size_t mCompetitors = 2;
   /** Whether the store keeps what a write fixes. */
@@ -51,4 +58,8 @@
 Exploration
 Explore(const ModelOptions& aOptions);
 
+/** Follows random orders of the same steps, each mDepth long. */
+Exploration
+Walk(const ModelOptions& aOptions, uint32_t aSeed, int aHistories);
+
 } // namespace dutymodel
--- a/tests/unit/dutymodelworld.cpp
+++ b/tests/unit/dutymodelworld.cpp
@@ -33,6 +33,8 @@
     Add(aRecord.mHolder);
     Add(static_cast<int64_t>(aRecord.mFencingToken));
     Add(aRecord.mExpiresAt);
+    Add(static_cast<int64_t>(aRecord.mEra));
+    Add(aRecord.mEraSince);
     Add(aRecord.mFixed);
     for (const PastHolder& past : aRecord.mPastHolders) {
       Add(past.mHost);
@@ -55,6 +57,19 @@
     for (const std::string& key : aWrite.mRemoved) {
       Add(key);
     }
+    for (const ExpectedRow& each : aWrite.mExpected) {
+      Add(each.mKey);
+      Add(static_cast<int64_t>(each.mVersion));
+    }
+  }
+  void Add(const Store& aStore)
+  {
+    Add(static_cast<int64_t>(aStore.mEra));
+    for (const auto& [key, row] : aStore.mRows) {
+      Add(key);
+      Add(row.mText);
+      Add(static_cast<int64_t>(row.mVersion));
+    }
   }
   template<typename T>
   void Add(const std::optional<T>& aValue)
@@ -85,6 +100,14 @@
   aDigest.Add(aState.mRecord);
   aDigest.Add(static_cast<int64_t>(aState.mRecordVersion));
   aDigest.Add(static_cast<int64_t>(aState.mReadVersion));
+  aDigest.Add(static_cast<int64_t>(aState.mEra.value_or(0)));
+  aDigest.Add(aState.mEraSeenAt);
+  for (const DutyRow& each : aState.mHolderRows) {
+    aDigest.Add(each.mKey);
+    aDigest.Add(static_cast<int64_t>(each.mVersion));
+  }
+  aDigest.Add(static_cast<int64_t>(aState.mHolderRowVersion));
+  aDigest.Add(aState.mWritesHolderRow);
   aDigest.Add(aState.mStoreBusy ? aState.mWrittenRecord : DutyRecord{});
   aDigest.Add(aState.mWrittenReport);
   aDigest.Add(aState.mNoRecordSince);
@@ -145,14 +168,12 @@
                            aWorld.mLostReplies,
                            aWorld.mLateCount,
                            aWorld.mLostCalls,
-                           aWorld.mStops }) {
+                           aWorld.mStops,
+                           aWorld.mRestores }) {
     digest.Add(count);
   }
-  for (const auto& [key, row] : aWorld.mStore.mRows) {
-    digest.Add(key);
-    digest.Add(row.mText);
-    digest.Add(static_cast<int64_t>(row.mVersion));
-  }
+  digest.Add(aWorld.mStore);
+  digest.Add(aWorld.mCopy);
   for (const Host& host : aWorld.mHosts) {
     AddHost(digest, host, aWorld.mNow);
   }
--- a/tests/unit/dutymodelworld.h
+++ b/tests/unit/dutymodelworld.h
@@ -23,6 +23,7 @@
 struct Store
 {
   uint64_t mVersion = 1;
+  uint64_t mEra = 1;
   std::map<std::string, trefoilarch::DutyRow> mRows;
 };
 
@@ -52,6 +53,8 @@
 {
   trefoilarch::Millis mNow;
   Store mStore;
+  /** The copy that the store may come back from. */
+  std::optional<Store> mCopy;
   std::array<Host, kHosts> mHosts;
   std::vector<LateWrite> mLateWrites;
   Receiver mReceiver;
@@ -61,6 +64,7 @@
   int mLateCount = 0;
   int mLostCalls = 0;
   int mStops = 0;
+  int mRestores = 0;
   uint64_t mTakeovers = 0;
 };
 
--- a/tests/unit/singletondutytest.cpp
+++ b/tests/unit/singletondutytest.cpp
@@ -1,4 +1,5 @@
 #include "libtrefoilarch/singletonduty.h"
+#include "libtrefoilarch/storeversion.h"
 
 #include "dutymodel.h"
 
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -108,6 +110,43 @@
   cr_expect(result.mAccepted >= 1 && result.mTakeovers >= 2, "%s", aName);
 }
 
+constexpr uint32_t kWalkSeed = 20261204;
+
+/** Random histories of a test; more by hand. */
+int
+Walks()
+{
+  const char* text = std::getenv("DUTY_MODEL_WALKS");
+  return text == nullptr ? 20000 : std::atoi(text);
+}
+
+constexpr ModelOptions kRestoresInSeries{ .mDepth = 160,
+                                          .mSeconds = 40,
+                                          .mCrashes = 3,
+                                          .mFreezes = 2,
+                                          .mLostReplies = 2,
+                                          .mLateWrites = 2,
+                                          .mLostCalls = 2,
+                                          .mStops = 1,
+                                          .mRestores = 3,
+                                          .mCompetitors = 3 };
+
+void
+ExpectNoViolationInWalks(const char* aName, const ModelOptions& aOptions)
+{
+  const int walks = Walks();
+  const auto result = Walk(aOptions, kWalkSeed, walks);
+  std::printf("%s: %d histories, %llu periods, %llu takeovers\n",
+              aName,
+              walks,
+              static_cast<unsigned long long>(result.mAccepted),
+              static_cast<unsigned long long>(result.mTakeovers));
+  cr_expect(
+    result.mViolation.empty(), "%s: %s", aName, result.mViolation.c_str());
+  cr_expect(result.mAccepted >= static_cast<uint64_t>(walks));
+  cr_expect(result.mTakeovers >= static_cast<uint64_t>(walks));
+}
+
 void
 ExpectViolation(const std::string& aStart, const ModelOptions& aOptions)
 {
@@ -179,6 +218,27 @@
     { .mDepth = 26, .mSeconds = 1, .mStops = 2, .mWaitsToReturn = false });
 }
 
+Test(singletonduty, no_long_history_with_restores_in_series_breaks_a_promise)
+{
+  ExpectNoViolationInWalks("restores in series", kRestoresInSeries);
+}
+
+Test(singletonduty, the_model_finds_a_restore_that_the_store_does_not_tell)
+{
+  ModelOptions options = kRestoresInSeries;
+  options.mTellsEra = false;
+  const auto result = Walk(options, kWalkSeed, Walks());
+  cr_expect(!result.mViolation.empty());
+}
+
+Test(singletonduty, the_model_finds_a_second_report_if_nothing_is_skipped)
+{
+  ModelOptions options = kRestoresInSeries;
+  options.mSkipsUnknown = false;
+  const auto result = Walk(options, kWalkSeed, Walks());
+  cr_expect(result.mViolation.starts_with("two reports of one period"));
+}
+
 Test(singletonduty, a_report_is_sent_only_once_it_is_stored)
 {
   SingletonDuty duty = HeldDuty();
@@ -359,6 +419,57 @@
   cr_expect(StoredReportFromText(StoredReportToText(report)) == report);
 }
 
+Test(singletonduty, a_fencing_token_rises_over_eras_and_above_those_without)
+{
+  const StoreVersion lost{ .mEra = 1, .mVersion = 90000 };
+  const StoreVersion restored{ .mEra = 2, .mVersion = 3 };
+  cr_expect(lost.Number() < restored.Number());
+  cr_expect(StoreVersion::FromNumber(restored.Number()) == restored);
+  cr_expect(StoreVersion{ .mVersion = 7 }.Number() == 7);
+  const StoreVersion last{ .mEra = UINT64_MAX, .mVersion = UINT64_MAX };
+  cr_expect(last.Number() < 1ULL << 53U);
+
+  DutyRowsRead read = ReadOf({}, kNow);
+  read.mEra = 3;
+  SingletonDuty duty(OptionsOf("a"));
+  duty.SetWanted(true, kNow);
+  duty.OnRead(read, kNow);
+  const Millis later = kNow + Millis(3300);
+  duty.OnTick(later);
+  duty.OnRead(read, later);
+  duty.OnWritten(
+    { .mOutcome = DutyWriteOutcome::Done, .mVersion = 10, .mEra = 3 }, later);
+  const StoreVersion read3{ .mEra = 3, .mVersion = read.mVersion };
+  cr_expect(duty.Record().mFencingToken == read3.Number() + 1);
+}
+
+Test(singletonduty, a_record_of_an_era_survives_its_text)
+{
+  const DutyRecord released{
+    .mHost = "b",
+    .mFencingToken = StoreVersion{ .mEra = 2, .mVersion = 9 }.Number(),
+    .mExpiresAt = Millis(500),
+    .mEra = 2,
+    .mEraSince = Millis(70)
+  };
+  cr_expect(DutyRecordFromText(DutyRecordToText(released)) == released);
+}
+
+/** It takes a duty over whose holder is empty or whose lease has ended. */
+Test(singletonduty, a_release_without_eras_finds_a_released_duty_held)
+{
+  const DutyRecord released{
+    .mHost = "b",
+    .mFencingToken = StoreVersion{ .mEra = 2, .mVersion = 9 }.Number(),
+    .mExpiresAt = Millis(500),
+    .mEra = 2
+  };
+  const auto text = nlohmann::json::parse(DutyRecordToText(released));
+  cr_expect(!text.at("holder").get<std::string>().empty());
+  cr_expect(text.at("fence") == 9);
+  cr_expect(text.at("expires_ms") == 40500);
+}
+
 Test(singletonduty, subjects_have_periods_of_their_own)
 {
   SingletonDuty duty = HeldDuty();
--- a/tests/unit/usagefleet.cpp
+++ b/tests/unit/usagefleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace usagefleet {
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr size_t kHosts = 8;
 constexpr size_t kCoordinators = 3;
 constexpr int64_t kStep = 20;
 constexpr int64_t kTickInterval = 100;
@@ -46,14 +46,14 @@
   , mOptions(aOptions)
 {
   mNow = kStart + Millis(Draw(5000));
-  for (size_t each = 0; each < kHosts; ++each) {
+  for (size_t each = 0; each < mOptions.mHosts; ++each) {
     Host& host = mHosts.emplace_back();
     host.mName = "entry-" + std::to_string(each);
     host.mCoordinator = each < kCoordinators;
     host.mBootOffset = Millis(Draw(1000000)) - kStart;
     host.mClockError = Millis(static_cast<int64_t>(Draw(41)) - 20);
   }
-  for (size_t each = 0; each < kHosts; ++each) {
+  for (size_t each = 0; each < mOptions.mHosts; ++each) {
     StartHost(each);
   }
 }
@@ -66,6 +66,10 @@
   Step();
   RunUntil(end);
   Compare(mResult);
+  for (const Host& host : mHosts) {
+    mResult.mSkipped +=
+      host.mReporter ? host.mReporter->Duty().SkippedCount() : 0;
+  }
   return mResult;
 }
 
@@ -128,20 +132,20 @@
            Millis(Draw(static_cast<uint32_t>(mOptions.mSeconds) * 800));
   };
   for (int each = 0; each < mOptions.mKills; ++each) {
-    const size_t host = Draw(kHosts);
+    const size_t host = Draw(static_cast<uint32_t>(mOptions.mHosts));
     const Millis start = drawStart();
     At(start, [this, host] { KillHost(host); });
     At(start + Millis(500 + Draw(1500)), [this, host] { StartHost(host); });
   }
   for (int each = 0; each < mOptions.mCuts; ++each) {
-    const size_t host = Draw(kHosts);
+    const size_t host = Draw(static_cast<uint32_t>(mOptions.mHosts));
     const Millis start = drawStart();
     At(start, [this, host] { mHosts[host].mCut = true; });
     At(start + Millis(1000 + Draw(4000)),
        [this, host] { mHosts[host].mCut = false; });
   }
   for (int each = 0; each < mOptions.mFreezes; ++each) {
-    const size_t host = Draw(kHosts);
+    const size_t host = Draw(static_cast<uint32_t>(mOptions.mHosts));
     const Millis start = drawStart();
     At(start, [this, host] { mHosts[host].mFrozen = true; });
     At(start + Millis(1000 + Draw(4000)),
@@ -153,7 +157,18 @@
     At(start, [this] { mStoreDown = true; });
     At(start + Millis(Draw(longest)), [this] { mStoreDown = false; });
   }
-  for (size_t host = 0; mOptions.mClocksJump && host < kHosts; host += 2) {
+  for (int each = 0; each < mOptions.mRestores; ++each) {
+    const Millis start = drawStart();
+    const Millis age(Draw(static_cast<uint32_t>(mOptions.mMaxCopyAge)));
+    const auto longest = static_cast<uint32_t>(mOptions.mMaxOutage);
+    At(start, [this] { mStoreDown = true; });
+    At(start + Millis(Draw(longest)), [this, age] {
+      mStoreDown = false;
+      RestoreStore(age);
+    });
+  }
+  for (size_t host = 0; mOptions.mClocksJump && host < mOptions.mHosts;
+       host += 2) {
     const Millis start = drawStart();
     const Millis error(static_cast<int64_t>(Draw(6000)) - 3000);
     At(start, [this, host, error] { mHosts[host].mClockError += error; });
@@ -165,7 +180,7 @@
 void
 UsageFleet::Step()
 {
-  for (size_t each = 0; each < kHosts; ++each) {
+  for (size_t each = 0; each < mOptions.mHosts; ++each) {
     if (!mHosts[each].mRunning || mHosts[each].mFrozen) {
       continue;
     }
@@ -247,7 +262,7 @@
       from.mTime.OnReply(reply, Local(from));
       from.mCounter->OnFixed(reply.mFixedWindow);
       if (from.mReporter) {
-        from.mReporter->Duty().OnHolderHeard(reply.mFencingToken, Local(from));
+        from.mReporter->OnReply(reply, Local(from));
       }
     });
   }
@@ -297,8 +312,10 @@
     });
     return;
   }
-  DutyRowsRead read{ .mReached = true, .mVersion = mVersion };
-  for (const auto& [key, row] : mRows) {
+  DutyRowsRead read{ .mReached = true,
+                     .mVersion = mStore.mVersion,
+                     .mEra = mEra };
+  for (const auto& [key, row] : mStore.mRows) {
     read.mRows.push_back(row);
   }
   const Millis storeTime = mNow - kStart;
@@ -316,23 +333,28 @@
 UsageFleet::WriteStore(size_t aHost, const WriteDutyRows& aWrite)
 {
   mResult.mStoreCalls++;
-  const auto record = mRows.find("usage");
-  const uint64_t version = record == mRows.end() ? 0 : record->second.mVersion;
-  DutyRowsWritten written;
+  const bool matches =
+    VersionOf("usage") == aWrite.mRecordVersion &&
+    std::all_of(aWrite.mExpected.begin(),
+                aWrite.mExpected.end(),
+                [this](const ExpectedRow& aRow) {
+                  return VersionOf(aRow.mKey) == aRow.mVersion;
+                });
+  DutyRowsWritten written{ .mEra = mEra };
   if (!mStoreDown && !mHosts[aHost].mCut) {
-    written.mOutcome = version == aWrite.mRecordVersion
-                         ? DutyWriteOutcome::Done
-                         : DutyWriteOutcome::Refused;
+    written.mOutcome =
+      matches ? DutyWriteOutcome::Done : DutyWriteOutcome::Refused;
   }
   if (written.mOutcome == DutyWriteOutcome::Done) {
-    written.mVersion = ++mVersion;
+    written.mVersion = ++mStore.mVersion;
     for (DutyRow row : aWrite.mRows) {
-      row.mVersion = mVersion;
-      mRows[row.mKey] = row;
+      row.mVersion = mStore.mVersion;
+      mStore.mRows[row.mKey] = row;
     }
     for (const std::string& key : aWrite.mRemoved) {
-      mRows.erase(key);
+      mStore.mRows.erase(key);
     }
+    mCopies[mNow] = mStore;
   }
   const bool unanswered =
     written.mOutcome == DutyWriteOutcome::Unknown || Draw(100) < 2;
@@ -354,7 +376,7 @@
   const bool sent =
     host.mReporter->Duty().MayCall(aCall, Local(host)) && !host.mCut;
   if (sent) {
-    Accept(aCall);
+    Accept(aHost, aCall);
   }
   const bool answered = sent && Draw(100) >= 5;
   const int64_t delay = answered ? 10 : aCall.mTimeout.Count();
@@ -369,8 +391,29 @@
 }
 
 void
-UsageFleet::Accept(const trefoilarch::CallReceiver& aCall)
+UsageFleet::RestoreStore(Millis aCopyAge)
+{
+  mEra++;
+  const auto later = mCopies.upper_bound(mNow - aCopyAge);
+  mStore = later == mCopies.begin() ? Store{} : std::prev(later)->second;
+  mCopies[mNow] = mStore;
+}
+
+uint64_t
+UsageFleet::VersionOf(const std::string& aKey) const
+{
+  const auto row = mStore.mRows.find(aKey);
+  return row == mStore.mRows.end() ? 0 : row->second.mVersion;
+}
+
+void
+UsageFleet::Accept(size_t aHost, const trefoilarch::CallReceiver& aCall)
 {
+  const auto owner =
+    mTokenOwners.emplace(aCall.mFencingToken, mHosts[aHost].mName).first;
+  if (owner->second != mHosts[aHost].mName) {
+    mResult.mViolation = "one fencing token of two hosts";
+  }
   if (aCall.mFencingToken < mHighestToken) {
     mResult.mViolation = "a lower fencing token";
   }
--- a/tests/unit/usagefleet.h
+++ b/tests/unit/usagefleet.h
@@ -31,6 +31,12 @@
   /** Each outage of the store lasts up to this long, in milliseconds. */
   int mOutages = 0;
   int64_t mMaxOutage = 4000;
+  /** Each return of the store from a copy of up to mMaxCopyAge, in
+   * milliseconds, ends an outage of up to mMaxOutage. */
+  int mRestores = 0;
+  int64_t mMaxCopyAge = 6000;
+  /** Entries; the first three are coordinators. */
+  size_t mHosts = 8;
   /** Clocks of half of the hosts jump by up to three seconds, for a while. */
   bool mClocksJump = false;
   /** Whether windows are of the time that the fleet has agreed on. */
@@ -52,12 +58,14 @@
   uint64_t mUpdates = 0;
   uint64_t mStoreCalls = 0;
   uint64_t mReceiverCalls = 0;
+  /** Windows that no holder could vouch for. */
+  uint64_t mSkipped = 0;
   /** A broken promise at the receiver; empty if none. */
   std::string mViolation;
 };
 
 /**
- * Eight entries in virtual time whose upstreams begin requests of several
+ * Entries in virtual time whose upstreams begin requests of several
  * workspaces. Three of the entries are coordinators. The requests' true times
  * are known to the model alone.
  */
@@ -108,7 +116,8 @@
   void ReadStore(size_t aHost);
   void WriteStore(size_t aHost, const trefoilarch::WriteDutyRows& aWrite);
   void CallReceiver(size_t aHost, const trefoilarch::CallReceiver& aCall);
-  void Accept(const trefoilarch::CallReceiver& aCall);
+  void Accept(size_t aHost, const trefoilarch::CallReceiver& aCall);
+  void RestoreStore(Millis aCopyAge);
   /** Runs the action later, unless the process has ended by then. */
   void Later(size_t aHost, int64_t aDelay, std::function<void()> aAction);
   void Compare(FleetResult& aResult) const;
@@ -121,14 +130,24 @@
   FleetOptions mOptions;
   std::vector<Host> mHosts;
   bool mStoreDown = false;
-  uint64_t mVersion = 1;
-  std::map<std::string, trefoilarch::DutyRow> mRows;
+  struct Store
+  {
+    uint64_t mVersion = 1;
+    std::map<std::string, trefoilarch::DutyRow> mRows;
+  };
+  uint64_t VersionOf(const std::string& aKey) const;
+
+  Store mStore;
+  uint64_t mEra = 1;
+  /** By time: what the store held after each write. */
+  std::map<Millis, Store> mCopies;
   using WindowCounts = std::map<uint64_t, trefoilarch::UsageCollector::Counts>;
   WindowCounts mTruth;
   /** Of processes that were killed before the window's end. */
   WindowCounts mLostByKills;
   std::map<uint64_t, std::string> mAccepted;
   uint64_t mHighestToken = 0;
+  std::map<uint64_t, std::string> mTokenOwners;
   FleetResult mResult;
 };
 
--- a/tests/unit/usagereportertest.cpp
+++ b/tests/unit/usagereportertest.cpp
@@ -20,10 +20,12 @@
 
 /** The sums and largest errors of many histories. */
 FleetResult
-RunHistories(const char* aName, FleetOptions aOptions)
+RunHistories(const char* aName,
+             FleetOptions aOptions,
+             uint32_t aHistories = kHistories)
 {
   FleetResult total;
-  for (uint32_t seed = 1; seed <= kHistories; ++seed) {
+  for (uint32_t seed = 1; seed <= aHistories; ++seed) {
     aOptions.mSeed = seed;
     const FleetResult result = UsageFleet(aOptions).Run();
     total.mWindows += result.mWindows;
@@ -35,18 +37,21 @@
     total.mUpdates += result.mUpdates;
     total.mStoreCalls += result.mStoreCalls;
     total.mReceiverCalls += result.mReceiverCalls;
+    total.mSkipped += result.mSkipped;
     cr_expect(result.mViolation.empty(),
               "%s, seed %u: %s",
               aName,
               seed,
               result.mViolation.c_str());
   }
-  std::printf("%s: %llu windows, %llu missed, %llu off by over 5%%, largest "
+  std::printf("%s: %llu windows, %llu missed, %llu skipped, %llu off by over "
+              "5%%, largest "
               "error %.1f%% (%.1f%% with rows), %llu updates, %llu calls to "
               "the store, %llu to the receiver\n",
               aName,
               static_cast<unsigned long long>(total.mWindows),
               static_cast<unsigned long long>(total.mMissed),
+              static_cast<unsigned long long>(total.mSkipped),
               static_cast<unsigned long long>(total.mWrong),
               total.mLargestError * 100,
               total.mLargestErrorOfRows * 100,
@@ -106,6 +111,53 @@
   cr_expect(own.mWrong > 0);
 }
 
+Test(usagereporter, usage_is_exact_enough_if_the_store_is_restored)
+{
+  ExpectAllWithinTolerance(
+    "restores after short outages",
+    { .mMaxOutage = 1000, .mRestores = 2, .mMaxCopyAge = 6000 });
+}
+
+Test(usagereporter, a_window_is_not_reported_twice_if_holders_go_with_the_store)
+{
+  RunHistories("restores and all faults",
+               { .mLossPercent = 5,
+                 .mKills = 6,
+                 .mCuts = 3,
+                 .mFreezes = 3,
+                 .mOutages = 1,
+                 .mRestores = 4,
+                 .mClocksJump = true });
+}
+
+Test(usagereporter, a_window_that_nobody_can_vouch_for_is_not_reported)
+{
+  const FleetResult total =
+    RunHistories("restores after long outages", { .mRestores = 3 });
+  cr_expect(total.mSkipped > 0);
+  cr_expect(total.mMissed <= total.mSkipped);
+  cr_expect(total.mWrong == 0);
+}
+
+Test(usagereporter, a_large_fleet_under_restores_reports_no_window_twice)
+{
+  constexpr uint32_t kLargeHistories = 2;
+  RunHistories("340 entries, restores and kills",
+               { .mKills = 40,
+                 .mCuts = 10,
+                 .mFreezes = 10,
+                 .mRestores = 3,
+                 .mHosts = 340 },
+               kLargeHistories);
+}
+
+Test(usagereporter, three_entries_under_restores_report_no_window_twice)
+{
+  RunHistories(
+    "three entries, restores and kills",
+    { .mKills = 6, .mCuts = 2, .mFreezes = 2, .mRestores = 4, .mHosts = 3 });
+}
+
 Test(usagereporter, there_is_one_report_at_most_under_all_faults_together)
 {
   RunHistories("all faults",
