Compare no versions across the histories of the store in table copies

Change: each version of a table's copy, in checkpoints and updates of other gates too, is the number of era and version. A response of another era makes the gate read the table whole; checkpoints of another era confirm nothing.

Measured: the new test with two real gates failed with the gate before and passes; the model of tablewatchtest with restores fails if eras are not compared, and passes.

--- a/src/libtrefoilarch/tablecheckpoint.h
+++ b/src/libtrefoilarch/tablecheckpoint.h
@@ -14,6 +14,7 @@
  */
 struct TableCheckpoint
 {
+  /** The number of a StoreVersion. */
   uint64_t mLastChange = 0;
   /** Time of the store's own clock, not the sender's. */
   Millis mStoreTime;
--- a/src/libtrefoilarch/tableupdate.h
+++ b/src/libtrefoilarch/tableupdate.h
@@ -15,6 +15,7 @@
   /** Empty if it could not be read. */
   std::string mValue;
   bool mRemoved = false;
+  /** The number of a StoreVersion. */
   uint64_t mVersion = 0;
 
   bool operator==(const TableRow&) const = default;
--- a/src/libtrefoilarch/tablewatch.cpp
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -1,5 +1,7 @@
 #include "tablewatch.h"
 
+#include "storeversion.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -69,9 +71,20 @@
   FollowChanges();
 }
 
+bool
+TableWatch::IsComparable(uint64_t aVersion) const
+{
+  return StoreVersion::FromNumber(aVersion).mEra ==
+         StoreVersion::FromNumber(mVersion).mEra;
+}
+
 void
 TableWatch::OnChanges(const TableResponse& aResponse)
 {
+  if (!IsComparable(aResponse.mVersion)) {
+    OnHistoryGone();
+    return;
+  }
   const Millis took = aResponse.mReceivedAt - aResponse.mSentAt;
   if (mFailures == 0 && took > mOptions.mWait + kLateThreshold) {
     mFailures = 1;
@@ -94,6 +107,10 @@
 void
 TableWatch::OnVerification(const TableResponse& aResponse)
 {
+  if (!IsComparable(aResponse.mVersion)) {
+    OnHistoryGone();
+    return;
+  }
   mVerificationPending = false;
   const bool wasLost = mPhase == Phase::Verifying;
   ReportRecovered();
@@ -154,7 +171,8 @@
     mPhaseEndsAt = std::min(mPhaseEndsAt, aNow + Millis(delay(mRandom)));
   }
   const bool older = mStoreTime && aCheckpoint.mStoreTime <= *mStoreTime;
-  if (mVersion == 0 || aCheckpoint.mLastChange > mVersion || older) {
+  if (mVersion == 0 || !IsComparable(aCheckpoint.mLastChange) ||
+      aCheckpoint.mLastChange > mVersion || older) {
     return;
   }
   const auto localTime = mClock.LocalTimeOf(aCheckpoint.mStoreTime, aNow);
--- a/src/libtrefoilarch/tablewatch.h
+++ b/src/libtrefoilarch/tablewatch.h
@@ -38,7 +38,8 @@
 {
   Millis mSentAt;
   Millis mReceivedAt;
-  /** The latest version covered by the response. */
+  /** The latest version covered by the response. This and all other versions
+   * are numbers of StoreVersions. */
   uint64_t mVersion = 0;
   /** The latest version among its rows, or 0 if unknown. */
   uint64_t mNewestRow = 0;
@@ -103,6 +104,9 @@
 
   /** A page of the full table. The last page has no mHasMore. */
   void OnPage(const TableResponse& aPage);
+  /** Whether the version is of the copy's era. The changes of another era are
+   * those of another history, and the table has to be read anew. */
+  bool IsComparable(uint64_t aVersion) const;
   /** The response to the query for changes. */
   void OnChanges(const TableResponse& aResponse);
   void OnVerification(const TableResponse& aResponse);
--- a/tests/platform/storeupdatestest.cpp
+++ b/tests/platform/storeupdatestest.cpp
@@ -52,6 +52,35 @@
   cr_expect(StatusFor(fleet, "key-2") == 401);
 }
 
+Test(storeupdates,
+     a_key_taken_away_after_a_restore_is_not_honoured,
+     .timeout = 60)
+{
+  const PlatformFleet fleet({ .mGates = 2, .mRevokeMs = 3000, .mPeers = true });
+  cr_assert(fleet.AwaitPeers());
+  fleet.Control({ { "copy", true } });
+  fleet.PutPolicy(PlatformFleet::MakePolicy(2, { "key-1", "key-2", "key-3" }));
+  cr_assert(
+    Await([&] { return StatusFor(fleet, "key-3") == 200; }, Millis(2000)));
+  Pause(500);
+  fleet.Control({ { "fault", "down" } });
+  Pause(500);
+  // The last change gets the version that the gates have read before.
+  const auto row = [](const nlohmann::json& aPolicy) {
+    return nlohmann::json{ { "table", "op" },
+                           { "key", "config" },
+                           { "value", aPolicy } };
+  };
+  const auto revoked = PlatformFleet::MakePolicy(3, { "key-1" });
+  fleet.Control({ { "restore", true }, { "put", { row(revoked) } } });
+  fleet.Control({ { "fault", "up" } });
+  Pause(3000);
+  for (size_t gate = 0; gate < 2; ++gate) {
+    const GateCall call{ .mKey = "key-2" };
+    cr_expect(fleet.Call(call, gate).mStatus == 401);
+  }
+}
+
 Test(storeupdates, a_key_is_honoured_no_longer_than_its_revocation_may_take)
 {
   constexpr int kRevokeMs = 3000;
--- a/tests/standins/rowstore/main.cpp
+++ b/tests/standins/rowstore/main.cpp
@@ -103,6 +103,12 @@
   if (command.contains("fault")) {
     aFaultInjector.Set(command);
   }
+  if (command.value("copy", false)) {
+    aRows.TakeCopy();
+  }
+  if (command.value("restore", false)) {
+    aRows.Restore();
+  }
   for (const json& row : command.value("put", json::array())) {
     aRows.Put(row.at("table"), row.at("key"), row.at("value").dump());
   }
@@ -112,12 +118,6 @@
   if (command.value("drop_history", false)) {
     aRows.DropHistory();
   }
-  if (command.value("copy", false)) {
-    aRows.TakeCopy();
-  }
-  if (command.value("restore", false)) {
-    aRows.Restore();
-  }
   aExchange.Send(200, json{ { "calls", aFaultInjector.Calls() } }.dump());
 }
 
--- a/tests/unit/tablewatchtest.cpp
+++ b/tests/unit/tablewatchtest.cpp
@@ -1,6 +1,7 @@
 #include "modelevents.h"
 #include "modelrandom.h"
 
+#include "libtrefoilarch/storeversion.h"
 #include "libtrefoilarch/tablewatch.h"
 
 #include <criterion/criterion.h>
@@ -23,7 +24,8 @@
  * connections each. Some of them send each other checkpoints, and some receive
  * changes from other entries only. A change that the store acknowledged in a
  * stable period must be in every entry's copy in time to be applied. No entry
- * may ever claim that its copy was up to date when it was not.
+ * may ever claim that its copy was up to date when it was not. A store that
+ * comes back from an older copy gives versions out again.
  */
 namespace {
 
@@ -51,9 +53,10 @@
   , private ModelEvents
 {
 public:
-  TableModel(uint32_t aSeed, Exchange aExchange)
+  TableModel(uint32_t aSeed, Exchange aExchange, bool aRestores = false)
     : ModelRandom(aSeed)
     , mExchange(aExchange)
+    , mRestores(aRestores)
     , mDrift(static_cast<int64_t>(Draw(201)) - 100)
   {
     mChangedAt.push_back(Millis(0));
@@ -84,8 +87,8 @@
   struct Entry
   {
     std::optional<TableWatch> mWatch;
-    /** The copy includes all changes up to this version. */
-    size_t mCopy = 0;
+    /** The copy includes all changes up to this version, as a number. */
+    uint64_t mCopy = 0;
     /** The latest query of each channel. */
     uint64_t mFeed = 0;
     uint64_t mVerification = 0;
@@ -149,9 +152,10 @@
                      Millis aSentAt,
                      Millis aUntil)
   {
+    const uint64_t after = StoreVersion::FromNumber(aQuery.mAfter).mVersion;
     const uint64_t newest = mChangedAt.size();
-    const bool waits = aQuery.mKind != Kind::FullRead &&
-                       newest <= aQuery.mAfter && mNow < aUntil;
+    const bool waits =
+      aQuery.mKind != Kind::FullRead && newest == after && mNow < aUntil;
     if (waits) {
       After(15, [this, &aEntry, aQuery, aNumber, aSentAt, aUntil] {
         DelayResponse(aEntry, aQuery, aNumber, aSentAt, aUntil);
@@ -162,16 +166,29 @@
       return;
     }
     const TableResponse response{ .mSentAt = aSentAt,
-                                  .mVersion = newest,
-                                  .mNewestRow = newest,
-                                  .mHasRows = newest > aQuery.mAfter,
+                                  .mVersion = Newest(),
+                                  .mNewestRow = Newest(),
+                                  .mHasRows = newest > after,
                                   .mStoreTime = StoreTime() };
     const int64_t delay = HasFaults() && Fault(10) ? Draw(700) : 1 + Draw(4);
-    After(delay, [this, &aEntry, kind = aQuery.mKind, aNumber, response] {
-      Take(aEntry, kind, aNumber, response);
+    const bool gone = aQuery.mKind != Kind::FullRead && newest < after;
+    After(delay, [this, &aEntry, kind = aQuery.mKind, aNumber, response, gone] {
+      if (!gone) {
+        Take(aEntry, kind, aNumber, response);
+      } else if (ChannelOf(aEntry, kind) == aNumber) {
+        ChannelOf(aEntry, kind)++;
+        aEntry.mWatch->OnHistoryGone();
+        PlanTick(aEntry);
+      }
     });
   }
 
+  /** The store's version, as a number. */
+  uint64_t Newest() const
+  {
+    return StoreVersion{ .mEra = mEra, .mVersion = mChangedAt.size() }.Number();
+  }
+
   void Take(Entry& aEntry,
             Kind aKind,
             uint64_t aNumber,
@@ -183,7 +200,10 @@
     ChannelOf(aEntry, aKind)++;
     aResponse.mReceivedAt = mNow;
     const uint64_t before = aEntry.mWatch->Version();
-    aEntry.mCopy = std::max(aEntry.mCopy, size_t{ aResponse.mVersion });
+    const bool comparable = aEntry.mWatch->IsComparable(aResponse.mVersion);
+    if (aKind == Kind::FullRead || comparable) {
+      aEntry.mCopy = std::max(aEntry.mCopy, aResponse.mVersion);
+    }
     if (aKind == Kind::FullRead) {
       aEntry.mWatch->OnPage(aResponse);
     } else if (aKind == Kind::Changes) {
@@ -193,7 +213,8 @@
     }
     CheckConfirmation(aEntry);
     PlanTick(aEntry);
-    if (mExchange == Exchange::Changes && aKind != Kind::FullRead) {
+    if (mExchange == Exchange::Changes && aKind != Kind::FullRead &&
+        comparable) {
       SendUpdate(aEntry, before, aResponse.mNewestRow);
     }
   }
@@ -207,7 +228,7 @@
               [this, &other = *other, aAfter, aUpTo, checkpoint] {
                 if (other.mWatch->OnUpdate(aAfter, aUpTo)) {
                   RC_ASSERT(other.mCopy >= aAfter);
-                  other.mCopy = std::max(other.mCopy, size_t{ aUpTo });
+                  other.mCopy = std::max(other.mCopy, aUpTo);
                 }
                 other.mWatch->OnCheckpoint(*checkpoint, mNow);
                 CheckConfirmation(other);
@@ -258,15 +279,18 @@
       return;
     }
     RC_ASSERT(*confirmedAt <= mNow);
-    const bool missed = aEntry.mCopy < mChangedAt.size() &&
-                        mChangedAt[aEntry.mCopy] < *confirmedAt;
-    RC_ASSERT(!missed);
+    const StoreVersion copy = StoreVersion::FromNumber(aEntry.mCopy);
+    const bool missed = copy.mVersion < mChangedAt.size() &&
+                        mChangedAt[copy.mVersion] < *confirmedAt;
+    const bool isTrue =
+      copy.mEra == mEra ? !missed : *confirmedAt <= mRestoredAt;
+    RC_ASSERT(isTrue);
   }
 
   void Change()
   {
     mChangedAt.push_back(mNow);
-    const size_t version = mChangedAt.size();
+    const uint64_t version = Newest();
     const bool isStable = mNow >= mFaultsUntil + kRecovery;
     if (isStable && mNow + kMaxDelay < mNextFaultsAt) {
       After((kMaxDelay - kDelayToUpstream).Count(), [this, version] {
@@ -279,16 +303,36 @@
     After(Chance(50) ? 1 + Draw(200) : Draw(4000), [this] { Change(); });
   }
 
+  /** Some of the last changes are gone, and their versions are given out
+   * again. */
+  void Restore()
+  {
+    const size_t lost = std::min<size_t>(Draw(5), mChangedAt.size() - 1);
+    mChangedAt.resize(mChangedAt.size() - lost);
+    mEra++;
+    mRestoredAt = mNow;
+    // What others than the system wrote is written again.
+    for (size_t each = 0; each < lost; ++each) {
+      mChangedAt.push_back(mNow);
+    }
+  }
+
   void InjectFault()
   {
     mFaultsUntil = mNow + Millis(200 + Draw(2000));
     mSilentUntil = Chance(70) ? mFaultsUntil : mNow;
     const int64_t pause = 6000 + Draw(9000);
     mNextFaultsAt = mNow + Millis(pause);
+    if (mRestores && Chance(70)) {
+      At(mFaultsUntil, [this] { Restore(); });
+    }
     After(pause, [this] { InjectFault(); });
   }
 
   Exchange mExchange;
+  bool mRestores;
+  uint64_t mEra = 1;
+  Millis mRestoredAt;
   /** Drift of the store's clock, in millionths. */
   int64_t mDrift;
   /** Time of each version, from 1 on. */
@@ -345,6 +389,16 @@
   }
 }
 
+Test(tablewatch, a_change_after_a_restore_is_known_in_time, .timeout = 200)
+{
+  for (const Exchange mode :
+       { Exchange::Nothing, Exchange::Checkpoints, Exchange::Changes }) {
+    cr_assert(rc::check("a change is known in time", [=](uint32_t aSeed) {
+      TableModel(aSeed, mode, true).Play();
+    }));
+  }
+}
+
 Test(tablewatch, an_unconfirmed_copy_is_verified_within_the_bound)
 {
   RecordedWatch recorded;
@@ -402,6 +456,20 @@
             "that time of the clock is in the future");
 }
 
+Test(tablewatch, a_checkpoint_of_another_era_confirms_nothing)
+{
+  RecordedWatch recorded;
+  const StoreVersion newer{ .mEra = 1, .mVersion = 10 };
+  for (const uint64_t version : { newer.Number(), uint64_t{ 9 } }) {
+    recorded.mWatch.OnPage(RecordedWatch::ResponseAt(
+      Millis(100), version == 9 ? newer.Number() : 10));
+    const Millis before = recorded.mConfirmed;
+    recorded.mWatch.OnCheckpoint(
+      { .mLastChange = version, .mStoreTime = Millis(5600) }, Millis(700));
+    cr_expect(recorded.mConfirmed == before);
+  }
+}
+
 Test(tablewatch, a_recovery_reported_by_a_peer_advances_the_retry)
 {
   RecordedWatch recorded;
