Keep a leaving upstream leaving when the store goes back

Cause: the whole read of the restored list replaced what was newer.

Change: after a return from a copy, entries that are older than what is known of their upstreams are ignored, by start time and sequence; what an upstream writes later counts as ever.

--- a/src/libtrefoilarch/upstreamdirectory.cpp
+++ b/src/libtrefoilarch/upstreamdirectory.cpp
@@ -1,10 +1,31 @@
 #include "upstreamdirectory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace trefoilarch {
 
+namespace {
+
+/** A store comes back from a copy of less than this age. */
+constexpr Millis kDroppedMemory{ 60000 };
+
+/** Whether the entry was written before the process was seen with its sequence.
+ * Start times order processes, sequences the entries of one. */
+bool
+IsOlder(const ListedUpstream& aEntry, const UpstreamProcess& aKnown)
+{
+  if (aEntry.mStartTime && aKnown.mStartTime &&
+      aEntry.mStartTime != aKnown.mStartTime) {
+    return *aEntry.mStartTime < *aKnown.mStartTime;
+  }
+  return aEntry.mSequence && aKnown.mSequence &&
+         *aEntry.mSequence < *aKnown.mSequence;
+}
+
+} // namespace
+
 UpstreamDirectory::UpstreamDirectory(DirectoryOptions aOptions)
   : mOptions(aOptions)
   , mStore(aOptions.mStore)
@@ -41,8 +62,11 @@
                                    .mOffset = Millis(0) - ServedAtLastRead() };
   const auto it = mUnlisted.try_emplace(aId, unlisted).first;
   if (IsGone(it->second)) {
-    Drop(aId);
+    Drop(aId, aNow);
   }
+  std::erase_if(mDropped, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.mSince > kDroppedMemory;
+  });
 }
 
 void
@@ -65,6 +89,42 @@
   }
 }
 
+std::vector<UpstreamId>
+UpstreamDirectory::Restore(std::vector<ListedUpstream> aAll, Millis aNow)
+{
+  std::vector<UpstreamId> outdated;
+  std::erase_if(aAll, [&](ListedUpstream& aEntry) {
+    if (!IsOutdated(aEntry)) {
+      return false;
+    }
+    outdated.push_back(aEntry.mId);
+    const auto known = mAll.find(aEntry.mId);
+    if (known == mAll.end()) {
+      return true;
+    }
+    aEntry = known->second;
+    return false;
+  });
+  ReplaceAll(std::move(aAll), aNow);
+  return outdated;
+}
+
+bool
+UpstreamDirectory::IsOutdated(const ListedUpstream& aRestored) const
+{
+  if (const ListedUpstream* known = Find(aRestored.mId)) {
+    return IsOlder(aRestored, known->Process());
+  }
+  const auto dropped = mDropped.find(aRestored.mId);
+  if (dropped == mDropped.end()) {
+    return false;
+  }
+  const UpstreamProcess& known = dropped->second.mProcess;
+  const bool isLast = aRestored.mStartTime == known.mStartTime &&
+                      aRestored.mSequence == known.mSequence;
+  return isLast || IsOlder(aRestored, known);
+}
+
 void
 UpstreamDirectory::OnStoreResponse(Millis aStoreTime)
 {
@@ -135,14 +195,13 @@
 bool
 UpstreamDirectory::Expire()
 {
-  std::vector<UpstreamId> gone;
-  for (const auto& [id, unlisted] : mUnlisted) {
-    if (IsGone(unlisted)) {
-      gone.push_back(id);
-    }
-  }
-  for (const UpstreamId& id : gone) {
-    Drop(id);
+  std::map<UpstreamId, UnlistedUpstream> gone;
+  std::copy_if(mUnlisted.begin(),
+               mUnlisted.end(),
+               std::inserter(gone, gone.end()),
+               [this](const auto& aEntry) { return IsGone(aEntry.second); });
+  for (const auto& [id, unlisted] : gone) {
+    Drop(id, unlisted.mSince);
   }
   return !gone.empty();
 }
@@ -163,8 +222,9 @@
 }
 
 void
-UpstreamDirectory::Drop(const UpstreamId& aId)
+UpstreamDirectory::Drop(const UpstreamId& aId, Millis aSince)
 {
+  mDropped[aId] = { .mProcess = mAll.at(aId).Process(), .mSince = aSince };
   mUnlisted.erase(aId);
   mAll.erase(aId);
   Rebuild();
--- a/src/libtrefoilarch/upstreamdirectory.h
+++ b/src/libtrefoilarch/upstreamdirectory.h
@@ -87,6 +87,11 @@
   void Remove(const UpstreamId& aId, Millis aNow);
   /** Replaces the full list. Upstreams that are not in it are removed. */
   void ReplaceAll(std::vector<ListedUpstream> aAll, Millis aNow);
+  /** Replaces the full list by one of a store that has come back from a copy.
+   * Entries older than what is known of their upstreams are ignored; returns
+   * their ids. */
+  std::vector<UpstreamId> Restore(std::vector<ListedUpstream> aAll,
+                                  Millis aNow);
 
   /** See StoreUptime. */
   void OnStoreResponse(Millis aStoreTime);
@@ -127,7 +132,9 @@
   /** How long the store had served when the list was last up to date. */
   Millis ServedAtLastRead() const;
   bool IsGone(const UnlistedUpstream& aUnlisted) const;
-  void Drop(const UpstreamId& aId);
+  void Drop(const UpstreamId& aId, Millis aSince);
+  /** Whether a restored entry is older than what is known of its upstream. */
+  bool IsOutdated(const ListedUpstream& aRestored) const;
   void Rebuild();
 
   DirectoryOptions mOptions;
@@ -135,6 +142,13 @@
   std::unordered_map<std::string, std::vector<const ListedUpstream*>>
     mByService;
   std::map<UpstreamId, UnlistedUpstream> mUnlisted;
+  struct DroppedUpstream
+  {
+    UpstreamProcess mProcess;
+    Millis mSince;
+  };
+  /** Upstreams that went from the list lately. */
+  std::map<UpstreamId, DroppedUpstream> mDropped;
   StoreUptime mStore;
   /** The store's time when the list was last up to date. */
   Millis mStoreTime;
--- a/tests/platform/storeupdatestest.cpp
+++ b/tests/platform/storeupdatestest.cpp
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <thread>
@@ -81,6 +82,36 @@
   }
 }
 
+Test(storeupdates,
+     an_upstream_that_leaves_stays_so_when_the_store_goes_back,
+     .timeout = 60)
+{
+  const PlatformFleet fleet;
+  const auto list = [&](uint64_t aSequence, const char* aState) {
+    auto entry = PlatformFleet::EntryOf(fleet.WorkerAddress(0), 1, aSequence);
+    entry["state"] = aState;
+    fleet.PutRow("servers", "i-0", entry);
+  };
+  list(1, "ready");
+  fleet.Control({ { "copy", true } });
+  list(2, "draining");
+  cr_assert(
+    Await([&] { return StatusFor(fleet, "key-1") == 503; }, Millis(2000)));
+  fleet.Control({ { "restore", true } });
+  const auto isReadAnew = [&] {
+    const auto lines = fleet.LogOf(0, "store_era_changed");
+    return std::any_of(lines.begin(), lines.end(), [](const auto& aLine) {
+      return aLine.at("table") == "servers";
+    });
+  };
+  cr_expect(Await(isReadAnew, Millis(5000)));
+  Pause(200);
+  cr_expect(StatusFor(fleet, "key-1") == 503);
+  list(3, "ready");
+  cr_expect(
+    Await([&] { return StatusFor(fleet, "key-1") == 200; }, Millis(2000)));
+}
+
 Test(storeupdates, a_key_is_honoured_no_longer_than_its_revocation_may_take)
 {
   constexpr int kRevokeMs = 3000;
--- a/tests/unit/upstreamdirectorytest.cpp
+++ b/tests/unit/upstreamdirectorytest.cpp
@@ -319,3 +319,37 @@
   directory.Remove("a", Millis(10));
   cr_expect(IncarnationAfterPut(directory, MakeStartedAt(1000, 8)) != first);
 }
+
+Test(upstreamdirectory, a_restored_entry_does_not_undo_what_was_newer)
+{
+  const auto make = [](const char* aId, uint64_t aSequence, bool aLeaving) {
+    ListedUpstream upstream = Make(aId);
+    upstream.mStartTime = 1000;
+    upstream.mSequence = aSequence;
+    upstream.mLeaving = aLeaving;
+    return upstream;
+  };
+  UpstreamDirectory directory;
+  RespondDuring(directory, 0, 0);
+  directory.ReplaceAll({ make("gone", 3, false),
+                         make("leaves", 3, false),
+                         make("stays", 3, false) },
+                       Millis(0));
+  directory.Put(make("leaves", 5, true));
+  directory.Remove("gone", Millis(10));
+  cr_assert(Count(directory) == 2);
+
+  const auto outdated = directory.Restore({ make("gone", 3, false),
+                                            make("leaves", 4, false),
+                                            make("new", 1, false),
+                                            make("stays", 3, false) },
+                                          Millis(5000));
+  cr_expect(outdated == std::vector<UpstreamId>({ "gone", "leaves" }));
+  cr_expect(directory.Find("gone") == nullptr);
+  cr_expect(directory.Find("leaves")->mLeaving);
+  cr_expect(directory.Find("new") != nullptr);
+
+  // What a process writes later counts.
+  directory.Put(make("gone", 4, false));
+  cr_expect(directory.Find("gone") != nullptr);
+}
