--- a/src/libtrefoilarch/singletondutyrecord.cpp
+++ b/src/libtrefoilarch/singletondutyrecord.cpp
@@ -20,6 +20,9 @@
 /** Between the duty's name and the fencing token in the key of a holder row. */
 constexpr char kHolderSeparator = '#';
 
+/** More are another writer's, and would exceed the size of a transaction. */
+constexpr size_t kMaxHolderRows = 16;
+
 } // namespace
 
 void
@@ -42,6 +45,8 @@
                  return aRow.mKey.starts_with(mOptions.mName +
                                               kHolderSeparator);
                });
+  mState.mHolderRows.resize(
+    std::min(mState.mHolderRows.size(), kMaxHolderRows));
   const bool holdsSinceEarlier =
     mState.mHolding && aNow < mState.mHeldUntil && mState.mRecord.mEra < Era();
   const bool isPast = record && record->mEra < Era();
@@ -326,6 +331,7 @@
   }
   mState.mEra = aEra;
   mState.mEraSeenAt = aNow;
+  mState.mNoRecordSince.reset();
   return true;
 }
 
--- a/src/libtrefoilarch/storeversion.h
+++ b/src/libtrefoilarch/storeversion.h
@@ -21,7 +21,8 @@
   /** Enough for ten years of 400 writes a second. */
   static constexpr unsigned kVersionBits = 37;
   static constexpr uint64_t kMaxVersion = (1ULL << kVersionBits) - 1;
-  /** Numbers below 2^53 are exact in JSON. */
+  /** Later eras count as this one, so that numbers stay below 2^53, where they
+   * are exact in JSON. */
   static constexpr uint64_t kMaxEra = (1ULL << (53U - kVersionBits)) - 2;
 
   /** A number with the order of the pair. That of era 0 is its version. */
--- a/src/libtrefoilarch/usagereporter.cpp
+++ b/src/libtrefoilarch/usagereporter.cpp
@@ -191,7 +191,9 @@
   // The wait after a window's end is for clocks that differ.
   const Millis unixTime =
     StoreTime(aClock, aAt) + aRecord.mUnixOffset + kMinWait;
-  return { { kSubject, mOptions.mWindows.At(unixTime) - 1 } };
+  const Millis limit = mNow + mWallOffset + kMaxClockError;
+  const uint64_t open = mOptions.mWindows.At(std::min(unixTime, limit));
+  return { { kSubject, std::max<uint64_t>(open, 1) - 1 } };
 }
 
 Millis
