Send no report that a late write stored after the store went back

A write without a response may be done seconds later, if its condition holds. A return of the store from a copy can make a condition hold again, so a write of an earlier holder stored a report of a window that the store had lost another report of, and the next holder sent the stored bytes: two reports of one window.

Change: a holder that goes on or takes over after a return removes stored reports but its own. A report that was fixed in the copy and not accepted is then not sent, unless its holder goes on.

--- a/src/libtrefoilarch/dutystate.h
+++ b/src/libtrefoilarch/dutystate.h
@@ -43,6 +43,8 @@
   uint64_t mRecordVersion = 0;
   /** The version of the record's row as last read; 0 if there is none. */
   uint64_t mReadVersion = 0;
+  /** Keys of the stored reports as last read. */
+  std::vector<std::string> mReportKeys;
   /** The holder rows as last read, and the version of this process's own. */
   std::vector<DutyRow> mHolderRows;
   uint64_t mHolderRowVersion = 0;
--- a/src/libtrefoilarch/singletonduty.h
+++ b/src/libtrefoilarch/singletonduty.h
@@ -153,6 +153,10 @@
   void Write(DutyActions& aOut, uint64_t aRecordVersion, DutyRecord aRecord);
   /** Lets the write claim the duty for the record's holder. */
   void AddHolderRow(WriteDutyRows& aWrite, const DutyRecord& aRecord) const;
+  /** Lets the next write remove all stored reports but this process's own. A
+   * write of an earlier era may have been done after the return of the store,
+   * with a report that differs from one that the store has lost. */
+  void RemoveStoredReports();
   void ApplyRead(DutyActions& aOut, const DutyRowsRead& aRead, Millis aNow);
   void OnOwnRecord(DutyActions& aOut,
                    DutyRecord aRecord,
--- a/src/libtrefoilarch/singletondutyrecord.cpp
+++ b/src/libtrefoilarch/singletondutyrecord.cpp
@@ -45,6 +45,12 @@
                  return aRow.mKey.starts_with(mOptions.mName +
                                               kHolderSeparator);
                });
+  mState.mReportKeys.clear();
+  for (const DutyRow& each : aRead.mRows) {
+    if (ReportOfKey(each.mKey)) {
+      mState.mReportKeys.push_back(each.mKey);
+    }
+  }
   mState.mHolderRows.resize(
     std::min(mState.mHolderRows.size(), kMaxHolderRows));
   const bool holdsSinceEarlier =
@@ -142,6 +148,7 @@
   record.mExpiresAt = mState.mClock->Latest(aNow) + mOptions.mLeaseDuration;
   record.mEra = Era();
   record.mEraSince = mState.mClock->Latest(mState.mEraSeenAt);
+  RemoveStoredReports();
   mState.mWritesHolderRow = true;
   Write(aOut, mState.mReadVersion, std::move(record));
 }
@@ -297,7 +304,7 @@
   DutyRecord record = aRecord;
   record.mFencingToken = NextFencingToken(aRead.mVersion);
   SkipUnknownPeriods(record);
-  CollectReports(aOut, aRead.mRows);
+  RemoveStoredReports();
   TakeOver(aOut, std::move(record), aNow);
 }
 
--- a/src/libtrefoilarch/singletondutyreports.cpp
+++ b/src/libtrefoilarch/singletondutyreports.cpp
@@ -85,6 +85,24 @@
   mState.mRemovals.push_back(KeyOf(aReport));
 }
 
+void
+SingletonDuty::RemoveStoredReports()
+{
+  // More are another writer's, and would exceed the size of a transaction.
+  constexpr size_t kMaxRemovals = 50;
+  const auto isOwn = [this](const std::string& aKey) {
+    return std::any_of(
+      mState.mUnaccepted.begin(),
+      mState.mUnaccepted.end(),
+      [&](const DutyReport& aReport) { return KeyOf(aReport) == aKey; });
+  };
+  for (const std::string& key : mState.mReportKeys) {
+    if (mState.mRemovals.size() < kMaxRemovals && !isOwn(key)) {
+      mState.mRemovals.push_back(key);
+    }
+  }
+}
+
 void
 SingletonDuty::DropExpired(DutyActions& aOut, Millis aNow)
 {
--- a/tests/unit/dutymodel.cpp
+++ b/tests/unit/dutymodel.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -65,13 +66,14 @@
   {
     World world = FirstWorld();
     mPath.clear();
+    mWeights.clear();
     for (int step = 0; step < mOptions.mDepth; ++step) {
       mEnabled.clear();
       VisitSteps(world, 0);
       if (mEnabled.empty()) {
         break;
       }
-      const auto& [name, apply] = mEnabled[mRandom() % mEnabled.size()];
+      const auto& [name, apply] = DrawStep();
       mPath.push_back(name);
       apply(world);
       mResult.mStates++;
@@ -84,6 +86,20 @@
     mResult.mTakeovers += world.mTakeovers;
   }
 
+  /** Some hosts, and the passing of time, are much slower than others, so that
+   * what one of them has begun meets what others do later. */
+  const std::pair<std::string, Step>& DrawStep()
+  {
+    std::vector<uint32_t> weights;
+    for (const auto& [name, step] : mEnabled) {
+      const auto drawn =
+        mWeights.emplace(name.front(), 1U << (2 * (mRandom() % 4)));
+      weights.push_back(drawn.first->second);
+    }
+    return mEnabled[std::discrete_distribution<size_t>(weights.begin(),
+                                                       weights.end())(mRandom)];
+  }
+
   World FirstWorld()
   {
     World world;
@@ -493,6 +509,8 @@
   bool mIsWalking = false;
   std::vector<std::pair<std::string, Step>> mEnabled;
   std::mt19937 mRandom;
+  /** Of steps, by the first letter of their names, a host's in most. */
+  std::map<char, uint32_t> mWeights;
 };
 
 } // namespace
--- a/tests/unit/singletondutytest.cpp
+++ b/tests/unit/singletondutytest.cpp
@@ -455,6 +455,96 @@
   cr_expect(DutyRecordFromText(DutyRecordToText(released)) == released);
 }
 
+/** A released record of era 1 with a report of period 3, read in era 2. */
+DutyRowsRead
+RestoredRead(Millis aNow)
+{
+  const DutyRecord released{
+    .mHost = "b", .mFencingToken = 4, .mFixed = { { "", 3 } }, .mEra = 1
+  };
+  const std::string body = StoredReportToText(
+    { .mBody = "stored", .mExpiresAt = aNow + Millis(9000) });
+  DutyRowsRead read =
+    ReadOf({ RowOf(released),
+             { .mKey = "duty#4", .mText = "b1", .mVersion = 2 },
+             { .mKey = "duty//3", .mText = body, .mVersion = 4 } },
+           aNow);
+  read.mEra = 2;
+  return read;
+}
+
+/** The write by which a new process takes a restored duty over, and the time
+ * from which it may. */
+WriteDutyRows
+TakeOverRestored(SingletonDuty& aDuty, Millis aLater)
+{
+  aDuty.SetWanted(true, kNow);
+  const DutyActions early = aDuty.OnRead(RestoredRead(kNow), kNow);
+  cr_expect(FindAction<WriteDutyRows>(early) == nullptr);
+  cr_expect(aDuty.OnTick(aLater - Millis(1)).empty());
+  aDuty.OnTick(aLater);
+  const DutyActions taken = aDuty.OnRead(RestoredRead(aLater), aLater);
+  const auto* write = FindAction<WriteDutyRows>(taken);
+  cr_assert(write != nullptr);
+  return *write;
+}
+
+constexpr Millis kEarlierLeasesEnd = kNow + Millis(3300);
+
+Test(singletonduty, a_lease_granted_before_a_restore_may_run_out)
+{
+  SingletonDuty duty(OptionsOf("a"));
+  const WriteDutyRows write = TakeOverRestored(duty, kEarlierLeasesEnd);
+  // The report may differ from one that the store has lost.
+  const std::vector<std::string> removed{ "duty//3", "duty#4" };
+  cr_expect(write.mRemoved == removed);
+  cr_expect(duty.Unaccepted().empty());
+  cr_assert(write.mExpected.size() == 1);
+  cr_expect(write.mExpected.front().mKey == "duty#4");
+}
+
+Test(singletonduty, a_version_given_out_again_does_not_satisfy_a_holder)
+{
+  SingletonDuty duty(OptionsOf("a"));
+  TakeOverRestored(duty, kEarlierLeasesEnd);
+  duty.OnWritten(
+    { .mOutcome = DutyWriteOutcome::Done, .mVersion = 10, .mEra = 2 },
+    kEarlierLeasesEnd);
+  const DutyActions renewal = duty.OnTick(kEarlierLeasesEnd + Millis(1000));
+  const auto* write = FindAction<WriteDutyRows>(renewal);
+  cr_assert(write != nullptr);
+  cr_assert(write->mExpected.size() == 1);
+  const std::string key = "duty#" + std::to_string(duty.Record().mFencingToken);
+  cr_expect(write->mExpected.front() ==
+            ExpectedRow({ .mKey = key, .mVersion = 10 }));
+}
+
+Test(singletonduty, a_holder_that_the_store_has_forgotten_does_not_return_early)
+{
+  SingletonDuty duty(OptionsOf("a"));
+  TakeOverRestored(duty, kEarlierLeasesEnd);
+  duty.OnWritten(
+    { .mOutcome = DutyWriteOutcome::Done, .mVersion = 10, .mEra = 2 },
+    kEarlierLeasesEnd);
+  duty.Propose(ReportOf(4), kEarlierLeasesEnd);
+  const DutyActions fixed = duty.OnWritten(
+    { .mOutcome = DutyWriteOutcome::Done, .mVersion = 11, .mEra = 2 },
+    kEarlierLeasesEnd);
+  cr_expect(HasEvent(fixed, DutyEventKind::ReportFixed));
+  cr_expect(FindAction<CallReceiver>(fixed) == nullptr);
+  Millis now = kEarlierLeasesEnd;
+  for (int second = 1; second <= 3; ++second) {
+    now = now + Millis(1000);
+    const DutyActions actions = duty.OnTick(now);
+    cr_expect((FindAction<CallReceiver>(actions) != nullptr) == (second == 3));
+    duty.OnWritten({ .mOutcome = DutyWriteOutcome::Done,
+                     .mVersion = 11 + static_cast<uint64_t>(second),
+                     .mEra = 2,
+                     .mClock = ClockAt(now) },
+                   now);
+  }
+}
+
 /** It takes a duty over whose holder is empty or whose lease has ended. */
 Test(singletonduty, a_release_without_eras_finds_a_released_duty_held)
 {
