Review: bodies that are not complete are in no memory bound

Tried: forty callers send bodies of the size that the limits allow, while eight unsafe requests on kept connections run at a worker.

--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -319,6 +319,18 @@
   return false;
 }
 
+int64_t
+Child::MemoryBytes() const
+{
+  const std::string status =
+    ContentOf("/proc/" + std::to_string(mPid) + "/status");
+  const size_t at = status.find("VmRSS:");
+  constexpr int64_t kBytesPerKb = 1024;
+  return at == std::string::npos
+           ? 0
+           : std::atoll(status.c_str() + at + 6) * kBytesPerKb;
+}
+
 std::string
 AwaitText(const std::string& aPath,
           const std::string& aPrefix,
@@ -350,42 +362,63 @@
   return "";
 }
 
-Reply
-Call(const std::string& aEndpoint,
-     const Request& aRequest,
-     const std::function<void(const std::string&)>& aOnBody)
+Connection::Connection(const std::string& aEndpoint)
+  : mHandle(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-  AnswerReader reader(aRequest.mMethod == "HEAD");
-  Reply& reply = reader.Result();
-  const int64_t end = NowMs() + aRequest.mTimeoutMs;
-  const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = AddressOf(aEndpoint);
-  if (connect(handle,
-              reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address)) != 0) {
-    close(handle);
-    reply.mEnd = "no connection";
-    return reply;
-  }
-  const std::string text = TextOf(aRequest);
+  mOpen = connect(mHandle,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0;
+}
+
+Connection::~Connection()
+{
+  close(mHandle);
+}
+
+bool
+Connection::Send(const std::string& aBytes) const
+{
   size_t sent = 0;
-  while (sent < text.size()) {
+  while (mOpen && sent < aBytes.size()) {
     const ssize_t bytes =
-      send(handle, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+      send(mHandle, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
     if (bytes <= 0) {
-      break;
+      return false;
     }
     sent += static_cast<size_t>(bytes);
   }
+  return mOpen;
+}
+
+Reply
+Connection::Ask(const Request& aRequest,
+                const std::function<void(const std::string&)>& aOnBody)
+{
+  Send(TextOf(aRequest));
+  return Read(aRequest, aOnBody);
+}
+
+Reply
+Connection::Read(const Request& aRequest,
+                 const std::function<void(const std::string&)>& aOnBody) const
+{
+  AnswerReader reader(aRequest.mMethod == "HEAD");
+  Reply& reply = reader.Result();
+  if (!mOpen) {
+    reply.mEnd = "no connection";
+    return reply;
+  }
   reply.mEnd = "timeout";
+  const int64_t end = NowMs() + aRequest.mTimeoutMs;
   std::string buffer(kReadBytes, '\0');
   size_t bodyBytes = 0;
   while (NowMs() < end) {
-    pollfd ready{ .fd = handle, .events = POLLIN, .revents = 0 };
+    pollfd ready{ .fd = mHandle, .events = POLLIN, .revents = 0 };
     if (poll(&ready, 1, static_cast<int>(end - NowMs())) <= 0) {
       continue;
     }
-    const ssize_t bytes = recv(handle, buffer.data(), buffer.size(), 0);
+    const ssize_t bytes = recv(mHandle, buffer.data(), buffer.size(), 0);
     if (bytes < 0) {
       reply.mEnd = "reset";
       break;
@@ -404,10 +437,17 @@
       break;
     }
   }
-  close(handle);
   return reply;
 }
 
+Reply
+Call(const std::string& aEndpoint,
+     const Request& aRequest,
+     const std::function<void(const std::string&)>& aOnBody)
+{
+  return Connection(aEndpoint).Ask(aRequest, aOnBody);
+}
+
 Json
 Control(const std::string& aEndpoint, const Json& aCommand)
 {
@@ -557,12 +597,6 @@
   return front;
 }
 
-std::string
-Deployment::GateLog(const std::string& aName) const
-{
-  return ContentOf(mWork + "/" + aName + ".txt");
-}
-
 int
 RunCase(int aCount,
         char** aArguments,
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -68,6 +68,8 @@
   /** Whether the process runs; otherwise how it ended is in Ending(). */
   bool Runs();
   const std::string& Ending() const { return mEnding; }
+  /** Bytes of memory in use; 0 if the process does not run. */
+  int64_t MemoryBytes() const;
 
 private:
   pid_t mPid = 0;
@@ -105,6 +107,30 @@
   int64_t mTimeoutMs = 10000;
 };
 
+/** A caller's connection, for one request at a time. */
+class Connection
+{
+public:
+  explicit Connection(const std::string& aEndpoint);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /** Sends bytes as they are; false if the connection is gone. */
+  bool Send(const std::string& aBytes) const;
+  /** aOnBody is called with the body so far whenever it has grown. */
+  Reply Ask(const Request& aRequest,
+            const std::function<void(const std::string&)>& aOnBody = nullptr);
+  /** Reads an answer to what was sent. */
+  Reply Read(
+    const Request& aRequest,
+    const std::function<void(const std::string&)>& aOnBody = nullptr) const;
+
+private:
+  int mHandle;
+  bool mOpen;
+};
+
 /** One request on a connection of its own. aOnBody is called with the body so
  * far whenever it has grown. */
 Reply
@@ -139,7 +165,6 @@
    * address for callers. */
   std::string StartGate(const std::string& aName);
   Child& Gate(const std::string& aName) { return *mGates.at(aName); }
-  std::string GateLog(const std::string& aName) const;
   const std::string& WorkerAddress(const std::string& aId) const
   {
     return mAddresses.at(aId);
