--- a/review/6/driver.cpp
+++ b/review/6/driver.cpp
@@ -1,81 +1,109 @@
 #include "../standins-2/harness.h"
 
+#include <atomic>
+#include <csignal>
 #include <string>
+#include <thread>
 
 using namespace review;
 
 namespace {
 
-constexpr int kRevokeMs = 5000;
+constexpr int kEvents = 150;
+constexpr int kGapMs = 25;
 
 Json
-Configuration(int aVersion, const Json& aTenants)
+Configuration()
 {
-  return { { "version", aVersion },
+  return { { "version", 7 },
            { "routes",
-             { { { "name", "confirm" },
+             { { { "name", "guide" },
                  { "host", "desk.example" },
-                 { "prefix", "/confirm/" },
-                 { "kind", "unsafe" },
-                 { "service", "app" },
-                 { "timeoutMs", 2000 },
-                 { "targetLatencyMs", 300 },
-                 { "priority", 2 },
+                 { "prefix", "/guide/" },
+                 { "kind", "stream" },
+                 { "service", "llm" },
+                 { "timeoutMs", 15000 },
+                 { "targetLatencyMs", 1200 },
+                 { "gapAimMs", 800 },
+                 { "priority", 0 },
                  { "maxAttempts", 1 } } } },
-           { "services", { { { "name", "app" }, { "maxConns", 100 } } } },
+           { "services", { { { "name", "llm" }, { "maxConns", 360 } } } },
            { "limits", Json::object() },
-           { "tenants", aTenants } };
+           { "tenants",
+             { { { "name", "desk" }, { "apiKeys", { "key-of-desk" } } } } } };
 }
 
-Reply
-Ask(const std::string& aFront, const std::string& aId, const std::string& aKey)
+/** The number of whole events in a body. */
+int
+EventsIn(const std::string& aBody)
 {
-  return Call(aFront,
-              { .mMethod = "POST",
-                .mTarget = "/confirm/" + aId,
-                .mHeaders = { { "Host", "desk.example" },
-                              { "X-Request-Id", aId },
-                              { "X-Deadline-Ms", "4000" },
-                              { "X-Credential", aKey } },
-                .mBody = "confirm" });
+  int events = 0;
+  for (size_t at = aBody.find("\n\n"); at != std::string::npos;
+       at = aBody.find("\n\n", at + 2)) {
+    events++;
+  }
+  return events;
 }
 
 int
-RunRevocation(Deployment& aDeployment, Record& aRecord)
+RunStream(Deployment& aDeployment, Record& aRecord)
 {
-  aDeployment.StartWorker("app-1");
+  const std::string address = aDeployment.StartWorker("llm-1");
+  aDeployment.Put("op", "config", Configuration());
   aDeployment.Put(
-    "servers", "app-1", aDeployment.RowOf("app-1", "app", "ready", 1));
-  const Json desk =
-    Json::array({ { { "name", "desk" }, { "apiKeys", { "key-of-desk" } } } });
-  aDeployment.Put("op", "config", Configuration(7, desk));
+    "servers", "llm-1", aDeployment.RowOf("llm-1", "llm", "ready", 1));
   const std::string front = aDeployment.StartGate("gate-1");
-  const auto ask = [&](const std::string& aId, const std::string& aKey) {
-    const Reply reply = Ask(front, aId, aKey);
-    aRecord.Line(aId + " with key '" + aKey + "': status " +
-                 std::to_string(reply.mStatus));
-    return reply.mStatus;
-  };
-  if (ask("before", "key-of-desk") != 200 ||
-      ask("stranger-1", "guess") != 401) {
-    return kCouldNotRun;
+
+  std::atomic<int> seen = 0;
+  Reply reply;
+  std::thread caller([&] {
+    const std::string plan = "stream,count=" + std::to_string(kEvents) +
+                             ",gap=" + std::to_string(kGapMs) +
+                             ",framing=close";
+    reply = Call(front,
+                 { .mMethod = "POST",
+                   .mTarget = "/guide/1",
+                   .mHeaders = { { "Host", "desk.example" },
+                                 { "X-Request-Id", "stream-1" },
+                                 { "X-Deadline-Ms", "15000" },
+                                 { "X-Credential", "key-of-desk" },
+                                 { "X-Test-Plan", plan } },
+                   .mBody = "guide me",
+                   .mTimeoutMs = 15000 },
+                 [&](const std::string& aBody) { seen = EventsIn(aBody); });
+  });
+  for (int each = 0; each < 500 && seen < 10; ++each) {
+    SleepMs(10);
   }
-  aDeployment.Put(
-    "op", "config", Configuration(9, WithTrouble() ? Json::array() : desk));
-  SleepMs(kRevokeMs + 2000);
-  ask("after", "key-of-desk");
-  ask("stranger-2", "guess");
-  int ran = 0;
-  for (const Json& run : aDeployment.Runs("app-1")) {
-    aRecord.Line("app-1 ran " + run.at("id").get<std::string>() +
-                 ", X-Tenant '" + run.at("headers").value("X-Tenant", "") +
-                 "'");
-    ran += run.at("id") != "before" ? 1 : 0;
+  aRecord.Line("the caller has read " + std::to_string(seen) + " events");
+  if (WithTrouble()) {
+    constexpr int kBeforeCrashMs = 500;
+    constexpr int kDownMs = 2000;
+    constexpr int kFrozenMs = 4000;
+    aRecord.Line("gate-1 is frozen");
+    aDeployment.Gate("gate-1").Signal(SIGSTOP);
+    SleepMs(kBeforeCrashMs);
+    aRecord.Line("llm-1 crashes");
+    aDeployment.Worker("llm-1").Kill();
+    SleepMs(kDownMs);
+    aDeployment.StartWorker("llm-1", address);
+    aDeployment.Put(
+      "servers", "llm-1", aDeployment.RowOf("llm-1", "llm", "ready", 1));
+    SleepMs(kFrozenMs - kBeforeCrashMs - kDownMs);
+    aRecord.Line("gate-1 wakes");
+    aDeployment.Gate("gate-1").Signal(SIGCONT);
   }
-  if (!WithTrouble()) {
-    return ran == 1 ? kHeld : kCouldNotRun;
+  caller.join();
+  const int events = EventsIn(reply.mBody);
+  aRecord.Line("the caller's answer: status " + std::to_string(reply.mStatus) +
+               ", seal '" + reply.Header("X-Response-Seal") + "', " +
+               std::to_string(events) + " of " + std::to_string(kEvents) +
+               " events, end of the connection: " + reply.mEnd +
+               (reply.mComplete ? " (a complete answer)" : " (incomplete)"));
+  if (events == 0 || (!WithTrouble() && events != kEvents)) {
+    return kCouldNotRun;
   }
-  return ran > 0 ? kBroken : kHeld;
+  return reply.mComplete && events < kEvents ? kBroken : kHeld;
 }
 
 } // namespace
@@ -83,5 +111,5 @@
 int
 main(int aCount, char** aArguments)
 {
-  return RunCase(aCount, aArguments, RunRevocation);
+  return RunCase(aCount, aArguments, RunStream);
 }
