--- a/review/6/driver.cpp
+++ b/review/6/driver.cpp
@@ -1,109 +1,191 @@
 #include "../standins-2/harness.h"
 
+#include <algorithm>
 #include <atomic>
-#include <csignal>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace review;
 
 namespace {
 
-constexpr int kEvents = 150;
-constexpr int kGapMs = 25;
+constexpr int64_t kMemoryBytes = 110LL * 1024 * 1024;
+constexpr size_t kMaxBodyBytes = 4194304;
+constexpr int kUploads = 40;
+constexpr int kKept = 8;
+constexpr int kWorkMs = 8000;
 
 Json
 Configuration()
 {
   return { { "version", 7 },
            { "routes",
-             { { { "name", "guide" },
+             { { { "name", "confirm" },
                  { "host", "desk.example" },
-                 { "prefix", "/guide/" },
-                 { "kind", "stream" },
-                 { "service", "llm" },
+                 { "prefix", "/confirm/" },
+                 { "kind", "unsafe" },
+                 { "service", "app" },
                  { "timeoutMs", 15000 },
-                 { "targetLatencyMs", 1200 },
-                 { "gapAimMs", 800 },
-                 { "priority", 0 },
+                 { "targetLatencyMs", 5000 },
+                 { "priority", 2 },
                  { "maxAttempts", 1 } } } },
-           { "services", { { { "name", "llm" }, { "maxConns", 360 } } } },
-           { "limits", Json::object() },
+           { "services", { { { "name", "app" }, { "maxConns", 100 } } } },
+           { "limits",
+             { { "maxHeaderBytes", 16384 },
+               { "maxBodyBytes", kMaxBodyBytes },
+               { "headerTimeoutMs", 5000 },
+               { "idleTimeoutMs", 20000 } } },
            { "tenants",
              { { { "name", "desk" }, { "apiKeys", { "key-of-desk" } } } } } };
 }
 
-/** The number of whole events in a body. */
-int
-EventsIn(const std::string& aBody)
+Request
+Confirm(const std::string& aId, const std::string& aPlan)
+{
+  return { .mMethod = "POST",
+           .mTarget = "/confirm/" + aId,
+           .mHeaders = { { "Host", "desk.example" },
+                         { "X-Request-Id", aId },
+                         { "X-Deadline-Ms", "15000" },
+                         { "X-Credential", "key-of-desk" },
+                         { "X-Test-Plan", aPlan } },
+           .mBody = "confirm",
+           .mTimeoutMs = 20000 };
+}
+
+/** What the platform does: a process that exceeds its memory is killed. */
+class MemoryGuard
 {
-  int events = 0;
-  for (size_t at = aBody.find("\n\n"); at != std::string::npos;
-       at = aBody.find("\n\n", at + 2)) {
-    events++;
+public:
+  MemoryGuard(Child& aGate, Record& aRecord)
+    : mGate(aGate)
+    , mRecord(aRecord)
+    , mThread([this] { Run(); })
+  {
+  }
+  ~MemoryGuard()
+  {
+    mStop = true;
+    mThread.join();
+  }
+  MemoryGuard(const MemoryGuard&) = delete;
+  MemoryGuard& operator=(const MemoryGuard&) = delete;
+
+  bool HasKilled() const { return mKilled; }
+  int64_t MostBytes() const { return mMost; }
+
+private:
+  void Run()
+  {
+    while (!mStop && !mKilled) {
+      const int64_t bytes = mGate.MemoryBytes();
+      mMost = std::max<int64_t>(mMost, bytes);
+      if (bytes > kMemoryBytes) {
+        mRecord.Line("gate-1 uses " + std::to_string(bytes) +
+                     " bytes, over its memoryMb: the platform kills it");
+        mGate.Kill();
+        mKilled = true;
+      }
+      SleepMs(5);
+    }
+  }
+
+  Child& mGate;
+  Record& mRecord;
+  std::atomic<bool> mStop = false;
+  std::atomic<bool> mKilled = false;
+  std::atomic<int64_t> mMost = 0;
+  std::thread mThread;
+};
+
+/** Callers that send a body of the size that the limits allow, side by side. */
+void
+Upload(const std::string& aFront, size_t aBytes)
+{
+  std::vector<std::unique_ptr<Connection>> callers;
+  for (int each = 1; each <= kUploads; ++each) {
+    callers.push_back(std::make_unique<Connection>(aFront));
+    callers.back()->Send(
+      "POST /confirm/upload-" + std::to_string(each) +
+      " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: upload-" +
+      std::to_string(each) +
+      "\r\nX-Deadline-Ms: 8000\r\nX-Credential: key-of-desk\r\n"
+      "Content-Length: " +
+      std::to_string(aBytes) + "\r\n\r\n");
+  }
+  constexpr size_t kPieces = 32;
+  const std::string piece(aBytes / kPieces, 'b');
+  for (size_t each = 0; each < kPieces; ++each) {
+    for (const auto& caller : callers) {
+      caller->Send(piece);
+    }
+    constexpr int kGapMs = 30;
+    SleepMs(kGapMs);
+  }
+  for (const auto& caller : callers) {
+    caller->Read({ .mTimeoutMs = 100 });
   }
-  return events;
 }
 
 int
-RunStream(Deployment& aDeployment, Record& aRecord)
+RunUploads(Deployment& aDeployment, Record& aRecord)
 {
-  const std::string address = aDeployment.StartWorker("llm-1");
+  aDeployment.StartWorker("app-1");
   aDeployment.Put("op", "config", Configuration());
   aDeployment.Put(
-    "servers", "llm-1", aDeployment.RowOf("llm-1", "llm", "ready", 1));
+    "servers", "app-1", aDeployment.RowOf("app-1", "app", "ready", 1));
   const std::string front = aDeployment.StartGate("gate-1");
+  MemoryGuard guard(aDeployment.Gate("gate-1"), aRecord);
 
-  std::atomic<int> seen = 0;
-  Reply reply;
-  std::thread caller([&] {
-    const std::string plan = "stream,count=" + std::to_string(kEvents) +
-                             ",gap=" + std::to_string(kGapMs) +
-                             ",framing=close";
-    reply = Call(front,
-                 { .mMethod = "POST",
-                   .mTarget = "/guide/1",
-                   .mHeaders = { { "Host", "desk.example" },
-                                 { "X-Request-Id", "stream-1" },
-                                 { "X-Deadline-Ms", "15000" },
-                                 { "X-Credential", "key-of-desk" },
-                                 { "X-Test-Plan", plan } },
-                   .mBody = "guide me",
-                   .mTimeoutMs = 15000 },
-                 [&](const std::string& aBody) { seen = EventsIn(aBody); });
-  });
-  for (int each = 0; each < 500 && seen < 10; ++each) {
-    SleepMs(10);
+  std::vector<Reply> first(kKept);
+  std::vector<Reply> second(kKept);
+  std::vector<std::thread> callers;
+  for (size_t each = 0; each < kKept; ++each) {
+    callers.emplace_back([&, each] {
+      Connection connection(front);
+      const std::string id = std::to_string(each + 1);
+      first[each] = connection.Ask(Confirm("first-" + id, "ok"));
+      second[each] = connection.Ask(
+        Confirm("second-" + id, "ok,delay=" + std::to_string(kWorkMs)));
+    });
+  }
+  SleepMs(1000);
+  aRecord.Line(std::to_string(aDeployment.Runs("app-1").size()) +
+               " requests have reached the worker");
+  constexpr size_t kSmallBytes = 18000;
+  const size_t bytes = WithTrouble() ? kMaxBodyBytes : kSmallBytes;
+  aRecord.Line(std::to_string(kUploads) + " callers send bodies of " +
+               std::to_string(bytes) + " bytes each, the limit is " +
+               std::to_string(kMaxBodyBytes));
+  Upload(front, bytes);
+  for (std::thread& each : callers) {
+    each.join();
   }
-  aRecord.Line("the caller has read " + std::to_string(seen) + " events");
-  if (WithTrouble()) {
-    constexpr int kBeforeCrashMs = 500;
-    constexpr int kDownMs = 2000;
-    constexpr int kFrozenMs = 4000;
-    aRecord.Line("gate-1 is frozen");
-    aDeployment.Gate("gate-1").Signal(SIGSTOP);
-    SleepMs(kBeforeCrashMs);
-    aRecord.Line("llm-1 crashes");
-    aDeployment.Worker("llm-1").Kill();
-    SleepMs(kDownMs);
-    aDeployment.StartWorker("llm-1", address);
-    aDeployment.Put(
-      "servers", "llm-1", aDeployment.RowOf("llm-1", "llm", "ready", 1));
-    SleepMs(kFrozenMs - kBeforeCrashMs - kDownMs);
-    aRecord.Line("gate-1 wakes");
-    aDeployment.Gate("gate-1").Signal(SIGCONT);
+  int unanswered = 0;
+  for (size_t each = 0; each < kKept; ++each) {
+    const bool lost = first[each].mComplete && second[each].mStatus == 0;
+    unanswered += lost ? 1 : 0;
+    aRecord.Line("kept connection " + std::to_string(each + 1) + ": status " +
+                 std::to_string(first[each].mStatus) + ", then status " +
+                 std::to_string(second[each].mStatus) + ", end " +
+                 second[each].mEnd);
   }
-  caller.join();
-  const int events = EventsIn(reply.mBody);
-  aRecord.Line("the caller's answer: status " + std::to_string(reply.mStatus) +
-               ", seal '" + reply.Header("X-Response-Seal") + "', " +
-               std::to_string(events) + " of " + std::to_string(kEvents) +
-               " events, end of the connection: " + reply.mEnd +
-               (reply.mComplete ? " (a complete answer)" : " (incomplete)"));
-  if (events == 0 || (!WithTrouble() && events != kEvents)) {
+  const Json runs = aDeployment.Runs("app-1");
+  const auto passedOn =
+    std::count_if(runs.begin(), runs.end(), [](const Json& aRun) {
+      return aRun.at("id").get<std::string>().starts_with("second-");
+    });
+  aRecord.Line("most memory of gate-1: " + std::to_string(guard.MostBytes()) +
+               " bytes; " + std::to_string(passedOn) +
+               " requests of kept connections were passed on, " +
+               std::to_string(unanswered) +
+               " of these connections ended without an answer");
+  if (passedOn != kKept || (!WithTrouble() && unanswered > 0)) {
     return kCouldNotRun;
   }
-  return reply.mComplete && events < kEvents ? kBroken : kHeld;
+  return guard.HasKilled() && unanswered > 3 ? kBroken : kHeld;
 }
 
 } // namespace
@@ -111,5 +193,5 @@
 int
 main(int aCount, char** aArguments)
 {
-  return RunCase(aCount, aArguments, RunStream);
+  return RunCase(aCount, aArguments, RunUploads);
 }
