--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -270,6 +271,8 @@
   if (mPid != 0) {
     return;
   }
+  // It ends with this process, however that ends.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int output =
     open(aOutput.c_str(), O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
   dup2(output, STDOUT_FILENO);
