--- a/review/6/driver.cpp
+++ b/review/6/driver.cpp
@@ -121,7 +121,7 @@
     for (const auto& caller : callers) {
       caller->Send(piece);
     }
-    constexpr int kGapMs = 30;
+    constexpr int kGapMs = 120;
     SleepMs(kGapMs);
   }
   for (const auto& caller : callers) {
