--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <netinet/in.h>
 #include <poll.h>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <strings.h>
@@ -229,16 +230,26 @@
 int
 FreePort()
 {
-  const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = AddressOf("127.0.0.1:0");
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(handle, generic, size) != 0 ||
-      getsockname(handle, generic, &size) != 0) {
-    throw std::runtime_error("no free port");
+  // Below the ports that the kernel gives to outgoing connections, so that none
+  // of these takes it before the process that is to listen there.
+  constexpr int kFirstPort = 12000;
+  constexpr int kLastPort = 31999;
+  constexpr int kTries = 100;
+  static std::random_device sDevice;
+  std::uniform_int_distribution<int> draw(kFirstPort, kLastPort);
+  for (int each = 0; each < kTries; ++each) {
+    const int port = draw(sDevice);
+    const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = AddressOf(Local(port));
+    const bool free = bind(handle,
+                           reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address)) == 0;
+    close(handle);
+    if (free) {
+      return port;
+    }
   }
-  close(handle);
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 Record::Record(const std::string& aPath)
