--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -606,6 +606,10 @@
   const std::map<std::string, int>& ports = mGatePorts[aName];
   const std::string ready = Local(ports.at("ready"));
   AwaitReady(ready);
+  // Rules with a time bound hold from stableWindowMs after the start.
+  constexpr int kStableWindowMs = 3000;
+  constexpr int kMarginMs = 200;
+  SleepMs(kStableWindowMs + kMarginMs);
   std::string front = Local(ports.at("front"));
   mRecord.Line(aName + " is ready, callers at " + front);
   return front;
