Build the loop cost test on machines without epoll_wait(2)

arm64 has no epoll_wait(2), so tests/platform/callcounter.cpp did not compile there. It calls epoll_pwait(2) without a mask, which is the same call on both architectures.

--- a/tests/platform/callcounter.cpp
+++ b/tests/platform/callcounter.cpp
@@ -70,8 +70,9 @@
 
   int epoll_wait(int fd, epoll_event* events, int max_events, int timeout)
   {
+    // Not every architecture has epoll_wait(2).
     return static_cast<int>(
-      Counted(SYS_epoll_wait, fd, events, max_events, timeout));
+      Counted(SYS_epoll_pwait, fd, events, max_events, timeout, nullptr, 0));
   }
 
   int epoll_ctl(int fd, int operation, int other, epoll_event* event) noexcept
