Pass on the end of an unframed answer only if its process survived it

Cause: whether an end is real was answered by the evidence against requests that crash upstreams, which ignores upstreams that leave or are unlisted; and where it was checked, any process that accepted a connection counted as the one that wrote the answer.

Change: ProcessContinuity judges each such end in every state of the entry. A process that accepts a connection after the end is the answer's writer if no gap in the observations since the request leaves time for a restart (500 ms). ProcessWatch connects each 200 ms while such an answer is open, once for all answers of an upstream. A refusal, or a successor listed at the same address, shows the end of the process. What is not proven is cut off. A refused connection no longer counts against an upstream that is listed at another address by then.

--- a/src/libtrefoilarch/directcrashes.cpp
+++ b/src/libtrefoilarch/directcrashes.cpp
@@ -62,8 +62,15 @@
 }
 
 bool
-DirectRouter::HasCrashed(const PlacedAttempt& aAttempt) const
+DirectRouter::HasEnded(const PlacedAttempt& aAttempt) const
 {
+  // A successor at the same address proves it; one at another address may have
+  // been listed while the process was still finishing its answers.
+  const ListedUpstream* listed = mDirectory.Find(aAttempt.mUpstream);
+  if (listed != nullptr && listed->mAddress == aAttempt.mAddress &&
+      IsReplaced(aAttempt.mProcess, listed->Process())) {
+    return true;
+  }
   const auto tracked = mTracked.find(aAttempt.mUpstream);
   return tracked != mTracked.end() &&
          tracked->second.mIncarnationNumber == aAttempt.mIncarnationNumber &&
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -217,8 +217,9 @@
   }
   /** Whether it is not yet known if the attempt's upstream has crashed. */
   bool IsCrashSuspected(const PlacedAttempt& aAttempt) const;
-  /** Whether the attempt's upstream is known to have crashed. */
-  bool HasCrashed(const PlacedAttempt& aAttempt) const;
+  /** Whether the attempt's process is known to have ended, whatever the list
+   * says of the upstream. */
+  bool HasEnded(const PlacedAttempt& aAttempt) const;
   /** A connection to the upstream's address was accepted. */
   void OnListening(const UpstreamId& aUpstream);
   /** The attempt's connection ended before its response was complete. True if
--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -78,47 +78,94 @@
 ConnectionPool::CheckListening(const UpstreamId& aUpstream,
                                const std::string& aAddress)
 {
-  if (mChecking.insert(aUpstream).second) {
-    Probe(aUpstream, aAddress, kMaxProbes);
+  if (!mProbes.contains(aAddress)) {
+    Probe(aUpstream, aAddress, [](const ProbeResult&) {});
   }
 }
 
 void
 ConnectionPool::Probe(const UpstreamId& aUpstream,
                       const std::string& aAddress,
-                      int aProbesLeft)
-{
-  Connect(
-    aUpstream,
-    aAddress,
-    [this, aUpstream, aAddress, aProbesLeft](const Connection& aConnection) {
-      const auto probeAgain = [this, aUpstream, aAddress, aProbesLeft] {
-        if (aProbesLeft > 1) {
-          Probe(aUpstream, aAddress, aProbesLeft - 1);
-        } else {
-          mChecking.erase(aUpstream);
-        }
-      };
-      if (aConnection->Refused()) {
-        mChecking.erase(aUpstream);
-        return;
-      }
-      if (!aConnection->Open()) {
-        probeAgain();
-        return;
-      }
-      const auto timer = std::make_shared<boost::asio::steady_timer>(mLoop);
-      aConnection->OnClosedWhileIdle([probeAgain, timer] {
-        timer->cancel();
-        probeAgain();
-      });
-      RunAfter(*timer, kProbeDuration, [this, aUpstream, aConnection, timer] {
-        mChecking.erase(aUpstream);
-        Release(aUpstream, aConnection);
-      });
+                      ProbeCallback aDone)
+{
+  auto& probe = mProbes[aAddress];
+  if (probe) {
+    probe->mNext.push_back(std::move(aDone));
+    return;
+  }
+  probe = std::make_shared<ProbeState>(
+    ProbeState{ .mUpstream = aUpstream, .mAddress = aAddress });
+  probe->mWaiting.push_back(std::move(aDone));
+  StartProbe(probe, kMaxProbes);
+}
+
+void
+ConnectionPool::StartProbe(const std::shared_ptr<ProbeState>& aProbe,
+                           int aTriesLeft)
+{
+  Connect(aProbe->mUpstream,
+          aProbe->mAddress,
+          [this, probe = aProbe, aTriesLeft, startedAt = BootNow()](
+            const Connection& aConnection) {
+            OnProbeConnected(probe, aTriesLeft, startedAt, aConnection);
+          });
+}
+
+void
+ConnectionPool::OnProbeConnected(const std::shared_ptr<ProbeState>& aProbe,
+                                 int aTriesLeft,
+                                 Millis aStartedAt,
+                                 const Connection& aConnection)
+{
+  ProbeResult result{ .mStartedAt = aStartedAt, .mAcceptedAt = BootNow() };
+  if (aConnection->Refused()) {
+    result.mOutcome = ProbeOutcome::Refused;
+    EndProbe(aProbe, result);
+    return;
+  }
+  if (aConnection->Open()) {
+    result.mOutcome = ProbeOutcome::Accepted;
+  }
+  // A full upstream accepts connections and closes them as well.
+  const auto probeAgain = [this, probe = aProbe, aTriesLeft, result] {
+    if (aTriesLeft > 1) {
+      StartProbe(probe, aTriesLeft - 1);
+    } else {
+      EndProbe(probe, result);
+    }
+  };
+  if (!aConnection->Open()) {
+    probeAgain();
+    return;
+  }
+  const auto timer = std::make_shared<boost::asio::steady_timer>(mLoop);
+  aConnection->OnClosedWhileIdle([probeAgain, timer] {
+    timer->cancel();
+    probeAgain();
+  });
+  RunAfter(
+    *timer, kProbeDuration, [this, probe = aProbe, aConnection, timer, result] {
+      Release(probe->mUpstream, aConnection);
+      EndProbe(probe, result);
     });
 }
 
+void
+ConnectionPool::EndProbe(const std::shared_ptr<ProbeState>& aProbe,
+                         const ProbeResult& aResult)
+{
+  const auto waiting = std::exchange(aProbe->mWaiting, {});
+  aProbe->mWaiting = std::exchange(aProbe->mNext, {});
+  if (aProbe->mWaiting.empty()) {
+    mProbes.erase(aProbe->mAddress);
+  } else {
+    StartProbe(aProbe, kMaxProbes);
+  }
+  for (const ProbeCallback& each : waiting) {
+    each(aResult);
+  }
+}
+
 void
 ConnectionPool::Connect(const UpstreamId& aUpstream,
                         const std::string& aAddress,
@@ -129,12 +176,13 @@
     ParseEndpoint(aAddress),
     mOptions.mConnectTimeout,
     mOptions.mKeepalive,
-    [this, connection, aUpstream, done = std::move(aDone)](bool aConnected) {
+    [this, connection, aUpstream, aAddress, done = std::move(aDone)](
+      bool aConnected) {
       (aConnected ? mMadeCount : mFailedCount)++;
       if (aConnected) {
-        mOptions.mOnListening(aUpstream);
+        mOptions.mOnListening(aUpstream, aAddress);
       } else if (connection->Refused()) {
-        mOptions.mOnRefused(aUpstream);
+        mOptions.mOnRefused(aUpstream, aAddress);
       }
       done(connection);
     });
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -6,15 +6,33 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace trefoilgate {
 
+/** What a connection to an address has shown. */
+enum class ProbeOutcome : uint8_t
+{
+  Accepted,
+  Refused,
+  Unanswered,
+};
+
+/** The result of ConnectionPool::Probe(). */
+struct ProbeResult
+{
+  ProbeOutcome mOutcome = ProbeOutcome::Unanswered;
+  /** When the last connection was attempted. */
+  trefoilarch::Millis mStartedAt;
+  /** When it was accepted. */
+  trefoilarch::Millis mAcceptedAt;
+};
+
 /** Options of a ConnectionPool. */
 struct PoolOptions
 {
@@ -27,12 +45,12 @@
   /** Used if the upstream announces no idle timeout. */
   trefoilarch::Millis mIdleTimeout{ 15000 };
   KeepaliveOptions mKeepalive{};
-  /** The connection to the upstream's address was refused. */
-  std::function<void(const trefoilarch::UpstreamId&)> mOnRefused =
-    [](const trefoilarch::UpstreamId&) {};
-  /** A new connection was established. */
-  std::function<void(const trefoilarch::UpstreamId&)> mOnListening =
-    [](const trefoilarch::UpstreamId&) {};
+  /** A connection to the upstream was refused at this address. */
+  std::function<void(const trefoilarch::UpstreamId&, const std::string&)>
+    mOnRefused = [](const trefoilarch::UpstreamId&, const std::string&) {};
+  /** A new connection to the upstream was established at this address. */
+  std::function<void(const trefoilarch::UpstreamId&, const std::string&)>
+    mOnListening = [](const trefoilarch::UpstreamId&, const std::string&) {};
 };
 
 /** Kept-alive connections to upstreams, the most recently used first. */
@@ -53,7 +71,13 @@
 
   /** Connects to the upstream to find out whether it listens, and keeps the
    * connection. A process that is ending may still accept a connection, so one
-   * that fails or closes at once is followed by another. */
+   * that fails or closes at once is followed by another. The result is of
+   * connections that were attempted after this call. */
+  using ProbeCallback = std::function<void(const ProbeResult&)>;
+  void Probe(const trefoilarch::UpstreamId& aUpstream,
+             const std::string& aAddress,
+             ProbeCallback aDone);
+  /** The same without a result, unless one is in progress. */
   void CheckListening(const trefoilarch::UpstreamId& aUpstream,
                       const std::string& aAddress);
 
@@ -94,9 +118,21 @@
   void Connect(const trefoilarch::UpstreamId& aUpstream,
                const std::string& aAddress,
                std::function<void(Connection)> aDone);
-  void Probe(const trefoilarch::UpstreamId& aUpstream,
-             const std::string& aAddress,
-             int aProbesLeft);
+  /** A Probe() in progress, and those that wait for the next one. */
+  struct ProbeState
+  {
+    trefoilarch::UpstreamId mUpstream;
+    std::string mAddress;
+    std::vector<ProbeCallback> mWaiting;
+    std::vector<ProbeCallback> mNext;
+  };
+  void StartProbe(const std::shared_ptr<ProbeState>& aProbe, int aTriesLeft);
+  void OnProbeConnected(const std::shared_ptr<ProbeState>& aProbe,
+                        int aTriesLeft,
+                        trefoilarch::Millis aStartedAt,
+                        const Connection& aConnection);
+  void EndProbe(const std::shared_ptr<ProbeState>& aProbe,
+                const ProbeResult& aResult);
   bool IsExpired(const IdleConnection& aIdle, trefoilarch::Millis aNow) const;
   void RemoveIdle(const trefoilarch::UpstreamId& aUpstream,
                   const ClientConnection* aConnection);
@@ -104,8 +140,8 @@
   boost::asio::io_context& mLoop;
   PoolOptions mOptions;
   std::map<trefoilarch::UpstreamId, std::vector<IdleConnection>> mIdle;
-  /** Upstreams with a CheckListening() in progress. */
-  std::set<trefoilarch::UpstreamId> mChecking;
+  /** By address. */
+  std::map<std::string, std::shared_ptr<ProbeState>> mProbes;
   uint64_t mMadeCount = 0;
   uint64_t mFailedCount = 0;
 };
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -76,6 +76,7 @@
   mAttempt = std::move(aSend.mAttempt);
   mLastAttempt = *mAttempt;
   mAnswer.reset();
+  mWriter.reset();
   mAttemptNumber++;
   mContext.mPool.Acquire(mAttempt->mUpstream,
                          mAttempt->mAddress,
@@ -137,6 +138,10 @@
   mUnlistedMs = unlistedUpstream == unlisted.end()
                   ? -1
                   : (now - unlistedUpstream->second.mSince).Count();
+  mRequestSentAt = now;
+  if (mContext.mWriters.ExpectsUnmarked(mAttempt->mService, now)) {
+    FollowWriter();
+  }
   mPlan.OnSending();
   mConnection->Send(MakeCall(mPlan.Request().mDeadline - now), MakeHandlers());
 }
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -6,6 +6,7 @@
 #include "connectionpool.h"
 #include "dialect.h"
 #include "eventtracker.h"
+#include "processwatch.h"
 
 #include "libtrefoilarch/requestplan.h"
 
@@ -28,6 +29,7 @@
   boost::asio::io_context& mLoop;
   trefoilarch::DirectRouter& mRouter;
   ConnectionPool& mPool;
+  ProcessWatch& mWriters;
   const Dialect& mDialect;
   DecisionLog& mLog;
   GateMetrics& mMetrics;
@@ -81,9 +83,12 @@
   /** Handles an answer that ended with its connection, which does not prove
    * that it is complete. */
   void OnUnmarkedEnd();
-  /** Passes on an unmarked end, unless the upstream turns out to have crashed
-   * by then. */
-  void ResolveUnmarkedEnd(Millis aUntil);
+  /** Follows the process that writes the answer, if the end of the answer
+   * proves nothing. */
+  void FollowWriter();
+  /** Passes on an unmarked end that was read at aEndedAt once its process is
+   * proven to have survived it. */
+  void ResolveUnmarkedEnd(Millis aEndedAt);
   /** Why the unmarked end of the answer can't be passed on; empty if it can. */
   std::string IncompleteReason() const;
   /** Completes the answer to the caller. */
@@ -148,6 +153,10 @@
   /** Time since the list was found to lack the upstream; -1 if it is listed. */
   int64_t mUnlistedMs = -1;
   ConnectionPool::Connection mConnection;
+  /** When the attempt's request was sent. */
+  Millis mRequestSentAt;
+  /** Of the process that writes the answer; null if it isn't followed. */
+  ProcessWatch::Continuity mWriter;
   std::optional<UpstreamAnswer> mAnswer;
   EventTracker mEvents;
   std::string mBuffered;
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -22,10 +22,7 @@
 constexpr int kMinRedirectStatus = 300;
 constexpr int kMinServerErrorStatus = 500;
 
-/** Whether an upstream that closed its connection has crashed is known within
- * this time: it refuses a new one. */
-constexpr Millis kCrashWait{ 30 };
-constexpr Millis kCrashPollInterval{ 3 };
+constexpr Millis kWriterPollInterval{ 3 };
 
 std::string
 NotRunReason(int aStatus, const AvailabilityStatement& aStatement)
@@ -90,6 +87,20 @@
     return;
   }
   mAnswer = std::move(aAnswer);
+  if (mAnswer->mEndsWithConnection) {
+    mContext.mWriters.OnUnmarkedAnswer(mAttempt->mService, now);
+    FollowWriter();
+  } else {
+    mWriter.reset();
+  }
+}
+
+void
+Exchange::FollowWriter()
+{
+  if (!mWriter) {
+    mWriter = mContext.mWriters.Follow(*mAttempt, mRequestSentAt);
+  }
 }
 
 void
@@ -237,10 +248,13 @@
   // The kernel of a crashed upstream closes its connections in the same way.
   mAttempt->mProvesHarmless = false;
   const Millis now = BootNow();
-  const bool checking = CheckForCrash(now);
   const std::string reason = IncompleteReason();
   if (reason.empty()) {
-    ResolveUnmarkedEnd(checking ? now + kCrashWait : now);
+    mContext.mWriters.Check(*mAttempt);
+  }
+  CheckForCrash(now);
+  if (reason.empty()) {
+    ResolveUnmarkedEnd(now);
   } else {
     BreakAttempt(reason);
   }
@@ -262,21 +276,29 @@
 }
 
 void
-Exchange::ResolveUnmarkedEnd(Millis aUntil)
+Exchange::ResolveUnmarkedEnd(Millis aEndedAt)
 {
-  if (mContext.mRouter.HasCrashed(*mAttempt)) {
-    BreakAttempt("the upstream crashed");
+  if (mContext.mRouter.HasEnded(*mAttempt) || mWriter->HasEnded()) {
+    mContext.mMetrics.OnUnmarkedEnd("process_ended");
+    BreakAttempt("the upstream's process has ended");
     return;
   }
-  if (BootNow() >= aUntil) {
+  if (mWriter->IsProven(aEndedAt)) {
+    mContext.mMetrics.OnUnmarkedEnd("complete");
     FinishAnswer();
     return;
   }
-  RunAfter(mHoldTimer, kCrashPollInterval, [self = shared_from_this(), aUntil] {
-    if (!self->mDone && self->mAttempt) {
-      self->ResolveUnmarkedEnd(aUntil);
-    }
-  });
+  if (mWriter->IsLost(BootNow())) {
+    mContext.mMetrics.OnUnmarkedEnd("process_unknown");
+    BreakAttempt("another process may have taken the upstream's place");
+    return;
+  }
+  RunAfter(
+    mHoldTimer, kWriterPollInterval, [self = shared_from_this(), aEndedAt] {
+      if (!self->mDone && self->mAttempt) {
+        self->ResolveUnmarkedEnd(aEndedAt);
+      }
+    });
 }
 
 void
--- a/src/libtrefoilgate/gatemetrics.cpp
+++ b/src/libtrefoilgate/gatemetrics.cpp
@@ -24,6 +24,7 @@
 constexpr const char* kUnreadableLoad =
   "trefoilarch_gate_unreadable_load_reports_total";
 constexpr const char* kCutCallers = "trefoilarch_gate_cut_callers_total";
+constexpr const char* kUnmarkedEnds = "trefoilarch_gate_unmarked_ends_total";
 constexpr const char* kLoopLag = "trefoilarch_gate_loop_lag_ms";
 
 /** A metric that is not a gauge. */
@@ -47,6 +48,9 @@
                      "Load reports of upstreams that could not be read." },
   MetricDescription{ kCutCallers,
                      "Callers that were cut off, as they read too slowly." },
+  MetricDescription{ kUnmarkedEnds,
+                     "Ends of answers without length or chunks, by what is "
+                     "known of their process." },
   MetricDescription{ kReloads, "Times that the settings were read again." },
   MetricDescription{ kLoopLag, "How late a timer of the event loop fired." },
 };
@@ -334,6 +338,12 @@
   mMetrics.Count(kCutCallers, Label("reason", aReason));
 }
 
+void
+GateMetrics::OnUnmarkedEnd(std::string_view aResult)
+{
+  mMetrics.Count(kUnmarkedEnds, Label("result", aResult));
+}
+
 void
 GateMetrics::OnLoopLag(Millis aLag)
 {
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -76,6 +76,9 @@
   void OnUnreadableLoadReport();
   /** A caller was cut off for this reason before its answer was complete. */
   void OnCutCaller(std::string_view aReason);
+  /** The end of an answer without length or chunks was judged: "complete",
+   * "process_ended" or "process_unknown". */
+  void OnUnmarkedEnd(std::string_view aResult);
   void OnReload(std::string_view aResult);
   /** Records how late a timer of the event loop fired. */
   void OnLoopLag(trefoilarch::Millis aLag);
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -115,13 +115,18 @@
               .mSeed = mOptions.mSeed })
   , mPool(aLoop,
           { .mOnRefused =
-              [this](const UpstreamId& aUpstream) {
-                mRouter.OnConnectionRefused(aUpstream, BootNow());
+              [this](const UpstreamId& aUpstream, const std::string& aAddress) {
+                if (IsListedAt(aUpstream, aAddress)) {
+                  mRouter.OnConnectionRefused(aUpstream, BootNow());
+                }
               },
             .mOnListening =
-              [this](const UpstreamId& aUpstream) {
-                mRouter.OnListening(aUpstream);
+              [this](const UpstreamId& aUpstream, const std::string& aAddress) {
+                if (IsListedAt(aUpstream, aAddress)) {
+                  mRouter.OnListening(aUpstream);
+                }
               } })
+  , mWriters(aLoop, mPool)
   , mBuffers(aLoop,
              { .mTotalBytes = mOptions.mSettings.mAnswerBufferBytes,
                .mStallTimeout = mOptions.mSettings.mCallerStall },
@@ -130,6 +135,7 @@
     .mLoop = aLoop,
     .mRouter = mRouter,
     .mPool = mPool,
+    .mWriters = mWriters,
     .mDialect = mOptions.mDialect,
     .mLog = mLog,
     .mMetrics = mMetrics,
@@ -373,6 +379,14 @@
   };
 }
 
+bool
+Gateway::IsListedAt(const UpstreamId& aUpstream,
+                    const std::string& aAddress) const
+{
+  const ListedUpstream* listed = mRouter.Directory().Find(aUpstream);
+  return listed != nullptr && listed->mAddress == aAddress;
+}
+
 void
 Gateway::Tick()
 {
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -11,6 +11,7 @@
 #include "gatesettings.h"
 #include "loadgauges.h"
 #include "peerlink.h"
+#include "processwatch.h"
 
 #include "libtrefoilarch/directrouter.h"
 #include "libtrefoilarch/usageupdate.h"
@@ -230,6 +231,9 @@
   void CheckBuffers(Millis aNow);
   /** Sets the bounds that depend on settings, peers and policy. */
   void UpdateBufferBounds();
+  /** Whether the list has the upstream at this address. */
+  bool IsListedAt(const trefoilarch::UpstreamId& aUpstream,
+                  const std::string& aAddress) const;
   void Tick();
   void ContinueDrain();
 
@@ -240,6 +244,7 @@
   LoadGauges mLoadGauges{ mMetrics };
   trefoilarch::DirectRouter mRouter;
   ConnectionPool mPool;
+  ProcessWatch mWriters;
   CallerBuffers mBuffers;
   ExchangeContext mContext;
   CallerListener mCallers;
--- a/tests/platform/closedelimitedtest.cpp
+++ b/tests/platform/closedelimitedtest.cpp
@@ -10,7 +10,9 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <csignal>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -139,6 +141,51 @@
   std::thread mThread;
 };
 
+/** Answers a request with a part of an unframed stream. Its process ends at
+ * once, and is back at its address on demand. */
+class RestartingUpstream
+{
+public:
+  RestartingUpstream()
+    : mAcceptor(std::in_place, mLoop, Tcp::endpoint(Tcp::v4(), 0))
+    , mEndpoint(mAcceptor->local_endpoint())
+  {
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mEndpoint.port());
+  }
+
+  void BeginAnswer()
+  {
+    mConnection.emplace(mAcceptor->accept());
+    boost::asio::streambuf head;
+    boost::asio::read_until(*mConnection, head, "\r\n\r\n");
+    boost::asio::write(*mConnection,
+                       boost::asio::buffer(std::string(
+                         "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+                         "Connection: close\r\n\r\nid: 1\ndata: event 1\n\n")));
+  }
+  void Crash()
+  {
+    mAcceptor.reset();
+    mConnection.reset();
+  }
+  void StartAgain() { mAcceptor.emplace(mLoop, mEndpoint); }
+
+private:
+  using Tcp = boost::asio::ip::tcp;
+
+  boost::asio::io_context mLoop;
+  std::optional<Tcp::acceptor> mAcceptor;
+  Tcp::endpoint mEndpoint;
+  std::optional<Tcp::socket> mConnection;
+};
+
+/** Longer than a frozen gate may take another process for the same one. */
+constexpr std::chrono::milliseconds kFreeze{ 700 };
+
 } // namespace
 
 Test(closedelimited, a_complete_stream_without_framing_is_not_framed_anew)
@@ -376,3 +423,76 @@
   cr_expect(HasText(answer, "event 1\n"), "%s", answer.mText.c_str());
   ExpectCutShort(answer);
 }
+
+// The end of a process that was leaving used to go unnoticed.
+Test(closedelimited, an_answer_of_a_killed_upstream_that_left_is_cut_short)
+{
+  for (const std::string state : { "draining", "unlisted", "stated" }) {
+    PlatformFleet fleet;
+    if (state == "stated") {
+      fleet.SetLeaving(0, "1");
+    }
+    const integration::RawCaller caller(fleet.GateAddress(0));
+    caller.Send(
+      PlatformFleet::Text({ .mMethod = "POST",
+                            .mPath = "/stream/x",
+                            .mPlan = "stream,count=90,gap=20,framing=close" }));
+    const RawAnswer begun = caller.ReadAnswer("event 3\n\n", kReadTimeoutMs);
+    cr_assert(HasText(begun, "event 3\n\n"));
+    if (state == "draining") {
+      fleet.List(0, "draining");
+    } else if (state == "unlisted") {
+      fleet.Unlist("i-0");
+    }
+    // Long enough for the list to be read.
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    fleet.Worker(0).Signal(SIGKILL);
+    const RawAnswer rest = caller.ReadAnswer("", kReadTimeoutMs);
+    cr_expect(!HasText(rest, "event 90\n"), "%s", state.c_str());
+    cr_expect(rest.mEnd == ConnectionEnd::Reset, "%s", state.c_str());
+  }
+}
+
+// A gate that was frozen took the new process for the one that answered.
+Test(closedelimited, a_process_that_is_back_does_not_complete_an_answer)
+{
+  PlatformFleet fleet;
+  RestartingUpstream upstream;
+  fleet.Unlist("i-0");
+  fleet.ListAs("i-back", upstream.Address());
+  const auto listed = [&] { return fleet.LogOf(0, "upstream_listed").size(); };
+  cr_assert(Await([&] { return listed() >= 2; }));
+  const integration::RawCaller caller(fleet.GateAddress(0));
+  caller.Send(PlatformFleet::Text({ .mMethod = "POST", .mPath = "/stream/x" }));
+  upstream.BeginAnswer();
+  const RawAnswer begun = caller.ReadAnswer("event 1\n\n", kReadTimeoutMs);
+  cr_assert(HasText(begun, "event 1\n\n"));
+  fleet.Gate(0).Signal(SIGSTOP);
+  upstream.Crash();
+  upstream.StartAgain();
+  std::this_thread::sleep_for(kFreeze);
+  fleet.Gate(0).Signal(SIGCONT);
+  const RawAnswer rest = caller.ReadAnswer("", kReadTimeoutMs);
+  cr_expect(rest.mEnd == ConnectionEnd::Reset);
+}
+
+Test(closedelimited, a_long_answer_is_complete_though_its_upstream_leaves)
+{
+  for (const std::string state : { "draining", "unlisted" }) {
+    const PlatformFleet fleet;
+    const integration::RawCaller caller(fleet.GateAddress(0));
+    caller.Send(
+      PlatformFleet::Text({ .mMethod = "POST",
+                            .mPath = "/stream/x",
+                            .mPlan = "stream,count=40,gap=30,framing=close" }));
+    const RawAnswer begun = caller.ReadAnswer("event 3\n\n", kReadTimeoutMs);
+    if (state == "draining") {
+      fleet.List(0, "draining");
+    } else {
+      fleet.Unlist("i-0");
+    }
+    const RawAnswer rest = caller.ReadAnswer("", kReadTimeoutMs);
+    cr_expect(HasText(rest, "event 40\n"), "%s", state.c_str());
+    cr_expect(rest.mEnd == ConnectionEnd::Closed, "%s", state.c_str());
+  }
+}
