Give up an upstream's answer whose framing has no end

The parser consumes nothing of a chunk size, a chunk extension or trailers until they are complete, so a connection kept all that an upstream sent, without a bound and outside of every account. An answer with more unparsed bytes than a maximum head is broken off now.

clientconnectiontest: framing_without_an_end_is_no_answer failed before (the gate's connection read on after 64 MB); passes. The other test, a_head_that_is_cut_off_is_no_answer, passed before as well: each prefix of a head, four framings, on fresh and kept connections, with and without a 100 before it, is no answer.

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -22,6 +22,8 @@
 constexpr size_t kReadBytes = 8192;
 constexpr size_t kWriteBytes = 65536;
 constexpr uint32_t kMaxHeaderBytes = 65536;
+/** Bytes of a head, a chunk header or trailers that are not complete yet. */
+constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadBytes;
 constexpr int kMinFinalStatus = 200;
 
 /** The `timeout` of a Keep-Alive header, in whole seconds. */
@@ -270,6 +272,10 @@
     FinishAnswer();
     return true;
   }
+  if (mOpen && error && mBuffer.size() > kMaxUnparsedBytes) {
+    Fail("framing without an end");
+    return false;
+  }
   return !error && mOpen;
 }
 
