Read each request that is sent ahead once

Callers that send requests ahead on a connection: the second of three unsafe requests ran twice and the third never, without any disruption. While a request is served, a read is pending into the place behind the buffered bytes; parsing these emptied the buffer, which then started over at its beginning, and the bytes that the read brought were looked for there. The old ones were parsed again.

10,000 requests of 27 bytes sent ahead ended the gate with signal 11: parsing, dispatching and answering called one another for each.

Parsed bytes are now only counted while a read is pending, and dropped after it; parsing is a loop that answers return to.

--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -97,7 +97,7 @@
 bool
 CallerConnection::AwaitsRequest() const
 {
-  return mState == State::Reading && mBuffer.size() == 0 &&
+  return mState == State::Reading && UnparsedBytes() == 0 &&
          (!mParser || !mParser->got_some());
 }
 
@@ -186,37 +186,60 @@
     mPhaseStartedAt = BootNow();
   }
   mBuffer.commit(aBytes);
+  mBuffer.consume(std::exchange(mParsedBytes, 0));
   if (mState == State::Reading) {
     Parse();
   }
-  if (mBuffer.size() < kMaxReadAhead) {
+  if (UnparsedBytes() < kMaxReadAhead) {
     Read();
   }
 }
 
+void
+CallerConnection::Consume(size_t aBytes)
+{
+  // An empty buffer starts over, but the pending read fills the old place.
+  if (mReadPending) {
+    mParsedBytes += aBytes;
+  } else {
+    mBuffer.consume(aBytes);
+  }
+}
+
 void
 CallerConnection::Parse()
 {
+  // Answering a request continues here, so that the depth of the stack does not
+  // depend on what is sent ahead.
+  if (std::exchange(mParsing, true)) {
+    return;
+  }
   const auto self = shared_from_this();
-  while (mState == State::Reading && mBuffer.size() > 0) {
-    Error error;
-    const size_t consumed = mParser->put(mBuffer.data(), error);
-    mBuffer.consume(consumed);
-    if (error && error != http::error::need_more) {
-      Reject(StatusFor(error), "malformed request");
-      return;
-    }
-    if (mParser->is_header_done() && !mHeadChecked && !CheckHead()) {
-      return;
-    }
-    if (mParser->is_done()) {
-      Dispatch();
-      return;
-    }
-    if (error) {
-      return;
-    }
+  while (mState == State::Reading && ParseStep()) {
+  }
+  mParsing = false;
+}
+
+bool
+CallerConnection::ParseStep()
+{
+  if (UnparsedBytes() == 0) {
+    return false;
+  }
+  Error error;
+  Consume(mParser->put(mBuffer.cdata() + mParsedBytes, error));
+  if (error && error != http::error::need_more) {
+    Reject(StatusFor(error), "malformed request");
+    return false;
+  }
+  if (mParser->is_header_done() && !mHeadChecked && !CheckHead()) {
+    return false;
+  }
+  if (mParser->is_done()) {
+    Dispatch();
+    return true;
   }
+  return !error;
 }
 
 bool
--- a/src/libtrefoilgate/callerconnection.h
+++ b/src/libtrefoilgate/callerconnection.h
@@ -172,6 +172,10 @@
   void Read();
   void OnRead(const Error& aError, size_t aBytes);
   void Parse();
+  /** Parses one step; false if no progress is possible for now. */
+  bool ParseStep();
+  size_t UnparsedBytes() const { return mBuffer.size() - mParsedBytes; }
+  void Consume(size_t aBytes);
   bool CheckHead();
   void Dispatch();
   void Reject(int aStatus, const char* aReason);
@@ -190,6 +194,8 @@
   boost::asio::ip::tcp::socket mSocket;
   const CallerHooks& mHooks;
   boost::beast::flat_buffer mBuffer;
+  /** Bytes at the beginning of mBuffer that are parsed. */
+  size_t mParsedBytes = 0;
   std::optional<Parser> mParser;
   std::function<void()> mOnDisconnected;
   std::function<void()> mOnRoom;
@@ -214,6 +220,7 @@
   /** See AnswerHead; of the answer that has begun. */
   bool mEndsWithConnection = false;
   bool mReadPending = false;
+  bool mParsing = false;
   bool mWritePending = false;
   /** Whether the budget decides when a caller that does not read is cut off,
    * and not the kernel. */
--- a/tests/platform/requestlifecycletest.cpp
+++ b/tests/platform/requestlifecycletest.cpp
@@ -206,3 +206,46 @@
   cr_expect(
     refused >= 2 && served >= 9, "%d refused, %d served", refused, served);
 }
+
+/** A request sent ahead was run twice, and the one after it lost. */
+Test(requestlifecycle, requests_sent_ahead_run_once_each)
+{
+  const PlatformFleet fleet;
+  const RawCaller caller(fleet.GateAddress(0));
+  const auto send = [&](const std::string& aId) {
+    caller.Send(PlatformFleet::Text({ .mId = aId,
+                                      .mMethod = "POST",
+                                      .mPath = "/once/x",
+                                      .mPlan = "ok,delay=300" }));
+  };
+  send("ahead-1");
+  Pause(100);
+  send("ahead-2");
+  cr_assert(Await([&] { return RunState(fleet, "ahead-2") == "running"; }));
+  send("ahead-3");
+  caller.ReadAll(1000);
+  for (const char* id : { "ahead-1", "ahead-2", "ahead-3" }) {
+    cr_expect(fleet.RunsOf(id).size() == 1, "%s", id);
+  }
+}
+
+/** The stack overflowed, as each request sent ahead took some of it. */
+Test(requestlifecycle, thousands_of_requests_may_be_sent_ahead)
+{
+  PlatformFleet fleet;
+  const RawCaller caller(fleet.GateAddress(0));
+  std::string text = PlatformFleet::Text({ .mPlan = "ok,delay=300" });
+  constexpr size_t kRequests = 10000;
+  for (size_t each = 0; each < kRequests; ++each) {
+    text += "GET / HTTP/1.1\r\nHost:a\r\n\r\n";
+  }
+  std::jthread sender([&] { caller.Send(text); });
+  const std::string answers = caller.ReadAll(1500);
+  size_t count = 0;
+  for (size_t at = answers.find("HTTP/1.1 404"); at != std::string::npos;
+       at = answers.find("HTTP/1.1 404", at + 1)) {
+    count++;
+  }
+  cr_expect(count == kRequests, "%zu answers", count);
+  cr_expect(fleet.Call({ .mId = "next" }).mStatus == 200);
+}
