Wait for the log line in the test of unreadable load reports

The test read the gate's log right after the answer, but a thread of its own writes the log. It now waits for the first line; the bounds are the same.

--- a/tests/platform/loadstatementtest.cpp
+++ b/tests/platform/loadstatementtest.cpp
@@ -1,5 +1,7 @@
 #include "platformfleet.h"
 
+#include "integration/await.h"
+
 #include "platformdialect.h"
 
 #include <criterion/criterion.h>
@@ -77,6 +79,11 @@
   for (int call = 0; call < 5; ++call) {
     cr_expect(fleet.Call({ .mId = std::to_string(call) }).mStatus == 200);
   }
-  const size_t lines = fleet.LogOf(0, "load_report_unreadable").size();
+  const auto countLines = [&] {
+    return fleet.LogOf(0, "load_report_unreadable").size();
+  };
+  // The log is written by a thread of its own.
+  cr_assert(integration::Await([&] { return countLines() > 0; }), "no line");
+  const size_t lines = countLines();
   cr_expect(lines >= 1 && lines <= 3, "%zu lines", lines);
 }
