Bound the memory of callers' requests before they are complete

Bodies were counted once they were complete; heads and bodies that were being read, of any number of connections, were in no account.

UploadBudget decides on all that is held of callers' requests, a third of the memory as before. A request is admitted with all that it may need when its head is read, so that what is admitted can be completed; what finds no room waits unread in the kernel, for 2 s at most, and is then rejected as not run with a time to return. Small requests have a reserve; one workspace leaves room for others; an upload that trickles is given up while others wait. The connection of a rejected upload is read and discarded for a second, as closing it would reset it before its caller has the answer. Bytes sent ahead: 16 KB instead of 64.

--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -20,7 +20,7 @@
 constexpr size_t kReadBytes = 8192;
 
 /** Limit of what a caller may send ahead while its request is served. */
-constexpr size_t kMaxReadAhead = 65536;
+constexpr size_t kMaxReadAhead = 16384;
 
 /** Time for a caller to send a body; generous, as phones are slow. */
 constexpr Millis kBodyTimeout{ 15000 };
@@ -29,6 +29,9 @@
  * has its request cross the close. */
 constexpr Millis kIdleMargin{ 1000 };
 
+/** Time for a caller to notice the answer to a request that it still sends. */
+constexpr Millis kDiscardTimeout{ 1000 };
+
 constexpr int kBadRequest = 400;
 constexpr int kTimedOut = 408;
 constexpr int kTooLarge = 413;
@@ -104,10 +107,14 @@
 void
 CallerConnection::CheckTimeouts(Millis aNow)
 {
+  const Millis elapsed = aNow - mPhaseStartedAt;
+  if (mState == State::Discarding && elapsed >= kDiscardTimeout) {
+    Close();
+    return;
+  }
   if (mState != State::Reading) {
     return;
   }
-  const Millis elapsed = aNow - mPhaseStartedAt;
   if (AwaitsRequest()) {
     if (Idle() && elapsed >= mLimits.mIdleTimeout + kIdleMargin) {
       Close();
@@ -115,9 +122,12 @@
     return;
   }
   const Millis timeout = mHeadChecked ? kBodyTimeout : mLimits.mHeaderTimeout;
-  if (elapsed >= timeout) {
+  const bool waits = mHeadChecked && mWaitsSince;
+  if (!waits && elapsed - mWaitTime >= timeout) {
     Reject(kTimedOut, "request not sent in time");
+    return;
   }
+  CheckUpload();
 }
 
 void
@@ -129,6 +139,7 @@
   const auto self = shared_from_this();
   const bool serving = mState == State::Serving;
   mState = State::Closed;
+  DropUpload();
   Error ignored;
   mSocket.close(ignored);
   const auto onDisconnected = std::exchange(mOnDisconnected, nullptr);
@@ -148,17 +159,20 @@
 {
   mLimits = mHooks.mLimits();
   mParser.emplace();
-  mParser->eager(true);
   mParser->header_limit(mLimits.mMaxHeaderBytes);
   mParser->body_limit(mLimits.mMaxBodyBytes);
   mHeadChecked = false;
+  mRequest.reset();
+  mHeadBytes = 0;
+  mBodyRoom = 0;
+  mWaitTime = Millis(0);
   mPhaseStartedAt = BootNow();
 }
 
 void
 CallerConnection::Read()
 {
-  if (mReadPending || mState == State::Closed) {
+  if (mReadPending || mWaitsSince || mState == State::Closed) {
     return;
   }
   mReadPending = true;
@@ -182,6 +196,10 @@
     }
     return;
   }
+  if (mState == State::Discarding) {
+    Read();
+    return;
+  }
   if (AwaitsRequest()) {
     mPhaseStartedAt = BootNow();
   }
@@ -223,21 +241,29 @@
 bool
 CallerConnection::ParseStep()
 {
+  if (!EnsureMemory()) {
+    return false;
+  }
+  if (mHeadChecked) {
+    BeginBody();
+    if (mParser->is_done()) {
+      Dispatch();
+      return true;
+    }
+  }
   if (UnparsedBytes() == 0) {
     return false;
   }
   Error error;
-  Consume(mParser->put(mBuffer.cdata() + mParsedBytes, error));
+  const size_t parsed = mParser->put(mBuffer.cdata() + mParsedBytes, error);
+  Consume(parsed);
   if (error && error != http::error::need_more) {
     Reject(StatusFor(error), "malformed request");
     return false;
   }
-  if (mParser->is_header_done() && !mHeadChecked && !CheckHead()) {
-    return false;
-  }
-  if (mParser->is_done()) {
-    Dispatch();
-    return true;
+  if (mParser->is_header_done() && !mHeadChecked) {
+    mHeadBytes = parsed;
+    return CheckHead();
   }
   return !error;
 }
@@ -257,29 +283,30 @@
     Reject(kBadRequest, "no single host, or another version");
     return false;
   }
-  const bool expects =
-    boost::beast::iequals(message[http::field::expect], "100-continue");
-  if (expects && !mParser->is_done()) {
-    mUnsent.Append("HTTP/1.1 100 Continue\r\n\r\n");
-    Write();
-  }
   return true;
 }
 
+CallerRequest
+CallerConnection::MakeRequest() const
+{
+  static const auto sNoBody = std::make_shared<const std::string>();
+  const auto& message = mParser->get();
+  return { .mMethod = std::string(message.method_string()),
+           .mTarget = std::string(message.target()),
+           .mHost = std::string(message[http::field::host]),
+           .mHeaders = EndToEndHeaders(message),
+           .mBody = sNoBody,
+           .mHasBody = message.has_content_length() || message.chunked(),
+           .mArrivedAt = mPhaseStartedAt };
+}
+
 void
 CallerConnection::Dispatch()
 {
-  auto message = mParser->release();
-  mKeepAlive = message.keep_alive();
-  CallerRequest request{ .mMethod = std::string(message.method_string()),
-                         .mTarget = std::string(message.target()),
-                         .mHost = std::string(message[http::field::host]),
-                         .mHeaders = EndToEndHeaders(message),
-                         .mHasBody =
-                           message.has_content_length() || message.chunked(),
-                         .mArrivedAt = mPhaseStartedAt };
-  request.mBody =
-    std::make_shared<const std::string>(std::move(message.body()));
+  CallerRequest request = mRequest ? std::move(*mRequest) : MakeRequest();
+  mRequest.reset();
+  request.mBody = TakeBody();
+  mKeepAlive = mParser->get().keep_alive();
   mState = State::Serving;
   mParser.reset();
   mHooks.mOnRequest(shared_from_this(), std::move(request));
@@ -289,7 +316,9 @@
 CallerConnection::Reject(int aStatus, const char* aReason)
 {
   mHooks.mOnRejected(aStatus, aReason);
+  DropUpload();
   mKeepAlive = false;
+  mRequestUnread = true;
   mState = State::Serving;
   Answer(
     { .mStatus = aStatus, .mHeaders = { { "Content-Type", "text/plain" } } },
@@ -439,7 +468,13 @@
   SetResetOnClose(false);
   Error ignored;
   mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  Close();
+  if (!mRequestUnread) {
+    Close();
+    return;
+  }
+  mState = State::Discarding;
+  mPhaseStartedAt = BootNow();
+  Read();
 }
 
 } // namespace trefoilgate
--- a/src/libtrefoilgate/callerconnection.h
+++ b/src/libtrefoilgate/callerconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerbuffers.h"
+#include "calleruploads.h"
 #include "httpfields.h"
 #include "socketoptions.h"
 #include "writequeue.h"
@@ -34,6 +35,7 @@
   std::string mHost;
   /** Only end-to-end headers. */
   Headers mHeaders;
+  /** Its memory is counted until the last reference is released. */
   std::shared_ptr<const std::string> mBody;
   /** It has a Content-Length or is chunked, even if the body is empty. */
   bool mHasBody = false;
@@ -74,8 +76,18 @@
   std::function<void(CallerConnection*)> mOnClosed;
   /** Called with the status and the reason when a request can't be parsed. */
   std::function<void(int, const char*)> mOnRejected;
+  /** Called with a request whose body is not read, as there is no memory for
+   * it. The owner answers. */
+  std::function<void(const std::shared_ptr<CallerConnection>&,
+                     const CallerRequest&)>
+    mOnNoMemory;
+  /** Returns the workspace of a request whose body is not read yet; empty if it
+   * is not known. */
+  std::function<std::string(const CallerRequest&)> mWorkspaceOf;
   /** Bounds the bytes held for callers; null: not bounded. */
   CallerBuffers* mBuffers = nullptr;
+  /** Bounds the memory of callers' requests; null: not bounded. */
+  CallerUploads* mUploads = nullptr;
 };
 
 /**
@@ -131,6 +143,8 @@
   void SetUnoffered(size_t aBytes);
   /** Calls the handler set by OnRoom(). */
   void ResumeReading();
+  /** There is memory for the request that waits for it. */
+  void OnUploadAdmitted();
   /** Whether the caller has read bytes since the last call, as the kernel
    * knows. To be called while bytes are held for the caller. */
   bool TakeProgress();
@@ -163,6 +177,9 @@
     Reading,
     Serving,
     Closing, /**< the last answer is being written */
+    /** The last answer is written; what the caller still sends is discarded, as
+     * a close would reset the connection before the caller has the answer. */
+    Discarding,
     Closed,
   };
 
@@ -177,6 +194,21 @@
   size_t UnparsedBytes() const { return mBuffer.size() - mParsedBytes; }
   void Consume(size_t aBytes);
   bool CheckHead();
+  /** Requests the memory for what has been read and may follow. False if the
+   * connection has to wait for it; OnUploadAdmitted() follows. */
+  bool EnsureMemory();
+  bool RequestMemory(trefoilarch::UploadNeed aNeed);
+  /** Lets the parser continue with the body. */
+  void BeginBody();
+  /** Rejects a request that waits for memory, or holds it, for too long. */
+  void CheckUpload();
+  void RejectUpload();
+  /** Releases the memory of a request that is not complete. */
+  void DropUpload();
+  /** The request whose head was read, without its body. */
+  CallerRequest MakeRequest() const;
+  /** Takes the body from the parser. */
+  std::shared_ptr<const std::string> TakeBody();
   void Dispatch();
   void Reject(int aStatus, const char* aReason);
   void Write();
@@ -213,8 +245,21 @@
   State mState = State::Reading;
   trefoilarch::Millis mPhaseStartedAt;
   trefoilarch::CallerLimits mLimits;
+  /** Of the request that is being read. */
+  std::shared_ptr<UploadMemory> mUpload;
+  size_t mHeadBytes = 0;
+  /** The request without its body, once it was needed. */
+  std::optional<CallerRequest> mRequest;
+  /** Bytes of the body that the memory is for. */
+  size_t mBodyRoom = 0;
+  /** Since when nothing is read, as there is no memory. */
+  std::optional<trefoilarch::Millis> mWaitsSince;
+  /** How long the request has waited for memory before. */
+  trefoilarch::Millis mWaitTime;
   bool mHeadChecked = false;
   bool mKeepAlive = true;
+  /** The answer is to a request that was not read to its end. */
+  bool mRequestUnread = false;
   bool mChunked = false;
   bool mNoBody = false;
   /** See AnswerHead; of the answer that has begun. */
--- a/src/libtrefoilgate/dialect.h
+++ b/src/libtrefoilgate/dialect.h
@@ -52,6 +52,8 @@
   std::function<std::string(const CallerRequest&)> mRequestId;
   std::function<trefoilarch::RequestAttributes(const CallerRequest&)>
     mRequestAttributes;
+  /** The caller's key, as in RequestAttributes. */
+  std::function<std::string(const CallerRequest&)> mKey;
   /** Headers of the request to an upstream: the caller's headers without those
    * reserved for the system, and the system's headers. */
   std::function<Headers(const CallerRequest&, const OutgoingRequestInfo&)>
--- a/src/libtrefoilgate/gatemetrics.h
+++ b/src/libtrefoilgate/gatemetrics.h
@@ -28,6 +28,8 @@
 {
   OpenRequests,
   BodyBytes,
+  WaitingUploads,
+  LongestUploadWaitMs,
   AnswerBytes,
   CallerConnections,
   IdleUpstreamConnections,
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -131,6 +131,7 @@
              { .mTotalBytes = mOptions.mSettings.mAnswerBufferBytes,
                .mStallTimeout = mOptions.mSettings.mCallerStall },
              [this](const CutCaller& aCut) { OnCutCaller(aCut); })
+  , mUploads(aLoop, { .mTotalBytes = mOptions.mSettings.mMaxBodyBytes })
   , mContext{
     .mLoop = aLoop,
     .mRouter = mRouter,
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -2,6 +2,7 @@
 
 #include "callerbuffers.h"
 #include "callerlistener.h"
+#include "calleruploads.h"
 #include "connectionpool.h"
 #include "coordinators.h"
 #include "decisionlog.h"
@@ -186,6 +187,13 @@
   MakeOperatorHandlers();
   void OnOperatorRequest(const std::shared_ptr<CallerConnection>& aCaller,
                          const CallerRequest& aRequest);
+  /** The limits of the policy, as far as the memory allows them. */
+  trefoilarch::CallerLimits LimitsInForce() const;
+  /** Empty if the request's key is unknown. */
+  std::string WorkspaceOf(const CallerRequest& aRequest) const;
+  /** Rejects a request whose body was not read. */
+  void OnNoMemory(const std::shared_ptr<CallerConnection>& aCaller,
+                  const CallerRequest& aRequest);
   void OnExchangeEnded(Exchange* aEnded);
   void RefuseRequest(const std::shared_ptr<CallerConnection>& aCaller,
                      const CallerRequest& aRequest,
@@ -246,6 +254,7 @@
   ConnectionPool mPool;
   ProcessWatch mWriters;
   CallerBuffers mBuffers;
+  CallerUploads mUploads;
   ExchangeContext mContext;
   CallerListener mCallers;
   CallerListener mOperators;
@@ -258,8 +267,6 @@
   std::map<std::string, std::function<OperatorResponse()>, std::less<>>
     mOperatorHandlers;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> mExchanges;
-  /** Size of the bodies of open requests. */
-  uint64_t mBodyBytes = 0;
   std::string mLastReason = "starting";
   bool mListLoaded = false;
   /** When the list was last confirmed, and the store's time then. */
--- a/src/libtrefoilgate/gatewaycallers.cpp
+++ b/src/libtrefoilgate/gatewaycallers.cpp
@@ -16,9 +16,11 @@
  * them. */
 constexpr Millis kShutdownRetryAfter{ 100 };
 
-/** Retry-After if a body exceeds the memory for bodies: others end within this
- * time. */
-constexpr Millis kMemoryRetryAfter{ 300 };
+/** Retry-After if there was no memory for a request, which has waited. */
+constexpr Millis kMemoryRetryAfter{ 1000 };
+
+/** Operators' requests have small bodies or none. */
+constexpr uint64_t kMaxOperatorBodyBytes = 65536;
 
 /** Bytes of bodies on their way to one upstream, of all entries together; each
  * entry uses its share. */
@@ -39,27 +41,48 @@
 CallerHooks
 Gateway::MakeCallerHooks()
 {
-  return CallerHooks{ .mOnRequest =
-                        [this](const std::shared_ptr<CallerConnection>& aCaller,
-                               CallerRequest aRequest) {
-                          OnRequest(aCaller, std::move(aRequest));
-                        },
-                      .mLimits =
-                        [this] {
-                          return mRouter.Index()
-                                   ? mRouter.Index()->Policy().mLimits
-                                   : CallerLimits{};
-                        },
-                      .mStopping = [this] { return mDraining; },
-                      .mOnRejected =
-                        [this](int aStatus, const char* aReason) {
-                          mMetrics.OnRefusal("unreadable");
-                          mLog.Write(
-                            LineKind::Failure,
-                            "request_unreadable",
-                            { { "status", aStatus }, { "why", aReason } });
-                        },
-                      .mBuffers = &mBuffers };
+  return CallerHooks{
+    .mOnRequest =
+      [this](const std::shared_ptr<CallerConnection>& aCaller,
+             CallerRequest aRequest) {
+        OnRequest(aCaller, std::move(aRequest));
+      },
+    .mLimits = [this] { return LimitsInForce(); },
+    .mStopping = [this] { return mDraining; },
+    .mOnRejected =
+      [this](int aStatus, const char* aReason) {
+        mMetrics.OnRefusal("unreadable");
+        mLog.Write(LineKind::Failure,
+                   "request_unreadable",
+                   { { "status", aStatus }, { "why", aReason } });
+      },
+    .mOnNoMemory =
+      [this](const std::shared_ptr<CallerConnection>& aCaller,
+             const CallerRequest& aRequest) { OnNoMemory(aCaller, aRequest); },
+    .mWorkspaceOf =
+      [this](const CallerRequest& aRequest) { return WorkspaceOf(aRequest); },
+    .mBuffers = &mBuffers,
+    .mUploads = &mUploads
+  };
+}
+
+CallerLimits
+Gateway::LimitsInForce() const
+{
+  CallerLimits limits =
+    mRouter.Index() ? mRouter.Index()->Policy().mLimits : CallerLimits{};
+  limits.mMaxBodyBytes =
+    std::min<uint64_t>(limits.mMaxBodyBytes, mUploads.Budget().MaxBytes() / 2);
+  return limits;
+}
+
+std::string
+Gateway::WorkspaceOf(const CallerRequest& aRequest) const
+{
+  const auto& index = mRouter.Index();
+  const KeyedWorkspace* workspace =
+    index ? index->WorkspaceForKey(mOptions.mDialect.mKey(aRequest)) : nullptr;
+  return workspace == nullptr ? std::string() : workspace->mName;
 }
 
 CallerHooks
@@ -70,7 +93,12 @@
                                const CallerRequest& aRequest) {
                           OnOperatorRequest(aCaller, aRequest);
                         },
-                      .mLimits = [] { return CallerLimits{}; },
+                      .mLimits =
+                        [] {
+                          CallerLimits limits;
+                          limits.mMaxBodyBytes = kMaxOperatorBodyBytes;
+                          return limits;
+                        },
                       .mStopping = [] { return false; },
                       .mOnRejected = [](int, const char*) {} };
 }
@@ -89,15 +117,6 @@
                            .mMessage = "could not be finished in time" });
     return;
   }
-  if (mBodyBytes + aRequest.mBody->size() > mOptions.mSettings.mMaxBodyBytes) {
-    RefuseRequest(aCaller,
-                  aRequest,
-                  id,
-                  Refusal{ .mKind = ErrorKind::TooManyOpen,
-                           .mRetryAfter = kMemoryRetryAfter,
-                           .mMessage = "bodies fill the memory" });
-    return;
-  }
   const RequestAttributes attributes =
     mOptions.mDialect.mRequestAttributes(aRequest);
   boost::leaf::try_handle_all(
@@ -108,7 +127,6 @@
       const auto exchange = std::make_shared<Exchange>(
         mContext, aCaller, std::move(aRequest), id, std::move(bound));
       mExchanges[exchange.get()] = exchange;
-      mBodyBytes += exchange->BodyBytes();
       exchange->Start();
       return {};
     },
@@ -124,10 +142,21 @@
 void
 Gateway::OnExchangeEnded(Exchange* aEnded)
 {
-  mBodyBytes -= std::min<uint64_t>(mBodyBytes, aEnded->BodyBytes());
   mExchanges.erase(aEnded);
 }
 
+void
+Gateway::OnNoMemory(const std::shared_ptr<CallerConnection>& aCaller,
+                    const CallerRequest& aRequest)
+{
+  RefuseRequest(aCaller,
+                aRequest,
+                mOptions.mDialect.mRequestId(aRequest),
+                Refusal{ .mKind = ErrorKind::TooManyOpen,
+                         .mRetryAfter = kMemoryRetryAfter,
+                         .mMessage = "bodies fill the memory" });
+}
+
 void
 Gateway::RefuseRequest(const std::shared_ptr<CallerConnection>& aCaller,
                        const CallerRequest& aRequest,
@@ -193,6 +222,9 @@
   options.mUpstreamBytes = std::max<size_t>(
     largestBody, kUpstreamBodyBytes / std::max<size_t>(1, mEntryCount));
   mBuffers.Budget()->SetOptions(options);
+  UploadBudgetOptions uploads = mUploads.Budget().Options();
+  uploads.mTotalBytes = mOptions.mSettings.mMaxBodyBytes;
+  mUploads.Budget().SetOptions(uploads);
 }
 
 } // namespace trefoilgate
--- a/src/libtrefoilgate/gatewayoperator.cpp
+++ b/src/libtrefoilgate/gatewayoperator.cpp
@@ -165,7 +165,10 @@
     mMetrics.Set(aGauge, static_cast<double>(aValue));
   };
   setGauge(Gauge::OpenRequests, mExchanges.size());
-  setGauge(Gauge::BodyBytes, mBodyBytes);
+  setGauge(Gauge::BodyBytes, mUploads.Budget().TotalBytes());
+  setGauge(Gauge::WaitingUploads, mUploads.Budget().WaitingCount());
+  setGauge(Gauge::LongestUploadWaitMs,
+           mUploads.Budget().LongestWait(now).Count());
   setGauge(Gauge::AnswerBytes, mBuffers.Budget()->TotalBytes());
   setGauge(Gauge::CallerConnections, mCallers.Connections());
   setGauge(Gauge::IdleUpstreamConnections, mPool.IdleCount());
