--- a/src/libtrefoilgate/clientconnection.h
+++ b/src/libtrefoilgate/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include "bodytransfer.h"
 #include "socketoptions.h"
+#include "streamedbody.h"
 #include "upstreamanswer.h"
 
 #include "libtrefoilarch/millis.h"
@@ -10,7 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
@@ -100,8 +100,7 @@
   void Reset();
 
 private:
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<StreamedBody>;
   using Error = boost::system::error_code;
 
   void NewParser();
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -174,3 +174,15 @@
     }
   }
 }
+
+// Memory for a stated length of a terabyte was reserved: the process ended.
+Test(clientconnection, a_stated_length_reserves_no_memory)
+{
+  Pair pair;
+  const CallResult result = pair.Call([](Tcp::socket& aSocket) {
+    WriteAll(aSocket,
+             "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\nbody");
+    aSocket.close();
+  });
+  cr_expect(result.mHead && result.mBroken && !result.mEnd);
+}
