Bound the bytes of an upstream that are no answer

Upstreams in trouble may send bytes without end. Answers that nobody needs any more (a rejection, a failure that is repeated elsewhere) were read for ever, as they have no request and no deadline; interim answers and answers to other requests were skipped without a count; an event without an end was searched from its beginning at each read; unfinished framing took up to 72 KB.

Discarded answers end after 256 KB or 1 s, skipped bytes after 1 MB, framing after 16 KB, an incomplete event after 1 MB; heads and unparsed bytes beyond 16 KB count as held for the caller.

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -22,8 +22,10 @@
 constexpr size_t kReadBytes = 8192;
 constexpr size_t kWriteBytes = 65536;
 constexpr uint32_t kMaxHeaderBytes = 65536;
-/** Bytes of a head, a chunk header or trailers that are not complete yet. */
-constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadBytes;
+/** Bytes of a chunk header or of trailers that are not complete yet. */
+constexpr size_t kMaxUnparsedBytes = 16384;
+/** Bytes of interim answers and of answers to other calls. */
+constexpr size_t kMaxSkippedBytes = 1048576;
 constexpr int kMinFinalStatus = 200;
 
 /** The `timeout` of a Keep-Alive header, in whole seconds. */
@@ -100,6 +102,7 @@
   mCall = std::move(aCall);
   mHandlers = std::move(aHandlers);
   mBusy = true;
+  mSkippedBytes = 0;
   mRequestWritten = false;
   NewParser();
   Write();
@@ -268,11 +271,16 @@
   if (mOpen && mBusy && mHeadParsed) {
     DeliverBody();
   }
+  mSkippedBytes += mSkippingAnswer ? consumed : 0;
+  if (mOpen && mSkippedBytes > kMaxSkippedBytes) {
+    Fail("no answer to the request among its bytes");
+    return false;
+  }
   if (mOpen && mBusy && mParser->is_done()) {
     FinishAnswer();
     return true;
   }
-  if (mOpen && error && mBuffer.size() > kMaxUnparsedBytes) {
+  if (mOpen && mHeadParsed && error && mBuffer.size() > kMaxUnparsedBytes) {
     Fail("framing without an end");
     return false;
   }
--- a/src/libtrefoilgate/clientconnection.h
+++ b/src/libtrefoilgate/clientconnection.h
@@ -83,6 +83,8 @@
   bool Open() const { return mOpen; }
   /** Whether the server refused the connection. */
   bool Refused() const { return mRefused; }
+  /** Bytes that were read and can't be parsed yet. */
+  size_t UnparsedBytes() const { return mBuffer.size(); }
   /** The server's idle timeout, as it last announced. */
   std::optional<trefoilarch::Millis> IdleTimeout() const
   {
@@ -126,6 +128,8 @@
   std::function<void(bool)> mOnConnected;
   std::function<void()> mOnClosedWhileIdle;
   std::optional<trefoilarch::Millis> mIdleTimeout;
+  /** Bytes of the call's answer that were not for it. */
+  size_t mSkippedBytes = 0;
   bool mOpen = false;
   bool mRefused = false;
   bool mBusy = false;
--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -22,6 +22,10 @@
 /** Surplus connections are kept for this long, as bursts return. */
 constexpr Millis kMinSurplusAge{ 1000 };
 
+/** What is read of an answer that nobody needs, to keep its connection. */
+constexpr size_t kMaxDiscardedBytes = 262144;
+constexpr Millis kMaxDiscardTime{ 1000 };
+
 } // namespace
 
 boost::asio::ip::tcp::endpoint
@@ -205,9 +209,25 @@
                                 const UpstreamId& aUpstream,
                                 const Connection& aConnection)
 {
-  return CallHandlers{ .mOnEnd = [&aPool, aUpstream, aConnection] {
-    aPool.Release(aUpstream, aConnection);
-  } };
+  const auto timer = std::make_shared<boost::asio::steady_timer>(aPool.mLoop);
+  RunAfter(*timer, kMaxDiscardTime, [aConnection] { aConnection->Close(); });
+  const auto discarded = std::make_shared<size_t>(0);
+  return CallHandlers{
+    .mOnData =
+      [aConnection, timer, discarded](const std::string& aData) {
+        *discarded += aData.size();
+        if (*discarded > kMaxDiscardedBytes) {
+          timer->cancel();
+          aConnection->Close();
+        }
+      },
+    .mOnEnd =
+      [&aPool, aUpstream, aConnection, timer] {
+        timer->cancel();
+        aPool.Release(aUpstream, aConnection);
+      },
+    .mOnBroken = [timer](const std::string&) { timer->cancel(); }
+  };
 }
 
 void
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -86,7 +86,7 @@
                const Connection& aConnection);
 
   /** Handlers that discard the rest of an answer and then return the connection
-   * to the pool. */
+   * to the pool; it is closed if the rest is long. */
   static CallHandlers DiscardHandlers(ConnectionPool& aPool,
                                       const trefoilarch::UpstreamId& aUpstream,
                                       const Connection& aConnection);
--- a/src/libtrefoilgate/eventtracker.cpp
+++ b/src/libtrefoilgate/eventtracker.cpp
@@ -1,5 +1,6 @@
 #include "eventtracker.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -49,10 +50,13 @@
 std::string
 EventTracker::Add(const std::string& aData)
 {
+  // The end of an event may be split between two pieces.
+  const size_t searched =
+    mRemainder.size() - std::min(mRemainder.size(), kEventEnd.size() - 1);
   mRemainder += aData;
   std::string complete;
   size_t start = 0;
-  size_t end = mRemainder.find(kEventEnd);
+  size_t end = mRemainder.find(kEventEnd, searched);
   while (end != std::string::npos) {
     end += kEventEnd.size();
     complete += ProcessEvent(mRemainder.substr(start, end - start));
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -158,6 +158,8 @@
   /** Of the process that writes the answer; null if it isn't followed. */
   ProcessWatch::Continuity mWriter;
   std::optional<UpstreamAnswer> mAnswer;
+  /** Of the answer's headers. */
+  size_t mHeadBytes = 0;
   EventTracker mEvents;
   std::string mBuffered;
   uint64_t mAttemptNumber = 0;
--- a/src/libtrefoilgate/exchangeanswer.cpp
+++ b/src/libtrefoilgate/exchangeanswer.cpp
@@ -17,6 +17,13 @@
  * request can still be retried if the answer breaks off. */
 constexpr size_t kMaxBuffered = 65536;
 
+/** An incomplete event of this size has no end. */
+constexpr size_t kMaxEventBytes = 1048576;
+
+/** Bytes of an answer's head, and unparsed ones, that are not counted as held.
+ */
+constexpr size_t kUncountedBytes = 16384;
+
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr int kMinRedirectStatus = 300;
@@ -87,6 +94,10 @@
     return;
   }
   mAnswer = std::move(aAnswer);
+  mHeadBytes = 0;
+  for (const auto& [name, value] : mAnswer->mHeaders) {
+    mHeadBytes += name.size() + value.size();
+  }
   if (mAnswer->mEndsWithConnection) {
     mContext.mWriters.OnUnmarkedAnswer(mAttempt->mService, now);
     FollowWriter();
@@ -119,6 +130,10 @@
   if (IsEventStream()) {
     ForwardData(mEvents.Add(aData));
     CountUnoffered();
+    if (!mDone && mEvents.Remainder().size() > kMaxEventBytes) {
+      DropConnection();
+      OnBroken("an event without an end");
+    }
     return;
   }
   mBuffered += aData;
@@ -330,14 +345,19 @@
 void
 Exchange::CountUnoffered()
 {
-  if (!mDone) {
-    mCaller->SetUnoffered(mBuffered.size() + mEvents.Remainder().size());
+  if (mDone) {
+    return;
   }
+  const size_t unparsed = mConnection ? mConnection->UnparsedBytes() : 0;
+  const size_t uncounted = unparsed + mHeadBytes;
+  mCaller->SetUnoffered(mBuffered.size() + mEvents.Remainder().size() +
+                        (uncounted > kUncountedBytes ? uncounted : 0));
 }
 
 bool
 Exchange::MayDeliver()
 {
+  CountUnoffered();
   if (mDone || mCaller->HasRoom()) {
     return true;
   }
