Leave requests that never begin out of the expected wait

The wait is expected from the pending requests, their age and the rate of starts; those that will never begin stayed in it until their deadline.

A pending request no longer counts once requests that were sent later, and are no more urgent, have started long before it. Rejections behind more urgent requests and in an outage are as before (startmetertest).

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -174,7 +174,7 @@
   mAvailability.OnSent(backup->mId, aNow);
   ReportAvailabilityChanges();
   RecordAttempt(aRequest, aNow);
-  mStartMeters[aRequest.mRoute->mName].OnSent(aNow);
+  mStartMeters[aRequest.mRoute->mName].OnSent(aNow, aRequest.mPriority);
   PlacedAttempt attempt{ .mNumber = ++mLastAttempt,
                          .mUpstream = backup->mId,
                          .mIncarnationNumber = backup->mIncarnationNumber,
@@ -188,6 +188,7 @@
                          .mTokensPerEvent =
                            LoadTracker::TokensPerEvent(aRequest),
                          .mCopySourceAddress = aBroken.mAddress,
+                         .mPriority = aRequest.mPriority,
                          .mSentAt = aNow };
   mLoad.OnSent(aRequest, attempt, aNow);
   return attempt;
@@ -256,7 +257,7 @@
   if (aRequest.mPrompt.mPromptTokens > 0) {
     mArrivalRates[aRequest.mService].OnArrival(aNow);
   }
-  mStartMeters[aRequest.mRoute->mName].OnSent(aNow);
+  mStartMeters[aRequest.mRoute->mName].OnSent(aNow, aRequest.mPriority);
   const ListedUpstream* backup =
     BackupFor(aRequest, aCandidates, aChoice.mUpstream);
   const ListedUpstream* holder = HolderAt(aChoice.mHolder, aNow);
@@ -279,6 +280,7 @@
     .mBackupIncarnationNumber =
       backup != nullptr ? backup->mIncarnationNumber : 0,
     .mBackupAddress = backup != nullptr ? backup->mAddress : "",
+    .mPriority = aRequest.mPriority,
     .mSentAt = aNow
   };
   mLoad.OnSent(aRequest, attempt, aNow);
--- a/src/libtrefoilarch/directrouter.cpp
+++ b/src/libtrefoilarch/directrouter.cpp
@@ -397,7 +397,8 @@
   aAttempt.mStarted = true;
   aAttempt.mStartedAt = aNow;
   mAvailability.OnStarted(aAttempt.mUpstream, aAttempt.mSentAt);
-  mStartMeters[aAttempt.mRoute].OnStarted(aAttempt.mSentAt, aNow);
+  mStartMeters[aAttempt.mRoute].OnStarted(
+    aAttempt.mSentAt, aNow, aAttempt.mPriority);
   if (TrackedUpstream* tracked = FindTracked(aAttempt)) {
     tracked->mWork.OnStarted(aAttempt.mWork);
     const Millis firstTokenTime = aNow - aAttempt.mSentAt;
@@ -469,7 +470,8 @@
       mEngineModel.OnEnded(aAttempt.mService, aNow - aAttempt.mStartedAt);
     }
   } else {
-    mStartMeters[aAttempt.mRoute].OnAbandoned(aAttempt.mSentAt);
+    mStartMeters[aAttempt.mRoute].OnAbandoned(aAttempt.mSentAt,
+                                              aAttempt.mPriority);
     mAvailability.OnNotStarted(aAttempt.mUpstream, aAttempt.mSentAt);
   }
   // A pause already keeps requests away; an ejection could outlast it.
--- a/src/libtrefoilarch/placedattempt.h
+++ b/src/libtrefoilarch/placedattempt.h
@@ -42,6 +42,8 @@
   /** Of the upstream that ran the request before and left a copy of it at this
    * one, or empty. */
   std::string mCopySourceAddress;
+  /** 0 is the most urgent. */
+  uint8_t mPriority = 0;
   Millis mSentAt;
   Millis mStartedAt;
   bool mStarted = false;
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -31,16 +31,19 @@
 }
 
 void
-StartMeter::OnSent(Millis aNow)
+StartMeter::OnSent(Millis aNow, uint8_t aPriority)
 {
-  mPending++;
+  mPending.emplace(aNow, aPriority);
   mSentAtSum += aNow.Count();
 }
 
 void
-StartMeter::OnStarted(Millis aSentAt, Millis aNow)
+StartMeter::OnStarted(Millis aSentAt, Millis aNow, uint8_t aPriority)
 {
-  RemovePending(aSentAt);
+  RemovePending(aSentAt, aPriority);
+  for (size_t each = 0; each <= aPriority; ++each) {
+    mNewestStarted[each] = std::max(mNewestStarted[each], aSentAt);
+  }
   mRunning++;
   mStarts.push_back(aNow);
   mMeanWait +=
@@ -49,9 +52,9 @@
 }
 
 void
-StartMeter::OnAbandoned(Millis aSentAt)
+StartMeter::OnAbandoned(Millis aSentAt, uint8_t aPriority)
 {
-  RemovePending(aSentAt);
+  RemovePending(aSentAt, aPriority);
 }
 
 void
@@ -64,7 +67,7 @@
 std::optional<Millis>
 StartMeter::Refuse(Millis aTarget, Millis aLimit, double aWeight, Millis aNow)
 {
-  if (mPending < mOptions.mAlwaysAllowedPending) {
+  if (QueueAt(aNow).mRequests < mOptions.mAlwaysAllowedPending) {
     return std::nullopt;
   }
   if (!StartsTooLate(aTarget, aWeight, aNow) &&
@@ -96,7 +99,30 @@
 StartMeter::ExpectedWait(Millis aNow)
 {
   const double rate = Rate(aNow);
-  return Millis(static_cast<int64_t>(mPending / rate * kMillisPerSecond));
+  const auto requests = static_cast<double>(QueueAt(aNow).mRequests);
+  return Millis(static_cast<int64_t>(requests / rate * kMillisPerSecond));
+}
+
+StartMeter::Queue
+StartMeter::QueueAt(Millis aNow) const
+{
+  Queue queue{ .mRequests = mPending.size(),
+               .mAgeMs = static_cast<double>(aNow.Count()) *
+                           static_cast<double>(mPending.size()) -
+                         static_cast<double>(mSentAtSum) };
+  const auto maxWait =
+    Millis(static_cast<int64_t>(mOptions.mMaxWaitFactor * mMeanWait));
+  const Millis oldest = aNow - std::max(maxWait, mOptions.mMinOvertakenWait);
+  for (const auto& [sentAt, priority] : mPending) {
+    if (sentAt >= oldest) {
+      break;
+    }
+    if (sentAt < mNewestStarted[priority]) {
+      queue.mRequests--;
+      queue.mAgeMs -= static_cast<double>((aNow - sentAt).Count());
+    }
+  }
+  return queue;
 }
 
 double
@@ -113,22 +139,23 @@
 double
 StartMeter::RecentWait(Millis aNow) const
 {
-  const double age = mPending == 0
+  const Queue queue = QueueAt(aNow);
+  const double age = queue.mRequests == 0
                        ? 0
-                       : static_cast<double>(aNow.Count()) -
-                           static_cast<double>(mSentAtSum) / mPending;
+                       : queue.mAgeMs / static_cast<double>(queue.mRequests);
   const double idle = static_cast<double>((aNow - mMeanWaitAt).Count());
   return std::max(mMeanWait * std::exp(-idle / kWaitDecayMs),
                   kWaitPerAge * age);
 }
 
 void
-StartMeter::RemovePending(Millis aSentAt)
+StartMeter::RemovePending(Millis aSentAt, uint8_t aPriority)
 {
-  if (mPending == 0) {
+  const auto pending = mPending.find({ aSentAt, aPriority });
+  if (pending == mPending.end()) {
     return;
   }
-  mPending--;
+  mPending.erase(pending);
   mSentAtSum -= aSentAt.Count();
 }
 
--- a/tests/platform/requestlifecycletest.cpp
+++ b/tests/platform/requestlifecycletest.cpp
@@ -7,10 +7,12 @@
 
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <memory>
 #include <thread>
+#include <vector>
 
 using namespace platformtest;
 using integration::Await;
@@ -249,3 +251,32 @@
   cr_expect(count == kRequests, "%zu answers", count);
   cr_expect(fleet.Call({ .mId = "next" }).mStatus == 200);
 }
+
+/** The load: 50 requests a second, one in five of which is never answered. Half
+ * of the others were rejected as if those were a queue. */
+Test(requestlifecycle, answers_that_never_begin_are_no_queue, .timeout = 60)
+{
+  constexpr int kCalls = 300;
+  PlatformFleet fleet({ .mWorkers = 4 });
+  nlohmann::json policy = PlatformFleet::MakePolicy(2, { "key-1" });
+  policy["services"][0].erase("engine");
+  fleet.PutPolicy(policy);
+  cr_assert(Await(
+    [&] { return fleet.LogOf(0, "policy_taken").back().at("version") == 2; }));
+  std::atomic<int> served = 0;
+  std::vector<std::jthread> callers;
+  for (int each = 0; each < kCalls; ++each) {
+    callers.emplace_back([&fleet, &served, each] {
+      const bool silent = each % 5 == 0;
+      const HttpReply reply =
+        fleet.Call({ .mId = "call-" + std::to_string(each),
+                     .mMethod = "POST",
+                     .mPath = "/once/x",
+                     .mPlan = silent ? "hang" : "ok,delay=50" });
+      served += reply.mStatus == 200 ? 1 : 0;
+    });
+    Pause(20);
+  }
+  callers.clear();
+  cr_expect(served == kCalls * 4 / 5, "%d", served.load());
+}
--- a/tests/unit/startmetertest.cpp
+++ b/tests/unit/startmetertest.cpp
@@ -122,3 +122,70 @@
   cr_expect(meter.Refuse(kTarget, kLimit, 1, Millis(1000)));
   cr_expect(!meter.Refuse(kTarget, Millis(15000), 1, Millis(1000)));
 }
+
+/** The load: 50 requests a second, of which one in five never begins and ends
+ * at a timeout of 5 s; the others begin after 50 ms. Half of them were
+ * rejected. */
+Test(startmeter, requests_that_never_begin_are_no_queue)
+{
+  constexpr int kGap = 20;
+  constexpr int kWait = 50;
+  constexpr int kTimeout = 5000;
+  StartMeter meter;
+  std::deque<Millis> sound;
+  std::deque<Millis> silent;
+  int refused = 0;
+  for (int now = 0; now < 30000; now += 10) {
+    const int number = now / kGap;
+    if (now % kGap == 0 && meter.Refuse(kTarget, kLimit, 1, Millis(now))) {
+      refused++;
+    } else if (now % kGap == 0) {
+      meter.OnSent(Millis(now));
+      (number % 5 == 0 ? silent : sound).push_back(Millis(now));
+    }
+    while (!sound.empty() && sound.front() <= Millis(now - kWait)) {
+      meter.OnStarted(sound.front(), Millis(now));
+      sound.pop_front();
+    }
+    while (!silent.empty() && silent.front() <= Millis(now - kTimeout)) {
+      meter.OnAbandoned(silent.front());
+      silent.pop_front();
+    }
+  }
+  cr_expect(refused == 0, "%d of 1500", refused);
+}
+
+/** Starts of more urgent requests say nothing about the wait of others. */
+Test(startmeter, less_urgent_requests_behind_urgent_ones_are_a_queue)
+{
+  StartMeter meter;
+  int refused = 0;
+  for (int now = 0; now < 5000; now += 20) {
+    meter.OnSent(Millis(now), 0);
+    meter.OnStarted(Millis(now), Millis(now), 0);
+    if (meter.Refuse(kTarget, kLimit, 1, Millis(now))) {
+      refused++;
+    } else {
+      meter.OnSent(Millis(now), 2);
+    }
+  }
+  cr_expect(refused > 100, "%d of 250", refused);
+}
+
+/** Where nothing starts any more, all that is pending is a queue. */
+Test(startmeter, requests_of_an_outage_are_a_queue)
+{
+  StartMeter meter;
+  int refused = 0;
+  for (int now = 0; now < 6000; now += 20) {
+    if (meter.Refuse(kTarget, kLimit, 1, Millis(now))) {
+      refused++;
+      continue;
+    }
+    meter.OnSent(Millis(now));
+    if (now < 3000) {
+      meter.OnStarted(Millis(now), Millis(now + 10));
+    }
+  }
+  cr_expect(refused > 100, "%d of 150", refused);
+}
