Take up streams after all gates restart: a test with real gates

Report of another operator: after all entries were killed at once while an old software version was in service, leaving, gone or back, take-ups joined text of two versions.

--- a/tests/platform/streamversionstest.cpp
+++ b/tests/platform/streamversionstest.cpp
@@ -3,9 +3,13 @@
 #include "integration/await.h"
 #include "integration/rawcaller.h"
 
+#include "libtrefoilio/systemclock.h"
+
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <set>
 #include <string>
 #include <thread>
@@ -16,8 +20,10 @@
 using integration::RawAnswer;
 using integration::RawCaller;
 using nlohmann::json;
+using trefoilarch::Millis;
 using trefoilio::FindHeader;
 using trefoilio::HttpReply;
+using trefoilio::MonotonicNow;
 
 namespace {
 
@@ -292,3 +298,89 @@
   cr_assert(!lines.empty());
   cr_expect(lines.back().at("versions") == json({ "v1", "v2" }));
 }
+
+namespace {
+
+/** What becomes of the old version while no gate runs. */
+enum class OldVersion : uint8_t
+{
+  Serving,
+  Leaving,
+  Gone,
+  Back,
+};
+
+/** Twice the routes' timeout: a caller waits that long at the most for a stream
+ * and the last try to take it up. */
+constexpr Millis kLongestStream{ 6000 };
+
+/** Streams of both versions are taken up at gates that were all killed and
+ * started again; none may go on at the other version. */
+void
+TakeUpAfterRestartOfAllGates(OldVersion aOld)
+{
+  constexpr size_t kGates = 2;
+  constexpr int kStreams = 7;
+  VersionFleet fleet(kGates);
+  const Millis start = MonotonicNow();
+  std::vector<std::string> begun;
+  for (int number = 0; number < kStreams; ++number) {
+    begun.push_back("r" + std::to_string(number));
+    BeginStream(fleet, begun.back(), static_cast<size_t>(number) % kGates);
+  }
+  for (size_t gate = 0; gate < kGates; ++gate) {
+    fleet.Gate(gate).Signal(SIGKILL);
+  }
+  for (const size_t worker : { 0, 1 }) {
+    if (aOld == OldVersion::Leaving) {
+      fleet.ListVersion(worker, "v1", "draining");
+    } else if (aOld != OldVersion::Serving) {
+      fleet.Unlist("i-" + std::to_string(worker));
+    }
+  }
+  for (size_t gate = 0; gate < kGates; ++gate) {
+    fleet.RestartGate(gate);
+  }
+  fleet.AwaitReady();
+  std::vector<std::string> taken;
+  for (size_t each = 0; MonotonicNow() - start < kLongestStream; ++each) {
+    if (aOld == OldVersion::Back && each == begun.size()) {
+      fleet.ListVersion(0, "v1");
+      fleet.ListVersion(1, "v1");
+    }
+    const std::string& stream = begun[each % begun.size()];
+    taken.push_back(stream + "-" + std::to_string(each));
+    fleet.Call(TakeUpCall(taken.back(), stream, 2), each % kGates);
+  }
+  std::set<std::string> versions;
+  for (const std::string& each : begun) {
+    const auto own = VersionsOf(fleet, { each });
+    versions.insert(own.begin(), own.end());
+    std::vector<std::string> all = { each };
+    std::ranges::copy_if(
+      taken, std::back_inserter(all), [&](const std::string& aTaken) {
+        return aTaken.starts_with(each + "-");
+      });
+    cr_expect(VersionsOf(fleet, all) == own,
+              "%s, old version %d",
+              each.c_str(),
+              static_cast<int>(aOld));
+  }
+  cr_log_info("%zu tries to take streams up", taken.size());
+  cr_expect(versions.size() == 2, "both versions have begun streams");
+}
+
+} // namespace
+
+/** Gates that all start again know no stream's version. */
+Test(streamversions,
+     no_stream_is_joined_after_all_gates_restart,
+     .timeout = 120)
+{
+  for (const OldVersion old : { OldVersion::Serving,
+                                OldVersion::Leaving,
+                                OldVersion::Gone,
+                                OldVersion::Back }) {
+    TakeUpAfterRestartOfAllGates(old);
+  }
+}
--- a/tests/platform/uploadstest.cpp
+++ b/tests/platform/uploadstest.cpp
@@ -91,16 +91,24 @@
   cr_expect(peak > 0 && peak < kGateMb, "%.1f MB", peak);
 }
 
-/** Calls that take no time beside the load. */
+/** Small requests beside a load; logs their median time. */
 void
-ExpectSmallRequestsServed(const PlatformFleet& aFleet, const std::string& aName)
+ExpectSmallRequestsServed(const PlatformFleet& aFleet, const std::string& aCase)
 {
+  std::vector<Millis> times;
   for (int each = 0; each < 20; ++each) {
-    const HttpReply reply = aFleet.Call({ .mId = aName + std::to_string(each),
+    const Millis start = MonotonicNow();
+    const HttpReply reply = aFleet.Call({ .mId = aCase + std::to_string(each),
                                           .mMethod = "POST",
                                           .mBody = std::string(18000, 'b') });
+    times.push_back(MonotonicNow() - start);
     cr_expect(reply.mStatus == 200, "%d", reply.mStatus);
   }
+  std::ranges::sort(times);
+  cr_log_info("small requests %s: %d ms, the longest %d ms",
+              aCase.c_str(),
+              static_cast<int>(times[times.size() / 2].Count()),
+              static_cast<int>(times.back().Count()));
 }
 
 void
@@ -123,6 +131,7 @@
     PlatformFleet fleet({ .mMemoryMb = kGateMb });
     PutUploadPolicy(fleet);
     const KeptRequests kept(fleet, 4000);
+    ExpectSmallRequestsServed(fleet, "before");
     Uploaders uploaders(fleet.GateAddress(0), framing);
     for (size_t each = 0; each < 38; ++each) {
       uploaders.Start({ .mId = "upload-" + std::to_string(each),
@@ -130,7 +139,7 @@
                         .mBytesPerSecond = 2000000 });
     }
     uploaders.SendFor(1000);
-    ExpectSmallRequestsServed(fleet, "beside-");
+    ExpectSmallRequestsServed(fleet, "beside");
     cr_expect(uploaders.SendUntilAnswered(20000), "all are answered");
     size_t served = 0;
     for (const std::string& answer : uploaders.Answers()) {
@@ -171,7 +180,7 @@
     const std::string answer = sound.Answers().at(0);
     cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
   }
-  ExpectSmallRequestsServed(fleet, "beside-");
+  ExpectSmallRequestsServed(fleet, "beside");
   cr_expect(tricklers.SendUntilAnswered(20000), "all are rejected");
   kept.ExpectServed();
   ExpectMemoryWithin(fleet, "400 that trickle");
@@ -191,7 +200,7 @@
     callers.push_back(std::make_unique<RawCaller>(fleet.GateAddress(0)));
     callers.back()->Send(head);
   }
-  ExpectSmallRequestsServed(fleet, "beside-");
+  ExpectSmallRequestsServed(fleet, "beside");
   kept.ExpectServed();
   ExpectMemoryWithin(fleet, "2500 heads of 15 kB");
 }
