Cut unframed answers of crashed upstreams short behind slow callers: a test

The gate has paused for its caller when the process ends, and reads the end of its answer after another process has started at the address.

--- a/tests/platform/closedelimitedtest.cpp
+++ b/tests/platform/closedelimitedtest.cpp
@@ -167,6 +167,20 @@
                          "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
                          "Connection: close\r\n\r\nid: 1\ndata: event 1\n\n")));
   }
+  /** Sends as much as a gate takes whose caller does not read. */
+  void FillGate()
+  {
+    mConnection->non_blocking(true);
+    const std::string block(65536, 'b');
+    boost::system::error_code error;
+    while (!error) {
+      boost::asio::write(*mConnection, boost::asio::buffer(block), error);
+      if (error == boost::asio::error::would_block) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        mConnection->write_some(boost::asio::buffer(block), error);
+      }
+    }
+  }
   void Crash()
   {
     mAcceptor.reset();
@@ -476,6 +490,28 @@
   cr_expect(rest.mEnd == ConnectionEnd::Reset);
 }
 
+// The end is read long after the process was replaced.
+Test(closedelimited, a_crash_behind_a_slow_caller_cuts_the_answer_short)
+{
+  PlatformFleet fleet;
+  RestartingUpstream upstream;
+  fleet.Unlist("i-0");
+  fleet.ListAs("i-back", upstream.Address());
+  const auto listed = [&] { return fleet.LogOf(0, "upstream_listed").size(); };
+  cr_assert(Await([&] { return listed() >= 2; }));
+  const integration::RawCaller caller(fleet.GateAddress(0));
+  caller.Send(PlatformFleet::Text({ .mMethod = "POST", .mPath = "/once/x" }));
+  upstream.BeginAnswer();
+  upstream.FillGate();
+  upstream.Crash();
+  std::this_thread::sleep_for(kFreeze);
+  upstream.StartAgain();
+  std::this_thread::sleep_for(kFreeze);
+  const RawAnswer answer = caller.ReadAnswer("", kReadTimeoutMs);
+  cr_expect(HasText(answer, "event 1\n"));
+  cr_expect(answer.mEnd == ConnectionEnd::Reset);
+}
+
 Test(closedelimited, a_long_answer_is_complete_though_its_upstream_leaves)
 {
   for (const std::string state : { "draining", "unlisted" }) {
