Keep the hooks of a request that was sent ahead

The end of an answer parses and dispatches the request that is already in the buffer, which sets its hooks; closing the exchange of the first request then removed them, so that nobody resumed reading for the second, or noticed that its caller had left.

The connection drops an exchange's hooks with its answer already; the exchange no longer does.

--- a/src/libtrefoilgate/callerconnection.cpp
+++ b/src/libtrefoilgate/callerconnection.cpp
@@ -289,13 +289,13 @@
 CallerRequest
 CallerConnection::MakeRequest() const
 {
-  static const auto sNoBody = std::make_shared<const std::string>();
+  static const auto kNoBody = std::make_shared<const std::string>();
   const auto& message = mParser->get();
   return { .mMethod = std::string(message.method_string()),
            .mTarget = std::string(message.target()),
            .mHost = std::string(message[http::field::host]),
            .mHeaders = EndToEndHeaders(message),
-           .mBody = sNoBody,
+           .mBody = kNoBody,
            .mHasBody = message.has_content_length() || message.chunked(),
            .mArrivedAt = mPhaseStartedAt };
 }
--- a/src/libtrefoilgate/exchangelog.cpp
+++ b/src/libtrefoilgate/exchangelog.cpp
@@ -95,13 +95,9 @@
   }
   mContext.mLog.Write(
     served ? LineKind::Success : LineKind::Failure, "request_ended", fields);
-  // The caller's hooks may hold the last reference; keep it until they are
-  // reset.
-  const auto self = shared_from_this();
-  mCaller->OnDisconnected(nullptr);
   mCaller->SetUnoffered(0);
-  mCaller->OnRoom(nullptr);
-  mCaller->OnCut(nullptr);
+  // The caller has dropped this exchange's hooks with its answer; those that
+  // are set now may be of its next request.
   mContext.mOnEnded(this);
 }
 
--- a/src/libtrefoilgate/streamedbody.h
+++ b/src/libtrefoilgate/streamedbody.h
@@ -11,6 +11,9 @@
 
 namespace trefoilgate {
 
+// Beast prescribes the names of a body.
+// NOLINTBEGIN(readability-identifier-naming)
+
 /**
  * A body for Beast's parser that is taken away in pieces. Unlike string_body it
  * reserves nothing for the length that the head states.
@@ -55,4 +58,6 @@
   };
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 } // namespace trefoilgate
--- a/tests/platform/slowreaderstest.cpp
+++ b/tests/platform/slowreaderstest.cpp
@@ -366,3 +366,28 @@
   cr_expect(ended.at("took_ms") >= 3000, "the upstream had to wait");
   cr_expect(ended.at("longest_pause_ms") < 1500, "%s", ended.dump().c_str());
 }
+
+/** The load: one caller that sends two requests at once and begins to read 1.5
+ * MB of the second answer after a second. Guards against hooks of the second
+ * request that the end of the first removes. */
+Test(slowreaders, a_request_sent_ahead_is_answered_to_its_end, .timeout = 60)
+{
+  constexpr size_t kEvents = 150;
+  constexpr size_t kPadding = 10000;
+  constexpr double kSilentSeconds = 1;
+  constexpr double kAtMostSeconds = 10;
+  PlatformFleet fleet({ .mMemoryMb = kSmallestGateMb });
+  PutLongStreams(fleet);
+  SlowReader slow(fleet.GateAddress(0), kSmallBuffer);
+  slow.Send(PlatformFleet::Text({ .mId = "first", .mPlan = "ok,delay=200" }) +
+            StreamCall("second", kEvents, 2, kPadding));
+  while (slow.IsOpen() && slow.Received() < kEvents * kPadding &&
+         slow.Seconds() < kAtMostSeconds) {
+    if (slow.Seconds() > kSilentSeconds) {
+      slow.ReadPaced(10000000);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  cr_expect(
+    slow.Received() >= kEvents * kPadding, "%zu bytes", slow.Received());
+}
