--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -69,11 +69,12 @@
                const std::string& aAddress,
                std::function<void(Connection)> aDone);
 
+  using ProbeCallback = std::function<void(const ProbeResult&)>;
+
   /** Connects to the upstream to find out whether it listens, and keeps the
    * connection. A process that is ending may still accept a connection, so one
    * that fails or closes at once is followed by another. The result is of
    * connections that were attempted after this call. */
-  using ProbeCallback = std::function<void(const ProbeResult&)>;
   void Probe(const trefoilarch::UpstreamId& aUpstream,
              const std::string& aAddress,
              ProbeCallback aDone);
--- a/src/libtrefoilgate/exchange.cpp
+++ b/src/libtrefoilgate/exchange.cpp
@@ -206,14 +206,12 @@
   };
 }
 
-bool
+void
 Exchange::CheckForCrash(Millis aNow)
 {
-  const bool unknown = mContext.mRouter.OnConnectionLost(*mAttempt, aNow);
-  if (unknown) {
+  if (mContext.mRouter.OnConnectionLost(*mAttempt, aNow)) {
     mContext.mPool.CheckListening(mAttempt->mUpstream, mAttempt->mAddress);
   }
-  return unknown;
 }
 
 void
--- a/src/libtrefoilgate/exchange.h
+++ b/src/libtrefoilgate/exchange.h
@@ -95,9 +95,9 @@
   void FinishAnswer();
   /** Whether the answer consists of events. */
   bool IsEventStream() const;
-  /** Finds out whether the attempt's upstream has crashed. False if that is
-   * known already, or does not matter. */
-  bool CheckForCrash(Millis aNow);
+  /** Finds out whether the attempt's upstream has crashed, unless that is known
+   * already, or does not matter. */
+  void CheckForCrash(Millis aNow);
   void OnBroken(const std::string& aReason);
   /** Ends an attempt whose answer is incomplete, and continues elsewhere if
    * possible. */
