--- a/tests/standins/rowstore/main.cpp
+++ b/tests/standins/rowstore/main.cpp
@@ -2,6 +2,8 @@
 
 #include "common/standinserver.h"
 
+#include "libtrefoilio/base64.h"
+
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
@@ -96,6 +98,16 @@
   return aText.empty() ? aDefault : std::stoull(aText);
 }
 
+/** `value` is any JSON; `bytes`, in base64, need not be JSON. */
+std::string
+ValueOf(const json& aRow)
+{
+  return aRow.contains("bytes")
+           ? trefoilio::FromBase64(aRow.at("bytes").get<std::string>())
+               .value_or("")
+           : aRow.at("value").dump();
+}
+
 void
 Control(RowTable& aRows, FaultInjector& aFaultInjector, Exchange& aExchange)
 {
@@ -110,7 +122,7 @@
     aRows.Restore();
   }
   for (const json& row : command.value("put", json::array())) {
-    aRows.Put(row.at("table"), row.at("key"), row.at("value").dump());
+    aRows.Put(row.at("table"), row.at("key"), ValueOf(row));
   }
   for (const json& row : command.value("remove", json::array())) {
     aRows.Remove(row.at("table"), row.at("key"));
