--- a/src/libtrefoilgate/callerlistener.cpp
+++ b/src/libtrefoilgate/callerlistener.cpp
@@ -38,10 +38,12 @@
 CallerListener::Open()
 {
   const auto endpoint = ParseEndpoint(mOptions.mAddress);
-  mAcceptor.open(endpoint.protocol());
-  mAcceptor.set_option(asio::socket_base::reuse_address(true));
-  mAcceptor.bind(endpoint);
-  mAcceptor.listen(kBacklog);
+  asio::ip::tcp::acceptor acceptor(mLoop);
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(endpoint);
+  acceptor.listen(kBacklog);
+  mAcceptor = std::move(acceptor);
   Accept();
 }
 
--- a/src/libtrefoilgate/callerlistener.h
+++ b/src/libtrefoilgate/callerlistener.h
@@ -30,7 +30,8 @@
                  ListenerOptions aOptions,
                  CallerHooks aHooks);
 
-  /** Throws boost::system::system_error if it can't listen. */
+  /** Throws boost::system::system_error if it can't listen; it may then be
+   * called again. */
   void Open();
   void Close();
 
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -5,6 +5,9 @@
 #include "libtrefoilarch/routepolicyvalidation.h"
 #include "libtrefoilarch/tablewatch.h"
 
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
+
 #include <algorithm>
 #include <chrono>
 
@@ -23,6 +26,11 @@
  * is about to send. */
 constexpr Millis kDrainIdleTimeout{ 400 };
 
+/** Interval at which a port that is in use is tried again, and the time beyond
+ * a planned stop after which it is given up. */
+constexpr Millis kPortRetryInterval{ 100 };
+constexpr Millis kPortReleaseMargin{ 2000 };
+
 /** Descriptors reserved for other purposes: upstreams, store, files. */
 constexpr size_t kReservedDescriptors = 800;
 
@@ -167,9 +175,9 @@
 void
 Gateway::Start(trefoilio::Kernel& /*aKernel*/)
 {
-  mOperators.Open();
-  mCallers.Open();
-  mPeers.Open();
+  OpenPort("operator_listen", [this] { mOperators.Open(); });
+  OpenPort("listen", [this] { mCallers.Open(); });
+  OpenPort("peer_listen", [this] { mPeers.Open(); });
   if (!PeerAddress().empty()) {
     mRouter.JoinPermitIssuers(BootNow());
   }
@@ -183,6 +191,34 @@
   Tick();
 }
 
+void
+Gateway::OpenPort(const char* aName, const std::function<void()>& aOpen)
+{
+  const Millis deadline =
+    BootNow() + mOptions.mSettings.mStopTimeout + kPortReleaseMargin;
+  for (bool waited = false;; waited = true) {
+    try {
+      aOpen();
+      return;
+    } catch (const boost::system::system_error& error) {
+      const bool inUse = error.code() == boost::asio::error::address_in_use;
+      if (!inUse || BootNow() >= deadline ||
+          !mOptions.mAwaitPort(kPortRetryInterval)) {
+        throw;
+      }
+      if (!waited) {
+        mLog.Write(LineKind::Process, "port_in_use", { { "port", aName } });
+      }
+    }
+  }
+}
+
+void
+Gateway::LogFailure(const std::string& aReason)
+{
+  mLog.Write(LineKind::Process, "failed", { { "why", aReason } });
+}
+
 void
 Gateway::Stop()
 {
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -48,6 +48,10 @@
   /** Path at which the platform checks readiness. */
   std::string mReadyPath = "/ready";
   uint64_t mSeed = 1;
+  /** Waits before a port that is in use is tried again; returns false if the
+   * process is to stop. */
+  std::function<bool(trefoilarch::Millis)> mAwaitPort =
+    [](trefoilarch::Millis) { return false; };
 };
 
 /** The state of the store's tables in a Gateway's updates to other entries;
@@ -174,6 +178,8 @@
   {
     mMetrics.OnUnreadableRow(aTable);
   }
+  /** Logs why the process ends by itself. */
+  void LogFailure(const std::string& aReason);
 
 private:
   using Millis = trefoilarch::Millis;
@@ -242,6 +248,9 @@
   /** Whether the list has the upstream at this address. */
   bool IsListedAt(const trefoilarch::UpstreamId& aUpstream,
                   const std::string& aAddress) const;
+  /** Opens a port; while it is in use, tries again for as long as the process
+   * that had it before may take to stop. */
+  void OpenPort(const char* aName, const std::function<void()>& aOpen);
   void Tick();
   void ContinueDrain();
 
--- a/src/libtrefoilgate/peerlink.cpp
+++ b/src/libtrefoilgate/peerlink.cpp
@@ -77,9 +77,9 @@
   }
   const auto endpoint = ParseEndpoint(mAddress);
   const Udp::endpoint ownEndpoint(endpoint.address(), endpoint.port());
-  mSocket.open(ownEndpoint.protocol());
-  mSocket.bind(ownEndpoint);
-  mSocket.non_blocking(true);
+  Udp::socket socket(mSocket.get_executor(), ownEndpoint);
+  socket.non_blocking(true);
+  mSocket = std::move(socket);
   Listen();
   Tick();
   TickLoad();
