An odd row of the store costs only itself

Another writer's row that is nested as deep as a row may be ended every gate that read it, again at each start: the quarantine copied and printed the value, which recurses once a level (SIGSEGV on a stack of 4 MB at 32,000 levels, and within a factor of two of 8 MB; a policy's list of workspaces on 1 MB). JSON of other programs is now refused beyond 32 levels.

Unreadable rows of the quarantine and of peers are counted too, and lines about rows are bounded to ten a second.

--- a/src/libtrefoilarch/dutyrecord.cpp
+++ b/src/libtrefoilarch/dutyrecord.cpp
@@ -1,5 +1,6 @@
 #include "dutyrecord.h"
 
+#include "boundedjson.h"
 #include "storeversion.h"
 
 #include <nlohmann/json.hpp>
@@ -106,7 +107,7 @@
 DutyRecordFromText(const std::string& aText)
 {
   try {
-    DutyRecord record = RecordIn(Json::parse(aText));
+    DutyRecord record = RecordIn(ParseBoundedJson(aText));
     const bool tooLarge = record.mFixed.size() > kMaxSubjects ||
                           record.mPastHolders.size() > kMaxPastHolders;
     return tooLarge ? std::nullopt : std::optional(std::move(record));
@@ -127,7 +128,7 @@
 StoredReportFromText(const std::string& aText)
 {
   try {
-    const Json json = Json::parse(aText);
+    const Json json = ParseBoundedJson(aText);
     return StoredReport{ .mBody = json.at("body").get<std::string>(),
                          .mExpiresAt = TimeIn(json.at("expires_ms")) };
   } catch (const Json::exception&) {
--- a/src/libtrefoilgate/gateway.h
+++ b/src/libtrefoilgate/gateway.h
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "gatemetrics.h"
 #include "gatesettings.h"
+#include "linelimiter.h"
 #include "loadgauges.h"
 #include "peerlink.h"
 #include "processwatch.h"
@@ -86,6 +87,17 @@
   std::function<nlohmann::json()> mState = [] { return nlohmann::json(); };
 };
 
+/** A row of a table of the store that can't be used. */
+struct UnreadableRow
+{
+  std::string_view mTable;
+  /** The name of the log line. */
+  const char* mEvent = "row_unreadable";
+  const char* mKeyName = "key";
+  std::string_view mKey;
+  std::string_view mReason;
+};
+
 /** A response of the operator port. */
 struct OperatorResponse
 {
@@ -173,11 +185,9 @@
   {
     return mRouter.CrashQuarantine();
   }
-  /** Counts a row of this table that could not be read. */
-  void CountUnreadableRow(std::string_view aTable)
-  {
-    mMetrics.OnUnreadableRow(aTable);
-  }
+  /** Counts a row that could not be read, and logs a bounded number a
+   * second. */
+  void OnUnreadableRow(const UnreadableRow& aRow);
   /** Logs why the process ends by itself. */
   void LogFailure(const std::string& aReason);
 
@@ -289,6 +299,7 @@
   std::map<std::string, Millis> mLastReceivedAt;
   size_t mEntryCount;
   /** Load reports that could not be read since the last log line of one. */
+  LineLimiter mUnreadableRowLines{ 10 };
   uint64_t mUnreadableLoads = 0;
   std::optional<Millis> mUnreadableLoadLoggedAt;
   bool mCrashUpdateDue = false;
--- a/src/libtrefoilgate/gatewayupstreams.cpp
+++ b/src/libtrefoilgate/gatewayupstreams.cpp
@@ -16,6 +16,9 @@
 /** Minimum interval between log lines about unreadable load reports. */
 constexpr Millis kUnreadableLoadInterval{ 1000 };
 
+/** Bytes of a text from another writer in a log line. */
+constexpr size_t kMaxLoggedBytes = 200;
+
 } // namespace
 
 void
@@ -169,6 +172,21 @@
                { "reports", std::exchange(mUnreadableLoads, 0) } });
 }
 
+void
+Gateway::OnUnreadableRow(const UnreadableRow& aRow)
+{
+  mMetrics.OnUnreadableRow(aRow.mTable);
+  if (!mUnreadableRowLines.Admit(BootNow())) {
+    return;
+  }
+  mLog.Write(LineKind::StateChange,
+             aRow.mEvent,
+             { { "table", aRow.mTable },
+               { aRow.mKeyName, aRow.mKey.substr(0, kMaxLoggedBytes) },
+               { "why", aRow.mReason.substr(0, kMaxLoggedBytes) },
+               { "left_out", mUnreadableRowLines.TakeLeftOut() } });
+}
+
 void
 Gateway::LogAvailability(const AvailabilityChange& aChange)
 {
