Continue streams only where the upstream's version is known

The entry of a process that is known to have ended vouches for nothing. Otherwise a stream goes on only if the list was confirmed after the interruption, or if a connection is open that is older than the list by the time an upstream takes to write its entry: it proves the process. A confirmation that is needed ends the collection of changes.

--- a/src/libtrefoilarch/boundrequest.h
+++ b/src/libtrefoilarch/boundrequest.h
@@ -54,6 +54,9 @@
   bool mResumes = false;
   /** Where its stream began, once that is known. */
   std::optional<StreamOrigin> mOrigin;
+  /** When its stream was last found interrupted: the versions of upstreams have
+   * to be known at this time for it to continue. */
+  Millis mInterruptedAt;
   /** Empty if the caller of Bind() sets none: no crash is attributed to it. */
   RequestFeatures mFeatures;
   Millis mArrivedAt;
--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -333,7 +333,8 @@
     aNow);
   for (const ListedUpstream* each : all) {
     if (IsLeaving(*each) || aTried.contains(each->mId) ||
-        (aRequest.mOrigin && !MayContinueAt(*aRequest.mOrigin, *each))) {
+        (aRequest.mOrigin && (!MayContinueAt(*aRequest.mOrigin, *each) ||
+                              !IsVersionKnown(aRequest, *each)))) {
       continue;
     }
     const TrackedUpstream& tracked = mTracked[each->mId];
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -51,6 +51,14 @@
 
 namespace trefoilarch {
 
+/** Whether an interrupted stream can go on. */
+enum class StreamContinuation : uint8_t
+{
+  Possible,
+  Unknown,    /**< not before the list of upstreams is confirmed */
+  Impossible, /**< no upstream of its version accepts requests */
+};
+
 struct DirectRouterOptions
 {
   std::string mDataCentre;
@@ -63,6 +71,10 @@
   /** Entries share an upstream's connections. Each may always use one in this
    * many; see ConnectionShares. */
   uint32_t mConnectionShare = 6;
+  /** Since when there has been an open connection to the upstream; empty if
+   * there is none. */
+  std::function<std::optional<Millis>(const UpstreamId&)> mConnectedSince =
+    [](const UpstreamId&) { return std::nullopt; };
   /** Number of idle connections to the upstream. */
   std::function<size_t(const UpstreamId&)> mIdleConnections =
     [](const UpstreamId&) { return size_t{ 0 }; };
@@ -152,8 +164,8 @@
   std::optional<Millis> PauseEndsIn(const BoundRequest& aRequest, Millis aNow);
 
   /** Whether an upstream accepts requests at which the request's stream may
-   * continue; true if it has not begun. */
-  bool CanContinue(const BoundRequest& aRequest) const;
+   * continue; Possible if it has not begun. */
+  StreamContinuation Continuation(const BoundRequest& aRequest) const;
 
   /** The request's stream has begun, or continues, at the attempt's upstream;
    * to be called before an event is forwarded. */
@@ -373,9 +385,14 @@
   void ReportLimitChanges();
   void ForgetLimit(const UpstreamId& aUpstream);
   void ReportAvailabilityChanges();
-  /** Whether a stream of that origin may continue at the upstream. */
+  /** Whether a stream of that origin may continue at the upstream, by its
+   * entry. */
   bool MayContinueAt(const StreamOrigin& aOrigin,
                      const ListedUpstream& aUpstream) const;
+  /** Whether the upstream's entry is that of the process that listens at its
+   * address, as far as the request's stream depends on it. */
+  bool IsVersionKnown(const BoundRequest& aRequest,
+                      const ListedUpstream& aUpstream) const;
   /** Whether the attempt's process is listed and not leaving. */
   bool IsInService(const PlacedAttempt& aAttempt) const;
   /** Whether it is leaving, by its entry or by its own statement. */
--- a/src/libtrefoilarch/directstreams.cpp
+++ b/src/libtrefoilarch/directstreams.cpp
@@ -11,6 +11,10 @@
  * time just before that ends. */
 constexpr int64_t kLifetimeFactor = 2;
 
+/** An upstream writes its entry within this time after it has begun to
+ * listen. */
+constexpr Millis kMaxEntryDelay{ 1000 };
+
 Millis
 LifetimeOf(const Route& aRoute)
 {
@@ -27,23 +31,54 @@
       aUpstream.mVersion != aOrigin.mVersion) {
     return false;
   }
-  // Two upstreams that name no version may differ if others name theirs.
-  return !aOrigin.mVersion.empty() ||
-         !mVersions.NamesVersions(aOrigin.mService);
+  if (aOrigin.mVersion.empty()) {
+    // Two upstreams that name no version may differ if others name theirs.
+    return !mVersions.NamesVersions(aOrigin.mService);
+  }
+  // What listens at the address of a process that has ended may be of another
+  // version.
+  const auto tracked = mTracked.find(aUpstream.mId);
+  return tracked == mTracked.end() ||
+         !mCrashDetector.HasEnded(tracked->second.mIncarnation);
 }
 
 bool
-DirectRouter::CanContinue(const BoundRequest& aRequest) const
+DirectRouter::IsVersionKnown(const BoundRequest& aRequest,
+                             const ListedUpstream& aUpstream) const
 {
-  if (!aRequest.mOrigin) {
+  if (!aRequest.mOrigin || aRequest.mOrigin->mVersion.empty()) {
+    return true;
+  }
+  const auto listedAt = mListFreshness.At();
+  if (!listedAt) {
+    return false;
+  }
+  if (*listedAt >= aRequest.mInterruptedAt) {
     return true;
   }
-  const auto& all = mDirectory.OfService(aRequest.mService);
-  return std::any_of(
-    all.begin(), all.end(), [&](const ListedUpstream* aUpstream) {
-      return !IsLeaving(*aUpstream) &&
-             MayContinueAt(*aRequest.mOrigin, *aUpstream);
-    });
+  // A connection that was open when the list was confirmed leads to the process
+  // that was listed then, and so do further ones while it is open.
+  const auto connected = mOptions.mConnectedSince(aUpstream.mId);
+  return connected && *connected + kMaxEntryDelay <= *listedAt;
+}
+
+StreamContinuation
+DirectRouter::Continuation(const BoundRequest& aRequest) const
+{
+  if (!aRequest.mOrigin) {
+    return StreamContinuation::Possible;
+  }
+  StreamContinuation result = StreamContinuation::Impossible;
+  for (const ListedUpstream* each : mDirectory.OfService(aRequest.mService)) {
+    if (IsLeaving(*each) || !MayContinueAt(*aRequest.mOrigin, *each)) {
+      continue;
+    }
+    if (IsVersionKnown(aRequest, *each)) {
+      return StreamContinuation::Possible;
+    }
+    result = StreamContinuation::Unknown;
+  }
+  return result;
 }
 
 void
@@ -105,7 +140,8 @@
 void
 DirectRouter::RequestListConfirmation(const BoundRequest& aRequest)
 {
-  mOptions.mOnListConfirmationWanted(aRequest.mArrivedAt);
+  mOptions.mOnListConfirmationWanted(
+    std::max(aRequest.mArrivedAt, aRequest.mInterruptedAt));
 }
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -73,6 +73,7 @@
 PlanStep
 RequestPlan::Begin(Millis aNow)
 {
+  mRequest.mInterruptedAt = mRequest.mArrivedAt;
   return Send(aNow);
 }
 
@@ -128,6 +129,8 @@
 RequestPlan::OnBroken(bool aCanContinue, Millis aNow)
 {
   if (mAnswerBegun) {
+    mRequest.mInterruptedAt = aNow;
+    mVersionsSoughtSince.reset();
     if (auto step = ContinueAtBackup(aNow)) {
       return std::move(*step);
     }
@@ -159,6 +162,9 @@
   if (auto step = FindOrigin(aNow)) {
     return std::move(*step);
   }
+  if (auto step = AwaitVersions(aNow)) {
+    return std::move(*step);
+  }
   if (auto step = HoldIfSuspected(aNow)) {
     return std::move(*step);
   }
@@ -206,6 +212,22 @@
   return HoldRequest{ .mDelay = kOriginPollInterval };
 }
 
+std::optional<PlanStep>
+RequestPlan::AwaitVersions(Millis aNow)
+{
+  if (mRouter.Continuation(mRequest) != StreamContinuation::Unknown) {
+    return std::nullopt;
+  }
+  if (!mVersionsSoughtSince) {
+    mVersionsSoughtSince = aNow;
+    mRouter.RequestListConfirmation(mRequest);
+  }
+  if (aNow - *mVersionsSoughtSince >= kMaxOriginWait) {
+    return Refuse(ErrorKind::StreamVersionUnknown, kOriginRetryAfter, aNow);
+  }
+  return HoldRequest{ .mDelay = kOriginPollInterval };
+}
+
 void
 RequestPlan::OnAnswerBegun(Millis aNow)
 {
@@ -218,7 +240,7 @@
 PlanStep
 RequestPlan::OnNotPlaced(Millis aNow)
 {
-  if (!mRouter.CanContinue(mRequest)) {
+  if (mRouter.Continuation(mRequest) == StreamContinuation::Impossible) {
     return Refuse(
       ErrorKind::StreamVersionUnavailable, kNoUpstreamRetryAfter, aNow);
   }
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -83,6 +83,8 @@
   /** Finds out where the stream began that the request continues. Empty if
    * that is known, or if the request begins a stream. */
   std::optional<PlanStep> FindOrigin(Millis aNow);
+  /** Empty if upstreams of the stream's version are known, or none is. */
+  std::optional<PlanStep> AwaitVersions(Millis aNow);
   /** Empty if the request may be sent. */
   std::optional<PlanStep> HoldIfSuspected(Millis aNow);
   /** No upstream was found, or none yet. */
@@ -121,6 +123,8 @@
   /** When other entries were first and last asked where its stream began. */
   std::optional<Millis> mOriginSoughtSince;
   Millis mOriginSoughtAt;
+  /** Since when it waits for the list of upstreams to be confirmed. */
+  std::optional<Millis> mVersionsSoughtSince;
 };
 
 } // namespace trefoilarch
--- a/src/libtrefoilarch/tablewatch.cpp
+++ b/src/libtrefoilarch/tablewatch.cpp
@@ -249,6 +249,9 @@
 Millis
 TableWatch::NextTick() const
 {
+  if (mPhase == Phase::Batching && IsConfirmationRequired()) {
+    return std::min(mPhaseEndsAt, RequiredVerificationAt());
+  }
   if (mPhase != Phase::Following) {
     return mPhaseEndsAt;
   }
@@ -261,13 +264,22 @@
 Millis
 TableWatch::NextVerificationAt() const
 {
-  const Millis confirmed = mFreshness.At().value_or(Millis(0));
-  const Millis due = confirmed + mVerificationAge;
-  const bool required = mStoreTime && mRequiredStoreTime > *mStoreTime;
-  return required ? std::min(due,
-                             confirmed + (mRequiredStoreTime - *mStoreTime) +
-                               kStoreTimeMargin)
-                  : due;
+  const Millis due = mFreshness.At().value_or(Millis(0)) + mVerificationAge;
+  return IsConfirmationRequired() ? std::min(due, RequiredVerificationAt())
+                                  : due;
+}
+
+bool
+TableWatch::IsConfirmationRequired() const
+{
+  return mStoreTime && mRequiredStoreTime > *mStoreTime;
+}
+
+Millis
+TableWatch::RequiredVerificationAt() const
+{
+  return mFreshness.At().value_or(Millis(0)) +
+         (mRequiredStoreTime - *mStoreTime) + kStoreTimeMargin;
 }
 
 void
--- a/src/libtrefoilarch/tablewatch.h
+++ b/src/libtrefoilarch/tablewatch.h
@@ -139,8 +139,8 @@
   bool OnUpdate(uint64_t aAfter, uint64_t aUpTo);
   /** The copy includes all changes up to this version. */
   uint64_t Version() const { return mVersion; }
-  /** Requests a confirmation at that store time or later, as soon as
-   * possible. */
+  /** Requests a confirmation at that store time or later, as soon as possible;
+   * it ends the collection of changes. */
   void RequireStoreTime(Millis aStoreTime) { mRequiredStoreTime = aStoreTime; }
 
   /** Performs the actions that are due. */
@@ -172,6 +172,10 @@
   Millis MaxRetryDelay() const;
   /** When the next verification is due. */
   Millis NextVerificationAt() const;
+  /** Whether a confirmation was requested that has not been received. */
+  bool IsConfirmationRequired() const;
+  /** When a query for it is due. */
+  Millis RequiredVerificationAt() const;
   void TakeVersions(const TableResponse& aResponse);
   void Confirm(const TableResponse& aResponse);
   void DrawVerificationAge();
--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -1,5 +1,7 @@
 #include "clientconnection.h"
 
+#include "bootclock.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
@@ -87,6 +89,7 @@
       self->mOpen = !aError && self->mSocket.is_open();
       self->mRefused = aError == asio::error::connection_refused;
       if (self->mOpen) {
+        self->mConnectedAt = BootNow();
         self->NewParser();
         self->Read();
       }
--- a/src/libtrefoilgate/clientconnection.h
+++ b/src/libtrefoilgate/clientconnection.h
@@ -83,6 +83,8 @@
   bool Open() const { return mOpen; }
   /** Whether the server refused the connection. */
   bool Refused() const { return mRefused; }
+  /** When the connection was established. */
+  trefoilarch::Millis ConnectedAt() const { return mConnectedAt; }
   /** Bytes that were read and can't be parsed yet. */
   size_t UnparsedBytes() const { return mBuffer.size(); }
   /** The server's idle timeout, as it last announced. */
@@ -132,6 +134,7 @@
   size_t mSkippedBytes = 0;
   bool mOpen = false;
   bool mRefused = false;
+  trefoilarch::Millis mConnectedAt;
   bool mBusy = false;
   bool mRequestWritten = false;
   bool mHeadParsed = false;
--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -297,6 +297,23 @@
   return found == mIdle.end() ? 0 : found->second.size();
 }
 
+std::optional<Millis>
+ConnectionPool::ConnectedSince(const UpstreamId& aUpstream) const
+{
+  const auto found = mIdle.find(aUpstream);
+  std::optional<Millis> oldest;
+  if (found == mIdle.end()) {
+    return oldest;
+  }
+  for (const IdleConnection& each : found->second) {
+    if (each.mConnection->Idle()) {
+      const Millis connected = each.mConnection->ConnectedAt();
+      oldest = oldest ? std::min(*oldest, connected) : connected;
+    }
+  }
+  return oldest;
+}
+
 bool
 ConnectionPool::IsExpired(const IdleConnection& aIdle, Millis aNow) const
 {
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -104,6 +104,10 @@
 
   size_t IdleCount() const;
   size_t IdleCount(const trefoilarch::UpstreamId& aUpstream) const;
+  /** When the oldest idle connection to the upstream was established; empty if
+   * there is none. */
+  std::optional<trefoilarch::Millis> ConnectedSince(
+    const trefoilarch::UpstreamId& aUpstream) const;
   /** Connections established since the start. */
   uint64_t MadeCount() const { return mMadeCount; }
   uint64_t FailedCount() const { return mFailedCount; }
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -90,6 +90,10 @@
   , mLog({ .mProcess = mOptions.mSettings.mName })
   , mRouter({ .mDataCentre = mOptions.mSettings.mDataCentre,
               .mKeyPolicyMaxAge = mOptions.mSettings.mKeyPolicyMaxAge,
+              .mConnectedSince =
+                [this](const UpstreamId& aUpstream) {
+                  return mPool.ConnectedSince(aUpstream);
+                },
               .mIdleConnections =
                 [this](const UpstreamId& aUpstream) {
                   return mPool.IdleCount(aUpstream);
--- a/tests/platform/streamversionstest.cpp
+++ b/tests/platform/streamversionstest.cpp
@@ -301,6 +301,107 @@
 
 namespace {
 
+/** How a gate is out of step. */
+struct Cut
+{
+  const char* mName;
+  json mOrder;
+  json mMend;
+};
+
+/** A gate's loss of the store, both ways and one way. */
+const std::vector<Cut> kStoreCuts = {
+  { "refused",
+    { { "cut", true }, { "refuse_new", true } },
+    { { "refuse_new", false } } },
+  { "silent",
+    { { "silence", "both" }, { "silence_new", true } },
+    { { "cut", true }, { "silence_new", false } } },
+};
+
+/** Streams of an upstream that starts again in another version, unseen by a
+ * gate that has lost the store, don't continue there. */
+void
+TakeUpAtCutGate(const Cut& aCut)
+{
+  PlatformFleet fleet({ .mWorkers = 2,
+                        .mGates = 2,
+                        .mRetrySlack = 400,
+                        .mProxied = true,
+                        .mPeers = true });
+  fleet.ListVersion(0, "v1");
+  cr_assert(fleet.AwaitPeers());
+  fleet.Unlist("i-1");
+  for (size_t gate = 0; gate < 2; ++gate) {
+    cr_assert(Await([&] {
+      const auto lines = fleet.LogOf(gate, "service_versions");
+      return !lines.empty() && lines.back().at("versions") == json({ "v1" });
+    }));
+  }
+  BeginStream(fleet, "s", 0);
+  fleet.StoreProxy(0).Order(aCut.mOrder);
+  // Its connections end with the process; the next one listens at once.
+  fleet.WorkerProxy(0).Order({ { "cut", true } });
+  json entry = PlatformFleet::EntryOf(fleet.WorkerProxy(0).Address(), 2);
+  entry["version"] = "v2";
+  fleet.PutRow("servers", "i-0", entry);
+  const HttpReply reply = fleet.Call(TakeUpCall("s-next", "s", 2));
+  ExpectRefused(reply, "stream_version_unknown");
+  cr_expect(fleet.RunsOf("s-next").empty(), "%s", aCut.mName);
+  cr_expect(fleet.Call(ResumableCall("new", "stream,count=3")).mStatus == 200,
+            "streams begin at a gate that has lost the store");
+  fleet.StoreProxy(0).Order(aCut.mMend);
+  cr_assert(Await(
+    [&] {
+      const auto lines = fleet.LogOf(0, "service_versions");
+      return !lines.empty() && lines.back().at("versions") == json({ "v2" });
+    },
+    Millis(8000)));
+  ExpectRefused(fleet.Call(TakeUpCall("s-late", "s", 2)),
+                "stream_version_unavailable");
+  cr_expect(fleet.RunsOf("s-late").empty(), "%s", aCut.mName);
+}
+
+} // namespace
+
+/** A gate that had lost the store took an old entry for the new process. */
+Test(streamversions,
+     a_gate_without_the_store_continues_no_stream_at_an_unproved_process,
+     .timeout = 90)
+{
+  for (const Cut& each : kStoreCuts) {
+    TakeUpAtCutGate(each);
+  }
+}
+
+/** An open connection that is older than the list proves the process. */
+Test(streamversions,
+     a_gate_without_the_store_continues_streams_at_a_proved_process,
+     .timeout = 60)
+{
+  PlatformFleet fleet({ .mWorkers = 2, .mRetrySlack = 400, .mProxied = true });
+  fleet.ListVersion(0, "v1");
+  fleet.ListVersion(1, "v1");
+  cr_assert(Await([&] {
+    const auto lines = fleet.LogOf(0, "service_versions");
+    return !lines.empty() && lines.back().at("versions") == json({ "v1" });
+  }));
+  for (int each = 0; each < 20; ++each) {
+    cr_expect(fleet.Call({ .mId = std::to_string(each) }).mStatus == 200);
+  }
+  // The list is confirmed each second.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  BeginStream(fleet, "s", 0);
+  fleet.StoreProxy(0).Order({ { "cut", true }, { "refuse_new", true } });
+  cr_assert(Await([&] { return !fleet.LogOf(0, "dependency_lost").empty(); },
+                  Millis(4000)));
+  const HttpReply reply = fleet.Call(TakeUpCall("s-next", "s", 2));
+  cr_expect(
+    reply.mStatus == 200, "status %d, %s", reply.mStatus, reply.mBody.c_str());
+}
+
+namespace {
+
 /** What becomes of the old version while no gate runs. */
 enum class OldVersion : uint8_t
 {
--- a/tests/unit/tablewatchtest.cpp
+++ b/tests/unit/tablewatchtest.cpp
@@ -514,6 +514,33 @@
   cr_expect(recorded.mQueries.back().mAfter == 12);
 }
 
+/** Whoever needs the newest rows waited until no more changes were collected.
+ */
+Test(tablewatch, a_required_confirmation_ends_the_collection_of_changes)
+{
+  std::vector<TableQuery> queries;
+  TableWatch watch(
+    { .mBatchDelay = Millis(600) },
+    { .mSendQuery =
+        [&](const TableQuery& aQuery) { queries.push_back(aQuery); },
+      .mCancelQueries = [] {},
+      .mOnConfirmed = [](Millis) {},
+      .mOnLost = [](const std::string&, Millis) {},
+      .mOnRecovered = [] {} });
+  watch.Start();
+  watch.OnPage(RecordedWatch::ResponseAt(Millis(100), 10));
+  TableResponse change = RecordedWatch::ResponseAt(Millis(200), 11);
+  change.mHasRows = true;
+  watch.OnChanges(change);
+  const size_t before = queries.size();
+  cr_expect(watch.NextTick() >= Millis(800), "changes are collected");
+  watch.RequireStoreTime(change.mStoreTime + Millis(50));
+  cr_assert(watch.NextTick() <= Millis(300));
+  watch.Tick(watch.NextTick());
+  cr_assert(queries.size() > before);
+  cr_expect(queries.back().mAfter == 11);
+}
+
 Test(tablewatch, a_store_without_changes_confirms_at_its_time)
 {
   std::optional<Millis> storeTime;
