--- a/tests/fuzz/settingsfuzz.cpp
+++ b/tests/fuzz/settingsfuzz.cpp
@@ -17,11 +17,11 @@
 void
 ReadInput(std::string_view aInput)
 {
-  static const std::string path =
+  static const std::string sPath =
     "/tmp/settingsfuzz-" + std::to_string(getpid());
-  std::ofstream(path, std::ios::binary) << aInput;
-  const auto file = trefoilplatform::ReadSettingsFile(path);
-  std::remove(path.c_str());
+  std::ofstream(sPath, std::ios::binary) << aInput;
+  const auto file = trefoilplatform::ReadSettingsFile(sPath);
+  std::remove(sPath.c_str());
   if (!file) {
     return;
   }
--- a/tests/platform/oddrowstest.cpp
+++ b/tests/platform/oddrowstest.cpp
@@ -78,18 +78,17 @@
 std::string
 PolicyWith(uint64_t aVersion, const std::string& aNumber)
 {
-  const std::string number = aNumber;
   return R"({"version":)" + std::to_string(aVersion) +
          R"(,"routes":[{"name":"safe","host":"svc.example","prefix":"/safe/",)"
          R"("kind":"safe","service":"svc","public":true,"timeoutMs":)" +
-         number + R"(,"targetLatencyMs":)" + number + R"(,"gapAimMs":)" +
-         number + R"(,"priority":)" + number + R"(,"maxAttempts":)" + number +
-         R"(}],"services":[{"name":"svc","maxConns":)" + number +
-         R"(,"engine":{"slots":)" + number + R"(,"kvCapacityTokens":)" +
-         number + R"(,"kvTokenBytes":)" + number + R"(,"stride":)" + number +
-         R"(,"handleS":)" + number + R"(}}],"limits":{"maxHeaderBytes":)" +
-         number + R"(,"maxBodyBytes":)" + number + R"(,"headerTimeoutMs":)" +
-         number + R"(,"idleTimeoutMs":)" + number + "}}";
+         aNumber + R"(,"targetLatencyMs":)" + aNumber + R"(,"gapAimMs":)" +
+         aNumber + R"(,"priority":)" + aNumber + R"(,"maxAttempts":)" +
+         aNumber + R"(}],"services":[{"name":"svc","maxConns":)" + aNumber +
+         R"(,"engine":{"slots":)" + aNumber + R"(,"kvCapacityTokens":)" +
+         aNumber + R"(,"kvTokenBytes":)" + aNumber + R"(,"stride":)" + aNumber +
+         R"(,"handleS":)" + aNumber + R"(}}],"limits":{"maxHeaderBytes":)" +
+         aNumber + R"(,"maxBodyBytes":)" + aNumber + R"(,"headerTimeoutMs":)" +
+         aNumber + R"(,"idleTimeoutMs":)" + aNumber + "}}";
 }
 
 const std::vector<std::string> kNumbers = { "-1",
