Clamp the idle timeout that an upstream states

Keep-Alive: timeout= overflowed when it was converted to milliseconds (undefined behaviour sanitizer, target upstream of the fuzzer); the result was negative, and the connection was never used again.

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -29,6 +29,8 @@
 /** Bytes of interim answers and of answers to other calls. */
 constexpr size_t kMaxSkippedBytes = 1048576;
 constexpr int kMinFinalStatus = 200;
+/** A longer idle timeout makes no difference. */
+constexpr int64_t kMaxIdleSeconds = 86400;
 
 /** The `timeout` of a Keep-Alive header, in whole seconds. */
 std::optional<Millis>
@@ -51,7 +53,7 @@
   if (error != std::errc()) {
     return std::nullopt;
   }
-  return Millis(seconds * 1000);
+  return Millis(std::clamp<int64_t>(seconds, 0, kMaxIdleSeconds) * 1000);
 }
 
 } // namespace
--- a/tests/fuzz/callerfuzz.cpp
+++ b/tests/fuzz/callerfuzz.cpp
@@ -11,7 +11,8 @@
 void
 ReadInput(std::string_view aInput)
 {
-  fuzz::ConnectionPair pair;
+  // One listening port for all inputs: a port each would use them up.
+  static fuzz::ConnectionPair sPair;
   const CallerHooks hooks{
     .mOnRequest =
       [](const std::shared_ptr<CallerConnection>& aCaller,
@@ -26,19 +27,19 @@
                       const CallerRequest&) {},
     .mWorkspaceOf = [](const CallerRequest&) { return std::string(); }
   };
-  auto caller = pair.Connect();
-  boost::asio::ip::tcp::socket accepted(pair.Loop());
+  auto caller = sPair.Connect();
+  boost::asio::ip::tcp::socket accepted(sPair.Loop());
   {
-    auto other = pair.Accept();
+    auto other = sPair.Accept();
     const auto handle = other.release();
     accepted.assign(boost::asio::ip::tcp::v4(), handle);
   }
   const auto connection =
     std::make_shared<CallerConnection>(std::move(accepted), hooks);
   connection->Start();
-  pair.WriteInPieces(caller, aInput);
-  pair.Finish(caller);
+  sPair.WriteInPieces(caller, aInput);
+  sPair.Finish(caller);
   connection->Close();
-  pair.Loop().restart();
-  pair.Loop().poll();
+  sPair.Loop().restart();
+  sPair.Loop().poll();
 }
--- a/tests/fuzz/upstreamfuzz.cpp
+++ b/tests/fuzz/upstreamfuzz.cpp
@@ -12,12 +12,14 @@
 void
 ReadInput(std::string_view aInput)
 {
-  fuzz::ConnectionPair pair;
-  const auto connection = std::make_shared<ClientConnection>(pair.Loop());
-  connection->Connect(pair.Server(), Millis(1000), {}, [](bool) {});
-  auto upstream = pair.Accept();
-  pair.Loop().run_one();
-  pair.Loop().poll();
+  // One listening port for all inputs: a port each would use them up.
+  static fuzz::ConnectionPair sPair;
+  const auto connection = std::make_shared<ClientConnection>(sPair.Loop());
+  connection->Connect(sPair.Server(), Millis(1000), {}, [](bool) {});
+  auto upstream = sPair.Accept();
+  sPair.Loop().restart();
+  sPair.Loop().run_one();
+  sPair.Loop().poll();
   if (connection->Idle()) {
     connection->Send({ .mHead = "GET / HTTP/1.1\r\n\r\n" },
                      { .mIsOurs =
@@ -30,9 +32,9 @@
                        .mOnEnd = [] {},
                        .mOnBroken = [](const std::string&) {} });
   }
-  pair.WriteInPieces(upstream, aInput);
-  pair.Finish(upstream);
+  sPair.WriteInPieces(upstream, aInput);
+  sPair.Finish(upstream);
   connection->Close();
-  pair.Loop().restart();
-  pair.Loop().poll();
+  sPair.Loop().restart();
+  sPair.Loop().poll();
 }
