--- a/tests/fuzz/settingsfuzz.cpp
+++ b/tests/fuzz/settingsfuzz.cpp
@@ -17,11 +17,11 @@
 void
 ReadInput(std::string_view aInput)
 {
-  static const std::string sPath =
+  static const std::string kPath =
     "/tmp/settingsfuzz-" + std::to_string(getpid());
-  std::ofstream(sPath, std::ios::binary) << aInput;
-  const auto file = trefoilplatform::ReadSettingsFile(sPath);
-  std::remove(sPath.c_str());
+  std::ofstream(kPath, std::ios::binary) << aInput;
+  const auto file = trefoilplatform::ReadSettingsFile(kPath);
+  std::remove(kPath.c_str());
   if (!file) {
     return;
   }
