Take no early end of an unframed answer for its end

Callers saw: an upstream that is sent an upload of 3 MB answers 200 at once, without a length, sends a part of its body and resets the connection, closes it or closes its side. The caller gets the part as a complete answer, a stream that was cut between two events too.

Cause: a write that fails takes the error of the socket, and the next read reports a plain end; the loop handles a socket's write before its read. The kernel reports a plain end as well if the peer had closed its side before it reset the connection. ClientConnection took any plain end of an unframed answer as its end, while most of the request had not even left the host.

Change: such an end counts only if the request was written whole, the peer has acknowledged all of it, and the connection has not been reset. An upstream that has read its request has acknowledged it, and its end says so too, so no sound answer is concerned. Otherwise the attempt is broken, as with a reset.

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -1,6 +1,7 @@
 #include "clientconnection.h"
 
 #include "bootclock.h"
+#include "socketstate.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -200,8 +201,8 @@
                       if (!aError) {
                         self->mRequestWritten = true;
                       } else if (self->mBusy && self->mOpen) {
-                        // An answer may have arrived before the write failed;
-                        // the pending read finds out.
+                        // A framed answer may have arrived before the write
+                        // failed; the pending read finds out.
                         self->mNotReusable = true;
                       }
                     });
@@ -379,6 +380,12 @@
 ClientConnection::OnEndOfStream()
 {
   if (mBusy && mHeadParsed && !mSkippingAnswer) {
+    // Without framing, the end proves nothing if the server may not have
+    // received the whole request.
+    if (!mRequestWritten || !HasEndedInOrder(mSocket)) {
+      Fail("closed before the request was received");
+      return;
+    }
     Error error;
     mParser->put_eof(error);
     if (!error && mParser->is_done()) {
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -27,6 +27,9 @@
                                              "Transfer-Encoding: chunked\r\n",
                                              "Connection: close\r\n" };
 
+/** Less than the kernel takes of a request that the server doesn't read. */
+constexpr int kServerBufferBytes = 4096;
+
 /** What a call ended with. */
 struct CallResult
 {
@@ -46,6 +49,8 @@
     , mClient(std::make_shared<ClientConnection>(mLoop))
     , mServer(mServerLoop)
   {
+    mAcceptor.set_option(
+      boost::asio::socket_base::receive_buffer_size(kServerBufferBytes));
     mClient->Connect(mAcceptor.local_endpoint(),
                      Millis(1000),
                      {},
@@ -60,30 +65,59 @@
   CallResult Call(const std::function<void(Tcp::socket&)>& aWrite)
   {
     CallResult result;
+    Send("", result);
+    std::thread server([&] { Serve(aWrite); });
+    AwaitEnd(result);
+    server.join();
+    return result;
+  }
+
+  /** The same with a body, of which the kernel takes all. The client reads
+   * nothing before the server has done. */
+  CallResult CallAfter(const std::string& aBody,
+                       const std::function<void(Tcp::socket&)>& aWrite)
+  {
+    CallResult result;
+    Send(aBody, result);
+    mLoop.restart();
+    mLoop.poll();
+    Serve(aWrite);
+    AwaitEnd(result);
+    return result;
+  }
+
+private:
+  void Send(const std::string& aBody, CallResult& aResult)
+  {
     const auto handlers = CallHandlers{
-      .mOnHead = [&](const UpstreamAnswer&) { result.mHead = true; },
+      .mOnHead = [&](const UpstreamAnswer&) { aResult.mHead = true; },
       .mOnData =
-        [&](const std::string& aData) { result.mBodyBytes += aData.size(); },
-      .mOnEnd = [&] { result.mEnd = true; },
-      .mOnBroken = [&](const std::string&) { result.mBroken = true; }
+        [&](const std::string& aData) { aResult.mBodyBytes += aData.size(); },
+      .mOnEnd = [&] { aResult.mEnd = true; },
+      .mOnBroken = [&](const std::string&) { aResult.mBroken = true; }
     };
-    mClient->Send({ .mHead = "GET / HTTP/1.1\r\n\r\n" }, handlers);
-    std::thread server([&] {
-      boost::asio::streambuf request;
-      boost::asio::read_until(mServer, request, "\r\n\r\n");
-      aWrite(mServer);
-    });
-    while (!result.mEnd && !result.mBroken) {
+    mClient->Send({ .mHead = "GET / HTTP/1.1\r\n\r\n",
+                    .mBody = std::make_shared<const std::string>(aBody) },
+                  handlers);
+  }
+
+  void Serve(const std::function<void(Tcp::socket&)>& aWrite)
+  {
+    boost::asio::streambuf request;
+    boost::asio::read_until(mServer, request, "\r\n\r\n");
+    aWrite(mServer);
+  }
+
+  void AwaitEnd(const CallResult& aResult)
+  {
+    while (!aResult.mEnd && !aResult.mBroken) {
       mLoop.restart();
       if (mLoop.run_one_for(std::chrono::seconds(5)) == 0) {
         break;
       }
     }
-    server.join();
-    return result;
   }
 
-private:
   boost::asio::io_context mLoop;
   boost::asio::io_context mServerLoop;
   Tcp::acceptor mAcceptor;
@@ -186,3 +220,41 @@
   });
   cr_expect(result.mHead && result.mBroken && !result.mEnd);
 }
+
+// The end was taken for complete while most of the request was on its way.
+Test(clientconnection, an_end_before_the_request_is_acknowledged_is_broken)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+  for (const std::string part : { "", "part" }) {
+    Pair pair;
+    const CallResult result =
+      pair.CallAfter(std::string(60000, 'u'), [&](Tcp::socket& aSocket) {
+        WriteAll(aSocket, head + part);
+        aSocket.shutdown(Tcp::socket::shutdown_send);
+      });
+    cr_expect(result.mBroken && !result.mEnd, "'%s'", part.c_str());
+  }
+}
+
+// The kernel reports a plain end if a reset follows it.
+Test(clientconnection, an_end_that_a_reset_follows_is_broken)
+{
+  Pair pair;
+  const CallResult result = pair.CallAfter("", [](Tcp::socket& aSocket) {
+    WriteAll(aSocket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+    aSocket.shutdown(Tcp::socket::shutdown_send);
+    aSocket.set_option(boost::asio::socket_base::linger(true, 0));
+    aSocket.close();
+  });
+  cr_expect(result.mBroken && !result.mEnd);
+}
+
+Test(clientconnection, an_end_after_the_request_was_read_is_complete)
+{
+  Pair pair;
+  const CallResult result = pair.CallAfter("", [](Tcp::socket& aSocket) {
+    WriteAll(aSocket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+    aSocket.close();
+  });
+  cr_expect(result.mEnd && !result.mBroken && result.mBodyBytes == 5);
+}
