Break an attempt at once whose answer's status is out of range

Cause: a status was compared with 200 alone: lower ones were interim answers, which are skipped, and all others final.

Change: RFC 9110 has statuses from 100 to 599; another one breaks the attempt. An entry judges the status that a sidecar sends too, as sidecars of earlier versions forward any (entrycoretest).

--- a/src/libtrefoilarch/entryanswers.cpp
+++ b/src/libtrefoilarch/entryanswers.cpp
@@ -1,5 +1,7 @@
 #include "entryimpl.h"
 
+#include "httpstatus.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -181,6 +183,17 @@
     }
     return;
   }
+  if (!request->mHeadSent && !IsFinalHttpStatus(aMessage.mStatus)) {
+    // Sidecars of earlier versions forward any status.
+    request->mMayHaveRun = true;
+    ConcludeWithError(*request,
+                      { ErrorKind::UpstreamFailed,
+                        Ran::Maybe,
+                        Millis(),
+                        "the answer's status is out of range" },
+                      aNow);
+    return;
+  }
   Deliver(*request, std::move(aMessage), aNow);
   if (request->mEndChunk == request->mNextChunk) {
     ConcludeComplete(*request, aNow);
--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -3,6 +3,8 @@
 #include "bootclock.h"
 #include "socketstate.h"
 
+#include "libtrefoilarch/httpstatus.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
@@ -29,7 +31,6 @@
 constexpr size_t kMaxUnparsedBytes = 16384;
 /** Bytes of interim answers and of answers to other calls. */
 constexpr size_t kMaxSkippedBytes = 1048576;
-constexpr int kMinFinalStatus = 200;
 /** A longer idle timeout makes no difference. */
 constexpr int64_t kMaxIdleSeconds = 86400;
 
@@ -298,7 +299,12 @@
 {
   mHeadParsed = true;
   const auto& message = mParser->get();
-  if (message.result_int() < kMinFinalStatus) {
+  const auto status = static_cast<int>(message.result_int());
+  if (!trefoilarch::IsHttpStatus(status)) {
+    Fail("status out of range");
+    return;
+  }
+  if (!trefoilarch::IsFinalHttpStatus(status)) {
     mSkippingAnswer = true;
     return;
   }
@@ -308,7 +314,7 @@
     Fail("unknown transfer coding");
     return;
   }
-  UpstreamAnswer answer{ .mStatus = static_cast<int>(message.result_int()),
+  UpstreamAnswer answer{ .mStatus = status,
                          .mReason = std::string(message.reason()),
                          .mHeaders = EndToEndHeaders(message),
                          .mEndsWithConnection = mParser->need_eof(),
@@ -350,8 +356,9 @@
 ClientConnection::FinishAnswer()
 {
   if (mSkippingAnswer) {
+    const auto status = static_cast<int>(mParser->get().result_int());
     const bool closes =
-      !mParser->keep_alive() && mParser->get().result_int() >= kMinFinalStatus;
+      !mParser->keep_alive() && trefoilarch::IsFinalHttpStatus(status);
     if (closes) {
       Fail("closed after an answer to another call");
       return;
--- a/tests/unit/entrycoretest.cpp
+++ b/tests/unit/entrycoretest.cpp
@@ -156,6 +156,23 @@
   cr_assert_eq(fixture.mCore.OpenRequests(), 0);
 }
 
+// A sidecar of an earlier version forwards any status.
+Test(entrycore, a_status_out_of_range_is_no_answer)
+{
+  for (const int status : { 0, 99, 100, 199, 600, 999 }) {
+    EntryFixture fixture;
+    fixture.Request();
+    const auto [upstream, offer] = fixture.Sent<Offer>().front();
+    fixture.Receive(upstream, Grant{ offer.mKey, Millis(1000) });
+    fixture.Receive(upstream, Chunk{ offer.mKey, 0, "one", 1, status, {} });
+    cr_expect(fixture.ActionsOf<AnswerHead>().empty(), "%d", status);
+    const auto errors = fixture.ActionsOf<AnswerError>();
+    cr_assert(errors.size() == 1, "%d", status);
+    cr_expect(errors[0].mRefusal.mKind == ErrorKind::UpstreamFailed);
+    cr_expect(errors[0].mRefusal.mRan == Ran::Maybe);
+  }
+}
+
 Test(entrycore, a_request_declined_everywhere_gets_the_earliest_retry_time)
 {
   EntryFixture fixture;
