Read all answers with the gate's strict connection, in place of libcurl

Callers saw, at trefoilarchd: an answer in whose head a name held a blank or a control byte, with that line dropped or passed on and the rest as 200; 0 of 40 bytes as complete for `Content-Length: 0x28`, 4 for `4 0`, 3 for 40 and 3; chunks as a body for the coding `identity`; statuses 600 and 999; and 502 for a whole answer with a length if the upstream reset the connection while it was sent an upload (12 of 12). The store's client, trefoilarchctl and trefoilload took such answers too, as all use libcurl, directly or through the ulfius client.

Cause: libcurl is lenient, and CurlCall read what it passed on more leniently still. Its result for a write that failed outweighs the answer that it had read.

Change: CallRunner and SendHttp run on ClientConnection, which refuses each of these at gates, takes a framed answer as soon as it is complete, and judges the end of an unframed one by whether the request was received. There is one judgement now. A request is sent once by construction.

Weighed: a check of each line that libcurl passes on. It can't bring back the answers that are lost with a write, and leaves libcurl's framing.

--- a/src/libtrefoilgate/connectionpool.cpp
+++ b/src/libtrefoilgate/connectionpool.cpp
@@ -320,7 +320,8 @@
   const Millis idleTimeout =
     aIdle.mConnection->IdleTimeout().value_or(mOptions.mIdleTimeout);
   const Millis maxIdleTime =
-    std::max(idleTimeout - mOptions.mIdleMargin, idleTimeout / 2);
+    std::min(std::max(idleTimeout - mOptions.mIdleMargin, idleTimeout / 2),
+             mOptions.mMaxIdleTime);
   return aNow - aIdle.mIdleSince >= maxIdleTime;
 }
 
--- a/src/libtrefoilgate/connectionpool.h
+++ b/src/libtrefoilgate/connectionpool.h
@@ -44,6 +44,8 @@
   trefoilarch::Millis mIdleMargin{ 1000 };
   /** Used if the upstream announces no idle timeout. */
   trefoilarch::Millis mIdleTimeout{ 15000 };
+  /** No connection is reused after this time, whatever was announced. */
+  trefoilarch::Millis mMaxIdleTime{ 86400000 };
   KeepaliveOptions mKeepalive{};
   /** A connection to the upstream was refused at this address. */
   std::function<void(const trefoilarch::UpstreamId&, const std::string&)>
--- a/src/libtrefoilio/callrunner.cpp
+++ b/src/libtrefoilio/callrunner.cpp
@@ -1,46 +1,45 @@
 #include "callrunner.h"
 
-#include "curlcall.h"
+#include "outgoingrequest.h"
 
-#include <curl/curl.h>
+#include "libtrefoilgate/bootclock.h"
+#include "libtrefoilgate/connectionpool.h"
+#include "libtrefoilgate/looptimer.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <atomic>
-#include <csignal>
+#include <deque>
 #include <mutex>
-#include <stdexcept>
 #include <thread>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace trefoilio {
 
-namespace {
-
-constexpr int kMaxPollMillis = 1000;
-constexpr long kMaxIdleConnections = 64;
+namespace asio = boost::asio;
+using trefoilarch::Millis;
+using trefoilgate::CallHandlers;
+using trefoilgate::ConnectionPool;
+using trefoilgate::KeepaliveOptions;
+using trefoilgate::UpstreamAnswer;
 
-void
-InitializeLibcurl()
-{
-  static std::once_flag sDone;
-  std::call_once(sDone, [] { curl_global_init(CURL_GLOBAL_ALL); });
-}
+namespace {
 
-/** Prevents a write to a reset connection from ending the process. */
-void
-BlockBrokenPipeSignal()
-{
-  sigset_t set;
-  sigemptyset(&set);
-  sigaddset(&set, SIGPIPE);
-  pthread_sigmask(SIG_BLOCK, &set, nullptr);
-}
+constexpr Millis kMaxIdleTime{ 3000 };
+constexpr Millis kSweepInterval{ 1000 };
+/** To each endpoint. */
+constexpr size_t kMaxIdleConnections = 64;
 
-struct MultiCleaner
-{
-  void operator()(CURLM* aMulti) const { curl_multi_cleanup(aMulti); }
-};
+/** A peer that reads slowly is bounded by the callers' deadlines instead. */
+constexpr KeepaliveOptions kKeepalive{ .mUserTimeout = Millis(0),
+                                       .mKeepaliveIdleSeconds = 1,
+                                       .mKeepaliveProbes = 9 };
 
 } // namespace
 
@@ -49,24 +48,20 @@
 public:
   explicit Impl(CallRunnerOptions aOptions)
     : mOptions(aOptions)
+    , mPool(mLoop,
+            { .mConnectTimeout = Millis(aOptions.mConnectMillis),
+              .mMaxIdleTime = kMaxIdleTime,
+              .mKeepalive = kKeepalive })
+    , mSweepTimer(mLoop)
+    , mWork(asio::make_work_guard(mLoop))
   {
-    InitializeLibcurl();
-    mMulti.reset(curl_multi_init());
-    if (!mMulti) {
-      throw std::runtime_error("cannot initialize libcurl");
-    }
-    const auto maxConnections = static_cast<long>(mOptions.mMaxConnections);
-    curl_multi_setopt(
-      mMulti.get(), CURLMOPT_MAX_TOTAL_CONNECTIONS, maxConnections);
-    curl_multi_setopt(mMulti.get(), CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
-    curl_multi_setopt(mMulti.get(), CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-    mThread = std::thread([this] { Run(); });
+    SweepLater();
+    mThread = std::thread([this] { mLoop.run(); });
   }
 
   ~Impl()
   {
-    mStop = true;
-    curl_multi_wakeup(mMulti.get());
+    mLoop.stop();
     mThread.join();
   }
 
@@ -76,112 +71,165 @@
   uint64_t Start(HttpRequest aRequest, CallHooks aHooks)
   {
     const uint64_t id = ++mLastId;
-    auto call = std::make_unique<CurlCall>(
-      id, std::move(aRequest), std::move(aHooks), mOptions.mConnectMillis);
-    {
-      std::lock_guard lock(mMutex);
-      mPendingStarts.push_back(std::move(call));
-    }
-    curl_multi_wakeup(mMulti.get());
+    asio::post(
+      mLoop,
+      [this,
+       id,
+       call = Call{ std::move(aRequest), std::move(aHooks) }]() mutable {
+        mCalls.emplace(id, std::move(call));
+        mWaiting.push_back(id);
+        StartWaiting();
+      });
     return id;
   }
 
   void Cancel(uint64_t aCall)
   {
     {
-      std::lock_guard lock(mMutex);
+      const std::lock_guard lock(mMutex);
       mPendingCancels.push_back(aCall);
     }
-    curl_multi_wakeup(mMulti.get());
+    asio::post(mLoop, [this, aCall] {
+      Remove(aCall);
+      const std::lock_guard lock(mMutex);
+      std::erase(mPendingCancels, aCall);
+    });
   }
 
 private:
-  void Run()
+  struct Call
   {
-    BlockBrokenPipeSignal();
-    while (!mStop) {
-      TakeCommands();
-      int running = 0;
-      curl_multi_perform(mMulti.get(), &running);
-      FinishCompletedCalls();
-      if (!HasPendingCommands()) {
-        curl_multi_poll(mMulti.get(), nullptr, 0, kMaxPollMillis, nullptr);
-      }
-    }
-    for (auto& [id, call] : mCalls) {
-      curl_multi_remove_handle(mMulti.get(), call->Handle());
+    HttpRequest mRequest;
+    CallHooks mHooks;
+    std::string mEndpoint{};
+    /** Null until the call is sent. */
+    ConnectionPool::Connection mConnection{};
+    /** Counts towards the limit of connections. */
+    bool mActive = false;
+  };
+
+  void SweepLater()
+  {
+    trefoilgate::RunAfter(mSweepTimer, kSweepInterval, [this] {
+      mPool.Sweep([](const std::string&) { return true; },
+                  [](const std::string&) { return kMaxIdleConnections; },
+                  trefoilgate::BootNow());
+      SweepLater();
+    });
+  }
+
+  void StartWaiting()
+  {
+    while (!mWaiting.empty() && mActive < mOptions.mMaxConnections) {
+      const uint64_t id = mWaiting.front();
+      mWaiting.pop_front();
+      Connect(id);
     }
-    mCalls.clear();
   }
 
-  bool HasPendingCommands()
+  void Connect(uint64_t aId)
   {
-    std::lock_guard lock(mMutex);
-    return !mPendingStarts.empty() || !mPendingCancels.empty();
+    const auto found = mCalls.find(aId);
+    if (found == mCalls.end()) {
+      return;
+    }
+    const auto outgoing = MakeOutgoing(found->second.mRequest);
+    if (!outgoing) {
+      End(aId, CallEnd::NeverSent);
+      return;
+    }
+    found->second.mActive = true;
+    found->second.mEndpoint = outgoing->mEndpoint;
+    ++mActive;
+    mPool.Acquire(
+      outgoing->mEndpoint,
+      outgoing->mEndpoint,
+      [this, aId, outgoing](const ConnectionPool::Connection& aConnection) {
+        OnConnection(aId, *outgoing, aConnection);
+      });
   }
 
-  void TakeCommands()
+  void OnConnection(uint64_t aId,
+                    const OutgoingRequest& aRequest,
+                    const ConnectionPool::Connection& aConnection)
   {
-    std::vector<std::unique_ptr<CurlCall>> starts;
-    std::vector<uint64_t> cancels;
-    {
-      std::lock_guard lock(mMutex);
-      starts.swap(mPendingStarts);
-      cancels.swap(mPendingCancels);
+    const auto found = mCalls.find(aId);
+    if (found == mCalls.end()) {
+      if (aConnection) {
+        mPool.Release(aRequest.mEndpoint, aConnection);
+      }
+      return;
     }
-    for (auto& call : starts) {
-      curl_multi_add_handle(mMulti.get(), call->Handle());
-      mCalls.emplace(call->Id(), std::move(call));
+    if (!aConnection) {
+      End(aId, CallEnd::NeverSent);
+      return;
     }
-    for (const uint64_t id : cancels) {
-      Remove(id);
+    found->second.mConnection = aConnection;
+    aConnection->Send(aRequest.mCall, HandlersOf(aId, found->second.mHooks));
+  }
+
+  CallHandlers HandlersOf(uint64_t aId, const CallHooks& aHooks)
+  {
+    return { .mOnHead =
+               [onHead = aHooks.mOnHead](const UpstreamAnswer& aAnswer) {
+                 if (onHead) {
+                   onHead(aAnswer.mStatus, HeadersOf(aAnswer));
+                 }
+               },
+             .mOnData = aHooks.mOnData,
+             .mOnEnd = [this, aId] { End(aId, CallEnd::Complete); },
+             .mOnBroken =
+               [this, aId](const std::string&) { End(aId, CallEnd::Broken); } };
+  }
+
+  void End(uint64_t aId, CallEnd aEnd)
+  {
+    const std::optional<Call> call = Remove(aId);
+    if (call && call->mHooks.mOnEnd && !IsCancelPending(aId)) {
+      call->mHooks.mOnEnd(aEnd);
     }
   }
 
   /** Removes a call; if it is in progress, this closes its connection. */
-  std::unique_ptr<CurlCall> Remove(uint64_t aId)
+  std::optional<Call> Remove(uint64_t aId)
   {
     const auto found = mCalls.find(aId);
     if (found == mCalls.end()) {
-      return nullptr;
+      return std::nullopt;
     }
-    std::unique_ptr<CurlCall> call = std::move(found->second);
+    Call call = std::move(found->second);
     mCalls.erase(found);
-    curl_multi_remove_handle(mMulti.get(), call->Handle());
-    return call;
-  }
-
-  void FinishCompletedCalls()
-  {
-    int remaining = 0;
-    while (CURLMsg* message = curl_multi_info_read(mMulti.get(), &remaining)) {
-      if (message->msg != CURLMSG_DONE) {
-        continue;
-      }
-      const CURLcode result = message->data.result;
-      CurlCall* completed = CurlCall::FromHandle(message->easy_handle);
-      const auto call = Remove(completed->Id());
-      if (call && !IsCancelPending(call->Id())) {
-        call->Finish(result);
-      }
+    if (call.mConnection && call.mConnection->Idle()) {
+      mPool.Release(call.mEndpoint, call.mConnection);
+    } else if (call.mConnection) {
+      call.mConnection->Close();
     }
+    if (call.mActive) {
+      --mActive;
+      asio::post(mLoop, [this] { StartWaiting(); });
+    }
+    return call;
   }
 
   bool IsCancelPending(uint64_t aId)
   {
-    std::lock_guard lock(mMutex);
+    const std::lock_guard lock(mMutex);
     return std::ranges::find(mPendingCancels, aId) != mPendingCancels.end();
   }
 
   const CallRunnerOptions mOptions;
-  std::unique_ptr<CURLM, MultiCleaner> mMulti;
   std::atomic<uint64_t> mLastId = 0;
-  std::atomic<bool> mStop = false;
   std::mutex mMutex;
-  std::vector<std::unique_ptr<CurlCall>> mPendingStarts;
   std::vector<uint64_t> mPendingCancels;
-  /** Accessed only by the runner's thread. */
-  std::unordered_map<uint64_t, std::unique_ptr<CurlCall>> mCalls;
+  /** All below is accessed only by the runner's thread. */
+  asio::io_context mLoop;
+  ConnectionPool mPool;
+  asio::steady_timer mSweepTimer;
+  asio::executor_work_guard<asio::io_context::executor_type> mWork;
+  std::unordered_map<uint64_t, Call> mCalls;
+  /** Calls beyond the limit of connections. */
+  std::deque<uint64_t> mWaiting;
+  size_t mActive = 0;
   std::thread mThread;
 };
 
--- a/src/libtrefoilio/callrunner.h
+++ b/src/libtrefoilio/callrunner.h
@@ -33,9 +33,8 @@
 };
 
 /**
- * Runs concurrent HTTP calls on one thread with libcurl's multi interface.
- * Unlike the ulfius client, it can cancel a call at any time, even while the
- * connection is idle.
+ * Runs concurrent HTTP calls on one thread, over kept-alive connections. Each
+ * request is sent once at most, and a call can be cancelled at any time.
  */
 class CallRunner
 {
--- a/src/libtrefoilio/httpclient.cpp
+++ b/src/libtrefoilio/httpclient.cpp
@@ -1,110 +1,95 @@
 #include "httpclient.h"
 
-#include <ulfius.h>
+#include "outgoingrequest.h"
 
-#include <algorithm>
-#include <mutex>
+#include "libtrefoilgate/connectionpool.h"
 
-namespace trefoilio {
-
-namespace {
+#include <boost/asio/io_context.hpp>
 
-/** Owns an ulfius structure and its contents. */
-template<typename T, int (*Init)(T*), int (*Clean)(T*)>
-class Owned
-{
-public:
-  Owned() { Init(&mValue); }
-  ~Owned() { Clean(&mValue); }
-  Owned(const Owned&) = delete;
-  Owned& operator=(const Owned&) = delete;
-  T* operator&() { return &mValue; }
+#include <chrono>
+#include <memory>
+#include <utility>
 
-private:
-  T mValue{};
-};
+namespace trefoilio {
 
-using OwnedRequest =
-  Owned<_u_request, ulfius_init_request, ulfius_clean_request>;
-using OwnedResponse =
-  Owned<_u_response, ulfius_init_response, ulfius_clean_response>;
+using trefoilarch::Millis;
+using trefoilgate::ClientConnection;
+using trefoilgate::UpstreamAnswer;
 
-void
-InitializeUlfius()
-{
-  static std::once_flag sDone;
-  std::call_once(sDone, [] { ulfius_global_init(); });
-}
+namespace {
 
-/** ulfius timeouts are in seconds, and 0 means no limit. */
-unsigned long
-RoundUpToSeconds(trefoilarch::Millis aDuration)
-{
-  const int64_t millis = std::max<int64_t>(aDuration.Count(), 1);
-  return static_cast<unsigned long>((millis + 999) / 1000);
-}
+constexpr trefoilgate::KeepaliveOptions kKeepalive{ .mUserTimeout = Millis(0) };
 
-void
-FillRequest(_u_request& aTo,
-            const HttpRequest& aFrom,
-            trefoilarch::Millis aTimeout)
+/** One request and its reply, on an event loop of its own. */
+class BlockingCall
 {
-  ulfius_set_request_properties(&aTo,
-                                U_OPT_HTTP_VERB,
-                                aFrom.mMethod.c_str(),
-                                U_OPT_HTTP_URL,
-                                aFrom.mTarget.c_str(),
-                                U_OPT_HTTP_PROXY,
-                                "",
-                                U_OPT_FOLLOW_REDIRECT,
-                                0,
-                                U_OPT_TIMEOUT,
-                                RoundUpToSeconds(aTimeout),
-                                U_OPT_NONE);
-  for (const auto& [name, value] : aFrom.mHeaders) {
-    if (SafeHeader(name, value)) {
-      u_map_put(aTo.map_header, name.c_str(), value.c_str());
-    }
-  }
-  if (!aFrom.mBody.empty()) {
-    ulfius_set_request_properties(&aTo,
-                                  U_OPT_BINARY_BODY,
-                                  aFrom.mBody.data(),
-                                  aFrom.mBody.size(),
-                                  U_OPT_NONE);
+public:
+  explicit BlockingCall(size_t aMaxBytes)
+    : mMaxBytes(aMaxBytes)
+    , mConnection(std::make_shared<ClientConnection>(mLoop))
+  {
   }
-}
+  ~BlockingCall() { mConnection->Close(); }
+  BlockingCall(const BlockingCall&) = delete;
+  BlockingCall& operator=(const BlockingCall&) = delete;
 
-HttpReply
-ReadResponse(const _u_response& aResponse)
-{
-  HttpReply reply;
-  reply.mStatus = static_cast<int>(aResponse.status);
-  const _u_map& headers = *aResponse.map_header;
-  for (int i = 0; i < headers.nb_values; ++i) {
-    reply.mHeaders.emplace_back(headers.keys[i],
-                                headers.values[i] ? headers.values[i] : "");
+  std::optional<HttpReply> Run(OutgoingRequest aRequest, Millis aTimeout)
+  {
+    mConnection->Connect(
+      trefoilgate::ParseEndpoint(aRequest.mEndpoint),
+      aTimeout,
+      kKeepalive,
+      [this, call = std::move(aRequest.mCall)](bool aConnected) {
+        if (aConnected) {
+          mConnection->Send(call, Handlers());
+        } else {
+          mLoop.stop();
+        }
+      });
+    mLoop.run_for(std::chrono::milliseconds(aTimeout.Count()));
+    return mComplete ? std::optional(std::move(mReply)) : std::nullopt;
   }
-  if (aResponse.binary_body_length > 0) {
-    reply.mBody.assign(static_cast<const char*>(aResponse.binary_body),
-                       aResponse.binary_body_length);
+
+private:
+  trefoilgate::CallHandlers Handlers()
+  {
+    return { .mOnHead =
+               [this](const UpstreamAnswer& aAnswer) {
+                 mReply.mStatus = aAnswer.mStatus;
+                 mReply.mHeaders = HeadersOf(aAnswer);
+               },
+             .mOnData =
+               [this](const std::string& aData) {
+                 mReply.mBody += aData;
+                 if (mReply.mBody.size() > mMaxBytes) {
+                   mLoop.stop();
+                 }
+               },
+             .mOnEnd =
+               [this] {
+                 mComplete = mReply.mBody.size() <= mMaxBytes;
+                 mLoop.stop();
+               },
+             .mOnBroken = [this](const std::string&) { mLoop.stop(); } };
   }
-  return reply;
-}
+
+  size_t mMaxBytes;
+  boost::asio::io_context mLoop;
+  std::shared_ptr<ClientConnection> mConnection;
+  HttpReply mReply;
+  bool mComplete = false;
+};
 
 } // namespace
 
 std::optional<HttpReply>
-SendHttp(const HttpRequest& aRequest, trefoilarch::Millis aTimeout)
+SendHttp(const HttpRequest& aRequest, Millis aTimeout, size_t aMaxBytes)
 {
-  InitializeUlfius();
-  OwnedRequest request;
-  OwnedResponse response;
-  FillRequest(*&request, aRequest, aTimeout);
-  if (ulfius_send_http_request(&request, &response) != U_OK) {
+  auto outgoing = MakeOutgoing(aRequest);
+  if (!outgoing) {
     return std::nullopt;
   }
-  return ReadResponse(*&response);
+  return BlockingCall(aMaxBytes).Run(std::move(*outgoing), aTimeout);
 }
 
 } // namespace trefoilio
--- a/src/libtrefoilio/httpclient.h
+++ b/src/libtrefoilio/httpclient.h
@@ -4,15 +4,22 @@
 
 #include "../libtrefoilarch/millis.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace trefoilio {
 
+/** Bytes of a reply's body; enough for every reply of the platform. */
+constexpr size_t kMaxReplyBytes = 67108864;
+
 /**
- * Sends a request with the ulfius client and waits for the complete response;
- * returns nothing on failure or timeout. mTarget is the full URL.
+ * Sends a request on a connection of its own and waits for the complete
+ * response; returns nothing on failure, on timeout or if the body is too long.
+ * mTarget is the full URL.
  */
 std::optional<HttpReply>
-SendHttp(const HttpRequest& aRequest, trefoilarch::Millis aTimeout);
+SendHttp(const HttpRequest& aRequest,
+         trefoilarch::Millis aTimeout,
+         size_t aMaxBytes = kMaxReplyBytes);
 
 } // namespace trefoilio
