Bound the bytes of answers at sidecars, entries and tools

Causes: rings between threads are bounded in items, 65,536 of them; a sidecar holds up to 4 MB for each of any number of attempts; an entry collects an answer that is not streamed without a bound; an event without an end, a reply of the platform and one of an operator's port had none either.

Change: rings have a bound in bytes; a sidecar's attempts have one in sum, and an entry's answers another (--most-answer-mb), each by a dynamic threshold, so that endless answers leave room for small ones; an event is at most 1 MB; replies have limits. An answer that is given up ends at once: before, the reader of one whose caller was too slow waited out its deadline.

--- a/src/libtrefoilarch/sidecarcalls.cpp
+++ b/src/libtrefoilarch/sidecarcalls.cpp
@@ -28,6 +28,9 @@
  * its current length.
  */
 constexpr uint64_t kGrowthDivisor = 2;
+
+/** An attempt may always hold that many bytes of its response. */
+constexpr size_t kSmallAnswerBytes = 65536;
 constexpr uint64_t kMinGrowth = 16;
 
 /** Such an attempt is recorded as voided: it did not run and will not. */
@@ -67,7 +70,7 @@
     return;
   }
   const size_t bytes = attempt->mAnswer.Bytes() + aData.mData.size();
-  if (bytes > mOptions.mAnswerLimit) {
+  if (!MayHold(bytes)) {
     return Cancel(*attempt, ErrorKind::AnswerCut);
   }
   mCapacity.OnReached();
@@ -76,6 +79,19 @@
   AppendChunk(*attempt, std::move(aData.mData), aData.mTokens);
 }
 
+bool
+SidecarCore::Impl::MayHold(size_t aBytes) const
+{
+  if (aBytes <= kSmallAnswerBytes || aBytes > mOptions.mAnswerLimit) {
+    return aBytes <= mOptions.mAnswerLimit;
+  }
+  size_t total = 0;
+  for (const auto& [key, attempt] : mAttempts) {
+    total += attempt.mAnswer.Bytes();
+  }
+  return aBytes + total <= mOptions.mTotalAnswerLimit;
+}
+
 void
 SidecarCore::Impl::MeasureTokens(SidecarAttempt& aAttempt, uint32_t aTokens)
 {
--- a/src/libtrefoilarch/sidecarcore.h
+++ b/src/libtrefoilarch/sidecarcore.h
@@ -35,6 +35,8 @@
   size_t mLedgerLimit = 100000;
   /** Maximum bytes of unacknowledged response per attempt. */
   size_t mAnswerLimit = 4194304;
+  /** The same of all attempts: none may have more than is free. */
+  size_t mTotalAnswerLimit = 33554432;
   Millis mHeartbeat{ 500 };
   /**
    * An entry with open attempts that is silent for this long, several of its
--- a/src/libtrefoilarch/sidecarimpl.h
+++ b/src/libtrefoilarch/sidecarimpl.h
@@ -86,6 +86,8 @@
 
   void Handle(CallHead& aHead);
   void Handle(CallData& aData);
+  /** Whether an attempt may hold that many bytes of its response. */
+  bool MayHold(size_t aBytes) const;
   void Handle(const CallDone& aDone);
   void Handle(const CallFailed& aFailed);
   void Handle(const CallPause& aPause);
--- a/src/libtrefoilio/boundedring.h
+++ b/src/libtrefoilio/boundedring.h
@@ -6,6 +6,8 @@
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
+#include <functional>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -21,7 +23,18 @@
 {
 public:
   explicit BoundedRing(size_t aCapacity)
+    : BoundedRing(aCapacity, std::numeric_limits<size_t>::max(), [](const T&) {
+      return size_t{ 0 };
+    })
+  {
+  }
+  /** Items beyond aMaxBytes wait as well, except the first one. */
+  BoundedRing(size_t aCapacity,
+              size_t aMaxBytes,
+              std::function<size_t(const T&)> aBytesOf)
     : mCapacity(aCapacity)
+    , mMaxBytes(aMaxBytes)
+    , mBytesOf(std::move(aBytesOf))
   {
   }
 
@@ -30,10 +43,10 @@
   {
     {
       std::lock_guard lock(mMutex);
-      if (mClosed || mItems.size() >= mCapacity) {
+      if (mClosed || IsFull()) {
         return false;
       }
-      mItems.push_back(std::move(aItem));
+      Add(std::move(aItem));
     }
     mNotEmpty.notify_one();
     return true;
@@ -44,12 +57,11 @@
   {
     {
       std::unique_lock lock(mMutex);
-      mNotFull.wait(lock,
-                    [this] { return mClosed || mItems.size() < mCapacity; });
+      mNotFull.wait(lock, [this] { return mClosed || !IsFull(); });
       if (mClosed) {
         return false;
       }
-      mItems.push_back(std::move(aItem));
+      Add(std::move(aItem));
     }
     mNotEmpty.notify_one();
     return true;
@@ -69,6 +81,7 @@
       }
       item.emplace(std::move(mItems.front()));
       mItems.pop_front();
+      mBytes -= mBytesOf(*item);
     }
     mNotFull.notify_one();
     return item;
@@ -97,11 +110,25 @@
   }
 
 private:
+  bool IsFull() const
+  {
+    return mItems.size() >= mCapacity || mBytes >= mMaxBytes;
+  }
+
+  void Add(T aItem)
+  {
+    mBytes += mBytesOf(aItem);
+    mItems.push_back(std::move(aItem));
+  }
+
   const size_t mCapacity;
+  const size_t mMaxBytes;
+  const std::function<size_t(const T&)> mBytesOf;
   mutable std::mutex mMutex;
   std::condition_variable mNotEmpty;
   std::condition_variable mNotFull;
   std::deque<T> mItems;
+  size_t mBytes = 0;
   bool mClosed = false;
 };
 
--- a/src/trefoilarchctl/operatorclient.cpp
+++ b/src/trefoilarchctl/operatorclient.cpp
@@ -12,11 +12,23 @@
 /** Longer than a process takes to resolve a change with the platform. */
 constexpr std::chrono::seconds kCallTimeout{ 15 };
 
+/** A longer response is given up. */
+constexpr size_t kMaxAnswerBytes = 67108864;
+
 /** Collects a response on the call runner's thread. */
 struct Collector
 {
+  void End(Answer::Kind aKind)
+  {
+    if (!std::exchange(mEnded, true)) {
+      mAnswer.mKind = aKind;
+      mDone.set_value(std::move(mAnswer));
+    }
+  }
+
   Answer mAnswer{};
   std::promise<Answer> mDone{};
+  bool mEnded = false;
 };
 
 trefoilio::CallHooks
@@ -28,14 +40,17 @@
     aCollector->mAnswer.mStatus = aStatus;
   };
   hooks.mOnData = [aCollector](const std::string& aData) {
-    aCollector->mAnswer.mBody += aData;
+    std::string& body = aCollector->mAnswer.mBody;
+    if (body.size() + aData.size() > kMaxAnswerBytes) {
+      aCollector->End(Answer::Kind::Lost);
+    } else {
+      body += aData;
+    }
   };
   hooks.mOnEnd = [aCollector](CallEnd aEnd) {
-    Answer& answer = aCollector->mAnswer;
-    answer.mKind = aEnd == CallEnd::Complete    ? Answer::Kind::Complete
-                   : aEnd == CallEnd::NeverSent ? Answer::Kind::NeverSent
-                                                : Answer::Kind::Lost;
-    aCollector->mDone.set_value(std::move(answer));
+    aCollector->End(aEnd == CallEnd::Complete    ? Answer::Kind::Complete
+                    : aEnd == CallEnd::NeverSent ? Answer::Kind::NeverSent
+                                                 : Answer::Kind::Lost);
   };
   return hooks;
 }
@@ -88,11 +103,10 @@
     request.mHeaders = { { "Content-Type", "application/json" } };
   }
   const uint64_t call = mRunner.Start(std::move(request), HooksFor(collector));
-  if (done.wait_for(kCallTimeout) != std::future_status::ready) {
-    mRunner.Cancel(call);
-    return { .mKind = Answer::Kind::Lost };
-  }
-  return done.get();
+  const bool ended = done.wait_for(kCallTimeout) == std::future_status::ready;
+  // It goes on if the response is too long.
+  mRunner.Cancel(call);
+  return ended ? done.get() : Answer{ .mKind = Answer::Kind::Lost };
 }
 
 } // namespace trefoilarchctl
--- a/src/trefoilarchd/answermailbox.cpp
+++ b/src/trefoilarchd/answermailbox.cpp
@@ -16,19 +16,27 @@
 
 } // namespace
 
-bool
+PushOutcome
 AnswerMailbox::Push(AnswerEvent aEvent)
 {
+  const size_t bytes = SizeOf(aEvent);
   {
     const std::lock_guard lock(mMutex);
-    mBytes += SizeOf(aEvent);
-    if (mAbandoned || mBytes > mMaxBytes) {
-      return false;
+    if (mAbandoned) {
+      return PushOutcome::ReaderGone;
     }
+    if (mUnreadBytes + bytes > mMaxUnreadBytes) {
+      return PushOutcome::Unread;
+    }
+    if (bytes > 0 && !mBudget->Take(mHeldBytes, bytes)) {
+      return PushOutcome::TooLong;
+    }
+    mUnreadBytes += bytes;
+    mHeldBytes += bytes;
     mEvents.push_back(std::move(aEvent));
   }
   mEventAdded.notify_one();
-  return true;
+  return PushOutcome::Added;
 }
 
 std::optional<AnswerEvent>
@@ -43,16 +51,43 @@
   }
   AnswerEvent event = std::move(mEvents.front());
   mEvents.pop_front();
-  mBytes -= SizeOf(event);
+  mUnreadBytes -= SizeOf(event);
   return event;
 }
 
+void
+AnswerMailbox::Release(size_t aBytes)
+{
+  const std::lock_guard lock(mMutex);
+  mHeldBytes -= aBytes;
+  mBudget->Release(aBytes);
+}
+
+void
+AnswerMailbox::Fail(AnswerError aError)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    DropEvents();
+    mEvents.emplace_back(std::move(aError));
+  }
+  mEventAdded.notify_one();
+}
+
 void
 AnswerMailbox::Abandon()
 {
   const std::lock_guard lock(mMutex);
+  DropEvents();
+}
+
+void
+AnswerMailbox::DropEvents()
+{
   mAbandoned = true;
   mEvents.clear();
+  mHeldBytes -= mUnreadBytes;
+  mBudget->Release(std::exchange(mUnreadBytes, 0));
 }
 
 } // namespace trefoilarch
--- a/src/trefoilarchd/answerreader.h
+++ b/src/trefoilarchd/answerreader.h
@@ -33,6 +33,9 @@
    */
   std::optional<AnswerEvent> Next(Millis aTimeout);
 
+  /** Bytes of data that Next() has returned are no longer held. */
+  void Release(size_t aBytes) { mMailbox->Release(aBytes); }
+
   bool CallerGone() const { return mCallerGone; }
   const RequestId& Id() const { return mId; }
 
--- a/src/trefoilarchd/answerwriter.cpp
+++ b/src/trefoilarchd/answerwriter.cpp
@@ -238,6 +238,7 @@
       state->WaitForEvent(kKeepAliveInterval);
     }
     aOut = std::exchange(state->mData, {});
+    state->mReader->Release(aOut.size());
     if (state->mRefusal) {
       aOut += "event: error\ndata: " +
               RefusalJson(*state->mRefusal, state->mReader->Id()) + "\n\n";
--- a/src/trefoilarchd/callerservice.cpp
+++ b/src/trefoilarchd/callerservice.cpp
@@ -77,6 +77,7 @@
                              trefoilio::Metrics& aMetrics)
   : mOptions(std::move(aOptions))
   , mMetrics(aMetrics)
+  , mAnswerBudget(std::make_shared<AnswerBudget>(mOptions.mMaxAnswerBytes))
 {
   std::random_device seed;
   std::seed_seq sequence{ seed(), seed(), seed(), seed() };
@@ -257,7 +258,8 @@
   if (tokenStream) {
     SetPriority(aRequest.mCall, level.mTier);
   }
-  auto mailbox = std::make_shared<AnswerMailbox>(mOptions.mMaxUnreadBytes);
+  auto mailbox =
+    std::make_shared<AnswerMailbox>(mOptions.mMaxUnreadBytes, mAnswerBudget);
   EntryRequest request{ .mId = aId,
                         .mClassified = std::move(aClassified),
                         .mCall = std::move(aRequest.mCall),
--- a/src/trefoilarchd/callerservice.h
+++ b/src/trefoilarchd/callerservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answerbudget.h"
 #include "callerrequest.h"
 #include "claimgate.h"
 
@@ -27,6 +28,8 @@
   size_t mMaxOpen = 1000;
   /** Response bytes buffered for a caller that reads slowly. */
   size_t mMaxUnreadBytes = 8 * 1024 * 1024;
+  /** Response bytes held for all callers. */
+  size_t mMaxAnswerBytes = 64 * 1024 * 1024;
   /** Returns the current classifier, or null if there is none yet. */
   std::function<std::shared_ptr<const Classifier>()> mClassifier;
 };
@@ -77,6 +80,7 @@
 
   CallerOptions mOptions;
   trefoilio::Metrics& mMetrics;
+  const std::shared_ptr<AnswerBudget> mAnswerBudget;
   RouterService* mRouter = nullptr;
   std::optional<ClaimGate> mClaimGate;
   std::atomic<bool> mDraining = false;
--- a/src/trefoilarchd/entryprocess.cpp
+++ b/src/trefoilarchd/entryprocess.cpp
@@ -58,6 +58,8 @@
     static_cast<size_t>(aSettings.Integer("most-request-mb")) * kBytesPerMb;
   options.mHttp.mReceiveSeconds = aSettings.Integer("receive-seconds");
   options.mMaxOpen = aSettings.Integer("most-open");
+  options.mMaxAnswerBytes =
+    static_cast<size_t>(aSettings.Integer("most-answer-mb")) * kBytesPerMb;
   options.mHttp.mMaxConnections = 2 * options.mMaxOpen;
   options.mDataCentre = aSettings.Text("data-centre");
   return options;
--- a/src/trefoilarchd/eventsplitter.h
+++ b/src/trefoilarchd/eventsplitter.h
@@ -24,7 +24,7 @@
   EventBatch Add(const std::string& aData);
 
   /** Returns the bytes of the incomplete last event. */
-  std::string Remainder() const { return mRemainder; }
+  const std::string& Remainder() const { return mRemainder; }
 
   /** Whether the engine has sent `[DONE]`. */
   bool Done() const { return mDone; }
--- a/src/trefoilarchd/orderservice.cpp
+++ b/src/trefoilarchd/orderservice.cpp
@@ -19,6 +19,8 @@
 constexpr size_t kEventRingCapacity = 64;
 constexpr size_t kWorkRingCapacity = 64;
 constexpr size_t kMaxRemembered = 256;
+/** Of an engine's reply to an order, of which only the status counts. */
+constexpr size_t kMaxOrderReplyBytes = 65536;
 /** Limits how long an idle thread takes to notice a closed ring. */
 constexpr Millis kMaxWait{ 500 };
 constexpr std::string_view kOrdersPath = "/v1/orders";
@@ -339,8 +341,8 @@
                                   "Bearer " + mOptions.mEngineKey);
   }
   request.mBody = body.dump();
-  const auto reply =
-    trefoilio::SendHttp(request, mOptions.mOrders.mMaxOrderDuration);
+  const auto reply = trefoilio::SendHttp(
+    request, mOptions.mOrders.mMaxOrderDuration, kMaxOrderReplyBytes);
   if (!reply || reply->mStatus >= 500) {
     return OrderReply::Unknown;
   }
--- a/src/trefoilarchd/platformclient.cpp
+++ b/src/trefoilarchd/platformclient.cpp
@@ -210,7 +210,8 @@
   request.mHeaders = std::move(aExtraHeaders);
   request.mHeaders.emplace_back("Content-Type", "application/json");
   request.mBody = std::move(aBody);
-  return trefoilio::SendHttp(request, mOptions.mTimeout);
+  return trefoilio::SendHttp(
+    request, mOptions.mTimeout, mOptions.mMaxReplyBytes);
 }
 
 std::optional<std::vector<TableRow>>
--- a/src/trefoilarchd/platformclient.h
+++ b/src/trefoilarchd/platformclient.h
@@ -90,6 +90,8 @@
 {
   std::string mUrl; /**< http://ADDRESS:PORT */
   Millis mTimeout{ 2000 };
+  /** Of a reply's body; a longer reply is none. */
+  size_t mMaxReplyBytes = 8388608;
 };
 
 /**
--- a/src/trefoilarchd/routerservice.cpp
+++ b/src/trefoilarchd/routerservice.cpp
@@ -21,8 +21,10 @@
   : mOptions(std::move(aOptions))
   , mMetrics(aMetrics)
   , mCore(mOptions.mCore)
-  , mRing(
-      std::make_shared<trefoilio::BoundedRing<Event>>(mOptions.mRingCapacity))
+  , mRing(std::make_shared<trefoilio::BoundedRing<Event>>(
+      mOptions.mRingCapacity,
+      mOptions.mRingBytes,
+      &RouterService::DataBytes))
   , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.mCore.mSeed))
 {
 }
@@ -90,6 +92,15 @@
   return mRing->TryPush(query) ? query.Await() : BusyState();
 }
 
+size_t
+RouterService::DataBytes(const Event& aEvent)
+{
+  const auto* received = std::get_if<MessageReceived>(&aEvent);
+  const auto* chunk =
+    received == nullptr ? nullptr : std::get_if<Chunk>(&received->mMessage);
+  return chunk == nullptr ? 0 : chunk->mData.size();
+}
+
 void
 RouterService::Run()
 {
@@ -125,9 +136,9 @@
 RouterService::Handle(Event aEvent)
 {
   std::visit([this](auto& aOne) { On(std::move(aOne)); }, aEvent);
-  while (!mSlowCallers.empty()) {
-    const RequestId id = mSlowCallers.back();
-    mSlowCallers.pop_back();
+  while (!mCutAnswers.empty()) {
+    const RequestId id = mCutAnswers.back();
+    mCutAnswers.pop_back();
     On(CallerDisconnected{ id });
   }
 }
@@ -383,17 +394,29 @@
   if (answer.mClaim) {
     ForwardToClaim(*answer.mClaim, aEvent);
   }
-  const bool delivered =
-    answer.mMailbox && answer.mMailbox->Push(std::move(aEvent));
+  const PushOutcome outcome = answer.mMailbox
+                                ? answer.mMailbox->Push(std::move(aEvent))
+                                : PushOutcome::Added;
   if (aLast) {
     mAnswers.erase(found);
-  } else if (!delivered && answer.mMailbox) {
-    mMetrics.Count("callers_too_slow_total");
-    answer.mMailbox->Abandon();
-    mSlowCallers.push_back(aId);
+  } else if (outcome != PushOutcome::Added) {
+    Cut(aId, *answer.mMailbox, outcome);
   }
 }
 
+void
+RouterService::Cut(const RequestId& aId,
+                   AnswerMailbox& aMailbox,
+                   PushOutcome aReason)
+{
+  mMetrics.Count(aReason == PushOutcome::TooLong ? "answers_too_long_total"
+                                                 : "callers_too_slow_total");
+  aMailbox.Fail(
+    { .mId = aId,
+      .mRefusal = { .mKind = ErrorKind::AnswerCut, .mRan = Ran::Maybe } });
+  mCutAnswers.push_back(aId);
+}
+
 void
 RouterService::OpenChannel(const UpstreamId& aUpstream, Link& aLink)
 {
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -43,6 +43,8 @@
 {
   EntryOptions mCore;
   size_t mRingCapacity = 65536;
+  /** Response data in the ring. */
+  size_t mRingBytes = 8388608;
   Millis mMinReconnectDelay{ 100 };
   Millis mMaxReconnectDelay{ 2000 };
   /** How long the entry waits for sidecars before it counts as ready. */
@@ -150,6 +152,9 @@
     std::shared_ptr<ClaimTracker> mClaim;    /**< null if it has none */
   };
 
+  /** Bytes of response data in the event. */
+  static size_t DataBytes(const Event& aEvent);
+
   void Run();
   void Handle(Event aEvent);
   void On(Submitted aEvent);
@@ -171,6 +176,8 @@
   /** Passes a response event to the claim. */
   static void ForwardToClaim(ClaimTracker& aClaim, const AnswerEvent& aEvent);
   void Deliver(RequestId aId, AnswerEvent aEvent, bool aLast);
+  /** Ends an answer of which no more can be held. */
+  void Cut(const RequestId& aId, AnswerMailbox& aMailbox, PushOutcome aReason);
   void OpenChannel(const UpstreamId& aUpstream, Link& aLink);
   void CloseChannel(Link& aLink);
   void ReopenDue(Millis aNow);
@@ -184,7 +191,7 @@
   std::shared_ptr<trefoilio::BoundedRing<Event>> mRing;
   std::map<UpstreamId, Link> mLinks;
   std::map<RequestId, Answer> mAnswers;
-  std::vector<RequestId> mSlowCallers;
+  std::vector<RequestId> mCutAnswers;
   uint64_t mNextGeneration = 1;
   std::minstd_rand mRandom;
   std::atomic<size_t> mOpenRequests = 0;
--- a/src/trefoilarchd/upstreamservice.cpp
+++ b/src/trefoilarchd/upstreamservice.cpp
@@ -16,6 +16,8 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kMinErrorStatus = 400;
+/** An incomplete event of this size has no end. */
+constexpr size_t kMaxEventBytes = 1048576;
 
 /** Whether the engine rejected the request without processing it. */
 bool
@@ -32,7 +34,12 @@
   , mMetrics(aMetrics)
   , mCore(mOptions.mCore)
   , mWatch(mOptions.mWatch)
-  , mRing(mOptions.mRingCapacity)
+  , mRing(mOptions.mRingCapacity,
+          mOptions.mRingBytes,
+          [](const Event& aEvent) {
+            const auto* data = std::get_if<Data>(&aEvent);
+            return data == nullptr ? 0 : data->mData.size();
+          })
   , mServer(SidecarServerHooks{
       .mOnMessage =
         [this](EntryId aEntry, EntryMessage aMessage) {
@@ -199,6 +206,11 @@
   }
   if (call.mTokenStream && call.mStatus < kMinErrorStatus) {
     EventBatch batch = call.mEvents.Add(aEvent.mData);
+    if (call.mEvents.Remainder().size() > kMaxEventBytes) {
+      mMetrics.Count("upstream_events_too_long_total");
+      AbortCall(aEvent.mKey, trefoilio::MonotonicNow());
+      return;
+    }
     data.mData = std::move(batch.mData);
     data.mTokens = batch.mTokens;
   } else {
@@ -280,20 +292,26 @@
 UpstreamService::EndSilentCalls(Millis aNow)
 {
   for (const AttemptKey& key : mWatch.TakeSilent(aNow)) {
-    const auto found = mRunningCalls.find(key);
-    if (found == mRunningCalls.end()) {
-      continue;
+    if (mRunningCalls.contains(key)) {
+      mMetrics.Count("calls_silent_total");
+      AbortCall(key, aNow);
     }
-    mMetrics.Count("calls_silent_total");
-    mCalls->Cancel(found->second.mCall);
-    mRunningCalls.erase(found);
-    PerformAll(mCore.OnCall(CallFailed{ .mKey = key,
-                                        .mKind = ErrorKind::UpstreamFailed,
-                                        .mRan = Ran::Maybe },
-                            aNow));
   }
 }
 
+void
+UpstreamService::AbortCall(const AttemptKey& aKey, Millis aNow)
+{
+  const auto found = mRunningCalls.find(aKey);
+  mWatch.Ended(aKey);
+  mCalls->Cancel(found->second.mCall);
+  mRunningCalls.erase(found);
+  PerformAll(mCore.OnCall(CallFailed{ .mKey = aKey,
+                                      .mKind = ErrorKind::UpstreamFailed,
+                                      .mRan = Ran::Maybe },
+                          aNow));
+}
+
 void
 UpstreamService::PerformAll(SidecarActions aActions)
 {
--- a/src/trefoilarchd/upstreamservice.h
+++ b/src/trefoilarchd/upstreamservice.h
@@ -26,6 +26,8 @@
   std::string mUrl; /**< `http://ADDRESS:PORT`, optionally with a path */
   std::string mKey; /**< bearer token for the upstream, or empty */
   size_t mRingCapacity = 65536;
+  /** Response data in the ring. */
+  size_t mRingBytes = 8388608;
   CallWatchOptions mWatch;
   trefoilio::CallRunnerOptions mCalls;
 };
@@ -117,6 +119,8 @@
                        trefoilio::CallEnd aEnd) const;
   /** Cancels calls whose connection has been silent for too long. */
   void EndSilentCalls(Millis aNow);
+  /** Cancels a running call as failed. */
+  void AbortCall(const AttemptKey& aKey, Millis aNow);
   void PerformAll(SidecarActions aActions);
   void Perform(const SendToEntry& aAction);
   void Perform(StartCall aAction);
--- a/src/trefoilload/answerchecker.cpp
+++ b/src/trefoilload/answerchecker.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr size_t kMaxBodyBytes = 16777216;
+
 standin::CompletionText
 BuildExpected(const TraceRequest& aRequest, const trefoilio::HttpRequest& aSent)
 {
@@ -71,7 +73,10 @@
 AnswerChecker::OnData(const std::string& aData, int64_t aNow)
 {
   if (!IsStream()) {
-    mBody += aData;
+    // Longer than any expected body.
+    if (mBody.size() <= kMaxBodyBytes) {
+      mBody += aData;
+    }
     return;
   }
   if (mStreamedAnswer.Feed(aData) == 0) {
