Begin no attempt that is not expected to end before a planned stop

Report: requests that came late in a planned stop were passed on and cut off at its end. Here too: streams that are sent two to three seconds after SIGTERM and last longer than what is left. Retries may begin even later.

Cause: a stopping gate takes requests for three seconds, and nothing asks before an attempt whether it can end in time.

Change: RequestPlan asks the router before each attempt, first ones, held ones, retries and the rest of broken streams alike. A request that has not run is answered 503, "not run", to come back after 100 ms.

--- a/src/libtrefoilarch/directplacing.cpp
+++ b/src/libtrefoilarch/directplacing.cpp
@@ -59,12 +59,8 @@
   const auto rejection = [](Millis aRetryAfter) {
     return OverloadRejection{ .mRetryAfter = aRetryAfter };
   };
-  // Without updates from peers an entry knows only its own share of the load.
-  // The rate of its starts is then more reliable than a forecast.
-  const bool hasForecast =
-    aRequest.mPrompt.mPromptTokens > 0 && mPeers.Peers() > 0;
   StartMeter& meter = mStartMeters[route.mName];
-  if (!hasForecast) {
+  if (!HasEngineForecast(aRequest)) {
     const auto late =
       meter.Refuse(route.mFirstTokenTarget, limit, weight, aNow);
     return late ? std::optional(rejection(*late)) : std::nullopt;
@@ -106,6 +102,14 @@
   return std::min(aMin + Millis(jitter(mRandom)), limit / kRetryAfterDivisor);
 }
 
+bool
+DirectRouter::HasEngineForecast(const BoundRequest& aRequest) const
+{
+  // Without updates from peers an entry knows only its own share of the load.
+  // The rate of its starts is then more reliable than a forecast.
+  return aRequest.mPrompt.mPromptTokens > 0 && mPeers.Peers() > 0;
+}
+
 StartForecast
 DirectRouter::ForecastFor(const BoundRequest& aRequest, Millis aNow)
 {
@@ -124,6 +128,25 @@
            .mLongestPauseMs = choice.mForecast.mPace.mLongestPauseMs };
 }
 
+bool
+DirectRouter::EndsBeforeStop(const BoundRequest& aRequest,
+                             Millis aElapsed,
+                             Millis aNow)
+{
+  if (!mStopAt || aRequest.mDeadline < *mStopAt) {
+    return true;
+  }
+  const StartMeter& meter = mStartMeters[aRequest.mRoute->mName];
+  double waitMs = meter.RecentWaitMs(aNow);
+  if (HasEngineForecast(aRequest)) {
+    const StartForecast forecast = ForecastFor(aRequest, aNow);
+    waitMs = std::max(waitMs, forecast.mWaitMs + forecast.mPrefillMs);
+  }
+  const double answerMs =
+    std::max(meter.LongAnswerMs() - static_cast<double>(aElapsed.Count()), 0.0);
+  return aNow + Millis(static_cast<int64_t>(waitMs + answerMs)) < *mStopAt;
+}
+
 EngineInfo
 DirectRouter::EngineInfoFor(const BoundRequest& aRequest, Millis aNow) const
 {
--- a/src/libtrefoilarch/directrouter.h
+++ b/src/libtrefoilarch/directrouter.h
@@ -155,6 +155,14 @@
   /** Whether its key is still valid; must be checked before each send. */
   bool StillAllowed(const BoundRequest& aRequest, Millis aNow) const;
 
+  /** This process ends at that time, whatever is still open. */
+  void SetStopAt(Millis aAt) { mStopAt = aAt; }
+  /** Whether the request, if it is sent now, is expected to end before this
+   * process does. Its stream has already lasted for aElapsed. */
+  bool EndsBeforeStop(const BoundRequest& aRequest,
+                      Millis aElapsed,
+                      Millis aNow);
+
   /** Whether the chosen upstream is still listed and accepts requests. */
   bool TakesWork(const PlacedAttempt& aAttempt, Millis aNow) const;
 
@@ -455,6 +463,8 @@
   std::optional<OverloadRejection> Overload(const BoundRequest& aRequest,
                                             Millis aNow);
   StartForecast ForecastFor(const BoundRequest& aRequest, Millis aNow);
+  /** Whether enough is known of the engines for ForecastFor(). */
+  bool HasEngineForecast(const BoundRequest& aRequest) const;
   /** Whether to reject the request so that overload is shed from the least
    * urgent requests. aLate: it is expected to start or end too late. */
   bool ShedsTier(const BoundRequest& aRequest, bool aLate, Millis aNow);
@@ -500,6 +510,7 @@
   SharedSegmentDetector mSharedSegments;
   /** By route. */
   std::unordered_map<std::string, StartMeter> mStartMeters;
+  std::optional<Millis> mStopAt;
   PeerWork mPeers;
   size_t mEntries = 1;
   ConnectionShares mConnectionShares;
--- a/src/libtrefoilarch/requestplan.cpp
+++ b/src/libtrefoilarch/requestplan.cpp
@@ -59,6 +59,9 @@
  * and a caller retries at any. */
 constexpr Millis kOriginRetryAfter{ 200 };
 
+/** Retry delay during a planned stop: another entry serves the request. */
+constexpr Millis kStopRetryAfter{ 100 };
+
 /** Less time is not enough for an attempt. */
 constexpr Millis kMinAttemptTime{ 5 };
 
@@ -159,6 +162,9 @@
   if (!mRouter.StillAllowed(mRequest, aNow)) {
     return Refuse(ErrorKind::PolicyStale, kNoUpstreamRetryAfter, aNow);
   }
+  if (!EndsBeforeStop(aNow)) {
+    return Refuse(ErrorKind::ShuttingDown, kStopRetryAfter, aNow);
+  }
   if (auto step = FindOrigin(aNow)) {
     return std::move(*step);
   }
@@ -335,7 +341,7 @@
 RequestPlan::ContinueAtBackup(Millis aNow)
 {
   if (mCurrent.mBackup.empty() || mRequest.mDeadline - aNow < kMinAttemptTime ||
-      !mRouter.StillAllowed(mRequest, aNow) ||
+      !mRouter.StillAllowed(mRequest, aNow) || !EndsBeforeStop(aNow) ||
       mRouter.Admit(mRequest, Millis(0), aNow) != QuarantineVerdict::Run ||
       !mRouter.TakeRetry(mRequest.mService)) {
     return std::nullopt;
@@ -350,6 +356,13 @@
   return SendRequest{ .mAttempt = std::move(*attempt) };
 }
 
+bool
+RequestPlan::EndsBeforeStop(Millis aNow) const
+{
+  const Millis elapsed = mAnswerBegun ? aNow - mRequest.mArrivedAt : Millis(0);
+  return mRouter.EndsBeforeStop(mRequest, elapsed, aNow);
+}
+
 bool
 RequestPlan::MayRepeat() const
 {
--- a/src/libtrefoilarch/requestplan.h
+++ b/src/libtrefoilarch/requestplan.h
@@ -95,6 +95,9 @@
   PlanStep Retry(Millis aNow, ErrorKind aFallbackKind);
   /** Continues at the upstream that keeps a copy, if there is one. */
   std::optional<PlanStep> ContinueAtBackup(Millis aNow);
+  /** Whether an attempt that begins now is expected to end before the process
+   * does. */
+  bool EndsBeforeStop(Millis aNow) const;
   bool MayRepeat() const;
   bool AttemptsLeft() const;
   PlanStep Refuse(ErrorKind aKind, Millis aRetryAfter, Millis aNow) const;
--- a/src/libtrefoilarch/startmeter.cpp
+++ b/src/libtrefoilarch/startmeter.cpp
@@ -82,7 +82,7 @@
 {
   const Millis boundedTarget = std::max(aTarget, mOptions.mMinTarget);
   const double target = static_cast<double>(boundedTarget.Count()) * aWeight;
-  return RecentWait(aNow) >= mOptions.mSlowShare * target &&
+  return RecentWaitMs(aNow) >= mOptions.mSlowShare * target &&
          static_cast<double>(ExpectedWait(aNow).Count()) >
            mOptions.mMaxWaitShare * target;
 }
@@ -91,7 +91,7 @@
 StartMeter::EndsTooLate(Millis aLimit, double aWeight, Millis aNow)
 {
   const double limit = static_cast<double>(aLimit.Count()) * aWeight;
-  const double end = RecentWait(aNow) + mOptions.mAnswerSpread * AnswerMs();
+  const double end = RecentWaitMs(aNow) + LongAnswerMs();
   return end > mOptions.mMaxTimeShare * limit;
 }
 
@@ -137,7 +137,7 @@
 }
 
 double
-StartMeter::RecentWait(Millis aNow) const
+StartMeter::RecentWaitMs(Millis aNow) const
 {
   const Queue queue = QueueAt(aNow);
   const double age = queue.mRequests == 0
--- a/src/libtrefoilarch/startmeter.h
+++ b/src/libtrefoilarch/startmeter.h
@@ -76,6 +76,10 @@
   uint32_t Open() const { return Pending() + mRunning; }
   /** Mean time from the start of a response to its end, in milliseconds. */
   double AnswerMs() const { return mMeanAnswer.Value(); }
+  /** Time from the start of a response within which most end. */
+  double LongAnswerMs() const { return mOptions.mAnswerSpread * AnswerMs(); }
+  /** Time until recent requests started; 0 if there were none. */
+  double RecentWaitMs(Millis aNow) const;
 
 private:
   /** Weight of the newest response time. Response times vary more than waits,
@@ -92,7 +96,6 @@
 
   Queue QueueAt(Millis aNow) const;
   double Rate(Millis aNow);
-  double RecentWait(Millis aNow) const;
   bool StartsTooLate(Millis aTarget, double aWeight, Millis aNow);
   bool EndsTooLate(Millis aLimit, double aWeight, Millis aNow);
   void RemovePending(Millis aSentAt, uint8_t aPriority);
--- a/src/libtrefoilgate/gateway.cpp
+++ b/src/libtrefoilgate/gateway.cpp
@@ -290,6 +290,7 @@
   }
   mDraining = true;
   mDrainingSince = BootNow();
+  mRouter.SetStopAt(mDrainingSince + mOptions.mSettings.mStopTimeout);
   mLog.Write(LineKind::Process,
              "stopping",
              { { "open", mExchanges.size() },
@@ -336,6 +337,9 @@
   mOptions.mSettings.mConnectionBytes = aSettings.mConnectionBytes;
   mMemory.Budget().SetOptions(ConnectionMemoryFor(mOptions.mSettings));
   UpdateBufferBounds();
+  if (mDraining) {
+    mRouter.SetStopAt(mDrainingSince + mOptions.mSettings.mStopTimeout);
+  }
   mRouter.SetKeyPolicyMaxAge(aSettings.mKeyPolicyMaxAge);
   mRouter.SetRetries(RetryOptionsOf(aSettings, mEntryCount));
   mLog.Write(
--- a/tests/unit/requestplantest.cpp
+++ b/tests/unit/requestplantest.cpp
@@ -941,3 +941,74 @@
                refusal->mRefusal.mRetryAfter > Millis(0)));
   }
 }
+
+namespace {
+
+/** A router whose streams last for two seconds, and which stops at 5 s. */
+DirectRouter
+StoppingRouter()
+{
+  DirectRouter router = MakeRouter(2);
+  for (int64_t each = 0; each < 4; ++each) {
+    auto attempt =
+      router.Place(Bound(router, "/resume/x"), {}, Millis(each * 10));
+    router.OnStarted(*attempt, Millis(100));
+    router.OnEnded(*attempt, AttemptOutcome::Good, Millis(2100));
+  }
+  router.SetStopAt(Millis(5000));
+  return router;
+}
+
+} // namespace
+
+// Streams that began late in a planned stop were cut off at its end.
+Test(requestplan, an_attempt_that_would_outlast_a_planned_stop_is_refused)
+{
+  DirectRouter router = StoppingRouter();
+  const auto begin = [&](const std::string& aPath, Millis aNow) {
+    router.ConfirmPolicy(aNow);
+    RequestPlan plan(router, Bound(router, aPath, aNow));
+    return plan.Begin(aNow);
+  };
+  cr_expect(
+    std::holds_alternative<SendRequest>(begin("/resume/x", Millis(1500))));
+  const PlanStep late = begin("/resume/x", Millis(2500));
+  const auto* refusal = std::get_if<AnswerRefusal>(&late);
+  cr_assert(refusal != nullptr);
+  cr_expect(refusal->mRefusal.mKind == ErrorKind::ShuttingDown);
+  cr_expect(refusal->mRefusal.mRan == Ran::No);
+  cr_expect(refusal->mRefusal.mRetryAfter > Millis(0));
+  // Nothing is known of this route's answers.
+  cr_expect(
+    std::holds_alternative<SendRequest>(begin("/safe/x", Millis(2500))));
+}
+
+Test(requestplan, a_broken_stream_goes_on_if_its_rest_ends_before_the_stop)
+{
+  for (const int64_t brokenAt : { 3000, 4500 }) {
+    DirectRouter router = StoppingRouter();
+    const Millis arrived(brokenAt - 1500);
+    router.ConfirmPolicy(arrived);
+    RequestPlan plan(router, Bound(router, "/resume/x", arrived));
+    // It began before the stop was known.
+    router.SetStopAt(Millis(60000));
+    const PlanStep first = plan.Begin(arrived);
+    const auto* send = std::get_if<SendRequest>(&first);
+    cr_assert(send != nullptr);
+    PlacedAttempt attempt = send->mAttempt;
+    router.OnStarted(attempt, arrived + Millis(50));
+    plan.OnSending();
+    plan.OnAnswerBegun(arrived + Millis(50));
+    router.SetStopAt(Millis(5000));
+    const Millis now(brokenAt);
+    router.ConfirmPolicy(now);
+    router.OnEnded(attempt, AttemptOutcome::Broken, now);
+    const PlanStep next = plan.OnBroken(true, now);
+    cr_expect(std::holds_alternative<SendRequest>(next) == (brokenAt == 3000),
+              "at %ld ms",
+              brokenAt);
+    cr_expect(std::holds_alternative<AbortAnswer>(next) == (brokenAt == 4500),
+              "at %ld ms",
+              brokenAt);
+  }
+}
