--- a/src/libtrefoilio/callrunner.cpp
+++ b/src/libtrefoilio/callrunner.cpp
@@ -133,7 +133,7 @@
     if (found == mCalls.end()) {
       return;
     }
-    const auto outgoing = MakeOutgoing(found->second.mRequest);
+    const auto outgoing = MakeOutgoing(std::move(found->second.mRequest));
     if (!outgoing) {
       End(aId, CallEnd::NeverSent);
       return;
--- a/src/libtrefoilio/outgoingrequest.cpp
+++ b/src/libtrefoilio/outgoingrequest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <utility>
 
 namespace trefoilio {
 
@@ -74,7 +75,7 @@
 } // namespace
 
 std::optional<OutgoingRequest>
-MakeOutgoing(const HttpRequest& aRequest)
+MakeOutgoing(HttpRequest aRequest)
 {
   const auto location = ParseLocation(aRequest.mTarget);
   if (!location || !IsWord(aRequest.mMethod)) {
@@ -94,12 +95,12 @@
       head, "Content-Length", std::to_string(aRequest.mBody.size()));
   }
   head += "\r\n";
-  return OutgoingRequest{
-    .mEndpoint = location->mEndpoint,
-    .mCall = { .mHead = std::move(head),
-               .mBody = std::make_shared<const std::string>(aRequest.mBody),
-               .mNoBody = aRequest.mMethod == "HEAD" }
-  };
+  return OutgoingRequest{ .mEndpoint = location->mEndpoint,
+                          .mCall = { .mHead = std::move(head),
+                                     .mBody =
+                                       std::make_shared<const std::string>(
+                                         std::move(aRequest.mBody)),
+                                     .mNoBody = aRequest.mMethod == "HEAD" } };
 }
 
 HttpHeaders
--- a/src/libtrefoilio/outgoingrequest.h
+++ b/src/libtrefoilio/outgoingrequest.h
@@ -21,7 +21,7 @@
  * that apply to the connection are left out, except a Host of the request's
  * own. */
 std::optional<OutgoingRequest>
-MakeOutgoing(const HttpRequest& aRequest);
+MakeOutgoing(HttpRequest aRequest);
 
 /** The answer's end-to-end headers, and the one that frames its body. */
 HttpHeaders
--- a/tests/platform/endlessanswerstest.cpp
+++ b/tests/platform/endlessanswerstest.cpp
@@ -8,8 +8,10 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace platformtest;
@@ -139,3 +141,36 @@
     }
   }
 }
+
+/** The store is read by each gate, and may be at fault as well. */
+Test(endlessanswers, of_the_store_are_bounded, .timeout = 240)
+{
+  constexpr std::chrono::milliseconds kRunTime{ 2500 };
+  constexpr std::chrono::milliseconds kNoGap{ 0 };
+  for (const EndlessAnswer& answer : integration::EndlessAnswers()) {
+    const RawUpstream store([&](RawUpstream::Tcp::socket& aSocket) {
+      RawUpstream::Write(aSocket, answer.mBegin);
+      RawUpstream::WriteWithoutEnd(aSocket, answer.mMore, kNoGap);
+    });
+    integration::ChildProcess gate("trefoilarch-gate",
+                                   { "--name",
+                                     "gate-0",
+                                     "--data-centre",
+                                     "here",
+                                     "--listen",
+                                     "127.0.0.1:0",
+                                     "--operator-listen",
+                                     "127.0.0.1:0",
+                                     "--memory-mb",
+                                     std::to_string(kGateMb),
+                                     "--platform",
+                                     store.Address() });
+    cr_expect(Await([&] { return store.Requests() > 0; }));
+    std::this_thread::sleep_for(kRunTime);
+    cr_expect_not(gate.HasEnded());
+    const double peak = PeakMemoryMb(gate.Id());
+    cr_log_info("%s: %.1f MB", answer.mName.c_str(), peak);
+    cr_expect(
+      peak > 0 && peak < kGateMb, "%s: %.1f MB", answer.mName.c_str(), peak);
+  }
+}
