Halve the bounds of a sidecar's answers, and of rings

daemonendlessanswerstest at_full_speed failed once beside a whole build: 84.5 MB at a sidecar where 80 are allowed. What entries have not acknowledged is held twice, as chunks and as messages on their way; 32 MB were 64. Rings have 4 MB in place of 8 besides; the test was not run again before this commit.

--- a/src/libtrefoilarch/sidecarcore.h
+++ b/src/libtrefoilarch/sidecarcore.h
@@ -36,7 +36,7 @@
   /** Maximum bytes of unacknowledged response per attempt. */
   size_t mAnswerLimit = 4194304;
   /** The same of all attempts: none may have more than is free. */
-  size_t mTotalAnswerLimit = 33554432;
+  size_t mTotalAnswerLimit = 16777216;
   Millis mHeartbeat{ 500 };
   /**
    * An entry with open attempts that is silent for this long, several of its
--- a/src/trefoilarchd/routerservice.h
+++ b/src/trefoilarchd/routerservice.h
@@ -44,7 +44,7 @@
   EntryOptions mCore;
   size_t mRingCapacity = 65536;
   /** Response data in the ring. */
-  size_t mRingBytes = 8388608;
+  size_t mRingBytes = 4194304;
   Millis mMinReconnectDelay{ 100 };
   Millis mMaxReconnectDelay{ 2000 };
   /** How long the entry waits for sidecars before it counts as ready. */
--- a/src/trefoilarchd/upstreamservice.h
+++ b/src/trefoilarchd/upstreamservice.h
@@ -27,7 +27,7 @@
   std::string mKey; /**< bearer token for the upstream, or empty */
   size_t mRingCapacity = 65536;
   /** Response data in the ring. */
-  size_t mRingBytes = 8388608;
+  size_t mRingBytes = 4194304;
   CallWatchOptions mWatch;
   trefoilio::CallRunnerOptions mCalls;
 };
