Tell callers of SendHttp that a connection closes; send heads in the replay

requestlifecycle a_planned_stop_aborts_no_request reads `Connection: close` of a gate's answer through SendHttp, which no longer passed hop-by-hop fields on. The connection's reader knows whether the server closes after the answer; HeadersOf() says so again.

replay: two tests failed, as the stand-in for the daemons passed an engine's data on without the head of the answer, so with status 0, which an entry takes for no answer now. It sends a head with status 200, as an upstream does; loads, expectations and bounds are as they were.

Both pass now; trefoilarchd itself sends a head before data (upstreamservice).

--- a/src/libtrefoilgate/clientconnection.cpp
+++ b/src/libtrefoilgate/clientconnection.cpp
@@ -318,6 +318,7 @@
                          .mReason = std::string(message.reason()),
                          .mHeaders = EndToEndHeaders(message),
                          .mEndsWithConnection = mParser->need_eof(),
+                         .mCloses = !mParser->keep_alive(),
                          .mIdleTimeout = ParseIdleTimeout(message) };
   if (message.has_content_length()) {
     const auto length = mParser->content_length();
--- a/src/libtrefoilgate/upstreamanswer.h
+++ b/src/libtrefoilgate/upstreamanswer.h
@@ -18,6 +18,8 @@
   std::optional<uint64_t> mLength;
   /** Only the end of the connection marks the end of the body. */
   bool mEndsWithConnection = false;
+  /** The upstream closes the connection after it. */
+  bool mCloses = false;
   /** The upstream's idle timeout for connections, if announced. */
   std::optional<trefoilarch::Millis> mIdleTimeout;
 };
--- a/src/libtrefoilio/outgoingrequest.cpp
+++ b/src/libtrefoilio/outgoingrequest.cpp
@@ -112,6 +112,9 @@
   } else if (!aAnswer.mEndsWithConnection) {
     headers.emplace_back("Transfer-Encoding", "chunked");
   }
+  if (aAnswer.mCloses) {
+    headers.emplace_back("Connection", "close");
+  }
   return headers;
 }
 
--- a/src/libtrefoilio/outgoingrequest.h
+++ b/src/libtrefoilio/outgoingrequest.h
@@ -23,8 +23,8 @@
 std::optional<OutgoingRequest>
 MakeOutgoing(HttpRequest aRequest);
 
-/** The answer's end-to-end headers, and the one that frames its body. One
- * without a body and a length counts as chunked. */
+/** The answer's end-to-end headers, the one that frames its body, and whether
+ * its connection closes. One without a body and a length counts as chunked. */
 HttpHeaders
 HeadersOf(const trefoilgate::UpstreamAnswer& aAnswer);
 
--- a/tests/replay/sidecarrouter.cpp
+++ b/tests/replay/sidecarrouter.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr int32_t kOk = 200;
+
 /** One-way delay between an entry and a sidecar. */
 constexpr Millis kNetwork{ 1 };
 constexpr Millis kConnect{ 3 };
@@ -328,6 +330,11 @@
       mCompletedCalls.insert(aId);
       aSidecar.mRunning.erase(key);
     }
+    if (mBegunCalls.insert(aId).second) {
+      RunActions(aSidecar,
+                 aSidecar.mCore->OnCall(CallHead{ .mKey = key, .mStatus = kOk },
+                                        mTime.Now()));
+    }
     RunActions(
       aSidecar,
       aSidecar.mCore->OnCall(
@@ -345,6 +352,7 @@
   std::map<UpstreamId, std::unique_ptr<Sidecar>> mSidecars;
   std::map<EntryId, std::unique_ptr<Entry>> mEntries;
   std::map<uint64_t, AttemptKey> mCalls;
+  std::set<uint64_t> mBegunCalls;
   std::set<uint64_t> mCompletedCalls;
   uint64_t mNextId = 1;
 };
